Lay down the module, shared types and the check command

Cause: parts are to be built side by side, so the types that they share come first: the backend protocol, bundle, settings, outcomes and error codes, and the interfaces of placement, claims and the replicated state machine.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+.PHONY: check format lint test spec generate
+
+check: format lint test spec
+
+format:
+	@unformatted=$$(gofmt -l $$(git ls-files '*.go')); \
+	if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
+
+lint:
+	go vet ./...
+	go tool staticcheck ./...
+	go tool revive -config revive.toml -exclude './internal/...pb.go' ./...
+
+test:
+	go test ./...
+
+spec:
+	@for script in spec/*/check.sh; do if [ -e "$$script" ]; then bash "$$script" || exit 1; fi; done
+
+# Needs protoc; the generated code is committed.
+generate:
+	@mkdir -p bin
+	go build -o bin/ google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
+	@for file in $$(git ls-files '*.proto'); do \
+	  PATH="$$PWD/bin:$$PATH" protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative $$file || exit 1; \
+	done
--- /dev/null
+++ b/internal/command/command.go
@@ -0,0 +1,68 @@
+// Package command implements the commands of the godwityoke binary. Each
+// command has its own file; all of them return an exit code.
+package command
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/alexflint/go-arg"
+)
+
+// Exit codes of the binary.
+const (
+	// ExitOK means success.
+	ExitOK = 0
+	// ExitFindings means mistakes in a file, a refusal or a broken promise.
+	ExitFindings = 1
+	// ExitUsage means that the command line is wrong.
+	ExitUsage = 2
+)
+
+// Arguments is the command line.
+type Arguments struct {
+	Settings *SettingsArguments `arg:"subcommand:settings" help:"check a settings file"`
+}
+
+// Description is shown by --help.
+func (Arguments) Description() string {
+	return "godwityoke: a serving layer for prompts of very unlike lengths"
+}
+
+// Output is where a command writes for its user.
+type Output struct {
+	Out io.Writer
+	Err io.Writer
+}
+
+// Main parses args, without the program name, and runs the chosen command.
+func Main(args []string) int {
+	var arguments Arguments
+	output := Output{Out: os.Stdout, Err: os.Stderr}
+	parser, err := arg.NewParser(arg.Config{Program: "godwityoke"}, &arguments)
+	if err != nil {
+		fmt.Fprintln(output.Err, err)
+		return ExitUsage
+	}
+	switch err := parser.Parse(args); err {
+	case nil:
+		return arguments.run(parser, output)
+	case arg.ErrHelp:
+		_ = parser.WriteHelpForSubcommand(output.Out, parser.SubcommandNames()...)
+		return ExitOK
+	default:
+		_ = parser.WriteUsageForSubcommand(output.Err, parser.SubcommandNames()...)
+		fmt.Fprintln(output.Err, "error:", err)
+		return ExitUsage
+	}
+}
+
+func (a *Arguments) run(parser *arg.Parser, output Output) int {
+	switch {
+	case a.Settings != nil && a.Settings.Check != nil:
+		return a.Settings.Check.run(output)
+	}
+	_ = parser.WriteHelpForSubcommand(output.Err, parser.SubcommandNames()...)
+	return ExitUsage
+}
--- /dev/null
+++ b/internal/command/settings.go
@@ -0,0 +1,31 @@
+package command
+
+import (
+	"fmt"
+
+	"godwityoke.example/godwityoke/internal/settings"
+)
+
+// SettingsArguments are the commands on settings files.
+type SettingsArguments struct {
+	Check *SettingsCheckArguments `arg:"subcommand:check" help:"print every mistake of a settings file with its place"`
+}
+
+// SettingsCheckArguments are the arguments of "settings check".
+type SettingsCheckArguments struct {
+	File string `arg:"positional,required" help:"settings file, JSON with comments"`
+}
+
+func (a *SettingsCheckArguments) run(output Output) int {
+	_, findings, err := settings.Load(a.File)
+	if err != nil {
+		fmt.Fprintln(output.Err, err)
+		return ExitFindings
+	}
+	if len(findings) > 0 {
+		fmt.Fprintln(output.Err, findings.Error())
+		return ExitFindings
+	}
+	fmt.Fprintf(output.Out, "%s: no mistakes\n", a.File)
+	return ExitOK
+}
--- /dev/null
+++ b/internal/observe/events_process.go
@@ -0,0 +1,17 @@
+package observe
+
+import "github.com/rs/zerolog"
+
+// Events 1000-1099: start and stop of a process.
+var (
+	ProcessStarted = newEvent(1000, "process_started", zerolog.InfoLevel,
+		"The process listens on all its addresses. No action.")
+	ProcessStopping = newEvent(1001, "process_stopping", zerolog.InfoLevel,
+		"A planned stop began: readiness fails from now on. No action.")
+	ProcessStopped = newEvent(1002, "process_stopped", zerolog.InfoLevel,
+		"The process ended after all its work. No action.")
+	ProcessStopForced = newEvent(1003, "process_stop_forced", zerolog.WarnLevel,
+		"A second signal or the time limit ended the process with work in progress; the line counts what was cut.")
+	SettingsRefused = newEvent(1004, "settings_refused", zerolog.ErrorLevel,
+		"The settings file has mistakes; each is printed with its place. Correct the file and start again.")
+)
--- /dev/null
+++ b/internal/request/code.go
@@ -0,0 +1,66 @@
+package request
+
+import "net/http"
+
+// Code is the stable error code of an OpenAI-shaped error body.
+type Code string
+
+// Error codes. Once published, a code keeps its meaning.
+const (
+	CodeInvalidRequest    Code = "invalid_request"
+	CodeMissingKey        Code = "missing_api_key"
+	CodeUnknownKey        Code = "invalid_api_key"
+	CodeModelNotFound     Code = "model_not_found"
+	CodeServiceNotFound   Code = "service_not_found"
+	CodeForbidden         Code = "forbidden"
+	CodePromptTooLong     Code = "prompt_too_long"
+	CodeBodyTooLarge      Code = "body_too_large"
+	CodeBodyTimeout       Code = "body_timeout"
+	CodeDeadlineRange     Code = "deadline_out_of_range"
+	CodeRateLimited       Code = "rate_limited"
+	CodeOverloaded        Code = "overloaded"
+	CodeNoBackend         Code = "no_backend_server"
+	CodeShuttingDown      Code = "shutting_down"
+	CodeDeadlineExceeded  Code = "deadline_exceeded"
+	CodeBackendFailed     Code = "backend_failed"
+	CodeBackendIncomplete Code = "backend_incomplete_answer"
+	CodeKeyConflict       Code = "idempotency_key_conflict"
+	CodeKeyInProgress     Code = "idempotency_key_in_progress"
+	CodeKeyExpired        Code = "idempotency_key_expired"
+	CodeClaimsUnreachable Code = "claims_unreachable"
+	CodeOutcomeUnknown    Code = "outcome_unknown"
+	CodeInternal          Code = "internal_error"
+)
+
+// Status returns the HTTP status that goes with c.
+func (c Code) Status() int {
+	switch c {
+	case CodeInvalidRequest, CodePromptTooLong, CodeDeadlineRange:
+		return http.StatusBadRequest
+	case CodeMissingKey, CodeUnknownKey:
+		return http.StatusUnauthorized
+	case CodeForbidden:
+		return http.StatusForbidden
+	case CodeModelNotFound, CodeServiceNotFound:
+		return http.StatusNotFound
+	case CodeBodyTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case CodeBodyTimeout:
+		return http.StatusRequestTimeout
+	case CodeRateLimited:
+		return http.StatusTooManyRequests
+	case CodeKeyConflict:
+		return http.StatusUnprocessableEntity
+	case CodeKeyInProgress:
+		return http.StatusConflict
+	case CodeKeyExpired:
+		return http.StatusGone
+	case CodeOverloaded, CodeNoBackend, CodeShuttingDown, CodeClaimsUnreachable:
+		return http.StatusServiceUnavailable
+	case CodeDeadlineExceeded:
+		return http.StatusGatewayTimeout
+	case CodeBackendFailed, CodeBackendIncomplete, CodeOutcomeUnknown:
+		return http.StatusBadGateway
+	}
+	return http.StatusInternalServerError
+}
--- /dev/null
+++ b/internal/settings/load.go
@@ -0,0 +1,50 @@
+package settings
+
+import (
+	"time"
+
+	"godwityoke.example/godwityoke/internal/jsonc"
+	"godwityoke.example/godwityoke/internal/observe"
+)
+
+// Defaults returns the settings that a file may leave out.
+func Defaults() Settings {
+	return Settings{
+		Control: Control{
+			Heartbeat:            jsonc.Duration(100 * time.Millisecond),
+			ElectionTimeout:      jsonc.Duration(time.Second),
+			MaxClockDriftPercent: 5,
+			SnapshotEntries:      1000,
+		},
+		Entry: Entry{
+			HeaderTimeout:     jsonc.Duration(5 * time.Second),
+			BodyTimeout:       jsonc.Duration(30 * time.Second),
+			MaxInFlight:       4096,
+			HeartbeatInterval: jsonc.Duration(500 * time.Millisecond),
+			SilentAfter:       jsonc.Duration(2 * time.Second),
+			ReadyWait:         jsonc.Duration(2 * time.Second),
+			ConnectTimeout:    jsonc.Duration(500 * time.Millisecond),
+		},
+		Routing: Routing{
+			Policy:       PolicyTwoChoices,
+			LeaseTimeout: jsonc.Duration(20 * time.Millisecond),
+			LeaseTerm:    jsonc.Duration(2 * time.Second),
+		},
+		Shutdown: Shutdown{
+			BalancerWait: jsonc.Duration(2 * time.Second),
+			Limit:        jsonc.Duration(10 * time.Minute),
+		},
+		Log: LogSettings{Format: observe.LogJSON, Level: "info"},
+	}
+}
+
+// Load reads and checks a settings file. The error is set only when the file
+// cannot be read; mistakes in it are returned as findings.
+func Load(file string) (*Settings, jsonc.Findings, error) {
+	loaded := Defaults()
+	doc, err := jsonc.DecodeFile(file, &loaded)
+	if err != nil {
+		return nil, nil, err
+	}
+	return &loaded, doc.Findings(), nil
+}
