--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -56,5 +56,6 @@
 // Placer places queries on the servers known to this VM. Place waits while
 // a place is expected in time.
 type Placer interface {
+	// Place returns a server for query, or a *RefusedError.
 	Place(ctx context.Context, query Query) (Placement, error)
 }
