--- /dev/null
+++ b/internal/consensus/membership.go
@@ -0,0 +1,91 @@
+package consensus
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Member is one member of the control group.
+type Member struct {
+	ID MemberID
+	// Name is the VM name from its settings.
+	Name string
+	// Address is the "ip:port" of its gRPC listener.
+	Address string
+	// Learner receives the log but neither votes nor counts for a quorum.
+	Learner bool
+}
+
+// Membership is the whole control group, by ascending id.
+type Membership struct {
+	Members []Member
+}
+
+// NewMembership returns the group of members.
+func NewMembership(members ...Member) Membership {
+	sorted := slices.Clone(members)
+	slices.SortFunc(sorted, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	return Membership{Members: sorted}
+}
+
+// Find returns the member with id.
+func (m Membership) Find(id MemberID) (Member, bool) {
+	for _, member := range m.Members {
+		if member.ID == id {
+			return member, true
+		}
+	}
+	return Member{}, false
+}
+
+// IsVoter tells whether id counts for a quorum.
+func (m Membership) IsVoter(id MemberID) bool {
+	member, found := m.Find(id)
+	return found && !member.Learner
+}
+
+// Voters returns the ids that count for a quorum.
+func (m Membership) Voters() []MemberID {
+	var voters []MemberID
+	for _, member := range m.Members {
+		if !member.Learner {
+			voters = append(voters, member.ID)
+		}
+	}
+	return voters
+}
+
+// Quorum returns the number of voters that form a majority.
+func (m Membership) Quorum() int {
+	return len(m.Voters())/2 + 1
+}
+
+func (m Membership) with(member Member) Membership {
+	members := m.without(member.ID).Members
+	return NewMembership(append(members, member)...)
+}
+
+func (m Membership) without(id MemberID) Membership {
+	var members []Member
+	for _, member := range m.Members {
+		if member.ID != id {
+			members = append(members, member)
+		}
+	}
+	return Membership{Members: members}
+}
+
+// quorumValue returns the highest value that a majority of the voters has
+// reached; value gives that of one voter.
+func (m Membership) quorumValue(value func(MemberID) uint64) uint64 {
+	voters := m.Voters()
+	if len(voters) == 0 {
+		return 0
+	}
+	values := make([]uint64, 0, len(voters))
+	for _, id := range voters {
+		values = append(values, value(id))
+	}
+	slices.Sort(values)
+	return values[len(values)-m.Quorum()]
+}
--- /dev/null
+++ b/internal/storage/replay.go
@@ -0,0 +1,136 @@
+package storage
+
+import (
+	"errors"
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"godwityoke.example/godwityoke/internal/consensus"
+	"godwityoke.example/godwityoke/internal/consensus/codec"
+	"godwityoke.example/godwityoke/internal/consensus/consensuspb"
+)
+
+// loadSegments replays all segments and opens the last one for writing.
+func (s *Store) loadSegments(names []string, loaded *Loaded) error {
+	sequences, err := numbered(names, segmentPrefix)
+	if err != nil {
+		return err
+	}
+	if len(sequences) == 0 {
+		return &DamageError{File: s.fs.Path(identityName), Cause: errNoLog}
+	}
+	for i, sequence := range sequences {
+		if i > 0 && sequence != sequences[i-1]+1 {
+			return &DamageError{File: s.fs.Path(segmentName(sequence)), Cause: errSegmentGap}
+		}
+		last := i == len(sequences)-1
+		if err := s.loadSegment(sequence, last, loaded); err != nil {
+			return err
+		}
+	}
+	return s.openLast(loaded)
+}
+
+// loadSegment replays one segment. Only the last one may end in a torn record.
+func (s *Store) loadSegment(sequence uint64, last bool, loaded *Loaded) error {
+	name := segmentName(sequence)
+	data, err := s.fs.ReadFile(name)
+	if err != nil {
+		return err
+	}
+	s.segments = append(s.segments, segment{sequence: sequence})
+	offset := 0
+	for offset < len(data) {
+		payload, next, err := decodeRecord(data, offset)
+		if last && errors.Is(err, errTorn) {
+			loaded.Torn = &Torn{File: s.fs.Path(name), Offset: int64(offset), Bytes: int64(len(data) - offset)}
+			break
+		}
+		if err == nil {
+			err = s.replay(payload, offset == 0, loaded)
+		}
+		if err != nil {
+			return &DamageError{File: s.fs.Path(name), Offset: int64(offset), Cause: err}
+		}
+		offset = next
+	}
+	if offset == 0 && !last {
+		return &DamageError{File: s.fs.Path(name), Cause: errTorn}
+	}
+	s.segmentBytes = offset
+	return nil
+}
+
+// replay takes one record of the log.
+func (s *Store) replay(payload []byte, first bool, loaded *Loaded) error {
+	var batch consensuspb.Batch
+	if err := proto.Unmarshal(payload, &batch); err != nil {
+		return err
+	}
+	current := &s.segments[len(s.segments)-1]
+	header := batch.GetSegment()
+	switch {
+	case first != (header != nil):
+		return errors.New("the segment does not begin with its header")
+	case header != nil && header.GetVersion() != formatVersion:
+		return fmt.Errorf("the segment has format %d, this program reads %d", header.GetVersion(), formatVersion)
+	case header != nil && header.GetSequence() != current.sequence:
+		return fmt.Errorf("the segment calls itself number %d", header.GetSequence())
+	case header.GetReset_():
+		loaded.Stored.Entries = nil
+	}
+	entries, err := codec.EntriesFromProto(batch.GetEntries())
+	if err != nil {
+		return err
+	}
+	loaded.Stored.HardState = codec.HardStateFromProto(batch.GetHardState())
+	for _, entry := range entries {
+		current.maxIndex = max(current.maxIndex, entry.Index)
+		if loaded.Stored.Entries, err = replayEntry(loaded.Stored.Entries, entry); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// replayEntry appends an entry, which replaces what is stored from its index on.
+func replayEntry(entries []consensus.Entry, entry consensus.Entry) ([]consensus.Entry, error) {
+	if len(entries) == 0 || entry.Index <= entries[0].Index {
+		return append(entries[:0], entry), nil
+	}
+	first := entries[0].Index
+	if entry.Index > first+uint64(len(entries)) {
+		return nil, errEntryGap
+	}
+	return append(entries[:entry.Index-first], entry), nil
+}
+
+// openLast opens the last segment for writing, without its torn end. A segment
+// without a whole header was never used: it is replaced.
+func (s *Store) openLast(loaded *Loaded) error {
+	last := s.segments[len(s.segments)-1].sequence
+	if s.segmentBytes == 0 {
+		if len(s.segments) == 1 {
+			return &DamageError{File: s.fs.Path(segmentName(last)), Cause: errTorn}
+		}
+		s.segments = s.segments[:len(s.segments)-1]
+		s.hardState = loaded.Stored.HardState
+		return s.rotate(false)
+	}
+	file, err := s.fs.Append(segmentName(last))
+	if err != nil {
+		return err
+	}
+	s.file = file
+	if loaded.Torn == nil {
+		return nil
+	}
+	if err := file.Truncate(loaded.Torn.Offset); err != nil {
+		return fmt.Errorf("cut off torn record: %w", err)
+	}
+	if err := file.Sync(); err != nil {
+		return fmt.Errorf("cut off torn record: %w", err)
+	}
+	return nil
+}
