observe: add metrics in Prometheus text and the event catalogue test

Cause: a sampling histogram of go-metrics holds about 16 KB, too much for four timings of 1,700 teams. Conclusion: series grow with teams plus classes.

--- /dev/null
+++ b/internal/observe/observe_test.go
@@ -0,0 +1,87 @@
+package observe
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var update = flag.Bool("update", false, "rewrite the event catalogue in docs/EVENTS.md")
+
+const eventsPage = "../../docs/EVENTS.md"
+
+const eventsIntroduction = `# Log events
+
+Every log line carries the number and the name of its event. A number is never
+reused. This page is written from the catalogue in internal/observe by
+` + "`go test ./internal/observe -run TestEventsPage -update`" + `.
+
+| number | name | level | meaning and action |
+|---|---|---|---|
+`
+
+func TestEventsPageListsExactlyTheCatalogue(t *testing.T) {
+	var page strings.Builder
+	page.WriteString(eventsIntroduction)
+	for _, event := range Catalogue() {
+		fmt.Fprintf(&page, "| %d | %s | %s | %s |\n", event.Number, event.Name, event.Level, event.Meaning)
+	}
+	if *update {
+		require.NoError(t, os.WriteFile(eventsPage, []byte(page.String()), 0o644))
+	}
+	written, err := os.ReadFile(eventsPage)
+	require.NoError(t, err)
+	require.Equal(t, page.String(), string(written))
+}
+
+func TestEventNumberTakenTwicePanics(t *testing.T) {
+	require.Panics(t, func() { newEvent(ProcessStarted.Number, "again", ProcessStarted.Level, "") })
+}
+
+func TestTeamsBeyondTheBoundShareALabel(t *testing.T) {
+	m := NewMetrics()
+	for i := range maxTeamLabels + 10 {
+		m.Observe(TimeToFirstToken, fmt.Sprintf("team-%d", i), "short", time.Millisecond)
+	}
+	var text strings.Builder
+	require.NoError(t, m.WritePrometheus(&text))
+	counts := strings.Count(text.String(), "godwityoke_time_to_first_token_seconds_count{team=")
+	require.Equal(t, maxTeamLabels+1, counts)
+	require.Contains(t, text.String(), `godwityoke_time_to_first_token_seconds_count{team="other"} 10`)
+}
+
+func TestHistogramIsCumulativeInSeconds(t *testing.T) {
+	m := NewMetrics()
+	m.Observe(TimeWhole, "a", "short", 7*time.Millisecond)
+	m.Observe(TimeWhole, "a", "short", 400*time.Second)
+	m.CountOutcome("a", "short", "completed")
+	var text strings.Builder
+	require.NoError(t, m.WritePrometheus(&text))
+	for _, line := range []string{
+		"# TYPE godwityoke_request_seconds histogram",
+		`godwityoke_request_seconds_bucket{team="a",le="0.005"} 0`,
+		`godwityoke_request_seconds_bucket{team="a",le="0.01"} 1`,
+		`godwityoke_request_seconds_bucket{team="a",le="300"} 1`,
+		`godwityoke_request_seconds_bucket{team="a",le="+Inf"} 2`,
+		`godwityoke_requests_total{class="short",outcome="completed"} 1`,
+	} {
+		require.Contains(t, text.String(), line+"\n")
+	}
+}
+
+// BenchmarkCapacityTeamHistograms reports the memory of all timings of a team.
+func BenchmarkCapacityTeamHistograms(b *testing.B) {
+	b.ReportAllocs()
+	m := NewMetrics()
+	for i := range b.N {
+		team := fmt.Sprintf("team-%d", i)
+		for _, timing := range []Timing{TimeToFirstToken, TimeBetweenTokens, TimeInQueue, TimeWhole} {
+			m.Observe(timing, team, "short", time.Millisecond)
+		}
+	}
+}
