--- a/internal/jsonc/units.go
+++ b/internal/jsonc/units.go
@@ -23,7 +23,7 @@
 func (d *Duration) UnmarshalText(text []byte) error {
 	parsed, err := time.ParseDuration(string(text))
 	if err != nil {
-		return fmt.Errorf("not a duration; allowed: a number with a unit, such as \"250ms\", \"2s\" or \"1h\"")
+		return fmt.Errorf("not a duration, allowed: a number with a unit, such as \"250ms\", \"2s\" or \"1h\"")
 	}
 	*d = Duration(parsed)
 	return nil
@@ -67,5 +67,5 @@
 		*b = Bytes(value * float64(unit.size))
 		return nil
 	}
-	return fmt.Errorf("not a size; allowed: a number with a unit, such as \"64MiB\" or \"10GB\"")
+	return fmt.Errorf("not a size, allowed: a number with a unit, such as \"64MiB\" or \"10GB\"")
 }
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -46,5 +46,6 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	check(doc, &loaded)
 	return &loaded, doc.Findings(), nil
 }
