--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -31,7 +31,7 @@
 	DataDir    string      `json:"data_dir,omitempty"`
 	Control    Control     `json:"control"`
 	Operators  Operators   `json:"operators"`
-	TLS        TLS         `json:"tls"`
+	TLS        TLS         `json:"tls,omitempty"`
 	Entry      Entry       `json:"entry"`
 	Routing    Routing     `json:"routing"`
 	Shutdown   Shutdown    `json:"shutdown"`
