--- /dev/null
+++ b/internal/consensus/bootstrap.go
@@ -0,0 +1,24 @@
+package consensus
+
+import (
+	"errors"
+	"time"
+)
+
+// ErrHasGroup refuses to form a group twice.
+var ErrHasGroup = errors.New("this member already has a group")
+
+// Form makes this member a founder of a group. All founders must call it with
+// the same arguments: each then holds the same first entry.
+func (c *Core) Form(group uint64, membership Membership, now time.Time) error {
+	c.observe(now)
+	if c.group != 0 || c.log.last() != 0 {
+		return ErrHasGroup
+	}
+	c.group = group
+	c.term = 1
+	c.log.append(Entry{Index: 1, Term: 1, Kind: EntryMembership, Membership: &membership})
+	c.log.commit = 1
+	c.updateMembership()
+	return nil
+}
