--- a/internal/consensus/change.go
+++ b/internal/consensus/change.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// ErrQuorumAtRisk refuses to remove a member when too few of the remaining
-// voters were heard lately.
-var ErrQuorumAtRisk = errors.New("without this member no majority of the voters is in reach")
+// ErrQuorumAtRisk refuses a change after which the voters heard lately, without
+// the changed one, would be no majority.
+var ErrQuorumAtRisk = errors.New("too few of the other voters are in reach for this change")
 
 // ChangeKind is a kind of member change.
 type ChangeKind uint8
@@ -70,7 +70,9 @@
 }
 
 // withPromoted lets a learner vote once it has synced all that was committed
-// one heartbeat ago, so that a repair counts only when it holds the state.
+// one heartbeat ago, so that a repair counts only when it holds the state. The
+// old voters must suffice for the new majority: else the loss of the new one
+// would stop the group, and a lost member has to be removed first.
 func (c *Core) withPromoted(id MemberID) (Membership, error) {
 	member, found := c.membership.Find(id)
 	if !found || !member.Learner {
@@ -81,7 +83,12 @@
 		return Membership{}, ErrNotCaughtUp
 	}
 	member.Learner = false
-	return c.membership.with(member), nil
+	next := c.membership.with(member)
+	voters := c.membership.Voters()
+	if len(voters) > 1 && c.heardOf(voters) < next.Quorum() {
+		return Membership{}, ErrQuorumAtRisk
+	}
+	return next, nil
 }
 
 func (c *Core) withRemoved(id MemberID) (Membership, error) {
@@ -93,16 +100,21 @@
 	if len(voters) == 0 {
 		return Membership{}, ErrLastVoter
 	}
+	if c.heardOf(voters) < next.Quorum() {
+		return Membership{}, ErrQuorumAtRisk
+	}
+	return next, nil
+}
+
+// heardOf counts the members that answered within the last lease.
+func (c *Core) heardOf(ids []MemberID) int {
 	heard := 0
-	for _, voter := range voters {
-		if c.heard(voter) {
+	for _, id := range ids {
+		if c.heard(id) {
 			heard++
 		}
 	}
-	if heard < next.Quorum() {
-		return Membership{}, ErrQuorumAtRisk
-	}
-	return next, nil
+	return heard
 }
 
 // heard tells whether a member answered within the last lease.
--- a/internal/consensus/clock.go
+++ b/internal/consensus/clock.go
@@ -4,8 +4,8 @@
 
 // clock turns the times given to the core into two scales. Lease ends are
 // compared with now itself, where a jump ahead ends the lease. Promises run on
-// patience, where a jump ahead counts for little, so neither a step of the
-// clock nor a freeze of the process shortens a promise.
+// patience, where a jump ahead counts for no more than maxAdvance. Leases are
+// shorter by as much, so that one step of a clock within a lease does no harm.
 type clock struct {
 	now      time.Time
 	patience time.Duration
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -99,7 +99,7 @@
 func New(config Config, stored Stored, now time.Time) (*Core, error) {
 	c := &Core{
 		config: config,
-		clock:  clock{now: now, maxAdvance: 2 * config.Heartbeat},
+		clock:  clock{now: now, maxAdvance: config.Heartbeat},
 		group:  stored.HardState.Group,
 		term:   stored.HardState.Term,
 		vote:   stored.HardState.Vote,
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -8,8 +8,15 @@
 	return c.role == RoleLeader || c.clock.patience < c.promiseUntil
 }
 
+// mayCampaign tells whether this member may ask for votes. One that is removed
+// by a change which is not yet committed still may: it can be the only one
+// with that entry, and then nobody else could win.
 func (c *Core) mayCampaign() bool {
-	return c.group != 0 && c.membership.IsVoter(c.config.ID) && !c.promised()
+	voter := c.membership.IsVoter(c.config.ID)
+	if !voter && c.membershipIndex > c.log.commit {
+		voter = c.membershipAt(c.log.commit).IsVoter(c.config.ID)
+	}
+	return c.group != 0 && voter && !c.promised()
 }
 
 func (c *Core) resetElectionDue() {
--- a/internal/consensus/lease.go
+++ b/internal/consensus/lease.go
@@ -36,10 +36,12 @@
 	round   uint64
 }
 
-// leaseTerm is the election timeout less the bound on clock drift, so that a
-// lease ends before any follower that granted it votes again.
+// leaseTerm is the election timeout less the bound on clock drift, and less
+// what a step of a follower's clock takes off its promise, so that a lease ends
+// before any follower that granted it votes again.
 func (c *Core) leaseTerm() time.Duration {
-	return time.Duration(float64(c.config.ElectionTimeout) * (1 - c.config.MaxClockDriftPercent/100))
+	drifted := float64(c.config.ElectionTimeout) * (1 - c.config.MaxClockDriftPercent/100)
+	return time.Duration(drifted) - c.clock.maxAdvance
 }
 
 // checkLease steps down at the end of the lease, or when a new leader has not
--- a/internal/replica/start.go
+++ b/internal/replica/start.go
@@ -79,13 +79,13 @@
 	r.loop = newControlLoop(r, core)
 	r.logStart(loaded, core.Status())
 	status := r.publish()
-	go r.runWriter(store)
-	go r.run()
 	if status.Group == 0 {
 		go r.awaitGroup()
 	} else {
 		r.network.update(status.Membership)
 	}
+	go r.runWriter(store)
+	go r.run()
 	return r, nil
 }
 
