--- /dev/null
+++ b/internal/ledger/grpc.go
@@ -0,0 +1,58 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"google.golang.org/grpc"
+
+	"godwityoke.example/godwityoke/internal/ledger/ledgerpb"
+)
+
+// Connections gives the connection to the VM at an address.
+type Connections interface {
+	// Conn returns the connection to address; it does not wait for it.
+	Conn(address string) (*grpc.ClientConn, error)
+}
+
+// GRPC reaches holders over gRPC. It implements Caller and Source.
+type GRPC struct {
+	Connections Connections
+}
+
+// Do implements Caller.
+func (g GRPC) Do(ctx context.Context, address string, request *ledgerpb.Request) (*ledgerpb.Reply, error) {
+	conn, err := g.Connections.Conn(address)
+	if err != nil {
+		return nil, fmt.Errorf("claim records of %s: %w", address, err)
+	}
+	reply, err := ledgerpb.NewLedgerClient(conn).Do(ctx, request)
+	if err != nil {
+		return nil, fmt.Errorf("claim records of %s: %w", address, err)
+	}
+	return reply, nil
+}
+
+// Entries implements Source.
+func (g GRPC) Entries(ctx context.Context, address string, epoch uint64, each func(*ledgerpb.EntriesReply)) error {
+	conn, err := g.Connections.Conn(address)
+	if err != nil {
+		return fmt.Errorf("entries of %s: %w", address, err)
+	}
+	stream, err := ledgerpb.NewLedgerClient(conn).Entries(ctx, &ledgerpb.EntriesRequest{Epoch: epoch})
+	if err != nil {
+		return fmt.Errorf("entries of %s: %w", address, err)
+	}
+	for {
+		entry, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("entries of %s: %w", address, err)
+		}
+		each(entry)
+	}
+}
