--- /dev/null
+++ b/internal/callers/callers.go
@@ -0,0 +1,112 @@
+// Package callers is the callers' side of an entry VM: HTTP by echo, in the
+// shape of the OpenAI interface, over the request pipeline.
+package callers
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/rs/zerolog"
+
+	"godwityoke.example/godwityoke/internal/bundle"
+	"godwityoke.example/godwityoke/internal/filter"
+	"godwityoke.example/godwityoke/internal/filter/identify"
+	"godwityoke.example/godwityoke/internal/ledger"
+	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/pipeline"
+	"godwityoke.example/godwityoke/internal/request"
+)
+
+// Config is what the callers' side works with.
+type Config struct {
+	Bundles     *bundle.Holder
+	Pipeline    *pipeline.Pipeline
+	Identifiers *request.Identifiers
+	// Claims answers questions after outcomes. It may be nil.
+	Claims  ledger.Claims
+	Ready   func() error
+	Metrics *observe.Metrics
+	Logger  zerolog.Logger
+	// Registry holds the calls in progress.
+	Registry *Registry
+}
+
+type handler struct {
+	Config
+	lookup *pipeline.Pipeline
+}
+
+// NewHandler returns the routes of the callers' side.
+func NewHandler(config Config) http.Handler {
+	h := &handler{Config: config, lookup: pipeline.New(identify.New())}
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.Logger.SetOutput(io.Discard)
+	e.HTTPErrorHandler = h.routeError
+	e.POST("/v1/completions", h.serve(request.KindCompletion))
+	e.POST("/v1/chat/completions", h.serve(request.KindChat))
+	e.GET("/v1/models", h.models)
+	e.GET("/v1/outcomes/:key", h.outcome)
+	e.Any("/services/:service/*", h.serve(request.KindService))
+	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	e.GET("/readyz", h.ready)
+	e.GET("/metrics", h.metrics)
+	return e
+}
+
+func (h *handler) ready(c echo.Context) error {
+	if err := h.Ready(); err != nil {
+		return c.String(http.StatusServiceUnavailable, err.Error()+"\n")
+	}
+	return c.String(http.StatusOK, "ready\n")
+}
+
+func (h *handler) metrics(c echo.Context) error {
+	c.Response().Header().Set(echo.HeaderContentType, observe.PrometheusContentType)
+	return h.Metrics.WritePrometheus(c.Response())
+}
+
+// newCall returns the call of a request, or nil while no bundle is in force.
+func (h *handler) newCall(c echo.Context, kind request.Kind) *filter.Call {
+	accepted := h.Bundles.Current()
+	if accepted == nil {
+		return nil
+	}
+	call := &filter.Call{
+		ID:       h.Identifiers.Next(),
+		Kind:     kind,
+		Received: time.Now(),
+		HTTP:     c.Request(),
+		Writer:   c.Response().Writer,
+		Bundle:   accepted,
+	}
+	if kind == request.KindService {
+		call.Service.Name = c.Param("service")
+		call.Path = "/" + c.Param("*")
+	}
+	return call
+}
+
+// serve runs a call through the pipeline.
+func (h *handler) serve(kind request.Kind) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		call := h.newCall(c, kind)
+		if call == nil {
+			return h.noBundle(c)
+		}
+		setStandardHeaders(call)
+		h.Registry.add(call)
+		defer h.Registry.remove(call)
+		err := h.Pipeline.Run(c.Request().Context(), call)
+		h.finish(call, err)
+		return nil
+	}
+}
+
+func setStandardHeaders(call *filter.Call) {
+	header := call.Writer.Header()
+	header.Set(request.RequestIDHeader, call.ID)
+	header.Set(request.BundleVersionHeader, uintText(call.Bundle.Version))
+}
--- /dev/null
+++ b/internal/filter/dispatch/dispatch.go
@@ -0,0 +1,195 @@
+// Package dispatch sends one attempt of a call to the backend server chosen
+// for it and watches over it until it ends.
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"time"
+
+	"godwityoke.example/godwityoke/internal/backendapi"
+	"godwityoke.example/godwityoke/internal/filter"
+	"godwityoke.example/godwityoke/internal/place"
+	"godwityoke.example/godwityoke/internal/request"
+)
+
+// drainTimeout bounds the wait for the end of a connection's message after the
+// end mark, so that the connection can be used again.
+const drainTimeout = 20 * time.Millisecond
+
+// Liveness tells which incarnations of backend servers are alive.
+type Liveness interface {
+	// Alive reports whether the server is heard of and still runs the given
+	// incarnation. Leaving servers are alive until they fall silent.
+	Alive(serverID string, incarnation uint64, now time.Time) bool
+}
+
+// Reclaimer frees the engine memory of attempts that ended early.
+type Reclaimer interface {
+	// Begin notes that an attempt is in progress on an engine.
+	Begin(server place.Server, attempt string)
+	// End notes that an attempt ended. Unless it is released, the engine is
+	// asked to cancel it until it confirms.
+	End(server place.Server, attempt string, released bool)
+}
+
+// Config is what the filter works with.
+type Config struct {
+	// Reused carries requests that may be attempted again.
+	Reused http.RoundTripper
+	// Fresh opens a connection for each request. It must never send a request
+	// twice by itself.
+	Fresh     http.RoundTripper
+	Liveness  Liveness
+	Reclaimer Reclaimer
+}
+
+// Filter sends attempts.
+type Filter struct {
+	Config
+}
+
+// New returns the filter.
+func New(config Config) *Filter { return &Filter{Config: config} }
+
+// Name implements filter.Filter.
+func (f *Filter) Name() string { return "dispatch" }
+
+// Process implements filter.Filter.
+func (f *Filter) Process(ctx context.Context, call *filter.Call, next filter.Next) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	call.Attempt.Alive = func() {}
+	if !call.Kind.ForEngine() {
+		return f.send(ctx, call, next)
+	}
+	server := call.Attempt.Placement.Server()
+	f.Reclaimer.Begin(server, call.Attempt.ID)
+	stop := f.watch(ctx, cancel, call)
+	err := f.send(ctx, call, next)
+	stop()
+	f.Reclaimer.End(server, call.Attempt.ID, err == nil || neverHeld(err))
+	return err
+}
+
+// neverHeld reports whether an attempt failed before the engine can have taken
+// memory for it.
+func neverHeld(err error) bool {
+	var failure *request.AttemptError
+	return errors.As(err, &failure) && !failure.MayHaveRun()
+}
+
+func (f *Filter) send(ctx context.Context, call *filter.Call, next filter.Next) error {
+	tracker := newTracker()
+	outgoing, err := newRequest(httptrace.WithClientTrace(ctx, tracker.clientTrace()), call)
+	if err != nil {
+		return &request.AttemptError{Step: request.StepResolve, Final: true, Cause: err}
+	}
+	response, err := f.transport(call).RoundTrip(outgoing)
+	if err != nil {
+		step, sent := tracker.state()
+		return &request.AttemptError{Step: step, Sent: sent, Cause: cause(ctx, err)}
+	}
+	defer response.Body.Close()
+	call.Attempt.Response = response
+	if err := next(ctx, call); err != nil {
+		return withCause(ctx, err)
+	}
+	drain(response.Body)
+	return nil
+}
+
+func (f *Filter) transport(call *filter.Call) http.RoundTripper {
+	if call.Idempotent() {
+		return f.Reused
+	}
+	return f.Fresh
+}
+
+// cause prefers the reason for which the watch ended an attempt.
+func cause(ctx context.Context, err error) error {
+	if reason := context.Cause(ctx); reason != nil && !errors.Is(err, reason) {
+		return fmt.Errorf("%w: %w", reason, err)
+	}
+	return err
+}
+
+func withCause(ctx context.Context, err error) error {
+	var failure *request.AttemptError
+	if errors.As(err, &failure) {
+		failure.Cause = cause(ctx, failure.Cause)
+	}
+	return err
+}
+
+// drain reads up to the end of the message for a short time. Closing the body
+// earlier closes the connection.
+func drain(body io.ReadCloser) {
+	timer := time.AfterFunc(drainTimeout, func() { _ = body.Close() })
+	defer timer.Stop()
+	var rest [64]byte
+	_, _ = body.Read(rest[:])
+}
+
+// newRequest builds the request to the backend server. The body is the
+// caller's, unchanged.
+func newRequest(ctx context.Context, call *filter.Call) (*http.Request, error) {
+	server := call.Attempt.Placement.Server()
+	url := "http://" + server.Address + path(call)
+	outgoing, err := http.NewRequestWithContext(ctx, call.HTTP.Method, url, nil)
+	if err != nil {
+		return nil, fmt.Errorf("build the request: %w", err)
+	}
+	if call.Body.Len() > 0 {
+		outgoing.Body = call.Body.Reader()
+		outgoing.ContentLength = call.Body.Len()
+	}
+	setHeaders(outgoing.Header, call, time.Now())
+	return outgoing, nil
+}
+
+func path(call *filter.Call) string {
+	switch call.Kind {
+	case request.KindChat:
+		return backendapi.PathChat
+	case request.KindCompletion:
+		return backendapi.PathCompletions
+	}
+	if call.HTTP.URL.RawQuery == "" {
+		return call.Path
+	}
+	return call.Path + "?" + call.HTTP.URL.RawQuery
+}
+
+// forwarded lists the caller's headers that plain services receive.
+func forwarded() []string {
+	return []string{"Accept", "Accept-Language", "Content-Type", request.IdempotencyKeyHeader}
+}
+
+func setHeaders(header http.Header, call *filter.Call, now time.Time) {
+	header.Set(backendapi.HeaderAttempt, call.Attempt.ID)
+	header.Set(request.RequestIDHeader, call.ID)
+	header.Set(backendapi.HeaderPriority, fmt.Sprint(call.Team.Priority))
+	header.Set(backendapi.HeaderBudget, fmt.Sprint(max(call.Deadline.Sub(now).Milliseconds(), 1)))
+	if !call.Kind.ForEngine() {
+		for _, name := range forwarded() {
+			if values := call.HTTP.Header.Values(name); len(values) > 0 {
+				header.Set(name, strings.Join(values, ", "))
+			}
+		}
+		return
+	}
+	header.Set("Content-Type", "application/json")
+	header.Set("Accept", "text/event-stream")
+	header.Set(backendapi.HeaderPromptTokens, fmt.Sprint(call.Model.PromptTokens))
+	header.Set(backendapi.HeaderMemoryTokens, fmt.Sprint(call.Model.PromptTokens+call.Model.AnswerTokens))
+	header.Set(backendapi.HeaderResumeFrom, fmt.Sprint(call.Verified))
+	if call.Model.Adapter != "" {
+		header.Set(backendapi.HeaderAdapter, call.Model.Adapter)
+	}
+}
--- /dev/null
+++ b/internal/filter/dispatch/watch.go
@@ -0,0 +1,144 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"godwityoke.example/godwityoke/internal/backendapi"
+	"godwityoke.example/godwityoke/internal/filter"
+	"godwityoke.example/godwityoke/internal/place"
+)
+
+const (
+	// watchInterval is how often an attempt in progress is looked at.
+	watchInterval = 500 * time.Millisecond
+	// probeTimeout bounds the question whether an engine holds an attempt.
+	probeTimeout = time.Second
+	// maxListBytes bounds an engine's list of attempts.
+	maxListBytes = 4 << 20
+	// missesToLose is the number of probes in a row that must fail.
+	missesToLose = 2
+)
+
+var (
+	errServerGone = errors.New("the backend server fell silent or was restarted")
+	errStalled    = errors.New("no token arrived within the stall limit")
+	errLost       = errors.New("the engine does not know the attempt any more")
+)
+
+// watcher looks after one attempt on an engine.
+type watcher struct {
+	filter *Filter
+	call   *filter.Call
+	server place.Server
+
+	mu        sync.Mutex
+	streaming bool
+	last      time.Time
+	probed    time.Time
+	misses    int
+}
+
+// watch ends the attempt through cancel when its server is gone, when it
+// stalls, or when the engine has lost it. The returned function stops the
+// watch.
+func (f *Filter) watch(ctx context.Context, cancel context.CancelCauseFunc, call *filter.Call) func() {
+	now := time.Now()
+	w := &watcher{filter: f, call: call, server: call.Attempt.Placement.Server(), last: now, probed: now}
+	call.Attempt.Alive = w.alive
+	ctx, stop := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.run(ctx, cancel)
+	}()
+	return func() {
+		stop()
+		<-done
+	}
+}
+
+// alive notes a verified token.
+func (w *watcher) alive() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.streaming = true
+	w.last = time.Now()
+}
+
+func (w *watcher) run(ctx context.Context, cancel context.CancelCauseFunc) {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			if err := w.check(ctx, now); err != nil {
+				cancel(err)
+				return
+			}
+		}
+	}
+}
+
+func (w *watcher) check(ctx context.Context, now time.Time) error {
+	w.mu.Lock()
+	idle, streaming := now.Sub(w.last), w.streaming
+	w.mu.Unlock()
+	stallLimit := w.call.Model.Class.StallLimit.Std()
+	switch {
+	case idle < watchInterval:
+		return nil
+	case !w.filter.Liveness.Alive(w.server.ID, w.server.Incarnation, now):
+		return errServerGone
+	case streaming && idle >= stallLimit:
+		return errStalled
+	case !streaming && now.Sub(w.probed) >= stallLimit:
+		w.probed = now
+		return w.probe(ctx)
+	}
+	return nil
+}
+
+// probe asks the engine over a new connection whether it holds the attempt,
+// since the connection that waits for the first token may have gone silent.
+func (w *watcher) probe(ctx context.Context) error {
+	held, err := w.held(ctx)
+	if held || ctx.Err() != nil {
+		w.misses = 0
+		return nil
+	}
+	w.misses++
+	if w.misses < missesToLose {
+		return nil
+	}
+	return errors.Join(errLost, err)
+}
+
+func (w *watcher) held(ctx context.Context) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	url := "http://" + w.server.Address + backendapi.PathAttempts
+	question, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return false, fmt.Errorf("build the probe: %w", err)
+	}
+	response, err := w.filter.Fresh.RoundTrip(question)
+	if err != nil {
+		return false, fmt.Errorf("probe the engine: %w", err)
+	}
+	defer response.Body.Close()
+	var list backendapi.AttemptList
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&list); err != nil {
+		return false, fmt.Errorf("read the engine's attempts: %w", err)
+	}
+	return slices.ContainsFunc(list.Attempts, func(a backendapi.HeldAttempt) bool { return a.Attempt == w.call.Attempt.ID }), nil
+}
--- /dev/null
+++ b/internal/filter/place/place.go
@@ -0,0 +1,164 @@
+// Package place chooses a backend server for each attempt of a call and
+// decides whether a failed attempt is followed by another.
+package place
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"godwityoke.example/godwityoke/internal/backendapi"
+	"godwityoke.example/godwityoke/internal/filter"
+	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/place"
+	"godwityoke.example/godwityoke/internal/request"
+)
+
+const (
+	// maxAttempts bounds the attempts of one call.
+	maxAttempts = 8
+	// retryPause separates attempts once every server failed the call.
+	retryPause = 100 * time.Millisecond
+)
+
+// Config is what the filter works with.
+type Config struct {
+	Engines     place.Placer
+	Services    place.Placer
+	Identifiers *request.Identifiers
+	Budget      *Budget
+	Metrics     *observe.Metrics
+	Logger      zerolog.Logger
+}
+
+// Filter runs the rest of the pipeline once for each attempt.
+type Filter struct {
+	Config
+}
+
+// New returns the filter.
+func New(config Config) *Filter { return &Filter{Config: config} }
+
+// Name implements filter.Filter.
+func (f *Filter) Name() string { return "place" }
+
+// Process implements filter.Filter.
+func (f *Filter) Process(ctx context.Context, call *filter.Call, next filter.Next) error {
+	var failed []string
+	var last *request.AttemptError
+	for number := 1; ; number++ {
+		placement, err := f.place(ctx, call, failed)
+		if err != nil {
+			return refused(ctx, call, last, err)
+		}
+		call.Attempt = &filter.Attempt{ID: f.Identifiers.Next(), Number: number, Placement: placement, Started: time.Now()}
+		err = next(ctx, call)
+		failure := attemptError(err)
+		f.finish(ctx, call, failure)
+		if failure == nil {
+			return f.ended(call, err)
+		}
+		call.MayHaveRun = call.MayHaveRun || failure.MayHaveRun()
+		f.logFailure(call, failure)
+		if ctx.Err() != nil || number >= maxAttempts || !f.mayRetry(call, failure) {
+			return ending(ctx, call, failure)
+		}
+		last = failure
+		failed = append(failed, placement.Server().ID)
+	}
+}
+
+func attemptError(err error) *request.AttemptError {
+	var failure *request.AttemptError
+	if errors.As(err, &failure) {
+		return failure
+	}
+	return nil
+}
+
+// place asks for a server that has not failed the call, and for any server
+// when there is no other.
+func (f *Filter) place(ctx context.Context, call *filter.Call, failed []string) (place.Placement, error) {
+	placer := f.Services
+	if call.Kind.ForEngine() {
+		placer = f.Engines
+	}
+	asked := time.Now()
+	defer func() { f.Metrics.Observe(observe.TimeInQueue, call.TeamName(), call.ClassName(), time.Since(asked)) }()
+	placement, err := placer.Place(ctx, query(call, failed))
+	if len(failed) == 0 || !errors.Is(err, place.ErrNoServer) {
+		return placement, err
+	}
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-time.After(retryPause):
+	}
+	return placer.Place(ctx, query(call, nil))
+}
+
+func query(call *filter.Call, failed []string) place.Query {
+	asked := place.Query{Team: call.Team.Name, Priority: call.Team.Priority, Deadline: call.Deadline, Exclude: failed}
+	if !call.Kind.ForEngine() {
+		asked.Model = call.Service.Name
+		return asked
+	}
+	model := call.Model
+	asked.Model, asked.Adapter = model.Model.Name, model.Adapter
+	asked.PromptTokens, asked.AnswerTokens = model.PromptTokens, model.AnswerTokens
+	asked.Short = model.Class.Short
+	asked.Blocks = backendapi.PrefixBlocks(model.Model.Name, model.Prompt, max(model.Model.BytesPerToken, 1))
+	return asked
+}
+
+// finish returns the placement.
+func (f *Filter) finish(ctx context.Context, call *filter.Call, failure *request.AttemptError) {
+	attempt := call.Attempt
+	result := place.AttemptResult{At: time.Now(), PromptTokens: attempt.PromptTokens, CachedTokens: attempt.CachedTokens}
+	if failure != nil {
+		result.Failed = ctx.Err() == nil
+		result.Held = call.Kind.ForEngine() && failure.MayHaveRun()
+	}
+	attempt.Placement.Finish(result)
+}
+
+// ended accounts for a call that got its answer, or whose caller's side
+// failed.
+func (f *Filter) ended(call *filter.Call, err error) error {
+	if err != nil {
+		call.MayHaveRun = true
+		return err
+	}
+	f.Budget.Success(call.Team.Name, call.Bundle.Bundle.Limits.RetryBudgetPercent)
+	return nil
+}
+
+// mayRetry reports whether another attempt is allowed. Attempts that sent
+// nothing and attempts that brought the answer forward cost nothing of the
+// budget: neither can repeat work without bound.
+func (f *Filter) mayRetry(call *filter.Call, failure *request.AttemptError) bool {
+	if failure.Final || (failure.MayHaveRun() && !call.Idempotent()) {
+		return false
+	}
+	if !failure.Sent || failure.Progress {
+		return true
+	}
+	allowed := f.Budget.Spend(call.Team.Name, time.Now())
+	result := "refused"
+	if allowed {
+		result = "spent"
+	}
+	f.Metrics.Counter("godwityoke_retry_budget_total", observe.Label{Name: "result", Value: result}).Inc(1)
+	return allowed
+}
+
+func (f *Filter) logFailure(call *filter.Call, failure *request.AttemptError) {
+	f.Metrics.Counter("godwityoke_attempt_failures_total", observe.Label{Name: "step", Value: string(failure.Step)}).Inc(1)
+	observe.Log(f.Logger, observe.AttemptFailed).
+		Str("request", call.ID).Str("attempt", call.Attempt.ID).Int("number", call.Attempt.Number).
+		Str("server", call.Attempt.Placement.Server().ID).Str("step", string(failure.Step)).
+		Bool("sent", failure.Sent).Bool("refused", failure.Refused).
+		Int64("verified_tokens", call.Verified).Err(failure.Cause).Send()
+}
--- /dev/null
+++ b/internal/fleet/announce.go
@@ -0,0 +1,72 @@
+package fleet
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"godwityoke.example/godwityoke/internal/backendapi"
+	"godwityoke.example/godwityoke/internal/observe"
+)
+
+// maxAnnouncementBytes bounds the body of an announcement.
+const maxAnnouncementBytes = 1 << 20
+
+// Receiver is the HTTP handler of backendapi.PathAnnounce.
+type Receiver struct {
+	table    *Table
+	subset   *Subset
+	interval time.Duration
+	logger   zerolog.Logger
+}
+
+// NewReceiver returns a handler that feeds table and answers with the entry
+// VMs of subset and the heartbeat interval.
+func NewReceiver(table *Table, subset *Subset, interval time.Duration, logger zerolog.Logger) *Receiver {
+	return &Receiver{table: table, subset: subset, interval: interval, logger: logger}
+}
+
+// ServeHTTP implements http.Handler.
+func (r *Receiver) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	if req.Method != http.MethodPost {
+		http.Error(w, "POST is required", http.StatusMethodNotAllowed)
+		return
+	}
+	var announcement backendapi.Announcement
+	body := io.LimitReader(req.Body, maxAnnouncementBytes)
+	if err := json.NewDecoder(body).Decode(&announcement); err != nil {
+		r.refuse(w, &announcement, err)
+		return
+	}
+	change, err := r.table.Announce(&announcement, time.Now())
+	if err != nil {
+		r.refuse(w, &announcement, err)
+		return
+	}
+	r.log(&announcement, change)
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(backendapi.AnnounceReply{ // the server announces itself again if this is lost
+		EntryVMs:       r.subset.For(announcement.ServerID),
+		IntervalMillis: r.interval.Milliseconds(),
+	})
+}
+
+func (r *Receiver) refuse(w http.ResponseWriter, a *backendapi.Announcement, err error) {
+	observe.Log(r.logger, observe.AnnouncementRefused).Str("server", a.ServerID).Uint64("incarnation", a.Incarnation).Err(err).Send()
+	http.Error(w, err.Error(), http.StatusBadRequest)
+}
+
+func (r *Receiver) log(a *backendapi.Announcement, change Change) {
+	event := observe.ServerJoined
+	switch change {
+	case ChangeJoined:
+	case ChangeLeaving:
+		event = observe.ServerLeaving
+	default:
+		return
+	}
+	observe.Log(r.logger, event).Str("server", a.ServerID).Uint64("incarnation", a.Incarnation).Str("address", a.Address).Send()
+}
--- /dev/null
+++ b/internal/fleet/subset.go
@@ -0,0 +1,67 @@
+package fleet
+
+import (
+	"hash/fnv"
+	"io"
+	"slices"
+	"strings"
+
+	"godwityoke.example/godwityoke/internal/settings"
+)
+
+// Subset names the entry VMs that each backend server reports to.
+type Subset struct {
+	peers []settings.Peer
+	size  int
+}
+
+// NewSubset chooses among the entry VMs of zone. Each server reports to size
+// of them, or to all when size is 0.
+func NewSubset(entryVMs []settings.Peer, zone string, size int) *Subset {
+	var peers []settings.Peer
+	for _, peer := range entryVMs {
+		if peer.Zone == zone && peer.Backends != "" {
+			peers = append(peers, peer)
+		}
+	}
+	if size <= 0 || size > len(peers) {
+		size = len(peers)
+	}
+	return &Subset{peers: peers, size: size}
+}
+
+// For returns the announce addresses for a server by rendezvous hashing: a
+// change of one entry VM moves no server between the others.
+func (s *Subset) For(serverID string) []string {
+	ranked := slices.Clone(s.peers)
+	slices.SortFunc(ranked, func(a, b settings.Peer) int {
+		weightA, weightB := weight(serverID, a.Name), weight(serverID, b.Name)
+		if weightA != weightB {
+			if weightA > weightB {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(a.Name, b.Name)
+	})
+	addresses := make([]string, 0, s.size)
+	for _, peer := range ranked[:s.size] {
+		addresses = append(addresses, peer.Backends)
+	}
+	return addresses
+}
+
+func weight(serverID, name string) uint64 {
+	hash := fnv.New64a()
+	_, _ = io.WriteString(hash, name+"\x00"+serverID)
+	return mix(hash.Sum64())
+}
+
+// mix spreads the low bits of an FNV hash over all bits.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
--- a/internal/request/code.go
+++ b/internal/request/code.go
@@ -27,8 +27,10 @@
 	CodeKeyConflict       Code = "idempotency_key_conflict"
 	CodeKeyInProgress     Code = "idempotency_key_in_progress"
 	CodeKeyExpired        Code = "idempotency_key_expired"
+	CodeKeyNotFound       Code = "idempotency_key_not_found"
 	CodeClaimsUnreachable Code = "claims_unreachable"
 	CodeOutcomeUnknown    Code = "outcome_unknown"
+	CodeCallerGone        Code = "caller_gone"
 	CodeInternal          Code = "internal_error"
 )
 
@@ -41,7 +43,7 @@
 		return http.StatusUnauthorized
 	case CodeForbidden:
 		return http.StatusForbidden
-	case CodeModelNotFound, CodeServiceNotFound:
+	case CodeModelNotFound, CodeServiceNotFound, CodeKeyNotFound:
 		return http.StatusNotFound
 	case CodeBodyTooLarge:
 		return http.StatusRequestEntityTooLarge
