path: serve requests through a pipeline of filters

Cause: the entry VM had types only. Change: process (listeners, roles, planned stop, second signal), the filters identify to reply in one order, callers' side by echo, announcements and live view of backend servers, reclaiming of engine memory, 'godwityoke serve'. Conclusion: an entry VM takes announcements, streams a completion, serves a plain service and stops without cutting a stream; shown by the tests of internal/process over loopback.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -5,6 +5,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -33,6 +34,9 @@
 	Registry *Registry
 }
 
+// servicesPrefix starts the paths of plain services.
+const servicesPrefix = "/services/"
+
 type handler struct {
 	Config
 	lookup *pipeline.Pipeline
@@ -49,7 +53,7 @@
 	e.POST("/v1/chat/completions", h.serve(request.KindChat))
 	e.GET("/v1/models", h.models)
 	e.GET("/v1/outcomes/:key", h.outcome)
-	e.Any("/services/:service/*", h.serve(request.KindService))
+	e.Any(servicesPrefix+"*", h.serve(request.KindService))
 	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
 	e.GET("/readyz", h.ready)
 	e.GET("/metrics", h.metrics)
@@ -83,8 +87,9 @@
 		Bundle:   accepted,
 	}
 	if kind == request.KindService {
-		call.Service.Name = c.Param("service")
-		call.Path = "/" + c.Param("*")
+		rest := strings.TrimPrefix(c.Request().URL.Path, servicesPrefix)
+		call.Service.Name, call.Path, _ = strings.Cut(rest, "/")
+		call.Path = "/" + call.Path
 	}
 	return call
 }
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -22,6 +22,7 @@
 
 // Arguments is the command line.
 type Arguments struct {
+	Serve    *ServeArguments    `arg:"subcommand:serve" help:"run the process of one VM"`
 	Settings *SettingsArguments `arg:"subcommand:settings" help:"check a settings file"`
 }
 
@@ -60,6 +61,8 @@
 
 func (a *Arguments) run(parser *arg.Parser, output Output) int {
 	switch {
+	case a.Serve != nil:
+		return a.Serve.run(output)
 	case a.Settings != nil && a.Settings.Check != nil:
 		return a.Settings.Check.run(output)
 	}
--- /dev/null
+++ b/internal/command/serve.go
@@ -0,0 +1,50 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/process"
+	"godwityoke.example/godwityoke/internal/settings"
+)
+
+// ServeArguments are the arguments of "serve".
+type ServeArguments struct {
+	Settings string `arg:"--settings,required" help:"settings file, JSON with comments"`
+}
+
+func (a *ServeArguments) run(output Output) int {
+	loaded, findings, err := settings.Load(a.Settings)
+	if err != nil {
+		fmt.Fprintln(output.Err, err)
+		return ExitFindings
+	}
+	if len(findings) > 0 {
+		fmt.Fprintln(output.Err, findings.Error())
+		return ExitFindings
+	}
+	logger, err := observe.NewLogger(output.Err, loaded.Log.Format, loaded.Log.Level)
+	if err != nil {
+		fmt.Fprintln(output.Err, err)
+		return ExitFindings
+	}
+	// Two places: a second signal ends a planned stop at once.
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(signals)
+	options := process.Options{Settings: loaded, Logger: logger, Builders: builders()}
+	if err := process.Run(context.Background(), options, signals); err != nil {
+		fmt.Fprintln(output.Err, err)
+		return ExitFindings
+	}
+	return ExitOK
+}
+
+// builders lists the parts of a process beside the callers' side.
+func builders() []process.Builder {
+	return nil
+}
--- a/internal/filter/classify/model.go
+++ b/internal/filter/classify/model.go
@@ -62,7 +62,8 @@
 		return request.Errorf(request.CodeInvalidRequest, request.NotRun, "max_tokens must be at most %d", most)
 	}
 	if asked == 0 {
-		asked = most
+		room := call.Model.Model.ContextTokens - call.Model.PromptTokens
+		asked = max(min(most, room), 1)
 	}
 	call.Model.AnswerTokens = asked
 	return nil
--- a/internal/filter/dispatch/dispatch.go
+++ b/internal/filter/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"strings"
 	"time"
 
@@ -140,8 +141,11 @@
 // caller's, unchanged.
 func newRequest(ctx context.Context, call *filter.Call) (*http.Request, error) {
 	server := call.Attempt.Placement.Server()
-	url := "http://" + server.Address + path(call)
-	outgoing, err := http.NewRequestWithContext(ctx, call.HTTP.Method, url, nil)
+	target := url.URL{Scheme: "http", Host: server.Address, Path: path(call)}
+	if !call.Kind.ForEngine() {
+		target.RawQuery = call.HTTP.URL.RawQuery
+	}
+	outgoing, err := http.NewRequestWithContext(ctx, call.HTTP.Method, target.String(), nil)
 	if err != nil {
 		return nil, fmt.Errorf("build the request: %w", err)
 	}
@@ -160,10 +164,7 @@
 	case request.KindCompletion:
 		return backendapi.PathCompletions
 	}
-	if call.HTTP.URL.RawQuery == "" {
-		return call.Path
-	}
-	return call.Path + "?" + call.HTTP.URL.RawQuery
+	return call.Path
 }
 
 // forwarded lists the caller's headers that plain services receive.
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -47,10 +47,10 @@
 type Table struct {
 	zone        string
 	silentAfter time.Duration
-	listener    CacheListener
 
-	mu      sync.RWMutex
-	entries map[string]*entry
+	mu       sync.RWMutex
+	entries  map[string]*entry
+	listener CacheListener
 }
 
 // entry is what is known of one server.
@@ -64,9 +64,17 @@
 	checksFencing bool
 }
 
-// NewTable returns an empty table for the servers of zone. Listener may be nil.
-func NewTable(zone string, silentAfter time.Duration, listener CacheListener) *Table {
-	return &Table{zone: zone, silentAfter: silentAfter, listener: listener, entries: map[string]*entry{}}
+// NewTable returns an empty table for the servers of zone.
+func NewTable(zone string, silentAfter time.Duration) *Table {
+	return &Table{zone: zone, silentAfter: silentAfter, entries: map[string]*entry{}}
+}
+
+// SetCacheListener sets the receiver of cache events. It is called before the
+// first announcement.
+func (t *Table) SetCacheListener(listener CacheListener) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.listener = listener
 }
 
 // Announce takes an announcement that arrived at now. The error tells what is
@@ -77,13 +85,14 @@
 	}
 	t.mu.Lock()
 	change, replaced := t.update(a, now)
+	listener := t.listener
 	t.mu.Unlock()
-	if t.listener != nil && change != ChangeIgnored {
+	if listener != nil && change != ChangeIgnored {
 		if replaced != 0 {
-			t.listener.CacheGone(a.ServerID, replaced)
+			listener.CacheGone(a.ServerID, replaced)
 		}
 		if len(a.CacheEvents) > 0 {
-			t.listener.CacheEvents(a.ServerID, a.Incarnation, a.CacheEvents)
+			listener.CacheEvents(a.ServerID, a.Incarnation, a.CacheEvents)
 		}
 	}
 	return change, nil
@@ -184,16 +193,16 @@
 // Sweep forgets servers that have long been silent, and returns those that
 // fell silent since the last sweep.
 func (t *Table) Sweep(now time.Time) []place.Server {
-	silent := t.sweep(now)
-	if t.listener != nil {
+	silent, listener := t.sweep(now)
+	if listener != nil {
 		for _, server := range silent {
-			t.listener.CacheGone(server.ID, server.Incarnation)
+			listener.CacheGone(server.ID, server.Incarnation)
 		}
 	}
 	return silent
 }
 
-func (t *Table) sweep(now time.Time) []place.Server {
+func (t *Table) sweep(now time.Time) ([]place.Server, CacheListener) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var silent []place.Server
@@ -207,7 +216,7 @@
 			silent = append(silent, known.server)
 		}
 	}
-	return silent
+	return silent, t.listener
 }
 
 // Engines implements View.
--- /dev/null
+++ b/internal/process/debug.go
@@ -0,0 +1,45 @@
+package process
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/pprof"
+
+	"godwityoke.example/godwityoke/internal/observe"
+)
+
+// addDebugRoutes adds what only operators may see to their listener.
+func (p *Process) addDebugRoutes() {
+	routes := p.host.Operators
+	routes.HandleFunc("/debug/pprof/", pprof.Index)
+	routes.HandleFunc("/debug/pprof/cmdline", pprof.Cmdline)
+	routes.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	routes.HandleFunc("/debug/pprof/symbol", pprof.Symbol)
+	routes.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	routes.HandleFunc("GET /debug/requests", p.listRequests)
+	routes.HandleFunc("GET /metrics", p.writeMetrics)
+	routes.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	routes.HandleFunc("GET /readyz", p.writeReady)
+}
+
+func (p *Process) listRequests(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	if p.entry == nil {
+		_, _ = w.Write([]byte("[]\n"))
+		return
+	}
+	_ = json.NewEncoder(w).Encode(p.entry.registry.List()) // the operator asks again
+}
+
+func (p *Process) writeMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", observe.PrometheusContentType)
+	_ = p.host.Metrics.WritePrometheus(w) // the collector asks again
+}
+
+func (p *Process) writeReady(w http.ResponseWriter, _ *http.Request) {
+	if err := p.Ready(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
--- /dev/null
+++ b/internal/process/process_test.go
@@ -0,0 +1,199 @@
+package process_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"godwityoke.example/godwityoke/internal/backendapi"
+	"godwityoke.example/godwityoke/internal/jsonc"
+	"godwityoke.example/godwityoke/internal/process"
+	"godwityoke.example/godwityoke/internal/request"
+	"godwityoke.example/godwityoke/internal/settings"
+)
+
+// exampleBundle returns the bundle that serves the model "scribe" and the service "booking" to the team
+// "families" with the API key "key-families".
+func exampleBundle(t *testing.T) string {
+	t.Helper()
+	file, err := filepath.Abs("../../examples/bundle.json")
+	require.NoError(t, err)
+	return file
+}
+
+func entrySettings(t *testing.T) *settings.Settings {
+	t.Helper()
+	loaded := settings.Defaults()
+	loaded.VM = settings.VM{Name: "entry-a1", Zone: "a"}
+	loaded.Roles = []settings.Role{settings.RoleEntry}
+	loaded.Listen = settings.Listen{
+		Callers: "127.0.0.1:0", Backends: "127.0.0.1:0", Internal: "127.0.0.1:0", Operators: "127.0.0.1:0",
+	}
+	loaded.EntryVMs = []settings.Peer{{Name: "entry-a1", Zone: "a", Internal: "127.0.0.1:0", Backends: "127.0.0.1:0"}}
+	loaded.BundleFile = exampleBundle(t)
+	loaded.Shutdown.BalancerWait = jsonc.Duration(time.Millisecond)
+	return &loaded
+}
+
+// startBackend starts a back end that streams words as an engine and echoes
+// bodies as a service. Each token after the first waits for step.
+func startBackend(t *testing.T, words []string, step <-chan struct{}) string {
+	t.Helper()
+	routes := http.NewServeMux()
+	routes.HandleFunc(backendapi.PathCompletions, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		id := r.Header.Get(backendapi.HeaderAttempt)
+		w.Header().Set("Content-Type", "text/event-stream")
+		for i, word := range words {
+			if i > 0 {
+				<-step
+			}
+			writeChunk(w, backendapi.Chunk{Attempt: id, Index: int64(i), Text: word})
+		}
+		writeChunk(w, backendapi.Chunk{Attempt: id, End: true, Count: int64(len(words)), FinishReason: "stop", PromptTokens: 3})
+	})
+	routes.HandleFunc("/voyages", func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		w.Header().Set(backendapi.HeaderAttempt, r.Header.Get(backendapi.HeaderAttempt))
+		w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+		_, _ = w.Write(body)
+	})
+	server := httptest.NewServer(routes)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func writeChunk(w http.ResponseWriter, chunk backendapi.Chunk) {
+	body, _ := json.Marshal(chunk)
+	_, _ = fmt.Fprintf(w, "data: %s\n\n", body)
+	w.(http.Flusher).Flush()
+}
+
+func announce(t *testing.T, to string, a backendapi.Announcement) backendapi.AnnounceReply {
+	t.Helper()
+	body, err := json.Marshal(a)
+	require.NoError(t, err)
+	response, err := http.Post("http://"+to+backendapi.PathAnnounce, "application/json", bytes.NewReader(body))
+	require.NoError(t, err)
+	defer response.Body.Close()
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	var reply backendapi.AnnounceReply
+	require.NoError(t, json.NewDecoder(response.Body).Decode(&reply))
+	return reply
+}
+
+func announceBackend(t *testing.T, to, backend string) backendapi.AnnounceReply {
+	t.Helper()
+	announce(t, to, backendapi.Announcement{
+		ServerID: "booking-1", Incarnation: 1, Sequence: 1, Kind: backendapi.KindService, Zone: "a",
+		Address: backend, State: backendapi.StateServing, Service: "booking",
+	})
+	return announce(t, to, backendapi.Announcement{
+		ServerID: "engine-1", Incarnation: 1, Sequence: 1, Kind: backendapi.KindEngine, Zone: "a",
+		Address: backend, State: backendapi.StateServing, MemoryTokens: 1 << 20,
+		Models: []backendapi.ServedModel{{Name: "scribe", Version: "1"}},
+	})
+}
+
+func post(t *testing.T, url, body string) *http.Response {
+	t.Helper()
+	outgoing, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
+	require.NoError(t, err)
+	outgoing.Header.Set("Authorization", "Bearer key-families")
+	outgoing.Header.Set("Content-Type", "application/json")
+	response, err := http.DefaultClient.Do(outgoing)
+	require.NoError(t, err)
+	return response
+}
+
+func text(t *testing.T, response *http.Response) string {
+	t.Helper()
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	return string(body)
+}
+
+func TestEntryServesStreamsAndServices(t *testing.T) {
+	p, err := process.Start(t.Context(), process.Options{Settings: entrySettings(t), Logger: zerolog.Nop()})
+	require.NoError(t, err)
+	defer p.Kill()
+	require.NoError(t, p.Ready())
+	step := make(chan struct{})
+	close(step)
+	reply := announceBackend(t, p.Addresses().Backends, startBackend(t, []string{"a ", "calm ", "sea"}, step))
+	require.Equal(t, []string{p.Addresses().Backends}, reply.EntryVMs)
+	callers := "http://" + p.Addresses().Callers
+
+	whole := post(t, callers+"/v1/completions", `{"model":"scribe","prompt":"say","max_tokens":9}`)
+	require.Equal(t, string(request.Completed), whole.Header.Get(request.OutcomeHeader))
+	require.Contains(t, text(t, whole), `"text":"a calm sea"`)
+
+	stream := post(t, callers+"/v1/completions", `{"model":"scribe","prompt":"say","max_tokens":9,"stream":true}`)
+	events := text(t, stream)
+	require.True(t, strings.HasSuffix(events, "data: [DONE]\n\n"), events)
+	require.Equal(t, string(request.Completed), stream.Trailer.Get(request.OutcomeHeader))
+
+	service := post(t, callers+"/services/booking/voyages", `{"boat":1}`)
+	require.Equal(t, `{"boat":1}`, text(t, service))
+	require.Equal(t, string(request.Completed), service.Header.Get(request.OutcomeHeader))
+}
+
+// TestPlannedStopCutsNothing holds a stream open over the whole stop.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	signals := make(chan os.Signal, 2)
+	p, err := process.Start(t.Context(), process.Options{Settings: entrySettings(t), Logger: zerolog.Nop()})
+	require.NoError(t, err)
+	defer p.Kill()
+	step := make(chan struct{})
+	announceBackend(t, p.Addresses().Backends, startBackend(t, []string{"a ", "calm ", "sea"}, step))
+	callers := "http://" + p.Addresses().Callers
+	stream := post(t, callers+"/v1/completions", `{"model":"scribe","prompt":"say","max_tokens":9,"stream":true}`)
+	defer stream.Body.Close()
+	reader := bufio.NewReader(stream.Body)
+	_, err = reader.ReadString('\n')
+	require.NoError(t, err)
+
+	stopped := make(chan int, 1)
+	go func() { stopped <- len(p.Stop(context.Background())) }()
+	require.Eventually(t, func() bool { return p.Ready() != nil }, 5*time.Second, time.Millisecond)
+	close(step)
+	rest, err := io.ReadAll(reader)
+	require.NoError(t, err)
+	require.True(t, strings.HasSuffix(string(rest), "data: [DONE]\n\n"), string(rest))
+	require.Zero(t, <-stopped)
+	close(signals)
+}
+
+// TestSecondSignalListsWhatItCuts stops a process whose stream never ends.
+func TestSecondSignalListsWhatItCuts(t *testing.T) {
+	var log bytes.Buffer
+	options := process.Options{Settings: entrySettings(t), Logger: zerolog.New(&log)}
+	p, err := process.Start(t.Context(), options)
+	require.NoError(t, err)
+	step := make(chan struct{})
+	defer close(step)
+	announceBackend(t, p.Addresses().Backends, startBackend(t, []string{"a ", "sea"}, step))
+	stream := post(t, "http://"+p.Addresses().Callers+"/v1/completions", `{"model":"scribe","prompt":"say","stream":true}`)
+	defer stream.Body.Close()
+	signals := make(chan os.Signal, 2)
+	signals <- syscall.SIGTERM
+	signals <- syscall.SIGTERM
+	require.ErrorContains(t, p.RunUntil(t.Context(), signals), "cut 1 requests")
+	require.Contains(t, log.String(), stream.Header.Get(request.RequestIDHeader))
+	require.Contains(t, log.String(), "process_stop_forced")
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -231,6 +231,9 @@
 	c.between("entry.silent_after", entry.SilentAfter, 2*entry.HeartbeatInterval.Std(), longestSilence)
 	c.between("entry.ready_wait", entry.ReadyWait, 0, time.Minute)
 	c.between("entry.connect_timeout", entry.ConnectTimeout, 10*time.Millisecond, 10*time.Second)
+	if entry.MaxBodyMemory < 1<<20 {
+		c.doc.Report("entry.max_body_memory", "is out of range", "1MiB or more")
+	}
 	if entry.MaxInFlight < 1 {
 		c.doc.Report("entry.max_in_flight", "is out of range", "1 or more")
 	}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -20,6 +20,7 @@
 			HeaderTimeout:     jsonc.Duration(5 * time.Second),
 			BodyTimeout:       jsonc.Duration(30 * time.Second),
 			MaxInFlight:       4096,
+			MaxBodyMemory:     512 << 20,
 			HeartbeatInterval: jsonc.Duration(500 * time.Millisecond),
 			SilentAfter:       jsonc.Duration(2 * time.Second),
 			ReadyWait:         jsonc.Duration(2 * time.Second),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -27,8 +27,11 @@
 	EntryVMs []Peer `json:"entry_vms,omitempty"`
 	// ControlVMs lists the control VMs that formed the group. Later members
 	// are learnt from the group.
-	ControlVMs []Peer      `json:"control_vms"`
-	DataDir    string      `json:"data_dir,omitempty"`
+	ControlVMs []Peer `json:"control_vms"`
+	DataDir    string `json:"data_dir,omitempty"`
+	// BundleFile is the bundle that an entry VM serves as version 1 when there
+	// are no control VMs.
+	BundleFile string      `json:"bundle_file,omitempty"`
 	Control    Control     `json:"control"`
 	Operators  Operators   `json:"operators"`
 	TLS        TLS         `json:"tls,omitempty"`
@@ -110,6 +113,8 @@
 	HeaderTimeout jsonc.Duration `json:"header_timeout"`
 	BodyTimeout   jsonc.Duration `json:"body_timeout"`
 	MaxInFlight   int            `json:"max_in_flight"`
+	// MaxBodyMemory bounds the memory for request bodies in progress.
+	MaxBodyMemory jsonc.Bytes `json:"max_body_memory"`
 	// HeartbeatInterval is how often backend servers announce themselves.
 	HeartbeatInterval jsonc.Duration `json:"heartbeat_interval"`
 	// SilentAfter is the silence after which a backend server gets no new work.
