path: fault matrix over the whole request path under synctest

Cause: the promises of the path were not shown under faults. Change: entry VM, callers and back ends joined by net.Pipe in one synctest bubble; faults x steps for engines, all engines, bookings and checks; the fake back ends' counters judge runs and memory. Attempts that may be repeated are given up when their server falls silent or no answer begins in their share of the time.

--- a/internal/filter/dispatch/dispatch.go
+++ b/internal/filter/dispatch/dispatch.go
@@ -66,14 +66,16 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	call.Attempt.Alive = func() {}
+	if call.Idempotent() {
+		stop := f.watch(ctx, cancel, call)
+		defer stop()
+	}
 	if !call.Kind.ForEngine() {
 		return f.send(ctx, call, next)
 	}
 	server := call.Attempt.Placement.Server()
 	f.Reclaimer.Begin(server, call.Attempt.ID)
-	stop := f.watch(ctx, cancel, call)
 	err := f.send(ctx, call, next)
-	stop()
 	f.Reclaimer.End(server, call.Attempt.ID, err == nil || neverHeld(err))
 	return err
 }
--- a/internal/filter/dispatch/watch.go
+++ b/internal/filter/dispatch/watch.go
@@ -23,6 +23,11 @@
 	probeTimeout = time.Second
 	// maxListBytes bounds an engine's list of attempts.
 	maxListBytes = 4 << 20
+	// slowPercent of the time left is what an attempt may take to begin its
+	// answer, so that another one can follow; slowLongPercent applies to
+	// prompts whose prefill takes most of their time.
+	slowPercent     = 50
+	slowLongPercent = 75
 	// missesToLose is the number of probes in a row that must fail.
 	missesToLose = 2
 )
@@ -31,13 +36,16 @@
 	errServerGone = errors.New("the backend server fell silent or was restarted")
 	errStalled    = errors.New("no token arrived within the stall limit")
 	errLost       = errors.New("the engine does not know the attempt any more")
+	errSlow       = errors.New("no answer began in the attempt's share of the time")
 )
 
-// watcher looks after one attempt on an engine.
+// watcher looks after one attempt that may be followed by another.
 type watcher struct {
 	filter *Filter
 	call   *filter.Call
 	server place.Server
+	// slowAt is when an answer must have begun.
+	slowAt time.Time
 
 	mu        sync.Mutex
 	streaming bool
@@ -46,12 +54,15 @@
 	misses    int
 }
 
-// watch ends the attempt through cancel when its server is gone, when it
-// stalls, or when the engine has lost it. The returned function stops the
+// watch ends the attempt through cancel when its server is gone, when its
+// answer does not begin in time or stalls, or when the engine has lost it. The returned function stops the
 // watch.
 func (f *Filter) watch(ctx context.Context, cancel context.CancelCauseFunc, call *filter.Call) func() {
 	now := time.Now()
-	w := &watcher{filter: f, call: call, server: call.Attempt.Placement.Server(), last: now, probed: now}
+	w := &watcher{
+		filter: f, call: call, server: call.Attempt.Placement.Server(),
+		slowAt: slowAt(call, now), last: now, probed: now,
+	}
 	call.Attempt.Alive = w.alive
 	ctx, stop := context.WithCancel(ctx)
 	done := make(chan struct{})
@@ -65,6 +76,14 @@
 	}
 }
 
+func slowAt(call *filter.Call, now time.Time) time.Time {
+	percent := time.Duration(slowPercent)
+	if call.Kind.ForEngine() && !call.Model.Class.Short {
+		percent = slowLongPercent
+	}
+	return now.Add(call.Deadline.Sub(now) * percent / 100)
+}
+
 // alive notes a verified token.
 func (w *watcher) alive() {
 	w.mu.Lock()
@@ -93,15 +112,21 @@
 	w.mu.Lock()
 	idle, streaming := now.Sub(w.last), w.streaming
 	w.mu.Unlock()
-	stallLimit := w.call.Model.Class.StallLimit.Std()
 	switch {
 	case idle < watchInterval:
 		return nil
 	case !w.filter.Liveness.Alive(w.server.ID, w.server.Incarnation, now):
 		return errServerGone
-	case streaming && idle >= stallLimit:
+	case !streaming && !now.Before(w.slowAt):
+		return errSlow
+	case !w.call.Kind.ForEngine():
+		return nil
+	}
+	stallLimit := w.call.Model.Class.StallLimit.Std()
+	if streaming && idle >= stallLimit {
 		return errStalled
-	case !streaming && now.Sub(w.probed) >= stallLimit:
+	}
+	if !streaming && now.Sub(w.probed) >= stallLimit {
 		w.probed = now
 		return w.probe(ctx)
 	}
--- /dev/null
+++ b/internal/pipeline/claims_test.go
@@ -0,0 +1,85 @@
+package pipeline_test
+
+import (
+	"context"
+	"sync"
+
+	"godwityoke.example/godwityoke/internal/ledger"
+	"godwityoke.example/godwityoke/internal/request"
+)
+
+// memoryClaims is a ledger in memory.
+type memoryClaims struct {
+	// claimError, when set, is returned by Claim.
+	claimError error
+	// sealFails makes Abandon fall short of a majority.
+	sealFails bool
+
+	mu      sync.Mutex
+	entries map[ledger.Key]*memoryClaim
+}
+
+type memoryClaim struct {
+	owner  *memoryClaims
+	digest [32]byte
+	record *ledger.Record
+}
+
+func newMemoryClaims() *memoryClaims {
+	return &memoryClaims{entries: map[ledger.Key]*memoryClaim{}}
+}
+
+// Claim implements ledger.Claims.
+func (m *memoryClaims) Claim(_ context.Context, key ledger.Key, digest [32]byte) (ledger.Claim, *ledger.Record, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.claimError != nil {
+		return nil, nil, m.claimError
+	}
+	known := m.entries[key]
+	if known == nil {
+		known = &memoryClaim{owner: m, digest: digest}
+		m.entries[key] = known
+		return known, nil, nil
+	}
+	switch {
+	case known.digest != digest:
+		return nil, nil, ledger.ErrConflict
+	case known.record == nil:
+		return nil, nil, ledger.ErrInProgress
+	}
+	return nil, known.record, nil
+}
+
+// Lookup implements ledger.Claims.
+func (m *memoryClaims) Lookup(_ context.Context, key ledger.Key) (*ledger.Record, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known := m.entries[key]
+	switch {
+	case known == nil:
+		return nil, ledger.ErrNotFound
+	case known.record == nil:
+		return nil, ledger.ErrInProgress
+	}
+	return known.record, nil
+}
+
+// Resolve implements ledger.Claim.
+func (c *memoryClaim) Resolve(_ context.Context, record ledger.Record) error {
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	c.record = &record
+	return nil
+}
+
+// Abandon implements ledger.Claim.
+func (c *memoryClaim) Abandon(context.Context) request.Outcome {
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	if c.owner.sealFails {
+		return request.NotSent
+	}
+	c.record = &ledger.Record{Outcome: request.NotRun}
+	return request.NotRun
+}
--- /dev/null
+++ b/internal/pipeline/faults_test.go
@@ -0,0 +1,187 @@
+package pipeline_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwityoke.example/godwityoke/internal/request"
+)
+
+const (
+	streamBody  = `{"model":"scribe","prompt":"describe the day","max_tokens":50,"stream":true}`
+	bookingBody = `{"boat":"heron","seats":4}`
+	bookPath    = "/services/booking/voyages"
+	// short is the time limit of the class that streamBody falls in.
+	shortLimit = 30 * time.Second
+	// settle is the time in which memory must be free after a request.
+	settle = 20 * time.Second
+)
+
+var answer = strings.Join(words, "")
+
+// cell is one place of the fault matrix.
+type cell struct {
+	fault fault
+	at    at
+}
+
+func (c cell) name() string { return string(c.fault) + "/" + string(c.at) }
+
+// TestFaultsOfEngines puts each fault at each step of a stream, on one of two
+// engines. Whichever engine serves first, the caller gets the whole answer.
+func TestFaultsOfEngines(t *testing.T) {
+	cells := []cell{
+		{faultDies, atDial}, {faultHangs, atDial}, {faultSilent, atDial}, {faultLate, atDial}, {faultRefuses, atDial},
+		{faultDies, atSend}, {faultHangs, atSend}, {faultSilent, atSend}, {faultCut, atSend},
+		{faultDies, atWait}, {faultHangs, atWait}, {faultSilent, atWait}, {faultLate, atWait},
+		{faultCrossed, atWait}, {faultCut, atWait}, {faultRefuses, atWait},
+		{faultDies, atStream}, {faultHangs, atStream}, {faultSilent, atStream}, {faultLate, atStream},
+		{faultCrossed, atStream}, {faultCut, atStream}, {faultTwice, atStream},
+		{faultCrossed, atVerify}, {faultCut, atVerify}, {faultTwice, atVerify},
+	}
+	for _, c := range cells {
+		t.Run(c.name(), func(t *testing.T) {
+			inBubble(t, 2, func(s *system) {
+				s.breakWith(c.fault, c.at, 1)
+				for range 2 {
+					got := s.call("POST", "/v1/completions", streamBody)
+					require.Equal(t, answer, got.text)
+					require.True(t, got.whole)
+					require.Equal(t, request.Completed, got.outcome)
+					require.Less(t, got.elapsed, shortLimit)
+				}
+				require.Positive(t, s.backends[1].total())
+				s.requireNothingLeft(t)
+			})
+		})
+	}
+}
+
+// TestFaultsOfAllEngines lets both engines fail: the request must end in time
+// with an honest outcome, and no unverified token may reach the caller.
+func TestFaultsOfAllEngines(t *testing.T) {
+	cells := []struct {
+		cell
+		outcome request.Outcome
+	}{
+		{cell{faultRefuses, atDial}, request.NotRun},
+		{cell{faultHangs, atDial}, request.NotRun},
+		{cell{faultDies, atSend}, request.Failed},
+		{cell{faultHangs, atSend}, request.Failed},
+		{cell{faultRefuses, atWait}, request.NotRun},
+		{cell{faultCrossed, atWait}, request.Failed},
+		{cell{faultHangs, atWait}, request.Failed},
+		{cell{faultSilent, atWait}, request.Failed},
+		{cell{faultCut, atVerify}, request.Failed},
+		{cell{faultCrossed, atVerify}, request.Failed},
+	}
+	for _, c := range cells {
+		t.Run(c.name(), func(t *testing.T) {
+			inBubble(t, 2, func(s *system) {
+				s.breakWith(c.fault, c.at, 2)
+				got := s.call("POST", "/v1/completions", streamBody)
+				require.Equal(t, c.outcome, got.outcome, got)
+				require.False(t, got.whole)
+				require.NotEmpty(t, got.code)
+				require.LessOrEqual(t, got.elapsed, shortLimit+time.Second)
+				if c.outcome == request.NotRun {
+					require.Zero(t, s.backends[0].total()+s.backends[1].total())
+				}
+				s.requireNothingLeft(t)
+			})
+		})
+	}
+}
+
+// requireNothingLeft waits and judges by the engines' own lists.
+func (s *system) requireNothingLeft(t *testing.T) {
+	t.Helper()
+	time.Sleep(settle)
+	for _, b := range s.backends {
+		require.Empty(t, b.heldAttempts(), b.id)
+	}
+	require.Zero(t, s.bodies.Used(), "body memory")
+}
+
+// TestFaultsOfServices puts each fault at each step of a booking that must run
+// at most once, and of a check that may be repeated.
+func TestFaultsOfServices(t *testing.T) {
+	cells := []struct {
+		cell
+		book request.Outcome
+	}{
+		{cell{faultRefuses, atDial}, request.Completed},
+		{cell{faultHangs, atDial}, request.Completed},
+		{cell{faultLate, atDial}, request.Completed},
+		{cell{faultDies, atSend}, request.Unknown},
+		{cell{faultHangs, atSend}, request.Unknown},
+		{cell{faultCut, atSend}, request.Unknown},
+		{cell{faultDies, atWait}, request.Unknown},
+		{cell{faultHangs, atWait}, request.Unknown},
+		{cell{faultSilent, atWait}, request.Unknown},
+		{cell{faultLate, atWait}, request.Completed},
+		{cell{faultCrossed, atWait}, request.Unknown},
+		{cell{faultCut, atWait}, request.Unknown},
+		{cell{faultRefuses, atWait}, request.Completed},
+		{cell{faultDies, atStream}, request.Unknown},
+		{cell{faultHangs, atStream}, request.Unknown},
+		{cell{faultCut, atVerify}, request.Unknown},
+	}
+	for _, c := range cells {
+		t.Run("book/"+c.name(), func(t *testing.T) { requireBookedOnce(t, c.cell, c.book) })
+		t.Run("check/"+c.name(), func(t *testing.T) {
+			inBubble(t, 2, func(s *system) {
+				s.breakWith(c.fault, c.at, 1)
+				for range 2 {
+					got := s.call("GET", bookPath+"/7", "")
+					require.Equal(t, request.Completed, got.outcome, got)
+					require.Less(t, got.elapsed, 5*time.Second)
+				}
+			})
+		})
+	}
+}
+
+// requireBookedOnce sends bookings until the faulty service was first in turn
+// and judges each by the services' own counters.
+func requireBookedOnce(t *testing.T, c cell, expected request.Outcome) {
+	t.Helper()
+	inBubble(t, 2, func(s *system) {
+		s.breakWith(c.fault, c.at, 1)
+		var outcomes []request.Outcome
+		for _, key := range []string{"first", "second"} {
+			body := strings.Replace(bookingBody, "heron", key, 1)
+			got := s.call("POST", bookPath, body, request.IdempotencyKeyHeader, key)
+			outcomes = append(outcomes, got.outcome)
+			require.LessOrEqual(t, got.elapsed, 11*time.Second)
+			runs := s.runsOf(body)
+			require.LessOrEqual(t, runs, 1, key)
+			switch got.outcome {
+			case request.Completed:
+				require.Equal(t, body, got.text)
+				require.Equal(t, 1, runs)
+			case request.NotRun, request.NotSent:
+				require.Zero(t, runs)
+			}
+			resent := s.call("POST", bookPath, body, request.IdempotencyKeyHeader, key)
+			require.Equal(t, got.outcome, resent.outcome)
+			require.Equal(t, runs, s.runsOf(body), "the resend ran")
+		}
+		require.Contains(t, outcomes, expected)
+		require.Contains(t, outcomes, request.Completed)
+		require.Zero(t, s.bodies.Used())
+	})
+}
+
+func (s *system) runsOf(body string) int {
+	runs := 0
+	for _, b := range s.backends {
+		b.mu.Lock()
+		runs += b.runs[body]
+		b.mu.Unlock()
+	}
+	return runs
+}
--- /dev/null
+++ b/internal/pipeline/system_test.go
@@ -0,0 +1,243 @@
+package pipeline_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"godwityoke.example/godwityoke/internal/backendapi"
+	"godwityoke.example/godwityoke/internal/bodybuf"
+	"godwityoke.example/godwityoke/internal/bundle"
+	"godwityoke.example/godwityoke/internal/callers"
+	"godwityoke.example/godwityoke/internal/filter/limit"
+	filterplace "godwityoke.example/godwityoke/internal/filter/place"
+	"godwityoke.example/godwityoke/internal/fleet"
+	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/pipeline"
+	"godwityoke.example/godwityoke/internal/reclaim"
+	"godwityoke.example/godwityoke/internal/request"
+)
+
+const (
+	entryAddress = "10.0.0.1:80"
+	teamKey      = "key-families"
+	heartbeat    = 500 * time.Millisecond
+	silence      = 2 * time.Second
+	bodyLimit    = time.Second
+)
+
+// system is one entry VM before back ends, all in one synctest bubble.
+type system struct {
+	t         *testing.T
+	network   *pipeNetwork
+	table     *fleet.Table
+	reclaimer *reclaim.Reclaimer
+	bodies    *bodybuf.Pool
+	claims    *memoryClaims
+	backends  []*backend
+	callers   *http.Server
+	client    *http.Client
+	closers   []func()
+	// cancel ends the background work.
+	cancel context.CancelFunc
+}
+
+// inBubble runs test against a system with count back ends.
+func inBubble(t *testing.T, count int, test func(s *system)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t, count)
+		defer s.close()
+		test(s)
+	})
+}
+
+func newSystem(t *testing.T, count int) *system {
+	t.Helper()
+	s := &system{t: t, network: newPipeNetwork(), table: fleet.NewTable("a", silence), claims: newMemoryClaims()}
+	background, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	loaded, findings, err := bundle.Load("../../examples/bundle.json")
+	require.NoError(t, err)
+	require.Empty(t, findings)
+	holder := bundle.NewHolder()
+	holder.Advance(&bundle.Accepted{Version: 1, Bundle: loaded})
+	s.serveCallers(background, holder)
+	for i := range count {
+		s.addBackend(background, i)
+	}
+	synctest.Wait()
+	return s
+}
+
+func (s *system) transport(fresh bool) *http.Transport {
+	transport := &http.Transport{DisableKeepAlives: fresh, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, heartbeat)
+		defer cancel()
+		return s.network.dial(ctx, network, address)
+	}}
+	s.closers = append(s.closers, transport.CloseIdleConnections)
+	return transport
+}
+
+func (s *system) serveCallers(ctx context.Context, holder *bundle.Holder) {
+	identifiers := request.NewIdentifiers()
+	metrics := observe.NewMetrics()
+	fresh := s.transport(true)
+	s.reclaimer = reclaim.New(reclaim.NewClient(fresh), s.table, identifiers, zerolog.Nop())
+	go s.reclaimer.Run(ctx)
+	s.bodies = bodybuf.NewPool(64 << 20)
+	path := pipeline.NewRequestPath(pipeline.Parts{
+		Limiter: limit.NewBuckets(), Bodies: s.bodies, BodyTimeout: bodyLimit, MaxInFlight: 100, Claims: s.claims,
+		Engines: filterplace.NewEnginePlacer(s.table), Services: filterplace.NewServicePlacer(s.table),
+		Identifiers: identifiers, Reused: s.transport(false), Fresh: fresh, Liveness: s.table,
+		Reclaimer: s.reclaimer, Metrics: metrics, Logger: zerolog.Nop(),
+	})
+	handler := callers.NewHandler(callers.Config{
+		Bundles: holder, Pipeline: path, Identifiers: identifiers, Claims: s.claims,
+		Ready: func() error { return nil }, Metrics: metrics, Logger: zerolog.Nop(), Registry: callers.NewRegistry(),
+	})
+	s.callers = &http.Server{Handler: handler, ReadHeaderTimeout: time.Second, MaxHeaderBytes: 32 << 10}
+	listener := s.network.listen(entryAddress)
+	go func() { _ = s.callers.Serve(listener) }()
+	transport := &http.Transport{DialContext: s.network.dial}
+	s.closers = append(s.closers, transport.CloseIdleConnections)
+	s.client = &http.Client{Transport: transport}
+}
+
+// addBackend starts a back end that announces itself as engine and service.
+func (s *system) addBackend(ctx context.Context, number int) {
+	address := fmt.Sprintf("10.0.1.%d:80", number+1)
+	b := newBackend(s.network, fmt.Sprintf("server-%d", number), address)
+	s.backends = append(s.backends, b)
+	announce := func(sequence uint64) {
+		engine := backendapi.Announcement{
+			ServerID: b.id, Incarnation: 1, Sequence: sequence, Kind: backendapi.KindEngine, Zone: "a", Address: address,
+			State: backendapi.StateServing, MemoryTokens: 1 << 20, Models: []backendapi.ServedModel{{Name: "scribe", Version: "1"}},
+		}
+		service := engine
+		service.ServerID, service.Kind, service.Service, service.Models = b.id+"-service", backendapi.KindService, "booking", nil
+		for _, one := range []backendapi.Announcement{engine, service} {
+			_, err := s.table.Announce(&one, time.Now())
+			require.NoError(s.t, err)
+		}
+	}
+	announce(1)
+	go func() {
+		ticker := time.NewTicker(heartbeat)
+		defer ticker.Stop()
+		for sequence := uint64(2); ; sequence++ {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				if b.heartbeats() {
+					announce(sequence)
+				}
+			}
+		}
+	}()
+}
+
+// breakWith gives the same fault to the first count back ends.
+func (s *system) breakWith(f fault, step at, count int) {
+	for _, b := range s.backends[:count] {
+		b.fault, b.at = f, step
+	}
+}
+
+func (s *system) close() {
+	s.cancel()
+	_ = s.callers.Close()
+	for _, b := range s.backends {
+		_ = b.server.Close()
+		_ = b.listener.Close()
+	}
+	for _, closer := range s.closers {
+		closer()
+	}
+	time.Sleep(late + frozen) // lets timers of back ends run out
+}
+
+// result is what a caller saw.
+type result struct {
+	status  int
+	outcome request.Outcome
+	code    string
+	text    string
+	whole   bool
+	elapsed time.Duration
+}
+
+// call sends one request and reads its answer to the end.
+func (s *system) call(method, path, body string, headers ...string) result {
+	s.t.Helper()
+	started := time.Now()
+	outgoing, err := http.NewRequest(method, "http://"+entryAddress+path, strings.NewReader(body))
+	require.NoError(s.t, err)
+	outgoing.Header.Set("Authorization", "Bearer "+teamKey)
+	outgoing.Header.Set("Content-Type", "application/json")
+	for i := 0; i+1 < len(headers); i += 2 {
+		outgoing.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := s.client.Do(outgoing)
+	require.NoError(s.t, err)
+	defer response.Body.Close()
+	read, err := io.ReadAll(response.Body)
+	require.NoError(s.t, err)
+	return newResult(response, string(read), time.Since(started))
+}
+
+// newResult reads the outcome and the answer's text out of a response.
+func newResult(response *http.Response, body string, elapsed time.Duration) result {
+	r := result{status: response.StatusCode, elapsed: elapsed, text: body}
+	r.outcome = request.Outcome(response.Header.Get(request.OutcomeHeader))
+	if trailer := response.Trailer.Get(request.OutcomeHeader); trailer != "" {
+		r.outcome = request.Outcome(trailer)
+	}
+	var failure errorBody
+	for event := range strings.SplitSeq(body, "\n\n") {
+		event = strings.TrimPrefix(event, "data: ")
+		if json.Unmarshal([]byte(event), &failure) == nil && failure.Error.Code != "" {
+			r.code = failure.Error.Code
+			r.outcome = failure.Error.Outcome
+		}
+	}
+	if response.Header.Get("Content-Type") == "text/event-stream" {
+		r.text, r.whole = streamText(body)
+	}
+	return r
+}
+
+type errorBody struct {
+	Error struct {
+		Code    string          `json:"code"`
+		Outcome request.Outcome `json:"outcome"`
+	} `json:"error"`
+}
+
+// streamText joins the tokens of a stream and reports whether it is whole.
+func streamText(body string) (string, bool) {
+	var text strings.Builder
+	for event := range strings.SplitSeq(body, "\n\n") {
+		var one struct {
+			Choices []struct {
+				Text string `json:"text"`
+			} `json:"choices"`
+		}
+		if json.Unmarshal([]byte(strings.TrimPrefix(event, "data: ")), &one) == nil && len(one.Choices) == 1 {
+			text.WriteString(one.Choices[0].Text)
+		}
+	}
+	return text.String(), strings.HasSuffix(body, "data: [DONE]\n\n")
+}
