--- a/internal/pipeline/backend_test.go
+++ b/internal/pipeline/backend_test.go
@@ -72,8 +72,10 @@
 	// held are the attempts that hold memory.
 	held    map[string]bool
 	dead    bool
-	started int
-	budgets []string
+	leaving bool
+	// lastBody is the last prompt body.
+	lastBody string
+	budgets  []string
 }
 
 func newBackend(network *pipeNetwork, id, address string) *backend {
@@ -99,6 +101,22 @@
 	return !b.dead
 }
 
+func (b *backend) state() backendapi.State {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.leaving {
+		return backendapi.StateLeaving
+	}
+	return backendapi.StateServing
+}
+
+// leave announces leaving from the next heartbeat on.
+func (b *backend) leave() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.leaving = true
+}
+
 // die loses all memory and closes all connections.
 func (b *backend) die() {
 	b.mu.Lock()
@@ -194,7 +212,6 @@
 func (b *backend) begin(attempt, run string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.started++
 	b.runs[run]++
 	b.held[attempt] = true
 }
@@ -225,13 +242,14 @@
 // complete streams words from the token asked for. The memory of an attempt
 // stays taken when its connection closes early.
 func (b *backend) complete(w http.ResponseWriter, r *http.Request) {
-	_, _ = io.Copy(io.Discard, r.Body)
+	body, _ := io.ReadAll(r.Body)
 	id := r.Header.Get(backendapi.HeaderAttempt)
 	if b.fault == faultRefuses && b.misbehave(atWait, w, r) {
 		return
 	}
 	b.begin(id, id)
 	b.mu.Lock()
+	b.lastBody = string(body)
 	b.budgets = append(b.budgets, r.Header.Get(backendapi.HeaderBudget))
 	b.mu.Unlock()
 	if b.misbehave(atWait, w, r) {
--- a/internal/pipeline/system_test.go
+++ b/internal/pipeline/system_test.go
@@ -44,6 +44,7 @@
 	reclaimer *reclaim.Reclaimer
 	bodies    *bodybuf.Pool
 	claims    *memoryClaims
+	metrics   *observe.Metrics
 	backends  []*backend
 	callers   *http.Server
 	client    *http.Client
@@ -64,7 +65,7 @@
 
 func newSystem(t *testing.T, count int) *system {
 	t.Helper()
-	s := &system{t: t, network: newPipeNetwork(), table: fleet.NewTable("a", silence), claims: newMemoryClaims()}
+	s := &system{t: t, network: newPipeNetwork(), table: fleet.NewTable("a", silence), claims: newMemoryClaims(), metrics: observe.NewMetrics()}
 	background, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	loaded, findings, err := bundle.Load("../../examples/bundle.json")
@@ -92,7 +93,6 @@
 
 func (s *system) serveCallers(ctx context.Context, holder *bundle.Holder) {
 	identifiers := request.NewIdentifiers()
-	metrics := observe.NewMetrics()
 	fresh := s.transport(true)
 	s.reclaimer = reclaim.New(reclaim.NewClient(fresh), s.table, identifiers, zerolog.Nop())
 	go s.reclaimer.Run(ctx)
@@ -101,11 +101,11 @@
 		Limiter: limit.NewBuckets(), Bodies: s.bodies, BodyTimeout: bodyLimit, MaxInFlight: 100, Claims: s.claims,
 		Engines: filterplace.NewEnginePlacer(s.table), Services: filterplace.NewServicePlacer(s.table),
 		Identifiers: identifiers, Reused: s.transport(false), Fresh: fresh, Liveness: s.table,
-		Reclaimer: s.reclaimer, Metrics: metrics, Logger: zerolog.Nop(),
+		Reclaimer: s.reclaimer, Metrics: s.metrics, Logger: zerolog.Nop(),
 	})
 	handler := callers.NewHandler(callers.Config{
 		Bundles: holder, Pipeline: path, Identifiers: identifiers, Claims: s.claims,
-		Ready: func() error { return nil }, Metrics: metrics, Logger: zerolog.Nop(), Registry: callers.NewRegistry(),
+		Ready: func() error { return nil }, Metrics: s.metrics, Logger: zerolog.Nop(), Registry: callers.NewRegistry(),
 	})
 	s.callers = &http.Server{Handler: handler, ReadHeaderTimeout: time.Second, MaxHeaderBytes: 32 << 10}
 	listener := s.network.listen(entryAddress)
@@ -123,7 +123,7 @@
 	announce := func(sequence uint64) {
 		engine := backendapi.Announcement{
 			ServerID: b.id, Incarnation: 1, Sequence: sequence, Kind: backendapi.KindEngine, Zone: "a", Address: address,
-			State: backendapi.StateServing, MemoryTokens: 1 << 20, Models: []backendapi.ServedModel{{Name: "scribe", Version: "1"}},
+			State: b.state(), MemoryTokens: 1 << 20, Models: []backendapi.ServedModel{{Name: "scribe", Version: "1"}},
 		}
 		service := engine
 		service.ServerID, service.Kind, service.Service, service.Models = b.id+"-service", backendapi.KindService, "booking", nil
@@ -179,10 +179,9 @@
 	elapsed time.Duration
 }
 
-// call sends one request and reads its answer to the end.
-func (s *system) call(method, path, body string, headers ...string) result {
+// newRequest returns a caller's request. Headers are names and values in turn.
+func (s *system) newRequest(method, path, body string, headers ...string) *http.Request {
 	s.t.Helper()
-	started := time.Now()
 	outgoing, err := http.NewRequest(method, "http://"+entryAddress+path, strings.NewReader(body))
 	require.NoError(s.t, err)
 	outgoing.Header.Set("Authorization", "Bearer "+teamKey)
@@ -190,6 +189,14 @@
 	for i := 0; i+1 < len(headers); i += 2 {
 		outgoing.Header.Set(headers[i], headers[i+1])
 	}
+	return outgoing
+}
+
+// call sends one request and reads its answer to the end.
+func (s *system) call(method, path, body string, headers ...string) result {
+	s.t.Helper()
+	started := time.Now()
+	outgoing := s.newRequest(method, path, body, headers...)
 	response, err := s.client.Do(outgoing)
 	require.NoError(s.t, err)
 	defer response.Body.Close()
--- a/internal/process/process_test.go
+++ b/internal/process/process_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -179,10 +180,30 @@
 	close(signals)
 }
 
+// lockedBuffer gathers log lines; cut requests may log after the stop.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write implements io.Writer.
+func (b *lockedBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(line)
+}
+
+// String returns the lines so far.
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
 // TestSecondSignalListsWhatItCuts stops a process whose stream never ends.
 func TestSecondSignalListsWhatItCuts(t *testing.T) {
-	var log bytes.Buffer
-	options := process.Options{Settings: entrySettings(t), Logger: zerolog.New(&log)}
+	log := &lockedBuffer{}
+	options := process.Options{Settings: entrySettings(t), Logger: zerolog.New(log)}
 	p, err := process.Start(t.Context(), options)
 	require.NoError(t, err)
 	step := make(chan struct{})
