--- a/internal/pipeline/backend_test.go
+++ b/internal/pipeline/backend_test.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -61,8 +62,7 @@
 	id       string
 	listener *pipeListener
 	server   *http.Server
-	fault    fault
-	at       at
+	broken   atomic.Pointer[cell]
 	// cancelMisses is the number of cancel requests that it ignores.
 	cancelMisses int
 
@@ -79,7 +79,8 @@
 }
 
 func newBackend(network *pipeNetwork, id, address string) *backend {
-	b := &backend{id: id, fault: faultNone, runs: map[string]int{}, held: map[string]bool{}}
+	b := &backend{id: id, runs: map[string]int{}, held: map[string]bool{}}
+	b.breakWith(faultNone, "")
 	b.listener = network.listen(address)
 	b.listener.onDial = b.onDial
 	b.listener.onAccept = b.onAccept
@@ -94,6 +95,17 @@
 	return b
 }
 
+// breakWith sets the fault and its step.
+func (b *backend) breakWith(f fault, step at) { b.broken.Store(&cell{f, step}) }
+
+// at returns the fault that shows at step.
+func (b *backend) at(step at) fault {
+	if broken := b.broken.Load(); broken.at == step {
+		return broken.fault
+	}
+	return faultNone
+}
+
 // heartbeats reports whether the back end announces itself.
 func (b *backend) heartbeats() bool {
 	b.mu.Lock()
@@ -140,10 +152,7 @@
 }
 
 func (b *backend) onDial(ctx context.Context) error {
-	if b.at != atDial {
-		return nil
-	}
-	switch b.fault {
+	switch b.at(atDial) {
 	case faultDies, faultRefuses:
 		return &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
 	case faultHangs, faultSilent:
@@ -156,10 +165,7 @@
 }
 
 func (b *backend) onAccept(conn net.Conn) bool {
-	if b.at != atSend {
-		return false
-	}
-	switch b.fault {
+	switch b.at(atSend) {
 	case faultDies:
 		_ = conn.Close()
 		return true
@@ -181,10 +187,7 @@
 
 // misbehave shows the fault of a step. It reports whether the answer ends.
 func (b *backend) misbehave(step at, w http.ResponseWriter, r *http.Request) bool {
-	if b.at != step {
-		return false
-	}
-	switch b.fault {
+	switch b.at(step) {
 	case faultDies:
 		b.die()
 		panic(http.ErrAbortHandler)
@@ -244,7 +247,7 @@
 func (b *backend) complete(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	id := r.Header.Get(backendapi.HeaderAttempt)
-	if b.fault == faultRefuses && b.misbehave(atWait, w, r) {
+	if b.at(atWait) == faultRefuses && b.misbehave(atWait, w, r) {
 		return
 	}
 	b.begin(id, id)
@@ -264,14 +267,14 @@
 			if b.misbehave(atStream, w, r) {
 				return
 			}
-			if b.at == atStream && b.fault == faultCrossed {
+			if b.at(atStream) == faultCrossed {
 				echoed = "another-attempt"
 			}
-			if b.at == atStream && b.fault == faultTwice {
+			if b.at(atStream) == faultTwice {
 				sendChunk(w, backendapi.Chunk{Attempt: id, Index: int64(i - 1), Text: words[i-1]})
 			}
 		}
-		if b.at == atWait && b.fault == faultCrossed {
+		if b.at(atWait) == faultCrossed {
 			echoed = "another-attempt"
 		}
 		if !sendChunk(w, backendapi.Chunk{Attempt: echoed, Index: int64(i), Text: words[i]}) {
@@ -284,16 +287,14 @@
 
 func (b *backend) end(w http.ResponseWriter, end backendapi.Chunk) {
 	id := end.Attempt
-	if b.at == atVerify {
-		switch b.fault {
-		case faultCut:
-			b.release(id)
-			return // a clean end of the body without the end mark
-		case faultTwice:
-			end.Count--
-		case faultCrossed:
-			end.Attempt = "another-attempt"
-		}
+	switch b.at(atVerify) {
+	case faultCut:
+		b.release(id)
+		return // a clean end of the body without the end mark
+	case faultTwice:
+		end.Count--
+	case faultCrossed:
+		end.Attempt = "another-attempt"
 	}
 	b.release(id)
 	sendChunk(w, end)
@@ -313,7 +314,7 @@
 	if err != nil {
 		return
 	}
-	if b.fault == faultRefuses && b.misbehave(atWait, w, r) {
+	if b.at(atWait) == faultRefuses && b.misbehave(atWait, w, r) {
 		return
 	}
 	b.mu.Lock()
@@ -323,7 +324,7 @@
 		return
 	}
 	echoed := r.Header.Get(backendapi.HeaderAttempt)
-	if b.fault == faultCrossed {
+	if b.broken.Load().fault == faultCrossed {
 		echoed = "another-attempt"
 	}
 	w.Header().Set(backendapi.HeaderAttempt, echoed)
@@ -334,7 +335,7 @@
 	if b.misbehave(atStream, w, r) {
 		return
 	}
-	if b.at == atVerify && b.fault == faultCut {
+	if b.at(atVerify) == faultCut {
 		panic(http.ErrAbortHandler)
 	}
 	_, _ = w.Write(body[half:])
--- a/internal/pipeline/callers_test.go
+++ b/internal/pipeline/callers_test.go
@@ -22,7 +22,8 @@
 		t.Run(string(step), func(t *testing.T) {
 			inBubble(t, 1, func(s *system) {
 				b := s.backends[0]
-				b.fault, b.at, b.cancelMisses = faultLate, step, 3
+				b.breakWith(faultLate, step)
+				b.cancelMisses = 3
 				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 				defer cancel()
 				outgoing := s.newRequest(http.MethodPost, "/v1/completions", streamBody).WithContext(ctx)
@@ -136,7 +137,7 @@
 		t.Run(pair[0].name()+"+"+pair[1].name(), func(t *testing.T) {
 			inBubble(t, 3, func(s *system) {
 				for i, c := range pair {
-					s.backends[i].fault, s.backends[i].at = c.fault, c.at
+					s.backends[i].breakWith(c.fault, c.at)
 				}
 				for range 3 {
 					got := s.call(http.MethodPost, "/v1/completions", streamBody)
@@ -158,7 +159,7 @@
 		b := s.backends[0]
 		first := s.call(http.MethodPost, bookPath, "", request.IdempotencyKeyHeader, "one")
 		require.Equal(t, request.Completed, first.outcome)
-		b.fault, b.at = faultCut, atWait
+		b.breakWith(faultCut, atWait)
 		second := s.call(http.MethodPost, bookPath, "", request.IdempotencyKeyHeader, "two")
 		require.Equal(t, request.Unknown, second.outcome)
 		require.Equal(t, 2, b.total())
--- a/internal/pipeline/system_test.go
+++ b/internal/pipeline/system_test.go
@@ -152,7 +152,7 @@
 // breakWith gives the same fault to the first count back ends.
 func (s *system) breakWith(f fault, step at, count int) {
 	for _, b := range s.backends[:count] {
-		b.fault, b.at = f, step
+		b.breakWith(f, step)
 	}
 }
 
