--- /dev/null
+++ b/internal/bodybuf/bodybuf_test.go
@@ -0,0 +1,91 @@
+package bodybuf
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestReadIsBounded(t *testing.T) {
+	const limit = 100_000
+	text := strings.Repeat("x", limit)
+	cases := []struct {
+		name     string
+		body     string
+		expected int64
+		pool     int64
+		err      error
+	}{
+		{"known length", text, limit, 1 << 20, nil},
+		{"unknown length", text, -1, 1 << 20, nil},
+		{"empty", "", 0, 1 << 20, nil},
+		{"too large by its length", text + "x", limit + 1, 1 << 20, ErrTooLarge},
+		{"too large by its content", text + "x", -1, 1 << 20, ErrTooLarge},
+		{"pool used up", text, limit, limit, ErrNoMemory},
+		{"pool used up while growing", text, -1, limit, ErrNoMemory},
+		{"shorter than announced", "x", 2, 1 << 20, io.ErrUnexpectedEOF},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			pool := NewPool(c.pool)
+			buffer, err := pool.Read(strings.NewReader(c.body), c.expected, limit)
+			require.ErrorIs(t, err, c.err)
+			if c.err == nil {
+				require.Equal(t, c.body, string(buffer.Bytes()))
+				require.Positive(t, pool.Used())
+				buffer.Release()
+			}
+			require.Zero(t, pool.Used())
+		})
+	}
+}
+
+// TestReadersHoldTheBuffer reads on after the owner let go, as an HTTP
+// transport may.
+func TestReadersHoldTheBuffer(t *testing.T) {
+	pool := NewPool(1 << 20)
+	buffer, err := pool.Read(strings.NewReader("calm sea"), 8, 100)
+	require.NoError(t, err)
+	reader := buffer.Reader()
+	buffer.Release()
+	require.Positive(t, pool.Used())
+	read, err := io.ReadAll(reader)
+	require.NoError(t, err)
+	require.Equal(t, "calm sea", string(read))
+	require.NoError(t, reader.Close())
+	require.NoError(t, reader.Close())
+	require.Zero(t, pool.Used())
+	_, err = reader.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.ErrClosedPipe)
+}
+
+// TestConcurrentUse is for the race detector.
+func TestConcurrentUse(t *testing.T) {
+	pool := NewPool(64 << 20)
+	var group sync.WaitGroup
+	for i := range 8 {
+		group.Go(func() {
+			want := bytes.Repeat([]byte{byte('a' + i)}, 50_000)
+			for range 50 {
+				buffer, err := pool.Read(bytes.NewReader(want), -1, 100_000)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				reader := buffer.Reader()
+				buffer.Release()
+				got, _ := io.ReadAll(reader)
+				_ = reader.Close()
+				if !bytes.Equal(want, got) {
+					t.Error("another body's bytes")
+				}
+			}
+		})
+	}
+	group.Wait()
+	require.Zero(t, pool.Used())
+}
--- /dev/null
+++ b/internal/filter/classify/scan_test.go
@@ -0,0 +1,67 @@
+package classify
+
+import (
+	"strings"
+	"testing"
+	"unsafe"
+
+	"github.com/stretchr/testify/require"
+
+	"godwityoke.example/godwityoke/internal/request"
+)
+
+func TestScanFindsFieldsInPlace(t *testing.T) {
+	data := []byte(`{"x":{"prompt":"inner"},"stream":true,"prompt":"say \"hi\"\n","max_tokens":7,"model":"a:b"}`)
+	got, err := scan(data, request.KindCompletion)
+	require.NoError(t, err)
+	require.Equal(t, "a:b", got.model)
+	require.True(t, got.stream)
+	require.EqualValues(t, 7, got.maxTokens)
+	require.Equal(t, `say \"hi\"\n`, string(got.prompt))
+	offset := uintptr(unsafe.Pointer(&got.prompt[0])) - uintptr(unsafe.Pointer(&data[0]))
+	require.Less(t, int(offset), len(data), "the prompt is a part of the body")
+}
+
+func TestScanChat(t *testing.T) {
+	got, err := scan([]byte(`{"model":"a","messages":[{"role":"user","content":"hi"}],"max_completion_tokens":3}`), request.KindChat)
+	require.NoError(t, err)
+	require.Equal(t, `[{"role":"user","content":"hi"}]`, string(got.prompt))
+	require.EqualValues(t, 3, got.maxTokens)
+	_, err = scan([]byte(`{"model":"a","messages":[{"role":`), request.KindChat)
+	require.Error(t, err)
+}
+
+func FuzzScan(f *testing.F) {
+	f.Add([]byte(`{"model":"a","prompt":"b"}`))
+	f.Add([]byte(`{"model":null,"prompt":"\u0000","n":1e9,"stream":[`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		got, err := scan(data, request.KindCompletion)
+		if err == nil && (got.model == "" && !strings.Contains(string(data), `"model":""`) && len(got.prompt) == 0) {
+			t.Fatal("accepted without model and prompt")
+		}
+	})
+}
+
+// BenchmarkScan scans a prompt of a thousand and of a million tokens.
+func BenchmarkScan(b *testing.B) {
+	for name, tokens := range map[string]int{"1k": 1000, "1M": 1_000_000} {
+		b.Run(name, func(b *testing.B) {
+			data := []byte(`{"model":"scribe","stream":true,"prompt":"` + strings.Repeat("word", tokens) + `"}`)
+			b.SetBytes(int64(len(data)))
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := scan(data, request.KindCompletion); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+func TestMatches(t *testing.T) {
+	require.True(t, matches("/voyages", "/voyages"))
+	require.False(t, matches("/voyages", "/voyages/7"))
+	require.True(t, matches("/voyages/*", "/voyages/7/seats"))
+	require.False(t, matches("/voyages/*", "/voyages/"))
+	require.False(t, matches("/voyages/*", "/voyages/../admin"))
+}
--- a/internal/filter/limit/buckets.go
+++ b/internal/filter/limit/buckets.go
@@ -34,25 +34,25 @@
 }
 
 // bucket may go into debt by one request, so that a prompt larger than the
-// burst passes once the bucket is full and is paid off afterwards.
+// burst passes and is paid off afterwards.
 type bucket struct {
 	level   float64
 	updated time.Time
 }
 
-// refill brings the bucket to now and returns how long it stays in debt.
-func (b *bucket) refill(rate float64, now time.Time) time.Duration {
-	full := rate * burst.Seconds()
+// refill brings the bucket to now and returns the time until it holds need.
+func (b *bucket) refill(rate, need float64, now time.Time) time.Duration {
+	full := max(rate*burst.Seconds(), need)
 	if b.updated.IsZero() {
 		b.level = full
 	} else {
 		b.level = min(full, b.level+rate*now.Sub(b.updated).Seconds())
 	}
 	b.updated = now
-	if b.level > 0 {
+	if b.level >= need {
 		return 0
 	}
-	return time.Duration((-b.level/rate)*float64(time.Second)) + time.Millisecond
+	return time.Duration((need-b.level)/rate*float64(time.Second)) + time.Millisecond
 }
 
 // Admit implements Limiter.
@@ -76,10 +76,10 @@
 func (s *teamState) wait(limits bundle.TeamLimits, now time.Time) time.Duration {
 	var wait time.Duration
 	if limits.RequestsPerSecond > 0 {
-		wait = max(wait, s.requests.refill(limits.RequestsPerSecond, now))
+		wait = max(wait, s.requests.refill(limits.RequestsPerSecond, 1, now))
 	}
 	if limits.TokensPerSecond > 0 {
-		wait = max(wait, s.tokens.refill(limits.TokensPerSecond, now))
+		wait = max(wait, s.tokens.refill(limits.TokensPerSecond, 0, now))
 	}
 	if limits.Concurrent > 0 && s.inFlight >= limits.Concurrent {
 		wait = max(wait, concurrencyRetry)
--- /dev/null
+++ b/internal/reclaim/reclaim_test.go
@@ -0,0 +1,140 @@
+package reclaim
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"godwityoke.example/godwityoke/internal/place"
+	"godwityoke.example/godwityoke/internal/request"
+)
+
+// fakeEngine holds attempts and can refuse to answer.
+type fakeEngine struct {
+	mu          sync.Mutex
+	held        map[string]bool
+	down        bool
+	alive       bool
+	incarnation uint64
+}
+
+// Cancel implements Engines.
+func (e *fakeEngine) Cancel(_ context.Context, _ string, attempts []string) ([]string, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down {
+		return nil, errors.New("no answer")
+	}
+	for _, attempt := range attempts {
+		delete(e.held, attempt)
+	}
+	return attempts, nil
+}
+
+// Held implements Engines.
+func (e *fakeEngine) Held(context.Context, string) ([]string, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down {
+		return nil, errors.New("no answer")
+	}
+	var held []string
+	for attempt := range e.held {
+		held = append(held, attempt)
+	}
+	return held, nil
+}
+
+// Alive implements Liveness.
+func (e *fakeEngine) Alive(_ string, incarnation uint64, _ time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.alive && e.incarnation == incarnation
+}
+
+// Known implements Liveness.
+func (e *fakeEngine) Known(_ string, incarnation uint64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.incarnation == incarnation
+}
+
+func (e *fakeEngine) set(down, alive bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.down, e.alive = down, alive
+}
+
+func (e *fakeEngine) list() []string {
+	held, _ := e.Held(context.Background(), "")
+	slices.Sort(held)
+	return held
+}
+
+func inBubble(t *testing.T, test func(t *testing.T, r *Reclaimer, e *fakeEngine, server place.Server, ids *request.Identifiers)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		e := &fakeEngine{held: map[string]bool{}, alive: true, incarnation: 1}
+		ids := request.NewIdentifiers()
+		r := New(e, e, ids, zerolog.Nop())
+		go r.Run(t.Context())
+		test(t, r, e, place.Server{ID: "e1", Incarnation: 1, Address: "10.0.1.1:80"}, ids)
+	})
+}
+
+func TestCancelIsRepeatedUntilConfirmed(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *Reclaimer, e *fakeEngine, server place.Server, ids *request.Identifiers) {
+		kept, ended := ids.Next(), ids.Next()
+		e.held[kept], e.held[ended] = true, true
+		r.Begin(server, kept)
+		r.Begin(server, ended)
+		e.set(true, true)
+		r.End(server, ended, false)
+		time.Sleep(time.Minute)
+		require.Equal(t, 1, r.Pending())
+		e.set(false, false) // silent, and back with the same incarnation
+		time.Sleep(time.Minute)
+		require.Len(t, e.held, 2)
+		e.set(false, true)
+		time.Sleep(2 * retryInterval)
+		require.Equal(t, []string{kept}, e.list())
+		require.Zero(t, r.Pending())
+	})
+}
+
+// TestOrphansAreFound leaves attempts on the engine that no End reported, one
+// of this VM and one of another.
+func TestOrphansAreFound(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *Reclaimer, e *fakeEngine, server place.Server, ids *request.Identifiers) {
+		active, orphan, foreign := ids.Next(), ids.Next(), request.NewIdentifiers().Next()
+		e.held[active], e.held[orphan], e.held[foreign] = true, true, true
+		r.Begin(server, active)
+		time.Sleep(compareInterval + 2*retryInterval)
+		require.ElementsMatch(t, []string{active, foreign}, e.list())
+	})
+}
+
+// TestReplacedEngineIsForgotten restarts the engine with cancellations open.
+func TestReplacedEngineIsForgotten(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *Reclaimer, e *fakeEngine, server place.Server, ids *request.Identifiers) {
+		attempt := ids.Next()
+		r.Begin(server, attempt)
+		e.set(true, true)
+		r.End(server, attempt, false)
+		time.Sleep(time.Minute)
+		require.Equal(t, 1, r.Pending())
+		e.mu.Lock()
+		e.incarnation = 2
+		e.mu.Unlock()
+		time.Sleep(2 * retryInterval)
+		require.Zero(t, r.Pending())
+		require.Empty(t, r.states)
+	})
+}
