--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -1,71 +1,48 @@
-// Package transport carries gRPC between the system's own processes.
+// Package transport carries gRPC between the system's own processes: mutual
+// TLS, a check of the cluster name, bounds on what a peer may send, and the
+// abandonment of connections that went silent.
 package transport
 
-import (
-	"fmt"
-	"sync"
-	"time"
-
-	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
-	"google.golang.org/grpc/keepalive"
-)
+import "time"
 
 const (
-	// pingInterval is the idle time after which a connection is probed.
+	// pingInterval is the idle time after which gRPC probes a connection.
 	pingInterval = 10 * time.Second
-	// pingTimeout is the silence after which a probed connection is closed.
-	pingTimeout = 2 * time.Second
+	// pingTimeout is the silence after which a probed connection is closed. It
+	// also bounds how long sent bytes may stay unacknowledged.
+	pingTimeout = 3 * time.Second
+	// pingMinInterval is the shortest probe interval that a server accepts.
+	pingMinInterval = 5 * time.Second
+	// tcpIdle is the idle time after which TCP probes a connection.
+	tcpIdle = 2 * time.Second
+	// tcpProbeInterval is the time between two TCP probes.
+	tcpProbeInterval = time.Second
+	// tcpProbes is the number of unanswered TCP probes that end a connection.
+	tcpProbes = 2
+	// dialTimeout bounds one attempt to connect.
+	dialTimeout = 2 * time.Second
+	// handshakeTimeout bounds the TLS handshake at a server.
+	handshakeTimeout = 3 * time.Second
+	// reconnectBase and reconnectMax bound the wait between two attempts to
+	// connect to the same address.
+	reconnectBase = 100 * time.Millisecond
+	reconnectMax  = time.Second
 	// maxMessageBytes bounds each message between VMs.
 	maxMessageBytes = 16 << 20
+	// maxStreams bounds the concurrent calls of one connection.
+	maxStreams = 1024
+	// maxHeaderBytes bounds the metadata of one call.
+	maxHeaderBytes = 16 << 10
 )
 
-// Pool keeps one connection for each address of another VM.
-type Pool struct {
-	mu          sync.Mutex
-	connections map[string]*grpc.ClientConn
-}
-
-// NewPool returns an empty pool.
-func NewPool() *Pool {
-	return &Pool{connections: map[string]*grpc.ClientConn{}}
-}
-
-// Conn returns the connection to address, made when first asked for. It does
-// not wait until the connection is up.
-func (p *Pool) Conn(address string) (*grpc.ClientConn, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if conn, found := p.connections[address]; found {
-		return conn, nil
-	}
-	conn, err := grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingInterval, Timeout: pingTimeout, PermitWithoutStream: true}),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
-	)
-	if err != nil {
-		return nil, fmt.Errorf("connection to %s: %w", address, err)
-	}
-	p.connections[address] = conn
-	return conn, nil
-}
-
-// Close closes all connections.
-func (p *Pool) Close() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, conn := range p.connections {
-		_ = conn.Close()
-	}
-	p.connections = map[string]*grpc.ClientConn{}
-}
+// MaxMessageBytes is the largest message that VMs accept from each other.
+const MaxMessageBytes = maxMessageBytes
 
-// NewServer returns a gRPC server for the internal listener of a VM.
-func NewServer() *grpc.Server {
-	return grpc.NewServer(
-		grpc.MaxRecvMsgSize(maxMessageBytes),
-		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingInterval, Timeout: pingTimeout}),
-		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: pingInterval / 2, PermitWithoutStream: true}),
-	)
+// Identity is what a VM tells other VMs of itself.
+type Identity struct {
+	// Cluster names the system. A server refuses calls of another cluster.
+	// Empty turns the check off.
+	Cluster string
+	// VM is the VM's name.
+	VM string
 }
