Sign bundles and keep accepted ones in a replicated registry

Acceptance needs one answer for each submission. The registry records the answer of each submission id, refuses a version that is taken and names the digest that took it.

--- /dev/null
+++ b/internal/registry/command.go
@@ -0,0 +1,102 @@
+package registry
+
+import (
+	"errors"
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"godwityoke.example/godwityoke/internal/registry/registrypb"
+)
+
+// format is the version of the command envelope and of the snapshot.
+const format = 1
+
+const (
+	// maxCommandBytes bounds an encoded command.
+	maxCommandBytes = 9 << 20
+	// maxNameBytes bounds submission ids and names.
+	maxNameBytes = 128
+	// digestBytes is the length of a digest in hexadecimal digits.
+	digestBytes = 64
+	// maxSignatures bounds the signatures of one bundle.
+	maxSignatures = 64
+	// maxControlVMs bounds the control VMs on record.
+	maxControlVMs = 16
+)
+
+// ErrCommand tells that a command can't be executed by this program.
+var ErrCommand = errors.New("not a command of the registry")
+
+// Encode returns the form of command that goes into the replicated log.
+func Encode(command *registrypb.Command) ([]byte, error) {
+	command.Format = format
+	if err := validate(command); err != nil {
+		return nil, err
+	}
+	encoded, err := proto.Marshal(command)
+	if err != nil {
+		return nil, fmt.Errorf("encode a command: %w", err)
+	}
+	return encoded, nil
+}
+
+// Decode reads a command from the replicated log.
+func Decode(encoded []byte) (*registrypb.Command, error) {
+	if len(encoded) > maxCommandBytes {
+		return nil, fmt.Errorf("%w: it has %d bytes", ErrCommand, len(encoded))
+	}
+	command := &registrypb.Command{}
+	if err := proto.Unmarshal(encoded, command); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrCommand, err)
+	}
+	if command.Format != format {
+		return nil, fmt.Errorf("%w: its format is %d", ErrCommand, command.Format)
+	}
+	if err := validate(command); err != nil {
+		return nil, err
+	}
+	return command, nil
+}
+
+func validate(command *registrypb.Command) error {
+	switch kind := command.Kind.(type) {
+	case *registrypb.Command_Submit:
+		return validateSubmit(kind.Submit)
+	case *registrypb.Command_Roll:
+		return validateNames(kind.Roll.GetSubmissionId())
+	case *registrypb.Command_SetEpoch:
+		if len(kind.SetEpoch.GetControlVms()) > maxControlVMs {
+			return fmt.Errorf("%w: too many control VMs", ErrCommand)
+		}
+		return validateNames(kind.SetEpoch.GetControlVms()...)
+	case *registrypb.Command_PutControlVm:
+		vm := kind.PutControlVm.GetVm()
+		return validateNames(vm.GetName(), vm.GetZone(), vm.GetInternal())
+	case *registrypb.Command_RemoveControlVm:
+		return validateNames(kind.RemoveControlVm.GetName())
+	}
+	return fmt.Errorf("%w: its kind is unknown", ErrCommand)
+}
+
+func validateSubmit(submit *registrypb.Submit) error {
+	if len(submit.GetDigest()) != digestBytes {
+		return fmt.Errorf("%w: the digest has %d characters", ErrCommand, len(submit.GetDigest()))
+	}
+	if len(submit.GetContent()) == 0 {
+		return fmt.Errorf("%w: there is no content", ErrCommand)
+	}
+	if len(submit.GetSignatures()) > maxSignatures {
+		return fmt.Errorf("%w: too many signatures", ErrCommand)
+	}
+	return validateNames(submit.GetSubmissionId())
+}
+
+func validateNames(names ...string) error {
+	for _, name := range names {
+		if name == "" || len(name) > maxNameBytes {
+			return fmt.Errorf("%w: a name has %d bytes, allowed: 1 to %d", ErrCommand, len(name), maxNameBytes)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/registry/registry.go
@@ -0,0 +1,233 @@
+// Package registry is the replicated state of the control group: the accepted
+// bundles, the roll, the control VMs and the ledger epoch. It implements
+// replica.StateMachine; the decisions are pure.
+package registry
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"godwityoke.example/godwityoke/internal/bundle"
+	"godwityoke.example/godwityoke/internal/registry/registrypb"
+)
+
+// ErrSnapshot tells that a snapshot can't be read by this program.
+var ErrSnapshot = errors.New("not a snapshot of the registry")
+
+// Registry holds the replicated state. Apply, Snapshot and Restore are called
+// by the replica; the other methods are safe for concurrent use.
+type Registry struct {
+	mu      sync.RWMutex
+	state   *state
+	changed chan struct{}
+}
+
+// New returns an empty registry.
+func New() *Registry {
+	return &Registry{state: newState(), changed: make(chan struct{})}
+}
+
+// Apply implements replica.StateMachine.
+func (r *Registry) Apply(_ uint64, encoded []byte) []byte {
+	command, err := Decode(encoded)
+	result := Result{Code: CodeRefused}
+	if err == nil {
+		r.mu.Lock()
+		result = r.state.execute(command)
+		r.notify()
+		r.mu.Unlock()
+	}
+	answer, err := proto.Marshal(result.message())
+	if err != nil {
+		return nil
+	}
+	return answer
+}
+
+// notify wakes the waiters of Changed. The caller holds the lock.
+func (r *Registry) notify() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// Snapshot implements replica.StateMachine.
+func (r *Registry) Snapshot() ([]byte, error) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	s := r.state
+	snapshot := &registrypb.Snapshot{
+		Format:          format,
+		Newest:          s.newest,
+		Rolled:          s.rolled,
+		Roll:            s.roll,
+		History:         s.history,
+		AcceptedAnswers: s.accepted.answers,
+		RefusedAnswers:  s.refused.answers,
+		ControlVms:      s.vms,
+		Epoch:           s.epoch,
+	}
+	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
+	if err != nil {
+		return nil, fmt.Errorf("encode the registry: %w", err)
+	}
+	return encoded, nil
+}
+
+// Restore implements replica.StateMachine.
+func (r *Registry) Restore(encoded []byte) error {
+	snapshot := &registrypb.Snapshot{}
+	if err := proto.Unmarshal(encoded, snapshot); err != nil {
+		return fmt.Errorf("%w: %w", ErrSnapshot, err)
+	}
+	if snapshot.GetFormat() != format {
+		return fmt.Errorf("%w: its format is %d", ErrSnapshot, snapshot.GetFormat())
+	}
+	restored := newState()
+	restored.newest = snapshot.GetNewest()
+	restored.rolled = snapshot.GetRolled()
+	restored.roll = snapshot.GetRoll()
+	restored.history = snapshot.GetHistory()
+	restored.accepted.replace(snapshot.GetAcceptedAnswers())
+	restored.refused.replace(snapshot.GetRefusedAnswers())
+	restored.vms = snapshot.GetControlVms()
+	restored.epoch = snapshot.GetEpoch()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state = restored
+	r.notify()
+	return nil
+}
+
+// Changed returns a channel that is closed at the next change.
+func (r *Registry) Changed() <-chan struct{} {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.changed
+}
+
+// Accepted is an accepted bundle with its content as it was signed.
+type Accepted struct {
+	Version    uint64
+	Digest     string
+	Signatures []bundle.Signature
+	// Compressed is the canonical JSON, compressed with zstd.
+	Compressed   []byte
+	SubmissionID string
+	// At is the time of acceptance by the clock of the leader then.
+	At time.Time
+}
+
+// Newest returns the newest accepted bundle, or nil before the first.
+func (r *Registry) Newest() *Accepted {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return acceptedOf(r.state.newest)
+}
+
+// Roll is the operators' last word on a roll.
+type Roll struct {
+	Version uint64
+	Stopped bool
+	At      time.Time
+}
+
+// Rolled returns the bundle that engines are to be brought to and the state of
+// its roll. Both are nil before the first roll.
+func (r *Registry) Rolled() (*Accepted, *Roll) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if r.state.roll == nil {
+		return nil, nil
+	}
+	roll := &Roll{
+		Version: r.state.roll.GetVersion(),
+		Stopped: r.state.roll.GetStopped(),
+		At:      time.UnixMilli(r.state.roll.GetUnixMs()),
+	}
+	return acceptedOf(r.state.rolled), roll
+}
+
+// HistoryEntry is an accepted bundle without its content.
+type HistoryEntry struct {
+	Version      uint64    `json:"version"`
+	Digest       string    `json:"digest"`
+	SubmissionID string    `json:"submission_id"`
+	At           time.Time `json:"at"`
+}
+
+// History returns up to limit accepted bundles, newest first.
+func (r *Registry) History(limit int) []HistoryEntry {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	var entries []HistoryEntry
+	for _, accepted := range slices.Backward(r.state.history) {
+		if len(entries) >= limit {
+			break
+		}
+		entries = append(entries, HistoryEntry{
+			Version:      accepted.GetVersion(),
+			Digest:       accepted.GetDigest(),
+			SubmissionID: accepted.GetSubmissionId(),
+			At:           time.UnixMilli(accepted.GetUnixMs()),
+		})
+	}
+	return entries
+}
+
+// Epoch is the ledger epoch: the control VMs whose records count for claims.
+type Epoch struct {
+	// Number grows with each change, 0 before the first.
+	Number uint64
+	// ControlVMs are VM names in alphabetical order.
+	ControlVMs []string
+}
+
+// Epoch returns the ledger epoch.
+func (r *Registry) Epoch() Epoch {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return Epoch{Number: r.state.epoch.GetNumber(), ControlVMs: slices.Clone(r.state.epoch.GetControlVms())}
+}
+
+// ControlVM is a member of the control group with its addresses.
+type ControlVM struct {
+	Name string `json:"name"`
+	Zone string `json:"zone"`
+	// Internal is the "ip:port" of its gRPC listener.
+	Internal string `json:"internal"`
+	// Operators is the "ip:port" of its operators' listener.
+	Operators string `json:"operators"`
+}
+
+// ControlVMs returns the control VMs on record.
+func (r *Registry) ControlVMs() []ControlVM {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	vms := make([]ControlVM, 0, len(r.state.vms))
+	for _, vm := range r.state.vms {
+		vms = append(vms, ControlVM{Name: vm.GetName(), Zone: vm.GetZone(), Internal: vm.GetInternal(), Operators: vm.GetOperators()})
+	}
+	return vms
+}
+
+func acceptedOf(message *registrypb.Accepted) *Accepted {
+	if message == nil {
+		return nil
+	}
+	accepted := &Accepted{
+		Version:      message.GetVersion(),
+		Digest:       message.GetDigest(),
+		Compressed:   message.GetContent(),
+		SubmissionID: message.GetSubmissionId(),
+		At:           time.UnixMilli(message.GetUnixMs()),
+	}
+	for _, signature := range message.GetSignatures() {
+		accepted.Signatures = append(accepted.Signatures, bundle.Signature{Key: signature.GetKey(), Value: signature.GetValue()})
+	}
+	return accepted
+}
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,178 @@
+package registry_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"godwityoke.example/godwityoke/internal/bundle"
+	"godwityoke.example/godwityoke/internal/registry"
+	"godwityoke.example/godwityoke/internal/registry/registrypb"
+)
+
+func submitCommand(id string, expected uint64, content string) *registrypb.Command {
+	return &registrypb.Command{Kind: &registrypb.Command_Submit{Submit: &registrypb.Submit{
+		SubmissionId: id, ExpectedVersion: expected, Digest: bundle.Digest([]byte(content)), Content: []byte(content),
+	}}}
+}
+
+func rollCommand(id string, version uint64) *registrypb.Command {
+	return &registrypb.Command{Kind: &registrypb.Command_Roll{Roll: &registrypb.Roll{SubmissionId: id, Version: version}}}
+}
+
+type helper interface {
+	require.TestingT
+	Helper()
+}
+
+func apply(t helper, r *registry.Registry, command *registrypb.Command) registry.Result {
+	t.Helper()
+	encoded, err := registry.Encode(command)
+	require.NoError(t, err)
+	result, err := registry.DecodeResult(r.Apply(1, encoded))
+	require.NoError(t, err)
+	return result
+}
+
+func TestSubmitAnswers(t *testing.T) {
+	r := registry.New()
+	first := apply(t, r, submitCommand("a", 0, "one"))
+	assert.Equal(t, registry.Result{Code: registry.CodeAccepted, Version: 1, Digest: bundle.Digest([]byte("one"))}, first)
+	lost := apply(t, r, submitCommand("b", 0, "two"))
+	assert.Equal(t, registry.Result{Code: registry.CodeConflict, Version: 1, Digest: first.Digest}, lost)
+	apply(t, r, submitCommand("c", 1, "three"))
+
+	snapshot, err := r.Snapshot()
+	require.NoError(t, err)
+	restored := registry.New()
+	require.NoError(t, restored.Restore(snapshot))
+	for name, machine := range map[string]*registry.Registry{"same process": r, "after a snapshot": restored} {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, first, apply(t, machine, submitCommand("a", 0, "one")), "a resend gets the first answer")
+			assert.Equal(t, lost, apply(t, machine, submitCommand("b", 0, "two")), "a refused resend gets the first answer")
+			reused := apply(t, machine, submitCommand("a", 2, "four"))
+			assert.Equal(t, registry.Result{Code: registry.CodeIDReused, Version: 1, Digest: first.Digest}, reused)
+			late := apply(t, machine, submitCommand("d", 1, "five"))
+			assert.Equal(t, registry.Result{Code: registry.CodeConflict, Version: 2, Digest: bundle.Digest([]byte("three"))}, late)
+			ahead := apply(t, machine, submitCommand("e", 9, "six"))
+			assert.Equal(t, registry.CodeConflict, ahead.Code)
+			assert.Equal(t, []byte("three"), machine.Newest().Compressed)
+		})
+	}
+}
+
+func TestRollTakesTheNewestOnly(t *testing.T) {
+	r := registry.New()
+	assert.Equal(t, registry.CodeConflict, apply(t, r, rollCommand("r0", 0)).Code)
+	apply(t, r, submitCommand("a", 0, "one"))
+	assert.Equal(t, registry.CodeAccepted, apply(t, r, rollCommand("r1", 1)).Code)
+	apply(t, r, submitCommand("b", 1, "two"))
+	rolled, roll := r.Rolled()
+	assert.Equal(t, uint64(1), roll.Version)
+	assert.Equal(t, []byte("one"), rolled.Compressed, "a newer bundle is rolled by its own roll only")
+	assert.Equal(t, registry.CodeConflict, apply(t, r, rollCommand("r2", 1)).Code)
+	assert.Equal(t, registry.CodeAccepted, apply(t, r, rollCommand("r3", 2)).Code)
+}
+
+func TestEpochChangesOnce(t *testing.T) {
+	set := func(expected uint64, names ...string) *registrypb.Command {
+		return &registrypb.Command{Kind: &registrypb.Command_SetEpoch{SetEpoch: &registrypb.SetEpoch{ExpectedNumber: expected, ControlVms: names}}}
+	}
+	r := registry.New()
+	assert.Equal(t, registry.Result{Code: registry.CodeAccepted, Epoch: 1}, apply(t, r, set(0, "c2", "c1")))
+	assert.Equal(t, registry.Result{Code: registry.CodeAccepted, Epoch: 1}, apply(t, r, set(0, "c1", "c2")), "a resend")
+	assert.Equal(t, registry.Result{Code: registry.CodeConflict, Epoch: 1}, apply(t, r, set(0, "c3")), "a race")
+	assert.Equal(t, registry.Epoch{Number: 1, ControlVMs: []string{"c1", "c2"}}, r.Epoch())
+}
+
+// TestStateIsBounded holds the state of a long life against the limits.
+func TestStateIsBounded(t *testing.T) {
+	r := registry.New()
+	for version := range uint64(5000) {
+		apply(t, r, submitCommand(fmt.Sprint("id", version), version, fmt.Sprint(version)))
+		apply(t, r, submitCommand(fmt.Sprint("lost", version), version, "other"))
+	}
+	snapshot, err := r.Snapshot()
+	require.NoError(t, err)
+	assert.Less(t, len(snapshot), 3<<20)
+	assert.Len(t, r.History(1<<20), 4096)
+	assert.Equal(t, registry.CodeAccepted, apply(t, r, submitCommand("id4000", 4000, "4000")).Code)
+}
+
+// TestAcceptance drives the registry with races, resends and restores, and
+// holds it against a model: each version has one digest, each id one answer.
+func TestAcceptance(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := registry.New()
+		answers := map[string]registry.Result{}
+		digests := map[uint64]string{}
+		newest := uint64(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			id := fmt.Sprint(rapid.IntRange(0, 12).Draw(t, "id"))
+			expected := uint64(rapid.IntRange(0, 6).Draw(t, "expected"))
+			content := fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "content"))
+			result := apply(t, r, submitCommand(id, expected, content))
+			key := fmt.Sprint(id, "/", expected, "/", content)
+			if first, sent := answers[key]; sent {
+				require.Equal(t, first, result)
+			} else if result.Code != registry.CodeIDReused {
+				answers[key] = result
+			}
+			if result.Code == registry.CodeAccepted {
+				if known, found := digests[result.Version]; found {
+					require.Equal(t, known, result.Digest)
+				}
+				digests[result.Version] = result.Digest
+				require.Equal(t, expected+1, result.Version)
+			}
+			newest = checkNewest(t, r, newest, digests)
+			if rapid.Bool().Draw(t, "restore") {
+				snapshot, err := r.Snapshot()
+				require.NoError(t, err)
+				r = registry.New()
+				require.NoError(t, r.Restore(snapshot))
+			}
+		}
+	})
+}
+
+func checkNewest(t helper, r *registry.Registry, before uint64, digests map[uint64]string) uint64 {
+	t.Helper()
+	newest := r.Newest()
+	if newest == nil {
+		require.Zero(t, before)
+		return 0
+	}
+	require.GreaterOrEqual(t, newest.Version, before, "the version never falls")
+	require.Equal(t, digests[newest.Version], newest.Digest)
+	return newest.Version
+}
+
+func FuzzApply(f *testing.F) {
+	for _, command := range []*registrypb.Command{submitCommand("a", 0, "one"), rollCommand("r", 1)} {
+		encoded, err := registry.Encode(command)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(encoded)
+		f.Add(encoded[:len(encoded)/2])
+	}
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, encoded []byte) {
+		r := registry.New()
+		answer := r.Apply(1, encoded)
+		_, err := registry.DecodeResult(answer)
+		require.NoError(t, err)
+		_, err = registry.Decode(encoded)
+		if err != nil {
+			require.Nil(t, r.Newest())
+		}
+		snapshot, err := r.Snapshot()
+		require.NoError(t, err)
+		require.NoError(t, registry.New().Restore(snapshot))
+		_ = registry.New().Restore(encoded)
+	})
+}
