Distribute bundles by a tree of watches

Entry VMs watch a control VM of their zone, else another one, else an entry VM of the zone; each serves a bounded number of watchers and says on each heartbeat by which path it hangs on a control VM. A receiver verifies digest and signatures, and a stream that is silent for 3 s is abandoned together with its connection. Content goes out compressed against what the receiver holds.

--- a/internal/bundle/digest.go
+++ b/internal/bundle/digest.go
@@ -5,8 +5,6 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-
-	"godwityoke.example/godwityoke/internal/jsonc"
 )
 
 // MaxContentBytes bounds the canonical JSON of a bundle.
@@ -31,13 +29,12 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// Decode reads a bundle from canonical JSON. Mistakes of form are returned as
-// findings. Keys that this version of the program does not know are mistakes.
-func Decode(name string, content []byte) (*Bundle, jsonc.Findings) {
+// Decode reads a bundle from canonical JSON that was checked when it was
+// accepted. Keys that this version of the program does not know are ignored.
+func Decode(content []byte) (*Bundle, error) {
 	var decoded Bundle
-	findings := jsonc.Decode(name, content, &decoded).Findings()
-	if len(findings) > 0 {
-		return nil, findings
+	if err := json.Unmarshal(content, &decoded); err != nil {
+		return nil, fmt.Errorf("decode a bundle: %w", err)
 	}
 	return &decoded, nil
 }
--- /dev/null
+++ b/internal/distribute/distribute_test.go
@@ -0,0 +1,173 @@
+package distribute_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"godwityoke.example/godwityoke/internal/distribute"
+)
+
+// inTree runs a test on three zones a, b, c with a control VM and three entry
+// VMs each, called control-a and entry-a1 to entry-a3 and so on.
+func inTree(t *testing.T, test func(t *testing.T, tr *tree)) {
+	synctest.Test(t, func(t *testing.T) {
+		tr := newTree(t, 5*time.Millisecond)
+		defer tr.stop()
+		var peers []distribute.Peer
+		for _, zone := range []string{"a", "b", "c"} {
+			peers = append(peers, tr.know("control-"+zone, zone, true))
+			for i := range 3 {
+				peers = append(peers, tr.know(fmt.Sprint("entry-", zone, i+1), zone, false))
+			}
+		}
+		for _, peer := range peers {
+			tr.start(peer)
+		}
+		tr.accept(1)
+		time.Sleep(5 * time.Second)
+		tr.requireAll(1)
+		test(t, tr)
+	})
+}
+
+// accept puts a version in force on the control VMs.
+func (tr *tree) accept(version uint64, control ...string) {
+	if len(control) == 0 {
+		control = []string{"control-a", "control-b", "control-c"}
+	}
+	for _, name := range control {
+		tr.vms[name].node.Store().Put(sealed(tr.t, version, 20))
+	}
+}
+
+func (tr *tree) requireAll(version uint64) {
+	for name, v := range tr.vms {
+		require.Equal(tr.t, version, v.version(), name)
+	}
+}
+
+var zoneA = []string{"control-a", "entry-a1", "entry-a2", "entry-a3"}
+var zonesBC = []string{"control-b", "entry-b1", "entry-b2", "entry-b3", "control-c", "entry-c1", "entry-c2", "entry-c3"}
+
+func TestFaultsDistribute(t *testing.T) {
+	t.Run("distribute/none", func(t *testing.T) {
+		inTree(t, func(t *testing.T, tr *tree) {
+			tr.accept(2)
+			time.Sleep(100 * time.Millisecond)
+			tr.requireAll(2)
+		})
+	})
+	t.Run("distribute/kill", func(t *testing.T) {
+		inTree(t, func(t *testing.T, tr *tree) {
+			tr.vms["control-a"].stop()
+			delete(tr.vms, "control-a")
+			time.Sleep(time.Second)
+			tr.accept(2, "control-b", "control-c")
+			time.Sleep(5 * time.Second)
+			tr.requireAll(2)
+		})
+	})
+	t.Run("distribute/silent connection", func(t *testing.T) {
+		inTree(t, func(t *testing.T, tr *tree) {
+			for _, entry := range zoneA[1:] {
+				tr.network.silence(entry, "control-a")
+			}
+			tr.accept(2)
+			time.Sleep(5 * time.Second)
+			tr.requireAll(2)
+		})
+	})
+	t.Run("distribute/cut both ways", func(t *testing.T) {
+		inTree(t, func(t *testing.T, tr *tree) {
+			tr.network.setCut(zoneA, zonesBC, true)
+			tr.vms["control-a"].root.Store(false)
+			time.Sleep(10 * time.Second)
+			for version := uint64(2); version < 300; version++ {
+				tr.accept(version, "control-b", "control-c")
+			}
+			time.Sleep(5 * time.Second)
+			for _, name := range zoneA {
+				require.Equal(t, uint64(1), tr.vms[name].version(), "goes on with the newest it knows")
+				require.NotNil(t, tr.vms[name].holder.Current())
+			}
+			tr.network.setCut(zoneA, zonesBC, false)
+			time.Sleep(5 * time.Second)
+			for _, name := range zoneA[1:] {
+				require.Equal(t, uint64(299), tr.vms[name].version(), name)
+			}
+		})
+	})
+	t.Run("distribute/cut off from control VMs but for one VM", func(t *testing.T) {
+		inTree(t, func(t *testing.T, tr *tree) {
+			tr.network.setCut(zoneA[:3], zonesBC, true)
+			tr.vms["control-a"].stop()
+			delete(tr.vms, "control-a")
+			time.Sleep(15 * time.Second)
+			tr.accept(2, "control-b", "control-c")
+			time.Sleep(time.Second)
+			tr.requireAll(2)
+		})
+	})
+	t.Run("distribute/freeze of a control VM that has lost the leader", func(t *testing.T) {
+		inTree(t, func(t *testing.T, tr *tree) {
+			tr.vms["control-a"].root.Store(false)
+			time.Sleep(5 * time.Second)
+			tr.accept(2, "control-b", "control-c")
+			time.Sleep(time.Second)
+			for _, name := range zoneA[1:] {
+				require.Equal(t, uint64(2), tr.vms[name].version(), name)
+			}
+		})
+	})
+	t.Run("distribute/disk lost", testRestartWithoutDisk)
+	t.Run("distribute/two faults at once", func(t *testing.T) {
+		inTree(t, func(t *testing.T, tr *tree) {
+			tr.vms["control-a"].stop()
+			delete(tr.vms, "control-a")
+			for _, entry := range zoneA[1:] {
+				tr.network.silence(entry, "control-b")
+				tr.network.silence(entry, "control-c")
+			}
+			tr.accept(2, "control-b", "control-c")
+			time.Sleep(9 * time.Second)
+			tr.requireAll(2)
+		})
+	})
+}
+
+// testRestartWithoutDisk restarts an entry VM whose zone is cut off: it must
+// not turn ready before it has asked its peers.
+func testRestartWithoutDisk(t *testing.T) {
+	inTree(t, func(t *testing.T, tr *tree) {
+		tr.accept(2)
+		time.Sleep(time.Second)
+		tr.network.setCut(zoneA, zonesBC, true)
+		tr.vms["control-a"].stop()
+		tr.vms["entry-a1"].stop()
+		delete(tr.vms, "control-a")
+		restarted := tr.start(tr.vms["entry-a1"].peer)
+		assert.False(t, restarted.node.Ready())
+		time.Sleep(3 * time.Second)
+		assert.True(t, restarted.node.Ready())
+		assert.Equal(t, uint64(2), restarted.version(), "learnt from entry VMs of the zone")
+	})
+}
+
+func TestVersionNeverFalls(t *testing.T) {
+	inTree(t, func(t *testing.T, tr *tree) {
+		tr.accept(7)
+		time.Sleep(time.Second)
+		tr.vms["control-a"].stop()
+		restarted := tr.start(tr.vms["control-a"].peer)
+		restarted.node.Store().Put(sealed(t, 3, 20))
+		time.Sleep(10 * time.Second)
+		for _, name := range zoneA[1:] {
+			require.Equal(t, uint64(7), tr.vms[name].version(), name)
+		}
+	})
+}
--- /dev/null
+++ b/internal/distribute/sealed.go
@@ -0,0 +1,75 @@
+package distribute
+
+import (
+	"errors"
+	"fmt"
+
+	"godwityoke.example/godwityoke/internal/bundle"
+	"godwityoke.example/godwityoke/internal/distribute/distributepb"
+)
+
+var (
+	// ErrDigest tells that content and digest of a received bundle differ.
+	ErrDigest = errors.New("the content does not have the stated digest")
+	// ErrBase tells that the content was compressed against a version that
+	// this VM does not hold any more.
+	ErrBase = errors.New("the base of the compressed content is not held")
+)
+
+// Sealed is an accepted bundle with the content that was signed.
+type Sealed struct {
+	Accepted *bundle.Accepted
+	// Content is the canonical JSON of the bundle.
+	Content []byte
+}
+
+// Version returns the bundle's version, 0 for a nil receiver.
+func (s *Sealed) Version() uint64 {
+	if s == nil {
+		return 0
+	}
+	return s.Accepted.Version
+}
+
+// Digest returns the digest of the content, empty for a nil receiver.
+func (s *Sealed) Digest() string {
+	if s == nil {
+		return ""
+	}
+	return s.Accepted.Digest
+}
+
+// open decompresses and verifies a received bundle. Base is the content of
+// message.Base, nil when that is 0 or not held.
+func open(message *distributepb.Bundle, base []byte, keys *bundle.Keyring) (*Sealed, error) {
+	if message.GetBase() != 0 && base == nil {
+		return nil, ErrBase
+	}
+	content, err := bundle.Decompress(message.GetContent(), base)
+	if err != nil {
+		return nil, err
+	}
+	accepted := &bundle.Accepted{Version: message.GetVersion(), Digest: message.GetDigest()}
+	for _, signature := range message.GetSignatures() {
+		accepted.Signatures = append(accepted.Signatures, bundle.Signature{Key: signature.GetKey(), Value: signature.GetValue()})
+	}
+	return Seal(accepted, content, keys)
+}
+
+// Seal verifies the digest and the signatures of content and decodes it.
+func Seal(accepted *bundle.Accepted, content []byte, keys *bundle.Keyring) (*Sealed, error) {
+	if bundle.Digest(content) != accepted.Digest {
+		return nil, ErrDigest
+	}
+	statement := bundle.Statement{Version: accepted.Version, Digest: accepted.Digest}
+	if verdict := keys.Verify(statement, accepted.Signatures); !verdict.Enough() {
+		return nil, fmt.Errorf("version %d: %w", accepted.Version, verdict.Findings)
+	}
+	decoded, err := bundle.Decode(content)
+	if err != nil {
+		return nil, err
+	}
+	sealed := *accepted
+	sealed.Bundle = decoded
+	return &Sealed{Accepted: &sealed, Content: content}, nil
+}
--- a/internal/observe/events_control.go
+++ b/internal/observe/events_control.go
@@ -9,4 +9,16 @@
 		"A TLS handshake of another VM failed. If the peer is one of yours, renew its certificate or its CA file.")
 	PeerClusterRefused = newEvent(2101, "peer_cluster_refused", zerolog.WarnLevel,
 		"A call of a VM of another cluster was refused. Correct the cluster name in that VM's settings.")
+	BundleInForce = newEvent(2110, "bundle_in_force", zerolog.InfoLevel,
+		"This VM verified a bundle and put it in force. No action.")
+	BundleRefused = newEvent(2111, "bundle_refused", zerolog.ErrorLevel,
+		"A received bundle failed its check. Compare the operator keys in this VM's settings with those of the control VMs.")
+	WatcherSilent = newEvent(2112, "watcher_silent", zerolog.WarnLevel,
+		"A VM that watches this one went silent and its stream was closed. Look at that VM if it does not come back.")
+	UpstreamSilent = newEvent(2113, "upstream_silent", zerolog.WarnLevel,
+		"The VM that this one watches went silent; its connection was abandoned and another VM is tried. No action while another is found.")
+	UpstreamAttached = newEvent(2114, "upstream_attached", zerolog.InfoLevel,
+		"This VM receives bundles from the named VM. No action.")
+	UpstreamLost = newEvent(2115, "upstream_lost", zerolog.InfoLevel,
+		"This VM stopped receiving bundles from the named VM and tries others. No action while one is found.")
 )
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -32,8 +33,12 @@
 	options     PoolOptions
 	mu          sync.Mutex
 	connections map[string]*grpc.ClientConn
+	closed      bool
 }
 
+// ErrClosed tells that the pool was closed.
+var ErrClosed = errors.New("the pool of connections is closed")
+
 // NewPool returns an empty pool.
 func NewPool(options PoolOptions) *Pool {
 	if options.Dial == nil {
@@ -47,6 +52,9 @@
 func (p *Pool) Conn(address string) (*grpc.ClientConn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.closed {
+		return nil, ErrClosed
+	}
 	if conn, found := p.connections[address]; found {
 		return conn, nil
 	}
@@ -71,10 +79,11 @@
 	_ = conn.Close()
 }
 
-// Close closes all connections.
+// Close closes all connections. Conn fails from then on.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.closed = true
 	for _, conn := range p.connections {
 		_ = conn.Close()
 	}
