Take operators' requests over HTTP and add their commands

Control VMs answer submit, roll, status and member changes; a follower names the leader and the client follows, with the same submission id.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -23,6 +23,8 @@
 // Arguments is the command line.
 type Arguments struct {
 	Settings *SettingsArguments `arg:"subcommand:settings" help:"check a settings file"`
+	Bundle   *BundleArguments   `arg:"subcommand:bundle" help:"check, sign, submit, roll and watch bundles"`
+	VM       *VMArguments       `arg:"subcommand:vm" help:"list, add and remove control VMs"`
 }
 
 // Description is shown by --help.
@@ -62,6 +64,14 @@
 	switch {
 	case a.Settings != nil && a.Settings.Check != nil:
 		return a.Settings.Check.run(output)
+	case a.Bundle != nil:
+		if code, known := a.Bundle.run(output); known {
+			return code
+		}
+	case a.VM != nil:
+		if code, known := a.VM.run(output); known {
+			return code
+		}
 	}
 	_ = parser.WriteHelpForSubcommand(output.Err, parser.SubcommandNames()...)
 	return ExitUsage
--- /dev/null
+++ b/internal/control/members.go
@@ -0,0 +1,136 @@
+package control
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/operatorapi"
+	"godwityoke.example/godwityoke/internal/registry"
+)
+
+// memberChangeTimeout bounds one change of the members. The client sends the
+// change again after that.
+const memberChangeTimeout = 4 * time.Second
+
+func (c *Control) handleListVMs(ctx echo.Context) error {
+	if err := c.barrier(ctx.Request().Context()); err != nil {
+		return err
+	}
+	return ctx.JSON(http.StatusOK, c.vmList())
+}
+
+func (c *Control) vmList() operatorapi.VMList {
+	leadership := c.options.Group.Leadership()
+	list := operatorapi.VMList{Members: []operatorapi.ControlVM{}}
+	for _, member := range c.options.Group.Members() {
+		vm := operatorapi.ControlVM{MemberID: member.ID, Learner: member.Learner, BehindEntries: member.BehindEntries}
+		vm.Name, vm.Internal = member.Name, member.Address
+		vm.Leader = member.ID == leadership.LeaderID
+		for _, known := range c.controlVMs() {
+			if known.Name == member.Name {
+				vm.Zone, vm.Operators = known.Zone, known.Operators
+			}
+		}
+		list.Members = append(list.Members, vm)
+	}
+	slices.SortFunc(list.Members, func(a, b operatorapi.ControlVM) int { return strings.Compare(a.Name, b.Name) })
+	return list
+}
+
+func (c *Control) handleAddVM(ctx echo.Context) error {
+	request := &operatorapi.VMRequest{}
+	if err := ctx.Bind(request); err != nil {
+		return badRequest(err)
+	}
+	if err := c.barrier(ctx.Request().Context()); err != nil {
+		return err
+	}
+	bounded, cancel := context.WithTimeout(ctx.Request().Context(), memberChangeTimeout)
+	defer cancel()
+	if err := c.addVM(bounded, registry.ControlVM(*request)); err != nil {
+		return err
+	}
+	observe.Log(c.options.Log, observe.ControlVMAdded).Str("peer_vm", request.Name).Send()
+	return ctx.JSON(http.StatusOK, c.vmList())
+}
+
+// addVM adds a control VM and repeats safely. The VM counts for claims only
+// once it votes.
+func (c *Control) addVM(ctx context.Context, vm registry.ControlVM) error {
+	if _, err := c.propose(ctx, putCommand(vm)); err != nil {
+		return err
+	}
+	if !c.votes(vm.Name) {
+		if err := c.options.Group.AddMember(ctx, vm.Name, vm.Internal); err != nil {
+			return err
+		}
+	}
+	return c.recordEpoch(ctx)
+}
+
+func (c *Control) votes(name string) bool {
+	return slices.Contains(c.voterNames(), name)
+}
+
+func (c *Control) voterNames() []string {
+	var names []string
+	for _, member := range c.options.Group.Members() {
+		if !member.Learner {
+			names = append(names, member.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (c *Control) isMember(name string) bool {
+	return slices.ContainsFunc(c.options.Group.Members(), func(member Member) bool { return member.Name == name })
+}
+
+// recordEpoch makes the voting members count for claims.
+func (c *Control) recordEpoch(ctx context.Context) error {
+	names := c.voterNames()
+	epoch := c.options.Registry.Epoch()
+	if slices.Equal(names, epoch.ControlVMs) {
+		return nil
+	}
+	_, err := c.propose(ctx, epochCommand(epoch.Number, names))
+	return err
+}
+
+func (c *Control) handleRemoveVM(ctx echo.Context) error {
+	name := ctx.Param("name")
+	if err := c.barrier(ctx.Request().Context()); err != nil {
+		return err
+	}
+	bounded, cancel := context.WithTimeout(ctx.Request().Context(), memberChangeTimeout)
+	defer cancel()
+	if err := c.removeVM(bounded, name); err != nil {
+		return err
+	}
+	observe.Log(c.options.Log, observe.ControlVMRemoved).Str("peer_vm", name).Send()
+	return ctx.JSON(http.StatusOK, c.vmList())
+}
+
+// removeVM removes a control VM and repeats safely.
+func (c *Control) removeVM(ctx context.Context, name string) error {
+	if len(c.options.Group.Members()) == 1 && c.isMember(name) {
+		return &operatorapi.ErrorReply{Code: operatorapi.ErrorRefused, Message: "the last control VM can't be removed"}
+	}
+	if c.isMember(name) {
+		if err := c.options.Group.RemoveMember(ctx, name); err != nil {
+			return err
+		}
+	}
+	if err := c.recordEpoch(ctx); err != nil {
+		return err
+	}
+	_, err := c.propose(ctx, removeCommand(name))
+	return err
+}
--- /dev/null
+++ b/internal/control/operators.go
@@ -0,0 +1,171 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/labstack/echo/v4/middleware"
+
+	"godwityoke.example/godwityoke/internal/bundle"
+	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/operatorapi"
+	"godwityoke.example/godwityoke/internal/registry"
+	"godwityoke.example/godwityoke/internal/registry/registrypb"
+	"godwityoke.example/godwityoke/internal/replica"
+)
+
+// readTimeout bounds the check that this VM still leads.
+const readTimeout = 2 * time.Second
+
+// Handler returns the operators' HTTP JSON interface.
+func (c *Control) Handler() http.Handler {
+	router := echo.New()
+	router.HideBanner = true
+	router.HTTPErrorHandler = c.writeError
+	router.Use(middleware.BodyLimit(fmt.Sprintf("%dB", operatorapi.MaxRequestBytes)))
+	router.POST(operatorapi.PathSubmit, c.handleSubmit)
+	router.POST(operatorapi.PathRoll, c.handleRoll)
+	router.GET(operatorapi.PathStatus, c.handleStatus)
+	router.GET(operatorapi.PathNewest, c.handleNewest)
+	router.GET(operatorapi.PathVMs, c.handleListVMs)
+	router.POST(operatorapi.PathVMs, c.handleAddVM)
+	router.DELETE(operatorapi.PathVMs+"/:name", c.handleRemoveVM)
+	return router
+}
+
+func (c *Control) handleSubmit(ctx echo.Context) error {
+	request := &operatorapi.SubmitRequest{}
+	if err := ctx.Bind(request); err != nil {
+		return badRequest(err)
+	}
+	if !c.options.Group.Leadership().IsLeader {
+		return replica.ErrNotLeader
+	}
+	if findings := examine(request, c.options.Node.Keys()); len(findings) > 0 {
+		reply := operatorapi.SubmitReply{Result: registry.Result{Code: registry.CodeRefused}, Findings: findings}
+		return ctx.JSON(http.StatusOK, reply)
+	}
+	command, err := submitCommand(request, time.Now())
+	if err != nil {
+		return badRequest(err)
+	}
+	result, err := c.propose(ctx.Request().Context(), command)
+	if err != nil {
+		return err
+	}
+	observe.Log(c.options.Log, observe.SubmissionAnswered).Str("submission", request.SubmissionID).
+		Str("code", string(result.Code)).Uint64("version", result.Version).Str("digest", result.Digest).Send()
+	return ctx.JSON(http.StatusOK, operatorapi.SubmitReply{Result: result})
+}
+
+func (c *Control) handleRoll(ctx echo.Context) error {
+	request := &operatorapi.RollRequest{}
+	if err := ctx.Bind(request); err != nil {
+		return badRequest(err)
+	}
+	roll := &registrypb.Roll{
+		SubmissionId: request.SubmissionID, Version: request.Version, Stop: request.Stop, UnixMs: time.Now().UnixMilli(),
+	}
+	result, err := c.propose(ctx.Request().Context(), &registrypb.Command{Kind: &registrypb.Command_Roll{Roll: roll}})
+	if err != nil {
+		return err
+	}
+	observe.Log(c.options.Log, observe.RollAnswered).Str("submission", request.SubmissionID).Bool("stop", request.Stop).
+		Str("code", string(result.Code)).Uint64("version", result.Version).Send()
+	return ctx.JSON(http.StatusOK, operatorapi.SubmitReply{Result: result})
+}
+
+// barrier makes sure that this VM leads and has applied all that was
+// committed, so that an answer is never older than an earlier one.
+func (c *Control) barrier(ctx context.Context) error {
+	if !c.options.Group.Leadership().IsLeader {
+		return replica.ErrNotLeader
+	}
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return c.options.Group.ReadBarrier(ctx)
+}
+
+func (c *Control) handleStatus(ctx echo.Context) error {
+	if err := c.barrier(ctx.Request().Context()); err != nil {
+		return err
+	}
+	return ctx.JSON(http.StatusOK, c.status(time.Now()))
+}
+
+func (c *Control) status(now time.Time) *operatorapi.Status {
+	leadership := c.options.Group.Leadership()
+	status := &operatorapi.Status{Leader: leadership.LeaderName, Term: leadership.Term}
+	if newest := c.options.Registry.Newest(); newest != nil {
+		status.Version, status.Digest = newest.Version, newest.Digest
+		status.SubmissionID, status.AcceptedAt = newest.SubmissionID, newest.At
+	}
+	expected := append([]ExpectedVM(nil), c.options.Entry...)
+	for _, vm := range c.controlVMs() {
+		expected = append(expected, ExpectedVM{Name: vm.Name, Zone: vm.Zone, Control: true})
+	}
+	status.Zones = zoneStatuses(status.Version, expected, c.options.Node.Reports(), now)
+	if c.options.Orders != nil {
+		status.Roll = c.options.Orders.Status()
+	}
+	return status
+}
+
+func (c *Control) handleNewest(ctx echo.Context) error {
+	if err := c.barrier(ctx.Request().Context()); err != nil {
+		return err
+	}
+	newest := c.options.Registry.Newest()
+	if newest == nil {
+		return ctx.JSON(http.StatusOK, operatorapi.NewestReply{})
+	}
+	content, err := bundle.Decompress(newest.Compressed, nil)
+	if err != nil {
+		return err
+	}
+	return ctx.JSON(http.StatusOK, operatorapi.NewestReply{Version: newest.Version, Digest: newest.Digest, Content: content})
+}
+
+func badRequest(err error) error {
+	return &operatorapi.ErrorReply{Code: operatorapi.ErrorRequest, Message: err.Error()}
+}
+
+// writeError answers with an ErrorReply that fits err.
+func (c *Control) writeError(err error, ctx echo.Context) {
+	if ctx.Response().Committed {
+		return
+	}
+	reply := c.errorReply(err)
+	_ = ctx.JSON(reply.Code.Status(), reply)
+}
+
+func (c *Control) errorReply(err error) *operatorapi.ErrorReply {
+	var reply *operatorapi.ErrorReply
+	var httpError *echo.HTTPError
+	switch {
+	case errors.As(err, &reply):
+		return reply
+	case errors.As(err, &httpError):
+		return &operatorapi.ErrorReply{Code: operatorapi.ErrorRequest, Message: fmt.Sprint(httpError.Message)}
+	case errors.Is(err, registry.ErrCommand):
+		return &operatorapi.ErrorReply{Code: operatorapi.ErrorRequest, Message: err.Error()}
+	case errors.Is(err, replica.ErrNotLeader):
+		return c.notLeader(err)
+	}
+	return &operatorapi.ErrorReply{Code: operatorapi.ErrorUnknown, Message: err.Error()}
+}
+
+func (c *Control) notLeader(err error) *operatorapi.ErrorReply {
+	reply := &operatorapi.ErrorReply{Code: operatorapi.ErrorNotLeader, Message: err.Error()}
+	leadership := c.options.Group.Leadership()
+	for _, vm := range c.controlVMs() {
+		if vm.Name == leadership.LeaderName && vm.Name != c.options.VM {
+			reply.LeaderName, reply.LeaderOperators = vm.Name, vm.Operators
+		}
+	}
+	return reply
+}
--- a/internal/observe/events_control.go
+++ b/internal/observe/events_control.go
@@ -21,4 +21,16 @@
 		"This VM receives bundles from the named VM. No action.")
 	UpstreamLost = newEvent(2115, "upstream_lost", zerolog.InfoLevel,
 		"This VM stopped receiving bundles from the named VM and tries others. No action while one is found.")
+	SubmissionAnswered = newEvent(2120, "submission_answered", zerolog.InfoLevel,
+		"The control group answered a submission of a bundle. No action.")
+	RollAnswered = newEvent(2121, "roll_answered", zerolog.InfoLevel,
+		"The control group answered a request to start or stop a roll. No action.")
+	ControlVMAdded = newEvent(2122, "control_vm_added", zerolog.InfoLevel,
+		"A control VM was added and votes. No action.")
+	ControlVMRemoved = newEvent(2123, "control_vm_removed", zerolog.InfoLevel,
+		"A control VM was removed from the control group. Wipe its data folder before it is added again.")
+	LeaderWorkStarted = newEvent(2124, "leader_work_started", zerolog.InfoLevel,
+		"This VM leads the control group and begins to plan orders. No action.")
+	LeaderWorkStopped = newEvent(2125, "leader_work_stopped", zerolog.InfoLevel,
+		"This VM leads no more and gives no more orders. No action.")
 )
--- /dev/null
+++ b/internal/operatorapi/client.go
@@ -0,0 +1,142 @@
+package operatorapi
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+)
+
+const (
+	// attemptTimeout bounds one request to one control VM.
+	attemptTimeout = 5 * time.Second
+	// retryWait is the pause after all control VMs were asked in vain.
+	retryWait = 200 * time.Millisecond
+)
+
+// ErrNoLeader tells that no control VM could answer as the leader in time.
+var ErrNoLeader = errors.New("no control VM answered as the leader")
+
+// Client talks to the leader of the control group. Every request is safe to
+// send again, and Client does so until it is answered or its context ends.
+type Client struct {
+	addresses []string
+	scheme    string
+	http      *http.Client
+}
+
+// NewClient returns a client that knows the operators' addresses ("ip:port")
+// of some control VMs. Config, when not nil, turns on TLS.
+func NewClient(addresses []string, config *tls.Config) *Client {
+	client := &Client{addresses: addresses, scheme: "http"}
+	transport := &http.Transport{TLSClientConfig: config, ResponseHeaderTimeout: attemptTimeout}
+	if config != nil {
+		client.scheme = "https"
+	}
+	client.http = &http.Client{Transport: transport, Timeout: attemptTimeout}
+	return client
+}
+
+// Submit submits a bundle.
+func (c *Client) Submit(ctx context.Context, request *SubmitRequest) (*SubmitReply, error) {
+	return call[SubmitReply](ctx, c, http.MethodPost, PathSubmit, request)
+}
+
+// Roll starts or stops a roll.
+func (c *Client) Roll(ctx context.Context, request *RollRequest) (*SubmitReply, error) {
+	return call[SubmitReply](ctx, c, http.MethodPost, PathRoll, request)
+}
+
+// Status asks where the newest bundle has taken hold.
+func (c *Client) Status(ctx context.Context) (*Status, error) {
+	return call[Status](ctx, c, http.MethodGet, PathStatus, nil)
+}
+
+// Newest asks for the newest accepted bundle.
+func (c *Client) Newest(ctx context.Context) (*NewestReply, error) {
+	return call[NewestReply](ctx, c, http.MethodGet, PathNewest, nil)
+}
+
+// VMs lists the members of the control group.
+func (c *Client) VMs(ctx context.Context) (*VMList, error) {
+	return call[VMList](ctx, c, http.MethodGet, PathVMs, nil)
+}
+
+// AddVM adds a control VM.
+func (c *Client) AddVM(ctx context.Context, request *VMRequest) (*VMList, error) {
+	return call[VMList](ctx, c, http.MethodPost, PathVMs, request)
+}
+
+// RemoveVM removes the control VM called name.
+func (c *Client) RemoveVM(ctx context.Context, name string) (*VMList, error) {
+	return call[VMList](ctx, c, http.MethodDelete, PathVMs+"/"+name, nil)
+}
+
+// call sends a request to the leader until it is answered.
+func call[Reply any](ctx context.Context, c *Client, method, path string, request any) (*Reply, error) {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return nil, fmt.Errorf("encode the request: %w", err)
+	}
+	last := ErrNoLeader
+	for {
+		targets := append([]string(nil), c.addresses...)
+		for i := 0; i < len(targets) && i <= 2*len(c.addresses); i++ {
+			reply := new(Reply)
+			err := c.once(ctx, method, targets[i], path, body, reply)
+			if err == nil {
+				return reply, nil
+			}
+			var refused *ErrorReply
+			if errors.As(err, &refused) && (refused.Code == ErrorRequest || refused.Code == ErrorRefused) {
+				return nil, refused
+			}
+			if refused != nil && refused.LeaderOperators != "" {
+				targets = append(targets[:i+1], append([]string{refused.LeaderOperators}, targets[i+1:]...)...)
+			}
+			last = err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, fmt.Errorf("%w: %w", ErrNoLeader, last)
+		case <-time.After(retryWait):
+		}
+	}
+}
+
+func (c *Client) once(ctx context.Context, method, address, path string, body []byte, reply any) error {
+	request, err := http.NewRequestWithContext(ctx, method, c.scheme+"://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("request to %s: %w", address, err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.http.Do(request)
+	if err != nil {
+		return fmt.Errorf("request to %s: %w", address, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(io.LimitReader(response.Body, MaxRequestBytes))
+	if err != nil {
+		return fmt.Errorf("answer of %s: %w", address, err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return errorOf(response.StatusCode, address, text)
+	}
+	if err := json.Unmarshal(text, reply); err != nil {
+		return fmt.Errorf("answer of %s: %w", address, err)
+	}
+	return nil
+}
+
+func errorOf(status int, address string, text []byte) error {
+	refused := &ErrorReply{}
+	if err := json.Unmarshal(text, refused); err != nil || refused.Code == "" {
+		return fmt.Errorf("answer of %s: status %d", address, status)
+	}
+	return refused
+}
--- a/internal/transport/certificates.go
+++ b/internal/transport/certificates.go
@@ -15,6 +15,7 @@
 	"google.golang.org/grpc/credentials"
 
 	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/settings"
 )
 
 // reloadInterval is the shortest time between two looks at the files.
@@ -121,6 +122,23 @@
 
 var errNoCertificate = errors.New("the file holds no PEM certificate")
 
+// CertificatesOf reads the files that the settings name. It returns nil, which
+// means plaintext, when the settings name none.
+func CertificatesOf(files settings.TLS) (*Certificates, error) {
+	if files.Plaintext || files == (settings.TLS{}) {
+		return nil, nil
+	}
+	return LoadCertificates(CertificateFiles{Certificate: files.CertFile, Key: files.KeyFile, CA: files.CAFile})
+}
+
+// ClientConfig returns a configuration for one client, nil for plaintext.
+func (c *Certificates) ClientConfig() *tls.Config {
+	if c == nil {
+		return nil
+	}
+	return c.Config()
+}
+
 // ServerConfig returns a configuration for a listener that follows changes of
 // the files.
 func (c *Certificates) ServerConfig(protocols ...string) *tls.Config {
