Plan and give fenced orders to engines within the roll limits

The planner is pure: bundle, engines and time in, steps out. The runner gives them while the leader lease holds, with the term as fencing number, sends an order whose effect does not show again under the same id, and reads engines back until they agree. Engines that ignore fencing numbers get no order before those of an earlier leader have expired.

--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -32,8 +32,12 @@
 	// WeightBytes is the size of the weights in the weight store.
 	WeightBytes jsonc.Bytes `json:"weight_bytes"`
 	// MinServers is the number of serving engines that a roll must leave.
-	MinServers int       `json:"min_servers"`
-	Adapters   []Adapter `json:"adapters,omitempty"`
+	MinServers int `json:"min_servers"`
+	// PrefillServers is the number of the model's engines that take the role
+	// prefill; the others take the role decode. With 0, roles are left as they
+	// are.
+	PrefillServers int       `json:"prefill_servers,omitempty"`
+	Adapters       []Adapter `json:"adapters,omitempty"`
 }
 
 // Adapter is a variation of a model.
--- a/internal/observe/events_control.go
+++ b/internal/observe/events_control.go
@@ -33,4 +33,12 @@
 		"This VM leads the control group and begins to plan orders. No action.")
 	LeaderWorkStopped = newEvent(2125, "leader_work_stopped", zerolog.InfoLevel,
 		"This VM leads no more and gives no more orders. No action.")
+	OrderSent = newEvent(2130, "order_sent", zerolog.InfoLevel,
+		"The leader gave an order to a model engine. No action.")
+	OrderDone = newEvent(2131, "order_done", zerolog.InfoLevel,
+		"A model engine's own state shows that its order was carried out. No action.")
+	OrderRefused = newEvent(2132, "order_refused", zerolog.ErrorLevel,
+		"A model engine refused an order; it gets no other for 30 s. Look at the reason, and correct the bundle or the engine.")
+	OrderStale = newEvent(2133, "order_stale", zerolog.WarnLevel,
+		"A model engine has had orders of a newer leader; this VM gives no more orders in this term. No action.")
 )
--- /dev/null
+++ b/internal/orders/book.go
@@ -0,0 +1,193 @@
+package orders
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"godwityoke.example/godwityoke/internal/backendapi"
+	"godwityoke.example/godwityoke/internal/distribute"
+)
+
+const (
+	// orderLife is the time after which an order that was not begun has no
+	// effect.
+	orderLife = 5 * time.Second
+	// resendAfter is the time without a sign of progress after which an order
+	// is sent again.
+	resendAfter = 2 * time.Second
+	// refusedWait is how long an engine that refused an order gets no other.
+	refusedWait = 30 * time.Second
+	// trustReadBack is how long an engine's own state counts more than the
+	// report of an entry VM, which lags behind.
+	trustReadBack = 15 * time.Second
+	// unsureAfter is the age of the last read-back after which an engine's
+	// state is not known.
+	unsureAfter = 10 * time.Second
+)
+
+// book is what the runner knows of the engines in one term. It is used by one
+// goroutine; its methods are pure.
+type book struct {
+	term uint64
+	// heldUntil is when no order of an earlier leader can take effect any more.
+	heldUntil time.Time
+	entries   map[string]*entry
+	orders    uint64
+}
+
+// entry is what is known of one engine.
+type entry struct {
+	report distribute.BackendServer
+	// state is the last one read back, nil before the first.
+	state   *backendapi.EngineState
+	stateAt time.Time
+	// order in progress, nil for none.
+	order        *backendapi.Order
+	step         Step
+	sentAt       time.Time
+	refusedUntil time.Time
+	refusal      string
+}
+
+func newBook(term uint64, heldUntil time.Time) *book {
+	return &book{term: term, heldUntil: heldUntil, entries: map[string]*entry{}}
+}
+
+// report takes what the entry VMs report. An engine that nobody reports any
+// more is forgotten, one with a new incarnation starts afresh.
+func (b *book) report(reports []distribute.Report) {
+	newest := map[string]distribute.BackendServer{}
+	for _, report := range reports {
+		for _, server := range report.Servers {
+			known, found := newest[server.ID]
+			if server.Kind == backendapi.KindEngine && (!found || server.Incarnation > known.Incarnation) {
+				newest[server.ID] = server
+			}
+		}
+	}
+	for id := range b.entries {
+		if _, found := newest[id]; !found {
+			delete(b.entries, id)
+		}
+	}
+	for id, server := range newest {
+		known, found := b.entries[id]
+		if !found || known.report.Incarnation != server.Incarnation {
+			b.entries[id] = &entry{report: server}
+			continue
+		}
+		known.report = server
+	}
+}
+
+// readBack takes an engine's own state, and ends its order when it agrees.
+// It reports whether an order ended.
+func (b *book) readBack(id string, state *backendapi.EngineState, now time.Time) bool {
+	known, found := b.entries[id]
+	if !found || state.Incarnation != known.report.Incarnation {
+		return false
+	}
+	known.state, known.stateAt = state, now
+	if known.order == nil || !agrees(known.step, state) {
+		return false
+	}
+	known.order = nil
+	return true
+}
+
+// engines returns the engines as the planner sees them.
+func (b *book) engines(now time.Time) []Engine {
+	engines := make([]Engine, 0, len(b.entries))
+	for id, known := range b.entries {
+		engine := Engine{
+			ID: id, Incarnation: known.report.Incarnation, Zone: known.report.Zone, Address: known.report.Address,
+			Role: known.report.Role, Models: known.report.Models, ChecksFencing: known.report.ChecksFencing,
+			Unsure: known.state == nil || now.Sub(known.stateAt) > unsureAfter,
+			Held:   b.held(known, now),
+		}
+		if known.state != nil && now.Sub(known.stateAt) < trustReadBack {
+			engine.Role, engine.Models = known.state.Role, known.state.Models
+			engine.Loading = len(known.state.Loading) > 0 && known.order == nil
+		}
+		if known.order != nil {
+			step := known.step
+			engine.Ordered = &step
+		}
+		engines = append(engines, engine)
+	}
+	slices.SortFunc(engines, func(a, b Engine) int { return strings.Compare(a.ID, b.ID) })
+	return engines
+}
+
+// held reports whether an engine must not be given an order yet. An engine
+// that checks fencing numbers refuses late orders of an earlier leader itself.
+func (b *book) held(known *entry, now time.Time) bool {
+	if now.Before(known.refusedUntil) {
+		return true
+	}
+	return !known.report.ChecksFencing && now.Before(b.heldUntil)
+}
+
+// begin makes the order of a step.
+func (b *book) begin(step Step) {
+	known := b.entries[step.Engine]
+	b.orders++
+	known.step = step
+	known.order = &backendapi.Order{
+		ID:      fmt.Sprintf("%d-%d", b.term, b.orders),
+		Kind:    step.Kind,
+		Fencing: b.term,
+		Model:   step.Model,
+		Version: step.Version,
+		Adapter: step.Adapter,
+		Role:    step.Role,
+	}
+	known.sentAt = time.Time{}
+}
+
+// due returns the orders to be sent at now: new ones, and those whose effect
+// does not show. A resend has the id of the first send, so that the engine
+// carries it out once.
+func (b *book) due(now time.Time) []sending {
+	var due []sending
+	for id, known := range b.entries {
+		if known.order == nil || now.Sub(known.sentAt) < resendAfter {
+			continue
+		}
+		if known.state != nil && len(known.state.Loading) > 0 && !known.sentAt.IsZero() && known.stateAt.After(known.sentAt) {
+			continue
+		}
+		known.sentAt = now
+		order := *known.order
+		order.ExpiresUnixMillis = now.Add(orderLife).UnixMilli()
+		due = append(due, sending{engine: id, address: known.report.Address, order: &order})
+	}
+	return due
+}
+
+// sending is an order on its way to an engine.
+type sending struct {
+	engine  string
+	address string
+	order   *backendapi.Order
+}
+
+// answered takes an engine's answer. It reports whether a newer leader exists.
+func (b *book) answered(s sending, reply *backendapi.OrderReply, now time.Time) (stale bool) {
+	known, found := b.entries[s.engine]
+	if !found || known.order == nil || known.order.ID != s.order.ID {
+		return false
+	}
+	switch reply.Status {
+	case backendapi.OrderStale:
+		return true
+	case backendapi.OrderExpired:
+		b.begin(known.step)
+	case backendapi.OrderRefused:
+		known.order = nil
+		known.refusedUntil, known.refusal = now.Add(refusedWait), reply.Reason
+	}
+	return false
+}
--- /dev/null
+++ b/internal/orders/fake_test.go
@@ -0,0 +1,185 @@
+package orders
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"godwityoke.example/godwityoke/internal/backendapi"
+	"godwityoke.example/godwityoke/internal/bundle"
+	"godwityoke.example/godwityoke/internal/distribute"
+	"godwityoke.example/godwityoke/internal/registry"
+	"godwityoke.example/godwityoke/internal/replica"
+)
+
+const loadTime = 4 * time.Second
+
+var errLost = errors.New("the answer was lost")
+
+// fakeEngine obeys orders. It refuses old fencing numbers if it checks them.
+type fakeEngine struct {
+	server  distribute.BackendServer
+	fencing uint64
+	loading string
+	taken   map[string]bool
+	runs    int
+	lose    int
+	hang    bool
+}
+
+// fakeFleet is a set of engines with the VMs that report them.
+type fakeFleet struct {
+	mu      sync.Mutex
+	engines map[string]*fakeEngine
+	// leadership of each runner by its name.
+	leaders map[string]replica.Leadership
+	content *bundle.Bundle
+	stopped bool
+	// minServing is the least number of engines in service at any time.
+	minServing int
+	// received counts orders, refused ones included.
+	received int
+}
+
+func newFakeFleet(count int, checks bool) *fakeFleet {
+	f := &fakeFleet{engines: map[string]*fakeEngine{}, leaders: map[string]replica.Leadership{}, minServing: count}
+	f.content = rolledBundle(1, 2, 50)
+	for i := range count {
+		id := fmt.Sprint("e", i)
+		f.engines[id] = &fakeEngine{
+			taken: map[string]bool{},
+			server: distribute.BackendServer{
+				ID: id, Address: id, Incarnation: 1, Zone: "a", Kind: backendapi.KindEngine,
+				Models: served("lace", "1"), ChecksFencing: checks,
+			},
+		}
+	}
+	return f
+}
+
+// Order implements Engines.
+func (f *fakeFleet) Order(_ context.Context, address string, order *backendapi.Order) (*backendapi.OrderReply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	engine := f.engines[address]
+	f.received++
+	if engine.hang {
+		return nil, errLost
+	}
+	reply := f.take(engine, order)
+	if engine.lose > 0 {
+		engine.lose--
+		return nil, errLost
+	}
+	return reply, nil
+}
+
+func (f *fakeFleet) take(engine *fakeEngine, order *backendapi.Order) *backendapi.OrderReply {
+	switch {
+	case engine.server.ChecksFencing && order.Fencing < engine.fencing:
+		return &backendapi.OrderReply{Status: backendapi.OrderStale}
+	case order.Expired(time.Now()):
+		return &backendapi.OrderReply{Status: backendapi.OrderExpired}
+	case engine.taken[order.ID]:
+		return &backendapi.OrderReply{Status: backendapi.OrderAccepted}
+	}
+	engine.fencing = max(engine.fencing, order.Fencing)
+	engine.taken[order.ID] = true
+	engine.runs++
+	engine.loading = order.Model
+	f.minServing = min(f.minServing, f.serving())
+	time.AfterFunc(loadTime, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		engine.loading = ""
+		engine.server.Models = served(order.Model, order.Version)
+	})
+	return &backendapi.OrderReply{Status: backendapi.OrderAccepted}
+}
+
+func (f *fakeFleet) serving() int {
+	count := 0
+	for _, engine := range f.engines {
+		if engine.loading == "" {
+			count++
+		}
+	}
+	return count
+}
+
+// State implements Engines.
+func (f *fakeFleet) State(_ context.Context, address string) (*backendapi.EngineState, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	engine := f.engines[address]
+	if engine.hang {
+		return nil, errLost
+	}
+	state := &backendapi.EngineState{ServerID: engine.server.ID, Incarnation: 1, Models: engine.server.Models}
+	if engine.loading != "" {
+		state.Loading = []string{engine.loading}
+	}
+	return state, nil
+}
+
+// runner returns the runner of one control VM.
+func (f *fakeFleet) runner(t testing.TB, name string) *Runner {
+	content, err := bundle.Canonical(f.content)
+	require.NoError(t, err)
+	compressed, err := bundle.Compress(content, nil)
+	require.NoError(t, err)
+	return NewRunner(Options{
+		Leadership: func() replica.Leadership {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return f.leaders[name]
+		},
+		Rolled: func() (*registry.Accepted, *registry.Roll) {
+			return &registry.Accepted{Version: 2, Compressed: compressed}, &registry.Roll{Version: 2}
+		},
+		Reports: func() []distribute.Report {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			report := distribute.Report{VM: "entry-1"}
+			for _, engine := range f.engines {
+				report.Servers = append(report.Servers, engine.server)
+			}
+			return []distribute.Report{report}
+		},
+		Engines:       f,
+		PreviousLease: time.Second,
+		Log:           zerolog.Nop(),
+	})
+}
+
+// elect makes a control VM the leader of a term for a time.
+func (f *fakeFleet) elect(name string, term uint64, lease time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leaders[name] = replica.Leadership{Term: term, IsLeader: true, LeaseUntil: time.Now().Add(lease)}
+}
+
+// ordersTaken returns how many orders engines have begun.
+func (f *fakeFleet) ordersTaken() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	sum := 0
+	for _, engine := range f.engines {
+		sum += engine.runs
+	}
+	return sum
+}
+
+func (f *fakeFleet) requireRolled(t testing.TB, version string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, engine := range f.engines {
+		require.Equal(t, served("lace", version), engine.server.Models, id)
+	}
+}
--- /dev/null
+++ b/internal/orders/runner_test.go
@@ -0,0 +1,142 @@
+package orders
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwityoke.example/godwityoke/internal/backendapi"
+)
+
+// whole is longer than a roll of the fleets below takes.
+const whole = 3 * time.Minute
+
+// inFleet runs a test with the runner of control VM c1 as the leader of term 1.
+func inFleet(t *testing.T, engines int, checks bool, test func(t *testing.T, f *fakeFleet, run func(name string, term uint64) func())) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(engines, checks)
+		var group sync.WaitGroup
+		ctx, cancel := context.WithCancel(t.Context())
+		run := func(name string, term uint64) func() {
+			bounded, stop := context.WithCancel(ctx)
+			group.Go(func() { f.runner(t, name).Run(bounded, term) })
+			return stop
+		}
+		test(t, f, run)
+		cancel()
+		group.Wait()
+		time.Sleep(2 * loadTime)
+	})
+}
+
+func TestFaultsOrder(t *testing.T) {
+	t.Run("order/none", func(t *testing.T) {
+		inFleet(t, 4, true, func(t *testing.T, f *fakeFleet, run func(string, uint64) func()) {
+			f.elect("c1", 1, whole)
+			run("c1", 1)
+			time.Sleep(whole / 2)
+			f.requireRolled(t, "2")
+			require.Equal(t, 4, f.ordersTaken())
+			require.GreaterOrEqual(t, f.minServing, 2)
+		})
+	})
+	t.Run("order/answer lost", func(t *testing.T) {
+		inFleet(t, 4, false, func(t *testing.T, f *fakeFleet, run func(string, uint64) func()) {
+			for _, engine := range f.engines {
+				engine.lose = 2
+			}
+			f.elect("c1", 1, whole)
+			run("c1", 1)
+			time.Sleep(whole / 2)
+			f.requireRolled(t, "2")
+			require.Equal(t, 4, f.ordersTaken(), "a resend is carried out once")
+		})
+	})
+	t.Run("order/kill of the leader", func(t *testing.T) {
+		inFleet(t, 4, true, func(t *testing.T, f *fakeFleet, run func(string, uint64) func()) {
+			f.elect("c1", 1, whole)
+			stop := run("c1", 1)
+			for f.ordersTaken() == 0 {
+				time.Sleep(100 * time.Millisecond)
+			}
+			stop()
+			f.elect("c2", 2, whole)
+			run("c2", 2)
+			time.Sleep(whole / 2)
+			f.requireRolled(t, "2")
+			require.GreaterOrEqual(t, f.minServing, 2, "loads of the old leader count against the limits")
+		})
+	})
+	t.Run("order/freeze of the leader", testFrozenLeader)
+	t.Run("order/silent engine", func(t *testing.T) {
+		inFleet(t, 4, true, func(t *testing.T, f *fakeFleet, run func(string, uint64) func()) {
+			f.engines["e1"].hang = true
+			f.elect("c1", 1, whole)
+			run("c1", 1)
+			time.Sleep(whole / 4)
+			f.mu.Lock()
+			require.Equal(t, served("lace", "2"), f.engines["e0"].server.Models)
+			require.GreaterOrEqual(t, f.minServing-1, 2, "the silent engine counts as out of service")
+			f.engines["e1"].hang = false
+			f.mu.Unlock()
+			time.Sleep(whole / 4)
+			f.requireRolled(t, "2")
+		})
+	})
+	t.Run("order/cut off leader", func(t *testing.T) {
+		inFleet(t, 4, true, func(t *testing.T, f *fakeFleet, run func(string, uint64) func()) {
+			f.elect("c1", 1, settleTime/2)
+			run("c1", 1)
+			time.Sleep(whole / 4)
+			require.Zero(t, f.ordersTaken(), "no order after the end of the lease")
+		})
+	})
+	t.Run("order/two faults at once", testLateOrderOnEngineWithoutFencing)
+}
+
+// testFrozenLeader lets an old leader act after a new one, as a process does
+// that was stopped between its look at the lease and the send.
+func testFrozenLeader(t *testing.T) {
+	inFleet(t, 4, true, func(t *testing.T, f *fakeFleet, run func(string, uint64) func()) {
+		f.elect("c2", 2, whole)
+		run("c2", 2)
+		time.Sleep(whole / 4)
+		f.elect("c1", 1, whole)
+		stale := &backendapi.Order{ID: "1-9", Kind: backendapi.OrderLoadModel, Fencing: 1, Model: "lace", Version: "1",
+			ExpiresUnixMillis: time.Now().Add(time.Minute).UnixMilli()}
+		reply, err := f.Order(t.Context(), "e0", stale)
+		require.NoError(t, err)
+		require.Equal(t, backendapi.OrderStale, reply.Status)
+		taken, received := f.ordersTaken(), f.received
+		f.content = rolledBundle(1, 2, 50)
+		f.content.Models[0].Version = "0"
+		run("c1", 1)
+		time.Sleep(whole / 4)
+		require.Equal(t, taken, f.ordersTaken())
+		require.LessOrEqual(t, f.received-received, 2, "the old leader stops at the first answers")
+		f.requireRolled(t, "2")
+	})
+}
+
+// testLateOrderOnEngineWithoutFencing kills a leader whose last order is still
+// on its way to an engine that ignores fencing numbers.
+func testLateOrderOnEngineWithoutFencing(t *testing.T) {
+	inFleet(t, 4, false, func(t *testing.T, f *fakeFleet, run func(string, uint64) func()) {
+		late := &backendapi.Order{ID: "1-1", Kind: backendapi.OrderLoadModel, Fencing: 1, Model: "lace", Version: "0",
+			ExpiresUnixMillis: time.Now().Add(orderLife).UnixMilli()}
+		f.elect("c2", 2, whole)
+		run("c2", 2)
+		for time.Now().UnixMilli() < late.ExpiresUnixMillis-100 {
+			require.Zero(t, f.ordersTaken(), "no order while one of the old leader may arrive")
+			time.Sleep(100 * time.Millisecond)
+		}
+		_, err := f.Order(t.Context(), "e0", late)
+		require.NoError(t, err)
+		time.Sleep(whole / 2)
+		f.requireRolled(t, "2")
+	})
+}
