--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -24,6 +24,8 @@
 type Arguments struct {
 	Serve    *ServeArguments    `arg:"subcommand:serve" help:"run the process of one VM"`
 	Settings *SettingsArguments `arg:"subcommand:settings" help:"check a settings file"`
+	Bundle   *BundleArguments   `arg:"subcommand:bundle" help:"check, sign, submit, roll and watch bundles"`
+	VM       *VMArguments       `arg:"subcommand:vm" help:"list, add and remove control VMs"`
 }
 
 // Description is shown by --help.
@@ -65,6 +67,14 @@
 		return a.Serve.run(output)
 	case a.Settings != nil && a.Settings.Check != nil:
 		return a.Settings.Check.run(output)
+	case a.Bundle != nil:
+		if code, known := a.Bundle.run(output); known {
+			return code
+		}
+	case a.VM != nil:
+		if code, known := a.VM.run(output); known {
+			return code
+		}
 	}
 	_ = parser.WriteHelpForSubcommand(output.Err, parser.SubcommandNames()...)
 	return ExitUsage
