Add stand-in model engine and plain service

Backend servers are needed to run and judge the system: a stand-in engine with continuous batching by steps, bounded KV memory, prefix cache, priorities, resume, cancel, KV export and import, segments, orders and switchable faults, and a stand-in service that counts every run of every idempotency key. KVImportRequest gains Remote, for segments of long prompts.

The memory and leak tests were seen to fail with the admission bound and the leak switched off.

--- a/internal/backendapi/backendapi.go
+++ b/internal/backendapi/backendapi.go
@@ -78,7 +78,8 @@
 	HeaderMemoryTokens = "X-Memory-Tokens"
 	// HeaderAdapter carries the adapter name, empty for none.
 	HeaderAdapter = "X-Adapter"
-	// HeaderKVHandle names KV cache that was imported for this attempt.
+	// HeaderKVHandle names KV cache that was imported for this attempt; several
+	// handles are separated by commas.
 	HeaderKVHandle = "X-Kv-Handle"
 	// HeaderPrefillOnly set to "1" asks for prefill of a segment without
 	// decode.
@@ -225,6 +226,9 @@
 	// Source is "ip:port" of the exporting engine.
 	Source string `json:"source"`
 	Handle string `json:"handle"`
+	// Remote leaves the KV cache on the source, which goes on holding it; it
+	// serves as the context of a segment.
+	Remote bool `json:"remote,omitempty"`
 }
 
 // KVHandle names exported or imported KV cache.
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -23,6 +23,7 @@
 // Arguments is the command line.
 type Arguments struct {
 	Settings *SettingsArguments `arg:"subcommand:settings" help:"check a settings file"`
+	Standin  *StandinArguments  `arg:"subcommand:standin" help:"run a stand-in for a backend server"`
 }
 
 // Description is shown by --help.
@@ -62,6 +63,10 @@
 	switch {
 	case a.Settings != nil && a.Settings.Check != nil:
 		return a.Settings.Check.run(output)
+	case a.Standin != nil && a.Standin.Engine != nil:
+		return a.Standin.Engine.run(output)
+	case a.Standin != nil && a.Standin.Service != nil:
+		return a.Standin.Service.run(output)
 	}
 	_ = parser.WriteHelpForSubcommand(output.Err, parser.SubcommandNames()...)
 	return ExitUsage
--- /dev/null
+++ b/internal/standin/control/control.go
@@ -0,0 +1,49 @@
+// Package control is the side of a stand-in that experiments use: switching
+// faults and reading counters.
+package control
+
+import (
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"godwityoke.example/godwityoke/internal/standin/fault"
+)
+
+// Paths on each stand-in.
+const (
+	// PathFaults lists the active faults by GET and switches one fault.Fault
+	// by POST.
+	PathFaults = "/standin/v1/faults"
+	// PathCounters answers the counters by GET.
+	PathCounters = "/standin/v1/counters"
+)
+
+// FaultList is the answer on PathFaults.
+type FaultList struct {
+	Faults []fault.Fault `json:"faults"`
+}
+
+// Problem is the answer to a wrong request.
+type Problem struct {
+	Error string `json:"error"`
+}
+
+// RegisterFaults adds PathFaults to router. Switched is called after each
+// change.
+func RegisterFaults(router *echo.Echo, faults *fault.Set, switched func(fault.Fault)) {
+	router.GET(PathFaults, func(c echo.Context) error {
+		return c.JSON(http.StatusOK, FaultList{Faults: faults.Active()})
+	})
+	router.POST(PathFaults, func(c echo.Context) error {
+		var wanted fault.Fault
+		if err := c.Bind(&wanted); err != nil {
+			return c.JSON(http.StatusBadRequest, Problem{Error: err.Error()})
+		}
+		if err := faults.Switch(wanted); err != nil {
+			return c.JSON(http.StatusBadRequest, Problem{Error: err.Error()})
+		}
+		switched(wanted)
+		return c.JSON(http.StatusOK, FaultList{Faults: faults.Active()})
+	})
+}
