--- /dev/null
+++ b/internal/load/client.go
@@ -0,0 +1,280 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"godwityoke.example/godwityoke/internal/request"
+	"godwityoke.example/godwityoke/internal/standin/answer"
+)
+
+const (
+	// answerGrace is how long after its deadline a request may still be
+	// answered before the client gives up on it.
+	answerGrace = 5 * time.Second
+	// maxIdleConnections bounds the idle connections to each entry VM.
+	maxIdleConnections = 512
+	// eventBytes is the buffer for one server-sent event.
+	eventBytes = 4096
+)
+
+// client sends arrivals to entry VMs and verifies the answers.
+type client struct {
+	scenario *Scenario
+	run      string
+	entries  []string
+	http     *http.Client
+}
+
+func newClient(scenario *Scenario, run string, entries []string) *client {
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true, IdleConnTimeout: time.Minute,
+	}
+	return &client{scenario: scenario, run: run, entries: entries, http: &http.Client{Transport: transport}}
+}
+
+// streamEvent is the part of a server-sent event that a caller needs.
+type streamEvent struct {
+	Choices []struct {
+		Text  string `json:"text"`
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+	Error *errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Code    request.Code    `json:"code"`
+	Outcome request.Outcome `json:"outcome"`
+	Message string          `json:"message"`
+}
+
+// send sends an arrival, due at the given time, and returns what became of it.
+// Times are measured from due, so that a late client counts as waiting.
+func (c *client) send(arrival *Arrival, due time.Time) Sample {
+	sample := newSample(arrival)
+	ctx, cancel := context.WithDeadline(context.Background(), due.Add(arrival.Deadline+answerGrace))
+	defer cancel()
+	time.Sleep(c.scenario.ClientDelay.Std())
+	var err error
+	if arrival.Prompt != nil {
+		err = c.sendPrompt(ctx, arrival, due, &sample)
+	} else {
+		err = c.sendCall(ctx, arrival, &sample)
+	}
+	sample.Whole = time.Since(due) + c.scenario.ClientDelay.Std()
+	if err != nil && sample.Outcome == "" {
+		sample.Problem = err.Error()
+		sample.NoAnswer = ctx.Err() != nil
+	}
+	return sample
+}
+
+// entry spreads the arrivals over the entry VMs as the platform's balancer
+// does. The second send of a key goes to another one.
+func (c *client) entry(arrival *Arrival) string {
+	return c.entries[arrival.Number%len(c.entries)]
+}
+
+func (c *client) newRequest(ctx context.Context, arrival *Arrival, method, path string, body io.Reader, size int) (*http.Request, error) {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+c.entry(arrival)+path, body)
+	if err != nil {
+		return nil, fmt.Errorf("request: %w", err)
+	}
+	r.ContentLength = int64(size)
+	r.Header.Set("Authorization", "Bearer "+arrival.Team.Key)
+	r.Header.Set("Content-Type", "application/json")
+	if arrival.Asked {
+		r.Header.Set(request.DeadlineHeader, arrival.Deadline.String())
+	}
+	return r, nil
+}
+
+func (c *client) sendPrompt(ctx context.Context, arrival *Arrival, due time.Time, sample *Sample) error {
+	model := c.scenario.model(arrival.Team.Model)
+	if model == nil {
+		return fmt.Errorf("model %q is not in the bundle", arrival.Team.Model)
+	}
+	prompt := promptText(arrival, c.run, model.BytesPerToken)
+	generator := answer.NewGenerator(answer.Source{Model: model.Name, Version: model.Version, Prompt: prompt})
+	sample.Seed = generator.Seed()
+	path, parts := promptBody(arrival, prompt)
+	r, err := c.newRequest(ctx, arrival, http.MethodPost, path, joinReaders(parts), totalSize(parts))
+	if err != nil {
+		return err
+	}
+	response, err := c.http.Do(r)
+	if err != nil {
+		return fmt.Errorf("send: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return readError(response, sample)
+	}
+	checker := &tokenChecker{expected: generator, sample: sample, due: due, delay: c.scenario.ClientDelay.Std()}
+	return checker.read(response, arrival.Prompt.AnswerTokens)
+}
+
+// promptBody returns the path and the parts of the body. The filler needs no
+// escaping.
+func promptBody(arrival *Arrival, prompt string) (string, []string) {
+	model, tokens := strconv.Quote(arrival.Team.Model), strconv.FormatInt(arrival.Prompt.AnswerTokens, 10)
+	end := `,"max_tokens":` + tokens + `,"stream":true}`
+	if arrival.Team.Chat {
+		return "/v1/chat/completions", []string{`{"model":` + model + `,"messages":[{"role":"user","content":"`, prompt, `"}]` + end}
+	}
+	return "/v1/completions", []string{`{"model":` + model + `,"prompt":"`, prompt, `"` + end}
+}
+
+func joinReaders(parts []string) io.Reader {
+	readers := make([]io.Reader, len(parts))
+	for i, part := range parts {
+		readers[i] = strings.NewReader(part)
+	}
+	return io.MultiReader(readers...)
+}
+
+func totalSize(parts []string) int {
+	size := 0
+	for _, part := range parts {
+		size += len(part)
+	}
+	return size
+}
+
+// readError reads the outcome of a request that got no answer.
+func readError(response *http.Response, sample *Sample) error {
+	var body struct {
+		Error errorDetail `json:"error"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&body); err != nil {
+		return fmt.Errorf("status %d: %w", response.StatusCode, err)
+	}
+	sample.Outcome, sample.Code, sample.Problem = body.Error.Outcome, body.Error.Code, body.Error.Message
+	sample.RetryAfter = response.Header.Get("Retry-After") != ""
+	return nil
+}
+
+// tokenChecker compares a stream with the expected answer.
+type tokenChecker struct {
+	expected answer.Generator
+	sample   *Sample
+	due      time.Time
+	delay    time.Duration
+	first    time.Time
+	last     time.Time
+	// pending is text that does not make up a whole token yet.
+	pending string
+}
+
+var errStreamEnded = errors.New("the stream ended without its last event")
+
+func (t *tokenChecker) read(response *http.Response, wanted int64) error {
+	lines := bufio.NewReaderSize(response.Body, eventBytes)
+	for {
+		line, err := lines.ReadSlice('\n')
+		if err != nil {
+			return errors.Join(errStreamEnded, err)
+		}
+		data, found := bytes.CutPrefix(bytes.TrimRight(line, "\r\n"), []byte("data: "))
+		if !found {
+			continue
+		}
+		if string(data) == "[DONE]" {
+			t.end(wanted)
+			return nil
+		}
+		var event streamEvent
+		if err := json.Unmarshal(data, &event); err != nil {
+			return fmt.Errorf("stream: %w", err)
+		}
+		if event.Error != nil {
+			t.sample.Outcome, t.sample.Code, t.sample.Problem = event.Error.Outcome, event.Error.Code, event.Error.Message
+			return nil
+		}
+		for _, choice := range event.Choices {
+			t.add(choice.Text + choice.Delta.Content)
+		}
+	}
+}
+
+// add takes text and compares each whole token in it.
+func (t *tokenChecker) add(text string) {
+	t.pending += text
+	for t.pending != "" {
+		token := t.expected.Token(t.sample.Tokens)
+		if !strings.HasPrefix(t.pending, token) {
+			if len(t.pending) >= len(token) || !strings.HasPrefix(token, t.pending) {
+				t.sample.WrongAnswer = true
+				t.pending = ""
+			}
+			return
+		}
+		t.pending = t.pending[len(token):]
+		t.sample.Tokens++
+		t.last = time.Now()
+		if t.first.IsZero() {
+			t.first = t.last
+			t.sample.FirstToken = t.first.Sub(t.due) + t.delay
+		}
+	}
+}
+
+func (t *tokenChecker) end(wanted int64) {
+	t.sample.Outcome = request.Completed
+	if t.sample.Tokens != wanted || t.pending != "" {
+		t.sample.WrongAnswer = true
+	}
+	if t.sample.Tokens > 1 {
+		t.sample.TokenGap = t.last.Sub(t.first) / time.Duration(t.sample.Tokens-1)
+	}
+}
+
+func (c *client) sendCall(ctx context.Context, arrival *Arrival, sample *Sample) error {
+	operation := arrival.Call.Operation
+	body := fmt.Sprintf(`{"team":%q,"number":%q}`, arrival.Team.Name, arrival.Call.Key)
+	path := "/services/" + operation.Service + operation.Path
+	r, err := c.newRequest(ctx, arrival, operation.Method, path, strings.NewReader(body), len(body))
+	if err != nil {
+		return err
+	}
+	if arrival.Call.Key != "" {
+		sample.Key = c.run + "-" + arrival.Call.Key
+		r.Header.Set(request.IdempotencyKeyHeader, sample.Key)
+	}
+	response, err := c.http.Do(r)
+	if err != nil {
+		return fmt.Errorf("send: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return readError(response, sample)
+	}
+	return checkCall(response, arrival, sample)
+}
+
+// checkCall compares the answer of a stand-in service with the call.
+func checkCall(response *http.Response, arrival *Arrival, sample *Sample) error {
+	var got struct {
+		Service string `json:"service"`
+		Path    string `json:"path"`
+		Key     string `json:"key"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&got); err != nil {
+		return fmt.Errorf("answer: %w", err)
+	}
+	operation := arrival.Call.Operation
+	sample.Outcome = request.Completed
+	sample.WrongAnswer = got.Service != operation.Service || got.Path != operation.Path || got.Key != sample.Key
+	return nil
+}
--- /dev/null
+++ b/internal/load/measure.go
@@ -0,0 +1,283 @@
+package load
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"godwityoke.example/godwityoke/internal/request"
+)
+
+const (
+	// highestMicros is the longest time that a histogram holds.
+	highestMicros = int64(10 * time.Minute / time.Microsecond)
+	// histogramDigits is the precision of a histogram in decimal digits.
+	histogramDigits = 3
+)
+
+// lengthEdges are the upper ends of the reported prompt lengths in tokens.
+var lengthEdges = []lengthEdge{
+	{"1k", 1000}, {"4k", 4000}, {"16k", 16_000}, {"64k", 64_000}, {"256k", 256_000}, {"1M", 1_000_000},
+}
+
+type lengthEdge struct {
+	label  string
+	tokens int64
+}
+
+// Quantiles of a time, in milliseconds.
+type Quantiles struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50_ms"`
+	P95   float64 `json:"p95_ms"`
+	P99   float64 `json:"p99_ms"`
+}
+
+// LengthRow is the time to first token of one prompt length.
+type LengthRow struct {
+	Length string `json:"length"`
+	// Offered counts the requests; Quantiles cover those that got a token.
+	Offered int64 `json:"offered"`
+	Quantiles
+}
+
+// Share is a part of the offered work that ended within its time.
+type Share struct {
+	Offered       int64 `json:"offered"`
+	InTime        int64 `json:"in_time"`
+	OfferedTokens int64 `json:"offered_tokens"`
+	InTimeTokens  int64 `json:"in_time_tokens"`
+}
+
+func (s *Share) add(sample *Sample) {
+	s.Offered++
+	s.OfferedTokens += sample.offeredTokens()
+	if sample.InTime() {
+		s.InTime++
+		s.InTimeTokens += sample.offeredTokens()
+	}
+}
+
+// Requests returns the share of requests, 1 when none was offered.
+func (s Share) Requests() float64 { return ratio(s.InTime, s.Offered) }
+
+// Tokens returns the share of tokens, 1 when none was offered.
+func (s Share) Tokens() float64 { return ratio(s.InTimeTokens, s.OfferedTokens) }
+
+func ratio(part, whole int64) float64 {
+	if whole == 0 {
+		return 1
+	}
+	return float64(part) / float64(whole)
+}
+
+// SecondRow is one second of a run, by scheduled arrival.
+type SecondRow struct {
+	Second int  `json:"second"`
+	Crest  bool `json:"crest"`
+	Share
+	Short Share `json:"short"`
+}
+
+// TeamRow is the service that one team got.
+type TeamRow struct {
+	Team string `json:"team"`
+	Share
+	Crest      Share     `json:"crest"`
+	FirstToken Quantiles `json:"first_token"`
+}
+
+// OutcomeCount counts requests by outcome. None counts those without any.
+type OutcomeCount struct {
+	Completed int64 `json:"completed"`
+	NotRun    int64 `json:"not_run"`
+	NotSent   int64 `json:"not_sent"`
+	Failed    int64 `json:"failed"`
+	Unknown   int64 `json:"unknown"`
+	None      int64 `json:"none"`
+}
+
+func (o *OutcomeCount) add(outcome request.Outcome) {
+	switch outcome {
+	case request.Completed:
+		o.Completed++
+	case request.NotRun:
+		o.NotRun++
+	case request.NotSent:
+		o.NotSent++
+	case request.Failed:
+		o.Failed++
+	case request.Unknown:
+		o.Unknown++
+	default:
+		o.None++
+	}
+}
+
+// CodeCount counts the errors of one code.
+type CodeCount struct {
+	Code  request.Code `json:"code"`
+	Count int64        `json:"count"`
+}
+
+// Measures are what one run showed.
+type Measures struct {
+	Lengths []LengthRow `json:"lengths"`
+	// Short is the time to first token of all short prompts.
+	Short Quantiles `json:"short"`
+	// TokenGap is the mean time between tokens of each request.
+	TokenGap Quantiles `json:"token_gap"`
+	// Calls is the whole time of completed calls of plain services.
+	Calls    Quantiles    `json:"calls"`
+	Outcomes OutcomeCount `json:"outcomes"`
+	Codes    []CodeCount  `json:"codes"`
+	// Crest covers the phases marked so, WorstSecond the second of them with
+	// the lowest share of requests.
+	Crest       Share       `json:"crest"`
+	WorstSecond SecondRow   `json:"worst_second"`
+	Seconds     []SecondRow `json:"seconds"`
+	Teams       []TeamRow   `json:"teams"`
+}
+
+// times is a histogram of durations.
+type times struct{ histogram *hdrhistogram.Histogram }
+
+func newTimes() times { return times{hdrhistogram.New(1, highestMicros, histogramDigits)} }
+
+func (t times) add(d time.Duration) {
+	_ = t.histogram.RecordValue(min(max(1, d.Microseconds()), highestMicros))
+}
+
+func (t times) quantiles() Quantiles {
+	millis := func(quantile float64) float64 { return float64(t.histogram.ValueAtQuantile(quantile)) / 1000 }
+	return Quantiles{Count: t.histogram.TotalCount(), P50: millis(50), P95: millis(95), P99: millis(99)}
+}
+
+// Measure computes the measures of a run.
+func Measure(samples []Sample) Measures {
+	var m Measures
+	m.Lengths = measureLengths(samples)
+	m.Teams = measureTeams(samples)
+	m.Seconds = measureSeconds(samples)
+	m.measureTimes(samples)
+	for i := range samples {
+		m.Outcomes.add(samples[i].Outcome)
+		if samples[i].Arrival.Crest {
+			m.Crest.add(&samples[i])
+		}
+	}
+	m.Codes = countCodes(samples)
+	m.WorstSecond = worstSecond(m.Seconds)
+	return m
+}
+
+func (m *Measures) measureTimes(samples []Sample) {
+	short, gap, calls := newTimes(), newTimes(), newTimes()
+	for i := range samples {
+		sample := &samples[i]
+		switch {
+		case sample.Arrival.Call != nil && sample.Outcome == request.Completed:
+			calls.add(sample.Whole)
+		case sample.Arrival.Prompt != nil && sample.Arrival.Prompt.Short && sample.FirstToken > 0:
+			short.add(sample.FirstToken)
+		}
+		if sample.TokenGap > 0 {
+			gap.add(sample.TokenGap)
+		}
+	}
+	m.Short, m.TokenGap, m.Calls = short.quantiles(), gap.quantiles(), calls.quantiles()
+}
+
+func measureLengths(samples []Sample) []LengthRow {
+	var rows []LengthRow
+	lowest := int64(0)
+	for _, edge := range lengthEdges {
+		row, histogram := LengthRow{Length: edge.label}, newTimes()
+		for i := range samples {
+			prompt := samples[i].Arrival.Prompt
+			if prompt == nil || prompt.Tokens <= lowest || prompt.Tokens > edge.tokens {
+				continue
+			}
+			row.Offered++
+			if samples[i].FirstToken > 0 {
+				histogram.add(samples[i].FirstToken)
+			}
+		}
+		row.Quantiles = histogram.quantiles()
+		rows = append(rows, row)
+		lowest = edge.tokens
+	}
+	return rows
+}
+
+func measureTeams(samples []Sample) []TeamRow {
+	rows := map[string]*TeamRow{}
+	histograms := map[string]times{}
+	for i := range samples {
+		sample := &samples[i]
+		name := sample.Arrival.Team.Name
+		if rows[name] == nil {
+			rows[name], histograms[name] = &TeamRow{Team: name}, newTimes()
+		}
+		rows[name].add(sample)
+		if sample.Arrival.Crest {
+			rows[name].Crest.add(sample)
+		}
+		if sample.FirstToken > 0 {
+			histograms[name].add(sample.FirstToken)
+		}
+	}
+	sorted := make([]TeamRow, 0, len(rows))
+	for name, row := range rows {
+		row.FirstToken = histograms[name].quantiles()
+		sorted = append(sorted, *row)
+	}
+	slices.SortFunc(sorted, func(a, b TeamRow) int { return cmp.Compare(a.Team, b.Team) })
+	return sorted
+}
+
+func measureSeconds(samples []Sample) []SecondRow {
+	var rows []SecondRow
+	for i := range samples {
+		sample := &samples[i]
+		second := int(sample.Arrival.At / time.Second)
+		for len(rows) <= second {
+			rows = append(rows, SecondRow{Second: len(rows)})
+		}
+		row := &rows[second]
+		row.Crest = row.Crest || sample.Arrival.Crest
+		row.add(sample)
+		if sample.Arrival.Prompt == nil || sample.Arrival.Prompt.Short {
+			row.Short.add(sample)
+		}
+	}
+	return rows
+}
+
+// worstSecond returns the crest second with the lowest share of requests.
+func worstSecond(seconds []SecondRow) SecondRow {
+	var worst SecondRow
+	for _, row := range seconds {
+		if row.Crest && (worst.Offered == 0 || row.Requests() < worst.Requests()) {
+			worst = row
+		}
+	}
+	return worst
+}
+
+func countCodes(samples []Sample) []CodeCount {
+	counts := map[request.Code]int64{}
+	for i := range samples {
+		if code := samples[i].Code; code != "" {
+			counts[code]++
+		}
+	}
+	sorted := make([]CodeCount, 0, len(counts))
+	for code, count := range counts {
+		sorted = append(sorted, CodeCount{Code: code, Count: count})
+	}
+	slices.SortFunc(sorted, func(a, b CodeCount) int { return cmp.Compare(b.Count, a.Count) })
+	return sorted
+}
--- /dev/null
+++ b/internal/load/scenario.go
@@ -0,0 +1,206 @@
+// Package load offers open-loop load to the system and judges what came back.
+// A scenario file states who asks for what and when; answers are checked token
+// by token, and promises against the counters of the stand-ins.
+package load
+
+import (
+	"fmt"
+	"path/filepath"
+	"time"
+
+	"godwityoke.example/godwityoke/internal/bundle"
+	"godwityoke.example/godwityoke/internal/jsonc"
+)
+
+// Scenario is the content of a scenario file.
+type Scenario struct {
+	Name string `json:"name"`
+	// Seed fixes the arrivals.
+	Seed uint64 `json:"seed"`
+	// BundleFile is relative to the scenario file.
+	BundleFile string `json:"bundle"`
+	Fleet      Fleet  `json:"fleet"`
+	// ClientDelay is the one-way delay between clients and entry VMs.
+	ClientDelay jsonc.Duration `json:"client_delay"`
+	Teams       []Team         `json:"teams"`
+	Services    []ServiceCall  `json:"services,omitempty"`
+	Phases      []Phase        `json:"phases"`
+
+	// Bundle is read from BundleFile.
+	Bundle *bundle.Bundle `json:"-"`
+}
+
+// Fleet is the size of the system that a scenario runs on.
+type Fleet struct {
+	Zones           []string `json:"zones"`
+	EntryVMsPerZone int      `json:"entry_vms_per_zone"`
+	EnginesPerZone  int      `json:"engines_per_zone"`
+	// ServersPerZone is the number of servers of each plain service in a zone.
+	ServersPerZone int         `json:"servers_per_zone"`
+	Engine         EngineSpeed `json:"engine"`
+	// ServiceTime is how long a call of a plain service takes.
+	ServiceTime jsonc.Duration `json:"service_time"`
+}
+
+// EngineSpeed is the size and the time model of each engine.
+type EngineSpeed struct {
+	MemoryTokens int64          `json:"memory_tokens"`
+	MaxRunning   int            `json:"max_running"`
+	Step         jsonc.Duration `json:"step"`
+	PrefillToken jsonc.Duration `json:"prefill_token"`
+	DecodeToken  jsonc.Duration `json:"decode_token"`
+	ChunkTokens  int64          `json:"chunk_tokens"`
+	CacheBlocks  int            `json:"cache_blocks"`
+	LoadLag      jsonc.Duration `json:"load_lag"`
+}
+
+// Team is a customer that sends prompts.
+type Team struct {
+	Name string `json:"name"`
+	// Key is the API key whose digest is in the bundle.
+	Key string `json:"key"`
+	// Weight is the team's share of the arrivals, relative to other teams.
+	Weight float64 `json:"weight"`
+	Model  string  `json:"model"`
+	// Chat sends chat requests in place of completions.
+	Chat    bool     `json:"chat,omitempty"`
+	Lengths []Length `json:"lengths"`
+	// SharedPrefixTokens is the length of the prefix that all prompts of the
+	// team have in common.
+	SharedPrefixTokens int64 `json:"shared_prefix_tokens,omitempty"`
+	MinAnswerTokens    int64 `json:"min_answer_tokens"`
+	MaxAnswerTokens    int64 `json:"max_answer_tokens"`
+}
+
+// Length is one prompt length of a team's mix.
+type Length struct {
+	Tokens int64   `json:"tokens"`
+	Weight float64 `json:"weight"`
+	// Deadline is asked for by the caller. Zero takes the limit of the class.
+	Deadline jsonc.Duration `json:"deadline,omitempty"`
+}
+
+// ServiceCall is an operation of a plain service that callers use.
+type ServiceCall struct {
+	Service string `json:"service"`
+	Path    string `json:"path"`
+	Method  string `json:"method"`
+	// Team makes the calls.
+	Team string `json:"team"`
+	// PerSecond is the rate of the calls at a phase rate of 100.
+	PerSecond float64 `json:"per_second"`
+	// Keyed calls are non-idempotent and carry an idempotency key.
+	Keyed bool `json:"keyed,omitempty"`
+	// ResendPercent of the keyed calls are sent twice on purpose.
+	ResendPercent float64        `json:"resend_percent,omitempty"`
+	Deadline      jsonc.Duration `json:"deadline"`
+}
+
+// Phase is a span of time with a rate of arrivals.
+type Phase struct {
+	Name     string         `json:"name"`
+	Duration jsonc.Duration `json:"duration"`
+	// Rate is the number of prompts a second at the start.
+	Rate float64 `json:"rate"`
+	// EndRate is the rate at the end, reached in a straight line. Zero keeps
+	// Rate.
+	EndRate float64 `json:"end_rate,omitempty"`
+	// Crest marks the phase at which service at the crest is measured.
+	Crest bool `json:"crest,omitempty"`
+}
+
+// LoadScenario reads and checks a scenario and its bundle. The error is set
+// only when a file cannot be read; mistakes are returned as findings.
+func LoadScenario(file string) (*Scenario, jsonc.Findings, error) {
+	var scenario Scenario
+	doc, err := jsonc.DecodeFile(file, &scenario)
+	if err != nil {
+		return nil, nil, fmt.Errorf("scenario: %w", err)
+	}
+	if findings := doc.Findings(); len(findings) > 0 {
+		return nil, findings, nil
+	}
+	scenario.check(doc)
+	scenario.Bundle = &bundle.Bundle{}
+	bundleDoc, err := jsonc.DecodeFile(filepath.Join(filepath.Dir(file), scenario.BundleFile), scenario.Bundle)
+	if err != nil {
+		return nil, nil, fmt.Errorf("scenario %s: bundle: %w", file, err)
+	}
+	findings := append(doc.Findings(), bundleDoc.Findings()...)
+	return &scenario, findings, nil
+}
+
+func (s *Scenario) check(doc *jsonc.Document) {
+	positive := func(path string, value float64) {
+		if value <= 0 {
+			doc.Report(path, fmt.Sprintf("%v is too small", value), "a number above 0")
+		}
+	}
+	positive("fleet.entry_vms_per_zone", float64(s.Fleet.EntryVMsPerZone))
+	positive("fleet.engines_per_zone", float64(s.Fleet.EnginesPerZone))
+	positive("fleet.zones", float64(len(s.Fleet.Zones)))
+	positive("teams", float64(len(s.Teams)))
+	positive("phases", float64(len(s.Phases)))
+	names := map[string]bool{}
+	for i, team := range s.Teams {
+		path := fmt.Sprintf("teams[%d]", i)
+		names[team.Name] = true
+		positive(path+".lengths", float64(len(team.Lengths)))
+		if team.MinAnswerTokens < 1 || team.MaxAnswerTokens < team.MinAnswerTokens {
+			doc.Report(path+".max_answer_tokens", "the answer lengths are out of order", "1 <= min_answer_tokens <= max_answer_tokens")
+		}
+		for j, length := range team.Lengths {
+			positive(fmt.Sprintf("%s.lengths[%d].tokens", path, j), float64(length.Tokens))
+		}
+	}
+	for i, call := range s.Services {
+		if !names[call.Team] {
+			doc.Report(fmt.Sprintf("services[%d].team", i), fmt.Sprintf("the team %q is not in the scenario", call.Team), "a name in teams")
+		}
+	}
+	for i, phase := range s.Phases {
+		positive(fmt.Sprintf("phases[%d].duration", i), float64(phase.Duration))
+		positive(fmt.Sprintf("phases[%d].rate", i), phase.Rate)
+	}
+}
+
+// Scaled returns a copy in which every phase lasts factor times as long.
+func (s *Scenario) Scaled(factor float64) *Scenario {
+	scaled := *s
+	scaled.Phases = make([]Phase, len(s.Phases))
+	for i, phase := range s.Phases {
+		phase.Duration = jsonc.Duration(float64(phase.Duration) * factor)
+		scaled.Phases[i] = phase
+	}
+	return &scaled
+}
+
+// model returns the bundle's entry for a model, or nil.
+func (s *Scenario) model(name string) *bundle.Model {
+	for i := range s.Bundle.Models {
+		if s.Bundle.Models[i].Name == name {
+			return &s.Bundle.Models[i]
+		}
+	}
+	return nil
+}
+
+// timeLimit returns the limit of the class of a prompt.
+func (s *Scenario) timeLimit(promptTokens int64) time.Duration {
+	for _, class := range s.Bundle.Classes {
+		if promptTokens <= class.MaxPromptTokens {
+			return class.TimeLimit.Std()
+		}
+	}
+	return 0
+}
+
+// short reports whether a prompt belongs to a short class.
+func (s *Scenario) short(promptTokens int64) bool {
+	for _, class := range s.Bundle.Classes {
+		if promptTokens <= class.MaxPromptTokens {
+			return class.Short
+		}
+	}
+	return false
+}
--- a/internal/standin/answer/answer.go
+++ b/internal/standin/answer/answer.go
@@ -39,6 +39,9 @@
 	return Generator{seed: hash.Sum64()}
 }
 
+// Seed identifies the answer; answers to different prompts differ in it.
+func (g Generator) Seed() uint64 { return g.seed }
+
 // Token returns the text of the token at index.
 func (g Generator) Token(index int64) string {
 	return fmt.Sprintf(" %05x", mix(g.seed+uint64(index))&0xfffff)
--- a/internal/standin/control/control.go
+++ b/internal/standin/control/control.go
@@ -17,6 +17,8 @@
 	PathFaults = "/standin/v1/faults"
 	// PathCounters answers the counters by GET.
 	PathCounters = "/standin/v1/counters"
+	// PathRuns answers a RunList by GET; engines only.
+	PathRuns = "/standin/v1/runs"
 )
 
 // FaultList is the answer on PathFaults.
@@ -24,6 +26,12 @@
 	Faults []fault.Fault `json:"faults"`
 }
 
+// RunList tells how often an engine began to run each answer.
+type RunList struct {
+	// Runs counts by answer.Generator.Seed.
+	Runs map[uint64]int64 `json:"runs"`
+}
+
 // Problem is the answer to a wrong request.
 type Problem struct {
 	Error string `json:"error"`
--- a/internal/standin/engine/complete.go
+++ b/internal/standin/engine/complete.go
@@ -107,7 +107,9 @@
 		return attempt{}, err
 	}
 	source := answer.Source{Model: body.Model, Version: version, Adapter: adapter, Prompt: prompt}
-	return attempt{job: job, generator: answer.NewGenerator(source)}, nil
+	generator := answer.NewGenerator(source)
+	job.Seed = generator.Seed()
+	return attempt{job: job, generator: generator}, nil
 }
 
 // applySegment narrows job to the segment of the prompt that is asked for.
--- a/internal/standin/engine/core.go
+++ b/internal/standin/engine/core.go
@@ -37,6 +37,8 @@
 	Blocks []uint64
 	// Leak keeps the memory after the end.
 	Leak bool
+	// Seed identifies the prompt in the record of what ran.
+	Seed uint64
 }
 
 // need is the memory that the job holds, in tokens.
@@ -111,11 +113,16 @@
 	used     int64
 	cache    *prefixCache
 	counters Counters
+	// ran counts the attempts that entered the batch, by Job.Seed.
+	ran map[uint64]int64
 }
 
 // NewCore returns an idle core.
 func NewCore(limits Limits, speed Speed) *Core {
-	return &Core{limits: limits, speed: speed, parked: map[string]*sequence{}, cache: newPrefixCache(limits.CacheBlocks)}
+	return &Core{
+		limits: limits, speed: speed, parked: map[string]*sequence{},
+		cache: newPrefixCache(limits.CacheBlocks), ran: map[uint64]int64{},
+	}
 }
 
 // Submit queues a job. An error means that nothing of it will run.
@@ -215,6 +222,7 @@
 		done := max(first.cached, min(imported, first.job.PromptTokens))
 		first.prefillLeft = first.job.PromptTokens + first.job.ResumeFrom - done
 		c.counters.CachedTokens += first.cached
+		c.ran[first.job.Seed]++
 		c.running = insertByPriority(c.running, first)
 	}
 	c.counters.MaxRunning = max(c.counters.MaxRunning, int64(len(c.running)))
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -75,6 +76,13 @@
 	return counters
 }
 
+// Runs returns how often the engine began to run each answer, by its seed.
+func (s *Server) Runs() map[uint64]int64 {
+	var runs map[uint64]int64
+	s.runner.with(func(core *Core) { runs = maps.Clone(core.ran) })
+	return runs
+}
+
 // Faults returns the faults of this engine.
 func (s *Server) Faults() *fault.Set { return s.faults }
 
@@ -90,6 +98,9 @@
 	router.POST(backendapi.PathOrder, s.handleOrder)
 	router.GET(backendapi.PathState, s.handleState)
 	router.GET(control.PathCounters, func(c echo.Context) error { return c.JSON(http.StatusOK, s.Counters()) })
+	router.GET(control.PathRuns, func(c echo.Context) error {
+		return c.JSON(http.StatusOK, control.RunList{Runs: s.Runs()})
+	})
 	control.RegisterFaults(router, s.faults, s.switchFault)
 	return router
 }
