--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,170 @@
+package load
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"godwityoke.example/godwityoke/internal/jsonc"
+	"godwityoke.example/godwityoke/internal/request"
+	"godwityoke.example/godwityoke/internal/standin/answer"
+	"godwityoke.example/godwityoke/internal/standin/engine"
+)
+
+func loadTest(t *testing.T, name string) *Scenario {
+	t.Helper()
+	scenario, findings, err := LoadScenario(filepath.Join("..", "..", "scenarios", name+".json"))
+	require.NoError(t, err)
+	require.Empty(t, findings)
+	return scenario
+}
+
+func TestKeptScenariosHaveTheBriefsShape(t *testing.T) {
+	for _, name := range []string{"tidewake", "bolillos"} {
+		t.Run(name, func(t *testing.T) {
+			scenario := loadTest(t, name)
+			arrivals := scenario.Schedule(true)
+			require.Equal(t, arrivals, scenario.Schedule(true), "the same seed gives the same schedule")
+			var prompts, overHundredThousand, resends int
+			crest, steady := 0, 0
+			for _, arrival := range arrivals {
+				switch {
+				case arrival.Prompt != nil:
+					prompts++
+					if arrival.Prompt.Tokens > 100_000 {
+						overHundredThousand++
+					}
+				case arrival.Call.Resend:
+					resends++
+				}
+				switch arrival.Phase {
+				case "crest":
+					crest++
+				case "steady":
+					steady++
+				}
+			}
+			assert.InDelta(t, 0.02, float64(overHundredThousand)/float64(prompts), 0.01)
+			assert.InDelta(t, 5, float64(crest)/float64(steady), 0.7)
+			assert.Positive(t, resends)
+			assert.Equal(t, 15, scenario.Fleet.EnginesPerZone*len(scenario.Fleet.Zones))
+			assert.Len(t, scenario.Teams, 10)
+			for _, arrival := range scenario.Schedule(false) {
+				assert.True(t, arrival.Prompt == nil || arrival.Prompt.Short)
+			}
+		})
+	}
+}
+
+func TestMistakesOfAScenarioAreReportedTogether(t *testing.T) {
+	text, err := os.ReadFile("../../scenarios/tidewake.json")
+	require.NoError(t, err)
+	broken := strings.NewReplacer(`"rate": 50,`, `"rate": -1,`, `"key-families"`, `"wrong"`,
+		`"team": "directors"`, `"team": "nobody"`).Replace(string(text))
+	folder := t.TempDir()
+	bundleText, err := os.ReadFile("../../scenarios/tidewake.bundle.json")
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(filepath.Join(folder, "tidewake.bundle.json"), bundleText, 0o600))
+	require.NoError(t, os.WriteFile(filepath.Join(folder, "s.json"), []byte(broken), 0o600))
+	_, findings, err := LoadScenario(filepath.Join(folder, "s.json"))
+	require.NoError(t, err)
+	report := findings.Error()
+	for _, path := range []string{"teams[0].key", "services[1].team", "phases[1].rate"} {
+		assert.Contains(t, report, path)
+	}
+}
+
+var testGenerator = answer.NewGenerator(answer.Source{Model: "m", Version: "1", Prompt: "p"})
+
+func TestTokenCheckerSeesWrongAnswers(t *testing.T) {
+	whole := testGenerator.Text(0, 5)
+	cases := map[string]struct {
+		texts []string
+		wrong bool
+	}{
+		"whole":          {[]string{whole}, false},
+		"split anywhere": {[]string{whole[:3], whole[3:13], whole[13:]}, false},
+		"repeated":       {[]string{testGenerator.Text(0, 3), testGenerator.Text(2, 5)}, true},
+		"gap":            {[]string{testGenerator.Text(0, 2), testGenerator.Text(3, 5)}, true},
+		"short":          {[]string{testGenerator.Text(0, 4)}, true},
+		"long":           {[]string{testGenerator.Text(0, 6)}, true},
+		"half a token":   {[]string{whole[:len(whole)-2]}, true},
+		"another's":      {[]string{" crossed"}, true},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			sample := Sample{}
+			checker := &tokenChecker{expected: testGenerator, sample: &sample}
+			for _, text := range test.texts {
+				checker.add(text)
+			}
+			checker.end(5)
+			assert.Equal(t, test.wrong, sample.WrongAnswer)
+		})
+	}
+}
+
+// TestJudgeFindsEachBrokenPromise gives the judge one break of each promise.
+func TestJudgeFindsEachBrokenPromise(t *testing.T) {
+	team := &Team{Name: "t"}
+	prompt := &Arrival{Team: team, Prompt: &Prompt{Tokens: 10, AnswerTokens: 5}, Deadline: time.Second}
+	call := &Arrival{Team: team, Call: &Call{Key: "k"}, Deadline: time.Second}
+	good := []Sample{
+		{Arrival: prompt, Outcome: request.Completed, Tokens: 5, Seed: 1},
+		{Arrival: call, Outcome: request.Completed, Key: "k"},
+		{Arrival: call, Outcome: request.NotRun, Key: "k2"},
+	}
+	evidence := Evidence{
+		AnswerRuns: map[uint64]int64{1: 1, 2: 1}, KeyRuns: map[string]int64{"k": 1, "twice": 2},
+		Engines: []EngineEvidence{{Server: "e"}},
+	}
+	for _, promise := range Judge(good, evidence) {
+		assert.Positive(t, promise.Checked, promise.Name)
+		assert.Zero(t, promise.Broken, promise.Name)
+	}
+	breaks := []Sample{
+		{Arrival: prompt, Outcome: request.Failed, Whole: time.Hour},
+		{Arrival: prompt, Outcome: request.Completed, WrongAnswer: true},
+		{Arrival: prompt, Outcome: request.NotRun, Seed: 2},
+		{Arrival: call, Outcome: request.Unknown, Key: "twice"},
+		{Arrival: call, Outcome: request.Completed, Key: "never"},
+	}
+	evidence.Engines[0].Counters = engine.Counters{MemoryTokens: 7}
+	for i, promise := range Judge(breaks, evidence) {
+		assert.EqualValues(t, 1, promise.Broken, "%d %s", i, promise.Name)
+	}
+	assert.EqualValues(t, 1, Judge([]Sample{{Arrival: prompt}}, evidence)[0].Broken, "no outcome at all")
+}
+
+func TestBoundLeavesOutTheLargest(t *testing.T) {
+	scenario := &Scenario{}
+	scenario.Fleet = Fleet{Zones: []string{"a"}, EnginesPerZone: 1}
+	scenario.Fleet.Engine = EngineSpeed{PrefillToken: jsonc.Duration(time.Millisecond), ChunkTokens: 1}
+	team := &Team{}
+	arrival := func(tokens int64, deadline time.Duration) Arrival {
+		return Arrival{Crest: true, Team: team, Prompt: &Prompt{Tokens: tokens}, Deadline: deadline}
+	}
+	bound := ComputeBound(scenario, []Arrival{
+		arrival(900, time.Second), arrival(300, time.Second), arrival(300, time.Second), arrival(300, 2*time.Second),
+	})
+	assert.Equal(t, Bound{Offered: 4, InTime: 3, DemandSeconds: 1.8, CapacitySeconds: 2}, bound)
+}
+
+func TestWorstSecondIsTheLowestOfTheCrest(t *testing.T) {
+	team := &Team{Name: "t"}
+	sample := func(at time.Duration, crest bool, outcome request.Outcome) Sample {
+		return Sample{Outcome: outcome, Arrival: &Arrival{At: at, Crest: crest, Team: team, Call: &Call{}, Deadline: time.Second}}
+	}
+	m := Measure([]Sample{
+		sample(0, false, request.Failed), sample(time.Second, true, request.Completed),
+		sample(2*time.Second, true, request.Completed), sample(2*time.Second, true, request.NotRun),
+	})
+	assert.Equal(t, 2, m.WorstSecond.Second)
+	assert.InDelta(t, 0.5, m.WorstSecond.Requests(), 1e-9)
+	assert.InDelta(t, 2.0/3, m.Crest.Requests(), 1e-9)
+}
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -4,16 +4,25 @@
 package load
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"godwityoke.example/godwityoke/internal/bundle"
 	"godwityoke.example/godwityoke/internal/jsonc"
 )
 
-// Scenario is the content of a scenario file.
+// Scenario is a scenario file with the bundle that it names.
 type Scenario struct {
+	Definition
+	Bundle *bundle.Bundle
+}
+
+// Definition is the content of a scenario file.
+type Definition struct {
 	Name string `json:"name"`
 	// Seed fixes the arrivals.
 	Seed uint64 `json:"seed"`
@@ -25,9 +34,6 @@
 	Teams       []Team         `json:"teams"`
 	Services    []ServiceCall  `json:"services,omitempty"`
 	Phases      []Phase        `json:"phases"`
-
-	// Bundle is read from BundleFile.
-	Bundle *bundle.Bundle `json:"-"`
 }
 
 // Fleet is the size of the system that a scenario runs on.
@@ -113,7 +119,7 @@
 // only when a file cannot be read; mistakes are returned as findings.
 func LoadScenario(file string) (*Scenario, jsonc.Findings, error) {
 	var scenario Scenario
-	doc, err := jsonc.DecodeFile(file, &scenario)
+	doc, err := jsonc.DecodeFile(file, &scenario.Definition)
 	if err != nil {
 		return nil, nil, fmt.Errorf("scenario: %w", err)
 	}
@@ -121,13 +127,15 @@
 		return nil, findings, nil
 	}
 	scenario.check(doc)
-	scenario.Bundle = &bundle.Bundle{}
-	bundleDoc, err := jsonc.DecodeFile(filepath.Join(filepath.Dir(file), scenario.BundleFile), scenario.Bundle)
+	loaded, bundleFindings, err := bundle.Load(filepath.Join(filepath.Dir(file), scenario.BundleFile))
 	if err != nil {
 		return nil, nil, fmt.Errorf("scenario %s: bundle: %w", file, err)
 	}
-	findings := append(doc.Findings(), bundleDoc.Findings()...)
-	return &scenario, findings, nil
+	scenario.Bundle = loaded
+	if len(bundleFindings) == 0 {
+		scenario.checkAgainstBundle(doc)
+	}
+	return &scenario, append(doc.Findings(), bundleFindings...), nil
 }
 
 func (s *Scenario) check(doc *jsonc.Document) {
@@ -164,6 +172,34 @@
 	}
 }
 
+// checkAgainstBundle reports teams, models and services that the bundle does
+// not have.
+func (s *Scenario) checkAgainstBundle(doc *jsonc.Document) {
+	teams, services := map[string]*bundle.Team{}, map[string]bool{}
+	for i := range s.Bundle.Teams {
+		teams[s.Bundle.Teams[i].Name] = &s.Bundle.Teams[i]
+	}
+	for _, service := range s.Bundle.Services {
+		services[service.Name] = true
+	}
+	for i, team := range s.Teams {
+		path := fmt.Sprintf("teams[%d]", i)
+		digest := sha256.Sum256([]byte(team.Key))
+		known := teams[team.Name]
+		if known == nil || !slices.Contains(known.KeySHA256, hex.EncodeToString(digest[:])) {
+			doc.Report(path+".key", "the bundle has no such team with this key", "a key whose digest is in the bundle")
+		}
+		if s.model(team.Model) == nil {
+			doc.Report(path+".model", fmt.Sprintf("the model %q is not in the bundle", team.Model), "a model of the bundle")
+		}
+	}
+	for i, call := range s.Services {
+		if !services[call.Service] {
+			doc.Report(fmt.Sprintf("services[%d].service", i), fmt.Sprintf("the service %q is not in the bundle", call.Service), "a service of the bundle")
+		}
+	}
+}
+
 // Scaled returns a copy in which every phase lasts factor times as long.
 func (s *Scenario) Scaled(factor float64) *Scenario {
 	scaled := *s
