--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -18,7 +18,7 @@
 
 func loadTest(t *testing.T, name string) *Scenario {
 	t.Helper()
-	scenario, findings, err := LoadScenario(filepath.Join("..", "..", "scenarios", name+".json"))
+	scenario, findings, err := ReadScenario(filepath.Join("..", "..", "scenarios", name+".json"))
 	require.NoError(t, err)
 	require.Empty(t, findings)
 	return scenario
@@ -71,7 +71,7 @@
 	require.NoError(t, err)
 	require.NoError(t, os.WriteFile(filepath.Join(folder, "tidewake.bundle.json"), bundleText, 0o600))
 	require.NoError(t, os.WriteFile(filepath.Join(folder, "s.json"), []byte(broken), 0o600))
-	_, findings, err := LoadScenario(filepath.Join(folder, "s.json"))
+	_, findings, err := ReadScenario(filepath.Join(folder, "s.json"))
 	require.NoError(t, err)
 	report := findings.Error()
 	for _, path := range []string{"teams[0].key", "services[1].team", "phases[1].rate"} {
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -115,9 +115,9 @@
 	Crest bool `json:"crest,omitempty"`
 }
 
-// LoadScenario reads and checks a scenario and its bundle. The error is set
+// ReadScenario reads and checks a scenario and its bundle. The error is set
 // only when a file cannot be read; mistakes are returned as findings.
-func LoadScenario(file string) (*Scenario, jsonc.Findings, error) {
+func ReadScenario(file string) (*Scenario, jsonc.Findings, error) {
 	var scenario Scenario
 	doc, err := jsonc.DecodeFile(file, &scenario.Definition)
 	if err != nil {
