--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -22,6 +22,7 @@
 
 // Arguments is the command line.
 type Arguments struct {
+	Serve    *ServeArguments    `arg:"subcommand:serve" help:"run the process of one VM"`
 	Settings *SettingsArguments `arg:"subcommand:settings" help:"check a settings file"`
 	Standin  *StandinArguments  `arg:"subcommand:standin" help:"run a stand-in for a backend server"`
 }
@@ -61,6 +62,8 @@
 
 func (a *Arguments) run(parser *arg.Parser, output Output) int {
 	switch {
+	case a.Serve != nil:
+		return a.Serve.run(output)
 	case a.Settings != nil && a.Settings.Check != nil:
 		return a.Settings.Check.run(output)
 	case a.Standin != nil && a.Standin.Engine != nil:
