--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -168,3 +168,19 @@
 	assert.InDelta(t, 0.5, m.WorstSecond.Requests(), 1e-9)
 	assert.InDelta(t, 2.0/3, m.Crest.Requests(), 1e-9)
 }
+
+func TestReportIsWrittenInEachForm(t *testing.T) {
+	scenario := loadTest(t, "tidewake").Scaled(0.1)
+	arrivals := scenario.Schedule(true)
+	samples := make([]Sample, len(arrivals))
+	for i := range arrivals {
+		samples[i] = Sample{Arrival: &arrivals[i], Outcome: request.Completed, FirstToken: time.Duration(i+1) * time.Millisecond}
+	}
+	measures := Measure(samples)
+	report := &Report{Scenario: "tidewake", Runs: []RunReport{{Policy: "two_choices", WithLong: measures, WithoutLong: &measures}}}
+	require.NoError(t, report.WritePlot(filepath.Join(t.TempDir(), "plot.svg")))
+	require.NoError(t, report.WriteJSON(filepath.Join(t.TempDir(), "report.json")))
+	var table strings.Builder
+	require.NoError(t, report.WriteTable(&table))
+	assert.Contains(t, table.String(), "families")
+}
--- a/internal/load/plot.go
+++ b/internal/load/plot.go
@@ -96,9 +96,13 @@
 		if len(points) == 0 {
 			continue
 		}
-		if err := plotutil.AddLinePoints(p, plotutil.DefaultGlyphShapes[i%4], r.Runs[i].label(), points); err != nil {
+		line, glyphs, err := plotter.NewLinePoints(points)
+		if err != nil {
 			return nil, err
 		}
+		line.Color, glyphs.Color, glyphs.Shape = plotutil.Color(i), plotutil.Color(i), plotutil.Shape(i)
+		p.Add(line, glyphs)
+		p.Legend.Add(r.Runs[i].label(), line, glyphs)
 	}
 	return p, nil
 }
--- a/internal/load/promises.go
+++ b/internal/load/promises.go
@@ -149,3 +149,15 @@
 	}
 	return promise
 }
+
+// MergePromises adds the counts of two lists of the same promises.
+func MergePromises(first, second []Promise) []Promise {
+	merged := make([]Promise, len(first))
+	for i, promise := range first {
+		promise.Checked += second[i].Checked
+		promise.Broken += second[i].Broken
+		promise.Examples = append(promise.Examples, second[i].Examples...)
+		merged[i] = promise
+	}
+	return merged
+}
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -19,6 +19,8 @@
 type Scenario struct {
 	Definition
 	Bundle *bundle.Bundle
+	// BundlePath is the bundle's file.
+	BundlePath string
 }
 
 // Definition is the content of a scenario file.
@@ -127,7 +129,8 @@
 		return nil, findings, nil
 	}
 	scenario.check(doc)
-	loaded, bundleFindings, err := bundle.Load(filepath.Join(filepath.Dir(file), scenario.BundleFile))
+	scenario.BundlePath = filepath.Join(filepath.Dir(file), scenario.BundleFile)
+	loaded, bundleFindings, err := bundle.Load(scenario.BundlePath)
 	if err != nil {
 		return nil, nil, fmt.Errorf("scenario %s: bundle: %w", file, err)
 	}
