--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -64,7 +64,7 @@
 func TestMistakesOfAScenarioAreReportedTogether(t *testing.T) {
 	text, err := os.ReadFile("../../scenarios/tidewake.json")
 	require.NoError(t, err)
-	broken := strings.NewReplacer(`"rate": 50,`, `"rate": -1,`, `"key-families"`, `"wrong"`,
+	broken := strings.NewReplacer(`"duration": "2s"`, `"duration": "-2s"`, `"key-families"`, `"wrong"`,
 		`"team": "directors"`, `"team": "nobody"`).Replace(string(text))
 	folder := t.TempDir()
 	bundleText, err := os.ReadFile("../../scenarios/tidewake.bundle.json")
@@ -74,7 +74,7 @@
 	_, findings, err := ReadScenario(filepath.Join(folder, "s.json"))
 	require.NoError(t, err)
 	report := findings.Error()
-	for _, path := range []string{"teams[0].key", "services[1].team", "phases[1].rate"} {
+	for _, path := range []string{"teams[0].key", "services[1].team", "phases[1].duration"} {
 		assert.Contains(t, report, path)
 	}
 }
