--- a/internal/replica/group_test.go
+++ b/internal/replica/group_test.go
@@ -119,7 +119,7 @@
 	if g.tune != nil {
 		g.tune(&chosen)
 	}
-	vm := &loopbackVM{journal: &journal{}, server: transport.NewServer(), pool: transport.NewPool()}
+	vm := &loopbackVM{journal: &journal{}, server: transport.NewServer(transport.ServerOptions{}), pool: transport.NewPool(transport.PoolOptions{})}
 	replica, err := Start(Options{Settings: &chosen, StateMachine: vm.journal, Pool: vm.pool, Logger: zerolog.New(zerolog.NewTestWriter(t))})
 	require.NoError(t, err)
 	vm.replica = replica
