--- /dev/null
+++ b/internal/ledger/claims_test.go
@@ -0,0 +1,304 @@
+package ledger
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwityoke.example/godwityoke/internal/ledger/ledgerpb"
+	"godwityoke.example/godwityoke/internal/request"
+)
+
+var (
+	bookingKey = Key{Team: "families", Service: "booking", Value: "k1"}
+	digestA    = sha256.Sum256([]byte("a"))
+	digestB    = sha256.Sum256([]byte("b"))
+)
+
+// calls counts what the claimants of one key did and were told.
+type calls struct {
+	mu     sync.Mutex
+	runs   int
+	notRun int
+}
+
+func (c *calls) run() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.runs++
+}
+
+func (c *calls) tell(outcome request.Outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if outcome == request.NotRun {
+		c.notRun++
+	}
+}
+
+// send claims the key as one entry VM does; fate decides where it crashes.
+func (c *calls) send(n *network, fate int) {
+	client := NewClient(n, threeHolders)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	claim, record, err := client.Claim(ctx, bookingKey, digestA)
+	var refusal *RefusedError
+	switch {
+	case asRefused(err, &refusal):
+		c.tell(refusal.Outcome)
+	case record != nil:
+		c.tell(record.Outcome)
+	case fate == 0: // crash before the call is sent
+	case fate == 1:
+		c.tell(claim.Abandon(ctx))
+	default:
+		c.run()
+		if fate > 2 { // else: crash before the end is recorded
+			_ = claim.Resolve(ctx, Record{Outcome: request.Completed, Status: 200})
+		}
+	}
+}
+
+// TestKeyRunsAtMostOnce drives the real claimants and holders through lost,
+// late and reordered messages, crashes, a holder that is down, and a lost disk
+// with repair. It fails when sealing, epochs or the merge are switched off.
+func TestKeyRunsAtMostOnce(t *testing.T) {
+	for seed := range uint64(400) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := startGroup(t, seed)
+				n.loss, n.late = 0.25, 0.5
+				var c calls
+				var senders sync.WaitGroup
+				for range 4 {
+					fate := n.random.IntN(5)
+					senders.Go(func() {
+						time.Sleep(10 * n.delay())
+						c.send(n, fate)
+					})
+				}
+				if seed%4 == 1 {
+					n.holders["b"].down = true
+				}
+				if seed%4 >= 2 {
+					time.Sleep(10 * n.delay())
+					replaceHolder(t, n, int(seed%3))
+				}
+				senders.Wait()
+				n.loss = 0
+				c.send(n, 0)
+				time.Sleep(time.Minute)
+				n.stopAll()
+				require.LessOrEqual(t, c.runs, 1, "runs")
+				if c.notRun > 0 {
+					require.Zero(t, c.runs, "a caller was told not_run")
+				}
+			})
+		})
+	}
+}
+
+// replaceHolder loses the records of a holder and brings in a new member.
+func replaceHolder(t *testing.T, n *network, lost int) {
+	address := threeHolders[lost].Address
+	n.mu.Lock()
+	n.holders[address].stop()
+	n.mu.Unlock()
+	holders := append([]HolderVM{}, threeHolders...)
+	holders[lost].MemberID = 9
+	epoch := Epoch{Number: 2, Holders: holders, Previous: threeHolders}
+	n.start(address, 9, &memoryLog{})
+	for _, holder := range holders {
+		n.mu.Lock()
+		process := n.holders[holder.Address]
+		n.mu.Unlock()
+		n.running.Go(func() {
+			time.Sleep(10 * n.delay())
+			ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+			defer cancel()
+			_ = process.server.StartEpoch(ctx, epoch)
+		})
+	}
+	_ = t
+}
+
+func inGroup(t *testing.T, test func(t *testing.T, n *network, client *Client)) {
+	synctest.Test(t, func(t *testing.T) {
+		n := startGroup(t, 1)
+		defer n.stopAll()
+		test(t, n, NewClient(n, threeHolders))
+		time.Sleep(time.Minute)
+	})
+}
+
+func TestResendGetsTheRecordedAnswer(t *testing.T) {
+	inGroup(t, func(t *testing.T, n *network, client *Client) {
+		claim, _, err := client.Claim(t.Context(), bookingKey, digestA)
+		require.NoError(t, err)
+		_, _, err = NewClient(n, threeHolders).Claim(t.Context(), bookingKey, digestA)
+		require.ErrorIs(t, err, ErrInProgress)
+		_, err = client.Lookup(t.Context(), bookingKey)
+		require.ErrorIs(t, err, ErrInProgress)
+
+		done := Record{Outcome: request.Completed, Status: 201, ContentType: "text/plain", Body: []byte("voyage 7")}
+		require.NoError(t, claim.Resolve(t.Context(), done))
+		_, record, err := NewClient(n, threeHolders).Claim(t.Context(), bookingKey, digestA)
+		require.NoError(t, err)
+		require.Equal(t, &done, record)
+		record, err = client.Lookup(t.Context(), bookingKey)
+		require.NoError(t, err)
+		require.Equal(t, &done, record)
+
+		_, _, err = client.Claim(t.Context(), bookingKey, digestB)
+		require.ErrorIs(t, err, ErrConflict)
+		_, err = client.Lookup(t.Context(), Key{Value: "never used"})
+		require.ErrorIs(t, err, ErrNotFound)
+	})
+}
+
+func TestClaimantThatDiedAfterItsClaimLeavesUnknown(t *testing.T) {
+	inGroup(t, func(t *testing.T, _ *network, client *Client) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, _, err := client.Claim(ctx, bookingKey, digestA)
+		require.NoError(t, err)
+		time.Sleep(time.Second + claimGrace)
+		_, record, err := client.Claim(t.Context(), bookingKey, digestA)
+		require.NoError(t, err)
+		require.Equal(t, request.Unknown, record.Outcome)
+	})
+}
+
+func TestAbandonedKeyNeverRuns(t *testing.T) {
+	inGroup(t, func(t *testing.T, _ *network, client *Client) {
+		claim, _, err := client.Claim(t.Context(), bookingKey, digestA)
+		require.NoError(t, err)
+		require.Equal(t, request.NotRun, claim.Abandon(t.Context()))
+		_, record, err := client.Claim(t.Context(), bookingKey, digestA)
+		require.NoError(t, err)
+		require.Equal(t, request.NotRun, record.Outcome)
+	})
+}
+
+func TestWithoutAMajorityNothingIsSentAndNotRunIsNotSaid(t *testing.T) {
+	inGroup(t, func(t *testing.T, n *network, client *Client) {
+		n.holders["a"].down = true
+		n.holders["b"].down = true
+		_, _, err := client.Claim(t.Context(), bookingKey, digestA)
+		var refusal *RefusedError
+		require.ErrorAs(t, err, &refusal)
+		require.ErrorIs(t, err, ErrUnreachable)
+		require.Equal(t, request.NotSent, refusal.Outcome)
+	})
+}
+
+func TestFailedSyncGrantsNothing(t *testing.T) {
+	inGroup(t, func(t *testing.T, n *network, client *Client) {
+		n.holders["a"].log.fail = true
+		n.holders["b"].log.fail = true
+		_, _, err := client.Claim(t.Context(), bookingKey, digestA)
+		require.ErrorIs(t, err, ErrUnreachable)
+	})
+}
+
+func TestHolderKeepsItsRecordsOverARestart(t *testing.T) {
+	inGroup(t, func(t *testing.T, n *network, client *Client) {
+		_, _, err := client.Claim(t.Context(), bookingKey, digestA)
+		require.NoError(t, err)
+		for _, holder := range threeHolders {
+			old := n.holders[holder.Address]
+			old.stop()
+			n.start(holder.Address, holder.MemberID, old.log)
+		}
+		_, _, err = client.Claim(t.Context(), bookingKey, digestA)
+		require.ErrorIs(t, err, ErrInProgress)
+	})
+}
+
+func TestTwoClaimantsOfASplitAgreeOnOne(t *testing.T) {
+	held := func(attempt string) *ledgerpb.Reply {
+		entry := &ledgerpb.Entry{State: ledgerpb.State_STATE_CLAIMED, Attempt: attempt, Digest: digestA[:]}
+		return &ledgerpb.Reply{Entry: entry, Live: true}
+	}
+	replies := []*ledgerpb.Reply{held("1"), held("2"), nil}
+	low := count("1", digestA[:], replies)
+	decided, _ := low.verdict("1")
+	require.Equal(t, verdictSplit, decided, "the lower attempt waits")
+	high := count("2", digestA[:], replies)
+	decided, rival := high.verdict("2")
+	require.Equal(t, verdictYield, decided, "the higher attempt yields")
+	require.Equal(t, "1", rival)
+}
+
+func TestMergeOfContradictingEntriesGrantsNobody(t *testing.T) {
+	core := NewCore(9, time.Hour)
+	core.Merge(bookingKey, &ledgerpb.Entry{State: ledgerpb.State_STATE_CLAIMED, Attempt: "1"})
+	core.Merge(bookingKey, &ledgerpb.Entry{State: ledgerpb.State_STATE_CLAIMED, Attempt: "2"})
+	require.Equal(t, ledgerpb.State_STATE_CONTESTED, core.entry(bookingKey).State)
+}
+
+func TestPruneKeepsTheRetention(t *testing.T) {
+	core := NewCore(1, time.Hour)
+	start := time.Unix(1_000_000, 0)
+	core.StartEpoch(Epoch{Number: 1, Holders: threeHolders})
+	core.Do(&ledgerpb.Request{Epoch: 1, Operation: ledgerpb.Operation_OPERATION_CLAIM, Key: keyToProto(bookingKey), Attempt: "1"}, start)
+	require.Zero(t, core.Prune(start.Add(time.Hour)))
+	require.Equal(t, 1, core.Prune(start.Add(time.Hour+claimGrace+time.Second)))
+}
+
+// BenchmarkCapacityClaims reports the holder's time for one claim without a
+// disk, and the bytes that one entry keeps.
+func BenchmarkCapacityClaims(b *testing.B) {
+	core := NewCore(1, 24*time.Hour)
+	core.StartEpoch(Epoch{Number: 1, Holders: threeHolders})
+	now := time.Unix(1_000_000, 0)
+	b.ReportAllocs()
+	for i := range b.N {
+		key := &ledgerpb.Key{Team: "families", Service: "booking", Value: fmt.Sprint(i)}
+		core.Do(&ledgerpb.Request{Epoch: 1, Operation: ledgerpb.Operation_OPERATION_CLAIM, Key: key, Digest: digestA[:], Attempt: "0123456789abcdef0123456789abcdef"}, now)
+	}
+}
+
+func TestHolderRefusesAnotherEpoch(t *testing.T) {
+	core := NewCore(1, time.Hour)
+	core.StartEpoch(Epoch{Number: 1, Holders: threeHolders})
+	core.StartEpoch(Epoch{Number: 2, Holders: threeHolders, Previous: threeHolders})
+	require.True(t, core.Granting())
+	claim := &ledgerpb.Request{Epoch: 1, Operation: ledgerpb.Operation_OPERATION_CLAIM, Key: keyToProto(bookingKey), Attempt: "1"}
+	reply, change := core.Do(claim, time.Unix(0, 0))
+	require.Equal(t, ledgerpb.Status_STATUS_WRONG_EPOCH, reply.Status)
+	require.Nil(t, change)
+	require.Nil(t, core.StartEpoch(Epoch{Number: 1, Holders: threeHolders}), "an epoch never goes back")
+	core.StartEpoch(Epoch{Number: 4, Holders: threeHolders, Previous: threeHolders})
+	require.False(t, core.Granting(), "epoch 3 was missed")
+}
+
+// TestRepairWaitsForAMajority loses the disk of a holder that a claim counted
+// on while the other one that knows the claim is down.
+func TestRepairWaitsForAMajority(t *testing.T) {
+	inGroup(t, func(t *testing.T, n *network, client *Client) {
+		n.holders["b"].down = true
+		_, _, err := client.Claim(t.Context(), bookingKey, digestA)
+		require.NoError(t, err, "a and c grant the claim")
+		n.holders["b"].down = false
+		n.holders["a"].down = true
+		replaceHolder(t, n, 2)
+		time.Sleep(20 * time.Second)
+		_, record, err := NewClient(n, threeHolders).Claim(t.Context(), bookingKey, digestA)
+		require.Nil(t, record)
+		require.ErrorIs(t, err, ErrUnreachable, "c holds no records and b alone is no majority")
+
+		n.holders["a"].down = false
+		n.running.Go(func() { _ = n.holders["c"].server.Repair(t.Context()) })
+		time.Sleep(5 * time.Second)
+		_, record, err = NewClient(n, threeHolders).Claim(t.Context(), bookingKey, digestA)
+		require.NoError(t, err)
+		require.Equal(t, request.Unknown, record.Outcome, "b was sealed meanwhile, so c holds a contested entry")
+	})
+}
--- /dev/null
+++ b/internal/ledger/fake_test.go
@@ -0,0 +1,178 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"godwityoke.example/godwityoke/internal/ledger/ledgerpb"
+)
+
+var errLost = errors.New("the message was lost")
+
+// memoryLog keeps synced changes across a restart of its holder.
+type memoryLog struct {
+	changes [][]byte
+	fail    bool
+}
+
+func (l *memoryLog) Replay(apply func([]byte) error) error {
+	for _, change := range l.changes {
+		if err := apply(change); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *memoryLog) Append(changes [][]byte) error {
+	if l.fail {
+		return errors.New("disk full")
+	}
+	l.changes = append(l.changes, changes...)
+	return nil
+}
+
+func (l *memoryLog) Rewrite(changes [][]byte) error {
+	l.changes = changes
+	return nil
+}
+
+// holderProcess is one running holder.
+type holderProcess struct {
+	server *Server
+	log    *memoryLog
+	stop   context.CancelFunc
+	down   bool
+}
+
+// network connects claimants with holders and loses, delays and repeats
+// messages at random.
+type network struct {
+	t       *testing.T
+	mu      sync.Mutex
+	random  *rand.Rand
+	loss    float64
+	late    float64
+	holders map[string]*holderProcess
+	running sync.WaitGroup
+}
+
+func newNetwork(t *testing.T, seed uint64) *network {
+	return &network{t: t, random: rand.New(rand.NewPCG(seed, 1)), holders: map[string]*holderProcess{}}
+}
+
+// start runs a holder at address with the changes of log.
+func (n *network) start(address string, member uint64, log *memoryLog) *holderProcess {
+	server, err := NewServer(ServerOptions{
+		MemberID: member, Retention: 24 * time.Hour, Log: log, Source: n, Logger: zerolog.Nop(),
+	})
+	require.NoError(n.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	process := &holderProcess{server: server, log: log, stop: cancel}
+	n.running.Go(func() { _ = server.Run(ctx) })
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.holders[address] = process
+	return process
+}
+
+func (n *network) stopAll() {
+	n.mu.Lock()
+	for _, process := range n.holders {
+		process.stop()
+	}
+	n.mu.Unlock()
+	n.running.Wait()
+}
+
+func (n *network) chance(p float64) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.random.Float64() < p
+}
+
+func (n *network) delay() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return time.Duration(n.random.IntN(30)) * time.Millisecond
+}
+
+func (n *network) reach(address string) (*holderProcess, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	process, found := n.holders[address]
+	if !found || process.down {
+		return nil, errLost
+	}
+	return process, nil
+}
+
+// Do implements Caller.
+func (n *network) Do(ctx context.Context, address string, request *ledgerpb.Request) (*ledgerpb.Reply, error) {
+	request = proto.Clone(request).(*ledgerpb.Request)
+	if n.chance(n.loss) {
+		if n.chance(n.late) {
+			n.running.Go(func() {
+				time.Sleep(time.Duration(2+n.delay()/time.Millisecond) * 100 * time.Millisecond)
+				_, _ = n.deliver(context.Background(), address, request)
+			})
+		}
+		<-ctx.Done()
+		return nil, errLost
+	}
+	time.Sleep(n.delay())
+	reply, err := n.deliver(ctx, address, request)
+	if n.chance(n.loss) {
+		<-ctx.Done()
+		return nil, errLost
+	}
+	return reply, err
+}
+
+func (n *network) deliver(ctx context.Context, address string, request *ledgerpb.Request) (*ledgerpb.Reply, error) {
+	process, err := n.reach(address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+	defer cancel()
+	return process.server.Do(ctx, request)
+}
+
+// Entries implements Source.
+func (n *network) Entries(ctx context.Context, address string, epoch uint64, each func(*ledgerpb.EntriesReply)) error {
+	process, err := n.reach(address)
+	if err != nil {
+		return err
+	}
+	return process.server.inOwner(ctx, func() error {
+		core := process.server.core
+		if core.Epoch().Number != epoch || !core.Granting() {
+			return errLost
+		}
+		for key, entry := range core.entries {
+			each(&ledgerpb.EntriesReply{Key: keyToProto(key), Entry: entry})
+		}
+		return nil
+	})
+}
+
+var threeHolders = []HolderVM{{MemberID: 1, Address: "a"}, {MemberID: 2, Address: "b"}, {MemberID: 3, Address: "c"}}
+
+// startGroup runs three holders in their first epoch.
+func startGroup(t *testing.T, seed uint64) *network {
+	n := newNetwork(t, seed)
+	for _, holder := range threeHolders {
+		process := n.start(holder.Address, holder.MemberID, &memoryLog{})
+		require.NoError(t, process.server.StartEpoch(t.Context(), Epoch{Number: 1, Holders: threeHolders}))
+	}
+	return n
+}
--- a/internal/ledger/verdict.go
+++ b/internal/ledger/verdict.go
@@ -37,7 +37,9 @@
 	own      int
 	sealed   int
 	free     int
-	resolved *ledgerpb.Entry
+	// contested counts entries that a repair found contradicting each other.
+	contested int
+	resolved  *ledgerpb.Entry
 	// conflict is set when an entry carries another digest.
 	conflict bool
 	rivals   map[string]rival
@@ -77,6 +79,8 @@
 		t.resolved = entry
 	case ledgerpb.State_STATE_SEALED:
 		t.sealed++
+	case ledgerpb.State_STATE_CONTESTED:
+		t.contested++
 	case ledgerpb.State_STATE_CLAIMED:
 		if entry.Attempt == attempt {
 			t.own++
@@ -119,6 +123,9 @@
 			return verdictYield, preferred
 		}
 	}
+	if t.contested > 0 && t.own+t.free < need {
+		return verdictUnknown, ""
+	}
 	if t.answered < need {
 		return verdictPending, ""
 	}
