--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -51,6 +51,8 @@
 	// it did not.
 	PromptTokens int64
 	CachedTokens int64
+	// AnswerTokens is the number of tokens received in this attempt.
+	AnswerTokens int64
 }
 
 // Placer places queries on the servers known to this VM. Place waits while
