Lease engine memory by a pure scheduler core

Each engine has one scheduler in its zone. The core grants, queues by priority and slack, keeps a reserve for short requests, bounds long prefill, and counts a lease until the engine confirms that the memory is free.

--- /dev/null
+++ b/internal/capacity/core.go
@@ -0,0 +1,235 @@
+package capacity
+
+import "time"
+
+// leaseState tells whether a holder still stands behind a lease.
+type leaseState int
+
+const (
+	leaseActive leaseState = iota + 1
+	// leaseExpired is not renewed; its holder may still come back.
+	leaseExpired
+	// leaseOrphan is being cancelled on the engine until that is confirmed.
+	leaseOrphan
+)
+
+// lease is memory granted to one attempt.
+type lease struct {
+	request    Request
+	state      leaseState
+	prefilling bool
+	// expires is when an active lease expires; since is when it left the
+	// active state.
+	expires    time.Time
+	since      time.Time
+	cancelSent time.Time
+}
+
+// Core keeps the leases of one engine. It is a pure state machine and not
+// safe for concurrent use.
+type Core struct {
+	config Config
+	memory int64
+	limit  int64
+
+	leases  map[string]*lease
+	queue   queue
+	foreign map[string]HeldAttempt
+	// freed holds when attempts gave back their memory, to tell them from
+	// attempts without a lease in a list that was asked for earlier.
+	freed map[string]time.Time
+	// cancels holds when attempts without a lease were last cancelled.
+	cancels map[string]time.Time
+
+	long, short, foreignTokens, longPrefill int64
+	orphans                                 int
+	decisions                               []Decision
+}
+
+// NewCore returns the core for an engine with memory tokens. It grants nothing
+// before SetLimit.
+func NewCore(memory int64, config Config) *Core {
+	return &Core{
+		config:  config,
+		memory:  memory,
+		leases:  map[string]*lease{},
+		foreign: map[string]HeldAttempt{},
+		freed:   map[string]time.Time{},
+		cancels: map[string]time.Time{},
+	}
+}
+
+// SetLimit sets the memory that this scheduler may grant, at most what the
+// engine has. What was granted before stays granted.
+func (c *Core) SetLimit(limit int64, now time.Time) {
+	c.limit = min(limit, c.memory)
+	c.schedule(now)
+}
+
+// SetConfig replaces the configuration.
+func (c *Core) SetConfig(config Config, now time.Time) {
+	c.config = config
+	c.schedule(now)
+}
+
+// Acquire decides on a request or queues it. The decision comes from Take. A
+// repeated request for a held lease is granted again.
+func (c *Core) Acquire(request Request, now time.Time) {
+	if held, found := c.leases[request.Attempt]; found {
+		if held.state == leaseActive {
+			held.expires = now.Add(c.config.Term)
+			c.decide(request.Attempt, Granted)
+			return
+		}
+		c.decide(request.Attempt, RefusedReleased)
+		return
+	}
+	if _, released := c.freed[request.Attempt]; released {
+		c.decide(request.Attempt, RefusedReleased)
+		return
+	}
+	switch {
+	case request.Tokens > c.memory:
+		c.decide(request.Attempt, RefusedTooLarge)
+	case !request.LatestStart.After(now):
+		c.decide(request.Attempt, RefusedNoTime)
+	case c.queue.len() >= c.config.MaxQueue && !c.makeRoom(request):
+		c.decide(request.Attempt, RefusedQueueFull)
+	default:
+		c.queue.add(request)
+		c.schedule(now)
+	}
+}
+
+// makeRoom drops the last of a full queue if request goes before it.
+func (c *Core) makeRoom(request Request) bool {
+	last := c.queue.last()
+	if !goesBefore(request, last) {
+		return false
+	}
+	c.queue.remove(last.Attempt)
+	c.decide(last.Attempt, RefusedQueueFull)
+	return true
+}
+
+// Take returns the decisions since the last call.
+func (c *Core) Take() []Decision {
+	decisions := c.decisions
+	c.decisions = nil
+	return decisions
+}
+
+func (c *Core) decide(attempt string, kind DecisionKind) {
+	c.decisions = append(c.decisions, Decision{Attempt: attempt, Kind: kind})
+}
+
+// Renew extends the lease of an attempt and reports whether its holder has
+// one. An attempt that the engine holds without a lease becomes the holder's:
+// so leases pass from one scheduler to the next. The renewal carries the same
+// request that the lease was granted for.
+func (c *Core) Renew(request Request, prefilling bool, now time.Time) bool {
+	held, found := c.leases[request.Attempt]
+	if !found {
+		return c.adopt(request, prefilling, now)
+	}
+	if held.state == leaseOrphan {
+		return false
+	}
+	held.state = leaseActive
+	held.expires = now.Add(c.config.Term)
+	if !prefilling {
+		c.endPrefill(held)
+		c.schedule(now)
+	}
+	return true
+}
+
+func (c *Core) adopt(request Request, prefilling bool, now time.Time) bool {
+	if _, found := c.foreign[request.Attempt]; !found {
+		return false
+	}
+	if _, cancelled := c.cancels[request.Attempt]; cancelled {
+		return false
+	}
+	c.dropForeign(request.Attempt)
+	c.insert(request, prefilling, now)
+	return true
+}
+
+// FirstToken ends the prefill of an attempt.
+func (c *Core) FirstToken(attempt string, now time.Time) {
+	if held, found := c.leases[attempt]; found {
+		c.endPrefill(held)
+		c.schedule(now)
+	}
+}
+
+// Release ends an attempt. With held, the engine has not confirmed that it
+// freed the memory: the memory stays counted and the attempt is cancelled
+// until that is confirmed. A release of an unknown attempt is remembered, so
+// that a request which it has overtaken is refused.
+func (c *Core) Release(attempt string, held bool, now time.Time) {
+	c.queue.remove(attempt)
+	granted, found := c.leases[attempt]
+	switch {
+	case !found:
+		c.freed[attempt] = now
+	case held && granted.state != leaseOrphan:
+		c.orphan(granted, now)
+	case !held:
+		c.free(attempt, now)
+	}
+	c.schedule(now)
+}
+
+// insert adds a lease.
+func (c *Core) insert(request Request, prefilling bool, now time.Time) {
+	added := &lease{request: request, state: leaseActive, prefilling: prefilling, expires: now.Add(c.config.Term)}
+	c.leases[request.Attempt] = added
+	if request.Short {
+		c.short += request.Tokens
+		return
+	}
+	c.long += request.Tokens
+	if prefilling {
+		c.longPrefill += request.PrefillTokens
+	}
+}
+
+// free removes a lease and returns its memory.
+func (c *Core) free(attempt string, now time.Time) {
+	held := c.leases[attempt]
+	c.endPrefill(held)
+	if held.state == leaseOrphan {
+		c.orphans--
+	}
+	if held.request.Short {
+		c.short -= held.request.Tokens
+	} else {
+		c.long -= held.request.Tokens
+	}
+	delete(c.leases, attempt)
+	c.freed[attempt] = now
+}
+
+func (c *Core) orphan(held *lease, now time.Time) {
+	c.endPrefill(held)
+	held.state = leaseOrphan
+	held.since = now
+	c.orphans++
+}
+
+func (c *Core) endPrefill(held *lease) {
+	if held.prefilling && !held.request.Short {
+		c.longPrefill -= held.request.PrefillTokens
+	}
+	held.prefilling = false
+}
+
+// Usage returns how the memory is used.
+func (c *Core) Usage() Usage {
+	return Usage{
+		Memory: c.memory, Limit: c.limit, Long: c.long, Short: c.short, Foreign: c.foreignTokens,
+		LongPrefill: c.longPrefill, Waiting: c.queue.len(), Leases: len(c.leases), Orphans: c.orphans,
+	}
+}
--- /dev/null
+++ b/internal/capacity/rendezvous.go
@@ -0,0 +1,35 @@
+package capacity
+
+import "hash/fnv"
+
+// Scheduler returns the VM among live that schedules server, by rendezvous
+// hashing: when a VM comes or goes, only its own servers move. It returns ""
+// when live is empty.
+func Scheduler(server string, live []string) string {
+	best, bestWeight := "", uint64(0)
+	for _, vm := range live {
+		weight := rendezvousWeight(server, vm)
+		if best == "" || weight > bestWeight || (weight == bestWeight && vm < best) {
+			best, bestWeight = vm, weight
+		}
+	}
+	return best
+}
+
+func rendezvousWeight(server, vm string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(server))
+	_, _ = hash.Write([]byte{0})
+	_, _ = hash.Write([]byte(vm))
+	return mix(hash.Sum64())
+}
+
+// mix spreads the bits of x, since FNV leaves the high bits of short inputs
+// alike. It is the finalizer of SplitMix64.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
