Drive the lease schedulers of a zone through faults

State joins the members of a zone with a core for each engine that this VM schedules. A higher limit holds only after a list of the engine's attempts that was asked for since the shares allow it. Leases of a holder that can't be reached are kept until their deadline instead of being cancelled: behind a split the holder still uses them.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -12,8 +12,9 @@
 	// Term is the time after which a lease that is not renewed expires.
 	Term time.Duration
 	// CancelGrace is the time between the expiry of a lease and the first
-	// order to the engine to cancel its attempt. A holder that comes back
-	// within it keeps its stream.
+	// order to the engine to cancel its attempt, while its holder is alive.
+	// Leases of a holder that cannot be reached are kept until the deadline
+	// of the attempt: behind a split, the holder still uses them.
 	CancelGrace time.Duration
 	// CancelInterval is the time between two cancel orders for an attempt.
 	CancelInterval time.Duration
@@ -67,6 +68,8 @@
 	// LatestStart is the last time at which the request can start and still
 	// finish by its deadline.
 	LatestStart time.Time
+	// Deadline is when the attempt has ended at the latest.
+	Deadline time.Time
 }
 
 // DecisionKind tells what was decided on a request.
--- a/internal/capacity/core.go
+++ b/internal/capacity/core.go
@@ -112,6 +112,14 @@
 	return true
 }
 
+// RefuseAll refuses all waiting requests.
+func (c *Core) RefuseAll(kind DecisionKind) {
+	for _, request := range c.queue.requests {
+		c.decide(request.Attempt, kind)
+	}
+	c.queue.requests = nil
+}
+
 // Take returns the decisions since the last call.
 func (c *Core) Take() []Decision {
 	decisions := c.decisions
--- a/internal/capacity/core_test.go
+++ b/internal/capacity/core_test.go
@@ -24,8 +24,12 @@
 	return core
 }
 
+func holderAlive(string) bool { return true }
+
+func holderUnreachable(string) bool { return false }
+
 func short(attempt string, tokens int64) Request {
-	return Request{Attempt: attempt, Holder: "vm-1", Tokens: tokens, PrefillTokens: tokens, Short: true, LatestStart: start.Add(10 * time.Second)}
+	return Request{Attempt: attempt, Holder: "vm-1", Tokens: tokens, PrefillTokens: tokens, Short: true, LatestStart: start.Add(10 * time.Second), Deadline: start.Add(20 * time.Second)}
 }
 
 func long(attempt string, tokens int64) Request {
@@ -95,7 +99,7 @@
 	assert.Equal(t, []Decision{{"q0", RefusedQueueFull}}, core.Take(), "the one with most slack makes room")
 	core.Acquire(long("huge", 1001), start)
 	assert.Equal(t, []Decision{{"huge", RefusedTooLarge}}, core.Take())
-	core.Expire(start.Add(7 * time.Second))
+	core.Expire(holderAlive, start.Add(7*time.Second))
 	assert.Equal(t, []Decision{{"q3", RefusedNoTime}}, core.Take())
 	core.Release("l0", false, start.Add(7*time.Second))
 	assert.Equal(t, granted("urgent", "q2", "q1"), core.Take())
@@ -107,10 +111,10 @@
 	cases := map[string]func(core *Core) time.Time{
 		"holder died: the lease expires and the engine confirms the cancel": func(core *Core) time.Time {
 			now := start.Add(2 * time.Second)
-			core.Expire(now)
+			core.Expire(holderAlive, now)
 			assert.Empty(t, core.Cancels(now), "within the grace")
 			now = now.Add(2 * time.Second)
-			core.Expire(now)
+			core.Expire(holderAlive, now)
 			assert.Equal(t, []string{"l1"}, core.Cancels(now))
 			assert.Empty(t, core.Cancels(now), "not twice at once")
 			assert.Equal(t, []string{"l1"}, core.Cancels(now.Add(time.Second)), "sent again until it is confirmed")
@@ -118,6 +122,16 @@
 			core.Confirm([]string{"l1"}, now)
 			return now
 		},
+		"holder out of reach: kept until the deadline": func(core *Core) time.Time {
+			core.Expire(holderUnreachable, start.Add(2*time.Second))
+			core.Expire(holderUnreachable, start.Add(20*time.Second))
+			assert.Empty(t, core.Cancels(start.Add(20*time.Second)))
+			now := start.Add(21 * time.Second)
+			core.Expire(holderUnreachable, now)
+			assert.Equal(t, []string{"l1"}, core.Cancels(now))
+			core.List(nil, now.Add(1), now.Add(1))
+			return now.Add(1)
+		},
 		"release with the memory still held": func(core *Core) time.Time {
 			core.Release("l1", true, start)
 			assert.Empty(t, core.Take())
@@ -128,7 +142,7 @@
 			return start.Add(4)
 		},
 		"late release of an expired lease": func(core *Core) time.Time {
-			core.Expire(start.Add(2 * time.Second))
+			core.Expire(holderAlive, start.Add(2*time.Second))
 			core.Release("l1", false, start.Add(3*time.Second))
 			return start.Add(3 * time.Second)
 		},
@@ -137,7 +151,9 @@
 		t.Run(name, func(t *testing.T) {
 			core := testCore()
 			core.Acquire(long("l1", 1000), start)
-			core.Acquire(long("l2", 1000), start)
+			waiting := long("l2", 1000)
+			waiting.LatestStart = start.Add(time.Minute)
+			core.Acquire(waiting, start)
 			require.Equal(t, granted("l1"), core.Take())
 			now := end(core)
 			assert.Equal(t, granted("l2"), core.Take())
@@ -154,7 +170,7 @@
 	core.Acquire(long("l1", 1000), start)
 	for i := 1; i <= 10; i++ {
 		now := start.Add(time.Duration(i) * 3 * time.Second)
-		core.Expire(now)
+		core.Expire(holderAlive, now)
 		require.Empty(t, core.Cancels(now))
 		require.True(t, core.Renew(long("l1", 1000), false, now))
 	}
--- a/internal/capacity/reconcile.go
+++ b/internal/capacity/reconcile.go
@@ -7,14 +7,15 @@
 const freedMemory = 4
 
 // Expire moves leases along that were not renewed: they expire after their
-// term, and are cancelled after the grace. It forgets old releases.
-func (c *Core) Expire(now time.Time) {
+// term. They are cancelled after the grace if alive tells that their holder
+// is, and after their deadline otherwise. It forgets old releases.
+func (c *Core) Expire(alive func(holder string) bool, now time.Time) {
 	for _, held := range c.leases {
 		if held.state == leaseActive && !now.Before(held.expires) {
 			held.state = leaseExpired
 			held.since = now
 		}
-		if held.state == leaseExpired && now.Sub(held.since) >= c.config.CancelGrace {
+		if held.state == leaseExpired && c.abandoned(held, alive, now) {
 			c.orphan(held, now)
 		}
 	}
@@ -26,6 +27,13 @@
 	c.schedule(now)
 }
 
+func (c *Core) abandoned(expired *lease, alive func(holder string) bool, now time.Time) bool {
+	if now.Sub(expired.since) < c.config.CancelGrace {
+		return false
+	}
+	return alive(expired.request.Holder) || now.After(expired.request.Deadline)
+}
+
 // Cancels returns the attempts to cancel on the engine now: orphans, and
 // attempts without a lease that are older than any admitted request may be.
 // Each is returned again after Config.CancelInterval until it is confirmed.
--- /dev/null
+++ b/internal/capacity/state.go
@@ -0,0 +1,226 @@
+package capacity
+
+import "time"
+
+// ServerDecision is a decision on a request to one engine.
+type ServerDecision struct {
+	Server string
+	Decision
+}
+
+// CancelOrder asks the engine to cancel attempts and free their memory.
+type CancelOrder struct {
+	Server   string
+	Attempts []string
+}
+
+// Work is what a tick asks the shell to do.
+type Work struct {
+	// Lists names the engines whose attempts are to be listed.
+	Lists   []string
+	Cancels []CancelOrder
+}
+
+// Engine is a live engine of the zone.
+type Engine struct {
+	Server      string
+	Incarnation uint64
+	Memory      int64
+}
+
+// State is the control state of one VM's schedulers: the members of its zone
+// and a Core for each engine that this VM schedules. It is pure and not safe
+// for concurrent use.
+type State struct {
+	self    string
+	config  Config
+	members *Members
+	engines map[string]*engineState
+	decided []ServerDecision
+}
+
+// engineState is what one scheduler knows of its engine.
+type engineState struct {
+	engine Engine
+	core   *Core
+	// target is the memory that the shares of this VM allow, and since the
+	// time from which they do.
+	target   int64
+	since    time.Time
+	listedAt time.Time
+}
+
+// NewState returns the state of VM self at its start, where names lists the
+// entry VMs of its zone.
+func NewState(self string, names []string, config Config) *State {
+	return &State{self: self, config: config, members: NewMembers(self, names, config.Term), engines: map[string]*engineState{}}
+}
+
+// Members returns the members of the zone.
+func (s *State) Members() *Members { return s.members }
+
+// Alive reports whether a VM of the zone is alive in this VM's view.
+func (s *State) Alive(vm string) bool {
+	for _, name := range s.members.live {
+		if name == vm {
+			return true
+		}
+	}
+	return false
+}
+
+// SetConfig replaces the configuration, after a change of the bundle.
+func (s *State) SetConfig(config Config, now time.Time) {
+	s.config = config
+	for _, engine := range s.engines {
+		engine.core.SetConfig(config, now)
+	}
+}
+
+// Tick brings the engines up to date and returns the work that is due.
+func (s *State) Tick(live []Engine, now time.Time) Work {
+	s.members.Update(now)
+	s.syncEngines(live)
+	var work Work
+	for server, engine := range s.engines {
+		s.applyShares(server, engine, now)
+		engine.core.Expire(s.Alive, now)
+		if now.Sub(engine.listedAt) >= s.config.Term/2 {
+			work.Lists = append(work.Lists, server)
+		}
+		if attempts := engine.core.Cancels(now); len(attempts) > 0 {
+			work.Cancels = append(work.Cancels, CancelOrder{Server: server, Attempts: attempts})
+		}
+		s.collect(server, engine)
+	}
+	return work
+}
+
+// syncEngines keeps a core for each live engine that this VM schedules. The
+// engine of a new incarnation starts empty.
+func (s *State) syncEngines(live []Engine) {
+	current := make(map[string]bool, len(live))
+	for _, engine := range live {
+		if s.members.SchedulerOf(engine.Server) != s.self {
+			continue
+		}
+		current[engine.Server] = true
+		if known, found := s.engines[engine.Server]; found && known.engine == engine {
+			continue
+		}
+		s.drop(engine.Server)
+		s.engines[engine.Server] = &engineState{engine: engine, core: NewCore(engine.Memory, s.config)}
+	}
+	for server := range s.engines {
+		if !current[server] {
+			s.drop(server)
+			s.members.Forget(server)
+		}
+	}
+}
+
+// drop gives up an engine. Its leases pass to the next scheduler, which finds
+// them on the engine and hears of them by the holders' renewals.
+func (s *State) drop(server string) {
+	if engine, found := s.engines[server]; found {
+		engine.core.RefuseAll(RefusedNotScheduler)
+		s.collect(server, engine)
+		delete(s.engines, server)
+	}
+}
+
+// applyShares sets the limit of an engine. A lower limit holds at once; a
+// higher one only after a list of the engine's attempts that was asked for
+// since the shares allow it.
+func (s *State) applyShares(server string, engine *engineState, now time.Time) {
+	held, total := s.members.Shares(server, now)
+	target := engine.engine.Memory * int64(held) / int64(total)
+	if target != engine.target {
+		engine.target, engine.since = target, now
+	}
+	if target < engine.core.limit || target > engine.core.limit && engine.listedAt.After(engine.since) {
+		engine.core.SetLimit(target, now)
+	}
+}
+
+// Acquire decides on a request to server, now or later.
+func (s *State) Acquire(server string, request Request, now time.Time) {
+	engine, found := s.engines[server]
+	if !found {
+		s.decided = append(s.decided, ServerDecision{Server: server, Decision: Decision{Attempt: request.Attempt, Kind: RefusedNotScheduler}})
+		return
+	}
+	engine.core.Acquire(request, now)
+	s.collect(server, engine)
+}
+
+// Renew extends a lease; see Core.Renew.
+func (s *State) Renew(server string, request Request, prefilling bool, now time.Time) bool {
+	engine, found := s.engines[server]
+	if !found {
+		return false
+	}
+	renewed := engine.core.Renew(request, prefilling, now)
+	s.collect(server, engine)
+	return renewed
+}
+
+// FirstToken ends the prefill of an attempt.
+func (s *State) FirstToken(server, attempt string, now time.Time) {
+	if engine, found := s.engines[server]; found {
+		engine.core.FirstToken(attempt, now)
+		s.collect(server, engine)
+	}
+}
+
+// Release ends an attempt; see Core.Release.
+func (s *State) Release(server, attempt string, held bool, now time.Time) {
+	if engine, found := s.engines[server]; found {
+		engine.core.Release(attempt, held, now)
+		s.collect(server, engine)
+	}
+}
+
+// Listed takes the answer of an engine that was asked at askedAt.
+func (s *State) Listed(server string, incarnation uint64, held []HeldAttempt, askedAt, now time.Time) {
+	engine, found := s.engines[server]
+	if !found || engine.engine.Incarnation != incarnation {
+		return
+	}
+	engine.core.List(held, askedAt, now)
+	engine.listedAt = askedAt
+	s.applyShares(server, engine, now)
+	s.collect(server, engine)
+}
+
+// Confirmed takes the attempts that an engine has freed.
+func (s *State) Confirmed(server string, incarnation uint64, attempts []string, now time.Time) {
+	engine, found := s.engines[server]
+	if !found || engine.engine.Incarnation != incarnation {
+		return
+	}
+	engine.core.Confirm(attempts, now)
+	s.collect(server, engine)
+}
+
+// Take returns the decisions since the last call.
+func (s *State) Take() []ServerDecision {
+	decided := s.decided
+	s.decided = nil
+	return decided
+}
+
+// Usage returns the use of each engine that this VM schedules.
+func (s *State) Usage() map[string]Usage {
+	usage := make(map[string]Usage, len(s.engines))
+	for server, engine := range s.engines {
+		usage[server] = engine.core.Usage()
+	}
+	return usage
+}
+
+func (s *State) collect(server string, engine *engineState) {
+	for _, decision := range engine.core.Take() {
+		s.decided = append(s.decided, ServerDecision{Server: server, Decision: decision})
+	}
+}
