Learn prefill and decode speed of engines from their answers

Admission has to know how long a request will take. Time for each prompt token is learned by engine, model and prompt length, without what the prefix cache held and with the queue ahead; outliers and state are bounded.

--- /dev/null
+++ b/internal/estimate/estimate.go
@@ -0,0 +1,210 @@
+// Package estimate learns how fast engines prefill and decode from what they
+// did, and estimates when a request would finish.
+package estimate
+
+import (
+	"math/bits"
+	"time"
+)
+
+const (
+	// defaultPrefill is the assumed time for one prompt token on an engine of
+	// which nothing is known.
+	defaultPrefill = 50 * time.Microsecond
+	// defaultDecode is the assumed time between two tokens.
+	defaultDecode = 30 * time.Millisecond
+	// defaultAnswerShare is the assumed length of an answer as a share of the
+	// longest that was asked for.
+	defaultAnswerShare = 0.5
+	// minWeight is the weight of the newest sample in a running average.
+	minWeight = 0.1
+	// maxOutlier bounds a sample to this multiple of the average, so that one
+	// stall does not close an engine.
+	maxOutlier = 8
+	// minSamples is the number of samples after which outliers are bounded.
+	minSamples = 8
+	// lengthBuckets is the number of prompt lengths, by powers of two from
+	// firstBucketTokens on, that are learned apart: time for each token grows
+	// with the length.
+	lengthBuckets     = 12
+	firstBucketTokens = 1024
+	// maxServers bounds the engines that are kept apart.
+	maxServers = 4096
+)
+
+// average is an exponentially weighted running average.
+type average struct {
+	value   float64
+	samples int
+}
+
+func (a *average) add(sample float64) {
+	if a.samples >= minSamples {
+		sample = min(sample, a.value*maxOutlier)
+	}
+	weight := max(minWeight, 1/float64(a.samples+1))
+	a.value += (sample - a.value) * weight
+	a.samples++
+}
+
+// speed is what was learned of one engine and model. Times are in seconds for
+// one token.
+type speed struct {
+	prefill  [lengthBuckets]average
+	decode   average
+	lastUsed time.Time
+}
+
+// Key names a model on an engine.
+type Key struct {
+	Server string
+	Model  string
+}
+
+// Estimator holds what was learned. It is not safe for concurrent use.
+type Estimator struct {
+	servers map[Key]*speed
+	models  map[string]*speed
+	answers map[string]*average
+}
+
+// New returns an Estimator that knows nothing yet.
+func New() *Estimator {
+	return &Estimator{servers: map[Key]*speed{}, models: map[string]*speed{}, answers: map[string]*average{}}
+}
+
+// Observation is what one attempt has shown.
+type Observation struct {
+	Key          Key
+	PromptTokens int64
+	CachedTokens int64
+	// AheadTokens is the prefill that was in progress or queued on the engine
+	// when the attempt was sent.
+	AheadTokens int64
+	// FirstToken is the time from sending to the first token.
+	FirstToken time.Duration
+	// AnswerTokens is the number of tokens received, and Decode the time from
+	// the first to the last of them.
+	AnswerTokens int64
+	Decode       time.Duration
+	// AnswerLimit is the longest answer that was asked for, and Complete
+	// whether the answer came to its own end.
+	AnswerLimit int64
+	Complete    bool
+}
+
+// Learn takes an observation into account.
+func (e *Estimator) Learn(o Observation, now time.Time) {
+	for _, known := range []*speed{e.server(o.Key, now), e.model(o.Key.Model)} {
+		if worked := o.PromptTokens - o.CachedTokens + o.AheadTokens; worked > 0 && o.FirstToken > 0 {
+			known.prefill[bucket(o.PromptTokens)].add(o.FirstToken.Seconds() / float64(worked))
+		}
+		if o.AnswerTokens > 1 && o.Decode > 0 {
+			known.decode.add(o.Decode.Seconds() / float64(o.AnswerTokens-1))
+		}
+	}
+	if o.Complete && o.AnswerLimit > 0 {
+		e.answer(o.Key.Model).add(float64(o.AnswerTokens) / float64(o.AnswerLimit))
+	}
+}
+
+func (e *Estimator) server(key Key, now time.Time) *speed {
+	known, found := e.servers[key]
+	if !found {
+		e.makeRoom()
+		known = &speed{}
+		e.servers[key] = known
+	}
+	known.lastUsed = now
+	return known
+}
+
+// makeRoom drops the engine that was used longest ago once there are
+// maxServers of them.
+func (e *Estimator) makeRoom() {
+	if len(e.servers) < maxServers {
+		return
+	}
+	var oldest Key
+	var at time.Time
+	for key, known := range e.servers {
+		if at.IsZero() || known.lastUsed.Before(at) {
+			oldest, at = key, known.lastUsed
+		}
+	}
+	delete(e.servers, oldest)
+}
+
+func (e *Estimator) model(name string) *speed {
+	known, found := e.models[name]
+	if !found {
+		known = &speed{}
+		e.models[name] = known
+	}
+	return known
+}
+
+func (e *Estimator) answer(model string) *average {
+	known, found := e.answers[model]
+	if !found {
+		known = &average{}
+		e.answers[model] = known
+	}
+	return known
+}
+
+// bucket returns the index of the prompt lengths that tokens belongs to.
+func bucket(tokens int64) int {
+	return min(bits.Len64(uint64(max(tokens, 0)/firstBucketTokens)), lengthBuckets-1)
+}
+
+// nearest returns the learned average whose prompt length is closest.
+func (s *speed) nearest(at int) (float64, bool) {
+	for distance := range lengthBuckets {
+		for _, i := range [2]int{at - distance, at + distance} {
+			if i >= 0 && i < lengthBuckets && s.prefill[i].samples > 0 {
+				return s.prefill[i].value, true
+			}
+		}
+	}
+	return 0, false
+}
+
+// Prefill estimates the time in which the engine processes tokens of prompts,
+// at the speed that it shows for prompts of length promptTokens.
+func (e *Estimator) Prefill(key Key, promptTokens, tokens int64) time.Duration {
+	at := bucket(promptTokens)
+	if known, found := e.servers[key]; found {
+		if perToken, learned := known.nearest(at); learned {
+			return seconds(perToken * float64(tokens))
+		}
+	}
+	if known, found := e.models[key.Model]; found {
+		if perToken, learned := known.nearest(at); learned {
+			return seconds(perToken * float64(tokens))
+		}
+	}
+	return time.Duration(tokens) * defaultPrefill
+}
+
+// Decode estimates the time in which the engine generates tokens.
+func (e *Estimator) Decode(key Key, tokens int64) time.Duration {
+	if known, found := e.servers[key]; found && known.decode.samples > 0 {
+		return seconds(known.decode.value * float64(tokens))
+	}
+	if known, found := e.models[key.Model]; found && known.decode.samples > 0 {
+		return seconds(known.decode.value * float64(tokens))
+	}
+	return time.Duration(tokens) * defaultDecode
+}
+
+// AnswerTokens estimates the length of an answer of at most limit tokens.
+func (e *Estimator) AnswerTokens(model string, limit int64) int64 {
+	share := defaultAnswerShare
+	if known, found := e.answers[model]; found && known.samples > 0 {
+		share = min(1, known.value)
+	}
+	return int64(share * float64(limit))
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/estimate/estimate_test.go
@@ -0,0 +1,55 @@
+package estimate
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+var now = time.Unix(1_000_000, 0)
+
+func observe(e *Estimator, server string, prompt, cached, ahead int64, firstToken time.Duration) {
+	e.Learn(Observation{
+		Key: Key{server, "m"}, PromptTokens: prompt, CachedTokens: cached, AheadTokens: ahead, FirstToken: firstToken,
+		AnswerTokens: 101, Decode: 2 * time.Second, AnswerLimit: 404, Complete: true,
+	}, now)
+}
+
+func TestPrefillIsLearnedByServerAndLength(t *testing.T) {
+	e := New()
+	assert.Equal(t, 50*time.Millisecond, e.Prefill(Key{"e1", "m"}, 1000, 1000), "the default")
+	for range 50 {
+		observe(e, "e1", 1000, 0, 0, 20*time.Millisecond)
+		observe(e, "e1", 100_000, 0, 0, 8*time.Second)
+		observe(e, "e2", 1000, 500, 500, 100*time.Millisecond)
+	}
+	assert.InDelta(t, 20, e.Prefill(Key{"e1", "m"}, 1000, 1000).Milliseconds(), 1)
+	assert.InDelta(t, 8000, e.Prefill(Key{"e1", "m"}, 100_000, 100_000).Milliseconds(), 10, "longer prompts cost more for each token")
+	assert.InDelta(t, 100, e.Prefill(Key{"e2", "m"}, 1000, 1000).Milliseconds(), 1, "cached tokens and the queue ahead are accounted for")
+	assert.InDelta(t, 60, e.Prefill(Key{"e3", "m"}, 1000, 1000).Milliseconds(), 30, "an unknown engine is taken for one like the others")
+	assert.InDelta(t, 2000, e.Decode(Key{"e1", "m"}, 100).Milliseconds(), 1)
+	assert.Equal(t, int64(250), e.AnswerTokens("m", 1000))
+}
+
+func TestOneStallDoesNotCloseAnEngine(t *testing.T) {
+	e := New()
+	for range 20 {
+		observe(e, "e1", 1000, 0, 0, 20*time.Millisecond)
+	}
+	observe(e, "e1", 1000, 0, 0, time.Minute)
+	assert.Less(t, e.Prefill(Key{"e1", "m"}, 1000, 1000), 40*time.Millisecond)
+	for range 100 {
+		observe(e, "e1", 1000, 0, 0, time.Second)
+	}
+	assert.Greater(t, e.Prefill(Key{"e1", "m"}, 1000, 1000), 900*time.Millisecond, "a lasting slowdown is learned")
+}
+
+func TestStateIsBounded(t *testing.T) {
+	e := New()
+	for i := range maxServers + 100 {
+		e.Learn(Observation{Key: Key{fmt.Sprint(i), "m"}}, now.Add(time.Duration(i)))
+	}
+	assert.Len(t, e.servers, maxServers)
+}
