Schedule the engines of a model together

One scheduler for each engine leaves the choice between engines to stale reports. All engines of a model in a zone now share a scheduler, which picks the one with the shortest exact wait. An engine that changes its group is granted on only after the former scheduler must have heard of it.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -72,6 +72,16 @@
 	Deadline time.Time
 }
 
+// Choice is an engine that may serve a request.
+type Choice struct {
+	Server string
+	// PrefillTokens is the part of the prompt that this engine is expected
+	// to process, without what its prefix cache holds.
+	PrefillTokens int64
+	// TokenTime is the expected time for one prompt token on this engine.
+	TokenTime time.Duration
+}
+
 // DecisionKind tells what was decided on a request.
 type DecisionKind int
 
@@ -97,6 +107,9 @@
 	Kind    DecisionKind
 }
 
+// Refused reports whether the request was decided against.
+func (k DecisionKind) Refused() bool { return k != Granted }
+
 // HeldAttempt is an attempt that holds memory, as the engine lists it.
 type HeldAttempt struct {
 	Attempt string
@@ -117,9 +130,11 @@
 	Foreign int64
 	// LongPrefill is the prompt tokens of long requests in prefill.
 	LongPrefill int64
-	Waiting     int
-	Leases      int
-	Orphans     int
+	// Prefill is the prompt tokens of all requests in prefill.
+	Prefill int64
+	Waiting int
+	Leases  int
+	Orphans int
 }
 
 // Leased returns the memory that the scheduler has granted and not got back.
--- a/internal/capacity/core.go
+++ b/internal/capacity/core.go
@@ -18,6 +18,7 @@
 	request    Request
 	state      leaseState
 	prefilling bool
+	granted    time.Time
 	// expires is when an active lease expires; since is when it left the
 	// active state.
 	expires    time.Time
@@ -41,9 +42,11 @@
 	// cancels holds when attempts without a lease were last cancelled.
 	cancels map[string]time.Time
 
-	long, short, foreignTokens, longPrefill int64
-	orphans                                 int
-	decisions                               []Decision
+	long, short, foreignTokens, longPrefill, prefill int64
+	orphans                                          int
+	// hold is the running average of the time that leases are held.
+	hold      time.Duration
+	decisions []Decision
 }
 
 // NewCore returns the core for an engine with memory tokens. It grants nothing
@@ -192,14 +195,18 @@
 
 // insert adds a lease.
 func (c *Core) insert(request Request, prefilling bool, now time.Time) {
-	added := &lease{request: request, state: leaseActive, prefilling: prefilling, expires: now.Add(c.config.Term)}
+	added := &lease{request: request, state: leaseActive, prefilling: prefilling, granted: now, expires: now.Add(c.config.Term)}
 	c.leases[request.Attempt] = added
 	if request.Short {
 		c.short += request.Tokens
+	} else {
+		c.long += request.Tokens
+	}
+	if !prefilling {
 		return
 	}
-	c.long += request.Tokens
-	if prefilling {
+	c.prefill += request.PrefillTokens
+	if !request.Short {
 		c.longPrefill += request.PrefillTokens
 	}
 }
@@ -208,6 +215,7 @@
 func (c *Core) free(attempt string, now time.Time) {
 	held := c.leases[attempt]
 	c.endPrefill(held)
+	c.learnHold(now.Sub(held.granted))
 	if held.state == leaseOrphan {
 		c.orphans--
 	}
@@ -228,16 +236,40 @@
 }
 
 func (c *Core) endPrefill(held *lease) {
-	if held.prefilling && !held.request.Short {
-		c.longPrefill -= held.request.PrefillTokens
+	if !held.prefilling {
+		return
 	}
 	held.prefilling = false
+	c.prefill -= held.request.PrefillTokens
+	if !held.request.Short {
+		c.longPrefill -= held.request.PrefillTokens
+	}
 }
 
 // Usage returns how the memory is used.
 func (c *Core) Usage() Usage {
 	return Usage{
 		Memory: c.memory, Limit: c.limit, Long: c.long, Short: c.short, Foreign: c.foreignTokens,
-		LongPrefill: c.longPrefill, Waiting: c.queue.len(), Leases: len(c.leases), Orphans: c.orphans,
+		LongPrefill: c.longPrefill, Prefill: c.prefill, Waiting: c.queue.len(), Leases: len(c.leases), Orphans: c.orphans,
+	}
+}
+
+// holdWeight is the weight of the newest lease in the average, as a divisor.
+const holdWeight = 16
+
+func (c *Core) learnHold(held time.Duration) {
+	c.hold += (held - c.hold) / holdWeight
+}
+
+// Wait estimates how long request would wait for its first token: for memory,
+// for the prefill ahead and for its own.
+func (c *Core) Wait(request Request, tokenTime time.Duration) time.Duration {
+	wait := time.Duration(c.prefill+request.PrefillTokens) * tokenTime
+	if c.queue.len() == 0 && c.admits(request, nil) {
+		return wait
+	}
+	for _, ahead := range c.queue.requests {
+		wait += time.Duration(ahead.PrefillTokens) * tokenTime
 	}
+	return wait + c.hold/time.Duration(max(len(c.leases), 1))*time.Duration(c.queue.len()+1)
 }
--- a/internal/capacity/members.go
+++ b/internal/capacity/members.go
@@ -10,8 +10,8 @@
 // the share, one until the last lease granted on it is in use or expired.
 const settleTerms = 2
 
-// Members tells which VM of a zone schedules an engine, and how much of the
-// engine's memory a scheduler may grant. Each entry VM of the zone, as listed
+// Members tells which VM of a zone schedules a group of engines, and how much of
+// their memory a scheduler may grant. Each entry VM of the zone, as listed
 // in the settings, stands for an equal share of each engine's memory and
 // gives it to the one VM that it takes for the scheduler. When the zone is
 // split, each side grants only the shares of the VMs that it can ask, so the
@@ -77,9 +77,9 @@
 
 // dropMoved forgets the engines that the peer no longer gives to self.
 func (p *peer) dropMoved(self string) {
-	for server := range p.since {
-		if Scheduler(server, p.view) != self {
-			delete(p.since, server)
+	for group := range p.since {
+		if Scheduler(group, p.view) != self {
+			delete(p.since, group)
 		}
 	}
 }
@@ -101,36 +101,29 @@
 // this VM answers to others. The result must not be changed.
 func (m *Members) View() []string { return m.live }
 
-// SchedulerOf returns the VM that schedules server by this VM's view.
-func (m *Members) SchedulerOf(server string) string { return Scheduler(server, m.live) }
+// SchedulerOf returns the VM that schedules group by this VM's view.
+func (m *Members) SchedulerOf(group string) string { return Scheduler(group, m.live) }
 
-// Shares returns how many shares of server's memory this VM may grant at now,
+// Shares returns how many shares of group's memory this VM may grant at now,
 // and the number of all shares.
-func (m *Members) Shares(server string, now time.Time) (held, total int) {
+func (m *Members) Shares(group string, now time.Time) (held, total int) {
 	for _, name := range m.names {
-		if m.peers[name].gives(server, m.self, m.term, now) {
+		if m.peers[name].gives(group, m.self, m.term, now) {
 			held++
 		}
 	}
 	return held, len(m.names)
 }
 
-// gives reports whether the peer's share of server is self's to grant.
-func (p *peer) gives(server, self string, term time.Duration, now time.Time) bool {
-	if p.askedAt.IsZero() || now.Sub(p.askedAt) >= term || Scheduler(server, p.view) != self {
+// gives reports whether the peer's share of group is self's to grant.
+func (p *peer) gives(group, self string, term time.Duration, now time.Time) bool {
+	if p.askedAt.IsZero() || now.Sub(p.askedAt) >= term || Scheduler(group, p.view) != self {
 		return false
 	}
-	since, found := p.since[server]
+	since, found := p.since[group]
 	if !found {
-		p.since[server] = now
+		p.since[group] = now
 		return false
 	}
 	return now.Sub(since) >= settleTerms*term
 }
-
-// Forget drops what is kept of a server that is gone.
-func (m *Members) Forget(server string) {
-	for _, p := range m.peers {
-		delete(p.since, server)
-	}
-}
--- a/internal/capacity/rendezvous.go
+++ b/internal/capacity/rendezvous.go
@@ -2,13 +2,13 @@
 
 import "hash/fnv"
 
-// Scheduler returns the VM among live that schedules server, by rendezvous
-// hashing: when a VM comes or goes, only its own servers move. It returns ""
+// Scheduler returns the VM among live that schedules group, by rendezvous
+// hashing: when a VM comes or goes, only its own groups move. It returns ""
 // when live is empty.
-func Scheduler(server string, live []string) string {
+func Scheduler(group string, live []string) string {
 	best, bestWeight := "", uint64(0)
 	for _, vm := range live {
-		weight := rendezvousWeight(server, vm)
+		weight := rendezvousWeight(group, vm)
 		if best == "" || weight > bestWeight || (weight == bestWeight && vm < best) {
 			best, bestWeight = vm, weight
 		}
@@ -16,9 +16,9 @@
 	return best
 }
 
-func rendezvousWeight(server, vm string) uint64 {
+func rendezvousWeight(group, vm string) uint64 {
 	hash := fnv.New64a()
-	_, _ = hash.Write([]byte(server))
+	_, _ = hash.Write([]byte(group))
 	_, _ = hash.Write([]byte{0})
 	_, _ = hash.Write([]byte(vm))
 	return mix(hash.Sum64())
--- a/internal/capacity/state.go
+++ b/internal/capacity/state.go
@@ -26,6 +26,9 @@
 	Server      string
 	Incarnation uint64
 	Memory      int64
+	// Group names the engines that share a scheduler, so that it can choose
+	// between them: those that serve the same model.
+	Group string
 }
 
 // State is the control state of one VM's schedulers: the members of its zone
@@ -48,6 +51,9 @@
 	target   int64
 	since    time.Time
 	listedAt time.Time
+	// settled is when a former scheduler, which may not have heard yet that
+	// the engine is another's, grants nothing any more.
+	settled time.Time
 }
 
 // NewState returns the state of VM self at its start, where names lists the
@@ -80,7 +86,7 @@
 // Tick brings the engines up to date and returns the work that is due.
 func (s *State) Tick(live []Engine, now time.Time) Work {
 	s.members.Update(now)
-	s.syncEngines(live)
+	s.syncEngines(live, now)
 	var work Work
 	for server, engine := range s.engines {
 		s.applyShares(server, engine, now)
@@ -98,10 +104,10 @@
 
 // syncEngines keeps a core for each live engine that this VM schedules. The
 // engine of a new incarnation starts empty.
-func (s *State) syncEngines(live []Engine) {
+func (s *State) syncEngines(live []Engine, now time.Time) {
 	current := make(map[string]bool, len(live))
 	for _, engine := range live {
-		if s.members.SchedulerOf(engine.Server) != s.self {
+		if s.members.SchedulerOf(engine.Group) != s.self {
 			continue
 		}
 		current[engine.Server] = true
@@ -109,12 +115,13 @@
 			continue
 		}
 		s.drop(engine.Server)
-		s.engines[engine.Server] = &engineState{engine: engine, core: NewCore(engine.Memory, s.config)}
+		s.engines[engine.Server] = &engineState{
+			engine: engine, core: NewCore(engine.Memory, s.config), settled: now.Add(settleTerms * s.config.Term),
+		}
 	}
 	for server := range s.engines {
 		if !current[server] {
 			s.drop(server)
-			s.members.Forget(server)
 		}
 	}
 }
@@ -133,8 +140,11 @@
 // higher one only after a list of the engine's attempts that was asked for
 // since the shares allow it.
 func (s *State) applyShares(server string, engine *engineState, now time.Time) {
-	held, total := s.members.Shares(server, now)
+	held, total := s.members.Shares(engine.engine.Group, now)
 	target := engine.engine.Memory * int64(held) / int64(total)
+	if now.Before(engine.settled) {
+		target = 0
+	}
 	if target != engine.target {
 		engine.target, engine.since = target, now
 	}
@@ -143,15 +153,36 @@
 	}
 }
 
-// Acquire decides on a request to server, now or later.
-func (s *State) Acquire(server string, request Request, now time.Time) {
-	engine, found := s.engines[server]
-	if !found {
-		s.decided = append(s.decided, ServerDecision{Server: server, Decision: Decision{Attempt: request.Attempt, Kind: RefusedNotScheduler}})
+// Acquire decides on a request, now or later, for the one of choices that is
+// expected to deliver the first token earliest.
+func (s *State) Acquire(request Request, choices []Choice, now time.Time) {
+	chosen := s.choose(request, choices)
+	if chosen == nil {
+		s.decided = append(s.decided, ServerDecision{Decision: Decision{Attempt: request.Attempt, Kind: RefusedNotScheduler}})
 		return
 	}
+	engine := s.engines[chosen.Server]
+	request.PrefillTokens = chosen.PrefillTokens
 	engine.core.Acquire(request, now)
-	s.collect(server, engine)
+	s.collect(chosen.Server, engine)
+}
+
+// choose returns the best of choices, or nil when this VM may grant on none.
+func (s *State) choose(request Request, choices []Choice) *Choice {
+	var best *Choice
+	var bestWait time.Duration
+	for i := range choices {
+		engine, found := s.engines[choices[i].Server]
+		if !found || engine.core.limit < request.Tokens {
+			continue
+		}
+		request.PrefillTokens = choices[i].PrefillTokens
+		wait := engine.core.Wait(request, choices[i].TokenTime)
+		if best == nil || wait < bestWait {
+			best, bestWait = &choices[i], wait
+		}
+	}
+	return best
 }
 
 // Renew extends a lease; see Core.Renew.
--- a/internal/capacity/state_rapid_test.go
+++ b/internal/capacity/state_rapid_test.go
@@ -73,7 +73,7 @@
 func (m *leaseModel) tick() {
 	m.now = m.now.Add(m.stepTime)
 	for _, name := range m.names {
-		work := m.states[name].Tick([]Engine{{Server: modelServer, Incarnation: 1, Memory: modelMemory}}, m.now)
+		work := m.states[name].Tick([]Engine{{Server: modelServer, Incarnation: 1, Memory: modelMemory, Group: modelServer}}, m.now)
 		m.perform(name, work)
 	}
 	for _, from := range m.names {
@@ -149,7 +149,7 @@
 	added := &attemptModel{request: request, scheduler: scheduler}
 	m.attempts = append(m.attempts, added)
 	m.byName[request.Attempt] = added
-	m.states[scheduler].Acquire(modelServer, request, m.now)
+	m.states[scheduler].Acquire(request, []Choice{{Server: modelServer}}, m.now)
 	m.collect()
 }
 
@@ -292,6 +292,8 @@
 		m.check()
 	}
 	m.mute[scheduler] = false
-	m.tick()
+	for range 4 {
+		m.tick()
+	}
 	assert.Equal(t, int64(modelMemory), m.states[scheduler].Usage()[modelServer].Limit)
 }
