--- a/internal/capacity/state.go
+++ b/internal/capacity/state.go
@@ -10,14 +10,14 @@
 
 // CancelOrder asks the engine to cancel attempts and free their memory.
 type CancelOrder struct {
-	Server   string
+	Engine   Engine
 	Attempts []string
 }
 
 // Work is what a tick asks the shell to do.
 type Work struct {
-	// Lists names the engines whose attempts are to be listed.
-	Lists   []string
+	// Lists holds the engines whose attempts are to be listed.
+	Lists   []Engine
 	Cancels []CancelOrder
 }
 
@@ -25,7 +25,9 @@
 type Engine struct {
 	Server      string
 	Incarnation uint64
-	Memory      int64
+	// Address is "ip:port".
+	Address string
+	Memory  int64
 	// Group names the engines that share a scheduler, so that it can choose
 	// between them: those that serve the same model.
 	Group string
@@ -50,6 +52,7 @@
 	// time from which they do.
 	target   int64
 	since    time.Time
+	askedAt  time.Time
 	listedAt time.Time
 	// settled is when a former scheduler, which may not have heard yet that
 	// the engine is another's, grants nothing any more.
@@ -91,11 +94,12 @@
 	for server, engine := range s.engines {
 		s.applyShares(server, engine, now)
 		engine.core.Expire(s.Alive, now)
-		if now.Sub(engine.listedAt) >= s.config.Term/2 {
-			work.Lists = append(work.Lists, server)
+		if now.Sub(engine.askedAt) >= s.config.Term/2 {
+			engine.askedAt = now
+			work.Lists = append(work.Lists, engine.engine)
 		}
 		if attempts := engine.core.Cancels(now); len(attempts) > 0 {
-			work.Cancels = append(work.Cancels, CancelOrder{Server: server, Attempts: attempts})
+			work.Cancels = append(work.Cancels, CancelOrder{Engine: engine.engine, Attempts: attempts})
 		}
 		s.collect(server, engine)
 	}
@@ -154,17 +158,19 @@
 }
 
 // Acquire decides on a request, now or later, for the one of choices that is
-// expected to deliver the first token earliest.
-func (s *State) Acquire(request Request, choices []Choice, now time.Time) {
+// expected to deliver the first token earliest. It returns the chosen one, or
+// "" when this VM may grant on none.
+func (s *State) Acquire(request Request, choices []Choice, now time.Time) string {
 	chosen := s.choose(request, choices)
 	if chosen == nil {
 		s.decided = append(s.decided, ServerDecision{Decision: Decision{Attempt: request.Attempt, Kind: RefusedNotScheduler}})
-		return
+		return ""
 	}
 	engine := s.engines[chosen.Server]
 	request.PrefillTokens = chosen.PrefillTokens
 	engine.core.Acquire(request, now)
 	s.collect(chosen.Server, engine)
+	return chosen.Server
 }
 
 // choose returns the best of choices, or nil when this VM may grant on none.
--- a/internal/capacity/state_rapid_test.go
+++ b/internal/capacity/state_rapid_test.go
@@ -98,7 +98,7 @@
 			m.byName[attempt].running = false
 			m.byName[attempt].gone = true
 		}
-		m.states[name].Confirmed(order.Server, 1, order.Attempts, m.now)
+		m.states[name].Confirmed(order.Engine.Server, 1, order.Attempts, m.now)
 	}
 	if len(work.Lists) == 0 {
 		return
