--- /dev/null
+++ b/internal/eject/eject_test.go
@@ -0,0 +1,95 @@
+package eject
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func name(i int) string { return fmt.Sprintf("e%d", i) }
+
+func kept(e *Ejector, count int, percent float64, now time.Time) []int {
+	return e.Keep(nil, count, name, percent, now)
+}
+
+func observe(e *Ejector, server string, times int, r Result, now time.Time) {
+	r.Server, r.Incarnation = server, 1
+	for range times {
+		e.Observe(r, now)
+	}
+}
+
+func TestSickServersAreEjected(t *testing.T) {
+	cases := map[string]struct {
+		results func(e *Ejector)
+		ejected bool
+	}{
+		"failures in a row":         {func(e *Ejector) { observe(e, "e0", 5, Result{Failed: true}, start) }, true},
+		"four failures in a row":    {func(e *Ejector) { observe(e, "e0", 4, Result{Failed: true}, start) }, false},
+		"slow, or lying about load": {func(e *Ejector) { observe(e, "e0", 10, Result{Slowness: 8}, start) }, true},
+		"as fast as expected":       {func(e *Ejector) { observe(e, "e0", 100, Result{Slowness: 1.5}, start) }, false},
+		"a single stall": {func(e *Ejector) {
+			observe(e, "e0", 50, Result{Slowness: 1}, start)
+			observe(e, "e0", 1, Result{Slowness: 1000}, start)
+		}, false},
+		"most requests fail": {func(e *Ejector) {
+			for range 30 {
+				observe(e, "e0", 3, Result{Failed: true}, start)
+				observe(e, "e0", 1, Result{}, start)
+			}
+		}, true},
+	}
+	for title, c := range cases {
+		t.Run(title, func(t *testing.T) {
+			e := New()
+			c.results(e)
+			if c.ejected {
+				assert.Equal(t, []int{1, 2, 3}, kept(e, 4, 50, start))
+			} else {
+				assert.Equal(t, []int{0, 1, 2, 3}, kept(e, 4, 50, start))
+			}
+		})
+	}
+}
+
+func TestProbingBack(t *testing.T) {
+	e := New()
+	observe(e, "e0", 5, Result{Failed: true}, start)
+	now := start.Add(firstEjection)
+	assert.Equal(t, []int{0, 1}, kept(e, 2, 50, now))
+	e.Begin("e0", now)
+	assert.Equal(t, []int{1}, kept(e, 2, 50, now), "one probe at a time")
+	observe(e, "e0", 1, Result{Failed: true}, now)
+	assert.Equal(t, []int{1}, kept(e, 2, 50, now.Add(2*firstEjection-1)), "a failed probe doubles the time")
+	now = now.Add(2 * firstEjection)
+	e.Begin("e0", now)
+	observe(e, "e0", 1, Result{Slowness: 1}, now)
+	assert.Equal(t, []int{0, 1}, kept(e, 2, 50, now))
+	observe(e, "e0", 4, Result{Failed: true}, now)
+	assert.Equal(t, []int{0, 1}, kept(e, 2, 50, now), "its past is forgotten")
+}
+
+func TestNeverMoreThanTheShare(t *testing.T) {
+	e := New()
+	for i := range 10 {
+		observe(e, name(i), 5, Result{Failed: true}, start.Add(time.Duration(i)*time.Millisecond))
+	}
+	assert.Equal(t, []int{0, 1, 2, 3, 4, 5, 6}, kept(e, 10, 30, start.Add(time.Second)))
+	assert.Len(t, kept(e, 10, 0, start.Add(time.Second)), 10)
+	assert.Equal(t, []int{0}, kept(e, 1, 50, start.Add(time.Second)), "the only server stays")
+}
+
+func TestRestartedServerStartsHealthy(t *testing.T) {
+	e := New()
+	observe(e, "e0", 5, Result{Failed: true}, start)
+	e.Observe(Result{Server: "e0", Incarnation: 2}, start)
+	assert.Equal(t, []int{0, 1}, kept(e, 2, 50, start))
+	for range 5 {
+		e.Observe(Result{Server: "e0", Incarnation: 1, Failed: true}, start)
+	}
+	assert.Equal(t, []int{0, 1}, kept(e, 2, 50, start), "late failures of the old one do not count")
+}
