--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -80,6 +80,9 @@
 	PrefillTokens int64
 	// TokenTime is the expected time for one prompt token on this engine.
 	TokenTime time.Duration
+	// Preferred choices are taken before others, unless that costs more than
+	// half of the time until the latest start.
+	Preferred bool
 }
 
 // DecisionKind tells what was decided on a request.
@@ -105,6 +108,9 @@
 type Decision struct {
 	Attempt string
 	Kind    DecisionKind
+	// AheadTokens is the prefill in progress on the engine when the lease was
+	// granted.
+	AheadTokens int64
 }
 
 // Refused reports whether the request was decided against.
--- a/internal/capacity/convert.go
+++ b/internal/capacity/convert.go
@@ -25,7 +25,7 @@
 func choiceMessages(choices []Choice) []*capacitypb.Choice {
 	messages := make([]*capacitypb.Choice, len(choices))
 	for i, c := range choices {
-		messages[i] = &capacitypb.Choice{Server: c.Server, PrefillTokens: c.PrefillTokens, TokenNanos: c.TokenTime.Nanoseconds()}
+		messages[i] = &capacitypb.Choice{Server: c.Server, PrefillTokens: c.PrefillTokens, TokenNanos: c.TokenTime.Nanoseconds(), Preferred: c.Preferred}
 	}
 	return messages
 }
@@ -33,7 +33,10 @@
 func choicesOf(messages []*capacitypb.Choice) []Choice {
 	choices := make([]Choice, len(messages))
 	for i, m := range messages {
-		choices[i] = Choice{Server: m.GetServer(), PrefillTokens: max(m.GetPrefillTokens(), 0), TokenTime: time.Duration(max(m.GetTokenNanos(), 0))}
+		choices[i] = Choice{
+			Server: m.GetServer(), PrefillTokens: max(m.GetPrefillTokens(), 0),
+			TokenTime: time.Duration(max(m.GetTokenNanos(), 0)), Preferred: m.GetPreferred(),
+		}
 	}
 	return choices
 }
--- a/internal/capacity/core_test.go
+++ b/internal/capacity/core_test.go
@@ -38,6 +38,15 @@
 	return request
 }
 
+// taken returns the decisions without the state that they were made in.
+func taken(core *Core) []Decision {
+	decisions := core.Take()
+	for i := range decisions {
+		decisions[i].AheadTokens = 0
+	}
+	return decisions
+}
+
 func granted(attempts ...string) []Decision {
 	decisions := make([]Decision, len(attempts))
 	for i, attempt := range attempts {
@@ -51,22 +60,22 @@
 	core.Acquire(long("l1", 500), start)
 	core.FirstToken("l1", start)
 	core.Acquire(long("l2", 400), start)
-	assert.Equal(t, granted("l1"), core.Take(), "the second long one would use the reserve of 200")
+	assert.Equal(t, granted("l1"), taken(core), "the second long one would use the reserve of 200")
 	core.Acquire(short("s1", 150), start)
-	assert.Equal(t, granted("s1"), core.Take(), "a short one goes on within the reserve")
+	assert.Equal(t, granted("s1"), taken(core), "a short one goes on within the reserve")
 	core.Acquire(short("s2", 100), start)
-	assert.Empty(t, core.Take(), "short ones must not starve the waiting long one")
+	assert.Empty(t, taken(core), "short ones must not starve the waiting long one")
 	core.Release("l1", false, start)
-	assert.Equal(t, granted("l2", "s2"), core.Take())
+	assert.Equal(t, granted("l2", "s2"), taken(core))
 }
 
 func TestLongPrefillIsBounded(t *testing.T) {
 	core := testCore()
 	core.Acquire(long("l1", 300), start)
 	core.Acquire(long("l2", 300), start)
-	assert.Equal(t, granted("l1"), core.Take())
+	assert.Equal(t, granted("l1"), taken(core))
 	core.FirstToken("l1", start)
-	assert.Equal(t, granted("l2"), core.Take())
+	assert.Equal(t, granted("l2"), taken(core))
 }
 
 func TestRequestLargerThanTheUnreservedPartRunsAlone(t *testing.T) {
@@ -74,35 +83,35 @@
 	core.Acquire(short("s1", 150), start)
 	core.Acquire(long("l1", 950), start)
 	core.Acquire(short("s2", 100), start)
-	assert.Equal(t, granted("s1"), core.Take(), "short ones wait while the engine drains for l1")
+	assert.Equal(t, granted("s1"), taken(core), "short ones wait while the engine drains for l1")
 	core.Release("s1", false, start)
-	assert.Equal(t, granted("l1"), core.Take())
+	assert.Equal(t, granted("l1"), taken(core))
 	core.Release("l1", false, start)
-	assert.Equal(t, granted("s2"), core.Take())
+	assert.Equal(t, granted("s2"), taken(core))
 }
 
 func TestQueueOrderAndRefusals(t *testing.T) {
 	core := testCore()
 	core.Acquire(long("l0", 1000), start)
-	require.Equal(t, granted("l0"), core.Take())
+	require.Equal(t, granted("l0"), taken(core))
 	for i := range 4 {
 		request := long(fmt.Sprintf("q%d", i), 100)
 		request.LatestStart = start.Add(time.Duration(10-i) * time.Second)
 		core.Acquire(request, start)
 	}
-	require.Empty(t, core.Take())
+	require.Empty(t, taken(core))
 	core.Acquire(long("late", 100), start)
-	assert.Equal(t, []Decision{{"late", RefusedQueueFull}}, core.Take(), "it has the same slack as the last")
+	assert.Equal(t, []Decision{{"late", RefusedQueueFull, 0}}, taken(core), "it has the same slack as the last")
 	urgent := short("urgent", 100)
 	urgent.Priority = 9
 	core.Acquire(urgent, start)
-	assert.Equal(t, []Decision{{"q0", RefusedQueueFull}}, core.Take(), "the one with most slack makes room")
+	assert.Equal(t, []Decision{{"q0", RefusedQueueFull, 0}}, taken(core), "the one with most slack makes room")
 	core.Acquire(long("huge", 1001), start)
-	assert.Equal(t, []Decision{{"huge", RefusedTooLarge}}, core.Take())
+	assert.Equal(t, []Decision{{"huge", RefusedTooLarge, 0}}, taken(core))
 	core.Expire(holderAlive, start.Add(7*time.Second))
-	assert.Equal(t, []Decision{{"q3", RefusedNoTime}}, core.Take())
+	assert.Equal(t, []Decision{{"q3", RefusedNoTime, 0}}, taken(core))
 	core.Release("l0", false, start.Add(7*time.Second))
-	assert.Equal(t, granted("urgent", "q2", "q1"), core.Take())
+	assert.Equal(t, granted("urgent", "q2", "q1"), taken(core))
 }
 
 // TestMemoryComesBack covers the ways in which a lease ends badly. The memory
@@ -118,7 +127,7 @@
 			assert.Equal(t, []string{"l1"}, core.Cancels(now))
 			assert.Empty(t, core.Cancels(now), "not twice at once")
 			assert.Equal(t, []string{"l1"}, core.Cancels(now.Add(time.Second)), "sent again until it is confirmed")
-			assert.Empty(t, core.Take(), "not granted before it is confirmed")
+			assert.Empty(t, taken(core), "not granted before it is confirmed")
 			core.Confirm([]string{"l1"}, now)
 			return now
 		},
@@ -134,10 +143,10 @@
 		},
 		"release with the memory still held": func(core *Core) time.Time {
 			core.Release("l1", true, start)
-			assert.Empty(t, core.Take())
+			assert.Empty(t, taken(core))
 			assert.Equal(t, []string{"l1"}, core.Cancels(start))
 			core.List([]HeldAttempt{{"l1", 1000, 0}}, start.Add(1), start.Add(2))
-			assert.Empty(t, core.Take())
+			assert.Empty(t, taken(core))
 			core.List(nil, start.Add(3), start.Add(4))
 			return start.Add(4)
 		},
@@ -154,9 +163,9 @@
 			waiting := long("l2", 1000)
 			waiting.LatestStart = start.Add(time.Minute)
 			core.Acquire(waiting, start)
-			require.Equal(t, granted("l1"), core.Take())
+			require.Equal(t, granted("l1"), taken(core))
 			now := end(core)
-			assert.Equal(t, granted("l2"), core.Take())
+			assert.Equal(t, granted("l2"), taken(core))
 			core.Release("l2", false, now)
 			core.Release("l2", false, now)
 			assert.Zero(t, core.Usage().Leased())
@@ -180,7 +189,7 @@
 	core := testCore()
 	core.Release("s1", false, start)
 	core.Acquire(short("s1", 100), start)
-	assert.Equal(t, []Decision{{"s1", RefusedReleased}}, core.Take())
+	assert.Equal(t, []Decision{{"s1", RefusedReleased, 0}}, taken(core))
 }
 
 // TestMemoryWithoutALease covers the fallback and a change of scheduler: what
@@ -190,13 +199,13 @@
 	core := testCore()
 	core.List([]HeldAttempt{{"other", 600, time.Second}}, start, start)
 	core.Acquire(long("l1", 500), start)
-	assert.Empty(t, core.Take())
+	assert.Empty(t, taken(core))
 	assert.False(t, core.Renew(long("unknown", 100), false, start))
 	assert.True(t, core.Renew(long("other", 600), false, start))
 	assert.Equal(t, int64(600), core.Usage().Leased())
 	assert.Zero(t, core.Usage().Foreign)
 	core.Release("other", false, start)
-	assert.Equal(t, granted("l1"), core.Take())
+	assert.Equal(t, granted("l1"), taken(core))
 
 	core.List([]HeldAttempt{{"leaked", 100, 2 * time.Minute}}, start.Add(time.Second), start.Add(time.Second))
 	now := start.Add(time.Second)
--- a/internal/capacity/holder.go
+++ b/internal/capacity/holder.go
@@ -74,9 +74,14 @@
 	// without one.
 	granter    string
 	request    Request
+	ahead      int64
 	prefilling bool
 }
 
+// AheadTokens returns the prefill that was in progress on the engine when the
+// lease was granted.
+func (l *Lease) AheadTokens() int64 { return l.ahead }
+
 // Server returns the engine that the lease is for.
 func (l *Lease) Server() string { return l.server }
 
@@ -84,17 +89,23 @@
 // returns ErrNoScheduler, a *RefusedError or the error of ctx.
 func (h *Holder) Acquire(ctx context.Context, group string, request Request, choices []Choice) (*Lease, error) {
 	vm := Scheduler(group, h.options.Service.View())
-	var server string
+	var decision ServerDecision
 	var err error
 	if vm == h.options.VM {
-		server, err = h.acquireHere(ctx, request, choices)
+		decision, err = h.acquireHere(ctx, request, choices)
 	} else {
-		server, err = h.acquireFrom(ctx, vm, request, choices)
+		decision, err = h.acquireFrom(ctx, vm, request, choices)
 	}
 	if err != nil {
 		return nil, err
 	}
-	return h.keep(&Lease{holder: h, server: server, group: group, granter: vm, request: request, prefilling: true}), nil
+	for _, choice := range choices {
+		if choice.Server == decision.Server {
+			request.PrefillTokens = choice.PrefillTokens
+		}
+	}
+	granted := &Lease{holder: h, server: decision.Server, ahead: decision.AheadTokens, group: group, granter: vm, request: request, prefilling: true}
+	return h.keep(granted), nil
 }
 
 // Adopt notes an attempt that was placed on server without a lease. Its
@@ -110,19 +121,19 @@
 	return l
 }
 
-func (h *Holder) acquireHere(ctx context.Context, request Request, choices []Choice) (string, error) {
+func (h *Holder) acquireHere(ctx context.Context, request Request, choices []Choice) (ServerDecision, error) {
 	pending, err := h.options.Service.ask(request, choices)
 	if err != nil {
-		return "", ErrNoScheduler
+		return ServerDecision{}, ErrNoScheduler
 	}
 	select {
 	case decision := <-pending.decided:
-		return decision.Server, refusal(decision.Kind)
+		return decision, refusal(decision.Kind)
 	case <-ctx.Done():
 		pending.withdraw()
-		return "", ctx.Err()
+		return ServerDecision{}, ctx.Err()
 	case <-h.options.Service.stopped:
-		return "", ErrNoScheduler
+		return ServerDecision{}, ErrNoScheduler
 	}
 }
 
@@ -138,10 +149,10 @@
 
 // acquireFrom asks another VM. It gives up when the VM does not answer within
 // the timeout, and when a queued request is not heard of for a term.
-func (h *Holder) acquireFrom(ctx context.Context, vm string, request Request, choices []Choice) (string, error) {
+func (h *Holder) acquireFrom(ctx context.Context, vm string, request Request, choices []Choice) (ServerDecision, error) {
 	client, err := h.options.Dial(vm)
 	if err != nil {
-		return "", ErrNoScheduler
+		return ServerDecision{}, ErrNoScheduler
 	}
 	outer := ctx
 	ctx, cancel := context.WithCancel(ctx)
@@ -152,15 +163,17 @@
 		Holder: h.options.VM, Lease: leaseMessage(request, h.options.Clock()), Choices: choiceMessages(choices),
 	})
 	if err != nil {
-		return "", h.acquireError(outer)
+		return ServerDecision{}, h.acquireError(outer)
 	}
 	for {
 		reply, err := stream.Recv()
 		if err != nil {
-			return "", h.acquireError(outer)
+			return ServerDecision{}, h.acquireError(outer)
 		}
 		if reply.GetStatus() != capacitypb.Status_STATUS_QUEUED {
-			return reply.GetServer(), refusal(kindOf(reply.GetStatus()))
+			decision := ServerDecision{Server: reply.GetServer()}
+			decision.AheadTokens = reply.GetAheadTokens()
+			return decision, refusal(kindOf(reply.GetStatus()))
 		}
 		watchdog.Reset(h.options.Term)
 	}
--- a/internal/capacity/schedule.go
+++ b/internal/capacity/schedule.go
@@ -14,8 +14,8 @@
 		case !request.LatestStart.After(now):
 			c.decide(request.Attempt, RefusedNoTime)
 		case !full && c.admits(request, blocked):
+			c.decisions = append(c.decisions, Decision{Attempt: request.Attempt, Kind: Granted, AheadTokens: c.prefill})
 			c.insert(request, true, now)
-			c.decide(request.Attempt, Granted)
 		default:
 			waiting = append(waiting, request)
 			if request.Short {
--- a/internal/capacity/server.go
+++ b/internal/capacity/server.go
@@ -38,7 +38,7 @@
 	for {
 		select {
 		case decision := <-pending.decided:
-			err := stream.Send(&capacitypb.AcquireReply{Status: statusOf(decision.Kind), Server: decision.Server})
+			err := stream.Send(&capacitypb.AcquireReply{Status: statusOf(decision.Kind), Server: decision.Server, AheadTokens: decision.AheadTokens})
 			if err != nil && decision.Kind == Granted {
 				pending.withdraw()
 			}
--- a/internal/capacity/state.go
+++ b/internal/capacity/state.go
@@ -161,7 +161,7 @@
 // expected to deliver the first token earliest. It returns the chosen one, or
 // "" when this VM may grant on none.
 func (s *State) Acquire(request Request, choices []Choice, now time.Time) string {
-	chosen := s.choose(request, choices)
+	chosen := s.choose(request, choices, now)
 	if chosen == nil {
 		s.decided = append(s.decided, ServerDecision{Decision: Decision{Attempt: request.Attempt, Kind: RefusedNotScheduler}})
 		return ""
@@ -174,12 +174,25 @@
 }
 
 // choose returns the best of choices, or nil when this VM may grant on none.
-func (s *State) choose(request Request, choices []Choice) *Choice {
+func (s *State) choose(request Request, choices []Choice, now time.Time) *Choice {
+	best, wait := s.shortest(request, choices, true)
+	if best != nil && wait <= request.LatestStart.Sub(now)/2 {
+		return best
+	}
+	if other, otherWait := s.shortest(request, choices, false); other != nil && (best == nil || otherWait < wait) {
+		return other
+	}
+	return best
+}
+
+// shortest returns the one of the choices, preferred or not, with the shortest
+// wait.
+func (s *State) shortest(request Request, choices []Choice, preferred bool) (*Choice, time.Duration) {
 	var best *Choice
 	var bestWait time.Duration
 	for i := range choices {
 		engine, found := s.engines[choices[i].Server]
-		if !found || engine.core.limit < request.Tokens {
+		if !found || choices[i].Preferred != preferred || engine.core.limit < request.Tokens {
 			continue
 		}
 		request.PrefillTokens = choices[i].PrefillTokens
@@ -188,7 +201,7 @@
 			best, bestWait = &choices[i], wait
 		}
 	}
-	return best
+	return best, bestWait
 }
 
 // Renew extends a lease; see Core.Renew.
