Place queries by leases, estimate, prefix cache and health

The policy leases ranks engines by the expected time to the first token with cached tokens saved, asks the scheduler of the best group, steers long prompts to a third of the engines, and places by two choices when no scheduler grants.

--- a/internal/capacity/rendezvous.go
+++ b/internal/capacity/rendezvous.go
@@ -33,3 +33,6 @@
 	x *= 0x94d049bb133111eb
 	return x ^ x>>31
 }
+
+// HomeWeight orders engines in the same way on each VM, unlike their names.
+func HomeWeight(server string) uint64 { return rendezvousWeight(server, "") }
--- /dev/null
+++ b/internal/place/leases.go
@@ -0,0 +1,224 @@
+package place
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"godwityoke.example/godwityoke/internal/capacity"
+)
+
+const (
+	// maxChoices bounds the engines that a scheduler is asked to choose from.
+	maxChoices = 16
+	// longHomeDivisor is the share of a model's engines, as a divisor, that
+	// long prompts are steered to.
+	longHomeDivisor = 3
+	// startMargin is kept between the latest start of a query and the time
+	// that its run is expected to need, as a share of that time.
+	startMargin = 0.25
+)
+
+// leasePlacer asks the scheduler of the engines for a lease of engine memory
+// before it sends a query. Without a scheduler it places like its baseline.
+type leasePlacer struct {
+	baseline *baseline
+}
+
+// ranked is a candidate with the estimate for a query.
+type ranked struct {
+	candidate
+	cached   int64
+	expected timing
+	group    string
+}
+
+// plan is a request for a lease.
+type plan struct {
+	group   string
+	request capacity.Request
+	choices []capacity.Choice
+	ranked  []ranked
+}
+
+// Place implements Placer. It waits for a lease until the query can no longer
+// finish in time.
+func (l *leasePlacer) Place(ctx context.Context, query Query) (Placement, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	if query.Attempt == "" {
+		return l.baseline.Place(ctx, query)
+	}
+	asked, err := l.plan(&query, l.baseline.options.Clock())
+	if err != nil {
+		return nil, err
+	}
+	lease, err := l.baseline.options.Leases.Acquire(ctx, asked.group, asked.request, asked.choices)
+	if err == nil {
+		return l.begin(query, asked, lease), nil
+	}
+	return l.withoutLease(ctx, query, asked, err)
+}
+
+// withoutLease refuses the query, or places it by the baseline when there is
+// no scheduler.
+func (l *leasePlacer) withoutLease(ctx context.Context, query Query, asked *plan, err error) (Placement, error) {
+	var refused *capacity.RefusedError
+	switch {
+	case errors.Is(err, capacity.ErrNoScheduler):
+		placed, err := l.baseline.Place(ctx, query)
+		if err != nil {
+			return nil, err
+		}
+		chosen := placed.(*placement)
+		chosen.lease = l.baseline.options.Leases.Adopt(leaseGroup(&chosen.server), chosen.server.ID, asked.request)
+		return chosen, nil
+	case errors.As(err, &refused):
+		now := l.baseline.options.Clock()
+		l.baseline.overloaded(now)
+		return nil, refuseNoTime(asked.ranked[0].expected.total(), &query, now)
+	}
+	return nil, err
+}
+
+// plan ranks the candidates of a query and refuses it when none is expected
+// to finish it in time.
+func (l *leasePlacer) plan(query *Query, now time.Time) (*plan, error) {
+	b := l.baseline
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	candidates, err := b.candidates(query, now)
+	if err != nil {
+		return nil, err
+	}
+	all := l.rank(candidates, query)
+	best := &all[0]
+	if !b.inTime(best.expected, query, now) && !b.knowledge.mayProbe(query.Model, now) {
+		b.overloaded(now)
+		return nil, refuseNoTime(best.expected.total(), query, now)
+	}
+	asked := &plan{group: best.group, request: l.request(query, best, now)}
+	all = slices.DeleteFunc(all, func(r ranked) bool { return r.group != asked.group })
+	homes := map[string]bool{}
+	if !query.Short {
+		homes = longHomes(all)
+		slices.SortStableFunc(all, func(a, b ranked) int { return homeFirst(homes[a.server.ID], homes[b.server.ID]) })
+	}
+	asked.ranked = all[:min(len(all), maxChoices)]
+	asked.choices = choices(asked.ranked, query, homes)
+	return asked, nil
+}
+
+func homeFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	}
+	return 1
+}
+
+// rank orders the candidates by the expected time to the first token. The
+// time for tokens in an engine's prefix cache counts as saved.
+func (l *leasePlacer) rank(candidates []candidate, query *Query) []ranked {
+	cached := l.cached(query)
+	all := make([]ranked, len(candidates))
+	for i, c := range candidates {
+		saved := min(cached[c.server.ID], query.PromptTokens)
+		all[i] = ranked{candidate: c, cached: saved, group: leaseGroup(c.server), expected: l.baseline.knowledge.timing(&candidates[i], query, saved)}
+	}
+	slices.SortStableFunc(all, func(a, b ranked) int { return cmp.Compare(a.expected.firstToken, b.expected.firstToken) })
+	return all
+}
+
+func (l *leasePlacer) cached(query *Query) map[string]int64 {
+	if l.baseline.options.Index == nil || len(query.Blocks) == 0 {
+		return nil
+	}
+	cached := map[string]int64{}
+	l.baseline.options.Index.Match(query.Blocks, func(server string, tokens int64) { cached[server] = tokens })
+	return cached
+}
+
+// request asks for the memory of query. Its latest start leaves time for the
+// run without what is ahead of it.
+func (l *leasePlacer) request(query *Query, best *ranked, now time.Time) capacity.Request {
+	prefill := time.Duration(query.PromptTokens-best.cached) * best.expected.tokenTime
+	run := time.Duration(float64(prefill+best.expected.decode) * (1 + startMargin))
+	deadline := query.Deadline
+	if deadline.IsZero() {
+		deadline = now.Add(maxRetry)
+	}
+	return capacity.Request{
+		Attempt: query.Attempt, Holder: l.baseline.options.VM, Tokens: query.MemoryTokens(), Short: query.Short,
+		Priority: query.Priority, LatestStart: latestStart(deadline, run, now), Deadline: deadline,
+	}
+}
+
+// latestStart leaves run before deadline, but gives a query that is tried
+// against its estimate some time too.
+func latestStart(deadline time.Time, run time.Duration, now time.Time) time.Time {
+	latest := deadline.Add(-run)
+	if soonest := now.Add(deadline.Sub(now) / 4); latest.Before(soonest) {
+		return soonest
+	}
+	return latest
+}
+
+// choices turns ranked candidates into choices that prefer homes.
+func choices(all []ranked, query *Query, homes map[string]bool) []capacity.Choice {
+	choices := make([]capacity.Choice, len(all))
+	for i := range all {
+		r := &all[i]
+		choices[i] = capacity.Choice{
+			Server: r.server.ID, PrefillTokens: query.PromptTokens - r.cached,
+			TokenTime: r.expected.tokenTime, Preferred: homes[r.server.ID],
+		}
+	}
+	return choices
+}
+
+// longHomes returns the engines that long prompts prefer: a part of all, the
+// same on each VM.
+func longHomes(all []ranked) map[string]bool {
+	ids := make([]string, len(all))
+	for i := range all {
+		ids[i] = all[i].server.ID
+	}
+	slices.SortFunc(ids, func(a, b string) int { return cmp.Compare(capacity.HomeWeight(b), capacity.HomeWeight(a)) })
+	homes := map[string]bool{}
+	for _, id := range ids[:(len(ids)+longHomeDivisor-1)/longHomeDivisor] {
+		homes[id] = true
+	}
+	return homes
+}
+
+// leaseGroup names the engines that share a scheduler with server: those with
+// the same first model.
+func leaseGroup(server *Server) string {
+	first := ""
+	for _, model := range server.Models {
+		if first == "" || model.Name < first {
+			first = model.Name
+		}
+	}
+	return first
+}
+
+// begin notes that a query is sent under lease.
+func (l *leasePlacer) begin(query Query, asked *plan, lease *capacity.Lease) Placement {
+	b := l.baseline
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	at := max(slices.IndexFunc(asked.ranked, func(r ranked) bool { return r.server.ID == lease.Server() }), 0)
+	chosen := &asked.ranked[at]
+	chosen.ahead = lease.AheadTokens()
+	begun := b.begin(query, &chosen.candidate, chosen.expected, b.options.Clock())
+	begun.cached = chosen.cached
+	begun.lease = lease
+	return begun
+}
--- a/internal/place/policy.go
+++ b/internal/place/policy.go
@@ -7,14 +7,6 @@
 	"godwityoke.example/godwityoke/internal/settings"
 )
 
-// candidate is a server that may take a query, with what this VM knows of its
-// own work there.
-type candidate struct {
-	server *Server
-	// inFlight counts the requests that this VM has in progress there.
-	inFlight int64
-}
-
 // policy chooses one of at least one candidate. It is called by one goroutine
 // at a time.
 type policy interface {
