Wire placement, leases and limits into entry VMs

The part routing replaces the path's stand-in placer and limiter: it places by the policy of the settings, serves leases when that policy is leases, and exchanges the demand of teams within the zone, each team by one VM. The place filter gives the attempt's identifier to the placer, since leases are kept by it, and the number of tokens received.

--- a/internal/capacity/exchange.go
+++ b/internal/capacity/exchange.go
@@ -27,6 +27,19 @@
 	senders.Wait()
 }
 
+// Flush sends what the outboxes hold, once, or until ctx ends.
+func (h *Holder) Flush(ctx context.Context) {
+	var senders sync.WaitGroup
+	for vm, queue := range h.queues {
+		senders.Go(func() {
+			if next := h.take(vm, queue, false); len(next.releases) > 0 {
+				h.deliver(ctx, vm, next)
+			}
+		})
+	}
+	senders.Wait()
+}
+
 // send keeps one VM informed: at each tick of all leases that it schedules,
 // and between ticks of what has changed. What changes during a message goes
 // into the next one.
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -9,6 +9,7 @@
 
 	"godwityoke.example/godwityoke/internal/observe"
 	"godwityoke.example/godwityoke/internal/process"
+	"godwityoke.example/godwityoke/internal/routing"
 	"godwityoke.example/godwityoke/internal/settings"
 )
 
@@ -46,5 +47,5 @@
 
 // builders lists the parts of a process beside the callers' side.
 func builders() []process.Builder {
-	return nil
+	return []process.Builder{routing.Build}
 }
--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -74,6 +74,8 @@
 	Number    int
 	Placement place.Placement
 	Started   time.Time
+	// VerifiedBefore is Call.Verified at the start of the attempt.
+	VerifiedBefore int64
 	// Response is the answer as received. Dispatch sets it.
 	Response *http.Response
 	// Alive restarts the stall timer. Dispatch sets it, verify calls it at
--- a/internal/filter/place/place.go
+++ b/internal/filter/place/place.go
@@ -49,11 +49,12 @@
 	var failed []string
 	var last *request.AttemptError
 	for number := 1; ; number++ {
-		placement, err := f.place(ctx, call, failed)
+		attempt := f.Identifiers.Next()
+		placement, err := f.place(ctx, call, attempt, failed)
 		if err != nil {
 			return refused(ctx, call, last, err)
 		}
-		call.Attempt = &filter.Attempt{ID: f.Identifiers.Next(), Number: number, Placement: placement, Started: time.Now()}
+		call.Attempt = &filter.Attempt{ID: attempt, Number: number, Placement: placement, Started: time.Now(), VerifiedBefore: call.Verified}
 		err = next(ctx, call)
 		failure := attemptError(err)
 		f.finish(ctx, call, failure)
@@ -80,14 +81,14 @@
 
 // place asks for a server that has not failed the call, and for any server
 // when there is no other.
-func (f *Filter) place(ctx context.Context, call *filter.Call, failed []string) (place.Placement, error) {
+func (f *Filter) place(ctx context.Context, call *filter.Call, attempt string, failed []string) (place.Placement, error) {
 	placer := f.Services
 	if call.Kind.ForEngine() {
 		placer = f.Engines
 	}
 	asked := time.Now()
 	defer func() { f.Metrics.Observe(observe.TimeInQueue, call.TeamName(), call.ClassName(), time.Since(asked)) }()
-	placement, err := placer.Place(ctx, query(call, failed))
+	placement, err := placer.Place(ctx, query(call, attempt, failed))
 	if len(failed) == 0 || !errors.Is(err, place.ErrNoServer) {
 		return placement, err
 	}
@@ -96,11 +97,11 @@
 		return nil, ctx.Err()
 	case <-time.After(retryPause):
 	}
-	return placer.Place(ctx, query(call, nil))
+	return placer.Place(ctx, query(call, attempt, nil))
 }
 
-func query(call *filter.Call, failed []string) place.Query {
-	asked := place.Query{Team: call.Team.Name, Priority: call.Team.Priority, Deadline: call.Deadline, Exclude: failed}
+func query(call *filter.Call, attempt string, failed []string) place.Query {
+	asked := place.Query{Attempt: attempt, Team: call.Team.Name, Priority: call.Team.Priority, Deadline: call.Deadline, Exclude: failed}
 	if !call.Kind.ForEngine() {
 		asked.Model = call.Service.Name
 		return asked
@@ -116,7 +117,10 @@
 // finish returns the placement.
 func (f *Filter) finish(ctx context.Context, call *filter.Call, failure *request.AttemptError) {
 	attempt := call.Attempt
-	result := place.AttemptResult{At: time.Now(), PromptTokens: attempt.PromptTokens, CachedTokens: attempt.CachedTokens}
+	result := place.AttemptResult{
+		At: time.Now(), PromptTokens: attempt.PromptTokens, CachedTokens: attempt.CachedTokens,
+		AnswerTokens: call.Verified - attempt.VerifiedBefore,
+	}
 	if failure != nil {
 		result.Failed = ctx.Err() == nil
 		result.Held = call.Kind.ForEngine() && failure.MayHaveRun()
--- /dev/null
+++ b/internal/observe/events_decide.go
@@ -0,0 +1,13 @@
+package observe
+
+import "github.com/rs/zerolog"
+
+// Events 5000-5199: placement, engine-memory leases and limits.
+var (
+	EngineEjected = newEvent(5000, "engine_ejected", zerolog.WarnLevel,
+		"An engine failed, was slow or reported less load than it has, and gets no requests for a while; it is tried again by itself. Look at the engine if this repeats.")
+	AttemptsCancelled = newEvent(5001, "attempts_cancelled", zerolog.WarnLevel,
+		"The scheduler of an engine cancels attempts whose holder has gone, so that their memory comes back. No action, unless it goes on for long: then the engine does not confirm.")
+	EngineUnreachable = newEvent(5002, "engine_list_failed", zerolog.WarnLevel,
+		"The scheduler of an engine could not read what holds its memory, and does not raise what it may grant. Look at the engine and the network if this repeats.")
+)
--- a/internal/place/leases.go
+++ b/internal/place/leases.go
@@ -74,7 +74,7 @@
 			return nil, err
 		}
 		chosen := placed.(*placement)
-		chosen.lease = l.baseline.options.Leases.Adopt(leaseGroup(&chosen.server), chosen.server.ID, asked.request)
+		chosen.lease = l.baseline.options.Leases.Adopt(LeaseGroup(&chosen.server), chosen.server.ID, asked.request)
 		return chosen, nil
 	case errors.As(err, &refused):
 		now := l.baseline.options.Clock()
@@ -129,7 +129,7 @@
 	all := make([]ranked, len(candidates))
 	for i, c := range candidates {
 		saved := min(cached[c.server.ID], query.PromptTokens)
-		all[i] = ranked{candidate: c, cached: saved, group: leaseGroup(c.server), expected: l.baseline.knowledge.timing(&candidates[i], query, saved)}
+		all[i] = ranked{candidate: c, cached: saved, group: LeaseGroup(c.server), expected: l.baseline.knowledge.timing(&candidates[i], query, saved)}
 	}
 	slices.SortStableFunc(all, func(a, b ranked) int { return cmp.Compare(a.expected.firstToken, b.expected.firstToken) })
 	return all
@@ -197,9 +197,9 @@
 	return homes
 }
 
-// leaseGroup names the engines that share a scheduler with server: those with
+// LeaseGroup names the engines that share a scheduler with server: those with
 // the same first model.
-func leaseGroup(server *Server) string {
+func LeaseGroup(server *Server) string {
 	first := ""
 	for _, model := range server.Models {
 		if first == "" || model.Name < first {
--- a/internal/place/leases_test.go
+++ b/internal/place/leases_test.go
@@ -43,7 +43,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		live := make([]capacity.Engine, len(servers))
 		for i := range servers {
-			live[i] = capacity.Engine{Server: servers[i].ID, Incarnation: 1, Memory: servers[i].MemoryTokens, Group: leaseGroup(&servers[i])}
+			live[i] = capacity.Engine{Server: servers[i].ID, Incarnation: 1, Memory: servers[i].MemoryTokens, Group: LeaseGroup(&servers[i])}
 		}
 		service := capacity.NewService(capacity.ServiceOptions{
 			VM: "vm", Zone: []string{"vm"}, Engines: emptyEngines{}, Clock: time.Now,
--- /dev/null
+++ b/internal/routing/leases.go
@@ -0,0 +1,163 @@
+package routing
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"godwityoke.example/godwityoke/internal/backendapi"
+	"godwityoke.example/godwityoke/internal/capacity"
+	"godwityoke.example/godwityoke/internal/capacity/capacitypb"
+	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/place"
+)
+
+const (
+	// attemptMargin is added to the longest time limit of a class to tell an
+	// attempt that nobody waits for.
+	attemptMargin = 10 * time.Second
+	// unknownTimeLimit stands for the longest time limit before the first
+	// bundle.
+	unknownTimeLimit = time.Hour
+	// usageInterval is how often the use of engine memory is exported.
+	usageInterval = time.Second
+)
+
+// leaseConfig returns the lease configuration of the bundle in force.
+func (r *Routing) leaseConfig() capacity.Config {
+	term := r.host.Settings.Routing.LeaseTerm.Std()
+	accepted := r.host.Bundles.Current()
+	if accepted == nil {
+		return capacity.DefaultConfig(term, 0, unknownTimeLimit)
+	}
+	longest := time.Duration(0)
+	for i := range accepted.Bundle.Classes {
+		longest = max(longest, accepted.Bundle.Classes[i].TimeLimit.Std())
+	}
+	return capacity.DefaultConfig(term, accepted.Bundle.Limits.ShortReservePercent, longest+attemptMargin)
+}
+
+// engines returns the live engines of the zone.
+func (r *Routing) engines(now time.Time) []capacity.Engine {
+	var engines []capacity.Engine
+	for _, server := range r.host.Fleet.All(now) {
+		if server.Kind != backendapi.KindEngine {
+			continue
+		}
+		engines = append(engines, capacity.Engine{
+			Server: server.ID, Incarnation: server.Incarnation, Address: server.Address,
+			Memory: server.MemoryTokens, Group: place.LeaseGroup(&server),
+		})
+	}
+	return engines
+}
+
+// internalAddress returns the gRPC address of an entry VM of the zone.
+func (r *Routing) internalAddress(vm string) (string, error) {
+	for _, peer := range r.zone {
+		if peer.Name == vm && peer.Internal != "" {
+			return peer.Internal, nil
+		}
+	}
+	return "", fmt.Errorf("no address of the entry VM %q is known", vm)
+}
+
+func (r *Routing) dialCapacity(vm string) (capacitypb.CapacityClient, error) {
+	address, err := r.internalAddress(vm)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := r.host.Peers.Conn(address)
+	if err != nil {
+		return nil, err
+	}
+	return capacitypb.NewCapacityClient(conn), nil
+}
+
+// exportUsage exports the sums over the engines that this VM schedules.
+func (r *Routing) exportUsage(ctx context.Context) {
+	ticker := time.NewTicker(usageInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			r.export()
+		}
+	}
+}
+
+func (r *Routing) export() {
+	var sum capacity.Usage
+	for _, usage := range r.service.Usage() {
+		sum.Limit += usage.Limit
+		sum.Long += usage.Long
+		sum.Short += usage.Short
+		sum.Foreign += usage.Foreign
+		sum.Waiting += usage.Waiting
+		sum.Orphans += usage.Orphans
+	}
+	metrics := r.host.Metrics
+	metrics.Gauge("godwityoke_lease_limit_tokens").Update(sum.Limit)
+	metrics.Gauge("godwityoke_leased_tokens", observe.Label{Name: "length", Value: "short"}).Update(sum.Short)
+	metrics.Gauge("godwityoke_leased_tokens", observe.Label{Name: "length", Value: "long"}).Update(sum.Long)
+	metrics.Gauge("godwityoke_unleased_tokens").Update(sum.Foreign)
+	metrics.Gauge("godwityoke_lease_waiting").Update(int64(sum.Waiting))
+	metrics.Gauge("godwityoke_lease_orphans").Update(int64(sum.Orphans))
+	metrics.Gauge("godwityoke_leases_held").Update(int64(r.holder.Held()))
+}
+
+// countedLeases counts how requests for leases end.
+type countedLeases struct {
+	holder  *capacity.Holder
+	metrics *observe.Metrics
+}
+
+// Acquire implements place.LeaseHolder.
+func (c *countedLeases) Acquire(ctx context.Context, group string, request capacity.Request, choices []capacity.Choice) (*capacity.Lease, error) {
+	lease, err := c.holder.Acquire(ctx, group, request, choices)
+	result := "granted"
+	var refused *capacity.RefusedError
+	switch {
+	case errors.Is(err, capacity.ErrNoScheduler):
+		result = "no_scheduler"
+	case errors.As(err, &refused):
+		result = "refused"
+	case err != nil:
+		result = "withdrawn"
+	}
+	c.metrics.Counter("godwityoke_lease_requests_total", observe.Label{Name: "result", Value: result}).Inc(1)
+	return lease, err
+}
+
+// Adopt implements place.LeaseHolder.
+func (c *countedLeases) Adopt(group, server string, request capacity.Request) *capacity.Lease {
+	return c.holder.Adopt(group, server, request)
+}
+
+// loggedEngines logs what a scheduler asks of engines.
+type loggedEngines struct {
+	engines capacity.EngineClient
+	logger  zerolog.Logger
+}
+
+// List implements capacity.EngineClient.
+func (l *loggedEngines) List(ctx context.Context, engine capacity.Engine) ([]capacity.HeldAttempt, error) {
+	held, err := l.engines.List(ctx, engine)
+	if err != nil && ctx.Err() == nil {
+		observe.Log(l.logger, observe.EngineUnreachable).Str("server", engine.Server).Err(err).Send()
+	}
+	return held, err
+}
+
+// Cancel implements capacity.EngineClient.
+func (l *loggedEngines) Cancel(ctx context.Context, engine capacity.Engine, attempts []string) ([]string, error) {
+	freed, err := l.engines.Cancel(ctx, engine, attempts)
+	observe.Log(l.logger, observe.AttemptsCancelled).Str("server", engine.Server).
+		Int("attempts", len(attempts)).Int("freed", len(freed)).Err(err).Send()
+	return freed, err
+}
