demo: whole system in one process, with incidents and promises

The demo offers the same load without and with long prompts while engines answer wrongly, leave and die and an entry VM stops in order, and ends with 1 if a promise is broken.

--- /dev/null
+++ b/internal/cluster/bench_test.go
@@ -0,0 +1,144 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"godwityoke.example/godwityoke/internal/backendapi"
+	"godwityoke.example/godwityoke/internal/jsonc"
+	"godwityoke.example/godwityoke/internal/load"
+	"godwityoke.example/godwityoke/internal/settings"
+)
+
+const answerTokens = 16
+
+// startBench starts one entry VM before one engine that is as fast as can be.
+func startBench(b *testing.B) *Cluster {
+	b.Helper()
+	scenario, findings, err := load.ReadScenario("../demo/files/demo.json")
+	require.NoError(b, err)
+	require.Empty(b, findings)
+	scenario.Fleet.Zones, scenario.Fleet.EntryVMsPerZone, scenario.Fleet.EnginesPerZone = []string{"a"}, 1, 1
+	scenario.Fleet.Engine.Step = jsonc.Duration(20 * time.Microsecond)
+	scenario.Fleet.Engine.PrefillToken, scenario.Fleet.Engine.DecodeToken = 0, 0
+	scenario.Fleet.Engine.MemoryTokens, scenario.Fleet.Engine.ChunkTokens = 1<<24, 1<<24
+	c, err := Start(context.Background(), Options{Scenario: scenario, Policy: settings.PolicyTwoChoices, Logger: zerolog.Nop()})
+	require.NoError(b, err)
+	b.Cleanup(c.Close)
+	return c
+}
+
+// caller sends the same body to one address.
+type caller struct {
+	url  string
+	body string
+	http *http.Client
+}
+
+func newCaller(address, body string) *caller {
+	return &caller{
+		url: "http://" + address + backendapi.PathCompletions, body: body,
+		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+	}
+}
+
+func (c *caller) call(b *testing.B, number int) {
+	r, err := http.NewRequest(http.MethodPost, c.url, strings.NewReader(c.body))
+	require.NoError(b, err)
+	r.Header.Set("Authorization", "Bearer key-families")
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set(backendapi.HeaderAttempt, fmt.Sprint("bench-", number))
+	response, err := c.http.Do(r)
+	require.NoError(b, err)
+	_, err = io.Copy(io.Discard, response.Body)
+	require.NoError(b, err)
+	require.NoError(b, response.Body.Close())
+	require.Equal(b, http.StatusOK, response.StatusCode)
+}
+
+func promptBody(tokens int) string {
+	return fmt.Sprintf(`{"model":"scribe","prompt":"%s","max_tokens":%d,"stream":true}`, strings.Repeat("tide", tokens), answerTokens)
+}
+
+// usage is what the whole process has used.
+type usage struct {
+	mallocs, bytes uint64
+	processor      time.Duration
+}
+
+func readUsage(b *testing.B) usage {
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	var times unix.Rusage
+	require.NoError(b, unix.Getrusage(unix.RUSAGE_SELF, &times))
+	return usage{memory.Mallocs, memory.TotalAlloc, time.Duration(times.Utime.Nano() + times.Stime.Nano())}
+}
+
+// spent is what a number of calls used, each in turn.
+type spent struct {
+	times *hdrhistogram.Histogram
+	usage usage
+}
+
+func spend(b *testing.B, c *caller, calls, first int) spent {
+	result := spent{times: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)}
+	before := readUsage(b)
+	for i := range calls {
+		start := time.Now()
+		c.call(b, first+i)
+		require.NoError(b, result.times.RecordValue(time.Since(start).Microseconds()))
+	}
+	after := readUsage(b)
+	result.usage = usage{after.mallocs - before.mallocs, after.bytes - before.bytes, after.processor - before.processor}
+	return result
+}
+
+// BenchmarkPathAdded reports what the path through an entry VM adds to a call
+// of the stand-in engine: time, allocations, bytes allocated and processor
+// time. Both sides run in this process, so the difference is the path's part.
+func BenchmarkPathAdded(b *testing.B) {
+	for _, size := range []struct {
+		name   string
+		tokens int
+	}{{"1k", 1000}, {"1M", 999_000}} {
+		b.Run(size.name, func(b *testing.B) {
+			c := startBench(b)
+			body := promptBody(size.tokens)
+			direct, path := newCaller(c.Standins.Engines[0].Address(), body), newCaller(c.Target().Entries[0], body)
+			direct.call(b, 0)
+			path.call(b, 0)
+			b.ResetTimer()
+			without := spend(b, direct, b.N, 1)
+			with := spend(b, path, b.N, 1)
+			b.StopTimer()
+			report(b, without, with)
+		})
+	}
+}
+
+func report(b *testing.B, without, with spent) {
+	calls := float64(b.N)
+	quantile := func(s spent, q float64) float64 { return float64(s.times.ValueAtQuantile(q)) }
+	b.ReportMetric(quantile(without, 50), "direct-p50-us")
+	b.ReportMetric(quantile(with, 50), "path-p50-us")
+	b.ReportMetric(quantile(with, 50)-quantile(without, 50), "added-p50-us")
+	b.ReportMetric(quantile(with, 99)-quantile(without, 99), "added-p99-us")
+	b.ReportMetric((float64(with.usage.mallocs)-float64(without.usage.mallocs))/calls, "added-allocs/op")
+	b.ReportMetric((float64(with.usage.bytes)-float64(without.usage.bytes))/calls, "added-B/op")
+	added := (with.usage.processor - without.usage.processor).Seconds() / calls
+	b.ReportMetric(added*1e6, "added-cpu-us/op")
+	if added > 0 {
+		b.ReportMetric(1/added, "requests/s/core")
+	}
+}
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -15,6 +17,10 @@
 	"godwityoke.example/godwityoke/internal/settings"
 )
 
+// balancerWait is the time that a planned stop gives the balancer, several
+// times as long as it takes to see that an entry VM is not ready.
+const balancerWait = 500 * time.Millisecond
+
 // startWait bounds the wait until every entry VM is ready and has heard of all
 // backend servers of its zone.
 const startWait = 20 * time.Second
@@ -33,11 +39,15 @@
 	Standins *Standins
 	Entries  []*process.Process
 	options  Options
+
+	mu sync.Mutex
+	// stopped holds the numbers of entry VMs that were stopped.
+	stopped map[int]bool
 }
 
 // Start starts a system and returns when it serves.
 func Start(ctx context.Context, options Options) (*Cluster, error) {
-	c := &Cluster{options: options, Standins: &Standins{}}
+	c := &Cluster{options: options, Standins: &Standins{}, stopped: map[int]bool{}}
 	if err := c.start(ctx); err != nil {
 		c.Close()
 		return nil, err
@@ -127,7 +137,7 @@
 	config.EntryVMs = peers
 	config.BundleFile = c.options.Scenario.BundlePath
 	config.Routing.Policy = c.options.Policy
-	config.Shutdown.BalancerWait = jsonc.Duration(100 * time.Millisecond)
+	config.Shutdown.BalancerWait = jsonc.Duration(balancerWait)
 	return &config
 }
 
@@ -162,20 +172,30 @@
 	return target
 }
 
-// Stop ends the system in order: entry VMs first, then the stand-ins. It
-// returns an error when work was cut.
-func (c *Cluster) Stop(ctx context.Context) error {
-	cuts := make(chan int, len(c.Entries))
-	for _, entry := range c.Entries {
-		go func() { cuts <- len(entry.Stop(ctx)) }()
-	}
-	cut := 0
-	for range c.Entries {
-		cut += <-cuts
-	}
-	c.Standins.Close()
-	if cut > 0 {
-		return fmt.Errorf("the stop cut %d requests", cut)
+// StopEntry ends one entry VM in order and returns how many requests were cut.
+// An entry VM that was stopped before is left alone.
+func (c *Cluster) StopEntry(ctx context.Context, number int) int {
+	c.mu.Lock()
+	done := c.stopped[number]
+	c.stopped[number] = true
+	c.mu.Unlock()
+	if done {
+		return 0
+	}
+	return len(c.Entries[number].Stop(ctx))
+}
+
+// StopEntries ends all entry VMs in order and returns an error when requests
+// were cut.
+func (c *Cluster) StopEntries(ctx context.Context) error {
+	var cut atomic.Int64
+	var wait sync.WaitGroup
+	for i := range c.Entries {
+		wait.Go(func() { cut.Add(int64(c.StopEntry(ctx, i))) })
+	}
+	wait.Wait()
+	if cut.Load() > 0 {
+		return fmt.Errorf("the stop cut %d requests", cut.Load())
 	}
 	return nil
 }
--- a/internal/cluster/standins.go
+++ b/internal/cluster/standins.go
@@ -5,9 +5,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -127,24 +125,6 @@
 	return held
 }
 
-// Leave makes every stand-in leave in order, all at the same time.
-func (s *Standins) Leave(ctx context.Context) error {
-	var leavers []func(context.Context) error
-	for _, server := range s.Engines {
-		leavers = append(leavers, server.Leave)
-	}
-	for _, server := range s.Services {
-		leavers = append(leavers, server.Leave)
-	}
-	failures := make([]error, len(leavers))
-	var wait sync.WaitGroup
-	for i, leave := range leavers {
-		wait.Go(func() { failures[i] = leave(ctx) })
-	}
-	wait.Wait()
-	return errors.Join(failures...)
-}
-
 // Close ends all stand-ins at once.
 func (s *Standins) Close() {
 	for _, server := range s.Engines {
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -25,6 +25,7 @@
 	Serve    *ServeArguments    `arg:"subcommand:serve" help:"run the process of one VM"`
 	Settings *SettingsArguments `arg:"subcommand:settings" help:"check a settings file"`
 	Standin  *StandinArguments  `arg:"subcommand:standin" help:"run a stand-in for a backend server"`
+	Demo     *DemoArguments     `arg:"subcommand:demo" help:"run the whole system in one process for less than a minute"`
 	Load     *LoadArguments     `arg:"subcommand:load" help:"offer a scenario's load and report the measures"`
 }
 
@@ -71,6 +72,8 @@
 		return a.Standin.Engine.run(output)
 	case a.Standin != nil && a.Standin.Service != nil:
 		return a.Standin.Service.run(output)
+	case a.Demo != nil:
+		return a.Demo.run(output)
 	case a.Load != nil:
 		return a.Load.run(output)
 	}
--- /dev/null
+++ b/internal/command/demo.go
@@ -0,0 +1,54 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"godwityoke.example/godwityoke/internal/demo"
+	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/settings"
+)
+
+// DemoArguments are the arguments of "demo".
+type DemoArguments struct {
+	Policy   string `arg:"--policy" default:"two_choices" help:"placement policy"`
+	LogLevel string `arg:"--log-level" default:"fatal" help:"zerolog level of the system's own log"`
+}
+
+// Description is shown by --help.
+func (DemoArguments) Description() string {
+	return "Runs the whole system in this process for less than a minute, under load and with incidents, " +
+		"and prints the measures and every promise with its count. Ends with 1 if a promise is broken."
+}
+
+func (a *DemoArguments) run(output Output) int {
+	policies, err := parsePolicies(a.Policy)
+	if err != nil {
+		fmt.Fprintln(output.Err, err)
+		return ExitUsage
+	}
+	logger, err := observe.NewLogger(output.Err, observe.LogConsole, a.LogLevel)
+	if err != nil {
+		fmt.Fprintln(output.Err, err)
+		return ExitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	err = demo.Run(ctx, demo.Options{
+		Out: output.Out, Progress: output.Err, Policy: settings.Policy(policies[0]), Builders: builders(), Logger: logger,
+	})
+	switch {
+	case errors.Is(err, demo.ErrBroken):
+		fmt.Fprintln(output.Out, "result: a promise was broken")
+		return ExitFindings
+	case err != nil:
+		fmt.Fprintln(output.Err, err)
+		return ExitFindings
+	}
+	fmt.Fprintln(output.Out, "result: every promise was kept")
+	return ExitOK
+}
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,167 @@
+// Package demo shows the whole system at work in one process: three zones of
+// entry VMs and stand-ins on loopback, a short mixed load, and incidents while
+// it runs. It prints the measures and every promise with its count.
+package demo
+
+import (
+	"context"
+	"embed"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"runtime"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"godwityoke.example/godwityoke/internal/cluster"
+	"godwityoke.example/godwityoke/internal/load"
+	"godwityoke.example/godwityoke/internal/process"
+	"godwityoke.example/godwityoke/internal/settings"
+)
+
+const (
+	// timeLimit bounds the whole demo.
+	timeLimit = 60 * time.Second
+	scenario  = "demo.json"
+	bundle    = "demo.bundle.json"
+)
+
+//go:embed files/*.json
+var files embed.FS
+
+// ErrBroken tells that a promise was broken.
+var ErrBroken = errors.New("a promise was broken")
+
+// Options are what a demo runs with.
+type Options struct {
+	Out io.Writer
+	// Progress receives a line now and then.
+	Progress io.Writer
+	Policy   settings.Policy
+	Builders []process.Builder
+	Logger   zerolog.Logger
+}
+
+// Run runs the demo. It returns ErrBroken when a promise was broken.
+func Run(ctx context.Context, options Options) error {
+	ctx, cancel := context.WithTimeout(ctx, timeLimit)
+	defer cancel()
+	folder, err := os.MkdirTemp("", "godwityoke-demo-")
+	if err != nil {
+		return fmt.Errorf("demo: %w", err)
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	loaded, err := readScenario(folder)
+	if err != nil {
+		return err
+	}
+	d := &demo{options: options, scenario: loaded, started: time.Now()}
+	report, err := d.run(ctx)
+	if err != nil {
+		return fmt.Errorf("demo: %w", err)
+	}
+	if err := report.WriteTable(options.Out); err != nil {
+		return err
+	}
+	fmt.Fprintf(options.Out, "demo ended after %.0f s\n", time.Since(d.started).Seconds())
+	if report.Broken() > 0 {
+		return ErrBroken
+	}
+	return nil
+}
+
+// readScenario writes the embedded files to folder and reads them as any other
+// scenario.
+func readScenario(folder string) (*load.Scenario, error) {
+	for _, name := range []string{scenario, bundle} {
+		text, err := files.ReadFile("files/" + name)
+		if err != nil {
+			return nil, fmt.Errorf("demo: %w", err)
+		}
+		if err := os.WriteFile(filepath.Join(folder, name), text, 0o600); err != nil {
+			return nil, fmt.Errorf("demo: %w", err)
+		}
+	}
+	loaded, findings, err := load.ReadScenario(filepath.Join(folder, scenario))
+	if err != nil {
+		return nil, err
+	}
+	if len(findings) > 0 {
+		return nil, findings
+	}
+	return loaded, nil
+}
+
+type demo struct {
+	options  Options
+	scenario *load.Scenario
+	cluster  *cluster.Cluster
+	started  time.Time
+}
+
+func (d *demo) run(ctx context.Context) (*load.Report, error) {
+	d.say("starting %d zones with %d entry VMs and %d engines each", len(d.scenario.Fleet.Zones),
+		d.scenario.Fleet.EntryVMsPerZone, d.scenario.Fleet.EnginesPerZone)
+	var err error
+	d.cluster, err = cluster.Start(ctx, cluster.Options{
+		Scenario: d.scenario, Policy: d.options.Policy, Builders: d.options.Builders, Logger: d.options.Logger,
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer d.cluster.Close()
+	without, err := d.offer(ctx, "without long prompts", false)
+	if err != nil {
+		return nil, err
+	}
+	incidents := d.startIncidents(ctx)
+	with, err := d.offer(ctx, "all prompts, with incidents", true)
+	if err != nil {
+		return nil, err
+	}
+	return d.report(ctx, with, without, incidents.wait())
+}
+
+func (d *demo) offer(ctx context.Context, name string, withLong bool) ([]load.Sample, error) {
+	progress := func(sent, ended, total int) { d.say("%s: sent %d, ended %d of %d", name, sent, ended, total) }
+	run := "with"
+	if !withLong {
+		run = "without"
+	}
+	samples := load.Offer(ctx, d.scenario, d.scenario.Schedule(withLong), d.cluster.Target(), run, progress)
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	return samples, nil
+}
+
+func (d *demo) report(ctx context.Context, with, without []load.Sample, incidents []load.Promise) (*load.Report, error) {
+	withLong, withoutLong := load.Measure(with), load.Measure(without)
+	d.say("stopping all entry VMs in order")
+	stop := load.Promise{Name: "a planned stop cuts off no request"}
+	err := d.cluster.StopEntries(ctx)
+	stop.Check(err == nil, "%v", err)
+	evidence := d.cluster.Standins.Evidence(ctx)
+	run := load.RunReport{
+		Policy: string(d.options.Policy), Round: 1, WithLong: withLong, WithoutLong: &withoutLong,
+		Engines:  evidence.Total(),
+		Promises: append(load.Judge(append(with, without...), evidence), append(incidents, stop)...),
+	}
+	if withoutLong.Short.P95 > 0 {
+		run.ShortSlowdown = withLong.Short.P95 / withoutLong.Short.P95
+	}
+	return &load.Report{
+		Scenario: d.scenario.Name, Seed: d.scenario.Seed, Scale: 1, Started: d.started, Processors: runtime.GOMAXPROCS(0),
+		Bound: load.ComputeBound(d.scenario, d.scenario.Schedule(true)), Runs: []load.RunReport{run},
+	}, nil
+}
+
+// say writes a line of progress.
+func (d *demo) say(format string, args ...any) {
+	if d.options.Progress != nil {
+		fmt.Fprintf(d.options.Progress, "%5.1fs  %s\n", time.Since(d.started).Seconds(), fmt.Sprintf(format, args...))
+	}
+}
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -31,7 +31,7 @@
 type client struct {
 	scenario *Scenario
 	run      string
-	entries  []string
+	balancer *balancer
 	http     *http.Client
 }
 
@@ -39,7 +39,7 @@
 	transport := &http.Transport{
 		MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true, IdleConnTimeout: time.Minute,
 	}
-	return &client{scenario: scenario, run: run, entries: entries, http: &http.Client{Transport: transport}}
+	return &client{scenario: scenario, run: run, balancer: newBalancer(entries), http: &http.Client{Transport: transport}}
 }
 
 // streamEvent is the part of a server-sent event that a caller needs.
@@ -80,14 +80,8 @@
 	return sample
 }
 
-// entry spreads the arrivals over the entry VMs as the platform's balancer
-// does. The second send of a key goes to another one.
-func (c *client) entry(arrival *Arrival) string {
-	return c.entries[arrival.Number%len(c.entries)]
-}
-
 func (c *client) newRequest(ctx context.Context, arrival *Arrival, method, path string, body io.Reader, size int) (*http.Request, error) {
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+c.entry(arrival)+path, body)
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+c.balancer.pick(arrival.Number)+path, body)
 	if err != nil {
 		return nil, fmt.Errorf("request: %w", err)
 	}
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -163,7 +163,10 @@
 func WritePromises(w io.Writer, promises []Promise) {
 	for _, promise := range promises {
 		verdict := "kept"
-		if promise.Broken > 0 {
+		switch {
+		case promise.Checked == 0:
+			verdict = "nothing to check"
+		case promise.Broken > 0:
 			verdict = fmt.Sprintf("BROKEN %d times", promise.Broken)
 		}
 		fmt.Fprintf(w, "promise: %s: checked %d, %s\n", promise.Name, promise.Checked, verdict)
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -24,6 +24,9 @@
 func Offer(ctx context.Context, scenario *Scenario, arrivals []Arrival, target Target, run string, progress Progress) []Sample {
 	c := newClient(scenario, run, target.Entries)
 	defer c.http.CloseIdleConnections()
+	balancing, stop := context.WithCancel(ctx)
+	defer stop()
+	c.balancer.run(balancing)
 	start := time.Now().Add(startDelay)
 	collector := &collector{samples: make([]Sample, len(arrivals)), progress: progress}
 	var wait sync.WaitGroup
--- a/internal/standin/engine/core.go
+++ b/internal/standin/engine/core.go
@@ -370,6 +370,14 @@
 	}
 }
 
+// Drop forgets all attempts, as the death of the engine does. Nothing is
+// admitted any more.
+func (c *Core) Drop() {
+	c.waiting, c.running, c.used = nil, nil, 0
+	clear(c.parked)
+	c.limits.MaxWaiting = 0
+}
+
 func (c *Core) release(attempt string) {
 	if parked := c.parked[attempt]; parked != nil {
 		c.used -= parked.job.need()
--- a/internal/standin/engine/runner.go
+++ b/internal/standin/engine/runner.go
@@ -182,7 +182,7 @@
 	return len(r.streams) == 0
 }
 
-// close stops the runner for good.
+// close stops the runner for good. The memory of its engine is gone with it.
 func (r *runner) close() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -190,5 +190,6 @@
 	case <-r.stop:
 	default:
 		close(r.stop)
+		r.core.Drop()
 	}
 }
