--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -4,23 +4,18 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
-	"godwityoke.example/godwityoke/internal/jsonc"
 	"godwityoke.example/godwityoke/internal/load"
 	"godwityoke.example/godwityoke/internal/process"
 	"godwityoke.example/godwityoke/internal/settings"
 )
 
-// balancerWait is the time that a planned stop gives the balancer, several
-// times as long as it takes to see that an entry VM is not ready.
-const balancerWait = 500 * time.Millisecond
-
 // startWait bounds the wait until every entry VM is ready and has heard of all
 // backend servers of its zone.
 const startWait = 20 * time.Second
@@ -31,14 +26,20 @@
 	Policy   settings.Policy
 	// Builders make the parts of each process beside the callers' side.
 	Builders []process.Builder
-	Logger   zerolog.Logger
+	// ControlVMs starts a control VM in each zone, to which the scenario's
+	// bundle is submitted. Without, entry VMs read the bundle file.
+	ControlVMs bool
+	Logger     zerolog.Logger
 }
 
 // Cluster is a running system.
 type Cluster struct {
 	Standins *Standins
 	Entries  []*process.Process
+	Controls []*process.Process
 	options  Options
+	topology *topology
+	folder   string
 
 	mu sync.Mutex
 	// stopped holds the numbers of entry VMs that were stopped.
@@ -50,112 +51,66 @@
 	c := &Cluster{options: options, Standins: &Standins{}, stopped: map[int]bool{}}
 	if err := c.start(ctx); err != nil {
 		c.Close()
-		return nil, err
+		return nil, fmt.Errorf("start of the cluster: %w", err)
 	}
 	return c, nil
 }
 
 func (c *Cluster) start(ctx context.Context) error {
-	vms, err := openEntryVMs(c.options.Scenario)
-	if err != nil {
+	var err error
+	if c.folder, err = os.MkdirTemp("", "godwityoke-cluster-"); err != nil {
 		return err
 	}
-	if err := c.startEntries(ctx, vms); err != nil {
+	if c.topology, err = openTopology(c.options.Scenario, c.options.ControlVMs, c.folder); err != nil {
 		return err
 	}
-	c.Standins, err = startStandins(c.options.Scenario, seedsByZone(vms), c.options.Logger)
-	if err != nil {
+	if c.Controls, err = c.startVMs(ctx, c.topology.controls); err != nil {
 		return err
 	}
-	return c.waitServing(ctx)
-}
-
-// entryVM is an entry VM whose listeners are open.
-type entryVM struct {
-	peer      settings.Peer
-	listeners process.Listeners
-}
-
-// openEntryVMs opens the listeners of all entry VMs, so that each can be told
-// the addresses of the others.
-func openEntryVMs(scenario *load.Scenario) ([]entryVM, error) {
-	var vms []entryVM
-	for _, zone := range scenario.Fleet.Zones {
-		for i := range scenario.Fleet.EntryVMsPerZone {
-			vm := entryVM{peer: settings.Peer{Name: fmt.Sprintf("entry-%s%d", zone, i+1), Zone: zone}}
-			for _, listener := range []*net.Listener{&vm.listeners.Callers, &vm.listeners.Backends, &vm.listeners.Internal} {
-				opened, err := net.Listen("tcp", "127.0.0.1:0")
-				if err != nil {
-					return nil, fmt.Errorf("entry VM %s: %w", vm.peer.Name, err)
-				}
-				*listener = opened
-			}
-			vm.peer.Internal = vm.listeners.Internal.Addr().String()
-			vm.peer.Backends = vm.listeners.Backends.Addr().String()
-			vms = append(vms, vm)
-		}
+	if c.Entries, err = c.startVMs(ctx, c.topology.entries); err != nil {
+		return err
 	}
-	return vms, nil
-}
-
-func seedsByZone(vms []entryVM) map[string][]string {
-	seeds := map[string][]string{}
-	for _, vm := range vms {
-		seeds[vm.peer.Zone] = append(seeds[vm.peer.Zone], vm.peer.Backends)
+	if c.Standins, err = startStandins(c.options.Scenario, c.topology.seeds(), c.options.Logger); err != nil {
+		return err
 	}
-	return seeds
+	ctx, cancel := context.WithTimeout(ctx, startWait)
+	defer cancel()
+	if c.options.ControlVMs {
+		if _, err := c.Submit(ctx, c.options.Scenario.Bundle); err != nil {
+			return err
+		}
+	}
+	return c.waitServing(ctx)
 }
 
-func (c *Cluster) startEntries(ctx context.Context, vms []entryVM) error {
-	peers := make([]settings.Peer, len(vms))
-	for i, vm := range vms {
-		peers[i] = vm.peer
-	}
-	for _, vm := range vms {
+func (c *Cluster) startVMs(ctx context.Context, vms []*vm) ([]*process.Process, error) {
+	var running []*process.Process
+	for _, one := range vms {
 		started, err := process.Start(ctx, process.Options{
-			Settings: c.entrySettings(vm, peers), Logger: c.options.Logger,
-			Listeners: vm.listeners, Builders: c.options.Builders,
+			Settings: c.topology.settingsOf(one, c.options), Logger: c.options.Logger,
+			Listeners: one.listeners, Builders: c.options.Builders,
 		})
 		if err != nil {
-			return fmt.Errorf("entry VM %s: %w", vm.peer.Name, err)
+			return running, fmt.Errorf("VM %s: %w", one.peer.Name, err)
 		}
-		c.Entries = append(c.Entries, started)
+		running = append(running, started)
 	}
-	return nil
-}
-
-func (c *Cluster) entrySettings(vm entryVM, peers []settings.Peer) *settings.Settings {
-	config := settings.Defaults()
-	config.Cluster = c.options.Scenario.Name
-	config.VM = settings.VM{Name: vm.peer.Name, Zone: vm.peer.Zone}
-	config.Roles = []settings.Role{settings.RoleEntry}
-	config.Listen = settings.Listen{
-		Callers:  vm.listeners.Callers.Addr().String(),
-		Backends: vm.peer.Backends,
-		Internal: vm.peer.Internal,
-	}
-	config.EntryVMs = peers
-	config.BundleFile = c.options.Scenario.BundlePath
-	config.Routing.Policy = c.options.Policy
-	config.Shutdown.BalancerWait = jsonc.Duration(balancerWait)
-	return &config
+	return running, nil
 }
 
 // waitServing returns once every entry VM is ready and knows the backend
 // servers of its zone.
 func (c *Cluster) waitServing(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, startWait)
-	defer cancel()
 	scenario := c.options.Scenario
 	expected := scenario.Fleet.EnginesPerZone + scenario.Fleet.ServersPerZone*len(scenario.Bundle.Services)
 	for _, entry := range c.Entries {
 		if err := entry.WaitReady(ctx); err != nil {
-			return fmt.Errorf("start of the cluster: %w", err)
+			return err
 		}
 		for len(entry.Host().Fleet.All(time.Now())) < expected {
 			select {
 			case <-ctx.Done():
-				return fmt.Errorf("start of the cluster: backend servers were not heard of: %w", ctx.Err())
+				return fmt.Errorf("backend servers were not heard of: %w", ctx.Err())
 			case <-time.After(pollInterval):
 			}
 		}
@@ -202,10 +157,13 @@
 
 // Close ends everything at once.
 func (c *Cluster) Close() {
-	for _, entry := range c.Entries {
-		entry.Kill()
+	for _, running := range append(c.Entries, c.Controls...) {
+		running.Kill()
 	}
 	c.Standins.Close()
+	if c.folder != "" {
+		_ = os.RemoveAll(c.folder)
+	}
 }
 
 var errCancelled = errors.New("the run was cancelled")
