load: offer load to separate processes and judge by recorded runs

A stand-in service can write each run to a file, so that the count outlives a kill. The second send of a key goes to the next entry VM at the same time.

--- a/internal/command/load.go
+++ b/internal/command/load.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime"
 	"strings"
 	"syscall"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -26,11 +28,19 @@
 	JSON     string  `arg:"--json" help:"file for the report as JSON"`
 	Plot     string  `arg:"--plot" help:"file for the report as SVG"`
 	LogLevel string  `arg:"--log-level" default:"error" help:"zerolog level of the system's own log"`
+
+	Entry   []string `arg:"--entry,separate" help:"ip:port of a running entry VM's callers' listener; repeatable, in place of a system in this process"`
+	Engine  []string `arg:"--engine,separate" help:"ip:port of a running stand-in engine, asked for its counters; repeatable"`
+	Service []string `arg:"--service,separate" help:"ip:port of a running stand-in service, asked for its counters; repeatable"`
+	Record  []string `arg:"--record,separate" help:"file that a stand-in service wrote its runs to; repeatable"`
+	VMsDie  bool     `arg:"--entry-vms-die" help:"entry VMs are killed during the run, so callers may lose connections"`
+	RunName string   `arg:"--run" default:"run" help:"makes prompts and keys differ from those of other runs"`
 }
 
 // Description is shown by --help.
 func (LoadArguments) Description() string {
-	return "Starts the system of a scenario in this process, offers its load and reports the measures and the promises kept."
+	return "Offers the load of a scenario and reports the measures and the promises kept. Without --entry it starts " +
+		"the whole system in this process."
 }
 
 func (a *LoadArguments) run(output Output) int {
@@ -53,9 +63,37 @@
 		fmt.Fprintln(output.Err, err)
 		return ExitUsage
 	}
+	if len(a.Entry) > 0 {
+		return a.offer(output, scenario.Scaled(a.Scale))
+	}
 	return a.compare(output, scenario.Scaled(a.Scale), policies, logger)
 }
 
+// offer sends the load to a system that runs already.
+func (a *LoadArguments) offer(output Output, scenario *load.Scenario) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	progress := printProgress(output)
+	arrivals := scenario.Schedule(true)
+	started := time.Now()
+	samples := load.Offer(ctx, scenario, arrivals, load.Target{Entries: a.Entry}, a.RunName,
+		func(sent, ended, total int) { progress(a.RunName, sent, ended, total) })
+	sources := load.Sources{Engines: a.Engine, Services: a.Service, Records: a.Record, EntryVMsDied: a.VMsDie}
+	evidence, err := sources.Collect(ctx)
+	if err != nil {
+		fmt.Fprintln(output.Err, err)
+		return ExitFindings
+	}
+	return a.write(output, &load.Report{
+		Scenario: scenario.Name, Seed: scenario.Seed, Scale: a.Scale, Started: started,
+		Processors: runtime.GOMAXPROCS(0), Bound: load.ComputeBound(scenario, arrivals),
+		Runs: []load.RunReport{{
+			Policy: "running system", Round: 1, WithLong: load.Measure(samples),
+			Promises: load.Judge(samples, evidence), Engines: evidence.Total(),
+		}},
+	})
+}
+
 func (a *LoadArguments) compare(output Output, scenario *load.Scenario, policies []settings.Policy, logger zerolog.Logger) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -57,6 +57,7 @@
 	standinCommon
 	Service  string        `arg:"--service,required" help:"name of the plain service"`
 	WorkTime time.Duration `arg:"--work-time" default:"5ms" help:"time of a call"`
+	Record   string        `arg:"--record" help:"file that receives the key of each run"`
 }
 
 // standin is what both stand-ins have in common while they run.
@@ -86,7 +87,7 @@
 func (a *StandinServiceArguments) run(output Output) int {
 	config := service.DefaultConfig()
 	config.ServerID, config.Zone, config.Listen, config.Seeds = a.ID, a.Zone, a.Listen, a.Entry
-	config.Service, config.WorkTime = a.Service, a.WorkTime
+	config.Service, config.WorkTime, config.RecordFile = a.Service, a.WorkTime, a.Record
 	config.LeaveWait, config.ExitOnDie = a.LeaveWait, true
 	return a.serve(output, func(logger zerolog.Logger) (standin, error) { return service.Start(config, logger) })
 }
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -76,12 +76,13 @@
 	if err != nil && sample.Outcome == "" {
 		sample.Problem = err.Error()
 		sample.NoAnswer = ctx.Err() != nil
+		sample.Lost = ctx.Err() == nil
 	}
 	return sample
 }
 
 func (c *client) newRequest(ctx context.Context, arrival *Arrival, method, path string, body io.Reader, size int) (*http.Request, error) {
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+c.balancer.pick(arrival.Number)+path, body)
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+c.balancer.pick(arrival.Entry)+path, body)
 	if err != nil {
 		return nil, fmt.Errorf("request: %w", err)
 	}
--- a/internal/load/promises.go
+++ b/internal/load/promises.go
@@ -44,6 +44,9 @@
 	KeyRuns map[string]int64
 	// Engines are the counters of each engine.
 	Engines []EngineEvidence
+	// EntryVMsDied tells that entry VMs were killed during the run, so that
+	// callers may have lost their connections.
+	EntryVMsDied bool
 }
 
 // EngineEvidence is what one engine counted.
@@ -55,7 +58,7 @@
 // Judge checks the promises of a run against the evidence.
 func Judge(samples []Sample, evidence Evidence) []Promise {
 	return []Promise{
-		judgeTime(samples),
+		judgeTime(samples, evidence),
 		judgeAnswers(samples),
 		judgeNotRun(samples, evidence),
 		judgeAtMostOnce(samples, evidence),
@@ -74,11 +77,12 @@
 		sample.Whole.Seconds(), sample.Arrival.Deadline.Seconds(), sample.Problem)
 }
 
-func judgeTime(samples []Sample) Promise {
+func judgeTime(samples []Sample, evidence Evidence) Promise {
 	promise := Promise{Name: "every request ends within its time, with an outcome"}
 	for i := range samples {
 		sample := &samples[i]
-		ended := sample.Outcome.Valid() && !sample.NoAnswer && sample.Whole <= sample.Arrival.Deadline+lateGrace
+		told := sample.Outcome.Valid() || (sample.Lost && evidence.EntryVMsDied)
+		ended := told && !sample.NoAnswer && sample.Whole <= sample.Arrival.Deadline+lateGrace
 		promise.Check(ended, "%s", describe(sample))
 	}
 	return promise
--- a/internal/load/sample.go
+++ b/internal/load/sample.go
@@ -27,6 +27,9 @@
 	Problem string
 	// NoAnswer tells that nothing came until well after the deadline.
 	NoAnswer bool
+	// Lost tells that the connection broke, as the death of an entry VM makes
+	// it.
+	Lost bool
 	// WrongAnswer tells that the answer differs from the expected one.
 	WrongAnswer bool
 	// Seed identifies the answer in the engines' record of runs.
--- a/internal/load/schedule.go
+++ b/internal/load/schedule.go
@@ -19,6 +19,9 @@
 	Phase string
 	// Crest is true in a phase that is marked so.
 	Crest bool
+	// Entry chooses the entry VM: arrivals go to the VMs in turn, and the
+	// second send of a key goes to the next one.
+	Entry int
 	Team  *Team
 	// Prompt is set for a model request, Call for a plain service.
 	Prompt *Prompt
@@ -107,7 +110,7 @@
 		tokens := length.Tokens - random.Int64N(max(1, length.Tokens/10))
 		answer := team.MinAnswerTokens + random.Int64N(team.MaxAnswerTokens-team.MinAnswerTokens+1)
 		arrival := Arrival{
-			At: at + jitter(random), Phase: phase.Name, Crest: phase.Crest, Team: team,
+			At: at + jitter(random), Phase: phase.Name, Crest: phase.Crest, Entry: len(to), Team: team,
 			Prompt:   &Prompt{Tokens: tokens, AnswerTokens: answer, Short: s.short(tokens)},
 			Deadline: length.Deadline.Std(), Asked: length.Deadline > 0,
 		}
@@ -125,7 +128,7 @@
 		mean := operation.PerSecond * rate / 100 * rateStep.Seconds()
 		for range poisson(random, mean) {
 			arrival := Arrival{
-				At: at + jitter(random), Phase: phase.Name, Crest: phase.Crest, Team: s.team(operation.Team),
+				At: at + jitter(random), Phase: phase.Name, Crest: phase.Crest, Entry: len(to), Team: s.team(operation.Team),
 				Call: &Call{Operation: operation}, Deadline: operation.Deadline.Std(), Asked: true,
 			}
 			if operation.Keyed {
@@ -133,19 +136,20 @@
 			}
 			to = append(to, arrival)
 			if operation.Keyed && random.Float64()*100 < operation.ResendPercent {
-				to = append(to, arrival.resend(random))
+				to = append(to, arrival.resend())
 			}
 		}
 	}
 	return to
 }
 
-// resend returns a second send of the same key at nearly the same time.
-func (a Arrival) resend(random *rand.Rand) Arrival {
+// resend returns a second send of the same key at the same time, to another
+// entry VM.
+func (a Arrival) resend() Arrival {
 	second := *a.Call
 	second.Resend = true
 	a.Call = &second
-	a.At += jitter(random)
+	a.Entry++
 	return a
 }
 
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -51,6 +51,9 @@
 	// LeaveWait is the shortest time between the announcement of leaving and
 	// the end.
 	LeaveWait time.Duration
+	// RecordFile, when set, receives a line with the key of each run, so that
+	// the count outlives the process.
+	RecordFile string
 	// ExitOnDie ends the whole process at the fault "die".
 	ExitOnDie bool
 }
@@ -101,6 +104,7 @@
 
 	mu       sync.Mutex
 	counters Counters
+	record   *os.File
 }
 
 // Start listens and begins to announce the service.
@@ -113,6 +117,10 @@
 		config: config, logger: logger.With().Str("server", config.ServerID).Logger(),
 		listener: listener, faults: fault.NewSet(), counters: Counters{Runs: map[string]int64{}},
 	}
+	if err := s.openRecord(); err != nil {
+		_ = listener.Close()
+		return nil, err
+	}
 	s.announcer = announce.New(config.Seeds, s.announcement, func() bool { return s.faults.On(fault.Silent) }, s.logger)
 	s.http = &http.Server{Handler: s.routes(), ReadHeaderTimeout: 5 * time.Second}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -217,7 +225,10 @@
 		c.Response().Header().Set(backendapi.HeaderNotRun, "1")
 		return c.JSON(http.StatusBadRequest, control.Problem{Error: err.Error()})
 	}
-	answer := s.run(c.Request(), body)
+	answer, err := s.run(c.Request(), body)
+	if err != nil {
+		return c.JSON(http.StatusInternalServerError, control.Problem{Error: err.Error()})
+	}
 	time.Sleep(s.config.WorkTime)
 	if late, hit := s.faults.Take(fault.Late); hit {
 		time.Sleep(late.Delay())
@@ -229,7 +240,7 @@
 }
 
 // run counts a run of the call's key.
-func (s *Server) run(r *http.Request, body []byte) Answer {
+func (s *Server) run(r *http.Request, body []byte) (Answer, error) {
 	key := r.Header.Get(request.IdempotencyKeyHeader)
 	digest := sha256.Sum256(body)
 	answer := Answer{Service: s.config.Service, Path: r.URL.Path, Key: key, RequestSHA256: hex.EncodeToString(digest[:])}
@@ -237,11 +248,33 @@
 	defer s.mu.Unlock()
 	if key == "" {
 		s.counters.WithoutKey++
-		return answer
+		return answer, nil
 	}
 	s.counters.Runs[key]++
 	answer.Run = s.counters.Runs[key]
-	return answer
+	return answer, s.writeRecord(key)
+}
+
+func (s *Server) openRecord() error {
+	if s.config.RecordFile == "" {
+		return nil
+	}
+	file, err := os.OpenFile(s.config.RecordFile, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	if err != nil {
+		return fmt.Errorf("record of runs: %w", err)
+	}
+	s.record = file
+	return nil
+}
+
+func (s *Server) writeRecord(key string) error {
+	if s.record == nil {
+		return nil
+	}
+	if _, err := s.record.WriteString(key + "\n"); err != nil {
+		return fmt.Errorf("record of runs: %w", err)
+	}
+	return nil
 }
 
 // reply answers with the attempt and the digest of the body, or as a fault
