--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -96,6 +96,7 @@
   shift
   "$BINARY" "$@" >>"$FOLDER/logs/$name.log" 2>&1 &
   PIDS[$name]=$!
+  disown $! # no message of the shell when it ends
 }
 
 start_vm() { start "$1" serve --settings "$FOLDER/settings/$1.json"; }
@@ -109,7 +110,10 @@
   done
   case $name in
   engine-*) start "$name" standin engine --id "$name" --zone "$zone" --model scribe@1 --listen "$(address "$name" http)" "${seeds[@]}" ;;
-  *) start "$name" standin service --id "$name" --zone "$zone" --service voyages --listen "$(address "$name" http)" "${seeds[@]}" ;;
+  *)
+    if [ -n "${RECORDS:-}" ]; then seeds+=(--record "$RECORDS/$name"); fi
+    start "$name" standin service --id "$name" --zone "$zone" --service voyages --listen "$(address "$name" http)" "${seeds[@]}"
+    ;;
   esac
 }
 
@@ -150,5 +154,5 @@
   for name in "${!PIDS[@]}"; do end "$name" TERM; done
   sleep 4
   for name in "${!PIDS[@]}"; do end "$name" KILL; done
-  wait 2>/dev/null || true
+
 }
--- a/scripts/tour.sh
+++ b/scripts/tour.sh
@@ -45,7 +45,7 @@
 
 if [ "$CHECK" = 0 ]; then
   echo "Ctrl-C ends all of them."
-  wait
+  while :; do sleep 1; done
 fi
 
 # Checks: every entry VM answers a stream whole.
