--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -154,5 +154,4 @@
   for name in "${!PIDS[@]}"; do end "$name" TERM; done
   sleep 4
   for name in "${!PIDS[@]}"; do end "$name" KILL; done
-
 }
