--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -27,6 +27,7 @@
 	Bundle   *BundleArguments   `arg:"subcommand:bundle" help:"check, sign, submit, roll and watch bundles"`
 	VM       *VMArguments       `arg:"subcommand:vm" help:"list, add and remove control VMs"`
 	Standin  *StandinArguments  `arg:"subcommand:standin" help:"run a stand-in for a backend server"`
+	Demo     *DemoArguments     `arg:"subcommand:demo" help:"run the whole system in one process for less than a minute"`
 	Load     *LoadArguments     `arg:"subcommand:load" help:"offer a scenario's load and report the measures"`
 }
 
@@ -81,6 +82,8 @@
 		return a.Standin.Engine.run(output)
 	case a.Standin != nil && a.Standin.Service != nil:
 		return a.Standin.Service.run(output)
+	case a.Demo != nil:
+		return a.Demo.run(output)
 	case a.Load != nil:
 		return a.Load.run(output)
 	}
