--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -152,9 +152,23 @@
 		SnapshotIndex: c.snapshot.Index,
 		LastIndex:     c.log.last(),
 		Membership:    c.membership,
+		Progress:      c.memberProgress(),
 	}
 }
 
+func (c *Core) memberProgress() []MemberProgress {
+	if c.role != RoleLeader {
+		return nil
+	}
+	list := make([]MemberProgress, 0, len(c.lead.progress))
+	for _, member := range c.membership.Members {
+		if pr := c.lead.progress[member.ID]; pr != nil {
+			list = append(list, MemberProgress{ID: member.ID, Synced: pr.match, Reachable: c.heard(member.ID)})
+		}
+	}
+	return list
+}
+
 // Tick lets time pass: elections, heartbeats and the end of leases.
 func (c *Core) Tick(now time.Time) {
 	c.observe(now)
--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -211,23 +211,34 @@
 	require.Len(t, ready.Committed, 1)
 }
 
-func TestReadBarrierNeedsALaterRoundAndAnEntryOfThisTerm(t *testing.T) {
+func TestReadBarrierNeedsALaterRound(t *testing.T) {
 	b := newBench(t, storedLog(2, 2, 2))
 	b.elect()
+	b.acknowledge(2, 4)
+	earlier := b.core.lead.round
 	_, err := b.core.RequestRead(b.now)
 	require.NoError(t, err)
-	earlier := b.core.lead.round
 	b.core.Flush()
-	b.step(Message{Kind: MessageHeartbeatResponse, From: 2, Term: b.core.term, Round: earlier})
+	b.step(Message{Kind: MessageHeartbeatResponse, From: 3, Term: b.core.term, Round: earlier})
 	require.Empty(t, b.ready().Reads)
-	b.step(Message{Kind: MessageHeartbeatResponse, From: 2, Term: b.core.term, Round: b.core.lead.round})
-	require.Empty(t, b.ready().Reads, "no entry of this term is committed")
-	b.step(Message{Kind: MessageAppendResponse, From: 2, Term: b.core.term, Index: 4})
+	b.step(Message{Kind: MessageHeartbeatResponse, From: 3, Term: b.core.term, Round: b.core.lead.round})
 	reads := b.ready().Reads
 	require.Len(t, reads, 1)
 	require.Equal(t, uint64(4), reads[0].Index)
 }
 
+func TestReadBarrierNeedsAnEntryOfThisTerm(t *testing.T) {
+	b := newBench(t, storedLog(2, 2, 2))
+	b.elect()
+	_, err := b.core.RequestRead(b.now)
+	require.NoError(t, err)
+	b.core.Flush()
+	b.step(Message{Kind: MessageHeartbeatResponse, From: 2, Term: b.core.term, Round: b.core.lead.round})
+	require.Empty(t, b.ready().Reads, "no entry of this term is committed")
+	b.step(Message{Kind: MessageAppendResponse, From: 2, Term: b.core.term, Index: 4})
+	require.Len(t, b.ready().Reads, 1)
+}
+
 func TestLeaderWithoutQuorumStepsDownWithinItsLease(t *testing.T) {
 	b := newBench(t, storedLog(1))
 	b.elect()
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -156,4 +156,15 @@
 	// LastIndex is the last entry of the log.
 	LastIndex  uint64
 	Membership Membership
+	// Progress tells, at a leader only, how far each other member is.
+	Progress []MemberProgress
+}
+
+// MemberProgress is how far a member is, as the leader knows it.
+type MemberProgress struct {
+	ID MemberID
+	// Synced is the last entry that the member is known to have on disk.
+	Synced uint64
+	// Reachable is false when the member did not answer within a lease.
+	Reachable bool
 }
--- a/internal/replica/group_test.go
+++ b/internal/replica/group_test.go
@@ -107,6 +107,11 @@
 }
 
 func (g *loopbackGroup) start(t testing.TB, peer settings.Peer) *loopbackVM {
+	return g.startAt(t, peer, peer.Internal)
+}
+
+// startAt starts a VM that listens on another address than it is reached at.
+func (g *loopbackGroup) startAt(t testing.TB, peer settings.Peer, listen string) *loopbackVM {
 	chosen := settings.Defaults()
 	chosen.Cluster = "test"
 	chosen.VM = settings.VM{Name: peer.Name, Zone: peer.Zone}
@@ -124,7 +129,7 @@
 	require.NoError(t, err)
 	vm.replica = replica
 	replica.Register(vm.server)
-	listener, err := net.Listen("tcp", peer.Internal)
+	listener, err := net.Listen("tcp", listen)
 	require.NoError(t, err)
 	go func() { _ = vm.server.Serve(listener) }()
 	return vm
--- a/internal/replica/matrix_test.go
+++ b/internal/replica/matrix_test.go
@@ -268,8 +268,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 		defer cancel()
 		require.NoError(c.t, c.net.retry(c.t, func(leader *Replica) error {
-			_, err := leader.AddLearner(ctx, "control-4", "control-4")
-			return err
+			return leader.AddMember(ctx, "control-4", "control-4")
 		}))
 		time.Sleep(5 * time.Second)
 	}
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -35,7 +35,8 @@
 }
 
 // AddLearner adds the control VM that answers at address as a learner, and
-// returns when that is committed. Only the leader does it.
+// returns its id when that is committed. With ErrMemberExists the id is that
+// of the VM at address. Only the leader does it.
 func (r *Replica) AddLearner(ctx context.Context, name, address string) (consensus.MemberID, error) {
 	description, err := r.network.describe(ctx, address)
 	if err != nil {
@@ -51,6 +52,27 @@
 	return member.ID, r.change(ctx, consensus.Change{Kind: consensus.ChangeAddLearner, Member: member})
 }
 
+// AddMember adds the control VM that answers at address, waits until it holds
+// the whole state, synced, and lets it vote. Repeated after an error, it goes
+// on where it stopped. Only the leader does it.
+func (r *Replica) AddMember(ctx context.Context, name, address string) error {
+	id, err := r.AddLearner(ctx, name, address)
+	if errors.Is(err, ErrMemberExists) {
+		for _, member := range r.Members() {
+			if member.ID == id && !member.Learner {
+				return nil
+			}
+			if member.ID == id {
+				return r.Promote(ctx, name)
+			}
+		}
+	}
+	if err != nil {
+		return err
+	}
+	return r.Promote(ctx, name)
+}
+
 // Promote lets a learner vote. It waits until the learner holds the whole
 // state, synced, and returns when the promotion is committed.
 func (r *Replica) Promote(ctx context.Context, name string) error {
--- a/internal/replica/memnet_test.go
+++ b/internal/replica/memnet_test.go
@@ -244,11 +244,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
 	require.NoError(t, n.retry(t, func(leader *Replica) error { return leader.Remove(ctx, vm.name) }))
-	require.NoError(t, n.retry(t, func(leader *Replica) error {
-		_, err := leader.AddLearner(ctx, vm.name, vm.name)
-		return err
-	}))
-	require.NoError(t, n.retry(t, func(leader *Replica) error { return leader.Promote(ctx, vm.name) }))
+	require.NoError(t, n.retry(t, func(leader *Replica) error { return leader.AddMember(ctx, vm.name, vm.name) }))
 }
 
 // retry repeats an operator's command that met a change of leader. A command
@@ -257,7 +253,7 @@
 	var err error
 	for range 50 {
 		err = command(n.leader(t).replica)
-		if err == nil || errors.Is(err, ErrMemberExists) || errors.Is(err, ErrUnknownMember) {
+		if err == nil || errors.Is(err, ErrUnknownMember) {
 			return nil
 		}
 		time.Sleep(200 * time.Millisecond)
