--- a/internal/consensus/ready.go
+++ b/internal/consensus/ready.go
@@ -167,9 +167,8 @@
 }
 
 func (c *Core) takeCommitted() []Entry {
-	if c.output.resetDue || c.output.writing != nil && c.output.writing.Reset {
-		return nil
-	}
+	// While a received snapshot is being stored, what follows it is not in
+	// reach of applied, and slice returns nothing.
 	to := min(c.log.commit, c.log.stable)
 	entries := c.log.slice(c.log.applied+1, to, c.config.MaxMessageBytes)
 	if len(entries) > 0 {
