--- a/internal/replica/group_test.go
+++ b/internal/replica/group_test.go
@@ -85,11 +85,12 @@
 type loopbackGroup struct {
 	peers   []settings.Peer
 	folders map[string]string
+	logger  zerolog.Logger
 	tune    func(*settings.Settings)
 }
 
 func newLoopbackGroup(t testing.TB, size int) *loopbackGroup {
-	group := &loopbackGroup{folders: map[string]string{}}
+	group := &loopbackGroup{folders: map[string]string{}, logger: zerolog.Nop()}
 	for i := range size {
 		group.addPeer(t, fmt.Sprintf("control-%d", i+1))
 	}
@@ -125,7 +126,7 @@
 		g.tune(&chosen)
 	}
 	vm := &loopbackVM{journal: &journal{}, server: transport.NewServer(transport.ServerOptions{}), pool: transport.NewPool(transport.PoolOptions{})}
-	replica, err := Start(Options{Settings: &chosen, StateMachine: vm.journal, Pool: vm.pool, Logger: zerolog.New(zerolog.NewTestWriter(t))})
+	replica, err := Start(Options{Settings: &chosen, StateMachine: vm.journal, Pool: vm.pool, Logger: g.logger})
 	require.NoError(t, err)
 	vm.replica = replica
 	replica.Register(vm.server)
--- a/internal/replica/matrix_test.go
+++ b/internal/replica/matrix_test.go
@@ -54,9 +54,9 @@
 }
 
 func (c *cell) proposeAnywhere(command string) {
-	c.net.propose(c.t, command)
+	name := c.net.propose(c.t, command)
 	c.mu.Lock()
-	c.accepted = append(c.accepted, command)
+	c.accepted = append(c.accepted, name)
 	c.mu.Unlock()
 }
 
@@ -98,10 +98,12 @@
 		c.proposeAt(c.leader, racing)
 	}},
 	{"sync", func(c *cell) {
-		disk := c.leader.disk
-		disk.Hang()
-		time.AfterFunc(5*time.Millisecond, c.fire)
-		time.AfterFunc(400*time.Millisecond, disk.Release)
+		// All disks are slow, so that nothing of the command is on any of them.
+		for _, vm := range c.net.all() {
+			vm.disk.Hang()
+			time.AfterFunc(400*time.Millisecond, vm.disk.Release)
+		}
+		time.AfterFunc(20*time.Millisecond, c.fire)
 		c.proposeAt(c.leader, racing)
 	}},
 	{"commit", func(c *cell) {
@@ -204,9 +206,20 @@
 	},
 	{
 		name:   "two at once",
+		strike: func(c *cell) { c.follower.kill(); c.leader.kill() },
+		heal:   func(c *cell) { c.net.start(c.t, c.follower); c.net.start(c.t, c.leader) },
+	},
+	{
+		name:   "kill and freeze at once",
 		strike: func(c *cell) { c.follower.freeze(); c.leader.kill() },
 		heal:   func(c *cell) { c.follower.unfreeze(); c.net.start(c.t, c.leader) },
 	},
+	{
+		name:   "disk hangs",
+		strike: func(c *cell) { c.leader.disk.Hang() },
+		quorum: true,
+		heal:   func(c *cell) { c.leader.disk.Release() },
+	},
 }
 
 func TestFaultMatrix(t *testing.T) {
--- a/internal/replica/memnet_test.go
+++ b/internal/replica/memnet_test.go
@@ -219,20 +219,24 @@
 	return nil
 }
 
-// propose retries at whoever leads until the command is accepted.
-func (n *memoryNet) propose(t *testing.T, command string) {
+// propose retries at whoever leads until the command is accepted. Each attempt
+// has a name of its own, since an earlier one may be accepted too; the accepted
+// one is returned.
+func (n *memoryNet) propose(t *testing.T, command string) string {
 	t.Helper()
 	var err error
-	for range 20 {
+	for attempt := range 20 {
+		name := fmt.Sprintf("%s attempt %d", command, attempt)
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		_, err = n.leader(t).replica.Propose(ctx, []byte(command))
+		_, err = n.leader(t).replica.Propose(ctx, []byte(name))
 		cancel()
 		if err == nil {
-			return
+			return name
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
 	require.NoError(t, err)
+	return ""
 }
 
 // repair replaces a VM whose disk was lost by one with a new member id.
--- a/internal/replica/silence_test.go
+++ b/internal/replica/silence_test.go
@@ -5,10 +5,12 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -48,6 +50,24 @@
 	return p
 }
 
+// lockedBuffer is a log that several VMs write.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (b *lockedBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(line)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
 func (p *forgetfulProxy) serve(near net.Conn) {
 	far, err := net.Dial("tcp", p.target)
 	if err != nil {
@@ -98,7 +118,8 @@
 // silent for good: the members open new ones and go on.
 func TestConnectionsThatWentSilentAreReplaced(t *testing.T) {
 	group := newLoopbackGroup(t, 3)
-	group.tune = func(*settings.Settings) {}
+	var log lockedBuffer
+	group.logger = zerolog.New(&log)
 	direct := group.peers
 	var proxies []*forgetfulProxy
 	for i, peer := range direct {
@@ -130,6 +151,7 @@
 		after += proxy.connections()
 	}
 	require.Greater(t, after, before)
+	require.Contains(t, log.String(), errSilent.Error())
 	for _, vm := range vms {
 		vm.stop(t)
 	}
