--- a/spec/acceptance/acceptance.pml
+++ b/spec/acceptance/acceptance.pml
@@ -41,6 +41,8 @@
 
 /* Log of member n: entry i is entry[n*MAXLOG+i], made of its term and kind. */
 #define AT(n, i) entry[(n) * MAXLOG + (i)]
+/* NEWTERM: the candidate has heard of the term of the voter. */
+#define NEWTERM(c, v) ((term[c] > term[v] -> term[c] : term[v]) + 1)
 #define MAKE(t, k) ((t) * 8 + (k))
 #define TERM(e) ((e) / 8)
 #define KIND(e) ((e) % 8)
@@ -307,8 +309,6 @@
   i = 0
 }
 
-/* NEWTERM: the candidate has heard of the term of the voter. */
-#define NEWTERM(c, v) ((term[c] > term[v] -> term[c] : term[v]) + 1)
 #define ALIVE(n) (n != dead)
 #define ROOM(n) (length[n] < MAXLOG)
 
