--- /dev/null
+++ b/internal/replica/capacity_test.go
@@ -0,0 +1,219 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"godwityoke.example/godwityoke/internal/consensus"
+	"godwityoke.example/godwityoke/internal/settings"
+	"godwityoke.example/godwityoke/internal/storage"
+	"godwityoke.example/godwityoke/internal/transport"
+)
+
+const (
+	// benchCommandBytes is the size of a command, that of a claim or a small change.
+	benchCommandBytes = 256
+	// restTime is how long a group is watched at rest.
+	restTime = 5 * time.Second
+)
+
+// defaultTimes gives a group the times of the default settings.
+func defaultTimes(chosen *settings.Settings) {
+	defaults := settings.Defaults()
+	chosen.Control.Heartbeat = defaults.Control.Heartbeat
+	chosen.Control.ElectionTimeout = defaults.Control.ElectionTimeout
+}
+
+// BenchmarkCapacityProposals measures accepted commands a second of three
+// members over loopback gRPC with synced files.
+func BenchmarkCapacityProposals(b *testing.B) {
+	for _, callers := range []int{1, 16, 256} {
+		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
+			group := newLoopbackGroup(b, 3)
+			group.tune = defaultTimes
+			vms := group.startAll(b)
+			leader := leaderOf(b, vms)
+			command := make([]byte, benchCommandBytes)
+			var left atomic.Int64
+			left.Store(int64(b.N))
+			var running sync.WaitGroup
+			b.ResetTimer()
+			for range callers {
+				running.Go(func() {
+					for left.Add(-1) >= 0 {
+						if _, err := leader.replica.Propose(context.Background(), command); err != nil {
+							b.Error(err)
+							return
+						}
+					}
+				})
+			}
+			running.Wait()
+			b.StopTimer()
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "proposals/s")
+			for _, vm := range vms {
+				vm.stop(b)
+			}
+		})
+	}
+}
+
+func benchStore(b *testing.B, folder string, entries int) {
+	files, err := storage.OpenDir(folder)
+	require.NoError(b, err)
+	store, _, err := storage.Open(files)
+	require.NoError(b, err)
+	data := make([]byte, benchCommandBytes)
+	for from := 1; from <= entries; from += 100 {
+		write := &consensus.Write{HardState: consensus.HardState{Group: 1, Term: 1, Commit: uint64(from - 1)}}
+		for index := from; index < min(from+100, entries+1); index++ {
+			write.Entries = append(write.Entries, consensus.Entry{Index: uint64(index), Term: 1, Kind: consensus.EntryCommand, Data: data})
+		}
+		require.NoError(b, store.Save(write))
+	}
+	require.NoError(b, store.Close())
+}
+
+// BenchmarkCapacityRestart measures how long a member reads its log, and how
+// many bytes an entry takes.
+func BenchmarkCapacityRestart(b *testing.B) {
+	for _, entries := range []int{100, 1000, 10000} {
+		b.Run(fmt.Sprintf("entries=%d", entries), func(b *testing.B) {
+			folder := b.TempDir()
+			benchStore(b, folder, entries)
+			logs, err := filepath.Glob(filepath.Join(folder, "log-*"))
+			require.NoError(b, err)
+			var bytes int64
+			for _, name := range logs {
+				info, err := os.Stat(name)
+				require.NoError(b, err)
+				bytes += info.Size()
+			}
+			b.ResetTimer()
+			for range b.N {
+				files, err := storage.OpenDir(folder)
+				require.NoError(b, err)
+				store, loaded, err := storage.Open(files)
+				require.NoError(b, err)
+				require.Len(b, loaded.Stored.Entries, entries)
+				require.NoError(b, store.Close())
+			}
+			b.ReportMetric(float64(bytes)/float64(entries), "log-B/entry")
+		})
+	}
+}
+
+// BenchmarkCapacityTimeWithoutLeader measures the time from the end of a
+// leader without a handover until another accepts a command, with the default
+// times.
+func BenchmarkCapacityTimeWithoutLeader(b *testing.B) {
+	var total, longest time.Duration
+	for range b.N {
+		b.StopTimer()
+		group := newLoopbackGroup(b, 3)
+		group.tune = defaultTimes
+		vms := group.startAll(b)
+		leader := leaderOf(b, vms)
+		_, err := leader.replica.Propose(b.Context(), []byte("before"))
+		require.NoError(b, err)
+		b.StartTimer()
+		elapsed := failOver(b, vms, leader)
+		total += elapsed
+		longest = max(longest, elapsed)
+		b.StopTimer()
+		for _, vm := range vms {
+			if vm != leader {
+				vm.stop(b)
+			}
+		}
+	}
+	b.ReportMetric(total.Seconds()*1000/float64(b.N), "ms/failover")
+	b.ReportMetric(longest.Seconds()*1000, "ms-longest")
+}
+
+func failOver(b *testing.B, vms []*loopbackVM, leader *loopbackVM) time.Duration {
+	start := time.Now()
+	leader.replica.stop()
+	leader.server.Stop()
+	leader.pool.Close()
+	for {
+		for _, vm := range vms {
+			if vm == leader || !vm.replica.Leadership().IsLeader {
+				continue
+			}
+			if _, err := vm.replica.Propose(b.Context(), []byte("after")); err == nil {
+				return time.Since(start)
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// countedConn counts the bytes of a connection in both directions.
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c *countedConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func processorTime(b *testing.B) time.Duration {
+	var usage unix.Rusage
+	require.NoError(b, unix.Getrusage(unix.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkCapacityAtRest measures what a group of three spends without work:
+// bytes within TCP, sent and received, and processor time, each per VM.
+func BenchmarkCapacityAtRest(b *testing.B) {
+	var bytes atomic.Int64
+	group := newLoopbackGroup(b, 3)
+	group.tune = defaultTimes
+	group.pool = transport.PoolOptions{Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		return &countedConn{Conn: conn, bytes: &bytes}, nil
+	}}
+	vms := group.startAll(b)
+	leaderOf(b, vms)
+	time.Sleep(time.Second)
+	var sent, seconds float64
+	var busy time.Duration
+	b.ResetTimer()
+	for range b.N {
+		before, start, processor := bytes.Load(), time.Now(), processorTime(b)
+		time.Sleep(restTime)
+		sent += float64(bytes.Load() - before)
+		seconds += time.Since(start).Seconds()
+		busy += processorTime(b) - processor
+	}
+	b.StopTimer()
+	// Each byte is sent by one VM and received by another.
+	b.ReportMetric(2*sent/seconds/3, "B/s/VM")
+	b.ReportMetric(100*busy.Seconds()/seconds/3, "%core/VM")
+	for _, vm := range vms {
+		vm.stop(b)
+	}
+}
--- a/internal/replica/group_test.go
+++ b/internal/replica/group_test.go
@@ -86,6 +86,7 @@
 	peers   []settings.Peer
 	folders map[string]string
 	logger  zerolog.Logger
+	pool    transport.PoolOptions
 	tune    func(*settings.Settings)
 }
 
@@ -125,7 +126,7 @@
 	if g.tune != nil {
 		g.tune(&chosen)
 	}
-	vm := &loopbackVM{journal: &journal{}, server: transport.NewServer(transport.ServerOptions{}), pool: transport.NewPool(transport.PoolOptions{})}
+	vm := &loopbackVM{journal: &journal{}, server: transport.NewServer(transport.ServerOptions{}), pool: transport.NewPool(g.pool)}
 	replica, err := Start(Options{Settings: &chosen, StateMachine: vm.journal, Pool: vm.pool, Logger: g.logger})
 	require.NoError(t, err)
 	vm.replica = replica
--- a/internal/replica/peer.go
+++ b/internal/replica/peer.go
@@ -21,7 +21,7 @@
 	// outboxMessages bounds the messages that wait for one member; further ones
 	// are dropped and sent again by the protocol.
 	outboxMessages = 256
-	// pulsesPerElectionTimeout is how often a stream is probed.
+	// pulsesPerElectionTimeout is how often a stream without messages is probed.
 	pulsesPerElectionTimeout = 4
 	// maxLearnt bounds the addresses learnt from members outside the group.
 	maxLearnt = 32
@@ -33,6 +33,11 @@
 	return time.Duration(s.Control.ElectionTimeout)
 }
 
+// pulseInterval is the longest time between two frames of a stream.
+func pulseInterval(s *settings.Settings) time.Duration {
+	return time.Duration(s.Control.ElectionTimeout) / pulsesPerElectionTimeout
+}
+
 // grpcNetwork sends messages over one stream to each other member.
 type grpcNetwork struct {
 	settings *settings.Settings
@@ -250,13 +255,15 @@
 	if err := stream.Send(first); err != nil {
 		return err
 	}
-	probe := time.NewTicker(silenceLimit(p.network.settings) / pulsesPerElectionTimeout)
+	interval := pulseInterval(p.network.settings)
+	probe := time.NewTicker(interval)
 	defer probe.Stop()
 	for sequence := uint64(2); ; sequence++ {
 		frame := &replicapb.Frame{Sequence: sequence}
 		select {
 		case m := <-p.outbox:
 			frame.Message = codec.MessageToProto(m)
+			probe.Reset(interval)
 		case <-probe.C:
 		case <-ctx.Done():
 			return context.Cause(ctx)
--- a/internal/replica/server.go
+++ b/internal/replica/server.go
@@ -40,7 +40,7 @@
 }
 
 // Exchange takes the messages of one other member until the stream ends or
-// falls silent. Each frame without a message is answered.
+// falls silent. Frames are answered with pulses, but not each of them.
 func (s *server) Exchange(stream grpc.BidiStreamingServer[replicapb.Frame, replicapb.Pulse]) error {
 	first, err := stream.Recv()
 	if err != nil {
@@ -76,24 +76,22 @@
 	limit := silenceLimit(s.replica.settings)
 	silence := time.NewTimer(limit)
 	defer silence.Stop()
-	s.takeFrame(first, first.GetAddress())
-	if err := stream.Send(&replicapb.Pulse{Received: first.GetSequence()}); err != nil {
-		return err
-	}
-	for {
+	var pulsed time.Time
+	for frame := first; ; {
+		s.takeFrame(frame, first.GetAddress())
+		if time.Since(pulsed) >= pulseInterval(s.replica.settings)/2 {
+			pulsed = time.Now()
+			if err := stream.Send(&replicapb.Pulse{Received: frame.GetSequence()}); err != nil {
+				return err
+			}
+		}
+		var open bool
 		select {
-		case frame, open := <-frames:
+		case frame, open = <-frames:
 			if !open {
 				return nil
 			}
 			silence.Reset(limit)
-			s.takeFrame(frame, first.GetAddress())
-			if frame.GetMessage() != nil {
-				continue
-			}
-			if err := stream.Send(&replicapb.Pulse{Received: frame.GetSequence()}); err != nil {
-				return err
-			}
 		case <-silence.C:
 			return status.Error(codes.DeadlineExceeded, "the stream went silent")
 		case <-ctx.Done():
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -11,7 +11,7 @@
 func Defaults() Settings {
 	return Settings{
 		Control: Control{
-			Heartbeat:            jsonc.Duration(100 * time.Millisecond),
+			Heartbeat:            jsonc.Duration(200 * time.Millisecond),
 			ElectionTimeout:      jsonc.Duration(time.Second),
 			MaxClockDriftPercent: 5,
 			SnapshotEntries:      1000,
