Make fault tests of orders and distribution fail without their mechanisms

With lease check, stale answer, resend, same id, hold after a change of leader, read-back, silence watchdog, abandoned connection, path check, relay, question before ready, signature and digest check each switched off, a named subtest fails.

--- a/internal/distribute/distribute_test.go
+++ b/internal/distribute/distribute_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"godwityoke.example/godwityoke/internal/bundle"
 	"godwityoke.example/godwityoke/internal/distribute"
 )
 
@@ -51,6 +52,13 @@
 	}
 }
 
+// requireAttached holds the VMs to a path to a control VM.
+func (tr *tree) requireAttached(names []string) {
+	for _, name := range names {
+		require.True(tr.t, tr.vms[name].node.Attached(), name)
+	}
+}
+
 var zoneA = []string{"control-a", "entry-a1", "entry-a2", "entry-a3"}
 var zonesBC = []string{"control-b", "entry-b1", "entry-b2", "entry-b3", "control-c", "entry-c1", "entry-c2", "entry-c3"}
 
@@ -80,6 +88,7 @@
 			tr.accept(2)
 			time.Sleep(5 * time.Second)
 			tr.requireAll(2)
+			tr.requireAttached(zoneA[1:])
 		})
 	})
 	t.Run("distribute/cut both ways", func(t *testing.T) {
@@ -122,6 +131,7 @@
 			for _, name := range zoneA[1:] {
 				require.Equal(t, uint64(2), tr.vms[name].version(), name)
 			}
+			tr.requireAttached(zoneA[1:])
 		})
 	})
 	t.Run("distribute/disk lost", testRestartWithoutDisk)
@@ -150,11 +160,14 @@
 		tr.vms["control-a"].stop()
 		tr.vms["entry-a1"].stop()
 		delete(tr.vms, "control-a")
+		tr.vms["entry-a2"].node.Store().Put(sealed(t, 3, 20))
 		restarted := tr.start(tr.vms["entry-a1"].peer)
-		assert.False(t, restarted.node.Ready())
-		time.Sleep(3 * time.Second)
-		assert.True(t, restarted.node.Ready())
-		assert.Equal(t, uint64(2), restarted.version(), "learnt from entry VMs of the zone")
+		started := time.Now()
+		for !restarted.node.Ready() {
+			time.Sleep(time.Millisecond)
+		}
+		assert.Equal(t, uint64(3), restarted.version(), "the highest of several entry VMs of the zone")
+		assert.Less(t, time.Since(started), 2*time.Second, "it has asked, not waited")
 	})
 }
 
@@ -171,3 +184,32 @@
 		}
 	})
 }
+
+// TestReceiverVerifies offers bundles that a faulty VM could pass on.
+func TestReceiverVerifies(t *testing.T) {
+	good := sealed(t, 5, 2)
+	other := sealed(t, 6, 3)
+	forge := func(change func(accepted *bundle.Accepted)) *bundle.Accepted {
+		forged := *good.Accepted
+		change(&forged)
+		return &forged
+	}
+	cases := map[string]struct {
+		accepted *bundle.Accepted
+		content  []byte
+	}{
+		"higher version":     {forge(func(a *bundle.Accepted) { a.Version = 9 }), good.Content},
+		"other content":      {good.Accepted, other.Content},
+		"other digest":       {forge(func(a *bundle.Accepted) { a.Digest = other.Digest() }), other.Content},
+		"no signature":       {forge(func(a *bundle.Accepted) { a.Signatures = nil }), good.Content},
+		"signature of other": {forge(func(a *bundle.Accepted) { a.Signatures = other.Accepted.Signatures }), good.Content},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := distribute.Seal(c.accepted, c.content, keyring(t))
+			require.Error(t, err)
+		})
+	}
+	_, err := distribute.Seal(good.Accepted, good.Content, keyring(t))
+	require.NoError(t, err)
+}
--- a/internal/orders/fake_test.go
+++ b/internal/orders/fake_test.go
@@ -18,7 +18,10 @@
 	"godwityoke.example/godwityoke/internal/replica"
 )
 
-const loadTime = 4 * time.Second
+const (
+	loadTime      = 4 * time.Second
+	previousLease = 4 * time.Second
+)
 
 var errLost = errors.New("the answer was lost")
 
@@ -29,8 +32,12 @@
 	loading string
 	taken   map[string]bool
 	runs    int
-	lose    int
-	hang    bool
+	// lose counts the answers, and drop the orders, that are still to be lost.
+	lose int
+	drop int
+	hang bool
+	// quiet engines do not report what they are loading.
+	quiet bool
 }
 
 // fakeFleet is a set of engines with the VMs that report them.
@@ -40,7 +47,6 @@
 	// leadership of each runner by its name.
 	leaders map[string]replica.Leadership
 	content *bundle.Bundle
-	stopped bool
 	// minServing is the least number of engines in service at any time.
 	minServing int
 	// received counts orders, refused ones included.
@@ -69,7 +75,8 @@
 	defer f.mu.Unlock()
 	engine := f.engines[address]
 	f.received++
-	if engine.hang {
+	if engine.hang || engine.drop > 0 {
+		engine.drop--
 		return nil, errLost
 	}
 	reply := f.take(engine, order)
@@ -122,7 +129,7 @@
 		return nil, errLost
 	}
 	state := &backendapi.EngineState{ServerID: engine.server.ID, Incarnation: 1, Models: engine.server.Models}
-	if engine.loading != "" {
+	if engine.loading != "" && !engine.quiet {
 		state.Loading = []string{engine.loading}
 	}
 	return state, nil
@@ -153,7 +160,7 @@
 			return []distribute.Report{report}
 		},
 		Engines:       f,
-		PreviousLease: time.Second,
+		PreviousLease: previousLease,
 		Log:           zerolog.Nop(),
 	})
 }
--- a/internal/orders/runner_test.go
+++ b/internal/orders/runner_test.go
@@ -47,7 +47,7 @@
 	t.Run("order/answer lost", func(t *testing.T) {
 		inFleet(t, 4, false, func(t *testing.T, f *fakeFleet, run func(string, uint64) func()) {
 			for _, engine := range f.engines {
-				engine.lose = 2
+				engine.lose, engine.quiet = 2, true
 			}
 			f.elect("c1", 1, whole)
 			run("c1", 1)
@@ -56,6 +56,17 @@
 			require.Equal(t, 4, f.ordersTaken(), "a resend is carried out once")
 		})
 	})
+	t.Run("order/order lost", func(t *testing.T) {
+		inFleet(t, 4, false, func(t *testing.T, f *fakeFleet, run func(string, uint64) func()) {
+			for _, engine := range f.engines {
+				engine.drop = 2
+			}
+			f.elect("c1", 1, whole)
+			run("c1", 1)
+			time.Sleep(whole / 2)
+			f.requireRolled(t, "2")
+		})
+	})
 	t.Run("order/kill of the leader", func(t *testing.T) {
 		inFleet(t, 4, true, func(t *testing.T, f *fakeFleet, run func(string, uint64) func()) {
 			f.elect("c1", 1, whole)
@@ -75,14 +86,16 @@
 	t.Run("order/silent engine", func(t *testing.T) {
 		inFleet(t, 4, true, func(t *testing.T, f *fakeFleet, run func(string, uint64) func()) {
 			f.engines["e1"].hang = true
+			f.engines["e1"].server.Models = served("lace", "2")
 			f.elect("c1", 1, whole)
 			run("c1", 1)
 			time.Sleep(whole / 4)
 			f.mu.Lock()
-			require.Equal(t, served("lace", "2"), f.engines["e0"].server.Models)
-			require.GreaterOrEqual(t, f.minServing-1, 2, "the silent engine counts as out of service")
+			first, least := f.engines["e0"].server.Models, f.minServing
 			f.engines["e1"].hang = false
 			f.mu.Unlock()
+			require.Equal(t, served("lace", "2"), first)
+			require.GreaterOrEqual(t, least-1, 2, "the silent engine counts as out of service")
 			time.Sleep(whole / 4)
 			f.requireRolled(t, "2")
 		})
@@ -126,10 +139,11 @@
 // on its way to an engine that ignores fencing numbers.
 func testLateOrderOnEngineWithoutFencing(t *testing.T) {
 	inFleet(t, 4, false, func(t *testing.T, f *fakeFleet, run func(string, uint64) func()) {
-		late := &backendapi.Order{ID: "1-1", Kind: backendapi.OrderLoadModel, Fencing: 1, Model: "lace", Version: "0",
-			ExpiresUnixMillis: time.Now().Add(orderLife).UnixMilli()}
 		f.elect("c2", 2, whole)
 		run("c2", 2)
+		time.Sleep(previousLease - 100*time.Millisecond)
+		late := &backendapi.Order{ID: "1-1", Kind: backendapi.OrderLoadModel, Fencing: 1, Model: "lace", Version: "0",
+			ExpiresUnixMillis: time.Now().Add(orderLife).UnixMilli()}
 		for time.Now().UnixMilli() < late.ExpiresUnixMillis-100 {
 			require.Zero(t, f.ordersTaken(), "no order while one of the old leader may arrive")
 			time.Sleep(100 * time.Millisecond)
