Run the control role and the distribution in the process

serve now assembles replica, registry, operators' interface and orders on control VMs, and the distribution on all VMs; TLS comes from the settings for gRPC and for operators.

--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -46,5 +46,5 @@
 
 // builders lists the parts of a process beside the callers' side.
 func builders() []process.Builder {
-	return nil
+	return []process.Builder{process.BuildDistribution, process.BuildControl}
 }
--- /dev/null
+++ b/internal/control/replica.go
@@ -0,0 +1,41 @@
+package control
+
+import (
+	"context"
+	"slices"
+
+	"godwityoke.example/godwityoke/internal/replica"
+)
+
+// ReplicaGroup is the Group of a running replica.
+type ReplicaGroup struct {
+	*replica.Replica
+}
+
+// Members implements Group.
+func (g *ReplicaGroup) Members() []Member {
+	known := g.Replica.Members()
+	members := make([]Member, 0, len(known))
+	for _, member := range known {
+		members = append(members, Member{
+			ID: uint64(member.ID), Name: member.Name, Address: member.Address, Learner: member.Learner,
+		})
+	}
+	return members
+}
+
+// AddMember implements Group. A member that was added before is promoted only.
+func (g *ReplicaGroup) AddMember(ctx context.Context, name, address string) error {
+	known := slices.ContainsFunc(g.Members(), func(member Member) bool { return member.Name == name })
+	if !known {
+		if _, err := g.AddLearner(ctx, name, address); err != nil {
+			return err
+		}
+	}
+	return g.Promote(ctx, name)
+}
+
+// RemoveMember implements Group.
+func (g *ReplicaGroup) RemoveMember(ctx context.Context, name string) error {
+	return g.Remove(ctx, name)
+}
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -252,6 +252,27 @@
 	return found
 }
 
+// Orderable is a backend server with what matters for orders to it.
+type Orderable struct {
+	place.Server
+	// ChecksFencing tells whether the server refuses old fencing numbers.
+	ChecksFencing bool
+}
+
+// Orderable returns the servers that may get new work, ordered by ID.
+func (t *Table) Orderable(now time.Time) []Orderable {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var found []Orderable
+	for _, known := range t.entries {
+		if !known.leaving && !t.isSilent(known, now) {
+			found = append(found, Orderable{Server: known.server, ChecksFencing: known.checksFencing})
+		}
+	}
+	slices.SortFunc(found, func(a, b Orderable) int { return strings.Compare(a.ID, b.ID) })
+	return found
+}
+
 func serves(models []backendapi.ServedModel, model, adapter string) bool {
 	return slices.ContainsFunc(models, func(m backendapi.ServedModel) bool {
 		return m.Name == model && (adapter == "" || slices.Contains(m.Adapters, adapter))
--- a/internal/orders/book.go
+++ b/internal/orders/book.go
@@ -25,6 +25,9 @@
 	// unsureAfter is the age of the last read-back after which an engine's
 	// state is not known.
 	unsureAfter = 10 * time.Second
+	// forgetAfter is how long an engine that nobody reports any more counts as
+	// out of service.
+	forgetAfter = 5 * time.Minute
 )
 
 // book is what the runner knows of the engines in one term. It is used by one
@@ -39,7 +42,8 @@
 
 // entry is what is known of one engine.
 type entry struct {
-	report distribute.BackendServer
+	report     distribute.BackendServer
+	reportedAt time.Time
 	// state is the last one read back, nil before the first.
 	state   *backendapi.EngineState
 	stateAt time.Time
@@ -56,8 +60,9 @@
 }
 
 // report takes what the entry VMs report. An engine that nobody reports any
-// more is forgotten, one with a new incarnation starts afresh.
-func (b *book) report(reports []distribute.Report) {
+// more counts as out of service until it is forgotten; one with a new
+// incarnation starts afresh.
+func (b *book) report(reports []distribute.Report, now time.Time) {
 	newest := map[string]distribute.BackendServer{}
 	for _, report := range reports {
 		for _, server := range report.Servers {
@@ -67,18 +72,18 @@
 			}
 		}
 	}
-	for id := range b.entries {
-		if _, found := newest[id]; !found {
+	for id, known := range b.entries {
+		if now.Sub(known.reportedAt) > forgetAfter {
 			delete(b.entries, id)
 		}
 	}
 	for id, server := range newest {
 		known, found := b.entries[id]
 		if !found || known.report.Incarnation != server.Incarnation {
-			b.entries[id] = &entry{report: server}
+			b.entries[id] = &entry{report: server, reportedAt: now}
 			continue
 		}
-		known.report = server
+		known.report, known.reportedAt = server, now
 	}
 }
 
@@ -104,7 +109,7 @@
 		engine := Engine{
 			ID: id, Incarnation: known.report.Incarnation, Zone: known.report.Zone, Address: known.report.Address,
 			Role: known.report.Role, Models: known.report.Models, ChecksFencing: known.report.ChecksFencing,
-			Unsure: known.state == nil || now.Sub(known.stateAt) > unsureAfter,
+			Unsure: known.state == nil || now.Sub(known.stateAt) > unsureAfter || now.Sub(known.reportedAt) > unsureAfter,
 			Held:   b.held(known, now),
 		}
 		if known.state != nil && now.Sub(known.stateAt) < trustReadBack {
--- a/internal/orders/runner.go
+++ b/internal/orders/runner.go
@@ -172,7 +172,7 @@
 	if rolled == nil || !t.load(rolled) {
 		return true
 	}
-	t.book.report(t.runner.options.Reports())
+	t.book.report(t.runner.options.Reports(), now)
 	t.readBack(ctx, now)
 	if now.Sub(t.start) < settleTime {
 		return true
--- /dev/null
+++ b/internal/process/control.go
@@ -0,0 +1,121 @@
+package process
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"godwityoke.example/godwityoke/internal/control"
+	"godwityoke.example/godwityoke/internal/orders"
+	"godwityoke.example/godwityoke/internal/registry"
+	"godwityoke.example/godwityoke/internal/replica"
+	"godwityoke.example/godwityoke/internal/settings"
+)
+
+// percent is the whole in percent.
+const percent = 100
+
+// controlRole is the part that takes part in the control group.
+type controlRole struct {
+	host    *Host
+	replica *replica.Replica
+	control *control.Control
+	running sync.WaitGroup
+	cancel  context.CancelFunc
+}
+
+// BuildControl is the Builder of the role control. It comes after
+// BuildDistribution.
+func BuildControl(host *Host) (Part, error) {
+	if !host.Settings.HasRole(settings.RoleControl) {
+		return nil, nil
+	}
+	host.Registry = registry.New()
+	member, err := replica.Start(replica.Options{
+		Settings: host.Settings, StateMachine: host.Registry, Pool: host.Peers, Logger: host.Logger,
+	})
+	if err != nil {
+		return nil, err
+	}
+	member.Register(host.GRPC)
+	c := &controlRole{host: host, replica: member}
+	c.control = control.New(control.Options{
+		VM:       host.Settings.VM.Name,
+		Group:    &control.ReplicaGroup{Replica: member},
+		Registry: host.Registry,
+		Node:     host.Distribution,
+		Pool:     host.Peers,
+		Founders: founders(host.Settings),
+		Entry:    expectedVMs(host.Settings),
+		Orders:   c.ordersRunner(),
+		Log:      host.Logger,
+	})
+	host.Control = c.control
+	host.Operators.Handle("/v1/", c.control.Handler())
+	return c, nil
+}
+
+func (c *controlRole) ordersRunner() *orders.Runner {
+	config := c.host.Settings.Control
+	drift := 1 + config.MaxClockDriftPercent/percent
+	return orders.NewRunner(orders.Options{
+		Leadership:    c.replica.Leadership,
+		Rolled:        c.host.Registry.Rolled,
+		Reports:       c.host.Distribution.Reports,
+		Engines:       orders.NewHTTPEngines(),
+		PreviousLease: time.Duration(float64(config.ElectionTimeout) * drift),
+		Log:           c.host.Logger,
+	})
+}
+
+func founders(config *settings.Settings) []registry.ControlVM {
+	vms := make([]registry.ControlVM, 0, len(config.ControlVMs))
+	for _, vm := range config.ControlVMs {
+		vms = append(vms, registry.ControlVM{Name: vm.Name, Zone: vm.Zone, Internal: vm.Internal, Operators: vm.Operators})
+	}
+	return vms
+}
+
+func expectedVMs(config *settings.Settings) []control.ExpectedVM {
+	vms := make([]control.ExpectedVM, 0, len(config.EntryVMs))
+	for _, vm := range config.EntryVMs {
+		vms = append(vms, control.ExpectedVM{Name: vm.Name, Zone: vm.Zone})
+	}
+	return vms
+}
+
+// Start implements Part.
+func (c *controlRole) Start(ctx context.Context) error {
+	ctx, c.cancel = context.WithCancel(ctx)
+	c.running.Go(func() { c.control.Run(ctx) })
+	c.running.Go(func() { c.watchReplica(ctx) })
+	return nil
+}
+
+// watchReplica ends the control role when its member of the group fails.
+func (c *controlRole) watchReplica(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-c.replica.Done():
+		c.cancel()
+	}
+}
+
+// Ready implements Part.
+func (c *controlRole) Ready() error {
+	select {
+	case <-c.replica.Done():
+		return http.ErrServerClosed
+	default:
+		return nil
+	}
+}
+
+// Stop implements Part.
+func (c *controlRole) Stop(ctx context.Context) error {
+	err := c.replica.Stop(ctx)
+	c.cancel()
+	c.running.Wait()
+	return err
+}
--- /dev/null
+++ b/internal/process/distribution.go
@@ -0,0 +1,128 @@
+package process
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"godwityoke.example/godwityoke/internal/bundle"
+	"godwityoke.example/godwityoke/internal/distribute"
+	"godwityoke.example/godwityoke/internal/settings"
+)
+
+var errNotAsked = errors.New("other VMs are being asked for the newest bundle")
+
+// distribution is the part that receives bundles from other VMs, passes them
+// on, and reports the version in force.
+type distribution struct {
+	host    *Host
+	node    *distribute.Node
+	server  *distribute.Server
+	client  *distribute.Client
+	running sync.WaitGroup
+	cancel  context.CancelFunc
+}
+
+// BuildDistribution is the Builder of the distribution. It is absent where the
+// settings name no control VM.
+func BuildDistribution(host *Host) (Part, error) {
+	if len(host.Settings.ControlVMs) == 0 {
+		return nil, nil
+	}
+	d := &distribution{host: host}
+	keys, err := operatorKeys(host.Settings.Operators)
+	if err != nil {
+		return nil, err
+	}
+	options := distribute.NodeOptions{
+		Self: distribute.Self{
+			VM:          host.Settings.VM.Name,
+			Zone:        host.Settings.VM.Zone,
+			Control:     host.Settings.HasRole(settings.RoleControl),
+			Incarnation: uint64(time.Now().UnixNano()),
+		},
+		Keys:   keys,
+		Holder: host.Bundles,
+		Log:    host.Logger,
+	}
+	if host.Fleet != nil {
+		options.Servers = d.servers
+	}
+	if options.Self.Control {
+		options.Root = func() bool { return host.Control != nil && host.Control.KnowsLeader() }
+	}
+	d.node = distribute.NewNode(options)
+	d.server = distribute.NewServer(d.node)
+	d.server.Register(host.GRPC)
+	host.Distribution = d.node
+	if !options.Self.Control {
+		d.client = distribute.NewClient(distribute.ClientOptions{
+			Node: d.node, Pool: host.Peers, Peers: d.peers, ReadyWait: host.Settings.Entry.ReadyWait.Std(),
+		})
+	}
+	return d, nil
+}
+
+func operatorKeys(operators settings.Operators) (*bundle.Keyring, error) {
+	keys := make([]bundle.PublicKey, 0, len(operators.Keys))
+	for _, key := range operators.Keys {
+		keys = append(keys, bundle.PublicKey{Name: key.Name, Base64: key.Ed25519})
+	}
+	ring, err := bundle.NewKeyring(operators.RequiredSignatures, keys)
+	if err != nil {
+		return nil, fmt.Errorf("operators' keys: %w", err)
+	}
+	return ring, nil
+}
+
+// peers lists the VMs that may be watched.
+func (d *distribution) peers() []distribute.Peer {
+	var peers []distribute.Peer
+	for _, vm := range d.host.Settings.ControlVMs {
+		peers = append(peers, distribute.Peer{Name: vm.Name, Zone: vm.Zone, Address: vm.Internal, Control: true})
+	}
+	for _, vm := range d.host.Settings.EntryVMs {
+		peers = append(peers, distribute.Peer{Name: vm.Name, Zone: vm.Zone, Address: vm.Internal})
+	}
+	return peers
+}
+
+// servers lists the backend servers that report to this VM.
+func (d *distribution) servers() []distribute.BackendServer {
+	orderable := d.host.Fleet.Orderable(time.Now())
+	servers := make([]distribute.BackendServer, 0, len(orderable))
+	for _, server := range orderable {
+		servers = append(servers, distribute.BackendServer{
+			ID: server.ID, Incarnation: server.Incarnation, Zone: server.Zone, Address: server.Address,
+			Kind: server.Kind, Role: server.Role, Models: server.Models, ChecksFencing: server.ChecksFencing,
+		})
+	}
+	return servers
+}
+
+// Start implements Part.
+func (d *distribution) Start(ctx context.Context) error {
+	ctx, d.cancel = context.WithCancel(ctx)
+	if d.client != nil {
+		d.running.Go(func() { d.client.Run(ctx) })
+	}
+	return nil
+}
+
+// Ready implements Part.
+func (d *distribution) Ready() error {
+	if d.node.Ready() {
+		return nil
+	}
+	return errNotAsked
+}
+
+// Stop implements Part.
+func (d *distribution) Stop(context.Context) error {
+	d.server.Stop()
+	d.cancel()
+	d.running.Wait()
+	return nil
+}
--- a/internal/process/host.go
+++ b/internal/process/host.go
@@ -12,11 +12,14 @@
 	"google.golang.org/grpc"
 
 	"godwityoke.example/godwityoke/internal/bundle"
+	"godwityoke.example/godwityoke/internal/control"
+	"godwityoke.example/godwityoke/internal/distribute"
 	"godwityoke.example/godwityoke/internal/filter/limit"
 	"godwityoke.example/godwityoke/internal/fleet"
 	"godwityoke.example/godwityoke/internal/ledger"
 	"godwityoke.example/godwityoke/internal/observe"
 	"godwityoke.example/godwityoke/internal/place"
+	"godwityoke.example/godwityoke/internal/registry"
 	"godwityoke.example/godwityoke/internal/settings"
 	"godwityoke.example/godwityoke/internal/transport"
 )
@@ -51,6 +54,8 @@
 	GRPC *grpc.Server
 	// Operators serves the operators' listener, when there is one.
 	Operators *http.ServeMux
+	// Certificates are the files for TLS between VMs, nil for plaintext.
+	Certificates *transport.Certificates
 	// Peers holds the connections to other VMs.
 	Peers *transport.Pool
 	// Addresses are the bound addresses.
@@ -58,6 +63,12 @@
 	// Fleet holds the backend servers of the zone; nil without the role entry.
 	Fleet *fleet.Table
 
+	// Distribution is set by BuildDistribution.
+	Distribution *distribute.Node
+	// Control and Registry are set by BuildControl.
+	Control  *control.Control
+	Registry *registry.Registry
+
 	// Claims is set by the part that reaches the ledger.
 	Claims ledger.Claims
 	// Engines places requests on engines. A builder may replace it.
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -48,7 +48,12 @@
 	if err := listeners.open(ctx, options.Settings.Listen); err != nil {
 		return nil, err
 	}
-	p := &Process{listeners: listeners, host: newHost(options, listeners.addresses())}
+	host, err := newHost(options, listeners.addresses())
+	if err != nil {
+		listeners.close()
+		return nil, err
+	}
+	p := &Process{listeners: listeners, host: host}
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	p.cancel = cancel
 	if err := p.assemble(background, options.Builders); err != nil {
@@ -62,7 +67,11 @@
 	return p, nil
 }
 
-func newHost(options Options, addresses Addresses) *Host {
+func newHost(options Options, addresses Addresses) (*Host, error) {
+	certificates, err := transport.CertificatesOf(options.Settings.TLS)
+	if err != nil {
+		return nil, err
+	}
 	bundles := options.Bundles
 	if bundles == nil {
 		bundles = bundle.NewHolder()
@@ -70,12 +79,15 @@
 	identity := transport.Identity{Cluster: options.Settings.Cluster, VM: options.Settings.VM.Name}
 	return &Host{
 		Settings: options.Settings, Logger: options.Logger, Metrics: observe.NewMetrics(),
-		Bundles:   bundles,
-		GRPC:      transport.NewServer(transport.ServerOptions{Identity: identity, Log: options.Logger}),
-		Operators: http.NewServeMux(),
-		Peers:     transport.NewPool(transport.PoolOptions{Identity: identity}),
-		Addresses: addresses,
-	}
+		Bundles: bundles,
+		GRPC: transport.NewServer(transport.ServerOptions{
+			Identity: identity, Certificates: certificates, Log: options.Logger,
+		}),
+		Operators:    http.NewServeMux(),
+		Certificates: certificates,
+		Peers:        transport.NewPool(transport.PoolOptions{Identity: identity, Certificates: certificates}),
+		Addresses:    addresses,
+	}, nil
 }
 
 // assemble builds and starts the parts, then the callers' side over them.
@@ -113,7 +125,7 @@
 	}
 	if p.listeners.Operators != nil {
 		p.addDebugRoutes()
-		p.serveHTTP(p.listeners.Operators, p.host.Operators)
+		p.serveHTTP(p.host.Certificates.Listener(p.listeners.Operators), p.host.Operators)
 	}
 	if p.listeners.Internal != nil {
 		p.serving.Go(func() { _ = p.host.GRPC.Serve(p.listeners.Internal) }) // ends with the server
--- a/internal/transport/certificates.go
+++ b/internal/transport/certificates.go
@@ -139,6 +139,15 @@
 	return c.Config()
 }
 
+// Listener returns a listener for TLS over inner, or inner itself for
+// plaintext.
+func (c *Certificates) Listener(inner net.Listener) net.Listener {
+	if c == nil {
+		return inner
+	}
+	return tls.NewListener(inner, c.ServerConfig("http/1.1"))
+}
+
 // ServerConfig returns a configuration for a listener that follows changes of
 // the files.
 func (c *Certificates) ServerConfig(protocols ...string) *tls.Config {
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -12,6 +12,8 @@
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
+
+	"godwityoke.example/godwityoke/internal/tcp"
 )
 
 // DialFunc opens a connection to the "ip:port" address.
@@ -113,8 +115,5 @@
 // dialTCP opens a TCP connection whose death is noticed in a few seconds,
 // whether it is idle or not.
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
-	return dialer.DialContext(ctx, "tcp", address)
+	return tcp.Dialer(dialTimeout).DialContext(ctx, "tcp", address)
 }
-
-var keepAlive = net.KeepAliveConfig{Enable: true, Idle: tcpIdle, Interval: tcpProbeInterval, Count: tcpProbes}
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -1,10 +1,6 @@
 package transport
 
 import (
-	"context"
-	"fmt"
-	"net"
-
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
@@ -42,13 +38,3 @@
 		grpc.StreamInterceptor(check.stream),
 	)
 }
-
-// Listen opens a TCP listener whose connections are probed while idle.
-func Listen(ctx context.Context, address string) (net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: keepAlive}
-	listener, err := config.Listen(ctx, "tcp", address)
-	if err != nil {
-		return nil, fmt.Errorf("listen on %s: %w", address, err)
-	}
-	return listener, nil
-}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -13,12 +13,6 @@
 	pingTimeout = 3 * time.Second
 	// pingMinInterval is the shortest probe interval that a server accepts.
 	pingMinInterval = 5 * time.Second
-	// tcpIdle is the idle time after which TCP probes a connection.
-	tcpIdle = 2 * time.Second
-	// tcpProbeInterval is the time between two TCP probes.
-	tcpProbeInterval = time.Second
-	// tcpProbes is the number of unanswered TCP probes that end a connection.
-	tcpProbes = 2
 	// dialTimeout bounds one attempt to connect.
 	dialTimeout = 2 * time.Second
 	// handshakeTimeout bounds the TLS handshake at a server.
