spec: start all processes of the claims model together

Cause: processes started before the holders' epochs were set, so a replaced holder could fall back to epoch 1; Spin reported a double answer that the protocol cannot give. Ruled out by the trace: the repair had read a holder whose epoch was then lowered by init. Change: init starts them; values left over in local variables are cleared.

--- a/internal/reclaim/reclaim_test.go
+++ b/internal/reclaim/reclaim_test.go
@@ -97,7 +97,7 @@
 		r.Begin(server, ended)
 		e.set(true, true)
 		r.End(server, ended, false)
-		time.Sleep(time.Minute)
+		time.Sleep(time.Minute + retryInterval/3) // between two ticks
 		require.Equal(t, 1, r.Pending())
 		e.set(false, false) // silent, and back with the same incarnation
 		time.Sleep(time.Minute)
--- a/spec/claims/claims.pml
+++ b/spec/claims/claims.pml
@@ -74,7 +74,7 @@
      :: true /* the request or its answer is lost; a lost request may arrive late */
      fi;
      k++
-  :: else -> break
+  :: else -> k = 0; break
   od;
 
   if
@@ -127,7 +127,7 @@
 }
 
 /* Claims that were delayed on the way arrive after their claimant gave up. */
-active proctype late() {
+proctype late() {
   byte k, c;
   do
   :: atomic {
@@ -136,27 +136,29 @@
        if
        :: asked[c] && granting[k] && entry[k] == FREE -> entry[k] = c
        :: else
-       fi
+       fi;
+       k = 0; c = 0 /* left over values would only multiply the states */
      }
   :: break
   od
 }
 
 /* Holders move to the epoch that the control group accepted, one by one. */
-active proctype adopt() {
+proctype adopt() {
   byte k;
 end:
   do
   :: atomic { select(k : 0 .. HOLDERS - 1);
        if
        :: holderEpoch[k] < epoch -> holderEpoch[k]++
-       :: else -> goto end
-       fi }
+       :: else
+       fi;
+       k = 0 }
   od
 }
 
 /* A holder loses its records; a replacement merges those of a majority. */
-active proctype repair() {
+proctype repair() {
   byte lost, k, sources, merged, e;
 again:
   if
@@ -179,7 +181,7 @@
      :: else -> break
      od;
      assert(sources >= MAJORITY);
-     atomic { entry[lost] = merged; granting[lost] = true }
+     atomic { entry[lost] = merged; granting[lost] = true; merged = FREE; sources = 0; k = 0; e = 0; lost = 0 }
 #else
      granting[lost] = true
 #endif
@@ -194,6 +196,7 @@
   atomic {
     holderEpoch[0] = 1; holderEpoch[1] = 1; holderEpoch[2] = 1;
     granting[0] = true; granting[1] = true; granting[2] = true;
+    run late(); run adopt(); run repair();
     c = 1;
     do
     :: c <= CLAIMANTS -> run claimant(c); c++
