--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -18,7 +18,7 @@
 
 const (
 	// proposeTimeout bounds the wait for a command to be committed.
-	proposeTimeout = 4 * time.Second
+	proposeTimeout = 2 * time.Second
 	// leaderCheckInterval is how often a change of leader is looked for.
 	leaderCheckInterval = 100 * time.Millisecond
 	// leaderMemory is how long a control VM that hears of no leader keeps its
@@ -81,6 +81,7 @@
 	for {
 		changed := c.options.Registry.Changed()
 		c.feedNewest()
+		c.feedControlVMs()
 		select {
 		case <-changed:
 		case <-ctx.Done():
@@ -89,6 +90,15 @@
 	}
 }
 
+func (c *Control) feedControlVMs() {
+	revision := c.options.Registry.ControlVMsRevision()
+	var peers []distribute.Peer
+	for _, vm := range c.options.Registry.ControlVMs() {
+		peers = append(peers, distribute.Peer{Name: vm.Name, Zone: vm.Zone, Address: vm.Internal, Control: true})
+	}
+	c.options.Node.SetControlVMs(revision, peers)
+}
+
 func (c *Control) feedNewest() {
 	newest := c.options.Registry.Newest()
 	store := c.options.Node.Store()
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -29,7 +29,9 @@
 	accepted answerLog
 	refused  answerLog
 	vms      []*registrypb.ControlVM
-	epoch    *registrypb.Epoch
+	// vmsRevision grows with each change of vms.
+	vmsRevision uint64
+	epoch       *registrypb.Epoch
 }
 
 func newState() *state {
@@ -171,20 +173,29 @@
 
 func (s *state) putControlVM(vm *registrypb.ControlVM) Result {
 	for i, known := range s.vms {
-		if known.GetName() == vm.GetName() {
+		if known.GetName() != vm.GetName() {
+			continue
+		}
+		if !proto.Equal(known, vm) {
 			s.vms[i] = vm
-			return Result{Code: CodeAccepted}
+			s.vmsRevision++
 		}
+		return Result{Code: CodeAccepted}
 	}
 	if len(s.vms) >= maxControlVMs {
 		return Result{Code: CodeRefused}
 	}
 	s.vms = append(s.vms, vm)
+	s.vmsRevision++
 	return Result{Code: CodeAccepted}
 }
 
 func (s *state) removeControlVM(name string) Result {
+	before := len(s.vms)
 	s.vms = slices.DeleteFunc(s.vms, func(vm *registrypb.ControlVM) bool { return vm.GetName() == name })
+	if len(s.vms) != before {
+		s.vmsRevision++
+	}
 	return Result{Code: CodeAccepted}
 }
 
