--- a/internal/operatorapi/client.go
+++ b/internal/operatorapi/client.go
@@ -39,16 +39,19 @@
 // NewClient returns a client that knows the operators' addresses ("ip:port")
 // of some control VMs. Config, when not nil, turns on TLS.
 func NewClient(addresses []string, config *tls.Config) *Client {
-	client := &Client{addresses: addresses, scheme: "http"}
 	dialer := &net.Dialer{Timeout: connectTimeout}
-	transport := &http.Transport{TLSClientConfig: config, DialContext: dialer.DialContext}
+	client := NewClientOver(addresses, &http.Transport{TLSClientConfig: config, DialContext: dialer.DialContext})
 	if config != nil {
 		client.scheme = "https"
 	}
-	client.http = &http.Client{Transport: transport}
 	return client
 }
 
+// NewClientOver returns a client that sends its requests by transport.
+func NewClientOver(addresses []string, transport http.RoundTripper) *Client {
+	return &Client{addresses: addresses, scheme: "http", http: &http.Client{Transport: transport}}
+}
+
 // Submit submits a bundle.
 func (c *Client) Submit(ctx context.Context, request *SubmitRequest) (*SubmitReply, error) {
 	return call[SubmitReply](ctx, c, http.MethodPost, PathSubmit, request)
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -90,7 +90,7 @@
 	// dialed is the newest connection of a client.
 	dialed net.Conn
 	mu     sync.Mutex
-	log      bytes.Buffer
+	log    bytes.Buffer
 }
 
 // Write implements io.Writer for the log.
