--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -67,10 +67,14 @@
 	if bundles == nil {
 		bundles = bundle.NewHolder()
 	}
+	identity := transport.Identity{Cluster: options.Settings.Cluster, VM: options.Settings.VM.Name}
 	return &Host{
 		Settings: options.Settings, Logger: options.Logger, Metrics: observe.NewMetrics(),
-		Bundles: bundles, GRPC: transport.NewServer(), Operators: http.NewServeMux(),
-		Peers: transport.NewPool(), Addresses: addresses,
+		Bundles:   bundles,
+		GRPC:      transport.NewServer(transport.ServerOptions{Identity: identity, Log: options.Logger}),
+		Operators: http.NewServeMux(),
+		Peers:     transport.NewPool(transport.PoolOptions{Identity: identity}),
+		Addresses: addresses,
 	}
 }
 
