path: prefix blocks as engines see them, refusals that name their attempt

Cause: prefix blocks were hashed over the raw JSON, so a prompt with escapes or a chat could never match the cache events of an engine; stand-ins refused without the attempt id, which the path does not believe.

--- a/internal/filter/classify/model.go
+++ b/internal/filter/classify/model.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 
+	"godwityoke.example/godwityoke/internal/backendapi"
 	"godwityoke.example/godwityoke/internal/bundle"
 	"godwityoke.example/godwityoke/internal/filter"
 	"godwityoke.example/godwityoke/internal/request"
@@ -23,7 +24,8 @@
 	}
 	model := &call.Model
 	model.Stream = fields.stream
-	model.Prompt = fields.prompt
+	most := backendapi.MaxPrefixBlocks * backendapi.BlockTokens * max(model.Model.BytesPerToken, 1)
+	model.Prefix = prefixText(fields.prompt, call.Kind, most)
 	model.PromptTokens = tokensOf(int64(len(fields.prompt)), model.Model.BytesPerToken)
 	if err := setAnswerTokens(call, fields.maxTokens); err != nil {
 		return err
--- a/internal/filter/classify/scan_test.go
+++ b/internal/filter/classify/scan_test.go
@@ -1,6 +1,8 @@
 package classify
 
 import (
+	"encoding/json"
+	"strconv"
 	"strings"
 	"testing"
 	"unsafe"
@@ -65,3 +67,28 @@
 	require.False(t, matches("/voyages/*", "/voyages/"))
 	require.False(t, matches("/voyages/*", "/voyages/../admin"))
 }
+
+// TestPrefixIsWhatEnginesSee compares with a decoder of the whole prompt.
+func TestPrefixIsWhatEnginesSee(t *testing.T) {
+	const most = 64
+	for name, text := range map[string]string{
+		"plain": strings.Repeat("a calm sea. ", 20), "short": "hi", "line feeds": strings.Repeat("a\n", 200),
+		"quotes": strings.Repeat(`"`, 200), "emoji": strings.Repeat("😀\t", 100), "mixed": "é\\n" + strings.Repeat("x\u0001", 90),
+	} {
+		t.Run(name, func(t *testing.T) {
+			quoted, err := json.Marshal(text)
+			require.NoError(t, err)
+			expected := text[:min(len(text), most)]
+			require.Equal(t, expected, string(prefixText(quoted[1:len(quoted)-1], request.KindCompletion, most)))
+			ascii := strconv.QuoteToASCII(text)
+			if name == "emoji" {
+				ascii = strings.ReplaceAll(ascii, `\U0001f600`, `\ud83d\ude00`)
+				require.Equal(t, expected, string(prefixText([]byte(ascii[1:len(ascii)-1]), request.KindCompletion, most)))
+			}
+			messages, err := json.Marshal([]map[string]string{{"role": "user", "content": "one"}, {"content": text}, {"content": "three"}})
+			require.NoError(t, err)
+			joined := "one\n" + text + "\nthree"
+			require.Equal(t, joined[:min(len(joined), most)], string(prefixText(messages, request.KindChat, most)))
+		})
+	}
+}
--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -55,8 +55,9 @@
 	PromptTokens int64
 	// AnswerTokens bounds the answer.
 	AnswerTokens int64
-	// Prompt is the raw prompt inside the body.
-	Prompt []byte
+	// Prefix is the beginning of the prompt's text as engines see it, long
+	// enough for backendapi.PrefixBlocks.
+	Prefix []byte
 }
 
 // Service is the part of a Call that goes to plain services.
--- a/internal/filter/place/place.go
+++ b/internal/filter/place/place.go
@@ -109,7 +109,7 @@
 	asked.Model, asked.Adapter = model.Model.Name, model.Adapter
 	asked.PromptTokens, asked.AnswerTokens = model.PromptTokens, model.AnswerTokens
 	asked.Short = model.Class.Short
-	asked.Blocks = backendapi.PrefixBlocks(model.Model.Name, model.Prompt, max(model.Model.BytesPerToken, 1))
+	asked.Blocks = backendapi.PrefixBlocks(model.Model.Name, model.Prefix, max(model.Model.BytesPerToken, 1))
 	return asked
 }
 
--- a/internal/standin/answer/answer.go
+++ b/internal/standin/answer/answer.go
@@ -66,6 +66,8 @@
 
 // Body is the part of a caller's request that an engine reads.
 type Body struct {
+	// Model may end with ":" and the name of an adapter, which arrives in
+	// backendapi.HeaderAdapter too.
 	Model     string    `json:"model"`
 	Prompt    string    `json:"prompt"`
 	Messages  []Message `json:"messages"`
@@ -84,6 +86,7 @@
 	if err := json.Unmarshal(text, &body); err != nil {
 		return Body{}, fmt.Errorf("request body: %w", err)
 	}
+	body.Model, _, _ = strings.Cut(body.Model, ":")
 	if body.MaxTokens <= 0 {
 		body.MaxTokens = DefaultMaxTokens
 	}
--- a/internal/standin/engine/complete.go
+++ b/internal/standin/engine/complete.go
@@ -62,6 +62,7 @@
 // notRun answers that nothing of the call was run.
 func notRun(c echo.Context, status int, err error) error {
 	c.Response().Header().Set(backendapi.HeaderNotRun, "1")
+	c.Response().Header().Set(backendapi.HeaderAttempt, c.Request().Header.Get(backendapi.HeaderAttempt))
 	return c.JSON(status, control.Problem{Error: err.Error()})
 }
 
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -208,6 +208,7 @@
 	if _, hit := s.faults.Take(fault.Refuse); hit || s.running.Load() >= maxConcurrent {
 		s.countRefusal()
 		c.Response().Header().Set(backendapi.HeaderNotRun, "1")
+		c.Response().Header().Set(backendapi.HeaderAttempt, c.Request().Header.Get(backendapi.HeaderAttempt))
 		return c.JSON(http.StatusServiceUnavailable, control.Problem{Error: "refused"})
 	}
 	s.countConcurrent(s.running.Add(1))
@@ -215,6 +216,7 @@
 	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxBody))
 	if err != nil {
 		c.Response().Header().Set(backendapi.HeaderNotRun, "1")
+		c.Response().Header().Set(backendapi.HeaderAttempt, c.Request().Header.Get(backendapi.HeaderAttempt))
 		return c.JSON(http.StatusBadRequest, control.Problem{Error: err.Error()})
 	}
 	answer := s.run(c.Request(), body)
