--- a/internal/load/plot.go
+++ b/internal/load/plot.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"image/color"
 	"os"
 
 	"gonum.org/v1/plot"
@@ -18,6 +19,9 @@
 	plotHeight = 24 * vg.Centimeter
 	barsWidth  = 14 * vg.Centimeter
 	padding    = 3 * vg.Millimeter
+	// legendRoom is the upper end of an axis of percents, with room for the
+	// legend.
+	legendRoom = 130
 )
 
 // WritePlot writes four plots as one SVG file: time to first token by prompt
@@ -86,6 +90,7 @@
 	}
 	p.NominalX(names...)
 	p.Y.Min = 1
+	p.Legend.Left = true
 	for i := range r.Runs {
 		var points plotter.XYs
 		for x, row := range r.Runs[i].WithLong.Lengths {
@@ -127,6 +132,7 @@
 func (r *Report) plotSlowdown() (*plot.Plot, error) {
 	p := newPlot("Short prompts beside long ones", "", "p95 time to first token, ms")
 	p.NominalX("without long", "long present")
+	p.Legend.Left = true
 	err := r.bars(p, 2, func(run *RunReport) plotter.Values {
 		without := 0.0
 		if run.WithoutLong != nil {
@@ -139,7 +145,7 @@
 
 func (r *Report) plotSeconds() (*plot.Plot, error) {
 	p := newPlot("Service through the run", "s", "share in time, %; grey: offered requests a second, % of the most")
-	p.Y.Max = 105
+	p.Y.Max = legendRoom
 	for i := range r.Runs {
 		seconds := r.Runs[i].WithLong.Seconds
 		if i == 0 {
@@ -176,6 +182,7 @@
 	if err != nil {
 		return err
 	}
+	line.Color = color.Gray{Y: 128}
 	line.Dashes = []vg.Length{vg.Points(3), vg.Points(2)}
 	p.Add(line)
 	return nil
@@ -183,7 +190,7 @@
 
 func (r *Report) plotTeams() (*plot.Plot, error) {
 	p := newPlot("Service at the crest by team", "", "share of requests in time, %")
-	p.Y.Max = 105
+	p.Y.Max = legendRoom
 	var names []string
 	if len(r.Runs) > 0 {
 		for _, team := range r.Runs[0].WithLong.Teams {
