Give short prompts the higher engine priorities

Engines ordered prompts by the team's priority alone, so short prompts of a modest team waited behind a long prefill. Now short prompts have priorities 5 to 9 and all others 0 to 4, by the team's priority within each.

--- a/internal/filter/dispatch/dispatch.go
+++ b/internal/filter/dispatch/dispatch.go
@@ -174,10 +174,19 @@
 	return []string{"Accept", "Accept-Language", "Content-Type", request.IdempotencyKeyHeader}
 }
 
+// priority returns the priority for the back end. An engine puts short prompts
+// before all others.
+func priority(call *filter.Call) int {
+	if !call.Kind.ForEngine() {
+		return call.Team.Priority
+	}
+	return place.EnginePriority(call.Model.Class.Short, call.Team.Priority)
+}
+
 func setHeaders(header http.Header, call *filter.Call, now time.Time) {
 	header.Set(backendapi.HeaderAttempt, call.Attempt.ID)
 	header.Set(request.RequestIDHeader, call.ID)
-	header.Set(backendapi.HeaderPriority, fmt.Sprint(call.Team.Priority))
+	header.Set(backendapi.HeaderPriority, fmt.Sprint(priority(call)))
 	header.Set(backendapi.HeaderBudget, fmt.Sprint(max(call.Deadline.Sub(now).Milliseconds(), 1)))
 	if !call.Kind.ForEngine() {
 		for _, name := range forwarded() {
--- a/internal/place/leases.go
+++ b/internal/place/leases.go
@@ -155,7 +155,7 @@
 	}
 	return capacity.Request{
 		Attempt: query.Attempt, Holder: l.baseline.options.VM, Tokens: query.MemoryTokens(), Short: query.Short,
-		Priority: query.Priority, LatestStart: latestStart(deadline, run, now), Deadline: deadline,
+		Priority: EnginePriority(query.Short, query.Priority), LatestStart: latestStart(deadline, run, now), Deadline: deadline,
 	}
 }
 
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -51,3 +51,16 @@
 
 // MemoryTokens returns the engine memory that the query needs at its end.
 func (q Query) MemoryTokens() int64 { return q.PromptTokens + q.AnswerTokens }
+
+// shortPriority is the lowest engine priority of a short prompt.
+const shortPriority = 5
+
+// EnginePriority returns the priority, 0 (lowest) to 9 (highest), that a
+// prompt has in the queues of schedulers and engines: short prompts go before
+// all others, and among equals the priority of the team decides.
+func EnginePriority(short bool, teamPriority int) int {
+	if short {
+		return shortPriority + teamPriority/2
+	}
+	return teamPriority / 2
+}
