--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -16,7 +16,7 @@
 
 // memberChangeTimeout bounds one change of the members. The client sends the
 // change again after that.
-const memberChangeTimeout = 4 * time.Second
+const memberChangeTimeout = 5 * time.Second
 
 func (c *Control) handleListVMs(ctx echo.Context) error {
 	if err := c.barrier(ctx.Request().Context()); err != nil {
--- a/internal/distribute/node.go
+++ b/internal/distribute/node.go
@@ -68,6 +68,7 @@
 	mu       sync.Mutex
 	upstream []string
 	own      *distributepb.Report
+	control  *distributepb.ControlVMs
 	ready    bool
 }
 
@@ -96,6 +97,40 @@
 	return n.reports.All()
 }
 
+// SetControlVMs takes the members of the control group as of a revision and
+// passes them on, unless a later revision is known.
+func (n *Node) SetControlVMs(revision uint64, vms []Peer) {
+	message := &distributepb.ControlVMs{Revision: revision}
+	for _, vm := range vms {
+		message.Vms = append(message.Vms, &distributepb.ControlVM{Name: vm.Name, Zone: vm.Zone, Internal: vm.Address})
+	}
+	n.receiveControlVMs(message)
+}
+
+func (n *Node) receiveControlVMs(message *distributepb.ControlVMs) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(message.GetVms()) > 0 && message.GetRevision() > n.control.GetRevision() {
+		n.control = message
+	}
+}
+
+func (n *Node) controlVMs() *distributepb.ControlVMs {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.control
+}
+
+// ControlVMs returns the members of the control group, nil before they are
+// learnt.
+func (n *Node) ControlVMs() []Peer {
+	var peers []Peer
+	for _, vm := range n.controlVMs().GetVms() {
+		peers = append(peers, Peer{Name: vm.GetName(), Zone: vm.GetZone(), Address: vm.GetInternal(), Control: true})
+	}
+	return peers
+}
+
 // Ready reports whether the VM has asked for the newest bundle and holds one.
 // Before that it must not serve requests.
 func (n *Node) Ready() bool {
--- a/internal/operatorapi/client.go
+++ b/internal/operatorapi/client.go
@@ -8,13 +8,19 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"strings"
 	"time"
 )
 
 const (
 	// attemptTimeout bounds one request to one control VM.
-	attemptTimeout = 5 * time.Second
+	attemptTimeout = 3 * time.Second
+	// memberTimeout bounds one request for a change of the members.
+	memberTimeout = 8 * time.Second
+	// connectTimeout bounds the connection to one control VM.
+	connectTimeout = time.Second
 	// retryWait is the pause after all control VMs were asked in vain.
 	retryWait = 200 * time.Millisecond
 )
@@ -34,11 +40,12 @@
 // of some control VMs. Config, when not nil, turns on TLS.
 func NewClient(addresses []string, config *tls.Config) *Client {
 	client := &Client{addresses: addresses, scheme: "http"}
-	transport := &http.Transport{TLSClientConfig: config, ResponseHeaderTimeout: attemptTimeout}
+	dialer := &net.Dialer{Timeout: connectTimeout}
+	transport := &http.Transport{TLSClientConfig: config, DialContext: dialer.DialContext}
 	if config != nil {
 		client.scheme = "https"
 	}
-	client.http = &http.Client{Transport: transport, Timeout: attemptTimeout}
+	client.http = &http.Client{Transport: transport}
 	return client
 }
 
@@ -110,6 +117,12 @@
 }
 
 func (c *Client) once(ctx context.Context, method, address, path string, body []byte, reply any) error {
+	limit := attemptTimeout
+	if strings.HasPrefix(path, PathVMs) && method != http.MethodGet {
+		limit = memberTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, c.scheme+"://"+address+path, bytes.NewReader(body))
 	if err != nil {
 		return fmt.Errorf("request to %s: %w", address, err)
--- a/internal/process/distribution.go
+++ b/internal/process/distribution.go
@@ -79,9 +79,9 @@
 
 // peers lists the VMs that may be watched.
 func (d *distribution) peers() []distribute.Peer {
-	var peers []distribute.Peer
-	for _, vm := range d.host.Settings.ControlVMs {
-		peers = append(peers, distribute.Peer{Name: vm.Name, Zone: vm.Zone, Address: vm.Internal, Control: true})
+	peers := d.node.ControlVMs()
+	if len(peers) == 0 {
+		peers = listedControlVMs(d.host.Settings)
 	}
 	for _, vm := range d.host.Settings.EntryVMs {
 		peers = append(peers, distribute.Peer{Name: vm.Name, Zone: vm.Zone, Address: vm.Internal})
@@ -89,6 +89,15 @@
 	return peers
 }
 
+// listedControlVMs are known before the members of the group are learnt.
+func listedControlVMs(config *settings.Settings) []distribute.Peer {
+	peers := make([]distribute.Peer, 0, len(config.ControlVMs))
+	for _, vm := range config.ControlVMs {
+		peers = append(peers, distribute.Peer{Name: vm.Name, Zone: vm.Zone, Address: vm.Internal, Control: true})
+	}
+	return peers
+}
+
 // servers lists the backend servers that report to this VM.
 func (d *distribution) servers() []distribute.BackendServer {
 	orderable := d.host.Fleet.Orderable(time.Now())
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -70,6 +70,8 @@
 		RefusedAnswers:  s.refused.answers,
 		ControlVms:      s.vms,
 		Epoch:           s.epoch,
+
+		ControlVmsRevision: s.vmsRevision,
 	}
 	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
 	if err != nil {
@@ -96,6 +98,7 @@
 	restored.refused.replace(snapshot.GetRefusedAnswers())
 	restored.vms = snapshot.GetControlVms()
 	restored.epoch = snapshot.GetEpoch()
+	restored.vmsRevision = snapshot.GetControlVmsRevision()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.state = restored
@@ -204,6 +207,14 @@
 	Operators string `json:"operators"`
 }
 
+// ControlVMsRevision returns a number that grows with each change of the
+// control VMs on record.
+func (r *Registry) ControlVMsRevision() uint64 {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.state.vmsRevision
+}
+
 // ControlVMs returns the control VMs on record.
 func (r *Registry) ControlVMs() []ControlVM {
 	r.mu.RLock()
