--- /dev/null
+++ b/internal/filter/claim/claim_test.go
@@ -0,0 +1,74 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"godwityoke.example/godwityoke/internal/bundle"
+	"godwityoke.example/godwityoke/internal/filter"
+	"godwityoke.example/godwityoke/internal/ledger"
+	"godwityoke.example/godwityoke/internal/request"
+)
+
+// failingClaims grants nothing.
+type failingClaims struct{ err error }
+
+// Claim implements ledger.Claims.
+func (f failingClaims) Claim(context.Context, ledger.Key, [32]byte) (ledger.Claim, *ledger.Record, error) {
+	return nil, nil, f.err
+}
+
+// Lookup implements ledger.Claims.
+func (f failingClaims) Lookup(context.Context, ledger.Key) (*ledger.Record, error) { return nil, f.err }
+
+func booking(key string) *filter.Call {
+	outgoing, _ := http.NewRequest(http.MethodPost, "/services/booking/voyages", nil)
+	outgoing.Header.Set(request.IdempotencyKeyHeader, key)
+	return &filter.Call{
+		Kind: request.KindService, HTTP: outgoing, Path: "/voyages", Team: &bundle.Team{Name: "families"},
+		Service: filter.Service{Name: "booking", Operation: &bundle.Operation{Name: "book"}},
+	}
+}
+
+// TestWithoutAClaimNothingIsSent maps each refusal of the ledger.
+func TestWithoutAClaimNothingIsSent(t *testing.T) {
+	cases := []struct {
+		claims ledger.Claims
+		code   request.Code
+	}{
+		{failingClaims{ledger.ErrConflict}, request.CodeKeyConflict},
+		{failingClaims{ledger.ErrInProgress}, request.CodeKeyInProgress},
+		{failingClaims{ledger.ErrExpired}, request.CodeKeyExpired},
+		{failingClaims{ledger.ErrUnreachable}, request.CodeClaimsUnreachable},
+		{failingClaims{errors.New("else")}, request.CodeInternal},
+		{nil, request.CodeClaimsUnreachable},
+	}
+	for _, c := range cases {
+		sent := false
+		err := New(c.claims, nil).Process(t.Context(), booking("k"), func(context.Context, *filter.Call) error {
+			sent = true
+			return nil
+		})
+		var failure *request.Error
+		require.ErrorAs(t, err, &failure)
+		require.Equal(t, c.code, failure.Code)
+		require.Equal(t, request.NotSent, failure.Outcome)
+		require.False(t, sent)
+	}
+}
+
+func TestDigestCoversTheWholeCall(t *testing.T) {
+	first, path, method := booking("k"), booking("k"), booking("k")
+	path.Path = "/voyages/7"
+	method.HTTP.Method = http.MethodPut
+	query := booking("k")
+	query.HTTP.URL.RawQuery = "a=b"
+	require.Equal(t, digest(first), digest(booking("other key")))
+	for _, other := range []*filter.Call{path, method, query} {
+		require.NotEqual(t, digest(first), digest(other))
+	}
+}
--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -77,6 +77,8 @@
 	Started   time.Time
 	// VerifiedBefore is Call.Verified at the start of the attempt.
 	VerifiedBefore int64
+	// Streaming is true once a token of this attempt was handed on.
+	Streaming bool
 	// Response is the answer as received. Dispatch sets it.
 	Response *http.Response
 	// Alive restarts the stall timer. Dispatch sets it, verify calls it at
--- a/internal/filter/reply/engine.go
+++ b/internal/filter/reply/engine.go
@@ -41,12 +41,13 @@
 
 // measure records the time to the first token and between tokens.
 func (f *Filter) measure(call *filter.Call, now time.Time) {
-	if call.Attempt.Number > 0 && call.Reply.LastToken.IsZero() {
+	if call.Reply.LastToken.IsZero() {
 		f.metrics.Observe(observe.TimeToFirstToken, call.TeamName(), call.ClassName(), now.Sub(call.Received))
 	} else {
 		f.metrics.Observe(observe.TimeBetweenTokens, call.TeamName(), call.ClassName(), now.Sub(call.Reply.LastToken))
 	}
-	if call.Reply.LastToken.Before(call.Attempt.Started) {
+	if !call.Attempt.Streaming {
+		call.Attempt.Streaming = true
 		call.Attempt.Placement.FirstToken(now)
 	}
 	call.Reply.LastToken = now
--- /dev/null
+++ b/internal/filter/reply/reply_test.go
@@ -0,0 +1,74 @@
+package reply
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"godwityoke.example/godwityoke/internal/backendapi"
+	"godwityoke.example/godwityoke/internal/bundle"
+	"godwityoke.example/godwityoke/internal/filter"
+	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/place"
+	"godwityoke.example/godwityoke/internal/request"
+)
+
+// placement counts first tokens.
+type placement struct{ firstTokens int }
+
+// Server implements place.Placement.
+func (p *placement) Server() place.Server { return place.Server{} }
+
+// FirstToken implements place.Placement.
+func (p *placement) FirstToken(time.Time) { p.firstTokens++ }
+
+// Finish implements place.Placement.
+func (p *placement) Finish(place.AttemptResult) {}
+
+func attempt(number int, failure error, chunks ...backendapi.Chunk) (*filter.Attempt, *placement) {
+	placed := &placement{}
+	return &filter.Attempt{Number: number, Placement: placed, Started: time.Now(), Tokens: func(yield func(backendapi.Chunk, error) bool) {
+		for _, chunk := range chunks {
+			if !yield(chunk, nil) {
+				return
+			}
+		}
+		if failure != nil {
+			yield(backendapi.Chunk{}, failure)
+		}
+	}}, placed
+}
+
+// TestStreamGoesOnOverAttempts sends one answer from two attempts.
+func TestStreamGoesOnOverAttempts(t *testing.T) {
+	for _, stream := range []bool{true, false} {
+		writer := httptest.NewRecorder()
+		call := &filter.Call{ID: "id", Kind: request.KindChat, Writer: writer, Received: time.Now(),
+			Model: filter.Model{Model: &bundle.Model{Name: "scribe"}, Stream: stream}}
+		f := New(observe.NewMetrics(), zerolog.Nop())
+		cut := errors.New("cut")
+		first, firstPlaced := attempt(1, cut, backendapi.Chunk{Text: "calm "})
+		second, secondPlaced := attempt(2, nil, backendapi.Chunk{Text: "sea"}, backendapi.Chunk{End: true, FinishReason: "stop"})
+		call.Attempt = first
+		require.ErrorIs(t, f.Process(t.Context(), call, nil), cut)
+		require.Equal(t, stream, call.Reply.Started)
+		call.Attempt = second
+		require.NoError(t, f.Process(t.Context(), call, nil))
+		require.True(t, call.Reply.Finished)
+		require.Equal(t, 1, firstPlaced.firstTokens)
+		require.Equal(t, 1, secondPlaced.firstTokens)
+		if stream {
+			require.Equal(t, 1, strings.Count(writer.Body.String(), `"role"`))
+			continue
+		}
+		var whole answer
+		require.NoError(t, json.Unmarshal(writer.Body.Bytes(), &whole))
+		require.Equal(t, "calm sea", whole.Choices[0].Message.Content)
+	}
+}
--- a/internal/pipeline/callers_test.go
+++ b/internal/pipeline/callers_test.go
@@ -194,3 +194,37 @@
 		require.Contains(t, metrics.text, `godwityoke_time_to_first_token_seconds_bucket{team="families"`)
 	})
 }
+
+// TestKeptConnectionOutlivesWriteDeadlines uses one connection again after the
+// time of a write has passed.
+func TestKeptConnectionOutlivesWriteDeadlines(t *testing.T) {
+	inBubble(t, 1, func(s *system) {
+		for _, body := range []string{streamBody, `{"model":"bard","prompt":"a"}`, streamBody} {
+			got := s.call(http.MethodPost, "/v1/completions", body)
+			require.NotEmpty(t, got.outcome)
+			time.Sleep(time.Minute)
+			require.Equal(t, http.StatusOK, s.call(http.MethodGet, "/readyz", "").status)
+		}
+		require.Equal(t, 1, s.callerDials)
+	})
+}
+
+// TestPlannedStopAtEachStep stops the callers' side while a request is at a
+// step that takes long.
+func TestPlannedStopAtEachStep(t *testing.T) {
+	for _, c := range []cell{{faultLate, atDial}, {faultLate, atWait}, {faultLate, atStream}, {faultDies, atStream}} {
+		t.Run(c.name(), func(t *testing.T) {
+			inBubble(t, 2, func(s *system) {
+				s.breakWith(c.fault, c.at, 1)
+				s.call(http.MethodPost, "/v1/completions", streamBody) // the next one starts at the faulty engine
+				ended := make(chan result)
+				go func() { ended <- s.call(http.MethodPost, "/v1/completions", streamBody) }()
+				time.Sleep(50 * time.Millisecond)
+				require.NoError(t, s.callers.Shutdown(context.Background()))
+				got := <-ended
+				require.True(t, got.whole)
+				require.Equal(t, answer, got.text)
+			})
+		})
+	}
+}
--- a/internal/pipeline/system_test.go
+++ b/internal/pipeline/system_test.go
@@ -49,6 +49,8 @@
 	callers   *http.Server
 	client    *http.Client
 	closers   []func()
+	// callerDials counts the callers' connections; callers come one by one.
+	callerDials int
 	// cancel ends the background work.
 	cancel context.CancelFunc
 }
@@ -110,7 +112,10 @@
 	s.callers = &http.Server{Handler: handler, ReadHeaderTimeout: time.Second, MaxHeaderBytes: 32 << 10}
 	listener := s.network.listen(entryAddress)
 	go func() { _ = s.callers.Serve(listener) }()
-	transport := &http.Transport{DialContext: s.network.dial}
+	transport := &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		s.callerDials++
+		return s.network.dial(ctx, network, address)
+	}}
 	s.closers = append(s.closers, transport.CloseIdleConnections)
 	s.client = &http.Client{Transport: transport}
 }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -34,11 +34,13 @@
 	listeners Listeners
 	parts     []Part
 	entry     *entry
-	servers   []*http.Server
-	cancel    context.CancelFunc
-	serving   sync.WaitGroup
-	stopping  atomic.Bool
-	stopOnce  sync.Once
+	// callers is the server of the callers' side, one of servers.
+	callers  *http.Server
+	servers  []*http.Server
+	cancel   context.CancelFunc
+	serving  sync.WaitGroup
+	stopping atomic.Bool
+	stopOnce sync.Once
 }
 
 // Start opens the listeners and starts the roles. The returned process runs
@@ -108,7 +110,7 @@
 // serve begins to answer on all listeners.
 func (p *Process) serve() {
 	if p.entry != nil {
-		p.serveHTTP(p.listeners.Callers, p.entry.callers)
+		p.callers = p.serveHTTP(p.listeners.Callers, p.entry.callers)
 		p.serveHTTP(p.listeners.Backends, p.entry.backends)
 	}
 	if p.listeners.Operators != nil {
@@ -120,9 +122,10 @@
 	}
 }
 
-func (p *Process) serveHTTP(listener net.Listener, handler http.Handler) {
+// serveHTTP returns the server that answers on listener, or nil without one.
+func (p *Process) serveHTTP(listener net.Listener, handler http.Handler) *http.Server {
 	if listener == nil {
-		return
+		return nil
 	}
 	server := &http.Server{
 		Handler:           handler,
@@ -132,6 +135,7 @@
 	}
 	p.servers = append(p.servers, server)
 	p.serving.Go(func() { _ = server.Serve(listener) }) // ends with the server
+	return server
 }
 
 // Addresses returns the bound addresses.
--- a/internal/process/process_test.go
+++ b/internal/process/process_test.go
@@ -29,14 +29,14 @@
 
 // exampleBundle returns the bundle that serves the model "scribe" and the service "booking" to the team
 // "families" with the API key "key-families".
-func exampleBundle(t *testing.T) string {
+func exampleBundle(t testing.TB) string {
 	t.Helper()
 	file, err := filepath.Abs("../../examples/bundle.json")
 	require.NoError(t, err)
 	return file
 }
 
-func entrySettings(t *testing.T) *settings.Settings {
+func entrySettings(t testing.TB) *settings.Settings {
 	t.Helper()
 	loaded := settings.Defaults()
 	loaded.VM = settings.VM{Name: "entry-a1", Zone: "a"}
@@ -84,7 +84,7 @@
 	w.(http.Flusher).Flush()
 }
 
-func announce(t *testing.T, to string, a backendapi.Announcement) backendapi.AnnounceReply {
+func announce(t testing.TB, to string, a backendapi.Announcement) backendapi.AnnounceReply {
 	t.Helper()
 	body, err := json.Marshal(a)
 	require.NoError(t, err)
@@ -110,7 +110,7 @@
 	})
 }
 
-func post(t *testing.T, url, body string) *http.Response {
+func post(t testing.TB, url, body string) *http.Response {
 	t.Helper()
 	outgoing, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
 	require.NoError(t, err)
--- a/internal/process/stop.go
+++ b/internal/process/stop.go
@@ -64,16 +64,15 @@
 // finishCalls stops accepting callers and waits for their requests. Backend
 // servers are heard until the end, since requests may still need them.
 func (p *Process) finishCalls(ctx context.Context) []callers.InProgress {
-	if p.entry == nil {
+	if p.callers == nil {
 		return nil
 	}
-	server := p.servers[0]
-	if err := server.Shutdown(ctx); err == nil {
+	if err := p.callers.Shutdown(ctx); err == nil {
 		p.entry.drain(ctx)
 		return nil
 	}
 	cut := p.entry.registry.List()
-	_ = server.Close()
+	_ = p.callers.Close()
 	return cut
 }
 
--- a/internal/reclaim/ask.go
+++ b/internal/reclaim/ask.go
@@ -25,10 +25,10 @@
 		if len(state.queued) == 0 || state.asking {
 			continue
 		}
-		r.warn(state, now)
 		if !r.alive(state, now) {
-			continue
+			continue // asked again once it is heard of
 		}
+		r.warn(state, now)
 		state.asking = true
 		go r.ask(ctx, state, state.some())
 	}
--- a/internal/reclaim/reclaim.go
+++ b/internal/reclaim/reclaim.go
@@ -143,12 +143,26 @@
 	}
 }
 
-// Drain waits until all cancellations are confirmed or ctx ends. Run must be
-// running.
+// answerable returns the number of attempts whose cancellation an engine that
+// is alive has not confirmed.
+func (r *Reclaimer) answerable(now time.Time) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	count := 0
+	for _, state := range r.states {
+		if r.alive(state, now) {
+			count += len(state.queued)
+		}
+	}
+	return count
+}
+
+// Drain waits until all engines that are alive have confirmed their
+// cancellations, or ctx ends. Run must be running.
 func (r *Reclaimer) Drain(ctx context.Context) {
 	ticker := time.NewTicker(retryInterval / 10)
 	defer ticker.Stop()
-	for r.Pending() > 0 {
+	for r.answerable(time.Now()) > 0 {
 		select {
 		case <-ctx.Done():
 			return
