path: a deadline between two filters tells the outcome of what was sent

Cause: when the time ran out after the answer's header had arrived, the caller was told not_run although the call was sent; when it ran out before sending, the caller was told not_run while the key was recorded as unknown. The placement was also finished as not held while the engine may have held memory. Change: dispatch marks the attempt as sent; the outcome, the claim and the placement read the same mark. Conclusion: TestDeadlineBetweenFilters failed before and passes now.

--- a/internal/filter/dispatch/dispatch.go
+++ b/internal/filter/dispatch/dispatch.go
@@ -94,8 +94,9 @@
 		return &request.AttemptError{Step: request.StepResolve, Final: true, Cause: err}
 	}
 	response, err := f.transport(call).RoundTrip(outgoing)
+	step, sent := tracker.state()
+	call.Attempt.Sent = sent
 	if err != nil {
-		step, sent := tracker.state()
 		return &request.AttemptError{Step: step, Sent: sent, Cause: cause(ctx, err)}
 	}
 	defer response.Body.Close()
--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -38,7 +38,8 @@
 
 	// Attempt is the attempt in progress. Place sets it.
 	Attempt *Attempt
-	// MayHaveRun is true when any attempt may have been run by a back end.
+	// MayHaveRun is true when an attempt that ended may have been run by a
+	// back end.
 	MayHaveRun bool
 	// Verified counts the verified tokens of the answer over all attempts.
 	Verified int64
@@ -77,6 +78,9 @@
 	Started   time.Time
 	// VerifiedBefore is Call.Verified at the start of the attempt.
 	VerifiedBefore int64
+	// Sent is true while the attempt is in progress and may have been run.
+	// Dispatch sets it; place turns it into Call.MayHaveRun at the end.
+	Sent bool
 	// Streaming is true once a token of this attempt was handed on.
 	Streaming bool
 	// Response is the answer as received. Dispatch sets it.
@@ -139,7 +143,8 @@
 
 // Outcome returns the outcome of the call if it ends now without an answer.
 func (c *Call) Outcome() request.Outcome {
-	if !c.MayHaveRun {
+	inProgress := c.Attempt != nil && c.Attempt.Sent
+	if !c.MayHaveRun && !inProgress {
 		return request.NotRun
 	}
 	return request.OutcomeOf(true, c.Idempotent())
--- a/internal/filter/place/place.go
+++ b/internal/filter/place/place.go
@@ -57,11 +57,11 @@
 		call.Attempt = &filter.Attempt{ID: attempt, Number: number, Placement: placement, Started: time.Now(), VerifiedBefore: call.Verified}
 		err = next(ctx, call)
 		failure := attemptError(err)
-		f.finish(ctx, call, failure)
+		mayHaveRun := closeAttempt(call, failure)
+		f.finish(ctx, call, err, mayHaveRun)
 		if failure == nil {
 			return f.ended(call, err)
 		}
-		call.MayHaveRun = call.MayHaveRun || failure.MayHaveRun()
 		f.logFailure(call, failure)
 		if ctx.Err() != nil || number >= maxAttempts || !f.mayRetry(call, failure) {
 			return ending(ctx, call, failure)
@@ -79,6 +79,18 @@
 	return nil
 }
 
+// closeAttempt moves what is known of the attempt to the call, and reports
+// whether the attempt may have been run.
+func closeAttempt(call *filter.Call, failure *request.AttemptError) bool {
+	mayHaveRun := call.Attempt.Sent
+	if failure != nil {
+		mayHaveRun = failure.MayHaveRun()
+	}
+	call.Attempt.Sent = false
+	call.MayHaveRun = call.MayHaveRun || mayHaveRun
+	return mayHaveRun
+}
+
 // place asks for a server that has not failed the call, and for any server
 // when there is no other.
 func (f *Filter) place(ctx context.Context, call *filter.Call, attempt string, failed []string) (place.Placement, error) {
@@ -114,16 +126,17 @@
 	return asked
 }
 
-// finish returns the placement.
-func (f *Filter) finish(ctx context.Context, call *filter.Call, failure *request.AttemptError) {
+// finish returns the placement. The reclaimer asks the engine to free what an
+// attempt that ended early may hold.
+func (f *Filter) finish(ctx context.Context, call *filter.Call, err error, mayHaveRun bool) {
 	attempt := call.Attempt
 	result := place.AttemptResult{
 		At: time.Now(), PromptTokens: attempt.PromptTokens, CachedTokens: attempt.CachedTokens,
 		AnswerTokens: call.Verified - attempt.VerifiedBefore,
 	}
-	if failure != nil {
-		result.Failed = ctx.Err() == nil
-		result.Held = call.Kind.ForEngine() && failure.MayHaveRun()
+	if err != nil {
+		result.Failed = ctx.Err() == nil && attemptError(err) != nil
+		result.Held = call.Kind.ForEngine() && mayHaveRun
 	}
 	attempt.Placement.Finish(result)
 }
@@ -132,7 +145,6 @@
 // failed.
 func (f *Filter) ended(call *filter.Call, err error) error {
 	if err != nil {
-		call.MayHaveRun = true
 		return err
 	}
 	f.Budget.Success(call.Team.Name, call.Bundle.Bundle.Limits.RetryBudgetPercent)
