--- a/internal/capacity/core.go
+++ b/internal/capacity/core.go
@@ -185,6 +185,9 @@
 	switch {
 	case !found:
 		c.freed[attempt] = now
+		if !held {
+			c.dropForeign(attempt)
+		}
 	case held && granted.state != leaseOrphan:
 		c.orphan(granted, now)
 	case !held:
@@ -261,15 +264,24 @@
 	c.hold += (held - c.hold) / holdWeight
 }
 
-// Wait estimates how long request would wait for its first token: for memory,
-// for the prefill ahead and for its own.
-func (c *Core) Wait(request Request, tokenTime time.Duration) time.Duration {
-	wait := time.Duration(c.prefill+request.PrefillTokens) * tokenTime
-	if c.queue.len() == 0 && c.admits(request, nil) {
-		return wait
+// Wait estimates how long request would wait for the prefill ahead and for its
+// own, and whether it would be granted at once.
+func (c *Core) Wait(request Request, tokenTime time.Duration) (wait time.Duration, atOnce bool) {
+	wait = time.Duration(c.prefill+request.PrefillTokens) * tokenTime
+	if c.admitsFirst(request) {
+		return wait, true
 	}
 	for _, ahead := range c.queue.requests {
 		wait += time.Duration(ahead.PrefillTokens) * tokenTime
 	}
-	return wait + c.hold/time.Duration(max(len(c.leases), 1))*time.Duration(c.queue.len()+1)
+	return wait + c.hold/time.Duration(max(len(c.leases), 1))*time.Duration(c.queue.len()+1), false
+}
+
+// admitsFirst reports whether request would be granted at once: those that
+// wait and go before it leave room.
+func (c *Core) admitsFirst(request Request) bool {
+	if c.queue.len() > 0 && !goesBefore(request, c.queue.requests[0]) {
+		return false
+	}
+	return c.admits(request, nil)
 }
--- a/internal/capacity/state.go
+++ b/internal/capacity/state.go
@@ -175,33 +175,50 @@
 
 // choose returns the best of choices, or nil when this VM may grant on none.
 func (s *State) choose(request Request, choices []Choice, now time.Time) *Choice {
-	best, wait := s.shortest(request, choices, true)
-	if best != nil && wait <= request.LatestStart.Sub(now)/2 {
-		return best
+	best := s.shortest(request, choices, true)
+	if best.choice != nil && best.wait <= request.LatestStart.Sub(now)/2 {
+		return best.choice
 	}
-	if other, otherWait := s.shortest(request, choices, false); other != nil && (best == nil || otherWait < wait) {
-		return other
+	if other := s.shortest(request, choices, false); other.before(best) {
+		return other.choice
 	}
-	return best
+	return best.choice
+}
+
+// outlook is what a request has to expect of a choice.
+type outlook struct {
+	choice *Choice
+	wait   time.Duration
+	atOnce bool
 }
 
-// shortest returns the one of the choices, preferred or not, with the shortest
-// wait.
-func (s *State) shortest(request Request, choices []Choice, preferred bool) (*Choice, time.Duration) {
-	var best *Choice
-	var bestWait time.Duration
+// before reports whether o is better than other, which may be empty.
+func (o outlook) before(other outlook) bool {
+	switch {
+	case o.choice == nil || other.choice == nil:
+		return o.choice != nil
+	case o.atOnce != other.atOnce:
+		return o.atOnce
+	}
+	return o.wait < other.wait
+}
+
+// shortest returns the best of the choices, preferred or not.
+func (s *State) shortest(request Request, choices []Choice, preferred bool) outlook {
+	var best outlook
 	for i := range choices {
 		engine, found := s.engines[choices[i].Server]
 		if !found || choices[i].Preferred != preferred || engine.core.limit < request.Tokens {
 			continue
 		}
 		request.PrefillTokens = choices[i].PrefillTokens
-		wait := engine.core.Wait(request, choices[i].TokenTime)
-		if best == nil || wait < bestWait {
-			best, bestWait = &choices[i], wait
+		next := outlook{choice: &choices[i]}
+		next.wait, next.atOnce = engine.core.Wait(request, choices[i].TokenTime)
+		if next.before(best) {
+			best = next
 		}
 	}
-	return best, bestWait
+	return best
 }
 
 // Renew extends a lease; see Core.Renew.
--- a/internal/place/leases.go
+++ b/internal/place/leases.go
@@ -16,6 +16,11 @@
 	// longHomeDivisor is the share of a model's engines, as a divisor, that
 	// long prompts are steered to.
 	longHomeDivisor = 3
+	// patienceDivisor is the part, as a divisor, of its time until the latest
+	// start in which a long query asks again for a scheduler.
+	patienceDivisor = 4
+	// askAgain is the time between two such questions.
+	askAgain = 100 * time.Millisecond
 	// startMargin is kept between the latest start of a query and the time
 	// that its run is expected to need, as a share of that time.
 	startMargin = 0.25
@@ -56,13 +61,31 @@
 	if err != nil {
 		return nil, err
 	}
-	lease, err := l.baseline.options.Leases.Acquire(ctx, asked.group, asked.request, asked.choices)
+	lease, err := l.acquire(ctx, &query, asked)
 	if err == nil {
 		return l.begin(query, asked, lease), nil
 	}
 	return l.withoutLease(ctx, query, asked, err)
 }
 
+// acquire asks for a lease. A long query, which could take much memory from
+// those with a lease, asks again for a while when there is no scheduler.
+func (l *leasePlacer) acquire(ctx context.Context, query *Query, asked *plan) (*capacity.Lease, error) {
+	clock := l.baseline.options.Clock
+	until := clock().Add(asked.request.LatestStart.Sub(clock()) / patienceDivisor)
+	for {
+		lease, err := l.baseline.options.Leases.Acquire(ctx, asked.group, asked.request, asked.choices)
+		if query.Short || !errors.Is(err, capacity.ErrNoScheduler) || !clock().Before(until) {
+			return lease, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(askAgain):
+		}
+	}
+}
+
 // withoutLease refuses the query, or places it by the baseline when there is
 // no scheduler.
 func (l *leasePlacer) withoutLease(ctx context.Context, query Query, asked *plan, err error) (Placement, error) {
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -28,7 +28,7 @@
 		},
 		Routing: Routing{
 			Policy:       PolicyTwoChoices,
-			LeaseTimeout: jsonc.Duration(20 * time.Millisecond),
+			LeaseTimeout: jsonc.Duration(50 * time.Millisecond),
 			LeaseTerm:    jsonc.Duration(2 * time.Second),
 		},
 		Shutdown: Shutdown{
