--- a/internal/filter/dispatch/dispatch.go
+++ b/internal/filter/dispatch/dispatch.go
@@ -94,8 +94,9 @@
 		return &request.AttemptError{Step: request.StepResolve, Final: true, Cause: err}
 	}
 	response, err := f.transport(call).RoundTrip(outgoing)
+	step, sent := tracker.state()
+	call.Attempt.Sent = sent
 	if err != nil {
-		step, sent := tracker.state()
 		return &request.AttemptError{Step: step, Sent: sent, Cause: cause(ctx, err)}
 	}
 	defer response.Body.Close()
@@ -174,10 +175,19 @@
 	return []string{"Accept", "Accept-Language", "Content-Type", request.IdempotencyKeyHeader}
 }
 
+// priority returns the priority for the back end. An engine puts short prompts
+// before all others.
+func priority(call *filter.Call) int {
+	if !call.Kind.ForEngine() {
+		return call.Team.Priority
+	}
+	return place.EnginePriority(call.Model.Class.Short, call.Team.Priority)
+}
+
 func setHeaders(header http.Header, call *filter.Call, now time.Time) {
 	header.Set(backendapi.HeaderAttempt, call.Attempt.ID)
 	header.Set(request.RequestIDHeader, call.ID)
-	header.Set(backendapi.HeaderPriority, fmt.Sprint(call.Team.Priority))
+	header.Set(backendapi.HeaderPriority, fmt.Sprint(priority(call)))
 	header.Set(backendapi.HeaderBudget, fmt.Sprint(max(call.Deadline.Sub(now).Milliseconds(), 1)))
 	if !call.Kind.ForEngine() {
 		for _, name := range forwarded() {
