--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -31,6 +31,8 @@
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.MaxSendMsgSize(maxMessageBytes),
 		grpc.MaxConcurrentStreams(maxStreams),
+		grpc.StaticStreamWindowSize(streamWindowBytes),
+		grpc.StaticConnWindowSize(connWindowBytes),
 		grpc.MaxHeaderListSize(maxHeaderBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingInterval, Timeout: pingTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: pingMinInterval, PermitWithoutStream: true}),
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -21,10 +21,18 @@
 	// connect to the same address.
 	reconnectBase = 100 * time.Millisecond
 	reconnectMax  = time.Second
+	// idleTimeout is the time without a call after which a connection is closed
+	// until the next call.
+	idleTimeout = 5 * time.Minute
 	// maxMessageBytes bounds each message between VMs.
 	maxMessageBytes = 16 << 20
 	// maxStreams bounds the concurrent calls of one connection.
 	maxStreams = 1024
+	// streamWindowBytes and connWindowBytes bound the bytes in flight to a
+	// receiver. They are fixed, since estimating them costs two probe frames
+	// for each small message.
+	streamWindowBytes = 1 << 20
+	connWindowBytes   = 4 << 20
 	// maxHeaderBytes bounds the metadata of one call.
 	maxHeaderBytes = 16 << 10
 )
