process: claims reach the control VMs, holders follow the ledger epochs

Cause: entry VMs had no ledger, so keyed calls were refused; an epoch that named VMs could not tell a wiped data folder from the one before.

--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -47,5 +47,5 @@
 
 // builders lists the parts of a process beside the callers' side.
 func builders() []process.Builder {
-	return []process.Builder{process.BuildDistribution, process.BuildControl, routing.Build}
+	return []process.Builder{process.BuildDistribution, process.BuildControl, process.BuildClaims, routing.Build}
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -222,15 +222,12 @@
 	if c.options.Registry.Epoch().Number > 0 {
 		return nil
 	}
-	names := make([]string, 0, len(c.options.Founders))
 	for _, vm := range c.options.Founders {
-		names = append(names, vm.Name)
 		if _, err := c.propose(ctx, putCommand(vm)); err != nil {
 			return err
 		}
 	}
-	_, err := c.propose(ctx, epochCommand(0, names))
-	return err
+	return c.recordEpoch(ctx)
 }
 
 func putCommand(vm registry.ControlVM) *registrypb.Command {
@@ -242,7 +239,10 @@
 	return &registrypb.Command{Kind: &registrypb.Command_RemoveControlVm{RemoveControlVm: &registrypb.RemoveControlVM{Name: name}}}
 }
 
-func epochCommand(expected uint64, names []string) *registrypb.Command {
-	message := &registrypb.SetEpoch{ExpectedNumber: expected, ControlVms: names}
+func epochCommand(expected uint64, holders []registry.EpochHolder) *registrypb.Command {
+	message := &registrypb.SetEpoch{ExpectedNumber: expected}
+	for _, holder := range holders {
+		message.Holders = append(message.Holders, &registrypb.EpochHolder{MemberId: holder.MemberID, Address: holder.Address})
+	}
 	return &registrypb.Command{Kind: &registrypb.Command_SetEpoch{SetEpoch: message}}
 }
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"slices"
@@ -75,18 +76,21 @@
 }
 
 func (c *Control) votes(name string) bool {
-	return slices.Contains(c.voterNames(), name)
+	return slices.ContainsFunc(c.options.Group.Members(), func(member Member) bool {
+		return member.Name == name && !member.Learner
+	})
 }
 
-func (c *Control) voterNames() []string {
-	var names []string
+// holders returns the voting members, ordered by member id.
+func (c *Control) holders() []registry.EpochHolder {
+	var holders []registry.EpochHolder
 	for _, member := range c.options.Group.Members() {
 		if !member.Learner {
-			names = append(names, member.Name)
+			holders = append(holders, registry.EpochHolder{MemberID: member.ID, Address: member.Address})
 		}
 	}
-	slices.Sort(names)
-	return names
+	slices.SortFunc(holders, func(a, b registry.EpochHolder) int { return cmp.Compare(a.MemberID, b.MemberID) })
+	return holders
 }
 
 func (c *Control) isMember(name string) bool {
@@ -95,12 +99,12 @@
 
 // recordEpoch makes the voting members count for claims.
 func (c *Control) recordEpoch(ctx context.Context) error {
-	names := c.voterNames()
+	holders := c.holders()
 	epoch := c.options.Registry.Epoch()
-	if slices.Equal(names, epoch.ControlVMs) {
+	if slices.Equal(holders, epoch.Holders) {
 		return nil
 	}
-	_, err := c.propose(ctx, epochCommand(epoch.Number, names))
+	_, err := c.propose(ctx, epochCommand(epoch.Number, holders))
 	return err
 }
 
--- a/internal/filter/claim/claim.go
+++ b/internal/filter/claim/claim.go
@@ -86,7 +86,7 @@
 }
 
 // claimError maps an error of the ledger. Whatever it is, this send sends
-// nothing.
+// nothing; where the ledger sealed the key, no send ever will.
 func claimError(err error) error {
 	code, message := request.CodeInternal, "the idempotency key could not be claimed"
 	switch {
@@ -99,7 +99,12 @@
 	case errors.Is(err, ledger.ErrUnreachable):
 		code, message = request.CodeClaimsUnreachable, "the idempotency key cannot be claimed at this time"
 	}
-	return request.Errorf(code, request.NotSent, "%s", message).WithCause(err)
+	outcome := request.NotSent
+	var refusal *ledger.RefusedError
+	if errors.As(err, &refusal) && refusal.Outcome == request.NotRun {
+		outcome = request.NotRun
+	}
+	return request.Errorf(code, outcome, "%s", message).WithCause(err)
 }
 
 // digest covers what the call says: method, path with query, and body.
--- a/internal/ledger/claims_test.go
+++ b/internal/ledger/claims_test.go
@@ -44,7 +44,7 @@
 
 // send claims the key as one entry VM does; fate decides where it crashes.
 func (c *calls) send(n *network, fate int) {
-	client := NewClient(n, threeHolders)
+	client := NewClient(n, threeHolders, keptForADay)
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	claim, record, err := client.Claim(ctx, bookingKey, digestA)
@@ -123,6 +123,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 			defer cancel()
 			_ = process.server.StartEpoch(ctx, epoch)
+			_ = process.server.Repair(ctx)
 		})
 	}
 	_ = t
@@ -132,7 +133,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		n := startGroup(t, 1)
 		defer n.stopAll()
-		test(t, n, NewClient(n, threeHolders))
+		test(t, n, NewClient(n, threeHolders, keptForADay))
 		time.Sleep(time.Minute)
 	})
 }
@@ -141,14 +142,14 @@
 	inGroup(t, func(t *testing.T, n *network, client *Client) {
 		claim, _, err := client.Claim(t.Context(), bookingKey, digestA)
 		require.NoError(t, err)
-		_, _, err = NewClient(n, threeHolders).Claim(t.Context(), bookingKey, digestA)
+		_, _, err = NewClient(n, threeHolders, keptForADay).Claim(t.Context(), bookingKey, digestA)
 		require.ErrorIs(t, err, ErrInProgress)
 		_, err = client.Lookup(t.Context(), bookingKey)
 		require.ErrorIs(t, err, ErrInProgress)
 
 		done := Record{Outcome: request.Completed, Status: 201, ContentType: "text/plain", Body: []byte("voyage 7")}
 		require.NoError(t, claim.Resolve(t.Context(), done))
-		_, record, err := NewClient(n, threeHolders).Claim(t.Context(), bookingKey, digestA)
+		_, record, err := NewClient(n, threeHolders, keptForADay).Claim(t.Context(), bookingKey, digestA)
 		require.NoError(t, err)
 		require.Equal(t, &done, record)
 		record, err = client.Lookup(t.Context(), bookingKey)
@@ -237,25 +238,25 @@
 }
 
 func TestMergeOfContradictingEntriesGrantsNobody(t *testing.T) {
-	core := NewCore(9, time.Hour)
+	core := NewCore(9)
 	core.Merge(bookingKey, &ledgerpb.Entry{State: ledgerpb.State_STATE_CLAIMED, Attempt: "1"})
 	core.Merge(bookingKey, &ledgerpb.Entry{State: ledgerpb.State_STATE_CLAIMED, Attempt: "2"})
 	require.Equal(t, ledgerpb.State_STATE_CONTESTED, core.entry(bookingKey).State)
 }
 
 func TestPruneKeepsTheRetention(t *testing.T) {
-	core := NewCore(1, time.Hour)
+	core := NewCore(1)
 	start := time.Unix(1_000_000, 0)
 	core.StartEpoch(Epoch{Number: 1, Holders: threeHolders})
 	core.Do(&ledgerpb.Request{Epoch: 1, Operation: ledgerpb.Operation_OPERATION_CLAIM, Key: keyToProto(bookingKey), Attempt: "1"}, start)
-	require.Zero(t, core.Prune(start.Add(time.Hour)))
-	require.Equal(t, 1, core.Prune(start.Add(time.Hour+claimGrace+time.Second)))
+	require.Zero(t, core.Prune(start.Add(time.Hour), time.Hour))
+	require.Equal(t, 1, core.Prune(start.Add(time.Hour+claimGrace+time.Second), time.Hour))
 }
 
 // BenchmarkCapacityClaims reports the holder's time for one claim without a
 // disk, and the bytes that one entry keeps.
 func BenchmarkCapacityClaims(b *testing.B) {
-	core := NewCore(1, 24*time.Hour)
+	core := NewCore(1)
 	core.StartEpoch(Epoch{Number: 1, Holders: threeHolders})
 	now := time.Unix(1_000_000, 0)
 	b.ReportAllocs()
@@ -266,7 +267,7 @@
 }
 
 func TestHolderRefusesAnotherEpoch(t *testing.T) {
-	core := NewCore(1, time.Hour)
+	core := NewCore(1)
 	core.StartEpoch(Epoch{Number: 1, Holders: threeHolders})
 	core.StartEpoch(Epoch{Number: 2, Holders: threeHolders, Previous: threeHolders})
 	require.True(t, core.Granting())
@@ -290,15 +291,29 @@
 		n.holders["a"].down = true
 		replaceHolder(t, n, 2)
 		time.Sleep(20 * time.Second)
-		_, record, err := NewClient(n, threeHolders).Claim(t.Context(), bookingKey, digestA)
+		_, record, err := NewClient(n, threeHolders, keptForADay).Claim(t.Context(), bookingKey, digestA)
 		require.Nil(t, record)
 		require.ErrorIs(t, err, ErrUnreachable, "c holds no records and b alone is no majority")
 
 		n.holders["a"].down = false
 		n.running.Go(func() { _ = n.holders["c"].server.Repair(t.Context()) })
 		time.Sleep(5 * time.Second)
-		_, record, err = NewClient(n, threeHolders).Claim(t.Context(), bookingKey, digestA)
+		_, record, err = NewClient(n, threeHolders, keptForADay).Claim(t.Context(), bookingKey, digestA)
 		require.NoError(t, err)
 		require.Equal(t, request.Unknown, record.Outcome, "b was sealed meanwhile, so c holds a contested entry")
 	})
 }
+
+func TestKeyOlderThanTheRetentionIsRefused(t *testing.T) {
+	inGroup(t, func(t *testing.T, _ *network, client *Client) {
+		now := time.Now() // of the bubble: 2000-01-01
+		key := func(made time.Time) Key {
+			return Key{Value: fmt.Sprintf("%012x", made.UnixMilli())[:8] + "-" + fmt.Sprintf("%012x", made.UnixMilli())[8:] + "-7abc-8def-0123456789ab"}
+		}
+		_, _, err := client.Claim(t.Context(), key(now.Add(-25*time.Hour)), digestA)
+		require.ErrorIs(t, err, ErrExpired)
+		claim, _, err := client.Claim(t.Context(), key(now.Add(-23*time.Hour)), digestA)
+		require.NoError(t, err)
+		require.NotNil(t, claim)
+	})
+}
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -39,16 +39,17 @@
 // Client claims keys at the holders of the current epoch. It implements Claims
 // and is safe for concurrent use.
 type Client struct {
-	caller Caller
+	caller    Caller
+	retention func() time.Duration
 
 	mu    sync.Mutex
 	epoch Epoch
 }
 
 // NewClient returns a client that starts with the given holders and learns the
-// epoch from their replies.
-func NewClient(caller Caller, holders []HolderVM) *Client {
-	return &Client{caller: caller, epoch: Epoch{Holders: holders}}
+// epoch from their replies. Retention returns how long records are kept.
+func NewClient(caller Caller, holders []HolderVM, retention func() time.Duration) *Client {
+	return &Client{caller: caller, retention: retention, epoch: Epoch{Holders: holders}}
 }
 
 func (c *Client) currentEpoch() Epoch {
@@ -134,6 +135,9 @@
 	if err := checkRequest(message); err != nil {
 		return nil, nil, refused(err, request.NotSent)
 	}
+	if made, known := keyTime(key.Value); known && time.Since(made) >= c.retention() {
+		return nil, nil, refused(ErrExpired, request.NotSent)
+	}
 	roundCtx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	for roundCtx.Err() == nil {
--- a/internal/ledger/fake_test.go
+++ b/internal/ledger/fake_test.go
@@ -72,7 +72,7 @@
 // start runs a holder at address with the changes of log.
 func (n *network) start(address string, member uint64, log *memoryLog) *holderProcess {
 	server, err := NewServer(ServerOptions{
-		MemberID: member, Retention: 24 * time.Hour, Log: log, Source: n, Logger: zerolog.Nop(),
+		MemberID: member, Retention: keptForADay, Log: log, Source: n, Logger: zerolog.Nop(),
 	})
 	require.NoError(n.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -165,6 +165,8 @@
 	})
 }
 
+func keptForADay() time.Duration { return 24 * time.Hour }
+
 var threeHolders = []HolderVM{{MemberID: 1, Address: "a"}, {MemberID: 2, Address: "b"}, {MemberID: 3, Address: "c"}}
 
 // startGroup runs three holders in their first epoch.
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -41,19 +41,18 @@
 
 // Core is the state of one holder of claim records. It is pure: it returns the
 // changes that must be synced before the reply is sent. An entry that is not
-// free never becomes free before its retention has passed.
+// free never becomes free before it is pruned.
 type Core struct {
 	self      uint64
 	epoch     Epoch
 	recovered bool
-	retention time.Duration
 	entries   map[Key]*ledgerpb.Entry
 }
 
 // NewCore returns the empty holder with member id self. It grants nothing until
 // its epoch is set.
-func NewCore(self uint64, retention time.Duration) *Core {
-	return &Core{self: self, retention: retention, entries: map[Key]*ledgerpb.Entry{}}
+func NewCore(self uint64) *Core {
+	return &Core{self: self, entries: map[Key]*ledgerpb.Entry{}}
 }
 
 // Epoch returns the holder's epoch.
@@ -236,10 +235,10 @@
 	return true
 }
 
-// Prune removes entries whose retention has passed and returns how many. The
-// log is shortened when it is rewritten next.
-func (c *Core) Prune(now time.Time) int {
-	oldest := now.Add(-c.retention).UnixMilli()
+// Prune removes entries older than retention and returns how many. The log is
+// shortened when it is rewritten next.
+func (c *Core) Prune(now time.Time, retention time.Duration) int {
+	oldest := now.Add(-retention).UnixMilli()
 	pruned := 0
 	for key, entry := range c.entries {
 		if entry.CreatedUnixMs < oldest && entry.ExpiresUnixMs < oldest {
--- a/internal/ledger/repair.go
+++ b/internal/ledger/repair.go
@@ -17,9 +17,9 @@
 )
 
 // StartEpoch moves the holder to a later epoch, which the control group has
-// accepted, and repairs its records when it has to.
+// accepted. Epochs are started one by one, in order, and followed by Repair.
 func (s *Server) StartEpoch(ctx context.Context, epoch Epoch) error {
-	err := s.inOwner(ctx, func() error {
+	return s.inOwner(ctx, func() error {
 		change := s.core.StartEpoch(epoch)
 		if change == nil {
 			return nil
@@ -28,10 +28,6 @@
 			Uint64("epoch", epoch.Number).Bool("granting", s.core.Granting()).Send()
 		return s.storeOrFail([]*ledgerpb.Change{change})
 	})
-	if err != nil {
-		return err
-	}
-	return s.Repair(ctx)
 }
 
 func (s *Server) storeOrFail(changes []*ledgerpb.Change) error {
--- a/internal/ledger/server.go
+++ b/internal/ledger/server.go
@@ -48,8 +48,9 @@
 // ServerOptions configures a Server.
 type ServerOptions struct {
 	// MemberID is the identity of the data folder.
-	MemberID  uint64
-	Retention time.Duration
+	MemberID uint64
+	// Retention returns how long entries are kept.
+	Retention func() time.Duration
 	Log       Log
 	Source    Source
 	Logger    zerolog.Logger
@@ -76,7 +77,7 @@
 func NewServer(options ServerOptions) (*Server, error) {
 	s := &Server{
 		options:  options,
-		core:     NewCore(options.MemberID, options.Retention),
+		core:     NewCore(options.MemberID),
 		requests: make(chan pendingRequest, queueLength),
 		tasks:    make(chan func()),
 		failed:   make(chan error, 1),
@@ -118,7 +119,7 @@
 		case err := <-s.failed:
 			return err
 		case <-prune.C:
-			s.core.Prune(time.Now())
+			s.core.Prune(time.Now(), s.options.Retention())
 		}
 	}
 }
--- a/internal/observe/events_ledger.go
+++ b/internal/observe/events_ledger.go
@@ -12,4 +12,6 @@
 		"A new holder of claim records cannot reach a majority of the holders before it and grants nothing yet. Bring those VMs back.")
 	LedgerWriteFailed = newEvent(2403, "ledger_write_failed", zerolog.ErrorLevel,
 		"Claim records could not be synced; the holder grants nothing any more. Check the disk and restart the process.")
+	LedgerRecordCut = newEvent(2404, "ledger_record_cut", zerolog.WarnLevel,
+		"An incomplete last batch of claim records was cut off after a crash; it was never acknowledged. No action.")
 )
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -39,6 +39,7 @@
 		return nil, err
 	}
 	member.Register(host.GRPC)
+	host.MemberID = uint64(member.Status().ID)
 	c := &controlRole{host: host, replica: member}
 	c.control = control.New(control.Options{
 		VM:       host.Settings.VM.Name,
--- a/internal/process/host.go
+++ b/internal/process/host.go
@@ -65,9 +65,11 @@
 
 	// Distribution is set by BuildDistribution.
 	Distribution *distribute.Node
-	// Control and Registry are set by BuildControl.
+	// Control, Registry and MemberID are set by BuildControl.
 	Control  *control.Control
 	Registry *registry.Registry
+	// MemberID is the identity of the data folder in the control group.
+	MemberID uint64
 
 	// Claims is set by the part that reaches the ledger.
 	Claims ledger.Claims
--- a/internal/registry/command.go
+++ b/internal/registry/command.go
@@ -23,6 +23,9 @@
 	maxSignatures = 64
 	// maxControlVMs bounds the control VMs on record.
 	maxControlVMs = 16
+	// maxEpochs bounds the ledger epochs that are kept, so that a holder of
+	// claim records that was away can move through them one by one.
+	maxEpochs = 64
 )
 
 // ErrCommand tells that a command can't be executed by this program.
@@ -66,10 +69,7 @@
 	case *registrypb.Command_Roll:
 		return validateNames(kind.Roll.GetSubmissionId())
 	case *registrypb.Command_SetEpoch:
-		if len(kind.SetEpoch.GetControlVms()) > maxControlVMs {
-			return fmt.Errorf("%w: too many control VMs", ErrCommand)
-		}
-		return validateNames(kind.SetEpoch.GetControlVms()...)
+		return validateHolders(kind.SetEpoch.GetHolders())
 	case *registrypb.Command_PutControlVm:
 		vm := kind.PutControlVm.GetVm()
 		return validateNames(vm.GetName(), vm.GetZone(), vm.GetInternal())
@@ -100,3 +100,15 @@
 	}
 	return nil
 }
+
+func validateHolders(holders []*registrypb.EpochHolder) error {
+	if len(holders) > maxControlVMs {
+		return fmt.Errorf("%w: too many control VMs", ErrCommand)
+	}
+	for _, holder := range holders {
+		if err := validateNames(holder.GetAddress()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -69,7 +69,7 @@
 		AcceptedAnswers: s.accepted.answers,
 		RefusedAnswers:  s.refused.answers,
 		ControlVms:      s.vms,
-		Epoch:           s.epoch,
+		Epochs:          s.epochs,
 
 		ControlVmsRevision: s.vmsRevision,
 	}
@@ -97,7 +97,7 @@
 	restored.accepted.replace(snapshot.GetAcceptedAnswers())
 	restored.refused.replace(snapshot.GetRefusedAnswers())
 	restored.vms = snapshot.GetControlVms()
-	restored.epoch = snapshot.GetEpoch()
+	restored.epochs = snapshot.GetEpochs()
 	restored.vmsRevision = snapshot.GetControlVmsRevision()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -182,19 +182,47 @@
 	return entries
 }
 
-// Epoch is the ledger epoch: the control VMs whose records count for claims.
+// Epoch is a ledger epoch: the control VMs whose records count for claims.
 type Epoch struct {
 	// Number grows with each change, 0 before the first.
 	Number uint64
-	// ControlVMs are VM names in alphabetical order.
-	ControlVMs []string
+	// Holders are ordered by member id.
+	Holders []EpochHolder
 }
 
-// Epoch returns the ledger epoch.
+// EpochHolder is a control VM whose records count for claims.
+type EpochHolder struct {
+	// MemberID is the identity of its data folder.
+	MemberID uint64
+	// Address is the "ip:port" of its internal listener.
+	Address string
+}
+
+// Epoch returns the newest ledger epoch.
 func (r *Registry) Epoch() Epoch {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	return Epoch{Number: r.state.epoch.GetNumber(), ControlVMs: slices.Clone(r.state.epoch.GetControlVms())}
+	return epochFromProto(r.state.epoch())
+}
+
+// Epochs returns the last ledger epochs, oldest first. A holder of claim
+// records moves through them one by one.
+func (r *Registry) Epochs() []Epoch {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	epochs := make([]Epoch, len(r.state.epochs))
+	for i, epoch := range r.state.epochs {
+		epochs[i] = epochFromProto(epoch)
+	}
+	return epochs
+}
+
+func epochFromProto(epoch *registrypb.Epoch) Epoch {
+	holders := make([]EpochHolder, len(epoch.GetHolders()))
+	for i, holder := range epoch.GetHolders() {
+		holders[i] = EpochHolder{MemberID: holder.GetMemberId(), Address: holder.GetAddress()}
+	}
+	return Epoch{Number: epoch.GetNumber(), Holders: holders}
 }
 
 // ControlVM is a member of the control group with its addresses.
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -78,14 +78,24 @@
 }
 
 func TestEpochChangesOnce(t *testing.T) {
-	set := func(expected uint64, names ...string) *registrypb.Command {
-		return &registrypb.Command{Kind: &registrypb.Command_SetEpoch{SetEpoch: &registrypb.SetEpoch{ExpectedNumber: expected, ControlVms: names}}}
+	holder := func(id uint64) *registrypb.EpochHolder {
+		return &registrypb.EpochHolder{MemberId: id, Address: fmt.Sprint("10.0.0.", id, ":9200")}
+	}
+	set := func(expected uint64, holders ...*registrypb.EpochHolder) *registrypb.Command {
+		return &registrypb.Command{Kind: &registrypb.Command_SetEpoch{SetEpoch: &registrypb.SetEpoch{ExpectedNumber: expected, Holders: holders}}}
 	}
 	r := registry.New()
-	assert.Equal(t, registry.Result{Code: registry.CodeAccepted, Epoch: 1}, apply(t, r, set(0, "c2", "c1")))
-	assert.Equal(t, registry.Result{Code: registry.CodeAccepted, Epoch: 1}, apply(t, r, set(0, "c1", "c2")), "a resend")
-	assert.Equal(t, registry.Result{Code: registry.CodeConflict, Epoch: 1}, apply(t, r, set(0, "c3")), "a race")
-	assert.Equal(t, registry.Epoch{Number: 1, ControlVMs: []string{"c1", "c2"}}, r.Epoch())
+	assert.Equal(t, registry.Result{Code: registry.CodeAccepted, Epoch: 1}, apply(t, r, set(0, holder(2), holder(1))))
+	assert.Equal(t, registry.Result{Code: registry.CodeAccepted, Epoch: 1}, apply(t, r, set(0, holder(1), holder(2))), "a resend")
+	assert.Equal(t, registry.Result{Code: registry.CodeConflict, Epoch: 1}, apply(t, r, set(0, holder(3))), "a race")
+	first := registry.Epoch{Number: 1, Holders: []registry.EpochHolder{{MemberID: 1, Address: "10.0.0.1:9200"}, {MemberID: 2, Address: "10.0.0.2:9200"}}}
+	assert.Equal(t, first, r.Epoch())
+	assert.Equal(t, registry.Result{Code: registry.CodeAccepted, Epoch: 2}, apply(t, r, set(1, holder(3))))
+	snapshot, err := r.Snapshot()
+	require.NoError(t, err)
+	restored := registry.New()
+	require.NoError(t, restored.Restore(snapshot))
+	assert.Equal(t, []registry.Epoch{first, r.Epoch()}, restored.Epochs(), "holders move through each epoch")
 }
 
 // TestStateIsBounded holds the state of a long life against the limits.
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"crypto/sha256"
 	"slices"
 
@@ -31,7 +32,7 @@
 	vms      []*registrypb.ControlVM
 	// vmsRevision grows with each change of vms.
 	vmsRevision uint64
-	epoch       *registrypb.Epoch
+	epochs      []*registrypb.Epoch
 }
 
 func newState() *state {
@@ -157,18 +158,32 @@
 }
 
 func (s *state) setEpoch(command *registrypb.SetEpoch) Result {
-	current := s.epoch.GetNumber()
-	names := slices.Clone(command.GetControlVms())
-	slices.Sort(names)
-	names = slices.Compact(names)
-	if current == command.GetExpectedNumber()+1 && slices.Equal(names, s.epoch.GetControlVms()) {
-		return Result{Code: CodeAccepted, Epoch: current}
-	}
-	if current != command.GetExpectedNumber() {
-		return Result{Code: CodeConflict, Epoch: current}
-	}
-	s.epoch = &registrypb.Epoch{Number: current + 1, ControlVms: names}
-	return Result{Code: CodeAccepted, Epoch: current + 1}
+	current := s.epoch()
+	holders := slices.Clone(command.GetHolders())
+	slices.SortFunc(holders, func(a, b *registrypb.EpochHolder) int { return cmp.Compare(a.GetMemberId(), b.GetMemberId()) })
+	resent := current.GetNumber() == command.GetExpectedNumber()+1 && slices.EqualFunc(holders, current.GetHolders(), sameHolder)
+	if resent {
+		return Result{Code: CodeAccepted, Epoch: current.GetNumber()}
+	}
+	if current.GetNumber() != command.GetExpectedNumber() {
+		return Result{Code: CodeConflict, Epoch: current.GetNumber()}
+	}
+	next := &registrypb.Epoch{Number: current.GetNumber() + 1, Holders: holders}
+	s.epochs = append(s.epochs, next)
+	s.epochs = s.epochs[max(0, len(s.epochs)-maxEpochs):]
+	return Result{Code: CodeAccepted, Epoch: next.Number}
+}
+
+// epoch returns the newest ledger epoch, nil before the first.
+func (s *state) epoch() *registrypb.Epoch {
+	if len(s.epochs) == 0 {
+		return nil
+	}
+	return s.epochs[len(s.epochs)-1]
+}
+
+func sameHolder(a, b *registrypb.EpochHolder) bool {
+	return a.GetMemberId() == b.GetMemberId() && a.GetAddress() == b.GetAddress()
 }
 
 func (s *state) putControlVM(vm *registrypb.ControlVM) Result {
