path: gauges and the list of backend servers for operators

Cause: operators could not see requests, body memory and unconfirmed cancellations in progress, nor which servers a VM would use. Change: four gauges, /debug/servers; a test that /debug is on the operators' listener only.

--- a/internal/callers/registry.go
+++ b/internal/callers/registry.go
@@ -40,6 +40,13 @@
 	delete(r.calls, call.ID)
 }
 
+// Len returns the number of calls in progress.
+func (r *Registry) Len() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.calls)
+}
+
 // List returns the calls in progress, oldest first.
 func (r *Registry) List() []InProgress {
 	r.mu.Lock()
--- a/internal/process/debug.go
+++ b/internal/process/debug.go
@@ -4,8 +4,10 @@
 	"encoding/json"
 	"net/http"
 	"net/http/pprof"
+	"time"
 
 	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/place"
 )
 
 // addDebugRoutes adds what only operators may see to their listener.
@@ -17,6 +19,7 @@
 	routes.HandleFunc("/debug/pprof/symbol", pprof.Symbol)
 	routes.HandleFunc("/debug/pprof/trace", pprof.Trace)
 	routes.HandleFunc("GET /debug/requests", p.listRequests)
+	routes.HandleFunc("GET /debug/servers", p.listServers)
 	routes.HandleFunc("GET /metrics", p.writeMetrics)
 	routes.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	routes.HandleFunc("GET /readyz", p.writeReady)
@@ -31,6 +34,16 @@
 	_ = json.NewEncoder(w).Encode(p.entry.registry.List()) // the operator asks again
 }
 
+// listServers shows the backend servers that may get new work from this VM.
+func (p *Process) listServers(w http.ResponseWriter, _ *http.Request) {
+	servers := []place.Server{}
+	if p.host.Fleet != nil {
+		servers = append(servers, p.host.Fleet.All(time.Now())...)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(servers) // the operator asks again
+}
+
 func (p *Process) writeMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", observe.PrometheusContentType)
 	_ = p.host.Metrics.WritePrometheus(w) // the collector asks again
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -40,6 +40,7 @@
 	callers    http.Handler
 	backends   http.Handler
 	reclaimer  *reclaim.Reclaimer
+	bodies     *bodybuf.Pool
 	transports []*http.Transport
 	background sync.WaitGroup
 }
@@ -57,10 +58,11 @@
 	reused := dispatch.NewTransport(config.ConnectTimeout.Std(), false)
 	fresh := dispatch.NewTransport(config.ConnectTimeout.Std(), true)
 	e := &entry{host: host, registry: callers.NewRegistry(), transports: []*http.Transport{reused, fresh}}
+	e.bodies = bodybuf.NewPool(int64(config.MaxBodyMemory))
 	e.reclaimer = reclaim.New(reclaim.NewClient(fresh), host.Fleet, identifiers, host.Logger)
 	path := pipeline.NewRequestPath(pipeline.Parts{
 		Limiter:     host.Limiter,
-		Bodies:      bodybuf.NewPool(int64(config.MaxBodyMemory)),
+		Bodies:      e.bodies,
 		BodyTimeout: config.BodyTimeout.Std(),
 		MaxInFlight: config.MaxInFlight,
 		Claims:      host.Claims,
@@ -136,10 +138,20 @@
 			for _, server := range e.host.Fleet.Sweep(now) {
 				observe.Log(e.host.Logger, observe.ServerSilent).Str("server", server.ID).Uint64("incarnation", server.Incarnation).Send()
 			}
+			e.gauge(now)
 		}
 	}
 }
 
+// gauge brings the gauges of this VM up to date.
+func (e *entry) gauge(now time.Time) {
+	metrics := e.host.Metrics
+	metrics.Gauge("godwityoke_requests_in_progress").Update(int64(e.registry.Len()))
+	metrics.Gauge("godwityoke_body_bytes").Update(e.bodies.Used())
+	metrics.Gauge("godwityoke_cancels_unconfirmed").Update(int64(e.reclaimer.Pending()))
+	metrics.Gauge("godwityoke_backend_servers").Update(int64(len(e.host.Fleet.All(now))))
+}
+
 func (e *entry) ready() error {
 	if e.host.Bundles.Current() == nil {
 		return errNoBundle
--- a/internal/process/process_test.go
+++ b/internal/process/process_test.go
@@ -152,6 +152,20 @@
 	service := post(t, callers+"/services/booking/voyages", `{"boat":1}`)
 	require.Equal(t, `{"boat":1}`, text(t, service))
 	require.Equal(t, string(request.Completed), service.Header.Get(request.OutcomeHeader))
+	requireOperatorsOnly(t, p.Addresses())
+}
+
+// requireOperatorsOnly checks that callers cannot reach what is for operators.
+func requireOperatorsOnly(t *testing.T, addresses process.Addresses) {
+	t.Helper()
+	for _, path := range []string{"/debug/pprof/cmdline", "/debug/requests", "/debug/servers"} {
+		for address, status := range map[string]int{addresses.Operators: http.StatusOK, addresses.Callers: http.StatusNotFound} {
+			response, err := http.Get("http://" + address + path)
+			require.NoError(t, err)
+			_ = response.Body.Close()
+			require.Equal(t, status, response.StatusCode, path)
+		}
+	}
 }
 
 // TestPlannedStopCutsNothing holds a stream open over the whole stop.
