--- a/internal/control/operators.go
+++ b/internal/control/operators.go
@@ -19,7 +19,7 @@
 )
 
 // readTimeout bounds the check that this VM still leads.
-const readTimeout = 2 * time.Second
+const readTimeout = time.Second
 
 // Handler returns the operators' HTTP JSON interface.
 func (c *Control) Handler() http.Handler {
@@ -153,6 +153,9 @@
 		return &operatorapi.ErrorReply{Code: operatorapi.ErrorRequest, Message: fmt.Sprint(httpError.Message)}
 	case errors.Is(err, registry.ErrCommand):
 		return &operatorapi.ErrorReply{Code: operatorapi.ErrorRequest, Message: err.Error()}
+	case errors.Is(err, replica.ErrQuorumAtRisk), errors.Is(err, replica.ErrOtherGroup),
+		errors.Is(err, replica.ErrWrongName), errors.Is(err, replica.ErrLastVoter), errors.Is(err, replica.ErrMemberExists):
+		return &operatorapi.ErrorReply{Code: operatorapi.ErrorRefused, Message: err.Error()}
 	case errors.Is(err, replica.ErrNotLeader):
 		return c.notLeader(err)
 	}
--- a/internal/distribute/session.go
+++ b/internal/distribute/session.go
@@ -108,6 +108,7 @@
 			return endRefused, true
 		}
 	}
+	c.Node.receiveControlVMs(message.GetControlVms())
 	if len(message.GetWant()) > 0 {
 		select {
 		case s.want <- message.GetWant():
@@ -150,7 +151,7 @@
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	for {
-		changed := node.store.Changed()
+		changed, below := node.store.Changed(), node.reports.Changed()
 		now := time.Now()
 		all := append(node.reports.messages(now), node.ownReport())
 		up := &distributepb.WatchUp{Hello: hello, Version: node.store.Newest().Version(), Reports: reports.next(all, now)}
@@ -161,6 +162,8 @@
 		select {
 		case <-changed:
 			sleep(ctx, reportDelay)
+		case <-below:
+			sleep(ctx, reportDelay)
 		case vms := <-s.want:
 			reports.forget(vms)
 		case <-ticker.C:
