path: two engines that find a request wrong end it

Cause: a request that every engine refuses with 4xx was sent eight times and used up the retries of its team and VM. Change: the second such refusal is final. Conclusion: TestEnginesThatFindTheRequestWrong asks two engines of three.

--- a/internal/filter/verify/engine.go
+++ b/internal/filter/verify/engine.go
@@ -59,12 +59,6 @@
 	return nil
 }
 
-// finalStatus reports whether another engine would refuse the request too.
-func finalStatus(status int) bool {
-	return status >= http.StatusBadRequest && status < http.StatusInternalServerError &&
-		status != http.StatusRequestTimeout && status != http.StatusTooManyRequests
-}
-
 // chunks yields each chunk once it is known to be the next one of this
 // attempt. The last one is the end mark; any error is an AttemptError.
 func chunks(call *filter.Call) iter.Seq2[backendapi.Chunk, error] {
--- a/internal/filter/verify/verify.go
+++ b/internal/filter/verify/verify.go
@@ -50,5 +50,13 @@
 	}
 	failure := broken(request.StepWait, fmt.Errorf("the backend server refused with status %d", response.StatusCode))
 	failure.Refused = response.Header.Get(backendapi.HeaderAttempt) == call.Attempt.ID
+	// One server may lack the model; what two find wrong is the request.
+	failure.Final = finalStatus(response.StatusCode) && call.Attempt.Number > 1
 	return failure
 }
+
+// finalStatus reports whether another server would refuse the request too.
+func finalStatus(status int) bool {
+	return status >= http.StatusBadRequest && status < http.StatusInternalServerError &&
+		status != http.StatusRequestTimeout && status != http.StatusTooManyRequests
+}
--- a/internal/pipeline/faults_test.go
+++ b/internal/pipeline/faults_test.go
@@ -126,6 +126,24 @@
 	})
 }
 
+// TestEnginesThatFindTheRequestWrong refuse it with 400: two of them decide.
+func TestEnginesThatFindTheRequestWrong(t *testing.T) {
+	inBubble(t, 3, func(s *system) {
+		asked := 0
+		for _, b := range s.backends {
+			b.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				asked++ // one attempt at a time
+				w.Header().Set(backendapi.HeaderNotRun, "1")
+				w.Header().Set(backendapi.HeaderAttempt, r.Header.Get(backendapi.HeaderAttempt))
+				w.WriteHeader(http.StatusBadRequest)
+			})
+		}
+		got := s.call(http.MethodPost, "/v1/completions", streamBody)
+		require.Equal(t, request.NotRun, got.outcome)
+		require.Equal(t, 2, asked)
+	})
+}
+
 // requireNothingLeft waits and judges by the engines' own lists.
 func (s *system) requireNothingLeft(t *testing.T) {
 	t.Helper()
