--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -113,24 +113,44 @@
 		return nil, err
 	}
 	defer d.cluster.Close()
-	without, err := d.offer(ctx, "without long prompts", false)
+	return d.measure(ctx)
+}
+
+// measure offers the load three times: without long prompts, with all, and
+// with all while incidents happen.
+func (d *demo) measure(ctx context.Context) (*load.Report, error) {
+	without, err := d.offer(ctx, "without", "without long prompts", false)
+	if err != nil {
+		return nil, err
+	}
+	with, err := d.offer(ctx, "with", "all prompts", true)
 	if err != nil {
 		return nil, err
 	}
 	incidents := d.startIncidents(ctx)
-	with, err := d.offer(ctx, "all prompts, with incidents", true)
+	disturbed, err := d.offer(ctx, "incidents", "all prompts, with incidents", true)
 	if err != nil {
 		return nil, err
 	}
-	return d.report(ctx, with, without, incidents.wait())
+	checked := incidents.wait()
+	checked = append(checked, d.stop(ctx))
+	evidence := d.cluster.Standins.Evidence(ctx)
+	return &load.Report{
+		Scenario: d.scenario.Name, Seed: d.scenario.Seed, Scale: 1, Started: d.started, Processors: runtime.GOMAXPROCS(0),
+		Bound: load.ComputeBound(d.scenario, d.scenario.Schedule(true)),
+		Runs: []load.RunReport{
+			d.quietReport(with, without, evidence),
+			{
+				Policy: string(d.options.Policy) + " with incidents", Round: 1, WithLong: load.Measure(disturbed),
+				Engines: evidence.Total(), Promises: append(load.Judge(disturbed, evidence), checked...),
+			},
+		},
+	}, nil
 }
 
-func (d *demo) offer(ctx context.Context, name string, withLong bool) ([]load.Sample, error) {
+// offer offers the load once. Run makes its prompts and keys differ.
+func (d *demo) offer(ctx context.Context, run, name string, withLong bool) ([]load.Sample, error) {
 	progress := func(sent, ended, total int) { d.say("%s: sent %d, ended %d of %d", name, sent, ended, total) }
-	run := "with"
-	if !withLong {
-		run = "without"
-	}
 	samples := load.Offer(ctx, d.scenario, d.scenario.Schedule(withLong), d.cluster.Target(), run, progress)
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
@@ -138,25 +158,26 @@
 	return samples, nil
 }
 
-func (d *demo) report(ctx context.Context, with, without []load.Sample, incidents []load.Promise) (*load.Report, error) {
-	withLong, withoutLong := load.Measure(with), load.Measure(without)
+// stop ends all entry VMs in order.
+func (d *demo) stop(ctx context.Context) load.Promise {
 	d.say("stopping all entry VMs in order")
-	stop := load.Promise{Name: "a planned stop cuts off no request"}
+	promise := load.Promise{Name: "a planned stop of all entry VMs cuts off no request"}
 	err := d.cluster.StopEntries(ctx)
-	stop.Check(err == nil, "%v", err)
-	evidence := d.cluster.Standins.Evidence(ctx)
+	promise.Check(err == nil, "%v", err)
+	return promise
+}
+
+func (d *demo) quietReport(with, without []load.Sample, evidence load.Evidence) load.RunReport {
+	withoutLong := load.Measure(without)
 	run := load.RunReport{
-		Policy: string(d.options.Policy), Round: 1, WithLong: withLong, WithoutLong: &withoutLong,
+		Policy: string(d.options.Policy), Round: 1, WithLong: load.Measure(with), WithoutLong: &withoutLong,
 		Engines:  evidence.Total(),
-		Promises: append(load.Judge(append(with, without...), evidence), append(incidents, stop)...),
+		Promises: load.MergePromises(load.Judge(with, evidence), load.Judge(without, evidence)),
 	}
 	if withoutLong.Short.P95 > 0 {
-		run.ShortSlowdown = withLong.Short.P95 / withoutLong.Short.P95
+		run.ShortSlowdown = run.WithLong.Short.P95 / withoutLong.Short.P95
 	}
-	return &load.Report{
-		Scenario: d.scenario.Name, Seed: d.scenario.Seed, Scale: 1, Started: d.started, Processors: runtime.GOMAXPROCS(0),
-		Bound: load.ComputeBound(d.scenario, d.scenario.Schedule(true)), Runs: []load.RunReport{run},
-	}, nil
+	return run
 }
 
 // say writes a line of progress.
--- a/internal/demo/incidents.go
+++ b/internal/demo/incidents.go
@@ -15,6 +15,8 @@
 	leavingLimit = 2 * time.Second
 	// faultyAnswers is the number of answers that each fault hits.
 	faultyAnswers = 3
+	// silence is how long the silent engine sends nothing.
+	silence = 2500 * time.Millisecond
 )
 
 // incidents are what happens while the load runs.
@@ -61,21 +63,49 @@
 func (d *demo) planned() []incident {
 	engines := d.cluster.Standins.Engines
 	return []incident{
-		{1 * time.Second, "engines answer crossed, cut and twice", d.answerWrongly},
-		{2 * time.Second, engines[0].ID() + " leaves", d.leave},
-		{3500 * time.Millisecond, engines[len(engines)-1].ID() + " dies without a word", d.die},
-		{5 * time.Second, d.cluster.Entries[0].Host().Settings.VM.Name + " is stopped in order", d.stopEntry},
+		{500 * time.Millisecond, "engines answer crossed, cut and twice, and leak memory", d.answerWrongly},
+		{1 * time.Second, "services answer crossed, cut and with errors after the run", d.serveWrongly},
+		{1500 * time.Millisecond, engines[0].ID() + " leaves", d.leave},
+		{2500 * time.Millisecond, engines[len(engines)-1].ID() + " dies without a word", d.die},
+		{3 * time.Second, engines[1].ID() + " goes silent for a while, open streams too", d.goSilent},
+		{3500 * time.Millisecond, d.cluster.Entries[0].Host().Settings.VM.Name + " is stopped in order", d.stopEntry},
 	}
 }
 
 func (d *demo) answerWrongly(context.Context, string) []load.Promise {
 	engines := d.cluster.Standins.Engines
-	for i, kind := range []fault.Kind{fault.Crossed, fault.Cut, fault.Repeat} {
-		_ = engines[1+i].Faults().Switch(fault.Fault{Kind: kind, Count: faultyAnswers, AfterTokens: 2}) // known kinds
+	for i, kind := range []fault.Kind{fault.Crossed, fault.Cut, fault.Repeat, fault.Leak} {
+		switchOn(engines[1+i].Faults(), kind)
 	}
 	return nil
 }
 
+func switchOn(faults *fault.Set, kind fault.Kind) {
+	_ = faults.Switch(fault.Fault{Kind: kind, Count: faultyAnswers, AfterTokens: 2}) // fails on unknown kinds only
+}
+
+func (d *demo) serveWrongly(context.Context, string) []load.Promise {
+	services := d.cluster.Standins.Services
+	for i, kind := range []fault.Kind{fault.Crossed, fault.Cut, fault.Error} {
+		switchOn(services[i%len(services)].Faults(), kind)
+	}
+	return nil
+}
+
+// goSilent freezes an engine with all its connections. When it speaks again,
+// the memory of the attempts that were given up must be freed.
+func (d *demo) goSilent(ctx context.Context, name string) []load.Promise {
+	silent := d.cluster.Standins.Engines[1]
+	silent.Silence(true)
+	select {
+	case <-ctx.Done():
+	case <-time.After(silence):
+	}
+	silent.Silence(false)
+	d.say("incident over: %s", name)
+	return nil
+}
+
 func (d *demo) leave(ctx context.Context, name string) []load.Promise {
 	leaving := d.cluster.Standins.Engines[0]
 	err := leaving.Leave(ctx)
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -154,6 +154,16 @@
 	}
 }
 
+// Silence switches the fault fault.Silent as POST on control.PathFaults does.
+func (s *Server) Silence(on bool) {
+	changed := fault.Fault{Kind: fault.Silent}
+	if on {
+		changed.Count = fault.Forever
+	}
+	_ = s.faults.Switch(changed) // fails on unknown kinds only
+	s.switchFault(changed)
+}
+
 func (s *Server) muted() bool { return s.faults.On(fault.Silent) }
 
 func (s *Server) clearCache() {
