--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -123,13 +123,12 @@
   for name in $(engine_names) $(service_names); do start_standin "$name"; done
 }
 
-operators() { local list; list=$(for name in $(control_names); do address "$name" operators; done); echo "$list" | paste -sd, -; }
 
 # accept_bundle: signs the bundle as version 1 and submits it.
 accept_bundle() {
   if [ "$CONTROL_VMS" = 0 ]; then return; fi
   "$BINARY" bundle sign --key "$FOLDER/operator.key" --name operator --version 1 "$FOLDER/bundle.json"
-  "$BINARY" bundle submit --operators "$(operators)" "$FOLDER/bundle.json"
+  "$BINARY" bundle submit --settings "$FOLDER/settings/control-a.json" "$FOLDER/bundle.json"
 }
 
 # wait_ready: until every entry VM is ready, 30 s at most.
--- a/scripts/tour.sh
+++ b/scripts/tour.sh
@@ -38,7 +38,7 @@
 What the booking service counted:
   curl http://$(address voyages-a http)/standin/v1/counters
 Where the bundle is in force:
-  $BINARY bundle status --operators $(operators)
+  $BINARY bundle status --settings $FOLDER/settings/control-a.json
 A fault: the engine cuts its next three streams:
   curl http://$(address engine-a1 http)/standin/v1/faults -H 'Content-Type: application/json' -d '{"kind":"cut","count":3,"after_tokens":5}'
 TEXT
