path: bound the bodies of refused requests; a booking outlives its caller

Cause: the HTTP library reads up to 256 KB of the rest of a body before it answers, also for a refused request: a slow body held its connection for minutes (a test measured 5 min at 300 ms a byte). A caller that left ended its booking in progress as unknown. Change: each body is read within entry.body_timeout, announcements within 5 s; a claimed call goes on to its deadline without its caller, so that its end is recorded; a claim that takes too long is deadline_exceeded, not_sent.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -28,6 +28,8 @@
 	// Claims answers questions after outcomes. It may be nil.
 	Claims  ledger.Claims
 	Ready   func() error
+	// BodyTimeout bounds the reading of bodies, also of refused requests.
+	BodyTimeout time.Duration
 	Metrics *observe.Metrics
 	Logger  zerolog.Logger
 	// Registry holds the calls in progress.
@@ -57,7 +59,18 @@
 	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
 	e.GET("/readyz", h.ready)
 	e.GET("/metrics", h.metrics)
-	return e
+	return limitBody(e, config.BodyTimeout)
+}
+
+// limitBody bounds the reading of each request's body. The HTTP library reads
+// the rest of a body before it answers, also when the request was refused.
+func limitBody(next http.Handler, timeout time.Duration) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(timeout)) // not supported by test writers
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 func (h *handler) ready(c echo.Context) error {
--- a/internal/filter/claim/claim.go
+++ b/internal/filter/claim/claim.go
@@ -62,6 +62,10 @@
 		return f.replier.Recorded(call, record)
 	}
 	call.Service.Claim = claim
+	// A caller that leaves loses its answer, but the call goes on: its end is
+	// recorded and can be asked for.
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), call.Deadline)
+	defer cancel()
 	return f.settle(ctx, call, next(ctx, call))
 }
 
@@ -96,6 +100,8 @@
 		code, message = request.CodeKeyInProgress, "a call with this idempotency key is in progress"
 	case errors.Is(err, ledger.ErrExpired):
 		code, message = request.CodeKeyExpired, "the idempotency key is older than the retention of records"
+	case errors.Is(err, context.DeadlineExceeded):
+		code, message = request.CodeDeadlineExceeded, "the idempotency key could not be claimed within the time limit"
 	case errors.Is(err, ledger.ErrUnreachable):
 		code, message = request.CodeClaimsUnreachable, "the idempotency key cannot be claimed at this time"
 	}
--- a/internal/fleet/announce.go
+++ b/internal/fleet/announce.go
@@ -12,8 +12,12 @@
 	"godwityoke.example/godwityoke/internal/observe"
 )
 
-// maxAnnouncementBytes bounds the body of an announcement.
-const maxAnnouncementBytes = 1 << 20
+const (
+	// maxAnnouncementBytes bounds the body of an announcement.
+	maxAnnouncementBytes = 1 << 20
+	// announcementTimeout bounds the reading of an announcement.
+	announcementTimeout = 5 * time.Second
+)
 
 // Receiver is the HTTP handler of backendapi.PathAnnounce.
 type Receiver struct {
@@ -35,6 +39,7 @@
 		http.Error(w, "POST is required", http.StatusMethodNotAllowed)
 		return
 	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(announcementTimeout)) // not supported by test writers
 	var announcement backendapi.Announcement
 	body := io.LimitReader(req.Body, maxAnnouncementBytes)
 	if err := json.NewDecoder(body).Decode(&announcement); err != nil {
--- a/internal/pipeline/callers_test.go
+++ b/internal/pipeline/callers_test.go
@@ -228,3 +228,45 @@
 		})
 	}
 }
+
+// TestClaimSteps breaks the steps around a booking: the claim, the caller while
+// it runs, and the recording of its answer.
+func TestClaimSteps(t *testing.T) {
+	book := func(s *system) result {
+		return s.call(http.MethodPost, bookPath, bookingBody, request.IdempotencyKeyHeader, "k")
+	}
+	t.Run("hangs/claim", func(t *testing.T) {
+		inBubble(t, 1, func(s *system) {
+			s.claims.claimHangs = true
+			got := book(s)
+			require.Equal(t, request.NotSent, got.outcome)
+			require.Equal(t, string(request.CodeDeadlineExceeded), got.code)
+			require.Equal(t, 10*time.Second, got.elapsed)
+			require.Zero(t, s.backends[0].total())
+		})
+	})
+	t.Run("caller_leaves/wait", func(t *testing.T) {
+		inBubble(t, 1, func(s *system) {
+			s.breakWith(faultLate, atWait, 1)
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			outgoing := s.newRequest(http.MethodPost, bookPath, bookingBody, request.IdempotencyKeyHeader, "k")
+			_, err := s.client.Do(outgoing.WithContext(ctx))
+			require.Error(t, err)
+			time.Sleep(late)
+			got := s.call(http.MethodGet, "/v1/outcomes/k?service=booking", "")
+			require.Equal(t, request.Completed, got.outcome)
+			require.Equal(t, 1, s.backends[0].total())
+		})
+	})
+	t.Run("hangs/record", func(t *testing.T) {
+		inBubble(t, 1, func(s *system) {
+			s.claims.resolveHangs = true
+			got := book(s)
+			require.Equal(t, request.Completed, got.outcome)
+			require.Less(t, got.elapsed, 4*time.Second)
+			require.Equal(t, string(request.CodeKeyInProgress), book(s).code)
+			require.Equal(t, 1, s.backends[0].total())
+		})
+	})
+}
--- a/internal/pipeline/claims_test.go
+++ b/internal/pipeline/claims_test.go
@@ -12,6 +12,10 @@
 type memoryClaims struct {
 	// claimError, when set, is returned by Claim.
 	claimError error
+	// claimHangs makes Claim wait until its context ends.
+	claimHangs bool
+	// resolveHangs makes Resolve wait until its context ends and fail.
+	resolveHangs bool
 	// sealFails makes Abandon fall short of a majority.
 	sealFails bool
 
@@ -30,7 +34,11 @@
 }
 
 // Claim implements ledger.Claims.
-func (m *memoryClaims) Claim(_ context.Context, key ledger.Key, digest [32]byte) (ledger.Claim, *ledger.Record, error) {
+func (m *memoryClaims) Claim(ctx context.Context, key ledger.Key, digest [32]byte) (ledger.Claim, *ledger.Record, error) {
+	if m.claimHangs {
+		<-ctx.Done()
+		return nil, nil, ctx.Err()
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.claimError != nil {
@@ -66,7 +74,11 @@
 }
 
 // Resolve implements ledger.Claim.
-func (c *memoryClaim) Resolve(_ context.Context, record ledger.Record) error {
+func (c *memoryClaim) Resolve(ctx context.Context, record ledger.Record) error {
+	if c.owner.resolveHangs {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	c.owner.mu.Lock()
 	defer c.owner.mu.Unlock()
 	c.record = &record
--- a/internal/pipeline/input_test.go
+++ b/internal/pipeline/input_test.go
@@ -88,6 +88,8 @@
 		{"slow header", "POST /v1/comp", "l", 300 * time.Millisecond, "400 Bad Request"},
 		{"endless header", head, "X-More: and more\r\n", 0, "431 Request Header Fields Too Large"},
 		{"slow body", head + "Content-Length: 1000\r\n\r\n", "x", 300 * time.Millisecond, "408 Request Timeout"},
+		{"slow body of a refused request", strings.Replace(head, "application/json", "text/plain", 1) + "Content-Length: 1000\r\n\r\n", "x", 300 * time.Millisecond, "400 Bad Request"},
+		{"slow body without a route", strings.Replace(head, "completions", "nothing", 1) + "Content-Length: 1000\r\n\r\n", "x", 300 * time.Millisecond, "404 Not Found"},
 		{"endless body", head + "Transfer-Encoding: chunked\r\n\r\n", "4000\r\n" + strings.Repeat("x", 0x4000) + "\r\n", 0, "413 Request Entity Too Large"},
 	}
 	for _, c := range cases {
--- a/internal/pipeline/system_test.go
+++ b/internal/pipeline/system_test.go
@@ -107,7 +107,7 @@
 	})
 	handler := callers.NewHandler(callers.Config{
 		Bundles: holder, Pipeline: path, Identifiers: identifiers, Claims: s.claims,
-		Ready: func() error { return nil }, Metrics: s.metrics, Logger: zerolog.Nop(), Registry: callers.NewRegistry(),
+		Ready: func() error { return nil }, BodyTimeout: bodyLimit, Metrics: s.metrics, Logger: zerolog.Nop(), Registry: callers.NewRegistry(),
 	})
 	s.callers = &http.Server{Handler: handler, ReadHeaderTimeout: time.Second, MaxHeaderBytes: 32 << 10}
 	listener := s.network.listen(entryAddress)
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -78,7 +78,7 @@
 	})
 	e.callers = callers.NewHandler(callers.Config{
 		Bundles: host.Bundles, Pipeline: path, Identifiers: identifiers, Claims: host.Claims,
-		Ready: ready, Metrics: host.Metrics, Logger: host.Logger, Registry: e.registry,
+		Ready: ready, BodyTimeout: config.BodyTimeout.Std(), Metrics: host.Metrics, Logger: host.Logger, Registry: e.registry,
 	})
 	e.backends = e.announceRoutes()
 	return e
