demo, load: run with a control group

Three control VMs, synced on disk, accept the scenario's bundle and hand it to the entry VMs; the demo kills one of them and submits another bundle.

--- a/internal/command/load.go
+++ b/internal/command/load.go
@@ -98,7 +98,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	comparison := cluster.Comparison{
-		Base:     cluster.Options{Scenario: scenario, Builders: builders(), Logger: logger},
+		Base:     cluster.Options{Scenario: scenario, Builders: builders(), ControlVMs: true, Logger: logger},
 		Policies: policies, Rounds: a.Rounds, WithoutLong: !a.OnlyLong, Scale: a.Scale,
 		Progress: printProgress(output),
 	}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -107,7 +107,8 @@
 		d.scenario.Fleet.EntryVMsPerZone, d.scenario.Fleet.EnginesPerZone)
 	var err error
 	d.cluster, err = cluster.Start(ctx, cluster.Options{
-		Scenario: d.scenario, Policy: d.options.Policy, Builders: d.options.Builders, Logger: d.options.Logger,
+		Scenario: d.scenario, Policy: d.options.Policy, Builders: d.options.Builders,
+		ControlVMs: true, Logger: d.options.Logger,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/demo/incidents.go
+++ b/internal/demo/incidents.go
@@ -15,6 +15,9 @@
 	leavingLimit = 2 * time.Second
 	// faultyAnswers is the number of answers that each fault hits.
 	faultyAnswers = 3
+	// inForceLimit is how long an accepted bundle may take to be in force in
+	// every zone.
+	inForceLimit = 6 * time.Second
 	// silence is how long the silent engine sends nothing.
 	silence = 2500 * time.Millisecond
 )
@@ -65,6 +68,7 @@
 	return []incident{
 		{500 * time.Millisecond, "engines answer crossed, cut and twice, and leak memory", d.answerWrongly},
 		{1 * time.Second, "services answer crossed, cut and with errors after the run", d.serveWrongly},
+		{1200 * time.Millisecond, d.cluster.Controls[0].Host().Settings.VM.Name + " is killed, then a bundle is submitted", d.changeBundle},
 		{1500 * time.Millisecond, engines[0].ID() + " leaves", d.leave},
 		{2500 * time.Millisecond, engines[len(engines)-1].ID() + " dies without a word", d.die},
 		{3 * time.Second, engines[1].ID() + " goes silent for a while, open streams too", d.goSilent},
@@ -106,6 +110,24 @@
 	return nil
 }
 
+// changeBundle kills a control VM and submits a bundle to the others.
+func (d *demo) changeBundle(ctx context.Context, name string) []load.Promise {
+	d.cluster.Controls[0].Kill()
+	promise := load.Promise{Name: "an accepted bundle is in force in every zone within 6 s"}
+	next := *d.scenario.Bundle
+	next.Limits.MaxAnswerTokens++
+	version, err := d.cluster.Submit(ctx, &next)
+	var took time.Duration
+	if err == nil {
+		limited, cancel := context.WithTimeout(ctx, inForceLimit)
+		defer cancel()
+		took, err = d.cluster.WaitInForce(limited, version)
+	}
+	promise.Check(err == nil, "%s: %v", name, err)
+	d.say("bundle version %d is in force everywhere %d ms after it was accepted", version, took.Milliseconds())
+	return []load.Promise{promise}
+}
+
 func (d *demo) leave(ctx context.Context, name string) []load.Promise {
 	leaving := d.cluster.Standins.Engines[0]
 	err := leaving.Leave(ctx)
