--- a/internal/distribute/server.go
+++ b/internal/distribute/server.go
@@ -128,6 +128,7 @@
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	var want []string
+	var revision uint64
 	for {
 		changed := w.node.store.Changed()
 		message, err := w.node.store.Message(version, digest)
@@ -138,6 +139,9 @@
 			version, digest = message.GetVersion(), message.GetDigest()
 		}
 		down := &distributepb.WatchDown{Bundle: message, Path: w.node.path(), Want: want}
+		if control := w.node.controlVMs(); control.GetRevision() > revision {
+			down.ControlVms, revision = control, control.GetRevision()
+		}
 		if err := w.stream.Send(down); err != nil {
 			return err
 		}
