--- a/scripts/experiment.sh
+++ b/scripts/experiment.sh
@@ -21,6 +21,8 @@
 generate
 trap stop_all EXIT
 start_all
+sleep 0.5
+all_alive
 accept_bundle
 wait_ready
 sleep 1 # the stand-ins' first heartbeats
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -5,7 +5,7 @@
 CONTROL_VMS=${CONTROL_VMS:-3}
 ENTRY_VMS_PER_ZONE=${ENTRY_VMS_PER_ZONE:-3}
 ENGINES_PER_ZONE=${ENGINES_PER_ZONE:-5}
-BASE_PORT=${BASE_PORT:-21000}
+BASE_PORT=${BASE_PORT:-$((20000 + $$ % 150 * 60))} # another one for each run, below the ephemeral ports
 POLICY=${POLICY:-two_choices}
 ZONES=(a b c)
 
@@ -123,13 +123,19 @@
   for name in $(engine_names) $(service_names); do start_standin "$name"; done
 }
 
-operators() { local list; list=$(for name in $(control_names); do address "$name" operators; done); echo "$list" | paste -sd, -; }
+# all_alive: fails with the name of a process that has ended.
+all_alive() {
+  local name
+  for name in "${!PIDS[@]}"; do
+    if ! kill -0 "${PIDS[$name]}" 2>/dev/null; then echo "$name has ended; see $FOLDER/logs/$name.log" >&2; return 1; fi
+  done
+}
 
 # accept_bundle: signs the bundle as version 1 and submits it.
 accept_bundle() {
   if [ "$CONTROL_VMS" = 0 ]; then return; fi
   "$BINARY" bundle sign --key "$FOLDER/operator.key" --name operator --version 1 "$FOLDER/bundle.json"
-  "$BINARY" bundle submit --operators "$(operators)" "$FOLDER/bundle.json"
+  "$BINARY" bundle submit --settings "$FOLDER/settings/entry-a1.json" "$FOLDER/bundle.json"
 }
 
 # wait_ready: until every entry VM is ready, 30 s at most.
@@ -148,10 +154,20 @@
 # end NAME SIGNAL: signals one process that this script started.
 end() { if [ -n "${PIDS[$1]:-}" ]; then kill "-$2" "${PIDS[$1]}" 2>/dev/null || true; fi; }
 
-# stop_all: ends every process that this script started, in order, then at once.
+any_alive() {
+  local name
+  for name in "${!PIDS[@]}"; do if kill -0 "${PIDS[$name]}" 2>/dev/null; then return 0; fi; done
+  return 1
+}
+
+# stop_all: ends every process that this script started, in order, and after 10 s
+# at once.
 stop_all() {
   local name
   for name in "${!PIDS[@]}"; do end "$name" TERM; done
-  sleep 4
+  for _ in $(seq 40); do
+    if ! any_alive; then return; fi
+    sleep 0.25
+  done
   for name in "${!PIDS[@]}"; do end "$name" KILL; done
 }
--- a/scripts/tour.sh
+++ b/scripts/tour.sh
@@ -19,6 +19,8 @@
 generate
 trap stop_all EXIT
 start_all
+sleep 0.5
+all_alive
 accept_bundle
 wait_ready
 sleep 1 # the stand-ins' first heartbeats
@@ -38,7 +40,7 @@
 What the booking service counted:
   curl http://$(address voyages-a http)/standin/v1/counters
 Where the bundle is in force:
-  $BINARY bundle status --operators $(operators)
+  $BINARY bundle status --settings $FOLDER/settings/entry-a1.json
 A fault: the engine cuts its next three streams:
   curl http://$(address engine-a1 http)/standin/v1/faults -H 'Content-Type: application/json' -d '{"kind":"cut","count":3,"after_tokens":5}'
 TEXT
