--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -26,12 +26,12 @@
 	Pipeline    *pipeline.Pipeline
 	Identifiers *request.Identifiers
 	// Claims answers questions after outcomes. It may be nil.
-	Claims  ledger.Claims
-	Ready   func() error
+	Claims ledger.Claims
+	Ready  func() error
 	// BodyTimeout bounds the reading of bodies, also of refused requests.
 	BodyTimeout time.Duration
-	Metrics *observe.Metrics
-	Logger  zerolog.Logger
+	Metrics     *observe.Metrics
+	Logger      zerolog.Logger
 	// Registry holds the calls in progress.
 	Registry *Registry
 }
--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -3,6 +3,7 @@
 package filter
 
 import (
+	"bytes"
 	"context"
 	"iter"
 	"net/http"
@@ -113,6 +114,8 @@
 	Finished bool
 	// Text gathers the answer of a request that is not streamed.
 	Text []byte
+	// Event is the memory in which each event of a stream is formed.
+	Event bytes.Buffer
 	// LastToken is when the last token was handed on.
 	LastToken time.Time
 	// Outcome is set with the answer.
--- a/internal/filter/reply/engine.go
+++ b/internal/filter/reply/engine.go
@@ -88,21 +88,20 @@
 
 // event sends one server-sent event.
 func (f *Filter) event(call *filter.Call, answer *answer) error {
-	body, err := json.Marshal(answer)
-	if err != nil {
+	event := &call.Reply.Event
+	event.Reset()
+	event.WriteString("data: ")
+	if err := json.NewEncoder(event).Encode(answer); err != nil { // ends with a line feed
 		return fmt.Errorf("encode the event: %w", err)
 	}
+	event.WriteByte('\n')
 	if !call.Reply.Started {
 		call.Writer.Header().Set("Content-Type", eventStream)
 		call.Writer.Header().Set("Cache-Control", "no-cache")
 		call.Writer.WriteHeader(http.StatusOK)
 		call.Reply.Started = true
 	}
-	event := make([]byte, 0, len(body)+8)
-	event = append(event, "data: "...)
-	event = append(event, body...)
-	event = append(event, "\n\n"...)
-	return write(call, event)
+	return write(call, event.Bytes())
 }
 
 func write(call *filter.Call, event []byte) error {
