--- a/scripts/experiment.sh
+++ b/scripts/experiment.sh
@@ -15,6 +15,7 @@
 BINARY=$FOLDER/godwityoke
 RECORDS=$FOLDER/records
 mkdir -p "$RECORDS"
+SERVICE_TIME=${SERVICE_TIME:-1s} # so that each kill hits calls in progress
 source scripts/lib.sh
 
 go build -o "$BINARY" ./cmd/godwityoke
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -6,7 +6,8 @@
 ENTRY_VMS_PER_ZONE=${ENTRY_VMS_PER_ZONE:-3}
 ENGINES_PER_ZONE=${ENGINES_PER_ZONE:-5}
 BASE_PORT=${BASE_PORT:-$((20000 + $$ % 150 * 60))} # another one for each run, below the ephemeral ports
-POLICY=${POLICY:-two_choices}
+POLICY=${POLICY:-leases}
+SERVICE_TIME=${SERVICE_TIME:-5ms}
 ZONES=(a b c)
 
 declare -A PIDS   # process id by name
@@ -112,7 +113,7 @@
   engine-*) start "$name" standin engine --id "$name" --zone "$zone" --model scribe@1 --listen "$(address "$name" http)" "${seeds[@]}" ;;
   *)
     if [ -n "${RECORDS:-}" ]; then seeds+=(--record "$RECORDS/$name"); fi
-    start "$name" standin service --id "$name" --zone "$zone" --service voyages --listen "$(address "$name" http)" "${seeds[@]}"
+    start "$name" standin service --id "$name" --zone "$zone" --service voyages --work-time "$SERVICE_TIME" --listen "$(address "$name" http)" "${seeds[@]}"
     ;;
   esac
 }
