--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -173,6 +173,18 @@
 	assert.InDelta(t, 2.0/3, m.Crest.Requests(), 1e-9)
 }
 
+func TestSendsOfOneKeyAreOneRequest(t *testing.T) {
+	call := &Arrival{Crest: true, Team: &Team{Name: "t"}, Call: &Call{}, Deadline: time.Second}
+	m := Measure([]Sample{
+		{Arrival: call, Key: "a", Outcome: request.NotSent}, {Arrival: call, Key: "a", Outcome: request.Completed},
+		{Arrival: call, Key: "b", Outcome: request.NotSent}, {Arrival: call, Key: "b", Outcome: request.NotSent},
+		{Arrival: call, Outcome: request.Completed}, {Arrival: call, Outcome: request.Completed},
+	})
+	assert.EqualValues(t, 4, m.Crest.Offered)
+	assert.EqualValues(t, 3, m.Crest.InTime)
+	assert.EqualValues(t, 3, m.Outcomes.NotSent, "outcomes count each send")
+}
+
 func TestReportIsWrittenInEachForm(t *testing.T) {
 	scenario := loadTest(t, "tidewake").Scaled(0.1)
 	arrivals := scenario.Schedule(true)
