Serve prompts larger than one engine by group leases

A prompt that no engine can hold is divided into equal segments on the engines with the most free memory, so few that each keeps its reserve for short prompts. Leases are acquired in the order of the servers' names, all or none; the dispatch filter then prefills segment by segment, makes each the context of the next without moving it, and cancels all of them at the end or at any failure until the engines confirm.

--- a/internal/filter/dispatch/dispatch.go
+++ b/internal/filter/dispatch/dispatch.go
@@ -66,6 +66,11 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	call.Attempt.Alive = func() {}
+	endGroup, err := f.prepareGroup(ctx, call)
+	defer endGroup()
+	if err != nil {
+		return err
+	}
 	if call.Idempotent() {
 		stop := f.watch(ctx, cancel, call)
 		defer stop()
@@ -75,7 +80,7 @@
 	}
 	server := call.Attempt.Placement.Server()
 	f.Reclaimer.Begin(server, call.Attempt.ID)
-	err := f.send(ctx, call, next)
+	err = f.send(ctx, call, next)
 	f.Reclaimer.End(server, call.Attempt.ID, err == nil || neverHeld(err))
 	return err
 }
@@ -202,6 +207,11 @@
 	header.Set(backendapi.HeaderPromptTokens, fmt.Sprint(call.Model.PromptTokens))
 	header.Set(backendapi.HeaderMemoryTokens, fmt.Sprint(call.Model.PromptTokens+call.Model.AnswerTokens))
 	header.Set(backendapi.HeaderResumeFrom, fmt.Sprint(call.Verified))
+	if grouped, ok := call.Attempt.Placement.(place.Grouped); ok {
+		segments := grouped.Segments()
+		last := len(segments) - 1
+		setSegment(header, segments[last], imports(segments[last], last))
+	}
 	if call.Model.Adapter != "" {
 		header.Set(backendapi.HeaderAdapter, call.Model.Adapter)
 	}
--- a/internal/place/leases.go
+++ b/internal/place/leases.go
@@ -57,7 +57,11 @@
 	if query.Attempt == "" {
 		return l.baseline.Place(ctx, query)
 	}
-	asked, err := l.plan(&query, l.baseline.options.Clock())
+	now := l.baseline.options.Clock()
+	if servers := l.baseline.options.View.Engines(query.Model, query.Adapter, now); needsGroup(servers, &query) {
+		return l.placeGroup(ctx, query, servers)
+	}
+	asked, err := l.plan(&query, now)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/place/options.go
+++ b/internal/place/options.go
@@ -53,6 +53,9 @@
 	// MaxEjectedPercent returns the bound of the bundle in force. Without it
 	// no server is ejected.
 	MaxEjectedPercent func() float64
+	// ShortReservePercent returns the reserve of the bundle in force, which
+	// the segments of a group leave free. It may be nil.
+	ShortReservePercent func() float64
 	// Listener may be nil.
 	Listener Listener
 	// Ejected is called for each server that is taken out of use. It may be
--- a/internal/place/placement.go
+++ b/internal/place/placement.go
@@ -21,6 +21,9 @@
 	sentAt   time.Time
 	// lease is nil for the baselines.
 	lease *capacity.Lease
+	// grouped is true when other engines hold parts of the prompt; nothing is
+	// learned from the time to the first token then.
+	grouped bool
 
 	firstTokenAt time.Time
 	finished     bool
@@ -64,7 +67,7 @@
 // learn takes what became of the attempt into account.
 func (p *placement) learn(result AttemptResult) {
 	observed := eject.Result{Server: p.server.ID, Incarnation: p.server.Incarnation, Failed: result.Failed}
-	if !p.firstTokenAt.IsZero() {
+	if !p.firstTokenAt.IsZero() && !p.grouped {
 		observed.Slowness = p.slowness(result.CachedTokens)
 		p.learnSpeed(result)
 		p.learnCache(result)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -113,13 +113,14 @@
 func (r *Routing) placer() (place.Placer, error) {
 	host := r.host
 	options := place.Options{
-		Policy:            host.Settings.Routing.Policy,
-		View:              host.Fleet,
-		VM:                host.Settings.VM.Name,
-		Seed:              seed(host.Settings.VM.Name),
-		Clock:             time.Now,
-		MaxEjectedPercent: r.maxEjectedPercent,
-		Listener:          r.limiter,
+		Policy:              host.Settings.Routing.Policy,
+		View:                host.Fleet,
+		VM:                  host.Settings.VM.Name,
+		Seed:                seed(host.Settings.VM.Name),
+		Clock:               time.Now,
+		MaxEjectedPercent:   r.maxEjectedPercent,
+		ShortReservePercent: func() float64 { return r.leaseConfig().ShortReservePercent },
+		Listener:            r.limiter,
 		Ejected: func(server place.Server) {
 			observe.Log(host.Logger, observe.EngineEjected).Str("server", server.ID).Uint64("incarnation", server.Incarnation).Send()
 		},
