Test groups of engines against stand-in engines and schedulers

Without the change of the header between segments the prompt over three engines fails; without the release in AcquireGroup memory stays leased.

--- /dev/null
+++ b/internal/place/group_test.go
@@ -0,0 +1,72 @@
+package place
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// hugeQuery needs more than twice the memory of one engine.
+func hugeQuery() Query { return Query{Model: "m", PromptTokens: 210_000, AnswerTokens: 100} }
+
+func withReserve(options *Options) {
+	options.ShortReservePercent = func() float64 { return 20 }
+}
+
+func leased(vm *leaseVM) int64 {
+	time.Sleep(leaseTerm)
+	sum := int64(0)
+	for _, usage := range vm.service.Usage() {
+		sum += usage.Leased()
+	}
+	return sum
+}
+
+func TestPromptBeyondOneEngine(t *testing.T) {
+	withLeases(t, modelServers(4), withReserve, func(vm *leaseVM) {
+		placed, ok := vm.mustPlace(hugeQuery()).(Grouped)
+		require.True(t, ok)
+		segments := placed.Segments()
+		require.Len(t, segments, 3, "each leaves the reserve of 20 percent")
+		assert.Equal(t, placed.Server().ID, segments[2].Server.ID)
+		assert.Equal(t, "0-70000", segments[0].Header())
+		assert.Equal(t, int64(210_100), leased(vm))
+		finish(placed, AttemptResult{})
+		time.Sleep(2 * leaseTerm)
+		assert.Zero(t, leased(vm), "the segments are cancelled and come back")
+	})
+}
+
+func TestGroupThatCannotBeHad(t *testing.T) {
+	t.Run("too few engines: refused at once", func(t *testing.T) {
+		withLeases(t, modelServers(2), withReserve, func(vm *leaseVM) {
+			began := time.Now()
+			_, err := vm.place(hugeQuery())
+			require.ErrorIs(t, err, ErrNoServer)
+			assert.Zero(t, time.Since(began))
+		})
+	})
+	t.Run("an engine stays full: all or nothing", func(t *testing.T) {
+		withLeases(t, modelServers(3), withReserve, func(vm *leaseVM) {
+			full := vm.mustPlace(Query{Model: "m", PromptTokens: 90_000, AnswerTokens: 100})
+			full.FirstToken(time.Now())
+			_, err := vm.place(hugeQuery())
+			require.ErrorIs(t, err, ErrNoTime)
+			assert.Equal(t, int64(90_100), leased(vm), "the leases of the other engines are given back")
+			finish(full, AttemptResult{})
+			finish(vm.mustPlace(hugeQuery()), AttemptResult{})
+		})
+	})
+}
+
+func TestGroupSteps(t *testing.T) {
+	assert.Equal(t, []GroupStep{
+		{Kind: GroupPrefill, Segment: 0},
+		{Kind: GroupTransfer, Segment: 1, Source: 0},
+		{Kind: GroupPrefill, Segment: 1},
+		{Kind: GroupTransfer, Segment: 2, Source: 0},
+		{Kind: GroupTransfer, Segment: 2, Source: 1},
+	}, GroupSteps(3), "the last segment is computed with the answer")
+}
