--- a/internal/capacity/core.go
+++ b/internal/capacity/core.go
@@ -264,10 +264,16 @@
 	c.hold += (held - c.hold) / holdWeight
 }
 
+// leaseTokens is what a lease past its prefill adds to the wait of others, in
+// prompt tokens: it shares the engine's steps. It also spreads requests over
+// engines that are alike.
+const leaseTokens = 16
+
 // Wait estimates how long request would wait for the prefill ahead and for its
 // own, and whether it would be granted at once.
 func (c *Core) Wait(request Request, tokenTime time.Duration) (wait time.Duration, atOnce bool) {
-	wait = time.Duration(c.prefill+request.PrefillTokens) * tokenTime
+	work := c.prefill + request.PrefillTokens + leaseTokens*int64(len(c.leases))
+	wait = time.Duration(work) * tokenTime
 	if c.admitsFirst(request) {
 		return wait, true
 	}
