--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -170,32 +170,59 @@
 	return 0, false
 }
 
-// Prefill estimates the time in which the engine processes tokens of prompts,
-// at the speed that it shows for prompts of length promptTokens.
-func (e *Estimator) Prefill(key Key, promptTokens, tokens int64) time.Duration {
-	at := bucket(promptTokens)
-	if known, found := e.servers[key]; found {
-		if perToken, learned := known.nearest(at); learned {
-			return seconds(perToken * float64(tokens))
-		}
+// Speeds are the learned speeds of one model for prompts of one length.
+type Speeds struct {
+	estimator *Estimator
+	model     string
+	bucket    int
+	usual     Speed
+}
+
+// Speed is the time that an engine takes for each token.
+type Speed struct {
+	// Prompt and Answer are in seconds for one token.
+	Prompt float64
+	Answer float64
+}
+
+// Prefill returns the time for tokens of prompts.
+func (s Speed) Prefill(tokens int64) time.Duration { return seconds(s.Prompt * float64(tokens)) }
+
+// Decode returns the time to generate tokens.
+func (s Speed) Decode(tokens int64) time.Duration { return seconds(s.Answer * float64(tokens)) }
+
+// Speeds returns the speeds of model for prompts of length promptTokens.
+func (e *Estimator) Speeds(model string, promptTokens int64) Speeds {
+	speeds := Speeds{
+		estimator: e, model: model, bucket: bucket(promptTokens),
+		usual: Speed{Prompt: defaultPrefill.Seconds(), Answer: defaultDecode.Seconds()},
 	}
-	if known, found := e.models[key.Model]; found {
-		if perToken, learned := known.nearest(at); learned {
-			return seconds(perToken * float64(tokens))
-		}
+	if known, found := e.models[model]; found {
+		speeds.usual = known.at(speeds.bucket, speeds.usual)
+	}
+	return speeds
+}
+
+// Usual returns the speed of any engine of the model.
+func (s *Speeds) Usual() Speed { return s.usual }
+
+// Of returns the speed of one engine: what it has shown, else the usual.
+func (s *Speeds) Of(server string) Speed {
+	if known, found := s.estimator.servers[Key{Server: server, Model: s.model}]; found {
+		return known.at(s.bucket, s.usual)
 	}
-	return time.Duration(tokens) * defaultPrefill
+	return s.usual
 }
 
-// Decode estimates the time in which the engine generates tokens.
-func (e *Estimator) Decode(key Key, tokens int64) time.Duration {
-	if known, found := e.servers[key]; found && known.decode.samples > 0 {
-		return seconds(known.decode.value * float64(tokens))
+// at returns what was learned for a prompt length, or fallback.
+func (s *speed) at(bucket int, fallback Speed) Speed {
+	if perToken, learned := s.nearest(bucket); learned {
+		fallback.Prompt = perToken
 	}
-	if known, found := e.models[key.Model]; found && known.decode.samples > 0 {
-		return seconds(known.decode.value * float64(tokens))
+	if s.decode.samples > 0 {
+		fallback.Answer = s.decode.value
 	}
-	return time.Duration(tokens) * defaultDecode
+	return fallback
 }
 
 // AnswerTokens estimates the length of an answer of at most limit tokens.
--- a/internal/estimate/estimate_test.go
+++ b/internal/estimate/estimate_test.go
@@ -17,19 +17,26 @@
 	}, now)
 }
 
+func prefill(e *Estimator, server string, tokens int64) time.Duration {
+	speeds := e.Speeds("m", tokens)
+	return speeds.Of(server).Prefill(tokens)
+}
+
 func TestPrefillIsLearnedByServerAndLength(t *testing.T) {
 	e := New()
-	assert.Equal(t, 50*time.Millisecond, e.Prefill(Key{"e1", "m"}, 1000, 1000), "the default")
+	assert.Equal(t, 50*time.Millisecond, prefill(e, "e1", 1000), "the default")
 	for range 50 {
 		observe(e, "e1", 1000, 0, 0, 20*time.Millisecond)
 		observe(e, "e1", 100_000, 0, 0, 8*time.Second)
 		observe(e, "e2", 1000, 500, 500, 100*time.Millisecond)
 	}
-	assert.InDelta(t, 20, e.Prefill(Key{"e1", "m"}, 1000, 1000).Milliseconds(), 1)
-	assert.InDelta(t, 8000, e.Prefill(Key{"e1", "m"}, 100_000, 100_000).Milliseconds(), 10, "longer prompts cost more for each token")
-	assert.InDelta(t, 100, e.Prefill(Key{"e2", "m"}, 1000, 1000).Milliseconds(), 1, "cached tokens and the queue ahead are accounted for")
-	assert.InDelta(t, 60, e.Prefill(Key{"e3", "m"}, 1000, 1000).Milliseconds(), 30, "an unknown engine is taken for one like the others")
-	assert.InDelta(t, 2000, e.Decode(Key{"e1", "m"}, 100).Milliseconds(), 1)
+	assert.InDelta(t, 20, prefill(e, "e1", 1000).Milliseconds(), 1)
+	assert.InDelta(t, 8000, prefill(e, "e1", 100_000).Milliseconds(), 10, "longer prompts cost more for each token")
+	assert.InDelta(t, 100, prefill(e, "e2", 1000).Milliseconds(), 1, "cached tokens and the queue ahead are accounted for")
+	assert.InDelta(t, 60, prefill(e, "e3", 1000).Milliseconds(), 30, "an unknown engine is taken for one like the others")
+	speeds := e.Speeds("m", 1000)
+	speed := speeds.Of("e1")
+	assert.InDelta(t, 2000, speed.Decode(100).Milliseconds(), 1)
 	assert.Equal(t, int64(250), e.AnswerTokens("m", 1000))
 }
 
@@ -39,11 +46,11 @@
 		observe(e, "e1", 1000, 0, 0, 20*time.Millisecond)
 	}
 	observe(e, "e1", 1000, 0, 0, time.Minute)
-	assert.Less(t, e.Prefill(Key{"e1", "m"}, 1000, 1000), 40*time.Millisecond)
+	assert.Less(t, prefill(e, "e1", 1000), 40*time.Millisecond)
 	for range 100 {
 		observe(e, "e1", 1000, 0, 0, time.Second)
 	}
-	assert.Greater(t, e.Prefill(Key{"e1", "m"}, 1000, 1000), 900*time.Millisecond, "a lasting slowdown is learned")
+	assert.Greater(t, prefill(e, "e1", 1000), 900*time.Millisecond, "a lasting slowdown is learned")
 }
 
 func TestStateIsBounded(t *testing.T) {
--- a/internal/place/baseline.go
+++ b/internal/place/baseline.go
@@ -68,12 +68,13 @@
 // cannot finish there in time.
 func (b *baseline) choose(candidates []candidate, query *Query, now time.Time) (*candidate, timing, error) {
 	chosen := &candidates[b.policy.pick(candidates)]
-	expected := b.knowledge.timing(chosen, query, 0)
+	outlook := b.knowledge.outlook(query)
+	expected := outlook.on(chosen, 0)
 	if b.inTime(expected, query, now) {
 		return chosen, expected, nil
 	}
 	for i := range candidates {
-		if t := b.knowledge.timing(&candidates[i], query, 0); t.total() < expected.total() {
+		if t := outlook.on(&candidates[i], 0); t.total() < expected.total() {
 			chosen, expected = &candidates[i], t
 		}
 	}
--- a/internal/place/candidates.go
+++ b/internal/place/candidates.go
@@ -55,18 +55,27 @@
 
 func (t timing) total() time.Duration { return t.firstToken + t.decode }
 
-// timing estimates query on c, of whose prompt cached tokens need no prefill.
-func (k *knowledge) timing(c *candidate, query *Query, cached int64) timing {
-	key := estimate.Key{Server: c.server.ID, Model: query.Model}
-	prefill := k.estimator.Prefill(key, query.PromptTokens, max(query.PromptTokens-cached, 0)+c.ahead)
-	answer := k.estimator.AnswerTokens(query.Model, query.AnswerTokens)
-	return timing{
-		firstToken: prefill,
-		decode:     k.estimator.Decode(key, answer),
-		tokenTime:  k.estimator.Prefill(key, query.PromptTokens, tokenSample) / tokenSample,
+// outlook estimates one query on candidates.
+type outlook struct {
+	query  *Query
+	speeds estimate.Speeds
+	answer int64
+}
+
+func (k *knowledge) outlook(query *Query) outlook {
+	return outlook{
+		query:  query,
+		speeds: k.estimator.Speeds(query.Model, query.PromptTokens),
+		answer: k.estimator.AnswerTokens(query.Model, query.AnswerTokens),
 	}
 }
 
-// tokenSample is the number of tokens whose time is divided for that of one,
-// since a duration has whole nanoseconds.
-const tokenSample = 1000
+// on estimates the query on c, of whose prompt cached tokens need no prefill.
+func (o *outlook) on(c *candidate, cached int64) timing {
+	speed := o.speeds.Of(c.server.ID)
+	return timing{
+		firstToken: speed.Prefill(max(o.query.PromptTokens-cached, 0) + c.ahead),
+		decode:     speed.Decode(o.answer),
+		tokenTime:  speed.Prefill(1),
+	}
+}
--- a/internal/place/compare_test.go
+++ b/internal/place/compare_test.go
@@ -178,19 +178,17 @@
 		z.submit(index, z.policies[vm].pick(candidates), now)
 		return
 	}
-	all := make([]ranked, compareEngines)
-	for i := range all {
-		all[i] = ranked{candidate: candidate{server: &z.servers[i]}, expected: timing{tokenTime: 5 * time.Microsecond}}
-	}
-	homes := longHomes(all)
-	if a.short() {
-		homes = nil
-	}
 	query := &Query{PromptTokens: a.prompt, AnswerTokens: a.answer, Short: a.short()}
+	outlook := newKnowledge().outlook(query)
+	candidates := make([]candidate, compareEngines)
+	for i := range candidates {
+		candidates[i] = candidate{server: &z.servers[i]}
+	}
+	best, _ := newRanker().rank(candidates, &outlook)
 	z.state.Acquire(capacity.Request{
 		Attempt: fmt.Sprint(index), Holder: "vm", Tokens: query.MemoryTokens(), Short: query.Short,
 		Priority: EnginePriority(query.Short, 5), LatestStart: now.Add(time.Minute), Deadline: now.Add(time.Minute),
-	}, choices(all, query, homes), now)
+	}, choices(best, query), now)
 	z.collect(now)
 }
 
--- a/internal/place/group.go
+++ b/internal/place/group.go
@@ -9,7 +9,6 @@
 
 	"godwityoke.example/godwityoke/internal/backendapi"
 	"godwityoke.example/godwityoke/internal/capacity"
-	"godwityoke.example/godwityoke/internal/estimate"
 )
 
 // Grouped is a Placement of a prompt that needs several engines. Its Server is
@@ -159,13 +158,12 @@
 	b := l.baseline
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	outlook := b.knowledge.outlook(query)
 	var total time.Duration
 	for _, segment := range planned {
-		length := segment.End - segment.Start
-		total += b.knowledge.estimator.Prefill(estimate.Key{Server: segment.Server, Model: query.Model}, length, length)
+		total += outlook.speeds.Of(segment.Server).Prefill(segment.End - segment.Start)
 	}
-	answer := b.knowledge.estimator.AnswerTokens(query.Model, query.AnswerTokens)
-	expected := timing{firstToken: total, decode: b.knowledge.estimator.Decode(estimate.Key{Model: query.Model}, answer)}
+	expected := timing{firstToken: total, decode: outlook.speeds.Usual().Decode(outlook.answer)}
 	if !b.inTime(expected, query, now) && !b.knowledge.mayProbe(query.Model, now) {
 		b.overloaded(now)
 		return 0, refuseNoTime(expected.total(), query, now)
--- a/internal/place/leases.go
+++ b/internal/place/leases.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -11,11 +10,6 @@
 )
 
 const (
-	// maxChoices bounds the engines that a scheduler is asked to choose from.
-	maxChoices = 16
-	// longHomeDivisor is the share of a model's engines, as a divisor, that
-	// long prompts are steered to.
-	longHomeDivisor = 3
 	// patienceDivisor is the part, as a divisor, of its time until the latest
 	// start in which a long query asks again for a scheduler.
 	patienceDivisor = 4
@@ -30,14 +24,11 @@
 // before it sends a query. Without a scheduler it places like its baseline.
 type leasePlacer struct {
 	baseline *baseline
+	ranker   *ranker
 }
 
-// ranked is a candidate with the estimate for a query.
-type ranked struct {
-	candidate
-	cached   int64
-	expected timing
-	group    string
+func newLeasePlacer(options Options, fallback policy) *leasePlacer {
+	return &leasePlacer{baseline: newBaseline(options, fallback), ranker: newRanker()}
 }
 
 // plan is a request for a lease.
@@ -46,6 +37,8 @@
 	request capacity.Request
 	choices []capacity.Choice
 	ranked  []ranked
+	// expected is the estimate for the best candidate.
+	expected timing
 }
 
 // Place implements Placer. It waits for a lease until the query can no longer
@@ -106,7 +99,7 @@
 	case errors.As(err, &refused):
 		now := l.baseline.options.Clock()
 		l.baseline.overloaded(now)
-		return nil, refuseNoTime(asked.ranked[0].expected.total(), &query, now)
+		return nil, refuseNoTime(asked.expected.total(), &query, now)
 	}
 	return nil, err
 }
@@ -121,54 +114,26 @@
 	if err != nil {
 		return nil, err
 	}
-	all := l.rank(candidates, query)
-	best := &all[0]
-	if !b.inTime(best.expected, query, now) && !b.knowledge.mayProbe(query.Model, now) {
+	outlook := b.knowledge.outlook(query)
+	l.matchPrefix(query)
+	best, first := l.ranker.rank(candidates, &outlook)
+	if !b.inTime(first.expected, query, now) && !b.knowledge.mayProbe(query.Model, now) {
 		b.overloaded(now)
-		return nil, refuseNoTime(best.expected.total(), query, now)
-	}
-	asked := &plan{group: best.group, request: l.request(query, best, now)}
-	all = slices.DeleteFunc(all, func(r ranked) bool { return r.group != asked.group })
-	homes := map[string]bool{}
-	if !query.Short {
-		homes = longHomes(all)
-		slices.SortStableFunc(all, func(a, b ranked) int { return homeFirst(homes[a.server.ID], homes[b.server.ID]) })
+		return nil, refuseNoTime(first.expected.total(), query, now)
 	}
-	asked.ranked = all[:min(len(all), maxChoices)]
-	asked.choices = choices(asked.ranked, query, homes)
-	return asked, nil
+	return &plan{
+		group: LeaseGroup(first.server), request: l.request(query, &first, now),
+		choices: choices(best, query), ranked: best, expected: first.expected,
+	}, nil
 }
 
-func homeFirst(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return -1
-	}
-	return 1
-}
-
-// rank orders the candidates by the expected time to the first token. The
-// time for tokens in an engine's prefix cache counts as saved.
-func (l *leasePlacer) rank(candidates []candidate, query *Query) []ranked {
-	cached := l.cached(query)
-	all := make([]ranked, len(candidates))
-	for i, c := range candidates {
-		saved := min(cached[c.server.ID], query.PromptTokens)
-		all[i] = ranked{candidate: c, cached: saved, group: LeaseGroup(c.server), expected: l.baseline.knowledge.timing(&candidates[i], query, saved)}
-	}
-	slices.SortStableFunc(all, func(a, b ranked) int { return cmp.Compare(a.expected.firstToken, b.expected.firstToken) })
-	return all
-}
-
-func (l *leasePlacer) cached(query *Query) map[string]int64 {
+// matchPrefix looks up what each engine is thought to cache of the prompt.
+func (l *leasePlacer) matchPrefix(query *Query) {
+	clear(l.ranker.cached)
 	if l.baseline.options.Index == nil || len(query.Blocks) == 0 {
-		return nil
+		return
 	}
-	cached := map[string]int64{}
-	l.baseline.options.Index.Match(query.Blocks, func(server string, tokens int64) { cached[server] = tokens })
-	return cached
+	l.baseline.options.Index.Match(query.Blocks, func(server string, tokens int64) { l.ranker.cached[server] = tokens })
 }
 
 // request asks for the memory of query. Its latest start leaves time for the
@@ -196,46 +161,6 @@
 	return latest
 }
 
-// choices turns ranked candidates into choices that prefer homes.
-func choices(all []ranked, query *Query, homes map[string]bool) []capacity.Choice {
-	choices := make([]capacity.Choice, len(all))
-	for i := range all {
-		r := &all[i]
-		choices[i] = capacity.Choice{
-			Server: r.server.ID, PrefillTokens: query.PromptTokens - r.cached,
-			TokenTime: r.expected.tokenTime, Preferred: homes[r.server.ID],
-		}
-	}
-	return choices
-}
-
-// longHomes returns the engines that long prompts prefer: a part of all, the
-// same on each VM.
-func longHomes(all []ranked) map[string]bool {
-	ids := make([]string, len(all))
-	for i := range all {
-		ids[i] = all[i].server.ID
-	}
-	slices.SortFunc(ids, func(a, b string) int { return cmp.Compare(capacity.HomeWeight(b), capacity.HomeWeight(a)) })
-	homes := map[string]bool{}
-	for _, id := range ids[:(len(ids)+longHomeDivisor-1)/longHomeDivisor] {
-		homes[id] = true
-	}
-	return homes
-}
-
-// LeaseGroup names the engines that share a scheduler with server: those with
-// the same first model.
-func LeaseGroup(server *Server) string {
-	first := ""
-	for _, model := range server.Models {
-		if first == "" || model.Name < first {
-			first = model.Name
-		}
-	}
-	return first
-}
-
 // begin notes that a query is sent under lease.
 func (l *leasePlacer) begin(query Query, asked *plan, lease *capacity.Lease) Placement {
 	b := l.baseline
--- a/internal/place/leases_test.go
+++ b/internal/place/leases_test.go
@@ -251,3 +251,33 @@
 		}
 	})
 }
+
+// BenchmarkPlan reports the decision of the policy leases on the entry VM,
+// before it asks the scheduler.
+func BenchmarkPlan(b *testing.B) {
+	for _, count := range []int{15, 150, 600} {
+		for _, blocks := range []int{0, backendapi.MaxPrefixBlocks} {
+			b.Run(fmt.Sprintf("servers=%d/blocks=%d", count, blocks), func(b *testing.B) {
+				servers := modelServers(count)
+				index := prefix.New(prefix.DefaultBlocks)
+				query := Query{Attempt: "a", Model: "m", PromptTokens: 20_000, AnswerTokens: 100, Short: true}
+				for i := range blocks {
+					query.Blocks = append(query.Blocks, uint64(i))
+				}
+				for i := range servers {
+					if blocks > 0 {
+						index.Processed(servers[i].ID, 0, query.Blocks[:1+i%blocks])
+					}
+				}
+				now := time.Unix(0, 0)
+				placer := newLeasePlacer(Options{View: staticView(servers), VM: "vm", Index: index}, &roundRobin{})
+				b.ReportAllocs()
+				for b.Loop() {
+					if _, err := placer.plan(&query, now); err != nil {
+						b.Fatal(err)
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/place/options.go
+++ b/internal/place/options.go
@@ -73,8 +73,7 @@
 		if options.Leases == nil {
 			return nil, errors.New("the policy \"leases\" needs a lease holder")
 		}
-		baseline := newBaseline(options, &twoChoices{random: random})
-		return &leasePlacer{baseline: baseline}, nil
+		return newLeasePlacer(options, &twoChoices{random: random}), nil
 	}
 	policy, err := newPolicy(options.Policy, random)
 	if err != nil {
--- a/internal/place/placement.go
+++ b/internal/place/placement.go
@@ -80,9 +80,9 @@
 // slowness compares the time to the first token with what any engine of the
 // model would be expected to take.
 func (p *placement) slowness(cached int64) float64 {
-	anyServer := estimate.Key{Model: p.query.Model}
 	work := max(p.query.PromptTokens-cached, 1) + p.ahead
-	expected := p.baseline.knowledge.estimator.Prefill(anyServer, p.query.PromptTokens, work)
+	speeds := p.baseline.knowledge.estimator.Speeds(p.query.Model, p.query.PromptTokens)
+	expected := speeds.Usual().Prefill(work)
 	return p.baseline.knowledge.relativeSlowness(p.query.Model, p.firstTokenAt.Sub(p.sentAt), expected)
 }
 
