--- a/internal/routing/leases.go
+++ b/internal/routing/leases.go
@@ -130,10 +130,12 @@
 	case err != nil:
 		result = "withdrawn"
 	}
-	c.metrics.Counter("godwityoke_lease_requests_total", observe.Label{Name: "result", Value: result}).Inc(1)
+	c.metrics.Counter("godwityoke_lease_requests_total", resultLabel(result)).Inc(1)
 	return lease, err
 }
 
+func resultLabel(result string) observe.Label { return observe.Label{Name: "result", Value: result} }
+
 // Adopt implements place.LeaseHolder.
 func (c *countedLeases) Adopt(group, server string, request capacity.Request) *capacity.Lease {
 	return c.holder.Adopt(group, server, request)
