--- a/internal/place/options.go
+++ b/internal/place/options.go
@@ -53,6 +53,9 @@
 	// MaxEjectedPercent returns the bound of the bundle in force. Without it
 	// no server is ejected.
 	MaxEjectedPercent func() float64
+	// ShortReservePercent returns the reserve of the bundle in force, which
+	// the segments of a group leave free. It may be nil.
+	ShortReservePercent func() float64
 	// Listener may be nil.
 	Listener Listener
 	// Ejected is called for each server that is taken out of use. It may be
@@ -70,8 +73,7 @@
 		if options.Leases == nil {
 			return nil, errors.New("the policy \"leases\" needs a lease holder")
 		}
-		baseline := newBaseline(options, &twoChoices{random: random})
-		return &leasePlacer{baseline: baseline}, nil
+		return newLeasePlacer(options, &twoChoices{random: random}), nil
 	}
 	policy, err := newPolicy(options.Policy, random)
 	if err != nil {
