--- a/internal/filter/identify/identify_test.go
+++ b/internal/filter/identify/identify_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"fmt"
 	"net/http"
 	"testing"
 
@@ -39,14 +40,18 @@
 	require.Empty(t, identified(f, second, "Bearer "))
 }
 
-// BenchmarkIdentify compares a key with those of 1,700 teams.
-func BenchmarkIdentify(b *testing.B) {
-	keys := make([]string, 1700)
-	for i := range keys {
-		keys[i] = string(rune('a'+i%26)) + http.StatusText(i%600) + hex.EncodeToString([]byte{byte(i >> 8), byte(i)})
-	}
-	f, in := New(), accepted(1, keys...)
-	for b.Loop() {
-		identified(f, in, "Bearer "+keys[len(keys)-1])
+// BenchmarkCapacityIdentify reports the time to find the team of a key.
+func BenchmarkCapacityIdentify(b *testing.B) {
+	for _, teams := range []int{10, 400, 1700} {
+		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
+			keys := make([]string, teams)
+			for i := range keys {
+				keys[i] = fmt.Sprintf("key-%d", i)
+			}
+			f, in := New(), accepted(1, keys...)
+			for b.Loop() {
+				identified(f, in, "Bearer "+keys[len(keys)-1])
+			}
+		})
 	}
 }
--- a/internal/ledger/claims_test.go
+++ b/internal/ledger/claims_test.go
@@ -1,15 +1,18 @@
 package ledger
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"fmt"
+	"runtime"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"godwityoke.example/godwityoke/internal/ledger/ledgerpb"
 	"godwityoke.example/godwityoke/internal/request"
@@ -254,16 +257,37 @@
 }
 
 // BenchmarkCapacityClaims reports the holder's time for one claim without a
-// disk, and the bytes that one entry keeps.
+// disk, and the memory and log bytes that one entry keeps.
 func BenchmarkCapacityClaims(b *testing.B) {
+	for _, entries := range []int{10_000, 50_000, 200_000} {
+		b.Run(fmt.Sprintf("entries=%d", entries), func(b *testing.B) {
+			for b.Loop() {
+				fillHolder(b, entries)
+			}
+		})
+	}
+}
+
+func fillHolder(b *testing.B, entries int) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
 	core := NewCore(1)
 	core.StartEpoch(Epoch{Number: 1, Holders: threeHolders})
-	now := time.Unix(1_000_000, 0)
-	b.ReportAllocs()
-	for i := range b.N {
-		key := &ledgerpb.Key{Team: "families", Service: "booking", Value: fmt.Sprint(i)}
-		core.Do(&ledgerpb.Request{Epoch: 1, Operation: ledgerpb.Operation_OPERATION_CLAIM, Key: key, Digest: digestA[:], Attempt: "0123456789abcdef0123456789abcdef"}, now)
+	start := time.Now()
+	logged := 0
+	for i := range entries {
+		key := &ledgerpb.Key{Team: "families", Service: "booking", Value: fmt.Sprintf("018f3a1c-0000-7000-8000-%012d", i)}
+		_, change := core.Do(&ledgerpb.Request{Epoch: 1, Operation: ledgerpb.Operation_OPERATION_CLAIM, Key: key, Digest: bytes.Clone(digestA[:]), Attempt: newAttempt()}, start)
+		logged += proto.Size(change)
 	}
+	elapsed := time.Since(start)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(elapsed.Nanoseconds())/float64(entries), "ns/claim")
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "heap-bytes")
+	b.ReportMetric(float64(logged), "log-bytes")
+	runtime.KeepAlive(core)
 }
 
 func TestHolderRefusesAnotherEpoch(t *testing.T) {
--- a/internal/observe/observe_test.go
+++ b/internal/observe/observe_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -74,14 +75,31 @@
 	}
 }
 
-// BenchmarkCapacityTeamHistograms reports the memory of all timings of a team.
+// BenchmarkCapacityTeamHistograms reports the memory of all timings of all
+// teams.
 func BenchmarkCapacityTeamHistograms(b *testing.B) {
-	b.ReportAllocs()
+	for _, teams := range []int{10, 400, 1700} {
+		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
+			for b.Loop() {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				m := fillMetrics(teams)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "heap-bytes")
+				runtime.KeepAlive(m)
+			}
+		})
+	}
+}
+
+func fillMetrics(teams int) *Metrics {
 	m := NewMetrics()
-	for i := range b.N {
-		team := fmt.Sprintf("team-%d", i)
+	for i := range teams {
 		for _, timing := range []Timing{TimeToFirstToken, TimeBetweenTokens, TimeInQueue, TimeWhole} {
-			m.Observe(timing, team, "short", time.Millisecond)
+			m.Observe(timing, fmt.Sprintf("team-%d", i), "short", time.Millisecond)
 		}
 	}
+	return m
 }
