sizing: docs/CAPACITY.md from measured slopes

Change: 'make capacity' runs benchmarks at three sizes or more, fits lines and rewrites the tables; heartbeats may be 1 s apart, still silent after 2.5 s.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -24,6 +24,7 @@
 type Arguments struct {
 	Serve    *ServeArguments    `arg:"subcommand:serve" help:"run the process of one VM"`
 	Settings *SettingsArguments `arg:"subcommand:settings" help:"check a settings file"`
+	Capacity *CapacityArguments `arg:"subcommand:capacity" help:"rewrite the tables of docs/CAPACITY.md from benchmarks"`
 	Bundle   *BundleArguments   `arg:"subcommand:bundle" help:"check, sign, submit, roll and watch bundles"`
 	VM       *VMArguments       `arg:"subcommand:vm" help:"list, add and remove control VMs"`
 	Standin  *StandinArguments  `arg:"subcommand:standin" help:"run a stand-in for a backend server"`
@@ -68,6 +69,8 @@
 	switch {
 	case a.Serve != nil:
 		return a.Serve.run(output)
+	case a.Capacity != nil:
+		return a.Capacity.run(output)
 	case a.Settings != nil && a.Settings.Check != nil:
 		return a.Settings.Check.run(output)
 	case a.Bundle != nil:
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -22,7 +22,7 @@
 	// timeout; fewer would let one lost heartbeat start an election.
 	minElectionHeartbeats = 3
 	// longestSilence bounds Entry.SilentAfter: a silent backend server must get
-	// no new work after 3 s, one heartbeat of 0.5 s included.
+	// no new work later than 3 s after its last heartbeat.
 	longestSilence = 2500 * time.Millisecond
 )
 
@@ -227,7 +227,7 @@
 	entry := c.settings.Entry
 	c.between("entry.header_timeout", entry.HeaderTimeout, 100*time.Millisecond, time.Minute)
 	c.between("entry.body_timeout", entry.BodyTimeout, 100*time.Millisecond, 10*time.Minute)
-	c.between("entry.heartbeat_interval", entry.HeartbeatInterval, 50*time.Millisecond, 500*time.Millisecond)
+	c.between("entry.heartbeat_interval", entry.HeartbeatInterval, 50*time.Millisecond, time.Second)
 	c.between("entry.silent_after", entry.SilentAfter, 2*entry.HeartbeatInterval.Std(), longestSilence)
 	c.between("entry.ready_wait", entry.ReadyWait, 0, time.Minute)
 	c.between("entry.connect_timeout", entry.ConnectTimeout, 10*time.Millisecond, 10*time.Second)
--- /dev/null
+++ b/internal/sizing/lines.go
@@ -0,0 +1,111 @@
+package sizing
+
+// Role is a part of a node.
+type Role string
+
+// Roles, in the order of the page.
+const (
+	RoleEntry     Role = "entry VM"
+	RoleScheduler Role = "scheduler of a backend server"
+	RoleLeader    Role = "control leader"
+	RoleFollower  Role = "control follower"
+	RoleRelay     Role = "relay"
+)
+
+// Resource is what a line costs.
+type Resource string
+
+// Resources.
+const (
+	CorePercent    Resource = "% of a core"
+	MemoryBytes    Resource = "bytes of memory"
+	BytesPerSecond Resource = "bytes/s"
+	DiskBytes      Resource = "bytes on disk"
+	InForceMillis  Resource = "ms to in force"
+)
+
+// Line is one cost of a role at the target size.
+type Line struct {
+	Role     Role
+	What     string
+	Resource Resource
+	Source   Source
+	// Size is where the fit is read off.
+	Size float64
+	// Times multiplies the value, such as calls a second.
+	Times float64
+	// Mechanism names what carries the cost, with its package.
+	Mechanism string
+	// Assumed says which figure is neither measured nor given.
+	Assumed string
+	// Replaced marks the cost of a mechanism that breaks the budget and names
+	// the one that replaces it. It does not count towards the budget.
+	Replaced string
+}
+
+// corePercentPerNanosecond turns nanoseconds a second into percent of a core.
+const corePercentPerNanosecond = 1e-7
+
+var (
+	placeSource    = Source{"BenchmarkPlace/two_choices", "servers", "ns/op"}
+	prefixSource   = Source{"BenchmarkMatch", "servers", "ns/op"}
+	admitSource    = Source{"BenchmarkAdmit/overload=false", "teams", "ns/op"}
+	identifySource = Source{"BenchmarkCapacityIdentify", "teams", "ns/op"}
+	announceTime   = Source{"BenchmarkCapacityAnnouncement", "events", "ns/op"}
+	announceBytes  = Source{"BenchmarkCapacityAnnouncement", "events", "wire-bytes"}
+	histogramBytes = Source{"BenchmarkCapacityTeamHistograms", "teams", "heap-bytes"}
+	restBytes      = Source{"BenchmarkCapacityWatcherAtRest", "watchers", "bytes/s/watcher"}
+	restProcessor  = Source{"BenchmarkCapacityWatcherAtRest", "watchers", "core-percent/watcher"}
+	inForce        = Source{"BenchmarkCapacityAcceptanceToInForce", "watchers", "p99-ms"}
+	grantTime      = Source{"BenchmarkGrant", "engines", "ns/op"}
+	tickTime       = Source{"BenchmarkTick", "engines", "ns/op"}
+	claimTime      = Source{"BenchmarkCapacityClaims", "entries", "ns/claim"}
+	claimMemory    = Source{"BenchmarkCapacityClaims", "entries", "heap-bytes"}
+	claimLog       = Source{"BenchmarkCapacityClaims", "entries", "log-bytes"}
+)
+
+// eventsPerHeartbeat is the assumed number of cache events in a heartbeat.
+const eventsPerHeartbeat = 10
+
+// relayChildren is the number of watchers that a relay serves.
+const relayChildren = 8
+
+// schedulerTicksPerSecond is how often a scheduler looks at its leases.
+const schedulerTicksPerSecond = 10
+
+// Lines returns every line of the page.
+func Lines() []Line {
+	const (
+		toSubset    = float64(workersPerZone) * subsetSize / nodesPerZone * heartbeatsPerSecond
+		toAll       = float64(workersPerZone) * heartbeatsPerSecond
+		events      = "10 cache events a heartbeat"
+		enginesEach = float64(targetWorkers) / targetNodes
+		claims      = targetRequestsPerSecond * claimShare
+		claimsKept  = claims * secondsPerDay * claimRetentionDays
+		claimsSaid  = "1 request in 50 is a keyed call, kept for a day"
+	)
+	perRequest := nodeRequestsPerSecond * corePercentPerNanosecond
+	return []Line{
+		{Role: RoleEntry, What: "placement decisions", Resource: CorePercent, Source: placeSource, Size: workersPerZone, Times: perRequest, Mechanism: "one pass over the zone's servers (`place`)"},
+		{Role: RoleEntry, What: "prefix-cache matches", Resource: CorePercent, Source: prefixSource, Size: workersPerZone, Times: perRequest, Mechanism: "bounded index from cache events (`prefix`)"},
+		{Role: RoleEntry, What: "team limits", Resource: CorePercent, Source: admitSource, Size: targetTeams, Times: perRequest, Mechanism: "local buckets, usage exchanged in the zone (`limit`)"},
+		{Role: RoleEntry, What: "team by API key", Resource: CorePercent, Source: identifySource, Size: targetTeams, Times: perRequest, Mechanism: "constant-time comparison with every key (`filter/identify`)"},
+		{Role: RoleEntry, What: "heartbeats of its subset, time", Resource: CorePercent, Source: announceTime, Size: eventsPerHeartbeat, Times: toSubset * corePercentPerNanosecond, Mechanism: "subset by rendezvous hash (`fleet.Subset`)", Assumed: events},
+		{Role: RoleEntry, What: "heartbeats of its subset, bytes", Resource: BytesPerSecond, Source: announceBytes, Size: eventsPerHeartbeat, Times: toSubset, Mechanism: "subset by rendezvous hash (`fleet.Subset`)", Assumed: events + ", without HTTP headers"},
+		{Role: RoleEntry, What: "heartbeats of the whole zone, bytes", Resource: BytesPerSecond, Source: announceBytes, Size: eventsPerHeartbeat, Times: toAll, Mechanism: "every server to every entry VM of its zone", Assumed: events, Replaced: "subset by rendezvous hash (`fleet.Subset`), a summary per model and zone for the rest"},
+		{Role: RoleEntry, What: "histograms of all teams", Resource: MemoryBytes, Source: histogramBytes, Size: targetTeams, Times: 1, Mechanism: "fixed buckets, teams and classes apart (`observe`)"},
+		{Role: RoleEntry, What: "watch at rest, bytes", Resource: BytesPerSecond, Source: restBytes, Size: targetNodes, Times: 1, Mechanism: "one watch up the tree with heartbeats (`distribute`)"},
+		{Role: RoleEntry, What: "watch at rest, time", Resource: CorePercent, Source: restProcessor, Size: targetNodes, Times: 1, Mechanism: "one watch up the tree with heartbeats (`distribute`)"},
+		{Role: RoleEntry, What: "acceptance to in force at the last VM", Resource: InForceMillis, Source: inForce, Size: targetNodes, Times: 1, Mechanism: "tree of watches, whole bundle or change against the last (`distribute`)"},
+		{Role: RoleScheduler, What: "lease grants", Resource: CorePercent, Source: grantTime, Size: enginesEach, Times: perRequest, Mechanism: "one scheduler for each server (`capacity`)"},
+		{Role: RoleScheduler, What: "lease ticks", Resource: CorePercent, Source: tickTime, Size: enginesEach, Times: schedulerTicksPerSecond * corePercentPerNanosecond, Mechanism: "one goroutine for all servers that a VM schedules (`capacity`)", Assumed: "40 leases held on each server, 10 ticks a second"},
+		{Role: RoleLeader, What: "claims, time", Resource: CorePercent, Source: claimTime, Size: claimsKept, Times: claims * corePercentPerNanosecond, Mechanism: "records at a majority, shared syncs (`ledger`)", Assumed: claimsSaid},
+		{Role: RoleLeader, What: "claims, memory", Resource: MemoryBytes, Source: claimMemory, Size: claimsKept, Times: 1, Mechanism: "all records in memory (`ledger.Core`)", Assumed: claimsSaid, Replaced: "records of the last minutes in memory, older ones in sorted files behind `ledger.Log`; the VM is one of those set aside"},
+		{Role: RoleLeader, What: "claims, disk", Resource: DiskBytes, Source: claimLog, Size: claimsKept, Times: 1, Mechanism: "journal, rewritten when four times its entries (`storage.Journal`)", Assumed: claimsSaid},
+		{Role: RoleLeader, What: "watches of its children, bytes", Resource: BytesPerSecond, Source: restBytes, Size: targetNodes, Times: relayChildren, Mechanism: "bounded children, the others relay (`distribute`)"},
+		{Role: RoleFollower, What: "claims, time", Resource: CorePercent, Source: claimTime, Size: claimsKept, Times: claims * corePercentPerNanosecond, Mechanism: "as at the leader: the ledger has none (`ledger`)", Assumed: claimsSaid},
+		{Role: RoleFollower, What: "watches of its children, bytes", Resource: BytesPerSecond, Source: restBytes, Size: targetNodes, Times: relayChildren, Mechanism: "bounded children, the others relay (`distribute`)"},
+		{Role: RoleRelay, What: "watches of its children, bytes", Resource: BytesPerSecond, Source: restBytes, Size: targetNodes, Times: relayChildren, Mechanism: "bounded children (`distribute`)"},
+		{Role: RoleRelay, What: "watches of its children, time", Resource: CorePercent, Source: restProcessor, Size: targetNodes, Times: relayChildren, Mechanism: "bounded children (`distribute`)"},
+	}
+}
