Judge operators' histories on the real control group with porcupine

Four operators race on three control VMs over loopback while a third of the answers is lost and the leader is killed twice; all answers must fit one order. A killed process now frees its data folder, so that it can be started again.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -65,6 +65,9 @@
 // the last seconds. Watchers stay with this VM while it is true.
 func (c *Control) KnowsLeader() bool { return c.leader.known(time.Now()) }
 
+// Leads reports whether this VM holds the leader lease.
+func (c *Control) Leads() bool { return c.options.Group.Leadership().IsLeader }
+
 // Run feeds accepted bundles to the distribution, reports to the leader, and
 // does the leader's work while this VM leads. It returns when ctx ends.
 func (c *Control) Run(ctx context.Context) {
--- a/internal/process/claims.go
+++ b/internal/process/claims.go
@@ -142,3 +142,12 @@
 	c.running.Wait()
 	return c.journal.Close()
 }
+
+// Kill implements Killer.
+func (c *claimHolder) Kill() {
+	if c.cancel != nil {
+		c.cancel()
+	}
+	c.running.Wait()
+	_ = c.journal.Close() // what was acknowledged is synced
+}
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -120,3 +120,9 @@
 	c.running.Wait()
 	return err
 }
+
+// Kill implements Killer.
+func (c *controlRole) Kill() {
+	c.replica.Abort()
+	c.running.Wait()
+}
--- /dev/null
+++ b/internal/process/control_test.go
@@ -0,0 +1,250 @@
+package process_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"godwityoke.example/godwityoke/internal/bundle"
+	"godwityoke.example/godwityoke/internal/jsonc"
+	"godwityoke.example/godwityoke/internal/operatorapi"
+	"godwityoke.example/godwityoke/internal/process"
+	"godwityoke.example/godwityoke/internal/registry"
+	"godwityoke.example/godwityoke/internal/settings"
+	"godwityoke.example/godwityoke/internal/tcp"
+)
+
+var operatorKey = ed25519.NewKeyFromSeed(bytes.Repeat([]byte{9}, ed25519.SeedSize))
+
+// controlVMs is a group of control VMs in this process, over loopback.
+type controlVMs struct {
+	t         *testing.T
+	settings  []*settings.Settings
+	processes []*process.Process
+}
+
+// startControlVMs starts three control VMs.
+func startControlVMs(t *testing.T) *controlVMs {
+	g := &controlVMs{t: t, processes: make([]*process.Process, 3)}
+	listeners := make([]process.Listeners, 3)
+	var peers []settings.Peer
+	for i := range listeners {
+		for _, one := range []*net.Listener{&listeners[i].Internal, &listeners[i].Operators} {
+			opened, err := tcp.Listen(t.Context(), "127.0.0.1:0")
+			require.NoError(t, err)
+			*one = opened
+		}
+		peers = append(peers, settings.Peer{
+			Name: fmt.Sprint("control-", i), Zone: fmt.Sprint("zone-", i),
+			Internal: listeners[i].Internal.Addr().String(), Operators: listeners[i].Operators.Addr().String(),
+		})
+	}
+	for i := range listeners {
+		g.settings = append(g.settings, controlSettings(t, peers, i))
+		g.start(i, listeners[i])
+	}
+	t.Cleanup(func() {
+		for _, p := range g.processes {
+			p.Kill()
+		}
+	})
+	return g
+}
+
+func controlSettings(t *testing.T, peers []settings.Peer, i int) *settings.Settings {
+	loaded := settings.Defaults()
+	loaded.Cluster = "test"
+	loaded.VM = settings.VM{Name: peers[i].Name, Zone: peers[i].Zone}
+	loaded.Roles = []settings.Role{settings.RoleControl}
+	loaded.ControlVMs = peers
+	loaded.Listen = settings.Listen{Internal: peers[i].Internal, Operators: peers[i].Operators}
+	loaded.DataDir = t.TempDir()
+	loaded.Control.Bootstrap = true
+	loaded.Control.Heartbeat = jsonc.Duration(50 * time.Millisecond)
+	loaded.Control.ElectionTimeout = jsonc.Duration(400 * time.Millisecond)
+	loaded.Control.SnapshotEntries = 20
+	public := base64.StdEncoding.EncodeToString(operatorKey.Public().(ed25519.PublicKey))
+	loaded.Operators = settings.Operators{RequiredSignatures: 1, Keys: []settings.OperatorKey{{Name: "ana", Ed25519: public}}}
+	return &loaded
+}
+
+func (g *controlVMs) start(i int, listeners process.Listeners) {
+	started, err := process.Start(g.t.Context(), process.Options{
+		Settings: g.settings[i], Logger: zerolog.Nop(), Listeners: listeners,
+		Builders: []process.Builder{process.BuildDistribution, process.BuildControl},
+	})
+	require.NoError(g.t, err)
+	g.processes[i] = started
+}
+
+func (g *controlVMs) addresses() []string {
+	var addresses []string
+	for _, peer := range g.settings[0].ControlVMs {
+		addresses = append(addresses, peer.Operators)
+	}
+	return addresses
+}
+
+// lossy is a network that loses answers at random.
+type lossy struct {
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+var errLost = errors.New("the answer was lost")
+
+// RoundTrip implements http.RoundTripper.
+func (l *lossy) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.random.IntN(3) == 0 {
+		_ = response.Body.Close()
+		return nil, errLost
+	}
+	return response, nil
+}
+
+// registryCall is one call of an operator; Read asks for the newest bundle.
+type registryCall struct {
+	Read     bool
+	Expected uint64
+	Digest   string
+}
+
+// registryModel is the sequential behaviour that operators may rely on. The
+// state lists the digests of the accepted bundles.
+var registryModel = porcupine.Model{
+	Init: func() any { return "" },
+	Step: func(state, input, output any) (bool, any) {
+		digests := strings.Fields(state.(string))
+		call, result := input.(registryCall), output.(registry.Result)
+		newest := ""
+		if len(digests) > 0 {
+			newest = digests[len(digests)-1]
+		}
+		switch {
+		case call.Read:
+			return result.Version == uint64(len(digests)) && result.Digest == newest, state
+		case result.Code == registry.CodeAccepted:
+			return call.Expected == uint64(len(digests)) && result.Digest == call.Digest, state.(string) + " " + call.Digest
+		case call.Expected < uint64(len(digests)):
+			return result.Version == call.Expected+1 && result.Digest == digests[call.Expected], state
+		}
+		return false, state
+	},
+}
+
+// TestOperatorsSeeOneHistory lets operators race on the real control group
+// while answers are lost and the leader is killed, and has porcupine judge
+// whether all answers fit one order.
+func TestOperatorsSeeOneHistory(t *testing.T) {
+	const operators, calls, seed = 4, 10, 41
+	g := startControlVMs(t)
+	var mu sync.Mutex
+	var history []porcupine.Operation
+	begin := time.Now()
+	record := func(operator int, call registryCall, do func() (registry.Result, error)) registry.Result {
+		start := time.Since(begin)
+		result, err := do()
+		require.NoError(t, err)
+		mu.Lock()
+		defer mu.Unlock()
+		history = append(history, porcupine.Operation{
+			ClientId: operator, Input: call, Output: result, Call: int64(start), Return: int64(time.Since(begin)),
+		})
+		return result
+	}
+	var group sync.WaitGroup
+	for operator := range operators {
+		network := &lossy{random: rand.New(rand.NewPCG(seed, uint64(operator)))}
+		client := operatorapi.NewClientOver(g.addresses(), network)
+		group.Go(func() {
+			for call := range calls {
+				operate(t.Context(), client, operator, call, record)
+			}
+		})
+	}
+	group.Go(func() {
+		for range 2 {
+			time.Sleep(500 * time.Millisecond)
+			g.restartLeader()
+		}
+	})
+	group.Wait()
+	require.Len(t, history, 2*operators*calls)
+	require.Equal(t, porcupine.Ok, porcupine.CheckOperationsTimeout(registryModel, history, 30*time.Second))
+}
+
+// operate reads the newest bundle, then submits a next one.
+func operate(ctx context.Context, client *operatorapi.Client, operator, call int,
+	record func(int, registryCall, func() (registry.Result, error)) registry.Result) {
+	ctx, cancel := context.WithTimeout(ctx, time.Minute)
+	defer cancel()
+	newest := record(operator, registryCall{Read: true}, func() (registry.Result, error) {
+		reply, err := client.Newest(ctx)
+		if err != nil {
+			return registry.Result{}, err
+		}
+		return registry.Result{Version: reply.Version, Digest: reply.Digest}, nil
+	})
+	request, err := submission(fmt.Sprint(operator, "-", call), newest.Version)
+	if err != nil {
+		return
+	}
+	input := registryCall{Expected: newest.Version, Digest: bundle.Digest(request.Content)}
+	record(operator, input, func() (registry.Result, error) {
+		reply, err := client.Submit(ctx, request)
+		if err != nil {
+			return registry.Result{}, err
+		}
+		return reply.Result, nil
+	})
+}
+
+// submission returns a signed submission of the example bundle; its id is also
+// the bundle's name.
+func submission(id string, expected uint64) (*operatorapi.SubmitRequest, error) {
+	loaded, _, err := bundle.Load("../../examples/bundle.json")
+	if err != nil {
+		return nil, err
+	}
+	loaded.Name = id
+	content, err := bundle.Canonical(loaded)
+	if err != nil {
+		return nil, err
+	}
+	statement := bundle.Statement{Version: expected + 1, Digest: bundle.Digest(content)}
+	return &operatorapi.SubmitRequest{
+		SubmissionID: id, ExpectedVersion: expected, Content: content,
+		Signatures: []bundle.Signature{bundle.Sign(statement, "ana", operatorKey)},
+	}, nil
+}
+
+// restartLeader kills the VM that leads and starts it again.
+func (g *controlVMs) restartLeader() {
+	leader := slices.IndexFunc(g.processes, func(p *process.Process) bool { return p.Host().Control.Leads() })
+	if leader < 0 {
+		return
+	}
+	g.processes[leader].Kill()
+	g.start(leader, process.Listeners{})
+}
--- a/internal/process/host.go
+++ b/internal/process/host.go
@@ -37,6 +37,12 @@
 	Stop(ctx context.Context) error
 }
 
+// Killer is a Part that holds what the death of a process would free.
+type Killer interface {
+	// Kill frees it at once, without handing anything over.
+	Kill()
+}
+
 // Builder makes a part. It registers gRPC services and operators' routes on
 // host and may set the fields of host that say so. It returns nil when the
 // settings do not ask for the part.
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -179,6 +179,11 @@
 		_ = server.Close()
 	}
 	p.host.GRPC.Stop()
+	for _, part := range slices.Backward(p.parts) {
+		if killer, ok := part.(Killer); ok {
+			killer.Kill()
+		}
+	}
 	p.release()
 }
 
--- a/internal/replica/start.go
+++ b/internal/replica/start.go
@@ -153,6 +153,13 @@
 	}
 }
 
+// Abort ends the member without handing leadership over, as the death of its
+// VM would, and returns when its files are closed.
+func (r *Replica) Abort() {
+	r.stop()
+	<-r.done
+}
+
 // Done is closed when the member has ended, by Stop or by a failure.
 func (r *Replica) Done() <-chan struct{} { return r.done }
 
