path: bound the reading of bodies in one place; test what dispatch sends

Cause: with the mark of a sent attempt switched off in dispatch no test failed; the read bound stood twice, and its removal after the body is done by net/http itself (switching it off changed nothing). Change: the bound is set by the callers' side only; a test of the mark, the headers and the body of an attempt.

--- a/internal/filter/classify/classify.go
+++ b/internal/filter/classify/classify.go
@@ -7,7 +7,6 @@
 	"errors"
 	"io"
 	"mime"
-	"net/http"
 	"os"
 	"time"
 
@@ -21,14 +20,13 @@
 
 // Filter fills Call.Body, Call.Model or Call.Service, and Call.Deadline.
 type Filter struct {
-	pool        *bodybuf.Pool
-	bodyTimeout time.Duration
+	pool *bodybuf.Pool
 }
 
-// New returns the filter. Bodies are read into buffers of pool, each within
-// bodyTimeout.
-func New(pool *bodybuf.Pool, bodyTimeout time.Duration) *Filter {
-	return &Filter{pool: pool, bodyTimeout: bodyTimeout}
+// New returns the filter. Bodies are read into buffers of pool; the callers'
+// side has bounded the time.
+func New(pool *bodybuf.Pool) *Filter {
+	return &Filter{pool: pool}
 }
 
 // Name implements filter.Filter.
@@ -76,13 +74,10 @@
 }
 
 func (f *Filter) readBody(call *filter.Call) error {
-	controller := http.NewResponseController(call.Writer)
-	_ = controller.SetReadDeadline(time.Now().Add(f.bodyTimeout)) // not supported by test writers
 	body, err := f.pool.Read(call.HTTP.Body, call.HTTP.ContentLength, int64(call.Bundle.Bundle.Limits.MaxBody))
 	if err != nil {
 		return bodyError(call, err)
 	}
-	_ = controller.SetReadDeadline(time.Time{})
 	call.Body = body
 	return nil
 }
--- /dev/null
+++ b/internal/filter/dispatch/dispatch_test.go
@@ -0,0 +1,95 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwityoke.example/godwityoke/internal/backendapi"
+	"godwityoke.example/godwityoke/internal/bodybuf"
+	"godwityoke.example/godwityoke/internal/bundle"
+	"godwityoke.example/godwityoke/internal/filter"
+	"godwityoke.example/godwityoke/internal/place"
+	"godwityoke.example/godwityoke/internal/request"
+)
+
+// placed is a placement on one engine.
+type placed struct{}
+
+// Server implements place.Placement.
+func (placed) Server() place.Server { return place.Server{ID: "e1", Address: "10.0.1.1:80"} }
+
+// FirstToken implements place.Placement.
+func (placed) FirstToken(time.Time) {}
+
+// Finish implements place.Placement.
+func (placed) Finish(place.AttemptResult) {}
+
+// backend answers at once over a connection that the trace is told of.
+type backend struct {
+	received http.Header
+	body     string
+}
+
+// RoundTrip implements http.RoundTripper.
+func (b *backend) RoundTrip(r *http.Request) (*http.Response, error) {
+	httptrace.ContextClientTrace(r.Context()).GotConn(httptrace.GotConnInfo{})
+	read, err := io.ReadAll(r.Body)
+	b.received, b.body = r.Header, string(read)
+	_ = r.Body.Close()
+	return &http.Response{StatusCode: http.StatusOK, Body: http.NoBody}, err
+}
+
+// Alive implements Liveness.
+func (b *backend) Alive(string, uint64, time.Time) bool { return true }
+
+// Begin implements Reclaimer.
+func (b *backend) Begin(place.Server, string) {}
+
+// End implements Reclaimer.
+func (b *backend) End(place.Server, string, bool) {}
+
+// TestAttemptIsMarkedAndDescribed sends the second attempt of a stream.
+func TestAttemptIsMarkedAndDescribed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const body = `{"model":"scribe:eulogy","prompt":"hi"}`
+		pool := bodybuf.NewPool(1 << 20)
+		buffer, err := pool.Read(strings.NewReader(body), int64(len(body)), 1000)
+		require.NoError(t, err)
+		outgoing, err := http.NewRequest(http.MethodPost, "/v1/completions", nil)
+		require.NoError(t, err)
+		outgoing.Header.Set("Authorization", "Bearer secret")
+		call := &filter.Call{
+			ID: "request", Kind: request.KindCompletion, HTTP: outgoing, Body: buffer, Verified: 7,
+			Deadline: time.Now().Add(2 * time.Second), Team: &bundle.Team{Priority: 8},
+			Model:   filter.Model{Class: &bundle.Class{}, Adapter: "eulogy", PromptTokens: 3, AnswerTokens: 20},
+			Attempt: &filter.Attempt{ID: "attempt", Placement: placed{}},
+		}
+		engine := &backend{}
+		f := New(Config{Reused: engine, Fresh: engine, Liveness: engine, Reclaimer: engine})
+		sent := false
+		err = f.Process(t.Context(), call, func(context.Context, *filter.Call) error {
+			sent = call.Attempt.Sent
+			return nil
+		})
+		require.NoError(t, err)
+		require.True(t, sent)
+		require.Equal(t, body, engine.body)
+		for name, expected := range map[string]string{
+			backendapi.HeaderAttempt: "attempt", backendapi.HeaderPriority: "8", backendapi.HeaderBudget: "2000",
+			backendapi.HeaderPromptTokens: "3", backendapi.HeaderMemoryTokens: "23", backendapi.HeaderResumeFrom: "7",
+			backendapi.HeaderAdapter: "eulogy", "Authorization": "",
+		} {
+			require.Equal(t, expected, engine.received.Get(name), name)
+		}
+		buffer.Release()
+		require.Zero(t, pool.Used())
+	})
+}
--- a/internal/pipeline/order.go
+++ b/internal/pipeline/order.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"time"
 
 	"github.com/rs/zerolog"
 
@@ -26,7 +25,6 @@
 type Parts struct {
 	Limiter     limit.Limiter
 	Bodies      *bodybuf.Pool
-	BodyTimeout time.Duration
 	MaxInFlight int
 	// Claims may be nil on a system without control VMs.
 	Claims      ledger.Claims
@@ -48,7 +46,7 @@
 	return New(
 		identify.New(),
 		limit.New(parts.Limiter),
-		classify.New(parts.Bodies, parts.BodyTimeout),
+		classify.New(parts.Bodies),
 		admit.New(parts.MaxInFlight),
 		claim.New(parts.Claims, replier),
 		filterplace.New(filterplace.Config{
--- a/internal/pipeline/system_test.go
+++ b/internal/pipeline/system_test.go
@@ -100,7 +100,7 @@
 	go s.reclaimer.Run(ctx)
 	s.bodies = bodybuf.NewPool(64 << 20)
 	path := pipeline.NewRequestPath(pipeline.Parts{
-		Limiter: limit.NewBuckets(), Bodies: s.bodies, BodyTimeout: bodyLimit, MaxInFlight: 100, Claims: s.claims,
+		Limiter: limit.NewBuckets(), Bodies: s.bodies, MaxInFlight: 100, Claims: s.claims,
 		Engines: filterplace.NewEnginePlacer(s.table), Services: filterplace.NewServicePlacer(s.table),
 		Identifiers: identifiers, Reused: s.transport(false), Fresh: fresh, Liveness: s.table,
 		Reclaimer: s.reclaimer, Metrics: s.metrics, Logger: zerolog.Nop(),
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -63,7 +63,6 @@
 	path := pipeline.NewRequestPath(pipeline.Parts{
 		Limiter:     host.Limiter,
 		Bodies:      e.bodies,
-		BodyTimeout: config.BodyTimeout.Std(),
 		MaxInFlight: config.MaxInFlight,
 		Claims:      host.Claims,
 		Engines:     host.Engines,
