--- a/scripts/experiment.sh
+++ b/scripts/experiment.sh
@@ -15,12 +15,15 @@
 BINARY=$FOLDER/godwityoke
 RECORDS=$FOLDER/records
 mkdir -p "$RECORDS"
+SERVICE_TIME=${SERVICE_TIME:-1s} # so that each kill hits calls in progress
 source scripts/lib.sh
 
 go build -o "$BINARY" ./cmd/godwityoke
 generate
 trap stop_all EXIT
 start_all
+sleep 0.5
+all_alive
 accept_bundle
 wait_ready
 sleep 1 # the stand-ins' first heartbeats
