path: a group of engines that lacks its last one may have run

Cause: when the last engine of a group could not be reached, or refused, the caller was told not_run although the others had computed their segments. Change: the mark of a sent attempt holds from the first segment on, and a refusal of the last engine does not speak for the group. Conclusion: TestGroupWithoutItsLastEngineHasRun failed before and passes.

--- a/internal/filter/dispatch/dispatch.go
+++ b/internal/filter/dispatch/dispatch.go
@@ -100,6 +100,7 @@
 	}
 	response, err := f.transport(call).RoundTrip(outgoing)
 	step, sent := tracker.state()
+	sent = sent || call.Attempt.Sent // the other engines of a group
 	call.Attempt.Sent = sent
 	if err != nil {
 		return &request.AttemptError{Step: step, Sent: sent, Cause: cause(ctx, err)}
@@ -107,7 +108,7 @@
 	defer response.Body.Close()
 	call.Attempt.Response = response
 	if err := next(ctx, call); err != nil {
-		return withCause(ctx, err)
+		return withCause(ctx, call, err)
 	}
 	drain(response.Body)
 	return nil
@@ -128,10 +129,13 @@
 	return err
 }
 
-func withCause(ctx context.Context, err error) error {
+func withCause(ctx context.Context, call *filter.Call, err error) error {
 	var failure *request.AttemptError
 	if errors.As(err, &failure) {
 		failure.Cause = cause(ctx, failure.Cause)
+		if _, grouped := call.Attempt.Placement.(place.Grouped); grouped {
+			failure.Refused = false // speaks for the last engine of a group only
+		}
 	}
 	return err
 }
--- a/internal/filter/dispatch/group.go
+++ b/internal/filter/dispatch/group.go
@@ -33,6 +33,7 @@
 	}
 	segments := grouped.Segments()
 	others := segments[:len(segments)-1]
+	call.Attempt.Sent = len(others) > 0
 	for _, segment := range others {
 		f.Reclaimer.Begin(segment.Server, segment.Attempt)
 	}
--- a/internal/filter/dispatch/group_test.go
+++ b/internal/filter/dispatch/group_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -164,3 +165,26 @@
 		})
 	}
 }
+
+// lastUnreachable fails to connect for the last segment.
+type lastUnreachable struct{ http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (l lastUnreachable) RoundTrip(r *http.Request) (*http.Response, error) {
+	if r.Header.Get(backendapi.HeaderAttempt) == "attempt" {
+		return nil, syscall.ECONNREFUSED
+	}
+	return l.RoundTripper.RoundTrip(r)
+}
+
+// TestGroupWithoutItsLastEngineHasRun: no byte reached the last engine, but the
+// others computed their parts of the prompt.
+func TestGroupWithoutItsLastEngineHasRun(t *testing.T) {
+	g := newGroupCase(t)
+	g.filter.Reused = lastUnreachable{http.DefaultTransport}
+	_, err := g.run()
+	var failure *request.AttemptError
+	require.ErrorAs(t, err, &failure)
+	require.True(t, failure.MayHaveRun())
+	g.checkEnded(t)
+}
