--- a/internal/pipeline/backend_test.go
+++ b/internal/pipeline/backend_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -336,6 +338,11 @@
 		echoed = "another-attempt"
 	}
 	w.Header().Set(backendapi.HeaderAttempt, echoed)
+	digest := sha256.Sum256(body)
+	w.Header().Set(backendapi.HeaderBodyDigest, hex.EncodeToString(digest[:]))
+	if b.at(atVerify) == faultTwice {
+		body = append(body, body...)
+	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	half := len(body) / 2
 	_, _ = w.Write(body[:half])
--- a/internal/pipeline/callers_test.go
+++ b/internal/pipeline/callers_test.go
@@ -127,13 +127,7 @@
 
 // TestTwoFaultsAtOnce gives two of three engines different faults.
 func TestTwoFaultsAtOnce(t *testing.T) {
-	pairs := [][2]cell{
-		{{faultDies, atStream}, {faultRefuses, atWait}},
-		{{faultHangs, atStream}, {faultCrossed, atVerify}},
-		{{faultSilent, atWait}, {faultDies, atWait}},
-		{{faultTwice, atStream}, {faultCut, atVerify}},
-	}
-	for _, pair := range pairs {
+	for _, pair := range pairCells() {
 		t.Run(pair[0].name()+"+"+pair[1].name(), func(t *testing.T) {
 			inBubble(t, 3, func(s *system) {
 				for i, c := range pair {
@@ -212,7 +206,7 @@
 // TestPlannedStopAtEachStep stops the callers' side while a request is at a
 // step that takes long.
 func TestPlannedStopAtEachStep(t *testing.T) {
-	for _, c := range []cell{{faultLate, atDial}, {faultLate, atWait}, {faultLate, atStream}, {faultDies, atStream}} {
+	for _, c := range stopCells() {
 		t.Run(c.name(), func(t *testing.T) {
 			inBubble(t, 2, func(s *system) {
 				s.breakWith(c.fault, c.at, 1)
--- a/internal/pipeline/faults_test.go
+++ b/internal/pipeline/faults_test.go
@@ -24,28 +24,10 @@
 
 var answer = strings.Join(words, "")
 
-// cell is one place of the fault matrix.
-type cell struct {
-	fault fault
-	at    at
-}
-
-func (c cell) name() string { return string(c.fault) + "/" + string(c.at) }
-
 // TestFaultsOfEngines puts each fault at each step of a stream, on one of two
 // engines. Whichever engine serves first, the caller gets the whole answer.
 func TestFaultsOfEngines(t *testing.T) {
-	cells := []cell{
-		{faultDies, atDial}, {faultHangs, atDial}, {faultSilent, atDial}, {faultLate, atDial}, {faultRefuses, atDial},
-		{faultDies, atSend}, {faultHangs, atSend}, {faultSilent, atSend}, {faultCut, atSend},
-		{faultDies, atWait}, {faultHangs, atWait}, {faultSilent, atWait}, {faultLate, atWait},
-		{faultCrossed, atWait}, {faultCut, atWait}, {faultRefuses, atWait},
-		{faultDies, atStream}, {faultHangs, atStream}, {faultSilent, atStream}, {faultLate, atStream},
-		{faultCrossed, atStream}, {faultCut, atStream}, {faultTwice, atStream},
-		{faultLoses, atStream}, {faultLoses, atVerify},
-		{faultCrossed, atVerify}, {faultCut, atVerify}, {faultTwice, atVerify},
-	}
-	for _, c := range cells {
+	for _, c := range engineCells() {
 		t.Run(c.name(), func(t *testing.T) {
 			inBubble(t, 2, func(s *system) {
 				s.breakWith(c.fault, c.at, 1)
@@ -79,23 +61,7 @@
 // TestFaultsOfAllEngines lets both engines fail: the request must end in time
 // with an honest outcome, and no unverified token may reach the caller.
 func TestFaultsOfAllEngines(t *testing.T) {
-	cells := []struct {
-		cell
-		outcome request.Outcome
-	}{
-		{cell{faultRefuses, atDial}, request.NotRun},
-		{cell{faultHangs, atDial}, request.NotRun},
-		{cell{faultDies, atSend}, request.Failed},
-		{cell{faultHangs, atSend}, request.Failed},
-		{cell{faultRefuses, atWait}, request.NotRun},
-		{cell{faultCrossed, atWait}, request.Failed},
-		{cell{faultHangs, atWait}, request.Failed},
-		{cell{faultSilent, atWait}, request.Failed},
-		{cell{faultCut, atVerify}, request.Failed},
-		{cell{faultCrossed, atVerify}, request.Failed},
-		{cell{faultLoses, atVerify}, request.Failed},
-	}
-	for _, c := range cells {
+	for _, c := range allEnginesCells() {
 		t.Run(c.name(), func(t *testing.T) {
 			inBubble(t, 2, func(s *system) {
 				s.breakWith(c.fault, c.at, 2)
@@ -157,29 +123,8 @@
 // TestFaultsOfServices puts each fault at each step of a booking that must run
 // at most once, and of a check that may be repeated.
 func TestFaultsOfServices(t *testing.T) {
-	cells := []struct {
-		cell
-		book request.Outcome
-	}{
-		{cell{faultRefuses, atDial}, request.Completed},
-		{cell{faultHangs, atDial}, request.Completed},
-		{cell{faultLate, atDial}, request.Completed},
-		{cell{faultDies, atSend}, request.Unknown},
-		{cell{faultHangs, atSend}, request.Unknown},
-		{cell{faultCut, atSend}, request.Unknown},
-		{cell{faultDies, atWait}, request.Unknown},
-		{cell{faultHangs, atWait}, request.Unknown},
-		{cell{faultSilent, atWait}, request.Unknown},
-		{cell{faultLate, atWait}, request.Completed},
-		{cell{faultCrossed, atWait}, request.Unknown},
-		{cell{faultCut, atWait}, request.Unknown},
-		{cell{faultRefuses, atWait}, request.Completed},
-		{cell{faultDies, atStream}, request.Unknown},
-		{cell{faultHangs, atStream}, request.Unknown},
-		{cell{faultCut, atVerify}, request.Unknown},
-	}
-	for _, c := range cells {
-		t.Run("book/"+c.name(), func(t *testing.T) { requireBookedOnce(t, c.cell, c.book) })
+	for _, c := range serviceCells() {
+		t.Run("book/"+c.name(), func(t *testing.T) { requireBookedOnce(t, c.cell, c.outcome) })
 		t.Run("check/"+c.name(), func(t *testing.T) {
 			inBubble(t, 2, func(s *system) {
 				s.breakWith(c.fault, c.at, 1)
