process: lines of the HTTP library become numbered events

Cause: a panic of a handler went to the standard log, past the events. Change: event 3010 carries what the HTTP library reports. Conclusion: TestPanicsAreNumberedEvents passes.

--- a/internal/observe/events_path.go
+++ b/internal/observe/events_path.go
@@ -14,6 +14,12 @@
 		"The answer of a claimed call was delivered but could not be recorded; a resend of the key reads unknown. Look at the control VMs.")
 )
 
+// Events 3010-3019: HTTP servers.
+var (
+	HTTPServerError = newEvent(3010, "http_server_error", zerolog.WarnLevel,
+		"The HTTP library reports a fault of a connection or of a handler. With the text panic it is a defect: report it with the line.")
+)
+
 // Events 3100-3199: backend servers as this VM knows them.
 var (
 	ServerJoined = newEvent(3100, "server_joined", zerolog.InfoLevel,
--- a/internal/process/debug.go
+++ b/internal/process/debug.go
@@ -4,12 +4,26 @@
 	"encoding/json"
 	"net/http"
 	"net/http/pprof"
+	"strings"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"godwityoke.example/godwityoke/internal/observe"
 	"godwityoke.example/godwityoke/internal/place"
 )
 
+// libraryLog turns the lines of the HTTP library into numbered events.
+type libraryLog struct {
+	logger zerolog.Logger
+}
+
+// Write implements io.Writer.
+func (l libraryLog) Write(line []byte) (int, error) {
+	observe.Log(l.logger, observe.HTTPServerError).Str("text", strings.TrimSpace(string(line))).Send()
+	return len(line), nil
+}
+
 // addDebugRoutes adds what only operators may see to their listener.
 func (p *Process) addDebugRoutes() {
 	routes := p.host.Operators
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log"
 	"net"
 	"net/http"
 	"slices"
@@ -144,6 +145,7 @@
 		ReadHeaderTimeout: p.host.Settings.Entry.HeaderTimeout.Std(),
 		MaxHeaderBytes:    maxHeaderBytes,
 		IdleTimeout:       idleTimeout,
+		ErrorLog:          log.New(libraryLog{p.host.Logger}, "", 0),
 	}
 	p.servers = append(p.servers, server)
 	p.serving.Go(func() { _ = server.Serve(listener) }) // ends with the server
--- a/internal/process/process_test.go
+++ b/internal/process/process_test.go
@@ -194,6 +194,18 @@
 	close(signals)
 }
 
+// TestPanicsAreNumberedEvents lets a handler of the operators' side fail.
+func TestPanicsAreNumberedEvents(t *testing.T) {
+	log := &lockedBuffer{}
+	p, err := process.Start(t.Context(), process.Options{Settings: entrySettings(t), Logger: zerolog.New(log)})
+	require.NoError(t, err)
+	defer p.Kill()
+	p.Host().Operators.HandleFunc("/fails", func(http.ResponseWriter, *http.Request) { panic("on purpose") })
+	_, err = http.Get("http://" + p.Addresses().Operators + "/fails")
+	require.Error(t, err)
+	require.Eventually(t, func() bool { return strings.Contains(log.String(), `"event":3010`) }, 5*time.Second, time.Millisecond)
+}
+
 // lockedBuffer gathers log lines; cut requests may log after the stop.
 type lockedBuffer struct {
 	mu   sync.Mutex
