Count the prefill of a segment while it is computed

The segments of a group were granted ahead of their use and counted no prefill, so short prompts were placed on engines that computed one. Now the holder tells its scheduler when a segment's prefill begins and ends.

--- a/internal/capacity/core.go
+++ b/internal/capacity/core.go
@@ -148,13 +148,26 @@
 	}
 	held.state = leaseActive
 	held.expires = now.Add(c.config.Term)
+	c.setPrefill(held, request.PrefillTokens, prefilling)
 	if !prefilling {
-		c.endPrefill(held)
 		c.schedule(now)
 	}
 	return true
 }
 
+// setPrefill follows the prefill of a lease. A segment of a group begins its
+// prefill long after it was granted.
+func (c *Core) setPrefill(held *lease, tokens int64, prefilling bool) {
+	if prefilling && held.prefilling && held.request.PrefillTokens == tokens {
+		return
+	}
+	c.endPrefill(held)
+	if prefilling {
+		held.request.PrefillTokens = tokens
+		c.beginPrefill(held)
+	}
+}
+
 func (c *Core) adopt(request Request, prefilling bool, now time.Time) bool {
 	if _, found := c.foreign[request.Attempt]; !found {
 		return false
@@ -198,19 +211,23 @@
 
 // insert adds a lease.
 func (c *Core) insert(request Request, prefilling bool, now time.Time) {
-	added := &lease{request: request, state: leaseActive, prefilling: prefilling, granted: now, expires: now.Add(c.config.Term)}
+	added := &lease{request: request, state: leaseActive, granted: now, expires: now.Add(c.config.Term)}
 	c.leases[request.Attempt] = added
 	if request.Short {
 		c.short += request.Tokens
 	} else {
 		c.long += request.Tokens
 	}
-	if !prefilling {
-		return
+	if prefilling {
+		c.beginPrefill(added)
 	}
-	c.prefill += request.PrefillTokens
-	if !request.Short {
-		c.longPrefill += request.PrefillTokens
+}
+
+func (c *Core) beginPrefill(held *lease) {
+	held.prefilling = true
+	c.prefill += held.request.PrefillTokens
+	if !held.request.Short {
+		c.longPrefill += held.request.PrefillTokens
 	}
 }
 
--- a/internal/capacity/holder.go
+++ b/internal/capacity/holder.go
@@ -198,6 +198,17 @@
 	}
 }
 
+// BeginPrefill tells the scheduler that the engine begins to process tokens of
+// the prompt, for a lease that was granted ahead of its use.
+func (l *Lease) BeginPrefill(tokens int64) {
+	h := l.holder
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	l.request.PrefillTokens = tokens
+	l.prefilling = true
+	h.tell(h.schedulerOf(l), func(o *outbox) { o.dirty = append(o.dirty, l) })
+}
+
 // Release gives the lease back. With held, the engine has not confirmed that
 // it freed the memory. It is called once.
 func (l *Lease) Release(held bool) {
--- a/internal/filter/dispatch/group.go
+++ b/internal/filter/dispatch/group.go
@@ -46,10 +46,11 @@
 	stop := f.watchGroup(ctx, cancel, segments)
 	defer stop()
 	for _, step := range place.GroupSteps(len(segments)) {
-		if err := f.runStep(ctx, call, segments, step); err != nil {
+		if err := f.runStep(ctx, call, grouped, step); err != nil {
 			return end, &request.AttemptError{Step: request.StepWait, Sent: true, Cause: cause(ctx, err)}
 		}
 	}
+	grouped.BeginPrefill(len(others))
 	return end, nil
 }
 
@@ -76,10 +77,13 @@
 	return stop
 }
 
-func (f *Filter) runStep(ctx context.Context, call *filter.Call, segments []place.GroupSegment, step place.GroupStep) error {
+func (f *Filter) runStep(ctx context.Context, call *filter.Call, grouped place.Grouped, step place.GroupStep) error {
+	segments := grouped.Segments()
 	segment := segments[step.Segment]
 	switch step.Kind {
 	case place.GroupPrefill:
+		grouped.BeginPrefill(step.Segment)
+		defer grouped.EndPrefill(step.Segment)
 		return f.prefill(ctx, call, segment, imports(segment, step.Segment))
 	case place.GroupTransfer:
 		return f.transfer(ctx, segments[step.Source], segment, step.Source)
--- a/internal/filter/dispatch/group_test.go
+++ b/internal/filter/dispatch/group_test.go
@@ -37,6 +37,8 @@
 func (g *fixedGroup) Server() place.Server           { return g.segments[len(g.segments)-1].Server }
 func (g *fixedGroup) FirstToken(time.Time)           {}
 func (g *fixedGroup) Finish(place.AttemptResult)     {}
+func (g *fixedGroup) BeginPrefill(int)               {}
+func (g *fixedGroup) EndPrefill(int)                 {}
 func (g *fixedGroup) Segments() []place.GroupSegment { return g.segments }
 
 // ended records the attempts that were ended, and cancels them.
--- a/internal/place/group.go
+++ b/internal/place/group.go
@@ -17,6 +17,10 @@
 	Placement
 	// Segments returns the parts of the prompt in order.
 	Segments() []GroupSegment
+	// BeginPrefill and EndPrefill tell that the engine of a segment computes
+	// it. The prefill of the last one ends with FirstToken.
+	BeginPrefill(segment int)
+	EndPrefill(segment int)
 }
 
 // GroupSegment is the part of a prompt that one engine prefills and holds.
@@ -85,6 +89,23 @@
 // Segments implements Grouped.
 func (g *groupPlacement) Segments() []GroupSegment { return g.segments }
 
+// BeginPrefill implements Grouped.
+func (g *groupPlacement) BeginPrefill(segment int) {
+	tokens := g.segments[segment].End - g.segments[segment].Start
+	if segment < len(g.others) {
+		g.others[segment].BeginPrefill(tokens)
+		return
+	}
+	g.lease.BeginPrefill(tokens)
+}
+
+// EndPrefill implements Grouped.
+func (g *groupPlacement) EndPrefill(segment int) {
+	if segment < len(g.others) {
+		g.others[segment].FirstToken()
+	}
+}
+
 // Finish implements Placement. The engines keep the segments until they are
 // cancelled, so the memory of all but the last counts until that is confirmed.
 func (g *groupPlacement) Finish(result AttemptResult) {
