--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
-.PHONY: check format lint test spec generate capacity
+.PHONY: check format lint test faults spec generate capacity
 
-check: format lint test spec
+check: format lint test faults spec
 
 format:
 	@unformatted=$$(gofmt -l $$(git ls-files '*.go')); \
@@ -14,6 +14,10 @@
 test:
 	go test ./...
 
+# Compares docs/FAULTS.md with the cells that run.
+faults:
+	bash scripts/faults.sh --check
+
 spec:
 	@for script in spec/*/check.sh; do if [ -e "$$script" ]; then bash "$$script" || exit 1; fi; done
 
