--- a/internal/capacity/core.go
+++ b/internal/capacity/core.go
@@ -148,13 +148,26 @@
 	}
 	held.state = leaseActive
 	held.expires = now.Add(c.config.Term)
+	c.setPrefill(held, request.PrefillTokens, prefilling)
 	if !prefilling {
-		c.endPrefill(held)
 		c.schedule(now)
 	}
 	return true
 }
 
+// setPrefill follows the prefill of a lease. A segment of a group begins its
+// prefill long after it was granted.
+func (c *Core) setPrefill(held *lease, tokens int64, prefilling bool) {
+	if prefilling && held.prefilling && held.request.PrefillTokens == tokens {
+		return
+	}
+	c.endPrefill(held)
+	if prefilling {
+		held.request.PrefillTokens = tokens
+		c.beginPrefill(held)
+	}
+}
+
 func (c *Core) adopt(request Request, prefilling bool, now time.Time) bool {
 	if _, found := c.foreign[request.Attempt]; !found {
 		return false
@@ -185,6 +198,9 @@
 	switch {
 	case !found:
 		c.freed[attempt] = now
+		if !held {
+			c.dropForeign(attempt)
+		}
 	case held && granted.state != leaseOrphan:
 		c.orphan(granted, now)
 	case !held:
@@ -195,19 +211,23 @@
 
 // insert adds a lease.
 func (c *Core) insert(request Request, prefilling bool, now time.Time) {
-	added := &lease{request: request, state: leaseActive, prefilling: prefilling, granted: now, expires: now.Add(c.config.Term)}
+	added := &lease{request: request, state: leaseActive, granted: now, expires: now.Add(c.config.Term)}
 	c.leases[request.Attempt] = added
 	if request.Short {
 		c.short += request.Tokens
 	} else {
 		c.long += request.Tokens
 	}
-	if !prefilling {
-		return
+	if prefilling {
+		c.beginPrefill(added)
 	}
-	c.prefill += request.PrefillTokens
-	if !request.Short {
-		c.longPrefill += request.PrefillTokens
+}
+
+func (c *Core) beginPrefill(held *lease) {
+	held.prefilling = true
+	c.prefill += held.request.PrefillTokens
+	if !held.request.Short {
+		c.longPrefill += held.request.PrefillTokens
 	}
 }
 
@@ -261,15 +281,30 @@
 	c.hold += (held - c.hold) / holdWeight
 }
 
-// Wait estimates how long request would wait for its first token: for memory,
-// for the prefill ahead and for its own.
-func (c *Core) Wait(request Request, tokenTime time.Duration) time.Duration {
-	wait := time.Duration(c.prefill+request.PrefillTokens) * tokenTime
-	if c.queue.len() == 0 && c.admits(request, nil) {
-		return wait
+// leaseTokens is what a lease past its prefill adds to the wait of others, in
+// prompt tokens: it shares the engine's steps. It also spreads requests over
+// engines that are alike.
+const leaseTokens = 16
+
+// Wait estimates how long request would wait for the prefill ahead and for its
+// own, and whether it would be granted at once.
+func (c *Core) Wait(request Request, tokenTime time.Duration) (wait time.Duration, atOnce bool) {
+	work := c.prefill + request.PrefillTokens + leaseTokens*int64(len(c.leases))
+	wait = time.Duration(work) * tokenTime
+	if c.admitsFirst(request) {
+		return wait, true
 	}
 	for _, ahead := range c.queue.requests {
 		wait += time.Duration(ahead.PrefillTokens) * tokenTime
 	}
-	return wait + c.hold/time.Duration(max(len(c.leases), 1))*time.Duration(c.queue.len()+1)
+	return wait + c.hold/time.Duration(max(len(c.leases), 1))*time.Duration(c.queue.len()+1), false
+}
+
+// admitsFirst reports whether request would be granted at once: those that
+// wait and go before it leave room.
+func (c *Core) admitsFirst(request Request) bool {
+	if c.queue.len() > 0 && !goesBefore(request, c.queue.requests[0]) {
+		return false
+	}
+	return c.admits(request, nil)
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -18,7 +18,7 @@
 
 const (
 	// proposeTimeout bounds the wait for a command to be committed.
-	proposeTimeout = 4 * time.Second
+	proposeTimeout = 2 * time.Second
 	// leaderCheckInterval is how often a change of leader is looked for.
 	leaderCheckInterval = 100 * time.Millisecond
 	// leaderMemory is how long a control VM that hears of no leader keeps its
@@ -65,6 +65,9 @@
 // the last seconds. Watchers stay with this VM while it is true.
 func (c *Control) KnowsLeader() bool { return c.leader.known(time.Now()) }
 
+// Leads reports whether this VM holds the leader lease.
+func (c *Control) Leads() bool { return c.options.Group.Leadership().IsLeader }
+
 // Run feeds accepted bundles to the distribution, reports to the leader, and
 // does the leader's work while this VM leads. It returns when ctx ends.
 func (c *Control) Run(ctx context.Context) {
@@ -81,6 +84,7 @@
 	for {
 		changed := c.options.Registry.Changed()
 		c.feedNewest()
+		c.feedControlVMs()
 		select {
 		case <-changed:
 		case <-ctx.Done():
@@ -89,6 +93,15 @@
 	}
 }
 
+func (c *Control) feedControlVMs() {
+	revision := c.options.Registry.ControlVMsRevision()
+	var peers []distribute.Peer
+	for _, vm := range c.options.Registry.ControlVMs() {
+		peers = append(peers, distribute.Peer{Name: vm.Name, Zone: vm.Zone, Address: vm.Internal, Control: true})
+	}
+	c.options.Node.SetControlVMs(revision, peers)
+}
+
 func (c *Control) feedNewest() {
 	newest := c.options.Registry.Newest()
 	store := c.options.Node.Store()
@@ -212,15 +225,12 @@
 	if c.options.Registry.Epoch().Number > 0 {
 		return nil
 	}
-	names := make([]string, 0, len(c.options.Founders))
 	for _, vm := range c.options.Founders {
-		names = append(names, vm.Name)
 		if _, err := c.propose(ctx, putCommand(vm)); err != nil {
 			return err
 		}
 	}
-	_, err := c.propose(ctx, epochCommand(0, names))
-	return err
+	return c.recordEpoch(ctx)
 }
 
 func putCommand(vm registry.ControlVM) *registrypb.Command {
@@ -232,7 +242,10 @@
 	return &registrypb.Command{Kind: &registrypb.Command_RemoveControlVm{RemoveControlVm: &registrypb.RemoveControlVM{Name: name}}}
 }
 
-func epochCommand(expected uint64, names []string) *registrypb.Command {
-	message := &registrypb.SetEpoch{ExpectedNumber: expected, ControlVms: names}
+func epochCommand(expected uint64, holders []registry.EpochHolder) *registrypb.Command {
+	message := &registrypb.SetEpoch{ExpectedNumber: expected}
+	for _, holder := range holders {
+		message.Holders = append(message.Holders, &registrypb.EpochHolder{MemberId: holder.MemberID, Address: holder.Address})
+	}
 	return &registrypb.Command{Kind: &registrypb.Command_SetEpoch{SetEpoch: message}}
 }
--- a/internal/distribute/reports.go
+++ b/internal/distribute/reports.go
@@ -47,8 +47,9 @@
 // Reports holds the newest report of each VM that reports to this one,
 // directly or through others. It is safe for concurrent use.
 type Reports struct {
-	mu   sync.Mutex
-	byVM map[string]*heldReport
+	mu      sync.Mutex
+	byVM    map[string]*heldReport
+	changed chan struct{}
 }
 
 type heldReport struct {
@@ -58,7 +59,14 @@
 
 // NewReports returns an empty set of reports.
 func NewReports() *Reports {
-	return &Reports{byVM: map[string]*heldReport{}}
+	return &Reports{byVM: map[string]*heldReport{}, changed: make(chan struct{})}
+}
+
+// Changed returns a channel that is closed at the next changed report.
+func (r *Reports) Changed() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changed
 }
 
 // Merge takes received reports, and returns the VMs whose report has changed
@@ -97,6 +105,8 @@
 		return true
 	}
 	r.byVM[report.GetVm()] = &heldReport{message: report, confirmedAt: confirmedAt}
+	close(r.changed)
+	r.changed = make(chan struct{})
 	return true
 }
 
--- a/internal/filter/dispatch/dispatch.go
+++ b/internal/filter/dispatch/dispatch.go
@@ -66,6 +66,11 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	call.Attempt.Alive = func() {}
+	endGroup, err := f.prepareGroup(ctx, call)
+	defer endGroup()
+	if err != nil {
+		return err
+	}
 	if call.Idempotent() {
 		stop := f.watch(ctx, cancel, call)
 		defer stop()
@@ -75,7 +80,7 @@
 	}
 	server := call.Attempt.Placement.Server()
 	f.Reclaimer.Begin(server, call.Attempt.ID)
-	err := f.send(ctx, call, next)
+	err = f.send(ctx, call, next)
 	f.Reclaimer.End(server, call.Attempt.ID, err == nil || neverHeld(err))
 	return err
 }
@@ -94,14 +99,16 @@
 		return &request.AttemptError{Step: request.StepResolve, Final: true, Cause: err}
 	}
 	response, err := f.transport(call).RoundTrip(outgoing)
+	step, sent := tracker.state()
+	sent = sent || call.Attempt.Sent // the other engines of a group
+	call.Attempt.Sent = sent
 	if err != nil {
-		step, sent := tracker.state()
 		return &request.AttemptError{Step: step, Sent: sent, Cause: cause(ctx, err)}
 	}
 	defer response.Body.Close()
 	call.Attempt.Response = response
 	if err := next(ctx, call); err != nil {
-		return withCause(ctx, err)
+		return withCause(ctx, call, err)
 	}
 	drain(response.Body)
 	return nil
@@ -122,10 +129,13 @@
 	return err
 }
 
-func withCause(ctx context.Context, err error) error {
+func withCause(ctx context.Context, call *filter.Call, err error) error {
 	var failure *request.AttemptError
 	if errors.As(err, &failure) {
 		failure.Cause = cause(ctx, failure.Cause)
+		if _, grouped := call.Attempt.Placement.(place.Grouped); grouped {
+			failure.Refused = false // speaks for the last engine of a group only
+		}
 	}
 	return err
 }
@@ -174,10 +184,19 @@
 	return []string{"Accept", "Accept-Language", "Content-Type", request.IdempotencyKeyHeader}
 }
 
+// priority returns the priority for the back end. An engine puts short prompts
+// before all others.
+func priority(call *filter.Call) int {
+	if !call.Kind.ForEngine() {
+		return call.Team.Priority
+	}
+	return place.EnginePriority(call.Model.Class.Short, call.Team.Priority)
+}
+
 func setHeaders(header http.Header, call *filter.Call, now time.Time) {
 	header.Set(backendapi.HeaderAttempt, call.Attempt.ID)
 	header.Set(request.RequestIDHeader, call.ID)
-	header.Set(backendapi.HeaderPriority, fmt.Sprint(call.Team.Priority))
+	header.Set(backendapi.HeaderPriority, fmt.Sprint(priority(call)))
 	header.Set(backendapi.HeaderBudget, fmt.Sprint(max(call.Deadline.Sub(now).Milliseconds(), 1)))
 	if !call.Kind.ForEngine() {
 		for _, name := range forwarded() {
@@ -192,6 +211,11 @@
 	header.Set(backendapi.HeaderPromptTokens, fmt.Sprint(call.Model.PromptTokens))
 	header.Set(backendapi.HeaderMemoryTokens, fmt.Sprint(call.Model.PromptTokens+call.Model.AnswerTokens))
 	header.Set(backendapi.HeaderResumeFrom, fmt.Sprint(call.Verified))
+	if grouped, ok := call.Attempt.Placement.(place.Grouped); ok {
+		segments := grouped.Segments()
+		last := len(segments) - 1
+		setSegment(header, segments[last], imports(segments[last], last))
+	}
 	if call.Model.Adapter != "" {
 		header.Set(backendapi.HeaderAdapter, call.Model.Adapter)
 	}
--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -3,6 +3,7 @@
 package filter
 
 import (
+	"bytes"
 	"context"
 	"iter"
 	"net/http"
@@ -38,7 +39,8 @@
 
 	// Attempt is the attempt in progress. Place sets it.
 	Attempt *Attempt
-	// MayHaveRun is true when any attempt may have been run by a back end.
+	// MayHaveRun is true when an attempt that ended may have been run by a
+	// back end.
 	MayHaveRun bool
 	// Verified counts the verified tokens of the answer over all attempts.
 	Verified int64
@@ -55,8 +57,9 @@
 	PromptTokens int64
 	// AnswerTokens bounds the answer.
 	AnswerTokens int64
-	// Prompt is the raw prompt inside the body.
-	Prompt []byte
+	// Prefix is the beginning of the prompt's text as engines see it, long
+	// enough for backendapi.PrefixBlocks.
+	Prefix []byte
 }
 
 // Service is the part of a Call that goes to plain services.
@@ -76,6 +79,11 @@
 	Started   time.Time
 	// VerifiedBefore is Call.Verified at the start of the attempt.
 	VerifiedBefore int64
+	// Sent is true while the attempt is in progress and may have been run.
+	// Dispatch sets it; place turns it into Call.MayHaveRun at the end.
+	Sent bool
+	// Streaming is true once a token of this attempt was handed on.
+	Streaming bool
 	// Response is the answer as received. Dispatch sets it.
 	Response *http.Response
 	// Alive restarts the stall timer. Dispatch sets it, verify calls it at
@@ -106,6 +114,8 @@
 	Finished bool
 	// Text gathers the answer of a request that is not streamed.
 	Text []byte
+	// Event is the memory in which each event of a stream is formed.
+	Event bytes.Buffer
 	// LastToken is when the last token was handed on.
 	LastToken time.Time
 	// Outcome is set with the answer.
@@ -136,7 +146,8 @@
 
 // Outcome returns the outcome of the call if it ends now without an answer.
 func (c *Call) Outcome() request.Outcome {
-	if !c.MayHaveRun {
+	inProgress := c.Attempt != nil && c.Attempt.Sent
+	if !c.MayHaveRun && !inProgress {
 		return request.NotRun
 	}
 	return request.OutcomeOf(true, c.Idempotent())
--- a/internal/pipeline/backend_test.go
+++ b/internal/pipeline/backend_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -32,6 +34,8 @@
 	faultCut     fault = "cuts"
 	faultTwice   fault = "answers_twice"
 	faultRefuses fault = "refuses"
+	// faultLoses leaves a token out and counts it.
+	faultLoses fault = "loses_a_token"
 )
 
 // at is the step at which the fault shows.
@@ -270,6 +274,9 @@
 			if b.at(atStream) == faultCrossed {
 				echoed = "another-attempt"
 			}
+			if b.at(atStream) == faultLoses {
+				continue
+			}
 			if b.at(atStream) == faultTwice {
 				sendChunk(w, backendapi.Chunk{Attempt: id, Index: int64(i - 1), Text: words[i-1]})
 			}
@@ -277,6 +284,9 @@
 		if b.at(atWait) == faultCrossed {
 			echoed = "another-attempt"
 		}
+		if b.at(atVerify) == faultLoses && i == len(words)-1 {
+			break
+		}
 		if !sendChunk(w, backendapi.Chunk{Attempt: echoed, Index: int64(i), Text: words[i]}) {
 			return
 		}
@@ -328,6 +338,11 @@
 		echoed = "another-attempt"
 	}
 	w.Header().Set(backendapi.HeaderAttempt, echoed)
+	digest := sha256.Sum256(body)
+	w.Header().Set(backendapi.HeaderBodyDigest, hex.EncodeToString(digest[:]))
+	if b.at(atVerify) == faultTwice {
+		body = append(body, body...)
+	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	half := len(body) / 2
 	_, _ = w.Write(body[:half])
--- a/internal/process/host.go
+++ b/internal/process/host.go
@@ -12,11 +12,14 @@
 	"google.golang.org/grpc"
 
 	"godwityoke.example/godwityoke/internal/bundle"
+	"godwityoke.example/godwityoke/internal/control"
+	"godwityoke.example/godwityoke/internal/distribute"
 	"godwityoke.example/godwityoke/internal/filter/limit"
 	"godwityoke.example/godwityoke/internal/fleet"
 	"godwityoke.example/godwityoke/internal/ledger"
 	"godwityoke.example/godwityoke/internal/observe"
 	"godwityoke.example/godwityoke/internal/place"
+	"godwityoke.example/godwityoke/internal/registry"
 	"godwityoke.example/godwityoke/internal/settings"
 	"godwityoke.example/godwityoke/internal/transport"
 )
@@ -34,6 +37,12 @@
 	Stop(ctx context.Context) error
 }
 
+// Killer is a Part that holds what the death of a process would free.
+type Killer interface {
+	// Kill frees it at once, without handing anything over.
+	Kill()
+}
+
 // Builder makes a part. It registers gRPC services and operators' routes on
 // host and may set the fields of host that say so. It returns nil when the
 // settings do not ask for the part.
@@ -51,6 +60,8 @@
 	GRPC *grpc.Server
 	// Operators serves the operators' listener, when there is one.
 	Operators *http.ServeMux
+	// Certificates are the files for TLS between VMs, nil for plaintext.
+	Certificates *transport.Certificates
 	// Peers holds the connections to other VMs.
 	Peers *transport.Pool
 	// Addresses are the bound addresses.
@@ -58,6 +69,14 @@
 	// Fleet holds the backend servers of the zone; nil without the role entry.
 	Fleet *fleet.Table
 
+	// Distribution is set by BuildDistribution.
+	Distribution *distribute.Node
+	// Control, Registry and MemberID are set by BuildControl.
+	Control  *control.Control
+	Registry *registry.Registry
+	// MemberID is the identity of the data folder in the control group.
+	MemberID uint64
+
 	// Claims is set by the part that reaches the ledger.
 	Claims ledger.Claims
 	// Engines places requests on engines. A builder may replace it.
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log"
 	"net"
 	"net/http"
 	"slices"
@@ -34,11 +35,13 @@
 	listeners Listeners
 	parts     []Part
 	entry     *entry
-	servers   []*http.Server
-	cancel    context.CancelFunc
-	serving   sync.WaitGroup
-	stopping  atomic.Bool
-	stopOnce  sync.Once
+	// callers is the server of the callers' side, one of servers.
+	callers  *http.Server
+	servers  []*http.Server
+	cancel   context.CancelFunc
+	serving  sync.WaitGroup
+	stopping atomic.Bool
+	stopOnce sync.Once
 }
 
 // Start opens the listeners and starts the roles. The returned process runs
@@ -48,7 +51,12 @@
 	if err := listeners.open(ctx, options.Settings.Listen); err != nil {
 		return nil, err
 	}
-	p := &Process{listeners: listeners, host: newHost(options, listeners.addresses())}
+	host, err := newHost(options, listeners.addresses())
+	if err != nil {
+		listeners.close()
+		return nil, err
+	}
+	p := &Process{listeners: listeners, host: host}
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	p.cancel = cancel
 	if err := p.assemble(background, options.Builders); err != nil {
@@ -62,7 +70,11 @@
 	return p, nil
 }
 
-func newHost(options Options, addresses Addresses) *Host {
+func newHost(options Options, addresses Addresses) (*Host, error) {
+	certificates, err := transport.CertificatesOf(options.Settings.TLS)
+	if err != nil {
+		return nil, err
+	}
 	bundles := options.Bundles
 	if bundles == nil {
 		bundles = bundle.NewHolder()
@@ -70,12 +82,15 @@
 	identity := transport.Identity{Cluster: options.Settings.Cluster, VM: options.Settings.VM.Name}
 	return &Host{
 		Settings: options.Settings, Logger: options.Logger, Metrics: observe.NewMetrics(),
-		Bundles:   bundles,
-		GRPC:      transport.NewServer(transport.ServerOptions{Identity: identity, Log: options.Logger}),
-		Operators: http.NewServeMux(),
-		Peers:     transport.NewPool(transport.PoolOptions{Identity: identity}),
-		Addresses: addresses,
-	}
+		Bundles: bundles,
+		GRPC: transport.NewServer(transport.ServerOptions{
+			Identity: identity, Certificates: certificates, Log: options.Logger,
+		}),
+		Operators:    http.NewServeMux(),
+		Certificates: certificates,
+		Peers:        transport.NewPool(transport.PoolOptions{Identity: identity, Certificates: certificates}),
+		Addresses:    addresses,
+	}, nil
 }
 
 // assemble builds and starts the parts, then the callers' side over them.
@@ -108,30 +123,33 @@
 // serve begins to answer on all listeners.
 func (p *Process) serve() {
 	if p.entry != nil {
-		p.serveHTTP(p.listeners.Callers, p.entry.callers)
+		p.callers = p.serveHTTP(p.listeners.Callers, p.entry.callers)
 		p.serveHTTP(p.listeners.Backends, p.entry.backends)
 	}
 	if p.listeners.Operators != nil {
 		p.addDebugRoutes()
-		p.serveHTTP(p.listeners.Operators, p.host.Operators)
+		p.serveHTTP(p.host.Certificates.Listener(p.listeners.Operators), p.host.Operators)
 	}
 	if p.listeners.Internal != nil {
 		p.serving.Go(func() { _ = p.host.GRPC.Serve(p.listeners.Internal) }) // ends with the server
 	}
 }
 
-func (p *Process) serveHTTP(listener net.Listener, handler http.Handler) {
+// serveHTTP returns the server that answers on listener, or nil without one.
+func (p *Process) serveHTTP(listener net.Listener, handler http.Handler) *http.Server {
 	if listener == nil {
-		return
+		return nil
 	}
 	server := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: p.host.Settings.Entry.HeaderTimeout.Std(),
 		MaxHeaderBytes:    maxHeaderBytes,
 		IdleTimeout:       idleTimeout,
+		ErrorLog:          log.New(libraryLog{p.host.Logger}, "", 0),
 	}
 	p.servers = append(p.servers, server)
 	p.serving.Go(func() { _ = server.Serve(listener) }) // ends with the server
+	return server
 }
 
 // Addresses returns the bound addresses.
@@ -163,6 +181,11 @@
 		_ = server.Close()
 	}
 	p.host.GRPC.Stop()
+	for _, part := range slices.Backward(p.parts) {
+		if killer, ok := part.(Killer); ok {
+			killer.Kill()
+		}
+	}
 	p.release()
 }
 
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -12,6 +12,8 @@
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
+
+	"godwityoke.example/godwityoke/internal/tcp"
 )
 
 // DialFunc opens a connection to the "ip:port" address.
@@ -102,8 +104,10 @@
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: retry, MinConnectTimeout: dialTimeout}),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingInterval, Timeout: pingTimeout, PermitWithoutStream: true}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
+		grpc.WithStaticStreamWindowSize(streamWindowBytes),
+		grpc.WithStaticConnWindowSize(connWindowBytes),
 		grpc.WithMaxHeaderListSize(maxHeaderBytes),
-		grpc.WithIdleTimeout(0),
+		grpc.WithIdleTimeout(idleTimeout),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithUnaryInterceptor(p.options.Identity.unaryClient),
 		grpc.WithStreamInterceptor(p.options.Identity.streamClient),
@@ -113,8 +117,5 @@
 // dialTCP opens a TCP connection whose death is noticed in a few seconds,
 // whether it is idle or not.
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
-	return dialer.DialContext(ctx, "tcp", address)
+	return tcp.Dialer(dialTimeout).DialContext(ctx, "tcp", address)
 }
-
-var keepAlive = net.KeepAliveConfig{Enable: true, Idle: tcpIdle, Interval: tcpProbeInterval, Count: tcpProbes}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -13,12 +13,6 @@
 	pingTimeout = 3 * time.Second
 	// pingMinInterval is the shortest probe interval that a server accepts.
 	pingMinInterval = 5 * time.Second
-	// tcpIdle is the idle time after which TCP probes a connection.
-	tcpIdle = 2 * time.Second
-	// tcpProbeInterval is the time between two TCP probes.
-	tcpProbeInterval = time.Second
-	// tcpProbes is the number of unanswered TCP probes that end a connection.
-	tcpProbes = 2
 	// dialTimeout bounds one attempt to connect.
 	dialTimeout = 2 * time.Second
 	// handshakeTimeout bounds the TLS handshake at a server.
@@ -27,10 +21,18 @@
 	// connect to the same address.
 	reconnectBase = 100 * time.Millisecond
 	reconnectMax  = time.Second
+	// idleTimeout is the time without a call after which a connection is closed
+	// until the next call.
+	idleTimeout = 5 * time.Minute
 	// maxMessageBytes bounds each message between VMs.
 	maxMessageBytes = 16 << 20
 	// maxStreams bounds the concurrent calls of one connection.
 	maxStreams = 1024
+	// streamWindowBytes and connWindowBytes bound the bytes in flight to a
+	// receiver. They are fixed, since estimating them costs two probe frames
+	// for each small message.
+	streamWindowBytes = 1 << 20
+	connWindowBytes   = 4 << 20
 	// maxHeaderBytes bounds the metadata of one call.
 	maxHeaderBytes = 16 << 10
 )
