--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -31,6 +31,8 @@
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.MaxSendMsgSize(maxMessageBytes),
 		grpc.MaxConcurrentStreams(maxStreams),
+		grpc.InitialWindowSize(streamWindowBytes),
+		grpc.InitialConnWindowSize(connWindowBytes),
 		grpc.StaticStreamWindowSize(streamWindowBytes),
 		grpc.StaticConnWindowSize(connWindowBytes),
 		grpc.MaxHeaderListSize(maxHeaderBytes),
