--- a/internal/filter/dispatch/group_test.go
+++ b/internal/filter/dispatch/group_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -37,6 +38,8 @@
 func (g *fixedGroup) Server() place.Server           { return g.segments[len(g.segments)-1].Server }
 func (g *fixedGroup) FirstToken(time.Time)           {}
 func (g *fixedGroup) Finish(place.AttemptResult)     {}
+func (g *fixedGroup) BeginPrefill(int)               {}
+func (g *fixedGroup) EndPrefill(int)                 {}
 func (g *fixedGroup) Segments() []place.GroupSegment { return g.segments }
 
 // ended records the attempts that were ended, and cancels them.
@@ -164,3 +167,26 @@
 		})
 	}
 }
+
+// lastUnreachable fails to connect for the last segment.
+type lastUnreachable struct{ http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (l lastUnreachable) RoundTrip(r *http.Request) (*http.Response, error) {
+	if r.Header.Get(backendapi.HeaderAttempt) == "attempt" {
+		return nil, syscall.ECONNREFUSED
+	}
+	return l.RoundTripper.RoundTrip(r)
+}
+
+// TestGroupWithoutItsLastEngineHasRun: no byte reached the last engine, but the
+// others computed their parts of the prompt.
+func TestGroupWithoutItsLastEngineHasRun(t *testing.T) {
+	g := newGroupCase(t)
+	g.filter.Reused = lastUnreachable{http.DefaultTransport}
+	_, err := g.run()
+	var failure *request.AttemptError
+	require.ErrorAs(t, err, &failure)
+	require.True(t, failure.MayHaveRun())
+	g.checkEnded(t)
+}
