--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -66,6 +66,18 @@
 		},
 		"leader moves between check and commit": func(g *fakeGroup) { g.beforeApply = moveTo(g, "c3", replica.ErrNotLeader) },
 	}
+	faults["cut one way"] = func(g *fakeGroup) {
+		g.mute = "c1"
+		time.AfterFunc(10*time.Second, func() { g.elect("c2") })
+	}
+	faults["second loss right after repair"] = func(g *fakeGroup) {
+		g.afterApply = func() error {
+			g.start("c1")
+			g.elect("c3")
+			g.dead["c2"] = true
+			return replica.ErrUnknown
+		}
+	}
 	for name, fault := range faults {
 		t.Run("answer/"+name, func(t *testing.T) {
 			inGroup(t, func(t *testing.T, g *fakeGroup) {
@@ -136,6 +148,26 @@
 		},
 		"before it is put": func(g *fakeGroup) { g.beforeApply = func() error { g.elect("c2"); return replica.ErrUnknown } },
 	}
+	faults["freeze"] = func(g *fakeGroup) { g.frozen["c1"] = true; g.leader = "c2" }
+	faults["disk lost"] = func(g *fakeGroup) {
+		g.afterLearner = func() error {
+			g.start("c1")
+			g.elect("c2")
+			return replica.ErrUnknown
+		}
+	}
+	faults["cut one way"] = func(g *fakeGroup) {
+		g.mute = "c1"
+		time.AfterFunc(10*time.Second, func() { g.elect("c2") })
+	}
+	faults["second loss right after repair"] = func(g *fakeGroup) {
+		g.afterLearner = func() error {
+			g.elect("c2")
+			g.afterLearner = nil
+			g.beforeApply = func() error { g.elect("c3"); return replica.ErrUnknown }
+			return replica.ErrUnknown
+		}
+	}
 	for name, fault := range faults {
 		t.Run("member change/"+name, func(t *testing.T) {
 			inGroup(t, func(t *testing.T, g *fakeGroup) {
--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -49,8 +49,10 @@
 	beforeApply, afterApply func() error
 	// afterLearner, when set, runs once after a learner was added.
 	afterLearner func() error
-	// loseAnswers counts the HTTP answers that are still to be lost.
+	// loseAnswers counts the HTTP answers that are still to be lost; those of
+	// the VM mute are lost always.
 	loseAnswers int
+	mute        string
 }
 
 // fakeVM is one control VM with the real control role. It implements Group.
@@ -220,7 +222,7 @@
 	vm.handler.ServeHTTP(recorder, request)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.loseAnswers > 0 {
+	if g.loseAnswers > 0 || g.mute == vm.name {
 		g.loseAnswers--
 		return nil, errReset
 	}
--- a/internal/distribute/distribute_test.go
+++ b/internal/distribute/distribute_test.go
@@ -135,6 +135,32 @@
 		})
 	})
 	t.Run("distribute/disk lost", testRestartWithoutDisk)
+	t.Run("distribute/cut one way", func(t *testing.T) {
+		inTree(t, func(t *testing.T, tr *tree) {
+			for _, entry := range zoneA[1:] {
+				tr.network.silenceToDialer(entry, "control-a")
+			}
+			tr.accept(2)
+			time.Sleep(5 * time.Second)
+			tr.requireAll(2)
+			tr.requireAttached(zoneA[1:])
+		})
+	})
+	t.Run("distribute/second loss right after repair", func(t *testing.T) {
+		inTree(t, func(t *testing.T, tr *tree) {
+			tr.vms["control-a"].stop()
+			tr.accept(2, "control-b", "control-c")
+			tr.start(tr.vms["control-a"].peer)
+			tr.accept(2, "control-a")
+			for _, second := range []string{"control-b", "control-c"} {
+				tr.vms[second].stop()
+				delete(tr.vms, second)
+			}
+			tr.accept(3, "control-a")
+			time.Sleep(8 * time.Second)
+			tr.requireAll(3)
+		})
+	})
 	t.Run("distribute/two faults at once", func(t *testing.T) {
 		inTree(t, func(t *testing.T, tr *tree) {
 			tr.vms["control-a"].stop()
--- a/internal/distribute/link_test.go
+++ b/internal/distribute/link_test.go
@@ -13,7 +13,9 @@
 	net.Conn
 	from, to string
 	delay    time.Duration
-	silent   atomic.Bool
+	// lostOut and lostIn lose what goes to and comes from the listener.
+	lostOut  atomic.Bool
+	lostIn   atomic.Bool
 	carried  atomic.Int64
 	closed   chan struct{}
 	once     sync.Once
@@ -57,7 +59,7 @@
 			if !l.wait(p.due) {
 				return
 			}
-			if l.silent.Load() {
+			if l.lostOut.Load() {
 				continue
 			}
 			l.carried.Add(int64(len(p.data)))
@@ -72,7 +74,7 @@
 	for {
 		buffer := make([]byte, 32<<10)
 		count, err := l.Conn.Read(buffer)
-		if l.silent.Load() {
+		if l.lostIn.Load() {
 			if err != nil {
 				return
 			}
--- a/internal/distribute/network_test.go
+++ b/internal/distribute/network_test.go
@@ -76,7 +76,19 @@
 	defer n.mu.Unlock()
 	for _, l := range n.links {
 		if l.from == a && l.to == b || l.from == b && l.to == a {
-			l.silent.Store(true)
+			l.lostOut.Store(true)
+			l.lostIn.Store(true)
+		}
+	}
+}
+
+// silenceToDialer loses what b sends on connections that a opened.
+func (n *network) silenceToDialer(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, l := range n.links {
+		if l.from == a && l.to == b {
+			l.lostIn.Store(true)
 		}
 	}
 }
--- a/internal/orders/fake_test.go
+++ b/internal/orders/fake_test.go
@@ -40,6 +40,15 @@
 	quiet bool
 }
 
+// restart starts the engine anew with the version before. A load that was in
+// progress is lost.
+func (e *fakeEngine) restart() {
+	e.server.Incarnation++
+	e.loading = ""
+	e.server.Models = served("lace", "1")
+	e.taken = map[string]bool{}
+}
+
 // fakeFleet is a set of engines with the VMs that report them.
 type fakeFleet struct {
 	mu      sync.Mutex
@@ -49,12 +58,14 @@
 	content *bundle.Bundle
 	// minServing is the least number of engines in service at any time.
 	minServing int
+	// loadTime is how long an engine is out of service for an order.
+	loadTime time.Duration
 	// received counts orders, refused ones included.
 	received int
 }
 
 func newFakeFleet(count int, checks bool) *fakeFleet {
-	f := &fakeFleet{engines: map[string]*fakeEngine{}, leaders: map[string]replica.Leadership{}, minServing: count}
+	f := &fakeFleet{engines: map[string]*fakeEngine{}, leaders: map[string]replica.Leadership{}, minServing: count, loadTime: loadTime}
 	f.content = rolledBundle(1, 2, 50)
 	for i := range count {
 		id := fmt.Sprint("e", i)
@@ -101,9 +112,13 @@
 	engine.runs++
 	engine.loading = order.Model
 	f.minServing = min(f.minServing, f.serving())
-	time.AfterFunc(loadTime, func() {
+	incarnation := engine.server.Incarnation
+	time.AfterFunc(f.loadTime, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
+		if engine.server.Incarnation != incarnation {
+			return
+		}
 		engine.loading = ""
 		engine.server.Models = served(order.Model, order.Version)
 	})
@@ -128,7 +143,7 @@
 	if engine.hang {
 		return nil, errLost
 	}
-	state := &backendapi.EngineState{ServerID: engine.server.ID, Incarnation: 1, Models: engine.server.Models}
+	state := &backendapi.EngineState{ServerID: engine.server.ID, Incarnation: engine.server.Incarnation, Models: engine.server.Models}
 	if engine.loading != "" && !engine.quiet {
 		state.Loading = []string{engine.loading}
 	}
--- a/internal/orders/runner_test.go
+++ b/internal/orders/runner_test.go
@@ -29,7 +29,7 @@
 		test(t, f, run)
 		cancel()
 		group.Wait()
-		time.Sleep(2 * loadTime)
+		time.Sleep(2 * f.loadTime)
 	})
 }
 
@@ -108,6 +108,43 @@
 			require.Zero(t, f.ordersTaken(), "no order after the end of the lease")
 		})
 	})
+	t.Run("order/disk lost", func(t *testing.T) {
+		inFleet(t, 4, true, func(t *testing.T, f *fakeFleet, run func(string, uint64) func()) {
+			f.elect("c1", 1, whole)
+			run("c1", 1)
+			for f.ordersTaken() == 0 {
+				time.Sleep(100 * time.Millisecond)
+			}
+			f.mu.Lock()
+			for _, engine := range f.engines {
+				if engine.loading != "" {
+					engine.restart()
+				}
+			}
+			f.mu.Unlock()
+			time.Sleep(whole / 2)
+			f.requireRolled(t, "2")
+		})
+	})
+	t.Run("order/second loss right after repair", func(t *testing.T) {
+		inFleet(t, 4, false, func(t *testing.T, f *fakeFleet, run func(string, uint64) func()) {
+			f.loadTime = 8 * loadTime
+			for term, name := range []string{"c1", "c2", "c3"} {
+				f.elect(name, uint64(term+1), whole)
+				stop := run(name, uint64(term+1))
+				for begun := f.ordersTaken(); f.ordersTaken() == begun; {
+					time.Sleep(100 * time.Millisecond)
+				}
+				stop()
+			}
+			f.elect("c4", 4, whole)
+			run("c4", 4)
+			time.Sleep(whole / 2)
+			f.requireRolled(t, "2")
+			require.Equal(t, 4, f.ordersTaken(), "loads of earlier leaders are let go on")
+			require.GreaterOrEqual(t, f.minServing, 2)
+		})
+	})
 	t.Run("order/two faults at once", testLateOrderOnEngineWithoutFencing)
 }
 
