--- a/internal/distribute/reports.go
+++ b/internal/distribute/reports.go
@@ -15,6 +15,12 @@
 	reportLife = 10 * time.Minute
 	// maxReports bounds the VMs whose reports are kept.
 	maxReports = 4096
+	// maxReportNameBytes bounds the names in a report.
+	maxReportNameBytes = 128
+	// maxReportServers bounds the backend servers of one report.
+	maxReportServers = 1024
+	// maxServerModels bounds the models of one backend server.
+	maxServerModels = 64
 )
 
 // BackendServer is a backend server that a VM is responsible for.
@@ -76,6 +82,9 @@
 	defer r.mu.Unlock()
 	var want []string
 	for _, report := range received {
+		if !acceptable(report) {
+			continue
+		}
 		if !r.mergeOne(report, now) {
 			want = append(want, report.GetVm())
 		}
@@ -83,9 +92,24 @@
 	return want
 }
 
+// acceptable reports whether a report keeps the bounds of what is held for one
+// VM.
+func acceptable(report *distributepb.Report) bool {
+	servers := report.GetBody().GetServers()
+	if !boundedName(report.GetVm()) || len(report.GetZone()) > maxReportNameBytes || len(servers) > maxReportServers {
+		return false
+	}
+	return !slices.ContainsFunc(servers, func(server *distributepb.Server) bool {
+		return !boundedName(server.GetId()) || !boundedName(server.GetAddress()) || len(server.GetModels()) > maxServerModels
+	})
+}
+
+func boundedName(name string) bool { return name != "" && len(name) <= maxReportNameBytes }
+
 // mergeOne reports whether the body of the report is known.
 func (r *Reports) mergeOne(report *distributepb.Report, now time.Time) bool {
-	confirmedAt := now.Add(-time.Duration(max(report.GetAgeMs(), 0)) * time.Millisecond)
+	age := min(max(report.GetAgeMs(), 0), reportLife.Milliseconds())
+	confirmedAt := now.Add(-time.Duration(age) * time.Millisecond)
 	held, found := r.byVM[report.GetVm()]
 	order := -1
 	if found {
--- a/internal/process/distribution.go
+++ b/internal/process/distribution.go
@@ -12,6 +12,9 @@
 	"godwityoke.example/godwityoke/internal/settings"
 )
 
+// gaugeInterval is how often gauges are brought up to date.
+const gaugeInterval = time.Second
+
 var errNotAsked = errors.New("other VMs are being asked for the newest bundle")
 
 // distribution is the part that receives bundles from other VMs, passes them
@@ -117,9 +120,32 @@
 	if d.client != nil {
 		d.running.Go(func() { d.client.Run(ctx) })
 	}
+	d.running.Go(func() { d.measure(ctx) })
 	return nil
 }
 
+// measure keeps the gauges of the distribution up to date.
+func (d *distribution) measure(ctx context.Context) {
+	version := d.host.Metrics.Gauge("godwityoke_bundle_version")
+	watchers := d.host.Metrics.Gauge("godwityoke_bundle_watchers")
+	attached := d.host.Metrics.Gauge("godwityoke_bundle_attached")
+	ticker := time.NewTicker(gaugeInterval)
+	defer ticker.Stop()
+	for {
+		version.Update(int64(d.node.Store().Newest().Version()))
+		watchers.Update(int64(d.server.Watchers()))
+		attached.Update(0)
+		if d.node.Attached() {
+			attached.Update(1)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Ready implements Part.
 func (d *distribution) Ready() error {
 	if d.node.Ready() {
--- a/internal/transport/certificates.go
+++ b/internal/transport/certificates.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 	"google.golang.org/grpc/credentials"
 
 	"godwityoke.example/godwityoke/internal/observe"
@@ -21,6 +22,13 @@
 // reloadInterval is the shortest time between two looks at the files.
 const reloadInterval = time.Second
 
+const (
+	// refusalLinesPerSecond and refusalLinesBurst bound the log lines on refused
+	// peers.
+	refusalLinesPerSecond = 1
+	refusalLinesBurst     = 5
+)
+
 // CertificateFiles names the PEM files for mutual TLS.
 type CertificateFiles struct {
 	Certificate string
@@ -168,7 +176,10 @@
 
 func (c *Certificates) serverCredentials(log zerolog.Logger) credentials.TransportCredentials {
 	inner := credentials.NewTLS(c.ServerConfig("h2"))
-	return &reloadingCredentials{TransportCredentials: inner, certificates: c, log: log}
+	return &reloadingCredentials{
+		TransportCredentials: inner, certificates: c, log: log,
+		refusals: rate.NewLimiter(refusalLinesPerSecond, refusalLinesBurst),
+	}
 }
 
 // reloadingCredentials makes each handshake with the files as they are then,
@@ -177,6 +188,7 @@
 	credentials.TransportCredentials
 	certificates *Certificates
 	log          zerolog.Logger
+	refusals     *rate.Limiter
 }
 
 // ClientHandshake implements credentials.TransportCredentials.
@@ -187,7 +199,7 @@
 // ServerHandshake implements credentials.TransportCredentials.
 func (r *reloadingCredentials) ServerHandshake(raw net.Conn) (net.Conn, credentials.AuthInfo, error) {
 	conn, info, err := r.TransportCredentials.ServerHandshake(raw)
-	if err != nil {
+	if err != nil && r.refusals.Allow() {
 		observe.Log(r.log, observe.PeerCertificateRefused).Str("peer", raw.RemoteAddr().String()).Err(err).Send()
 	}
 	return conn, info, err
@@ -195,5 +207,7 @@
 
 // Clone implements credentials.TransportCredentials.
 func (r *reloadingCredentials) Clone() credentials.TransportCredentials {
-	return &reloadingCredentials{TransportCredentials: r.TransportCredentials.Clone(), certificates: r.certificates, log: r.log}
+	clone := *r
+	clone.TransportCredentials = r.TransportCredentials.Clone()
+	return &clone
 }
--- a/internal/transport/identity.go
+++ b/internal/transport/identity.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/metadata"
@@ -47,8 +48,9 @@
 
 // clusterCheck refuses calls of VMs that belong to another cluster.
 type clusterCheck struct {
-	cluster string
-	log     zerolog.Logger
+	cluster  string
+	log      zerolog.Logger
+	refusals *rate.Limiter
 }
 
 func (c clusterCheck) check(ctx context.Context) error {
@@ -56,8 +58,10 @@
 	if c.cluster == "" || given == c.cluster {
 		return nil
 	}
-	observe.Log(c.log, observe.PeerClusterRefused).
-		Str("peer", peerAddress(ctx)).Str("peer_vm", CallerVM(ctx)).Str("peer_cluster", given).Send()
+	if c.refusals.Allow() {
+		observe.Log(c.log, observe.PeerClusterRefused).
+			Str("peer", peerAddress(ctx)).Str("peer_vm", CallerVM(ctx)).Str("peer_cluster", given).Send()
+	}
 	return status.Errorf(codes.PermissionDenied, "this VM belongs to cluster %q", c.cluster)
 }
 
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
@@ -24,7 +25,10 @@
 	if options.Certificates != nil {
 		creds = options.Certificates.serverCredentials(options.Log)
 	}
-	check := clusterCheck{cluster: options.Identity.Cluster, log: options.Log}
+	check := clusterCheck{
+		cluster: options.Identity.Cluster, log: options.Log,
+		refusals: rate.NewLimiter(refusalLinesPerSecond, refusalLinesBurst),
+	}
 	return grpc.NewServer(
 		grpc.Creds(creds),
 		grpc.ConnectionTimeout(handshakeTimeout),
