path: let prompts that are not short wait; ask engines earlier for short ones

Change: the share of the time applies to services and short prompts only; engines are asked after 1 s for short prompts, and again 0.5 s later; the cause of a failed request names why no other attempt followed. Conclusion: TestPromptThatIsNotShortMayWait failed before and passes.

--- a/internal/filter/dispatch/watch.go
+++ b/internal/filter/dispatch/watch.go
@@ -19,15 +19,19 @@
 const (
 	// watchInterval is how often an attempt in progress is looked at.
 	watchInterval = 500 * time.Millisecond
-	// probeTimeout bounds the question whether an engine holds an attempt.
+	// shortProbe is the wait for a first token of a short prompt after which
+	// the engine is asked whether it holds the attempt. Longer prompts, which
+	// an engine may read for some time before it knows of them, wait for the
+	// stall limit.
+	shortProbe = time.Second
+	// probeTimeout bounds that question.
 	probeTimeout = time.Second
 	// maxListBytes bounds an engine's list of attempts.
 	maxListBytes = 4 << 20
 	// slowPercent of the time left is what an attempt may take to begin its
-	// answer, so that another one can follow; slowLongPercent applies to
-	// prompts whose prefill takes most of their time.
-	slowPercent     = 50
-	slowLongPercent = 75
+	// answer, so that another one can follow. It does not apply to prompts that
+	// are not short: their wait and prefill may take most of their time.
+	slowPercent = 50
 	// missesToLose is the number of probes in a row that must fail.
 	missesToLose = 2
 )
@@ -46,6 +50,8 @@
 	server place.Server
 	// slowAt is when an answer must have begun.
 	slowAt time.Time
+	// probeEvery separates questions to an engine that holds the attempt.
+	probeEvery time.Duration
 
 	mu        sync.Mutex
 	streaming bool
@@ -55,13 +61,13 @@
 }
 
 // watch ends the attempt through cancel when its server is gone, when its
-// answer does not begin in time or stalls, or when the engine has lost it. The returned function stops the
-// watch.
+// answer does not begin in time or stalls, or when the engine has lost it. The
+// returned function stops the watch.
 func (f *Filter) watch(ctx context.Context, cancel context.CancelCauseFunc, call *filter.Call) func() {
 	now := time.Now()
 	w := &watcher{
 		filter: f, call: call, server: call.Attempt.Placement.Server(),
-		slowAt: slowAt(call, now), last: now, probed: now,
+		slowAt: slowAt(call, now), probeEvery: probeEvery(call), last: now, probed: now,
 	}
 	call.Attempt.Alive = w.alive
 	ctx, stop := context.WithCancel(ctx)
@@ -77,11 +83,21 @@
 }
 
 func slowAt(call *filter.Call, now time.Time) time.Time {
-	percent := time.Duration(slowPercent)
 	if call.Kind.ForEngine() && !call.Model.Class.Short {
-		percent = slowLongPercent
+		return call.Deadline
 	}
-	return now.Add(call.Deadline.Sub(now) * percent / 100)
+	return now.Add(call.Deadline.Sub(now) * slowPercent / 100)
+}
+
+func probeEvery(call *filter.Call) time.Duration {
+	if !call.Kind.ForEngine() {
+		return 0
+	}
+	stallLimit := call.Model.Class.StallLimit.Std()
+	if call.Model.Class.Short {
+		return min(stallLimit, shortProbe)
+	}
+	return stallLimit
 }
 
 // alive notes a verified token.
@@ -122,11 +138,10 @@
 	case !w.call.Kind.ForEngine():
 		return nil
 	}
-	stallLimit := w.call.Model.Class.StallLimit.Std()
-	if streaming && idle >= stallLimit {
+	if streaming && idle >= w.call.Model.Class.StallLimit.Std() {
 		return errStalled
 	}
-	if !streaming && now.Sub(w.probed) >= stallLimit {
+	if !streaming && (w.misses > 0 || now.Sub(w.probed) >= w.probeEvery) {
 		w.probed = now
 		return w.probe(ctx)
 	}
@@ -137,7 +152,10 @@
 // since the connection that waits for the first token may have gone silent.
 func (w *watcher) probe(ctx context.Context) error {
 	held, err := w.held(ctx)
-	if held || ctx.Err() != nil {
+	w.mu.Lock()
+	streaming := w.streaming
+	w.mu.Unlock()
+	if held || streaming || ctx.Err() != nil {
 		w.misses = 0
 		return nil
 	}
--- a/internal/filter/place/ending.go
+++ b/internal/filter/place/ending.go
@@ -13,11 +13,13 @@
 // noServerRetry is the Retry-After when no server is known.
 const noServerRetry = 2 * time.Second
 
-// ending turns the last failed attempt of a call into its error.
-func ending(ctx context.Context, call *filter.Call, failure *request.AttemptError) error {
+// ending turns the last failed attempt of a call into its error. WhyLast tells
+// why no other attempt follows.
+func ending(ctx context.Context, call *filter.Call, failure *request.AttemptError, whyLast error) error {
 	outcome := call.Outcome()
+	cause := errors.Join(failure, whyLast)
 	if err := contextError(ctx, outcome); err != nil {
-		return err.WithCause(failure)
+		return err.WithCause(cause)
 	}
 	code, message := request.CodeBackendFailed, "the backend server failed"
 	switch {
@@ -26,7 +28,7 @@
 	case failure.Step == request.StepAnswer || failure.Step == request.StepEnd:
 		code, message = request.CodeBackendIncomplete, "the answer of the backend server was not whole"
 	}
-	return request.Errorf(code, outcome, "%s", message).WithCause(failure)
+	return request.Errorf(code, outcome, "%s", message).WithCause(cause)
 }
 
 // contextError returns the error of a call whose time is over or whose caller
@@ -48,7 +50,7 @@
 		return ended.WithCause(err)
 	}
 	if last != nil {
-		return ending(ctx, call, last)
+		return ending(ctx, call, last, err)
 	}
 	var refusal *place.RefusedError
 	retryAfter := noServerRetry
--- a/internal/filter/place/place.go
+++ b/internal/filter/place/place.go
@@ -23,6 +23,14 @@
 	retryPause = 100 * time.Millisecond
 )
 
+// Reasons against another attempt.
+var (
+	errAttempts      = errors.New("the attempts of the request are used up")
+	errFinal         = errors.New("another attempt would end the same way")
+	errNotIdempotent = errors.New("the call is not idempotent and may have run")
+	errBudget        = errors.New("the retry budget is used up")
+)
+
 // Config is what the filter works with.
 type Config struct {
 	Engines     place.Placer
@@ -63,8 +71,8 @@
 			return f.ended(call, err)
 		}
 		f.logFailure(call, failure)
-		if ctx.Err() != nil || number >= maxAttempts || !f.mayRetry(call, failure) {
-			return ending(ctx, call, failure)
+		if err := f.mayRetry(ctx, call, failure, number); err != nil {
+			return ending(ctx, call, failure, err)
 		}
 		last = failure
 		failed = append(failed, placement.Server().ID)
@@ -151,16 +159,29 @@
 	return nil
 }
 
-// mayRetry reports whether another attempt is allowed. Attempts that sent
-// nothing and attempts that brought the answer forward cost nothing of the
+// mayRetry returns the reason against another attempt, or nil. Attempts that
+// sent nothing and attempts that brought the answer forward cost nothing of the
 // budget: neither can repeat work without bound.
-func (f *Filter) mayRetry(call *filter.Call, failure *request.AttemptError) bool {
-	if failure.Final || (failure.MayHaveRun() && !call.Idempotent()) {
-		return false
-	}
-	if !failure.Sent || failure.Progress {
-		return true
+func (f *Filter) mayRetry(ctx context.Context, call *filter.Call, failure *request.AttemptError, number int) error {
+	switch {
+	case ctx.Err() != nil:
+		return ctx.Err()
+	case number >= maxAttempts:
+		return errAttempts
+	case failure.Final:
+		return errFinal
+	case failure.MayHaveRun() && !call.Idempotent():
+		return errNotIdempotent
+	case !failure.Sent || failure.Progress:
+		return nil
+	case !f.spend(call):
+		return errBudget
 	}
+	return nil
+}
+
+// spend takes one retry of the budget.
+func (f *Filter) spend(call *filter.Call) bool {
 	allowed := f.Budget.Spend(call.Team.Name, time.Now())
 	result := "refused"
 	if allowed {
--- a/internal/pipeline/callers_test.go
+++ b/internal/pipeline/callers_test.go
@@ -80,6 +80,18 @@
 	})
 }
 
+// TestPromptThatIsNotShortMayWait gives an engine that holds the attempt nearly
+// all of the time: taking the prompt elsewhere would lose its place in the queue.
+func TestPromptThatIsNotShortMayWait(t *testing.T) {
+	inBubble(t, 2, func(s *system) {
+		s.breakWith(faultLate, atWait, 2)
+		body := strings.Replace(streamBody, "describe", strings.Repeat("describe ", 3000), 1)
+		got := s.call(http.MethodPost, "/v1/completions", body, request.DeadlineHeader, "8s")
+		require.Equal(t, request.Completed, got.outcome, got)
+		require.Equal(t, 1, s.backends[0].total()+s.backends[1].total())
+	})
+}
+
 // TestRetryBudgetBoundsLoad sends requests while one of two engines fails each
 // attempt without a token.
 func TestRetryBudgetBoundsLoad(t *testing.T) {
--- a/internal/pipeline/faults_test.go
+++ b/internal/pipeline/faults_test.go
@@ -50,10 +50,16 @@
 // by asking the engine over another one.
 func mostTime(c cell) time.Duration {
 	switch {
-	case c.fault == faultHangs && c.at != atSend:
+	case c.at == atDial:
+		return time.Second
+	case c.fault == faultLate:
+		return late + time.Second
+	case c.fault == faultSilent && c.at == atStream:
+		return 6 * time.Second // the stall limit is 5 s
+	case c.fault == faultSilent && c.at == atWait:
+		return 2 * time.Second // the engine answers that it lost the attempt
+	case c.fault == faultSilent, c.fault == faultHangs:
 		return 4 * time.Second
-	case c.fault == faultHangs, c.fault == faultSilent, c.fault == faultLate:
-		return 12 * time.Second
 	}
 	return time.Second
 }
