Give back a grant whose caller has left

A grant that was on its way when the caller left stayed leased until it expired and was cancelled. The holder now tells the scheduler. A group that cannot be had no longer counts as an overload for the division into fair shares.

--- a/internal/capacity/holder.go
+++ b/internal/capacity/holder.go
@@ -97,6 +97,9 @@
 		decision, err = h.acquireFrom(ctx, vm, request, choices)
 	}
 	if err != nil {
+		if ctx.Err() != nil {
+			h.forsake(vm, request.Attempt)
+		}
 		return nil, err
 	}
 	for _, choice := range choices {
@@ -108,6 +111,14 @@
 	return h.keep(granted), nil
 }
 
+// forsake tells a scheduler that nobody waits for an attempt any more, in case
+// its grant is on the way.
+func (h *Holder) forsake(vm, attempt string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.tell(vm, func(o *outbox) { o.releases = append(o.releases, release{attempt: attempt}) })
+}
+
 // Adopt notes an attempt that was placed on server without a lease. Its
 // renewals let the scheduler count it once there is one.
 func (h *Holder) Adopt(group, server string, request Request) *Lease {
--- a/internal/capacity/service_test.go
+++ b/internal/capacity/service_test.go
@@ -226,6 +226,27 @@
 	})
 }
 
+// TestGrantOnTheWayToACallerThatLeft ends the caller's time at the moment of
+// the grant, whoever notices first.
+func TestGrantOnTheWayToACallerThatLeft(t *testing.T) {
+	inZone(t, func(t *testing.T, z *testZone) {
+		scheduler, other := z.roles()
+		first, err := z.acquire(other, "t1", 800)
+		require.NoError(t, err)
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() {
+			time.Sleep(term)
+			first.Release(false)
+			cancel()
+		}()
+		request := Request{Attempt: "t2", Holder: other, Tokens: 800, LatestStart: time.Now().Add(time.Minute), Deadline: time.Now().Add(time.Hour)}
+		if lease, err := z.vms[other].holder.Acquire(ctx, testGroup, request, []Choice{{Server: "e1"}}); err == nil {
+			lease.Release(false)
+		}
+		assert.Zero(t, z.usage(scheduler).Leases, "not kept until it expires")
+	})
+}
+
 // TestSchedulerFallsSilent cuts the scheduler off without closing anything.
 func TestSchedulerFallsSilent(t *testing.T) {
 	inZone(t, func(t *testing.T, z *testZone) {
--- a/internal/capacity/state.go
+++ b/internal/capacity/state.go
@@ -240,8 +240,15 @@
 	}
 }
 
-// Release ends an attempt; see Core.Release.
+// Release ends an attempt; see Core.Release. Without a server it ends the
+// attempt on all engines.
 func (s *State) Release(server, attempt string, held bool, now time.Time) {
+	if server == "" {
+		for name := range s.engines {
+			s.Release(name, attempt, held, now)
+		}
+		return
+	}
 	if engine, found := s.engines[server]; found {
 		engine.core.Release(attempt, held, now)
 		s.collect(server, engine)
--- a/internal/place/group.go
+++ b/internal/place/group.go
@@ -174,7 +174,8 @@
 }
 
 // groupTime estimates how long the group runs and refuses a query that cannot
-// finish in time.
+// finish in time. That no group can be had does not mean that the engines are
+// overloaded, so the listener does not hear of it.
 func (l *leasePlacer) groupTime(query *Query, planned []capacity.Segment, now time.Time) (time.Duration, error) {
 	b := l.baseline
 	b.mu.Lock()
@@ -186,7 +187,6 @@
 	}
 	expected := timing{firstToken: total, decode: outlook.speeds.Usual().Decode(outlook.answer)}
 	if !b.inTime(expected, query, now) && !b.knowledge.mayProbe(query.Model, now) {
-		b.overloaded(now)
 		return 0, refuseNoTime(expected.total(), query, now)
 	}
 	return time.Duration(float64(expected.total()) * (1 + startMargin)), nil
@@ -228,9 +228,7 @@
 	case errors.Is(err, capacity.ErrNoScheduler):
 		return &RefusedError{Reason: ErrNoServer, RetryAfter: noServerRetry}
 	case errors.As(err, &refused):
-		now := l.baseline.options.Clock()
-		l.baseline.overloaded(now)
-		return refuseNoTime(run, query, now)
+		return refuseNoTime(run, query, l.baseline.options.Clock())
 	}
 	return err
 }
