--- a/internal/consensus/sim_rapid_test.go
+++ b/internal/consensus/sim_rapid_test.go
@@ -165,19 +165,43 @@
 	s.drain(leader)
 }
 
-// recover ends all faults and checks that the group soon accepts a command.
+// recover ends all faults and checks that the group soon accepts a command,
+// and that every member then catches up.
 func (s *sim) recover() {
 	s.heal()
 	before := s.maxCommit
-	for end := s.now + simRecovery; s.now < end && s.maxCommit <= before; {
-		s.run(500 * time.Millisecond)
+	s.await("nothing was committed", func() bool {
 		if n := s.leader(); n != nil {
 			s.propose(n)
 		}
+		return s.maxCommit > before
+	})
+	s.await("a member did not catch up", func() bool { return s.caughtUp(before) })
+}
+
+// await runs until done, which must come soon.
+func (s *sim) await(complaint string, done func() bool) {
+	for end := s.now + simRecovery; s.now < end; {
+		s.run(500 * time.Millisecond)
+		if done() {
+			return
+		}
 	}
-	if s.maxCommit <= before {
-		s.fail("nothing was committed for %v after all faults ended: %s", simRecovery, s.describe())
+	s.fail("%s for %v after all faults ended: %s", complaint, simRecovery, s.describe())
+}
+
+// caughtUp tells whether all members that have a disk applied index.
+func (s *sim) caughtUp(index uint64) bool {
+	leader := s.leader()
+	if leader == nil {
+		return false
+	}
+	for _, member := range leader.core.membership.Members {
+		if n := s.nodes[member.ID]; !n.dead && n.applied < index {
+			return false
+		}
 	}
+	return true
 }
 
 func (s *sim) describe() string {
--- a/internal/replica/matrix_test.go
+++ b/internal/replica/matrix_test.go
@@ -46,7 +46,9 @@
 func (c *cell) proposeAt(vm *memoryVM, command string) {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	if _, err := vm.replica.Propose(ctx, []byte(command)); err == nil {
+	_, err := vm.replica.Propose(ctx, []byte(command))
+	assert.NotErrorIs(c.t, err, context.DeadlineExceeded, "the caller was left without an answer")
+	if err == nil {
 		c.mu.Lock()
 		c.accepted = append(c.accepted, command)
 		c.mu.Unlock()
--- a/internal/replica/memnet_test.go
+++ b/internal/replica/memnet_test.go
@@ -144,7 +144,7 @@
 	chosen.VM.Name = vm.name
 	chosen.Listen.Internal = vm.name
 	chosen.Control.Bootstrap = true
-	chosen.Control.SnapshotEntries = 20
+	chosen.Control.SnapshotEntries = 5
 	for i := range 3 {
 		name := fmt.Sprintf("control-%d", i+1)
 		chosen.ControlVMs = append(chosen.ControlVMs, settings.Peer{Name: name, Internal: name})
--- a/internal/replica/start.go
+++ b/internal/replica/start.go
@@ -21,6 +21,9 @@
 	// maxBatch bounds what one turn of the control goroutine takes of each
 	// kind, so that heartbeats are never late.
 	maxBatch = 256
+	// successorPolls is how often in a heartbeat a stopping leader looks for the
+	// next one.
+	successorPolls = 20
 	// refusalsPerSecond bounds the log lines on refused messages.
 	refusalsPerSecond = 1
 )
@@ -141,8 +144,8 @@
 // Stop hands leadership over when this member leads, ends the member and
 // returns when its files are closed, or with the error of ctx.
 func (r *Replica) Stop(ctx context.Context) error {
-	if r.Leadership().IsLeader {
-		_ = r.TransferLeadership(ctx)
+	if r.Leadership().IsLeader && r.TransferLeadership(ctx) == nil {
+		r.awaitSuccessor(ctx)
 	}
 	r.stop()
 	select {
@@ -153,11 +156,22 @@
 	}
 }
 
-// Abort ends the member without handing leadership over, as the death of its
-// VM would, and returns when its files are closed.
-func (r *Replica) Abort() {
-	r.stop()
-	<-r.done
+// awaitSuccessor waits until another member leads, for an election timeout at
+// most.
+func (r *Replica) awaitSuccessor(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(r.settings.Control.ElectionTimeout))
+	defer cancel()
+	poll := time.NewTicker(time.Duration(r.settings.Control.Heartbeat) / successorPolls)
+	defer poll.Stop()
+	for r.Leadership().LeaderID == 0 {
+		select {
+		case <-poll.C:
+		case <-ctx.Done():
+			return
+		case <-r.done:
+			return
+		}
+	}
 }
 
 // Done is closed when the member has ended, by Stop or by a failure.
--- /dev/null
+++ b/internal/replica/stop_test.go
@@ -0,0 +1,51 @@
+package replica
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestPlannedStopLeavesALeaderBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newMemoryNet(t, 3)
+		defer n.stopAll()
+		n.propose(t, "before")
+		leader := n.leader(t)
+		time.Sleep(time.Second)
+		start := time.Now()
+		require.NoError(t, leader.replica.Stop(t.Context()))
+		n.mu.Lock()
+		leader.up = false
+		n.mu.Unlock()
+		n.propose(t, "after")
+		require.Less(t, time.Since(start), 200*time.Millisecond)
+		n.mu.Lock()
+		leader.up = true
+		n.mu.Unlock()
+	})
+}
+
+func TestPlannedStopOverLoopbackWaitsForTheSuccessor(t *testing.T) {
+	group := newLoopbackGroup(t, 3)
+	vms := group.startAll(t)
+	leader := leaderOf(t, vms)
+	_, err := leader.replica.Propose(t.Context(), []byte("before"))
+	require.NoError(t, err)
+	term := leader.replica.Status().Term
+	leader.stop(t)
+	newest := term
+	for _, vm := range vms {
+		if vm != leader {
+			newest = max(newest, vm.replica.Status().Term)
+		}
+	}
+	require.Greater(t, newest, term)
+	for _, vm := range vms {
+		if vm != leader {
+			vm.stop(t)
+		}
+	}
+}
