--- a/internal/consensus/codec/codec.go
+++ b/internal/consensus/codec/codec.go
@@ -127,6 +127,7 @@
 		Hint:     m.Hint,
 		Round:    m.Round,
 		Transfer: m.Transfer,
+		Removed:  m.Removed,
 		Snapshot: chunkToProto(m.Snapshot),
 	}
 }
@@ -159,6 +160,7 @@
 		Hint:     in.GetHint(),
 		Round:    in.GetRound(),
 		Transfer: in.GetTransfer(),
+		Removed:  in.GetRemoved(),
 		Snapshot: chunk,
 	}, nil
 }
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -91,7 +91,9 @@
 	lead     leadership
 	snapshot Snapshot
 	incoming *incomingSnapshot
-	output   output
+	// toldRemoved is set once another member said that this one was removed.
+	toldRemoved bool
+	output      output
 }
 
 // New returns a member with the state it had stored. It gives no vote for one
--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -351,3 +351,27 @@
 	b.pass(2 * simElection)
 	require.Contains(t, kinds(b.ready().Messages), MessagePreVote)
 }
+
+func TestRemovedMemberIsToldOnce(t *testing.T) {
+	stored := storedLog(2)
+	next := threeVoters.without(3)
+	stored.Entries = append(stored.Entries, Entry{Index: 2, Term: 2, Kind: EntryMembership, Membership: &next})
+	stored.HardState.Commit = 2
+	b := newBench(t, stored)
+	for from, removed := range map[MemberID]bool{2: false, 3: true} {
+		b.step(Message{Kind: MessagePreVote, From: from, Term: 3, Index: 1, LogTerm: 1})
+		require.Equal(t, removed, b.ready().Messages[0].Removed)
+	}
+	b = newBench(t, storedLog(2))
+	b.pass(2 * simElection)
+	for range 2 {
+		b.step(Message{Kind: MessagePreVoteResponse, From: 2, Term: 2, Reject: true, Removed: true})
+	}
+	events := 0
+	for _, event := range b.core.Ready().Events {
+		if event.Kind == EventRemoved {
+			events++
+		}
+	}
+	require.Equal(t, 1, events)
+}
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -124,9 +124,15 @@
 	if granted {
 		response.Term = m.Term
 	}
+	response.Removed = c.removed(m)
 	c.sendAfterSync(response)
 }
 
+// removed tells whether the candidate lacks a committed change that left it out.
+func (c *Core) removed(m *Message) bool {
+	return !c.knows(m.From) && c.membershipIndex <= c.log.commit && m.Index < c.membershipIndex
+}
+
 func (c *Core) handleVote(m *Message) {
 	free := c.vote == m.From || c.vote == 0 && c.leader == 0
 	allowed := m.Transfer || !c.promised()
@@ -139,6 +145,10 @@
 }
 
 func (c *Core) handleVoteResponse(m *Message) {
+	if m.Removed && !c.toldRemoved {
+		c.toldRemoved = true
+		c.emit(Event{Kind: EventRemoved})
+	}
 	switch {
 	case m.Kind == MessagePreVoteResponse && c.role == RolePreCandidate && (m.Reject || m.Term == c.term+1):
 		c.countVote(m.From, !m.Reject)
--- a/internal/consensus/ready.go
+++ b/internal/consensus/ready.go
@@ -36,6 +36,8 @@
 	EventLeaderKnown
 	EventSnapshotReceived
 	EventMembershipChanged
+	// EventRemoved tells that this member is no longer in the group, once.
+	EventRemoved
 )
 
 // Reason tells why a leader stepped down.
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -108,6 +108,8 @@
 	// Transfer tells that the leader of the term before gave up its lease in
 	// favour of this candidate.
 	Transfer bool
+	// Removed tells a candidate that it is no longer in the group.
+	Removed  bool
 	Snapshot *SnapshotChunk
 }
 
--- a/internal/observe/events_consensus.go
+++ b/internal/observe/events_consensus.go
@@ -32,6 +32,8 @@
 		"The state could not be encoded; the log grows until it can. Report the error.")
 	MembershipChanged = newEvent(2040, "membership_changed", zerolog.InfoLevel,
 		"The control group has other members now; the line lists them. No action.")
+	MemberRemoved = newEvent(2041, "member_removed", zerolog.WarnLevel,
+		"Another control VM says that this member was removed from the group. Stop the process, or wipe the data folder and add the VM again.")
 	MemberUnreachable = newEvent(2050, "member_unreachable", zerolog.WarnLevel,
 		"The stream to another control VM ended or went silent; a new connection is opened. If it repeats, check that VM and the network.")
 	MemberReachable = newEvent(2051, "member_reachable", zerolog.InfoLevel,
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -195,6 +195,8 @@
 			observe.Log(r.logger, observe.LeaderKnown).Uint64("term", event.Term).Hex("leader", idBytes(event.Leader)).Send()
 		case consensus.EventSnapshotReceived:
 			observe.Log(r.logger, observe.SnapshotReceived).Uint64("term", event.Term).Send()
+		case consensus.EventRemoved:
+			observe.Log(r.logger, observe.MemberRemoved).Send()
 		case consensus.EventMembershipChanged:
 			r.handleMembership()
 		}
