--- a/internal/replica/capacity_test.go
+++ b/internal/replica/capacity_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -159,21 +160,51 @@
 	}
 }
 
-// countedConn counts the bytes of a connection in both directions.
+// traffic counts the bytes within TCP of each VM, sent and received.
+type traffic struct {
+	mu    sync.Mutex
+	bytes map[string]int64
+}
+
+// pool returns the connections of the VM that is reached at near.
+func (c *traffic) pool(near string) transport.PoolOptions {
+	return transport.PoolOptions{Dial: func(ctx context.Context, far string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", far)
+		if err != nil {
+			return nil, err
+		}
+		return &countedConn{Conn: conn, count: func(n int) { c.add(n, near, far) }}, nil
+	}}
+}
+
+func (c *traffic) add(n int, ends ...string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, end := range ends {
+		c.bytes[end] += int64(n)
+	}
+}
+
+func (c *traffic) of(address string) float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return float64(c.bytes[address])
+}
+
 type countedConn struct {
 	net.Conn
-	bytes *atomic.Int64
+	count func(n int)
 }
 
 func (c *countedConn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
-	c.bytes.Add(int64(n))
+	c.count(n)
 	return n, err
 }
 
 func (c *countedConn) Write(data []byte) (int, error) {
 	n, err := c.Conn.Write(data)
-	c.bytes.Add(int64(n))
+	c.count(n)
 	return n, err
 }
 
@@ -183,36 +214,39 @@
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
-// BenchmarkCapacityAtRest measures what a group of three spends without work:
-// bytes within TCP, sent and received, and processor time, each per VM.
+// BenchmarkCapacityAtRest measures what a group spends without work: bytes
+// within TCP, sent and received, of its leader and of one follower, and
+// processor time of a member.
 func BenchmarkCapacityAtRest(b *testing.B) {
-	var bytes atomic.Int64
-	group := newLoopbackGroup(b, 3)
+	for _, members := range []int{3, 5, 7} {
+		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) { benchAtRest(b, members) })
+	}
+}
+
+func benchAtRest(b *testing.B, members int) {
+	counted := &traffic{bytes: map[string]int64{}}
+	group := newLoopbackGroup(b, members)
 	group.tune = defaultTimes
-	group.pool = transport.PoolOptions{Dial: func(ctx context.Context, address string) (net.Conn, error) {
-		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
-		if err != nil {
-			return nil, err
-		}
-		return &countedConn{Conn: conn, bytes: &bytes}, nil
-	}}
+	group.pool = counted.pool
 	vms := group.startAll(b)
-	leaderOf(b, vms)
+	leader := group.peers[slices.Index(vms, leaderOf(b, vms))].Internal
+	follower := group.peers[0].Internal
+	if follower == leader {
+		follower = group.peers[1].Internal
+	}
 	time.Sleep(time.Second)
-	var sent, seconds float64
-	var busy time.Duration
+	leaderBefore, followerBefore := counted.of(leader), counted.of(follower)
+	start, processor := time.Now(), processorTime(b)
 	b.ResetTimer()
 	for range b.N {
-		before, start, processor := bytes.Load(), time.Now(), processorTime(b)
 		time.Sleep(restTime)
-		sent += float64(bytes.Load() - before)
-		seconds += time.Since(start).Seconds()
-		busy += processorTime(b) - processor
 	}
 	b.StopTimer()
-	// Each byte is sent by one VM and received by another.
-	b.ReportMetric(2*sent/seconds/3, "B/s/VM")
-	b.ReportMetric(100*busy.Seconds()/seconds/3, "%core/VM")
+	seconds := time.Since(start).Seconds()
+	busy := (processorTime(b) - processor).Seconds()
+	b.ReportMetric((counted.of(leader)-leaderBefore)/seconds, "leader-B/s")
+	b.ReportMetric((counted.of(follower)-followerBefore)/seconds, "follower-B/s")
+	b.ReportMetric(100*busy/seconds/float64(members), "core-percent/VM")
 	for _, vm := range vms {
 		vm.stop(b)
 	}
--- a/internal/replica/group_test.go
+++ b/internal/replica/group_test.go
@@ -86,12 +86,12 @@
 	peers   []settings.Peer
 	folders map[string]string
 	logger  zerolog.Logger
-	pool    transport.PoolOptions
+	pool    func(address string) transport.PoolOptions
 	tune    func(*settings.Settings)
 }
 
 func newLoopbackGroup(t testing.TB, size int) *loopbackGroup {
-	group := &loopbackGroup{folders: map[string]string{}, logger: zerolog.Nop()}
+	group := &loopbackGroup{folders: map[string]string{}, logger: zerolog.Nop(), pool: func(string) transport.PoolOptions { return transport.PoolOptions{} }}
 	for i := range size {
 		group.addPeer(t, fmt.Sprintf("control-%d", i+1))
 	}
@@ -126,7 +126,7 @@
 	if g.tune != nil {
 		g.tune(&chosen)
 	}
-	vm := &loopbackVM{journal: &journal{}, server: transport.NewServer(transport.ServerOptions{}), pool: transport.NewPool(g.pool)}
+	vm := &loopbackVM{journal: &journal{}, server: transport.NewServer(transport.ServerOptions{}), pool: transport.NewPool(g.pool(peer.Internal))}
 	replica, err := Start(Options{Settings: &chosen, StateMachine: vm.journal, Pool: vm.pool, Logger: g.logger})
 	require.NoError(t, err)
 	vm.replica = replica
--- a/internal/replica/peer.go
+++ b/internal/replica/peer.go
@@ -251,18 +251,20 @@
 }
 
 func (p *peer) sendFrames(ctx context.Context, stream grpc.BidiStreamingClient[replicapb.Frame, replicapb.Pulse]) error {
-	first := &replicapb.Frame{Cluster: p.network.settings.Cluster, Address: p.network.address, Sequence: 1}
+	first := &replicapb.Frame{Cluster: p.network.settings.Cluster, Address: p.network.address}
 	if err := stream.Send(first); err != nil {
 		return err
 	}
 	interval := pulseInterval(p.network.settings)
 	probe := time.NewTicker(interval)
 	defer probe.Stop()
-	for sequence := uint64(2); ; sequence++ {
-		frame := &replicapb.Frame{Sequence: sequence}
+	var header streamHeader
+	for {
+		frame := &replicapb.Frame{}
 		select {
 		case m := <-p.outbox:
 			frame.Message = codec.MessageToProto(m)
+			header.strip(frame.Message)
 			probe.Reset(interval)
 		case <-probe.C:
 		case <-ctx.Done():
--- a/internal/replica/server.go
+++ b/internal/replica/server.go
@@ -77,11 +77,12 @@
 	silence := time.NewTimer(limit)
 	defer silence.Stop()
 	var pulsed time.Time
+	var header streamHeader
 	for frame := first; ; {
-		s.takeFrame(frame, first.GetAddress())
+		s.takeFrame(frame, &header, first.GetAddress())
 		if time.Since(pulsed) >= pulseInterval(s.replica.settings)/2 {
 			pulsed = time.Now()
-			if err := stream.Send(&replicapb.Pulse{Received: frame.GetSequence()}); err != nil {
+			if err := stream.Send(&replicapb.Pulse{}); err != nil {
 				return err
 			}
 		}
@@ -103,10 +104,11 @@
 }
 
 // takeFrame hands over the message of a frame, if it has one.
-func (s *server) takeFrame(frame *replicapb.Frame, address string) {
+func (s *server) takeFrame(frame *replicapb.Frame, header *streamHeader, address string) {
 	if frame.GetMessage() == nil {
 		return
 	}
+	header.restore(frame.GetMessage())
 	m, err := codec.MessageFromProto(frame.GetMessage())
 	if err != nil {
 		s.replica.logRefusal(err)
--- a/internal/replica/stop_test.go
+++ b/internal/replica/stop_test.go
@@ -49,3 +49,18 @@
 		}
 	}
 }
+
+func TestCallersOfALeaderThatIsCutOffHearSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newMemoryNet(t, 3)
+		defer n.stopAll()
+		n.propose(t, "before")
+		leader := n.leader(t)
+		n.isolate(leader, true, true)
+		start := time.Now()
+		_, err := leader.replica.Propose(t.Context(), []byte("racing"))
+		require.ErrorIs(t, err, ErrUnknown)
+		require.ErrorIs(t, leader.replica.ReadBarrier(t.Context()), ErrNotLeader)
+		require.LessOrEqual(t, time.Since(start), time.Second)
+	})
+}
