control: a VM counts as added once it holds the claim records

Cause: in the experiment a second VM was killed right after 'vm add'; the new holder had no majority to repair from and keyed calls stood still.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -39,9 +39,18 @@
 	Entry []ExpectedVM
 	// Orders runs while this VM leads, until its context ends. It may be nil.
 	Orders OrdersRunner
+	// Claims may be nil where no claim records are kept.
+	Claims ClaimHolders
 	Log    zerolog.Logger
 }
 
+// ClaimHolders reaches the holders of claim records.
+type ClaimHolders interface {
+	// Granting returns nil when the holder at address grants claims in the
+	// given ledger epoch.
+	Granting(ctx context.Context, address string, epoch uint64) error
+}
+
 // OrdersRunner gives orders to backend servers.
 type OrdersRunner interface {
 	// Run gives orders as the leader of term until ctx ends.
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"context"
+	"errors"
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -15,6 +17,10 @@
 	"godwityoke.example/godwityoke/internal/registry"
 )
 
+// claimsPollInterval separates questions to a holder of claim records that is
+// being repaired.
+const claimsPollInterval = 100 * time.Millisecond
+
 // memberChangeTimeout bounds one change of the members. The client sends the
 // change again after that.
 const memberChangeTimeout = 5 * time.Second
@@ -62,7 +68,8 @@
 }
 
 // addVM adds a control VM and repeats safely. The VM counts for claims only
-// once it votes.
+// once it votes. It is added once it holds the claim records too: until then a
+// second loss would leave claims without a majority.
 func (c *Control) addVM(ctx context.Context, vm registry.ControlVM) error {
 	if _, err := c.propose(ctx, putCommand(vm)); err != nil {
 		return err
@@ -72,7 +79,28 @@
 			return err
 		}
 	}
-	return c.recordEpoch(ctx)
+	if err := c.recordEpoch(ctx); err != nil {
+		return err
+	}
+	return c.awaitClaims(ctx, vm.Internal)
+}
+
+// awaitClaims returns once the holder at address grants claims.
+func (c *Control) awaitClaims(ctx context.Context, address string) error {
+	if c.options.Claims == nil {
+		return nil
+	}
+	for {
+		err := c.options.Claims.Granting(ctx, address, c.options.Registry.Epoch().Number)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("claim records of %s are not repaired yet: %w", address, errors.Join(ctx.Err(), err))
+		case <-time.After(claimsPollInterval):
+		}
+	}
 }
 
 func (c *Control) votes(name string) bool {
--- a/internal/ledger/grpc.go
+++ b/internal/ledger/grpc.go
@@ -17,6 +17,9 @@
 	Conn(address string) (*grpc.ClientConn, error)
 }
 
+// probeKey is read to learn whether a holder grants claims. No team has it.
+var probeKey = Key{Value: "probe"}
+
 // GRPC reaches holders over gRPC. It implements Caller and Source.
 type GRPC struct {
 	Connections Connections
@@ -35,6 +38,21 @@
 	return reply, nil
 }
 
+// Granting returns nil when the holder at address grants claims in epoch.
+func (g GRPC) Granting(ctx context.Context, address string, epoch uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	probe := &ledgerpb.Request{Epoch: epoch, Operation: ledgerpb.Operation_OPERATION_READ, Key: keyToProto(probeKey)}
+	reply, err := g.Do(ctx, address, probe)
+	if err != nil {
+		return err
+	}
+	if reply.Status != ledgerpb.Status_STATUS_DONE {
+		return fmt.Errorf("claim records of %s: the holder answers %v", address, reply.Status)
+	}
+	return nil
+}
+
 // Entries implements Source.
 func (g GRPC) Entries(ctx context.Context, address string, epoch uint64, each func(*ledgerpb.EntriesReply)) error {
 	conn, err := g.Connections.Conn(address)
--- a/internal/process/claims.go
+++ b/internal/process/claims.go
@@ -58,6 +58,8 @@
 	host    *Host
 	journal *storage.Journal
 	server  *ledger.Server
+	// repair has an element when an epoch was started since the last repair.
+	repair  chan struct{}
 	running sync.WaitGroup
 	cancel  context.CancelFunc
 }
@@ -83,7 +85,7 @@
 		return nil, err
 	}
 	server.Register(host.GRPC)
-	return &claimHolder{host: host, journal: journal, server: server}, nil
+	return &claimHolder{host: host, journal: journal, server: server, repair: make(chan struct{}, 1)}, nil
 }
 
 // Start implements Part.
@@ -94,9 +96,22 @@
 		_ = c.server.Run(ctx) // logged there
 	})
 	c.running.Go(func() { c.followEpochs(ctx) })
+	c.running.Go(func() { c.repairRecords(ctx) })
 	return nil
 }
 
+// repairRecords repairs the records after each epoch, when they have to be.
+func (c *claimHolder) repairRecords(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.repair:
+			_ = c.server.Repair(ctx) // ends early with ctx only
+		}
+	}
+}
+
 // followEpochs moves the holder through the epochs that the control group
 // accepts, one by one.
 func (c *claimHolder) followEpochs(ctx context.Context) {
@@ -121,7 +136,10 @@
 		}
 		previous = epoch.Holders
 	}
-	c.running.Go(func() { _ = c.server.Repair(ctx) }) // returns at once when nothing is to be repaired
+	select {
+	case c.repair <- struct{}{}:
+	default:
+	}
 	return nil
 }
 
--- a/internal/process/control.go
+++ b/internal/process/control.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"godwityoke.example/godwityoke/internal/control"
+	"godwityoke.example/godwityoke/internal/ledger"
 	"godwityoke.example/godwityoke/internal/orders"
 	"godwityoke.example/godwityoke/internal/registry"
 	"godwityoke.example/godwityoke/internal/replica"
@@ -50,6 +51,7 @@
 		Founders: founders(host.Settings),
 		Entry:    expectedVMs(host.Settings),
 		Orders:   c.ordersRunner(),
+		Claims:   ledger.GRPC{Connections: host.Peers},
 		Log:      host.Logger,
 	})
 	host.Control = c.control
