load: measure under each fault of backend servers

--faults runs each policy under single faults and shows the share in time and the attempts on engines for each prompt. The wait for engine memory covers the interval at which entry VMs compare what engines hold.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -14,6 +14,7 @@
 	"godwityoke.example/godwityoke/internal/load"
 	"godwityoke.example/godwityoke/internal/process"
 	"godwityoke.example/godwityoke/internal/settings"
+	"godwityoke.example/godwityoke/internal/standin/fault"
 )
 
 // startWait bounds the wait until every entry VM is ready and has heard of all
@@ -29,7 +30,17 @@
 	// ControlVMs starts a control VM in each zone, to which the scenario's
 	// bundle is submitted. Without, entry VMs read the bundle file.
 	ControlVMs bool
-	Logger     zerolog.Logger
+	// Faulty is switched on once the system serves.
+	Faulty Faulty
+	Logger zerolog.Logger
+}
+
+// Faulty is a fault of some backend servers. The zero value is none.
+type Faulty struct {
+	Kind fault.Kind
+	// Percent of the engines of each zone have the fault, one at least, and
+	// the service servers of the first zone.
+	Percent int
 }
 
 // Cluster is a running system.
@@ -80,7 +91,10 @@
 			return err
 		}
 	}
-	return c.waitServing(ctx)
+	if err := c.waitServing(ctx); err != nil {
+		return err
+	}
+	return c.Standins.inject(c.options.Faulty, c.options.Scenario)
 }
 
 func (c *Cluster) startVMs(ctx context.Context, vms []*vm) ([]*process.Process, error) {
--- a/internal/cluster/compare.go
+++ b/internal/cluster/compare.go
@@ -8,6 +8,7 @@
 
 	"godwityoke.example/godwityoke/internal/load"
 	"godwityoke.example/godwityoke/internal/settings"
+	"godwityoke.example/godwityoke/internal/standin/fault"
 )
 
 // Comparison is a run of one scenario under several policies.
@@ -15,6 +16,9 @@
 	// Base holds all but the policy.
 	Base     Options
 	Policies []settings.Policy
+	// Faults measures each policy once under each of these faults, the empty
+	// one standing for none. Nil is the same as one empty fault.
+	Faults []fault.Kind
 	// Rounds repeats all policies, in turn.
 	Rounds int
 	// WithoutLong measures each policy a second time without long prompts.
@@ -33,16 +37,36 @@
 	}
 	for round := range c.Rounds {
 		for _, policy := range c.Policies {
-			run, err := c.runPolicy(ctx, policy, round+1)
+			runs, err := c.runFaults(ctx, policy, round+1)
 			if err != nil {
 				return nil, err
 			}
-			report.Runs = append(report.Runs, *run)
+			report.Runs = append(report.Runs, runs...)
 		}
 	}
 	return report, nil
 }
 
+func (c *Comparison) runFaults(ctx context.Context, policy settings.Policy, round int) ([]load.RunReport, error) {
+	faults := c.Faults
+	if len(faults) == 0 {
+		faults = []fault.Kind{""}
+	}
+	var runs []load.RunReport
+	for _, kind := range faults {
+		c.Base.Faulty.Kind = kind
+		run, err := c.runPolicy(ctx, policy, round)
+		if err != nil {
+			return nil, err
+		}
+		if kind != "" {
+			run.Policy += ", fault " + string(kind)
+		}
+		runs = append(runs, *run)
+	}
+	return runs, nil
+}
+
 func (c *Comparison) runPolicy(ctx context.Context, policy settings.Policy, round int) (*load.RunReport, error) {
 	report := &load.RunReport{Policy: string(policy), Round: round}
 	samples, evidence, err := c.measure(ctx, policy, round, true)
@@ -70,6 +94,9 @@
 
 func (c *Comparison) measure(ctx context.Context, policy settings.Policy, round int, withLong bool) ([]load.Sample, load.Evidence, error) {
 	name := fmt.Sprintf("%s-%d", policy, round)
+	if c.Base.Faulty.Kind != "" {
+		name += "-" + string(c.Base.Faulty.Kind)
+	}
 	if !withLong {
 		name += "-without-long"
 	}
--- a/internal/command/load.go
+++ b/internal/command/load.go
@@ -2,20 +2,21 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
 	"runtime"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"godwityoke.example/godwityoke/internal/cluster"
 	"godwityoke.example/godwityoke/internal/load"
 	"godwityoke.example/godwityoke/internal/observe"
 	"godwityoke.example/godwityoke/internal/settings"
+	"godwityoke.example/godwityoke/internal/standin/fault"
 )
 
 // LoadArguments are the arguments of "load".
@@ -25,6 +26,8 @@
 	Rounds   int     `arg:"--rounds" default:"1" help:"how often all policies are measured, in turn"`
 	Scale    float64 `arg:"--scale" default:"1" help:"factor on the duration of the phases"`
 	OnlyLong bool    `arg:"--no-comparison" help:"leave out the runs without long prompts, which give the short slowdown"`
+	Faults   string  `arg:"--faults" help:"faults of backend servers to measure under, separated by commas; \"none\" for none, \"all\" for all"`
+	Faulty   int     `arg:"--faulty-percent" default:"20" help:"share of the engines of each zone that have the fault"`
 	JSON     string  `arg:"--json" help:"file for the report as JSON"`
 	Plot     string  `arg:"--plot" help:"file for the report as SVG"`
 	LogLevel string  `arg:"--log-level" default:"error" help:"zerolog level of the system's own log"`
@@ -54,8 +57,9 @@
 		return ExitFindings
 	}
 	policies, err := parsePolicies(a.Policies)
-	if err != nil || a.Scale <= 0 || a.Rounds < 1 {
-		fmt.Fprintln(output.Err, "wrong --policies, --scale or --rounds:", err)
+	faults, faultsErr := parseFaults(a.Faults)
+	if err := errors.Join(err, faultsErr); err != nil || a.Scale <= 0 || a.Rounds < 1 {
+		fmt.Fprintln(output.Err, "wrong --policies, --faults, --scale or --rounds:", err)
 		return ExitUsage
 	}
 	logger, err := observe.NewLogger(output.Err, observe.LogConsole, a.LogLevel)
@@ -66,7 +70,15 @@
 	if len(a.Entry) > 0 {
 		return a.offer(output, scenario.Scaled(a.Scale))
 	}
-	return a.compare(output, scenario.Scaled(a.Scale), policies, logger)
+	comparison := &cluster.Comparison{
+		Base: cluster.Options{
+			Scenario: scenario.Scaled(a.Scale), Builders: builders(), ControlVMs: true,
+			Faulty: cluster.Faulty{Percent: a.Faulty}, Logger: logger,
+		},
+		Policies: policies, Faults: faults, Rounds: a.Rounds, WithoutLong: !a.OnlyLong, Scale: a.Scale,
+		Progress: printProgress(output),
+	}
+	return a.compare(output, comparison)
 }
 
 // offer sends the load to a system that runs already.
@@ -94,14 +106,9 @@
 	})
 }
 
-func (a *LoadArguments) compare(output Output, scenario *load.Scenario, policies []settings.Policy, logger zerolog.Logger) int {
+func (a *LoadArguments) compare(output Output, comparison *cluster.Comparison) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	comparison := cluster.Comparison{
-		Base:     cluster.Options{Scenario: scenario, Builders: builders(), ControlVMs: true, Logger: logger},
-		Policies: policies, Rounds: a.Rounds, WithoutLong: !a.OnlyLong, Scale: a.Scale,
-		Progress: printProgress(output),
-	}
 	report, err := comparison.Run(ctx)
 	if err != nil {
 		fmt.Fprintln(output.Err, err)
@@ -153,3 +160,25 @@
 	}
 	return policies, nil
 }
+
+func parseFaults(text string) ([]fault.Kind, error) {
+	switch text {
+	case "":
+		return nil, nil
+	case "all":
+		return append([]fault.Kind{""}, fault.Kinds...), nil
+	}
+	var kinds []fault.Kind
+	for _, name := range strings.Split(text, ",") {
+		kind := fault.Kind(name)
+		switch {
+		case name == "none":
+			kinds = append(kinds, "")
+		case slices.Contains(fault.Kinds, kind):
+			kinds = append(kinds, kind)
+		default:
+			return nil, fmt.Errorf("unknown fault %q, allowed: none, all, %v", name, fault.Kinds)
+		}
+	}
+	return kinds, nil
+}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -134,8 +134,9 @@
 		return nil, err
 	}
 	checked := incidents.wait()
-	checked = append(checked, d.stop(ctx))
+	d.say("waiting for the engines to free their memory")
 	evidence := d.cluster.Standins.Evidence(ctx)
+	checked = append(checked, d.stop(ctx))
 	return &load.Report{
 		Scenario: d.scenario.Name, Seed: d.scenario.Seed, Scale: 1, Started: d.started, Processors: runtime.GOMAXPROCS(0),
 		Bound: load.ComputeBound(d.scenario, d.scenario.Schedule(true)),
--- a/internal/demo/incidents.go
+++ b/internal/demo/incidents.go
@@ -79,19 +79,24 @@
 func (d *demo) answerWrongly(context.Context, string) []load.Promise {
 	engines := d.cluster.Standins.Engines
 	for i, kind := range []fault.Kind{fault.Crossed, fault.Cut, fault.Repeat, fault.Leak} {
-		switchOn(engines[1+i].Faults(), kind)
+		switchOn(engines[1+i], kind)
 	}
 	return nil
 }
 
-func switchOn(faults *fault.Set, kind fault.Kind) {
-	_ = faults.Switch(fault.Fault{Kind: kind, Count: faultyAnswers, AfterTokens: 2}) // fails on unknown kinds only
+// faulty is a stand-in with faults.
+type faulty interface {
+	Switch(wanted fault.Fault) error
+}
+
+func switchOn(server faulty, kind fault.Kind) {
+	_ = server.Switch(fault.Fault{Kind: kind, Count: faultyAnswers, AfterTokens: 2}) // fails on unknown kinds only
 }
 
 func (d *demo) serveWrongly(context.Context, string) []load.Promise {
 	services := d.cluster.Standins.Services
 	for i, kind := range []fault.Kind{fault.Crossed, fault.Cut, fault.Error} {
-		switchOn(services[i%len(services)].Faults(), kind)
+		switchOn(services[i%len(services)], kind)
 	}
 	return nil
 }
@@ -100,12 +105,12 @@
 // the memory of the attempts that were given up must be freed.
 func (d *demo) goSilent(ctx context.Context, name string) []load.Promise {
 	silent := d.cluster.Standins.Engines[1]
-	silent.Silence(true)
+	_ = silent.Switch(fault.Fault{Kind: fault.Silent, Count: fault.Forever})
 	select {
 	case <-ctx.Done():
 	case <-time.After(silence):
 	}
-	silent.Silence(false)
+	_ = silent.Switch(fault.Fault{Kind: fault.Silent})
 	d.say("incident over: %s", name)
 	return nil
 }
--- a/internal/load/collect.go
+++ b/internal/load/collect.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	// collectWait bounds the wait for engines to free their memory.
-	collectWait = 10 * time.Second
+	// collectWait bounds the wait for engines to free their memory. Entry VMs
+	// compare what engines hold with what is in progress every 10 s.
+	collectWait = 15 * time.Second
 	// collectTimeout bounds one question to a stand-in.
 	collectTimeout = 5 * time.Second
 	// collectInterval is the time between looks at the engines' memory.
--- a/internal/load/measure.go
+++ b/internal/load/measure.go
@@ -83,6 +83,13 @@
 	return served
 }
 
+func (s Share) plus(other Share) Share {
+	return Share{
+		Offered: s.Offered + other.Offered, InTime: s.InTime + other.InTime,
+		OfferedTokens: s.OfferedTokens + other.OfferedTokens, InTimeTokens: s.InTimeTokens + other.InTimeTokens,
+	}
+}
+
 // Requests returns the share of requests, 1 when none was offered.
 func (s Share) Requests() float64 { return ratio(s.InTime, s.Offered) }
 
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -38,8 +38,20 @@
 	Engines       EngineTotals `json:"engines"`
 }
 
+// callsPerPrompt returns the attempts that reached an engine for each prompt
+// offered in the run with long prompts.
+func (r *RunReport) callsPerPrompt() float64 {
+	var offered int64
+	for _, row := range r.WithLong.Lengths {
+		offered += row.Offered
+	}
+	return ratio(r.Engines.Calls, offered)
+}
+
 // EngineTotals sums the counters of all engines.
 type EngineTotals struct {
+	// Calls counts the attempts that reached an engine.
+	Calls         int64   `json:"calls"`
 	Completed     int64   `json:"completed"`
 	Cancelled     int64   `json:"cancelled"`
 	Refused       int64   `json:"refused"`
@@ -57,6 +69,7 @@
 	var total EngineTotals
 	for _, engine := range e.Engines {
 		counted := engine.Counters
+		total.Calls += counted.Calls
 		total.Completed += counted.Completed
 		total.Cancelled += counted.Cancelled
 		total.Refused += counted.Refused
@@ -123,6 +136,7 @@
 	fmt.Fprintf(w, "engines: busy %.1f s, prefill %d, cached %d, generated %d tokens; over-commits %d, longest queue %d, memory left %d\n",
 		engines.BusySeconds, engines.PrefillTokens, engines.CachedTokens, engines.DecodeTokens,
 		engines.OverCommits, engines.MaxWaiting, engines.MemoryLeft)
+	fmt.Fprintf(w, "attempts on engines for each prompt: %.2f\n", r.callsPerPrompt())
 	WritePromises(w, r.Promises)
 }
 
@@ -146,6 +160,11 @@
 
 func (r *RunReport) writeService(w io.Writer) {
 	crest, worst := r.WithLong.Crest, r.WithLong.WorstSecond
+	var all Share
+	for _, second := range r.WithLong.Seconds {
+		all = all.plus(second.Share)
+	}
+	fmt.Fprintf(w, "in time over the whole run: %.1f%% of %d requests\n", 100*all.Requests(), all.Offered)
 	fmt.Fprintf(w, "service at the crest: %.1f%% of requests, %.1f%% of tokens; worst second (%d): %.1f%% of %d requests, %.1f%% of tokens\n",
 		100*crest.Requests(), 100*crest.Tokens(), worst.Second, 100*worst.Requests(), worst.Offered, 100*worst.Tokens())
 	fmt.Fprintf(w, "  short prompts and service calls in the worst second: %.1f%% of %d\n", 100*worst.Short.Requests(), worst.Short.Offered)
--- a/internal/standin/engine/complete.go
+++ b/internal/standin/engine/complete.go
@@ -27,7 +27,7 @@
 
 // complete generates an answer as server-sent events.
 func (s *Server) complete(c echo.Context) error {
-	s.countAfterLeaving(time.Now())
+	s.countCall(time.Now())
 	if s.blocked(c) {
 		return nil
 	}
@@ -66,12 +66,13 @@
 	return c.JSON(status, control.Problem{Error: err.Error()})
 }
 
-func (s *Server) countAfterLeaving(now time.Time) {
+func (s *Server) countCall(now time.Time) {
 	began := s.leavingAt.Load()
-	if began == 0 {
-		return
-	}
 	s.runner.with(func(core *Core) {
+		core.counters.Calls++
+		if began == 0 {
+			return
+		}
 		core.counters.AfterLeaving++
 		core.counters.LastAfterLeavingMillis = now.Sub(time.Unix(0, began)).Milliseconds()
 	})
--- a/internal/standin/engine/core.go
+++ b/internal/standin/engine/core.go
@@ -76,6 +76,9 @@
 
 // Counters are what the engine ran.
 type Counters struct {
+	// Calls counts the calls for generation that arrived, refused and failed
+	// ones included.
+	Calls         int64 `json:"calls"`
 	Submitted     int64 `json:"submitted"`
 	Completed     int64 `json:"completed"`
 	Cancelled     int64 `json:"cancelled"`
