cluster: delay between zones, and what a claim adds

Small relays delay what VMs of different zones send each other, by the scenario's zone_delay and up to a fifth more.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -175,6 +175,9 @@
 		running.Kill()
 	}
 	c.Standins.Close()
+	if c.topology != nil {
+		c.topology.links.close()
+	}
 	if c.folder != "" {
 		_ = os.RemoveAll(c.folder)
 	}
--- a/internal/cluster/vms.go
+++ b/internal/cluster/vms.go
@@ -37,6 +37,7 @@
 	// operator signs bundles.
 	operator ed25519.PrivateKey
 	folder   string
+	links    *links
 }
 
 // openTopology opens the listeners of all VMs: the entry VMs of each zone, and
@@ -59,7 +60,9 @@
 			return nil, err
 		}
 	}
-	return t, nil
+	var err error
+	t.links, err = openLinks(scenario, append(t.entries, t.controls...))
+	return t, err
 }
 
 func (v *vm) open() error {
@@ -87,10 +90,12 @@
 	return listener.Addr().String()
 }
 
-func peersOf(vms []*vm) []settings.Peer {
+// peersOf returns VMs as those of a zone are to reach them.
+func (t *topology) peersOf(vms []*vm, zone string) []settings.Peer {
 	peers := make([]settings.Peer, len(vms))
 	for i, one := range vms {
 		peers[i] = one.peer
+		peers[i].Internal = t.links.address(zone, one.peer)
 	}
 	return peers
 }
@@ -114,7 +119,7 @@
 		Callers: addressOf(v.listeners.Callers), Backends: v.peer.Backends,
 		Internal: v.peer.Internal, Operators: v.peer.Operators,
 	}
-	config.EntryVMs, config.ControlVMs = peersOf(t.entries), peersOf(t.controls)
+	config.EntryVMs, config.ControlVMs = t.peersOf(t.entries, v.peer.Zone), t.peersOf(t.controls, v.peer.Zone)
 	config.Operators = settings.Operators{RequiredSignatures: 1, Keys: []settings.OperatorKey{{
 		Name: operatorName, Ed25519: base64.StdEncoding.EncodeToString(t.operator.Public().(ed25519.PublicKey)),
 	}}}
--- a/internal/load/measure.go
+++ b/internal/load/measure.go
@@ -159,10 +159,12 @@
 	Short Quantiles `json:"short"`
 	// TokenGap is the mean time between tokens of each request.
 	TokenGap Quantiles `json:"token_gap"`
-	// Calls is the whole time of completed calls of plain services.
-	Calls    Quantiles    `json:"calls"`
-	Outcomes OutcomeCount `json:"outcomes"`
-	Codes    []CodeCount  `json:"codes"`
+	// Calls is the whole time of completed idempotent calls of plain services,
+	// KeyedCalls that of calls with an idempotency key, which are claimed.
+	Calls      Quantiles    `json:"calls"`
+	KeyedCalls Quantiles    `json:"keyed_calls"`
+	Outcomes   OutcomeCount `json:"outcomes"`
+	Codes      []CodeCount  `json:"codes"`
 	// Crest covers the phases marked so, WorstSecond the second of them with
 	// the lowest share of requests.
 	Crest       Share       `json:"crest"`
@@ -207,10 +209,12 @@
 }
 
 func (m *Measures) measureTimes(samples []Sample) {
-	short, gap, calls := newTimes(), newTimes(), newTimes()
+	short, gap, calls, keyed := newTimes(), newTimes(), newTimes(), newTimes()
 	for i := range samples {
 		sample := &samples[i]
 		switch {
+		case sample.Key != "" && sample.Outcome == request.Completed:
+			keyed.add(sample.Whole)
 		case sample.Arrival.Call != nil && sample.Outcome == request.Completed:
 			calls.add(sample.Whole)
 		case sample.Arrival.Prompt != nil && sample.Arrival.Prompt.Short && sample.FirstToken > 0:
@@ -220,7 +224,8 @@
 			gap.add(sample.TokenGap)
 		}
 	}
-	m.Short, m.TokenGap, m.Calls = short.quantiles(), gap.quantiles(), calls.quantiles()
+	m.Short, m.TokenGap = short.quantiles(), gap.quantiles()
+	m.Calls, m.KeyedCalls = calls.quantiles(), keyed.quantiles()
 }
 
 func measureLengths(samples []Sample) []LengthRow {
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -151,7 +151,8 @@
 		fmt.Fprintf(w, "short slowdown (p95 with / without): %.2f\n", r.ShortSlowdown)
 	}
 	writeQuantiles(w, "between tokens", r.WithLong.TokenGap)
-	writeQuantiles(w, "plain service calls", r.WithLong.Calls)
+	writeQuantiles(w, "idempotent calls", r.WithLong.Calls)
+	writeQuantiles(w, "claimed calls", r.WithLong.KeyedCalls)
 }
 
 func writeQuantiles(w io.Writer, name string, q Quantiles) {
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -46,6 +46,9 @@
 	// ServersPerZone is the number of servers of each plain service in a zone.
 	ServersPerZone int         `json:"servers_per_zone"`
 	Engine         EngineSpeed `json:"engine"`
+	// ZoneDelay is the one-way delay between VMs of different zones, to which
+	// up to a fifth is added at random.
+	ZoneDelay jsonc.Duration `json:"zone_delay,omitempty"`
 	// ServiceTime is how long a call of a plain service takes.
 	ServiceTime jsonc.Duration `json:"service_time"`
 }
