Move requests that wait long to an engine that grants at once

A long prompt waited in the queue of a preferred engine until it missed its latest start, beside engines that were idle by then. After a quarter of its slack it now goes to any engine that grants it at once.

--- a/internal/capacity/core.go
+++ b/internal/capacity/core.go
@@ -115,6 +115,12 @@
 	return true
 }
 
+// Waits reports whether a request waits in the queue.
+func (c *Core) Waits(attempt string) bool { return c.queue.find(attempt) >= 0 }
+
+// Withdraw takes a request out of the queue without a decision.
+func (c *Core) Withdraw(attempt string) { c.queue.remove(attempt) }
+
 // RefuseAll refuses all waiting requests.
 func (c *Core) RefuseAll(kind DecisionKind) {
 	for _, request := range c.queue.requests {
--- a/internal/capacity/service.go
+++ b/internal/capacity/service.go
@@ -173,7 +173,7 @@
 	pending := &pendingRequest{service: s, attempt: request.Attempt, decided: make(chan ServerDecision, 1)}
 	sent := s.do(func(now time.Time) {
 		s.waiters[request.Attempt] = pending.decided
-		pending.server = s.state.Acquire(request, choices, now)
+		s.state.Acquire(request, choices, now)
 	})
 	if !sent {
 		return nil, errStopped
@@ -185,8 +185,6 @@
 type pendingRequest struct {
 	service *Service
 	attempt string
-	// server is set on the control goroutine.
-	server  string
 	decided chan ServerDecision
 }
 
@@ -194,7 +192,7 @@
 func (p *pendingRequest) withdraw() {
 	p.service.do(func(now time.Time) {
 		delete(p.service.waiters, p.attempt)
-		p.service.state.Release(p.server, p.attempt, false, now)
+		p.service.state.Release("", p.attempt, false, now)
 	})
 }
 
--- a/internal/capacity/state.go
+++ b/internal/capacity/state.go
@@ -41,6 +41,7 @@
 	config  Config
 	members *Members
 	engines map[string]*engineState
+	waiting map[string]*waitingRequest
 	decided []ServerDecision
 }
 
@@ -62,7 +63,10 @@
 // NewState returns the state of VM self at its start, where names lists the
 // entry VMs of its zone.
 func NewState(self string, names []string, config Config) *State {
-	return &State{self: self, config: config, members: NewMembers(self, names, config.Term), engines: map[string]*engineState{}}
+	return &State{
+		self: self, config: config, members: NewMembers(self, names, config.Term),
+		engines: map[string]*engineState{}, waiting: map[string]*waitingRequest{},
+	}
 }
 
 // Members returns the members of the zone.
@@ -103,6 +107,7 @@
 		}
 		s.collect(server, engine)
 	}
+	s.moveWaiting(now)
 	return work
 }
 
@@ -170,6 +175,9 @@
 	request.PrefillTokens = chosen.PrefillTokens
 	engine.core.Acquire(request, now)
 	s.collect(chosen.Server, engine)
+	if engine.core.Waits(request.Attempt) {
+		s.wait(request, choices, chosen.Server, now)
+	}
 	return chosen.Server
 }
 
--- /dev/null
+++ b/internal/capacity/state_test.go
@@ -0,0 +1,68 @@
+package capacity
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func choicesFor(servers ...string) []Choice {
+	choices := make([]Choice, len(servers))
+	for i, server := range servers {
+		choices[i] = Choice{Server: server, PrefillTokens: 1000, TokenTime: time.Microsecond}
+	}
+	return choices
+}
+
+func stateRequest(attempt string, tokens int64, now time.Time) Request {
+	return Request{Attempt: attempt, Holder: "a", Tokens: tokens, LatestStart: now.Add(8 * time.Second), Deadline: now.Add(time.Minute)}
+}
+
+func lastDecision(t *testing.T, state *State) ServerDecision {
+	t.Helper()
+	decided := state.Take()
+	require.Len(t, decided, 1)
+	return decided[0]
+}
+
+func TestSchedulerChoosesTheShortestWait(t *testing.T) {
+	state, _ := settledState(3)
+	now := start.Add(4 * term)
+	choices := choicesFor("e0", "e1", "e2")
+	used := map[string]int{}
+	for _, attempt := range []string{"a", "b", "c", "d", "e", "f"} {
+		used[state.Acquire(stateRequest(attempt, 1000, now), choices, now)]++
+	}
+	assert.Equal(t, map[string]int{"e0": 2, "e1": 2, "e2": 2}, used, "the choice is exact, not by reports")
+
+	choices[1].Preferred = true
+	assert.Equal(t, "e1", state.Acquire(stateRequest("g", 1000, now), choices, now))
+	choices[1].TokenTime = 10 * time.Millisecond
+	assert.NotEqual(t, "e1", state.Acquire(stateRequest("h", 1000, now), choices, now), "preferred, but slower than half the slack")
+	assert.Empty(t, state.Acquire(stateRequest("i", 1000, now), choicesFor("unknown"), now))
+}
+
+// TestWaitingRequestMovesToAnIdleEngine fills the preferred engine, then the
+// other one becomes idle.
+func TestWaitingRequestMovesToAnIdleEngine(t *testing.T) {
+	state, _ := settledState(2)
+	now := start.Add(4 * term)
+	live := []Engine{state.engines["e0"].engine, state.engines["e1"].engine}
+	state.Acquire(stateRequest("full0", 400_000, now), choicesFor("e0"), now)
+	state.Acquire(stateRequest("full1", 400_000, now), choicesFor("e1"), now)
+	state.Take()
+	choices := choicesFor("e0", "e1")
+	choices[0].Preferred = true
+	require.Equal(t, "e0", state.Acquire(stateRequest("late", 100_000, now), choices, now))
+	state.Release("e1", "full1", false, now)
+	state.Tick(live, now.Add(time.Second))
+	assert.Empty(t, state.Take(), "it waits for the preferred engine for a while")
+	state.Tick(live, now.Add(2*time.Second))
+	decision := lastDecision(t, state)
+	assert.Equal(t, ServerDecision{Server: "e1", Decision: decision.Decision}, decision)
+	assert.Equal(t, Granted, decision.Kind)
+	assert.Zero(t, state.engines["e0"].core.Usage().Waiting)
+	assert.Empty(t, state.waiting)
+}
--- a/internal/place/compare_test.go
+++ b/internal/place/compare_test.go
@@ -163,6 +163,9 @@
 	for i := range z.cores {
 		z.servers[i].Load = z.cores[i].Load()
 	}
+	if z.state != nil {
+		z.state.Tick(z.live, now)
+	}
 	if now.Before(z.arrivals[len(z.arrivals)-1].at) {
 		z.events.add(event{at: now.Add(reportLag), engine: aReport})
 	}
