--- a/internal/place/group.go
+++ b/internal/place/group.go
@@ -17,9 +17,10 @@
 	Placement
 	// Segments returns the parts of the prompt in order.
 	Segments() []GroupSegment
-	// BeginPrefill and EndPrefill tell that the engine of a segment computes
-	// it. The prefill of the last one ends with FirstToken.
+	// BeginPrefill tells that the engine of a segment begins to compute it.
 	BeginPrefill(segment int)
+	// EndPrefill tells that the engine has computed it. The prefill of the
+	// last segment ends with FirstToken instead.
 	EndPrefill(segment int)
 }
 
