Refuse by estimate only on fresh evidence

A stall made estimates rise, and refusals then kept them up: one query each 5 s was tried, so recovery could take minutes. Now nothing is refused when no request has shown its speed in the last second, and an engine that is faster than its average counts six times as much as a slower one.

--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -18,6 +18,11 @@
 	defaultAnswerShare = 0.5
 	// minWeight is the weight of the newest sample in a running average.
 	minWeight = 0.1
+	// fasterWeight and slowerWeight are the weights of a sample that shows an
+	// engine faster or slower than its average. Time to the first token holds
+	// waits that no report told of, so the faster ones tell more of the speed.
+	fasterWeight = 0.3
+	slowerWeight = 0.05
 	// maxOutlier bounds a sample to this multiple of the average, so that one
 	// stall does not close an engine.
 	maxOutlier = 8
@@ -38,15 +43,23 @@
 	samples int
 }
 
-func (a *average) add(sample float64) {
+func (a *average) add(sample, weight float64) {
 	if a.samples >= minSamples {
 		sample = min(sample, a.value*maxOutlier)
 	}
-	weight := max(minWeight, 1/float64(a.samples+1))
-	a.value += (sample - a.value) * weight
+	a.value += (sample - a.value) * max(weight, 1/float64(a.samples+1))
 	a.samples++
 }
 
+// addTime adds a sample of an engine's speed.
+func (a *average) addTime(sample float64) {
+	if sample < a.value {
+		a.add(sample, fasterWeight)
+		return
+	}
+	a.add(sample, slowerWeight)
+}
+
 // speed is what was learned of one engine and model. Times are in seconds for
 // one token.
 type speed struct {
@@ -97,14 +110,14 @@
 func (e *Estimator) Learn(o Observation, now time.Time) {
 	for _, known := range []*speed{e.server(o.Key, now), e.model(o.Key.Model)} {
 		if worked := o.PromptTokens - o.CachedTokens + o.AheadTokens; worked > 0 && o.FirstToken > 0 {
-			known.prefill[bucket(o.PromptTokens)].add(o.FirstToken.Seconds() / float64(worked))
+			known.prefill[bucket(o.PromptTokens)].addTime(o.FirstToken.Seconds() / float64(worked))
 		}
 		if o.AnswerTokens > 1 && o.Decode > 0 {
-			known.decode.add(o.Decode.Seconds() / float64(o.AnswerTokens-1))
+			known.decode.addTime(o.Decode.Seconds() / float64(o.AnswerTokens-1))
 		}
 	}
 	if o.Complete && o.AnswerLimit > 0 {
-		e.answer(o.Key.Model).add(float64(o.AnswerTokens) / float64(o.AnswerLimit))
+		e.answer(o.Key.Model).add(float64(o.AnswerTokens)/float64(o.AnswerLimit), minWeight)
 	}
 }
 
--- a/internal/place/baseline.go
+++ b/internal/place/baseline.go
@@ -78,7 +78,7 @@
 			chosen, expected = &candidates[i], t
 		}
 	}
-	if b.inTime(expected, query, now) || b.knowledge.mayProbe(query.Model, now) {
+	if b.inTime(expected, query, now) || b.knowledge.mayTry(query.Model, now) {
 		return chosen, expected, nil
 	}
 	return nil, timing{}, refuseNoTime(expected.total(), query, now)
--- a/internal/place/group.go
+++ b/internal/place/group.go
@@ -187,7 +187,7 @@
 		total += outlook.speeds.Of(segment.Server).Prefill(segment.End - segment.Start)
 	}
 	expected := timing{firstToken: total, decode: outlook.speeds.Usual().Decode(outlook.answer)}
-	if !b.inTime(expected, query, now) && !b.knowledge.mayProbe(query.Model, now) {
+	if !b.inTime(expected, query, now) && !b.knowledge.mayTry(query.Model, now) {
 		return 0, refuseNoTime(expected.total(), query, now)
 	}
 	return time.Duration(float64(expected.total()) * (1 + startMargin)), nil
--- a/internal/place/knowledge.go
+++ b/internal/place/knowledge.go
@@ -12,9 +12,10 @@
 	// slownessWeight is the weight of the newest request in the slowness that
 	// is usual for a model.
 	slownessWeight = 0.02
-	// probeInterval is how often a query is tried on a server whose estimate
-	// speaks against it, so that a wrong estimate corrects itself.
-	probeInterval = 5 * time.Second
+	// evidenceAge is the age up to which what requests have shown speaks
+	// against a query. Without newer evidence the query is tried, so that
+	// refusals cannot keep a wrong estimate alive.
+	evidenceAge = time.Second
 )
 
 // knowledge is what this VM has learned of engines from its own requests. It
@@ -27,10 +28,10 @@
 	work map[string]ownWork
 	// usual is the running average of the logarithm of slowness by model.
 	usual map[string]float64
-	// probed holds when a query was last tried against the estimate, by model.
-	probed map[string]time.Time
-	buffer []candidate
-	kept   []int
+	// learned holds when a request last showed a speed, by model.
+	learned map[string]time.Time
+	buffer  []candidate
+	kept    []int
 }
 
 // ownWork is what one VM has in progress on a server.
@@ -43,7 +44,7 @@
 func newKnowledge() *knowledge {
 	return &knowledge{
 		estimator: estimate.New(), ejector: eject.New(), work: map[string]ownWork{},
-		usual: map[string]float64{}, probed: map[string]time.Time{},
+		usual: map[string]float64{}, learned: map[string]time.Time{},
 	}
 }
 
@@ -84,12 +85,8 @@
 	return math.Exp(slowness - usual)
 }
 
-// mayProbe reports whether a query of model may be tried against the
-// estimate now.
-func (k *knowledge) mayProbe(model string, now time.Time) bool {
-	if now.Sub(k.probed[model]) < probeInterval {
-		return false
-	}
-	k.probed[model] = now
-	return true
+// mayTry reports whether a query of model is tried although the estimate
+// speaks against it.
+func (k *knowledge) mayTry(model string, now time.Time) bool {
+	return now.Sub(k.learned[model]) >= evidenceAge
 }
--- a/internal/place/leases.go
+++ b/internal/place/leases.go
@@ -117,7 +117,7 @@
 	outlook := b.knowledge.outlook(query)
 	l.matchPrefix(query)
 	best, first := l.ranker.rank(candidates, &outlook)
-	if !b.inTime(first.expected, query, now) && !b.knowledge.mayProbe(query.Model, now) {
+	if !b.inTime(first.expected, query, now) && !b.knowledge.mayTry(query.Model, now) {
 		b.overloaded(now)
 		return nil, refuseNoTime(first.expected.total(), query, now)
 	}
--- a/internal/place/placement.go
+++ b/internal/place/placement.go
@@ -87,6 +87,7 @@
 }
 
 func (p *placement) learnSpeed(result AttemptResult) {
+	p.baseline.knowledge.learned[p.query.Model] = result.At
 	p.baseline.knowledge.estimator.Learn(estimate.Observation{
 		Key:          estimate.Key{Server: p.server.ID, Model: p.query.Model},
 		PromptTokens: p.query.PromptTokens,
