--- a/internal/pipeline/callers_test.go
+++ b/internal/pipeline/callers_test.go
@@ -80,6 +80,18 @@
 	})
 }
 
+// TestPromptThatIsNotShortMayWait gives an engine that holds the attempt nearly
+// all of the time: taking the prompt elsewhere would lose its place in the queue.
+func TestPromptThatIsNotShortMayWait(t *testing.T) {
+	inBubble(t, 2, func(s *system) {
+		s.breakWith(faultLate, atWait, 2)
+		body := strings.Replace(streamBody, "describe", strings.Repeat("describe ", 3000), 1)
+		got := s.call(http.MethodPost, "/v1/completions", body, request.DeadlineHeader, "8s")
+		require.Equal(t, request.Completed, got.outcome, got)
+		require.Equal(t, 1, s.backends[0].total()+s.backends[1].total())
+	})
+}
+
 // TestRetryBudgetBoundsLoad sends requests while one of two engines fails each
 // attempt without a token.
 func TestRetryBudgetBoundsLoad(t *testing.T) {
@@ -127,13 +139,7 @@
 
 // TestTwoFaultsAtOnce gives two of three engines different faults.
 func TestTwoFaultsAtOnce(t *testing.T) {
-	pairs := [][2]cell{
-		{{faultDies, atStream}, {faultRefuses, atWait}},
-		{{faultHangs, atStream}, {faultCrossed, atVerify}},
-		{{faultSilent, atWait}, {faultDies, atWait}},
-		{{faultTwice, atStream}, {faultCut, atVerify}},
-	}
-	for _, pair := range pairs {
+	for _, pair := range pairCells() {
 		t.Run(pair[0].name()+"+"+pair[1].name(), func(t *testing.T) {
 			inBubble(t, 3, func(s *system) {
 				for i, c := range pair {
@@ -212,7 +218,7 @@
 // TestPlannedStopAtEachStep stops the callers' side while a request is at a
 // step that takes long.
 func TestPlannedStopAtEachStep(t *testing.T) {
-	for _, c := range []cell{{faultLate, atDial}, {faultLate, atWait}, {faultLate, atStream}, {faultDies, atStream}} {
+	for _, c := range stopCells() {
 		t.Run(c.name(), func(t *testing.T) {
 			inBubble(t, 2, func(s *system) {
 				s.breakWith(c.fault, c.at, 1)
