standin: a leaving engine writes its last tokens before it closes

Cause: the core was idle while a handler still had tokens to write; the close cut the stream. Seen once in a run of all tests under load. Ruled out: the request path; the test calls the stand-in directly. Conclusion: shutdown of the listener waits for the handlers, 2 s at most.

--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -112,10 +112,18 @@
 	s.leavingAt.CompareAndSwap(0, time.Now().UnixNano())
 	s.announcer.Leave()
 	err := s.waitIdle(ctx)
+	s.flush(ctx)
 	s.Close()
 	return err
 }
 
+// flush waits until the tokens that were generated are written to callers.
+func (s *Server) flush(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, flushLimit)
+	defer cancel()
+	_ = s.http.Shutdown(ctx) // what is left is cut by Close
+}
+
 func (s *Server) waitIdle(ctx context.Context) error {
 	earliest := time.Now().Add(s.config.LeaveWait)
 	ticker := time.NewTicker(20 * time.Millisecond)
@@ -130,6 +138,9 @@
 	return nil
 }
 
+// flushLimit bounds the writing of the last tokens of a leaving engine.
+const flushLimit = 2 * time.Second
+
 // Close ends the engine at once, as a crash would.
 func (s *Server) Close() {
 	s.stop()
