--- a/internal/command/bundle.go
+++ b/internal/command/bundle.go
@@ -10,6 +10,7 @@
 type BundleArguments struct {
 	Check  *BundleCheckArguments  `arg:"subcommand:check" help:"print every mistake of a bundle file with its place"`
 	Keygen *BundleKeygenArguments `arg:"subcommand:keygen" help:"make an operator key"`
+	Diff   *BundleDiffArguments   `arg:"subcommand:diff" help:"show what a bundle file changes against the newest accepted bundle"`
 	Sign   *BundleSignArguments   `arg:"subcommand:sign" help:"sign a bundle file as the next version"`
 	Submit *BundleSubmitArguments `arg:"subcommand:submit" help:"submit a signed bundle for acceptance"`
 	Roll   *BundleRollArguments   `arg:"subcommand:roll" help:"bring engines to the newest accepted bundle"`
@@ -23,6 +24,8 @@
 		return a.Check.run(output), true
 	case a.Keygen != nil:
 		return a.Keygen.run(output), true
+	case a.Diff != nil:
+		return a.Diff.run(output), true
 	case a.Sign != nil:
 		return a.Sign.run(output), true
 	case a.Submit != nil:
--- a/internal/operatorapi/client.go
+++ b/internal/operatorapi/client.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 )
@@ -93,23 +94,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("encode the request: %w", err)
 	}
-	last := ErrNoLeader
 	for {
-		targets := append([]string(nil), c.addresses...)
-		for i := 0; i < len(targets) && i <= 2*len(c.addresses); i++ {
-			reply := new(Reply)
-			err := c.once(ctx, method, targets[i], path, body, reply)
-			if err == nil {
-				return reply, nil
-			}
-			var refused *ErrorReply
-			if errors.As(err, &refused) && (refused.Code == ErrorRequest || refused.Code == ErrorRefused) {
-				return nil, refused
-			}
-			if refused != nil && refused.LeaderOperators != "" {
-				targets = append(targets[:i+1], append([]string{refused.LeaderOperators}, targets[i+1:]...)...)
-			}
-			last = err
+		reply := new(Reply)
+		last := c.round(ctx, method, path, body, reply)
+		if last == nil {
+			return reply, nil
+		}
+		var refused *ErrorReply
+		if errors.As(last, &refused) && refused.final() {
+			return nil, refused
 		}
 		select {
 		case <-ctx.Done():
@@ -119,6 +112,34 @@
 	}
 }
 
+// final reports whether another attempt would get the same answer.
+func (e *ErrorReply) final() bool { return e.Code == ErrorRequest || e.Code == ErrorRefused }
+
+// round asks each known control VM once, and those that are named as the
+// leader first, until one answers. It returns the last error.
+func (c *Client) round(ctx context.Context, method, path string, body []byte, reply any) error {
+	last := ErrNoLeader
+	targets := slices.Clone(c.addresses)
+	tried := map[string]bool{}
+	for len(targets) > 0 {
+		address := targets[0]
+		targets = targets[1:]
+		if tried[address] {
+			continue
+		}
+		tried[address] = true
+		last = c.once(ctx, method, address, path, body, reply)
+		var refused *ErrorReply
+		if last == nil || errors.As(last, &refused) && refused.final() {
+			return last
+		}
+		if refused != nil && refused.LeaderOperators != "" {
+			targets = slices.Insert(targets, 0, refused.LeaderOperators)
+		}
+	}
+	return last
+}
+
 func (c *Client) once(ctx context.Context, method, address, path string, body []byte, reply any) error {
 	limit := attemptTimeout
 	if strings.HasPrefix(path, PathVMs) && method != http.MethodGet {
