--- a/internal/replica/start.go
+++ b/internal/replica/start.go
@@ -156,6 +156,13 @@
 	}
 }
 
+// Abort ends the member without handing leadership over, as the death of its
+// VM would, and returns when its files are closed.
+func (r *Replica) Abort() {
+	r.stop()
+	<-r.done
+}
+
 // awaitSuccessor waits until another member leads, for an election timeout at
 // most.
 func (r *Replica) awaitSuccessor(ctx context.Context) {
