--- a/internal/process/claims.go
+++ b/internal/process/claims.go
@@ -169,9 +169,3 @@
 	c.running.Wait()
 	_ = c.journal.Close() // what was acknowledged is synced
 }
-
-// Kill implements Killer.
-func (c *claimHolder) Kill() {
-	c.running.Wait()
-	_ = c.journal.Close()
-}
