--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -113,6 +113,18 @@
 	Snapshot *SnapshotChunk
 }
 
+// Size returns about how many bytes the message takes.
+func (m *Message) Size() int {
+	size := entryOverheadBytes
+	for i := range m.Entries {
+		size += m.Entries[i].size()
+	}
+	if m.Snapshot != nil {
+		size += len(m.Snapshot.Data)
+	}
+	return size
+}
+
 // SnapshotChunk is a part of a snapshot in transfer.
 type SnapshotChunk struct {
 	Index      uint64
--- a/internal/replica/group_test.go
+++ b/internal/replica/group_test.go
@@ -85,13 +85,15 @@
 type loopbackGroup struct {
 	peers   []settings.Peer
 	folders map[string]string
-	logger  zerolog.Logger
-	pool    func(address string) transport.PoolOptions
-	tune    func(*settings.Settings)
+	// reserved holds the listeners of VMs that were not started yet.
+	reserved map[string]net.Listener
+	logger   zerolog.Logger
+	pool     func(address string) transport.PoolOptions
+	tune     func(*settings.Settings)
 }
 
 func newLoopbackGroup(t testing.TB, size int) *loopbackGroup {
-	group := &loopbackGroup{folders: map[string]string{}, logger: zerolog.Nop(), pool: func(string) transport.PoolOptions { return transport.PoolOptions{} }}
+	group := &loopbackGroup{folders: map[string]string{}, reserved: map[string]net.Listener{}, logger: zerolog.Nop(), pool: func(string) transport.PoolOptions { return transport.PoolOptions{} }}
 	for i := range size {
 		group.addPeer(t, fmt.Sprintf("control-%d", i+1))
 	}
@@ -102,7 +104,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	peer := settings.Peer{Name: name, Zone: "zone-a", Internal: listener.Addr().String()}
-	require.NoError(t, listener.Close())
+	g.reserved[peer.Internal] = listener
 	g.peers = append(g.peers, peer)
 	g.folders[name] = t.TempDir()
 	return peer
@@ -131,12 +133,25 @@
 	require.NoError(t, err)
 	vm.replica = replica
 	replica.Register(vm.server)
-	listener, err := net.Listen("tcp", listen)
-	require.NoError(t, err)
+	listener := g.listen(t, listen)
 	go func() { _ = vm.server.Serve(listener) }()
 	return vm
 }
 
+func (g *loopbackGroup) listen(t testing.TB, address string) net.Listener {
+	if listener := g.reserved[address]; listener != nil {
+		delete(g.reserved, address)
+		return listener
+	}
+	var listener net.Listener
+	require.Eventually(t, func() bool {
+		var err error
+		listener, err = net.Listen("tcp", address)
+		return err == nil
+	}, 30*time.Second, 50*time.Millisecond)
+	return listener
+}
+
 func (g *loopbackGroup) startAll(t testing.TB) []*loopbackVM {
 	var vms []*loopbackVM
 	for _, peer := range g.peers {
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -97,6 +97,7 @@
 }
 
 func (r *Replica) step(m consensus.Message) {
+	r.inboxSize.Add(-int64(m.Size()))
 	if err := r.loop.core.Step(m, time.Now()); err != nil {
 		r.logRefusal(err)
 	}
--- a/internal/replica/network.go
+++ b/internal/replica/network.go
@@ -45,8 +45,14 @@
 // receive hands a message of another member to the control goroutine. It is
 // dropped when too many wait.
 func (r *Replica) receive(m consensus.Message) {
+	size := int64(m.Size())
+	if r.inboxSize.Add(size) > inboxBytes {
+		r.inboxSize.Add(-size)
+		return
+	}
 	select {
 	case r.inbox <- m:
 	default:
+		r.inboxSize.Add(-size)
 	}
 }
--- a/internal/replica/start.go
+++ b/internal/replica/start.go
@@ -18,6 +18,8 @@
 	// inboxMessages bounds the messages that wait for the control goroutine;
 	// further ones are dropped and sent again by the protocol.
 	inboxMessages = 1024
+	// inboxBytes bounds the same messages by their size.
+	inboxBytes = 32 << 20
 	// maxBatch bounds what one turn of the control goroutine takes of each
 	// kind, so that heartbeats are never late.
 	maxBatch = 256
@@ -38,7 +40,9 @@
 	member   consensus.MemberID
 	address  string
 
-	inbox     chan consensus.Message
+	inbox chan consensus.Message
+	// inboxSize is how many bytes wait in inbox.
+	inboxSize atomic.Int64
 	proposals chan *proposal
 	barriers  chan *barrier
 	changes   chan *change
--- a/internal/replica/stop_test.go
+++ b/internal/replica/stop_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"godwityoke.example/godwityoke/internal/consensus"
 )
 
 func TestPlannedStopLeavesALeaderBehind(t *testing.T) {
@@ -64,3 +66,17 @@
 		require.LessOrEqual(t, time.Since(start), time.Second)
 	})
 }
+
+func TestInboxIsBoundedInBytes(t *testing.T) {
+	r := &Replica{inbox: make(chan consensus.Message, inboxMessages)}
+	large := consensus.Message{Entries: []consensus.Entry{{Data: make([]byte, inboxBytes/4)}}}
+	for range 10 {
+		r.receive(large)
+	}
+	require.Len(t, r.inbox, 3)
+	for range 2 * inboxMessages {
+		r.receive(consensus.Message{})
+	}
+	require.Len(t, r.inbox, inboxMessages)
+	require.LessOrEqual(t, r.inboxSize.Load(), int64(inboxBytes))
+}
