--- a/internal/place/group.go
+++ b/internal/place/group.go
@@ -17,9 +17,10 @@
 	Placement
 	// Segments returns the parts of the prompt in order.
 	Segments() []GroupSegment
-	// BeginPrefill and EndPrefill tell that the engine of a segment computes
-	// it. The prefill of the last one ends with FirstToken.
+	// BeginPrefill tells that the engine of a segment begins to compute it.
 	BeginPrefill(segment int)
+	// EndPrefill tells that the engine has computed it. The prefill of the
+	// last segment ends with FirstToken instead.
 	EndPrefill(segment int)
 }
 
@@ -186,7 +187,7 @@
 		total += outlook.speeds.Of(segment.Server).Prefill(segment.End - segment.Start)
 	}
 	expected := timing{firstToken: total, decode: outlook.speeds.Usual().Decode(outlook.answer)}
-	if !b.inTime(expected, query, now) && !b.knowledge.mayProbe(query.Model, now) {
+	if !b.inTime(expected, query, now) && !b.knowledge.mayTry(query.Model, now) {
 		return 0, refuseNoTime(expected.total(), query, now)
 	}
 	return time.Duration(float64(expected.total()) * (1 + startMargin)), nil
