--- a/internal/standin/engine/core.go
+++ b/internal/standin/engine/core.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"slices"
 	"time"
 
@@ -74,34 +73,6 @@
 	Emissions []Emission
 }
 
-// Counters are what the engine ran.
-type Counters struct {
-	// Calls counts the calls for generation that arrived, refused and failed
-	// ones included.
-	Calls         int64 `json:"calls"`
-	Submitted     int64 `json:"submitted"`
-	Completed     int64 `json:"completed"`
-	Cancelled     int64 `json:"cancelled"`
-	Refused       int64 `json:"refused"`
-	PrefillTokens int64 `json:"prefill_tokens"`
-	CachedTokens  int64 `json:"cached_tokens"`
-	DecodeTokens  int64 `json:"decode_tokens"`
-	// BusyMicros sums the durations of all steps.
-	BusyMicros int64 `json:"busy_us"`
-	// MemoryTokens is held now, MaxMemoryTokens the most at one time.
-	MemoryTokens    int64 `json:"memory_tokens"`
-	MaxMemoryTokens int64 `json:"max_memory_tokens"`
-	MaxRunning      int64 `json:"max_running"`
-	MaxWaiting      int64 `json:"max_waiting"`
-	// OverCommits counts attempts that arrived when the memory asked for by
-	// attempts running and waiting was above the capacity.
-	OverCommits int64 `json:"over_commits"`
-	// AfterLeaving counts attempts that arrived after leaving was announced;
-	// LastAfterLeavingMillis is how long after it the last one came.
-	AfterLeaving           int64 `json:"after_leaving"`
-	LastAfterLeavingMillis int64 `json:"last_after_leaving_ms"`
-}
-
 // Core is the state of an engine's batch. It is pure: it neither waits nor
 // reads the clock. It is not safe for concurrent use.
 type Core struct {
@@ -314,129 +285,3 @@
 		return true
 	})
 }
-
-// Reserve holds memory for KV cache to be imported. A remote import leaves the
-// KV cache where it is and holds none.
-func (c *Core) Reserve(attempt string, tokens int64, remote bool, now time.Time) error {
-	if c.find(attempt) != nil {
-		return errDuplicate
-	}
-	if remote {
-		c.parked[attempt] = &sequence{job: Job{Attempt: attempt}, remote: tokens, since: now}
-		return nil
-	}
-	if c.used+tokens > c.limits.MemoryTokens {
-		c.counters.OverCommits++
-		return errNoMemory
-	}
-	c.hold(tokens)
-	c.parked[attempt] = &sequence{job: Job{Attempt: attempt, PromptTokens: tokens}, since: now}
-	return nil
-}
-
-// Held returns the tokens that an attempt past prefill holds.
-func (c *Core) Held(attempt string) (int64, error) {
-	seq := c.find(attempt)
-	if seq == nil || seq.prefillLeft > 0 {
-		return 0, fmt.Errorf("attempt %s: %w", attempt, errNotHeld)
-	}
-	return seq.job.PromptTokens + seq.next, nil
-}
-
-// Cancel ends an attempt and frees its memory. Unknown attempts are ignored.
-func (c *Core) Cancel(attempt string) {
-	same := func(seq *sequence) bool { return seq.job.Attempt == attempt }
-	if i := slices.IndexFunc(c.waiting, same); i >= 0 {
-		c.waiting = slices.Delete(c.waiting, i, i+1)
-		c.counters.Cancelled++
-	}
-	if i := slices.IndexFunc(c.running, same); i >= 0 {
-		c.used -= c.running[i].job.need()
-		c.running = slices.Delete(c.running, i, i+1)
-		c.counters.Cancelled++
-	}
-	c.release(attempt)
-}
-
-// Abandon ends an attempt whose caller has gone. A leaking one keeps its
-// memory.
-func (c *Core) Abandon(attempt string) {
-	seq := c.find(attempt)
-	if seq == nil || c.parked[attempt] != nil {
-		return
-	}
-	leak := seq.job.Leak && slices.Contains(c.running, seq)
-	c.Cancel(attempt)
-	if leak {
-		c.hold(seq.job.need())
-		c.parked[attempt] = seq
-	}
-}
-
-// Drop forgets all attempts, as the death of the engine does. Nothing is
-// admitted any more.
-func (c *Core) Drop() {
-	c.waiting, c.running, c.used = nil, nil, 0
-	clear(c.parked)
-	c.limits.MaxWaiting = 0
-}
-
-func (c *Core) release(attempt string) {
-	if parked := c.parked[attempt]; parked != nil {
-		c.used -= parked.job.need()
-		delete(c.parked, attempt)
-	}
-}
-
-func (c *Core) find(attempt string) *sequence {
-	if parked := c.parked[attempt]; parked != nil {
-		return parked
-	}
-	for _, queue := range [][]*sequence{c.running, c.waiting} {
-		for _, seq := range queue {
-			if seq.job.Attempt == attempt {
-				return seq
-			}
-		}
-	}
-	return nil
-}
-
-// Load returns the load at this moment.
-func (c *Core) Load() backendapi.LoadReport {
-	report := backendapi.LoadReport{
-		UsedTokens:      c.used,
-		RunningRequests: int64(len(c.running)), WaitingRequests: int64(len(c.waiting)),
-	}
-	for _, seq := range c.running {
-		report.PrefillBacklogTokens += seq.prefillLeft
-	}
-	for _, seq := range c.waiting {
-		report.PrefillBacklogTokens += seq.job.PromptTokens
-	}
-	return report
-}
-
-// Attempts lists what holds memory.
-func (c *Core) Attempts(now time.Time) []backendapi.HeldAttempt {
-	held := []backendapi.HeldAttempt{}
-	add := func(seq *sequence) {
-		held = append(held, backendapi.HeldAttempt{
-			Attempt: seq.job.Attempt, Tokens: seq.job.need(), AgeMillis: now.Sub(seq.since).Milliseconds(),
-		})
-	}
-	for _, seq := range c.running {
-		add(seq)
-	}
-	for _, seq := range c.parked {
-		add(seq)
-	}
-	return held
-}
-
-// Counters returns what ran so far.
-func (c *Core) Counters() Counters {
-	counters := c.counters
-	counters.MemoryTokens = c.used
-	return counters
-}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -259,28 +259,6 @@
 	return answer, s.writeRecord(key)
 }
 
-func (s *Server) openRecord() error {
-	if s.config.RecordFile == "" {
-		return nil
-	}
-	file, err := os.OpenFile(s.config.RecordFile, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
-	if err != nil {
-		return fmt.Errorf("record of runs: %w", err)
-	}
-	s.record = file
-	return nil
-}
-
-func (s *Server) writeRecord(key string) error {
-	if s.record == nil {
-		return nil
-	}
-	if _, err := s.record.WriteString(key + "\n"); err != nil {
-		return fmt.Errorf("record of runs: %w", err)
-	}
-	return nil
-}
-
 // reply answers with the attempt and the digest of the body, or as a fault
 // says.
 func (s *Server) reply(c echo.Context, answer Answer) error {
