Pass on bundles as they were received

Each entry VM compressed a bundle anew for its watchers, which at 390 watchers took most of the time. VMs try better upstreams only if there can be one, at spread times.

--- a/internal/distribute/candidates.go
+++ b/internal/distribute/candidates.go
@@ -50,6 +50,18 @@
 	return 3
 }
 
+// betterThan reports whether self would rather watch another peer than current.
+// An entry VM of its zone is good enough, since control VMs may be full.
+func betterThan(self Self, current Peer, peers []Peer) bool {
+	group := groupOf(self, current)
+	if self.Control || group == 0 || group == 2 {
+		return false
+	}
+	return slices.ContainsFunc(peers, func(peer Peer) bool {
+		return peer.Name != self.VM && groupOf(self, peer) < group
+	})
+}
+
 // afterBusy reorders the rest of the candidates when a control VM serves as
 // many watchers as it may: entry VMs of the zone come first then, so that a
 // large zone does not take the places of control VMs of other zones.
--- a/internal/distribute/capacity_test.go
+++ b/internal/distribute/capacity_test.go
@@ -58,15 +58,15 @@
 // BenchmarkCapacityAcceptanceToInForce measures the time from acceptance at
 // the control VMs until the last watcher has the bundle in force.
 func BenchmarkCapacityAcceptanceToInForce(b *testing.B) {
-	for _, watchers := range []int{9, 60, 390} {
-		b.Run(fmt.Sprint("watchers=", watchers), func(b *testing.B) {
-			tr := largeTree(b, watchers)
+	for _, size := range []struct{ watchers, teams int }{{9, 10}, {60, 10}, {390, 10}, {390, 1700}} {
+		b.Run(fmt.Sprintf("watchers=%d/teams=%d", size.watchers, size.teams), func(b *testing.B) {
+			tr := largeTree(b, size.watchers)
 			defer tr.stop()
 			var times []time.Duration
 			version := uint64(1)
 			for b.Loop() {
 				version++
-				next := sealed(b, version, 10)
+				next := sealed(b, version, size.teams)
 				start := time.Now()
 				for _, name := range []string{"control-a", "control-b", "control-c"} {
 					tr.vms[name].node.Store().Put(next)
--- a/internal/distribute/client.go
+++ b/internal/distribute/client.go
@@ -12,8 +12,8 @@
 const (
 	// retryInterval is the wait after all candidates were tried in vain.
 	retryInterval = 500 * time.Millisecond
-	// betterInterval is how often a VM that watches a VM of another zone tries
-	// the VMs of its own zone again.
+	// betterInterval is the shortest time after which a VM tries again the VMs
+	// that it would rather watch; the longest is twice that.
 	betterInterval = 30 * time.Second
 	// detachGrace is how long an upstream may be without a path to a control
 	// VM before its watchers leave it.
--- a/internal/distribute/node.go
+++ b/internal/distribute/node.go
@@ -189,7 +189,7 @@
 			Uint64("version", message.GetVersion()).Str("from", from).Err(err).Send()
 		return err
 	}
-	if n.store.Put(sealed) {
+	if n.store.put(sealed, message) {
 		observe.Log(n.options.Log, observe.BundleInForce).
 			Uint64("version", sealed.Version()).Str("digest", sealed.Digest()).Str("from", from).Send()
 	}
--- a/internal/distribute/session.go
+++ b/internal/distribute/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -21,7 +22,7 @@
 	endBusy     endReason = "busy"
 	endDetached endReason = "no_path_to_a_control_vm"
 	endRefused  endReason = "bundle_refused"
-	endBetter   endReason = "trying_own_zone"
+	endBetter   endReason = "trying_better_vms"
 	endGone     endReason = "no_candidate_any_more"
 )
 
@@ -37,6 +38,8 @@
 	peer     Peer
 	stream   distributepb.Distribution_WatchClient
 	started  time.Time
+	// patience is how long the session lasts although a better peer is known.
+	patience time.Duration
 	attached bool
 	pathSeen time.Time
 	want     chan []string
@@ -58,6 +61,7 @@
 	})
 	defer watchdog.Stop()
 	s := &session{client: c, peer: peer, started: time.Now(), want: make(chan []string, 1)}
+	s.patience = betterInterval + rand.N(betterInterval)
 	reason := s.run(ctx, cancel, conn, watchdog)
 	if silent.Load() {
 		reason = endSilent
@@ -137,7 +141,7 @@
 	if !slices.Contains(s.client.Peers(), s.peer) {
 		return endGone, true
 	}
-	if !self.Control && s.peer.Zone != self.Zone && now.Sub(s.started) >= betterInterval {
+	if now.Sub(s.started) >= s.patience && betterThan(self, s.peer, s.client.Peers()) {
 		return endBetter, true
 	}
 	return "", false
--- a/internal/distribute/store.go
+++ b/internal/distribute/store.go
@@ -30,7 +30,11 @@
 
 // Put takes a verified bundle, and reports whether it is newer than what the
 // store held.
-func (s *Store) Put(sealed *Sealed) bool {
+func (s *Store) Put(sealed *Sealed) bool { return s.put(sealed, nil) }
+
+// put takes a verified bundle and the message that brought it, which is passed
+// on as it is to VMs that hold the same base.
+func (s *Store) put(sealed *Sealed, received *distributepb.Bundle) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.holder.Advance(sealed.Accepted) {
@@ -41,6 +45,9 @@
 		s.kept = slices.Delete(s.kept, 0, len(s.kept)-keptContents)
 	}
 	s.encoded = map[uint64]*distributepb.Bundle{}
+	if received != nil {
+		s.encoded[received.GetBase()] = received
+	}
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return true
