--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -108,9 +108,23 @@
 	// Transfer tells that the leader of the term before gave up its lease in
 	// favour of this candidate.
 	Transfer bool
+	// Removed tells a candidate that it is no longer in the group.
+	Removed  bool
 	Snapshot *SnapshotChunk
 }
 
+// Size returns about how many bytes the message takes.
+func (m *Message) Size() int {
+	size := entryOverheadBytes
+	for i := range m.Entries {
+		size += m.Entries[i].size()
+	}
+	if m.Snapshot != nil {
+		size += len(m.Snapshot.Data)
+	}
+	return size
+}
+
 // SnapshotChunk is a part of a snapshot in transfer.
 type SnapshotChunk struct {
 	Index      uint64
--- a/internal/pipeline/faults_test.go
+++ b/internal/pipeline/faults_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -50,10 +51,16 @@
 // by asking the engine over another one.
 func mostTime(c cell) time.Duration {
 	switch {
-	case c.fault == faultHangs && c.at != atSend:
+	case c.at == atDial:
+		return time.Second
+	case c.fault == faultLate:
+		return late + time.Second
+	case c.fault == faultSilent && c.at == atStream:
+		return 6 * time.Second // the stall limit is 5 s
+	case c.fault == faultSilent && c.at == atWait:
+		return 2 * time.Second // the engine answers that it lost the attempt
+	case c.fault == faultSilent, c.fault == faultHangs:
 		return 4 * time.Second
-	case c.fault == faultHangs, c.fault == faultSilent, c.fault == faultLate:
-		return 12 * time.Second
 	}
 	return time.Second
 }
@@ -110,6 +117,14 @@
 	})
 }
 
+// requireNoBodies checks the memory for bodies once all handlers have returned,
+// which may be after their callers have the answer.
+func (s *system) requireNoBodies(t *testing.T) {
+	t.Helper()
+	synctest.Wait()
+	require.Zero(t, s.bodies.Used(), "body memory")
+}
+
 // requireNothingLeft waits and judges by the engines' own lists.
 func (s *system) requireNothingLeft(t *testing.T) {
 	t.Helper()
@@ -117,7 +132,7 @@
 	for _, b := range s.backends {
 		require.Empty(t, b.heldAttempts(), b.id)
 	}
-	require.Zero(t, s.bodies.Used(), "body memory")
+	s.requireNoBodies(t)
 }
 
 // TestFaultsOfServices puts each fault at each step of a booking that must run
@@ -165,7 +180,7 @@
 		}
 		require.Contains(t, outcomes, expected)
 		require.Contains(t, outcomes, request.Completed)
-		require.Zero(t, s.bodies.Used())
+		s.requireNoBodies(t)
 	})
 }
 
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -97,6 +97,7 @@
 }
 
 func (r *Replica) step(m consensus.Message) {
+	r.inboxSize.Add(-int64(m.Size()))
 	if err := r.loop.core.Step(m, time.Now()); err != nil {
 		r.logRefusal(err)
 	}
@@ -195,6 +196,8 @@
 			observe.Log(r.logger, observe.LeaderKnown).Uint64("term", event.Term).Hex("leader", idBytes(event.Leader)).Send()
 		case consensus.EventSnapshotReceived:
 			observe.Log(r.logger, observe.SnapshotReceived).Uint64("term", event.Term).Send()
+		case consensus.EventRemoved:
+			observe.Log(r.logger, observe.MemberRemoved).Send()
 		case consensus.EventMembershipChanged:
 			r.handleMembership()
 		}
--- a/internal/replica/start.go
+++ b/internal/replica/start.go
@@ -18,9 +18,14 @@
 	// inboxMessages bounds the messages that wait for the control goroutine;
 	// further ones are dropped and sent again by the protocol.
 	inboxMessages = 1024
+	// inboxBytes bounds the same messages by their size.
+	inboxBytes = 32 << 20
 	// maxBatch bounds what one turn of the control goroutine takes of each
 	// kind, so that heartbeats are never late.
 	maxBatch = 256
+	// successorPolls is how often in a heartbeat a stopping leader looks for the
+	// next one.
+	successorPolls = 20
 	// refusalsPerSecond bounds the log lines on refused messages.
 	refusalsPerSecond = 1
 )
@@ -35,7 +40,9 @@
 	member   consensus.MemberID
 	address  string
 
-	inbox     chan consensus.Message
+	inbox chan consensus.Message
+	// inboxSize is how many bytes wait in inbox.
+	inboxSize atomic.Int64
 	proposals chan *proposal
 	barriers  chan *barrier
 	changes   chan *change
@@ -141,8 +148,8 @@
 // Stop hands leadership over when this member leads, ends the member and
 // returns when its files are closed, or with the error of ctx.
 func (r *Replica) Stop(ctx context.Context) error {
-	if r.Leadership().IsLeader {
-		_ = r.TransferLeadership(ctx)
+	if r.Leadership().IsLeader && r.TransferLeadership(ctx) == nil {
+		r.awaitSuccessor(ctx)
 	}
 	r.stop()
 	select {
@@ -160,6 +167,24 @@
 	<-r.done
 }
 
+// awaitSuccessor waits until another member leads, for an election timeout at
+// most.
+func (r *Replica) awaitSuccessor(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(r.settings.Control.ElectionTimeout))
+	defer cancel()
+	poll := time.NewTicker(time.Duration(r.settings.Control.Heartbeat) / successorPolls)
+	defer poll.Stop()
+	for r.Leadership().LeaderID == 0 {
+		select {
+		case <-poll.C:
+		case <-ctx.Done():
+			return
+		case <-r.done:
+			return
+		}
+	}
+}
+
 // Done is closed when the member has ended, by Stop or by a failure.
 func (r *Replica) Done() <-chan struct{} { return r.done }
 
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -137,9 +137,6 @@
 // ID returns the server identifier.
 func (s *Server) ID() string { return s.config.ServerID }
 
-// Faults returns the faults of this service.
-func (s *Server) Faults() *fault.Set { return s.faults }
-
 // Counters returns what ran so far.
 func (s *Server) Counters() Counters {
 	s.mu.Lock()
@@ -155,7 +152,7 @@
 func (s *Server) routes() http.Handler {
 	router := echo.New()
 	router.GET(control.PathCounters, func(c echo.Context) error { return c.JSON(http.StatusOK, s.Counters()) })
-	control.RegisterFaults(router, s.faults, s.switchFault)
+	control.RegisterFaults(router, s.faults, s.Switch)
 	router.Any("/*", s.call)
 	return router
 }
@@ -197,14 +194,19 @@
 	_ = s.http.Close()
 }
 
-func (s *Server) switchFault(changed fault.Fault) {
-	observe.Log(s.logger, observe.StandinFaultSwitched).Str("fault", string(changed.Kind)).Int("count", changed.Count).Send()
-	if changed.Kind == fault.Die && changed.Count != 0 {
+// Switch turns a fault on or off, as POST on control.PathFaults does.
+func (s *Server) Switch(wanted fault.Fault) error {
+	if err := s.faults.Switch(wanted); err != nil {
+		return err
+	}
+	observe.Log(s.logger, observe.StandinFaultSwitched).Str("fault", string(wanted.Kind)).Int("count", wanted.Count).Send()
+	if wanted.Kind == fault.Die && wanted.Count != 0 {
 		if s.config.ExitOnDie {
 			os.Exit(1)
 		}
 		go s.stop()
 	}
+	return nil
 }
 
 // call runs one operation.
@@ -257,28 +259,6 @@
 	return answer, s.writeRecord(key)
 }
 
-func (s *Server) openRecord() error {
-	if s.config.RecordFile == "" {
-		return nil
-	}
-	file, err := os.OpenFile(s.config.RecordFile, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
-	if err != nil {
-		return fmt.Errorf("record of runs: %w", err)
-	}
-	s.record = file
-	return nil
-}
-
-func (s *Server) writeRecord(key string) error {
-	if s.record == nil {
-		return nil
-	}
-	if _, err := s.record.WriteString(key + "\n"); err != nil {
-		return fmt.Errorf("record of runs: %w", err)
-	}
-	return nil
-}
-
 // reply answers with the attempt and the digest of the body, or as a fault
 // says.
 func (s *Server) reply(c echo.Context, answer Answer) error {
