Count only what is ahead of a short prompt

Engines put short prompts before long ones, but schedulers and estimates counted the whole long prefill as ahead of them: short prompts crowded on the other engines, and speeds were learned too fast. A long prefill now counts 2,048 tokens against a short prompt at the scheduler, and a reported backlog at most 16,384 at the entry VM.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -108,8 +108,8 @@
 type Decision struct {
 	Attempt string
 	Kind    DecisionKind
-	// AheadTokens is the prefill in progress on the engine when the lease was
-	// granted.
+	// AheadTokens is the prefill ahead of the request on the engine when the
+	// lease was granted.
 	AheadTokens int64
 }
 
--- a/internal/capacity/core.go
+++ b/internal/capacity/core.go
@@ -295,7 +295,7 @@
 // Wait estimates how long request would wait for the prefill ahead and for its
 // own, and whether it would be granted at once.
 func (c *Core) Wait(request Request, tokenTime time.Duration) (wait time.Duration, atOnce bool) {
-	work := c.prefill + request.PrefillTokens + leaseTokens*int64(len(c.leases))
+	work := c.ahead(request) + request.PrefillTokens + leaseTokens*int64(len(c.leases))
 	wait = time.Duration(work) * tokenTime
 	if c.admitsFirst(request) {
 		return wait, true
@@ -306,6 +306,18 @@
 	return wait + c.hold/time.Duration(max(len(c.leases), 1))*time.Duration(c.queue.len()+1), false
 }
 
+// longStepTokens is what a long prefill adds to the wait of a short request, in
+// prompt tokens: the engine puts short ones first, but shares its steps.
+const longStepTokens = 2048
+
+// ahead returns the prefill that the engine does before that of request.
+func (c *Core) ahead(request Request) int64 {
+	if !request.Short || c.longPrefill == 0 {
+		return c.prefill
+	}
+	return c.prefill - c.longPrefill + longStepTokens
+}
+
 // admitsFirst reports whether request would be granted at once: those that
 // wait and go before it leave room.
 func (c *Core) admitsFirst(request Request) bool {
--- a/internal/capacity/schedule.go
+++ b/internal/capacity/schedule.go
@@ -14,7 +14,7 @@
 		case !request.LatestStart.After(now):
 			c.decide(request.Attempt, RefusedNoTime)
 		case !full && c.admits(request, blocked):
-			c.decisions = append(c.decisions, Decision{Attempt: request.Attempt, Kind: Granted, AheadTokens: c.prefill})
+			c.decisions = append(c.decisions, Decision{Attempt: request.Attempt, Kind: Granted, AheadTokens: c.ahead(request)})
 			c.insert(request, true, now)
 		default:
 			waiting = append(waiting, request)
--- a/internal/place/candidates.go
+++ b/internal/place/candidates.go
@@ -27,6 +27,10 @@
 	return server.MemoryTokens == 0 || query.MemoryTokens() <= server.MemoryTokens
 }
 
+// maxShortAhead bounds the prefill in tokens that is taken to be ahead of a short
+// prompt: engines put it before long ones, which reports do not tell apart.
+const maxShortAhead = 16_384
+
 // candidates returns the servers that may take query. The result is valid
 // until the next call.
 func (k *knowledge) candidates(servers []Server, query *Query, maxEjectedPercent float64, now time.Time) []candidate {
@@ -39,6 +43,9 @@
 		}
 		own := k.work[server.ID]
 		ahead := max(server.Load.PrefillBacklogTokens, own.prefillTokens)
+		if query.Short {
+			ahead = min(ahead, maxShortAhead)
+		}
 		k.buffer = append(k.buffer, candidate{server: server, inFlight: own.inFlight, ahead: ahead})
 	}
 	return k.buffer
