--- a/internal/capacity/state_test.go
+++ b/internal/capacity/state_test.go
@@ -66,3 +66,22 @@
 	assert.Zero(t, state.engines["e0"].core.Usage().Waiting)
 	assert.Empty(t, state.waiting)
 }
+
+// TestShortRequestGoesBeforeALongPrefill compares an engine in a long prefill
+// with one that has several short prompts in prefill.
+func TestShortRequestGoesBeforeALongPrefill(t *testing.T) {
+	state, _ := settledState(2)
+	now := start.Add(4 * term)
+	request := func(attempt string, short bool) Request {
+		r := stateRequest(attempt, 1000, now)
+		r.Short = short
+		return r
+	}
+	long := []Choice{{Server: "e0", PrefillTokens: 200_000, TokenTime: time.Microsecond}}
+	state.Acquire(request("long", false), long, now)
+	used := map[string]int{}
+	for _, attempt := range []string{"a", "b", "c", "d", "e", "f"} {
+		used[state.Acquire(request(attempt, true), choicesFor("e0", "e1"), now)]++
+	}
+	assert.Equal(t, map[string]int{"e0": 2, "e1": 4}, used, "a long prefill counts like two of them")
+}
