--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -83,8 +83,8 @@
 	return runs
 }
 
-// Faults returns the faults of this engine.
-func (s *Server) Faults() *fault.Set { return s.faults }
+// Faults lists the faults that are on.
+func (s *Server) Faults() []fault.Fault { return s.faults.Active() }
 
 func (s *Server) routes() http.Handler {
 	router := echo.New()
@@ -101,7 +101,7 @@
 	router.GET(control.PathRuns, func(c echo.Context) error {
 		return c.JSON(http.StatusOK, control.RunList{Runs: s.Runs()})
 	})
-	control.RegisterFaults(router, s.faults, s.switchFault)
+	control.RegisterFaults(router, s.faults, s.Switch)
 	return router
 }
 
@@ -112,10 +112,18 @@
 	s.leavingAt.CompareAndSwap(0, time.Now().UnixNano())
 	s.announcer.Leave()
 	err := s.waitIdle(ctx)
+	s.flush(ctx)
 	s.Close()
 	return err
 }
 
+// flush waits until the tokens that were generated are written to callers.
+func (s *Server) flush(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, flushLimit)
+	defer cancel()
+	_ = s.http.Shutdown(ctx) // what is left is cut by Close
+}
+
 func (s *Server) waitIdle(ctx context.Context) error {
 	earliest := time.Now().Add(s.config.LeaveWait)
 	ticker := time.NewTicker(20 * time.Millisecond)
@@ -130,6 +138,9 @@
 	return nil
 }
 
+// flushLimit bounds the writing of the last tokens of a leaving engine.
+const flushLimit = 2 * time.Second
+
 // Close ends the engine at once, as a crash would.
 func (s *Server) Close() {
 	s.stop()
@@ -143,25 +154,20 @@
 	_ = s.http.Close()
 }
 
-func (s *Server) switchFault(changed fault.Fault) {
-	observe.Log(s.logger, observe.StandinFaultSwitched).Str("fault", string(changed.Kind)).Int("count", changed.Count).Send()
+// Switch turns a fault on or off, as POST on control.PathFaults does.
+func (s *Server) Switch(wanted fault.Fault) error {
+	if err := s.faults.Switch(wanted); err != nil {
+		return err
+	}
+	observe.Log(s.logger, observe.StandinFaultSwitched).Str("fault", string(wanted.Kind)).Int("count", wanted.Count).Send()
 	s.runner.freeze(s.faults.On(fault.Hang) || s.faults.On(fault.Silent))
-	if changed.Kind == fault.Die && changed.Count != 0 {
+	if wanted.Kind == fault.Die && wanted.Count != 0 {
 		if s.config.ExitOnDie {
 			os.Exit(1)
 		}
 		go s.stop()
 	}
-}
-
-// Silence switches the fault fault.Silent as POST on control.PathFaults does.
-func (s *Server) Silence(on bool) {
-	changed := fault.Fault{Kind: fault.Silent}
-	if on {
-		changed.Count = fault.Forever
-	}
-	_ = s.faults.Switch(changed) // fails on unknown kinds only
-	s.switchFault(changed)
+	return nil
 }
 
 func (s *Server) muted() bool { return s.faults.On(fault.Silent) }
