sizing: lease exchanges and a change of 1,700 teams in the capacity page

Cause: the page left out the exchanges between entry VMs, whose bytes grow with the square of a zone's VMs, and took the time to in force from 10 teams only. Change in force at 390 watchers and 1,700 teams: on the page. Conclusion: cells are chosen and named; they are not built.

--- a/internal/distribute/capacity_test.go
+++ b/internal/distribute/capacity_test.go
@@ -58,7 +58,7 @@
 // BenchmarkCapacityAcceptanceToInForce measures the time from acceptance at
 // the control VMs until the last watcher has the bundle in force.
 func BenchmarkCapacityAcceptanceToInForce(b *testing.B) {
-	for _, size := range []struct{ watchers, teams int }{{9, 10}, {60, 10}, {390, 10}, {390, 1700}} {
+	for _, size := range []struct{ watchers, teams int }{{9, 10}, {60, 10}, {390, 10}, {390, 400}, {390, 1700}} {
 		b.Run(fmt.Sprintf("watchers=%d/teams=%d", size.watchers, size.teams), func(b *testing.B) {
 			tr := largeTree(b, size.watchers)
 			defer tr.stop()
--- a/internal/sizing/bench.go
+++ b/internal/sizing/bench.go
@@ -5,17 +5,18 @@
 	"fmt"
 	"io"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 )
 
 // Point is one measured value of one benchmark.
 type Point struct {
-	// Series names the benchmark without its size, such as
+	// Series names the benchmark without the size, such as
 	// "BenchmarkPlace/two_choices".
 	Series string
-	// Parameter and Size are the last "name=number" of the benchmark's name;
-	// empty and 0 where it has none.
+	// Parameter and Size are a "name=number" of the benchmark's name; empty
+	// and 0 for the point that keeps the whole name.
 	Parameter string
 	Size      float64
 	Metric    string
@@ -45,28 +46,30 @@
 	return points, nil
 }
 
+// readLine returns the points of one line, for each size in the name of the
+// benchmark one of each value: the other sizes stay in the series.
 func readLine(name string, fields []string) []Point {
-	base := Point{}
-	var series []string
-	for _, part := range strings.Split(name, "/") {
+	bases := []Point{{Series: name}}
+	parts := strings.Split(name, "/")
+	for i, part := range parts {
 		match := sizePart.FindStringSubmatch(part)
 		if match == nil {
-			series = append(series, part)
 			continue
 		}
-		base.Parameter = match[1]
-		base.Size, _ = strconv.ParseFloat(match[2], 64) // the pattern admits numbers only
+		size, _ := strconv.ParseFloat(match[2], 64) // the pattern admits numbers only
+		series := strings.Join(slices.Concat(parts[:i], parts[i+1:]), "/")
+		bases = append(bases, Point{Series: series, Parameter: match[1], Size: size})
 	}
-	base.Series = strings.Join(series, "/")
 	var points []Point
 	for i := 0; i+1 < len(fields); i += 2 {
 		value, err := strconv.ParseFloat(fields[i], 64)
 		if err != nil {
 			continue
 		}
-		point := base
-		point.Value, point.Metric = value, fields[i+1]
-		points = append(points, point)
+		for _, point := range bases {
+			point.Value, point.Metric = value, fields[i+1]
+			points = append(points, point)
+		}
 	}
 	return points
 }
--- a/internal/sizing/lines.go
+++ b/internal/sizing/lines.go
@@ -56,8 +56,9 @@
 	histogramBytes = Source{"BenchmarkCapacityTeamHistograms", "teams", "heap-bytes"}
 	restBytes      = Source{"BenchmarkCapacityWatcherAtRest", "watchers", "bytes/s/watcher"}
 	restProcessor  = Source{"BenchmarkCapacityWatcherAtRest", "watchers", "core-percent/watcher"}
-	inForce        = Source{"BenchmarkCapacityAcceptanceToInForce", "watchers", "p99-ms"}
+	inForce        = Source{"BenchmarkCapacityAcceptanceToInForce/watchers=390", "teams", "p99-ms"}
 	grantTime      = Source{"BenchmarkGrant", "engines", "ns/op"}
+	exchangeBytes  = Source{"BenchmarkCapacityExchange", "vms", "wire-bytes"}
 	tickTime       = Source{"BenchmarkTick", "engines", "ns/op"}
 	claimTime      = Source{"BenchmarkCapacityClaims", "entries", "ns/claim"}
 	claimMemory    = Source{"BenchmarkCapacityClaims", "entries", "heap-bytes"}
@@ -70,8 +71,12 @@
 // relayChildren is the number of watchers that a relay serves.
 const relayChildren = 8
 
-// schedulerTicksPerSecond is how often a scheduler looks at its leases.
-const schedulerTicksPerSecond = 10
+// cellVMs is the number of entry VMs that share schedulers.
+const cellVMs = 8
+
+// exchangesPerSecond is how often entry VMs renew leases with a scheduler, which
+// looks at its leases as often, with a routing.lease_term of 4 s.
+const exchangesPerSecond = 1
 
 // Lines returns every line of the page.
 func Lines() []Line {
@@ -79,7 +84,9 @@
 		toSubset    = float64(workersPerZone) * subsetSize / nodesPerZone * heartbeatsPerSecond
 		toAll       = float64(workersPerZone) * heartbeatsPerSecond
 		events      = "10 cache events a heartbeat"
-		enginesEach = float64(targetWorkers) / targetNodes
+		enginesEach = float64(workersPerZone) / targetModels
+		grants      = float64(targetRequestsPerSecond) / targetZones / targetModels
+		exchanges   = (nodesPerZone - 1) * exchangesPerSecond * 2
 		claims      = targetRequestsPerSecond * claimShare
 		claimsKept  = claims * secondsPerDay * claimRetentionDays
 		claimsSaid  = "1 request in 50 is a keyed call, kept for a day"
@@ -96,9 +103,11 @@
 		{Role: RoleEntry, What: "histograms of all teams", Resource: MemoryBytes, Source: histogramBytes, Size: targetTeams, Times: 1, Mechanism: "fixed buckets, teams and classes apart (`observe`)"},
 		{Role: RoleEntry, What: "watch at rest, bytes", Resource: BytesPerSecond, Source: restBytes, Size: targetNodes, Times: 1, Mechanism: "one watch up the tree with heartbeats (`distribute`)"},
 		{Role: RoleEntry, What: "watch at rest, time", Resource: CorePercent, Source: restProcessor, Size: targetNodes, Times: 1, Mechanism: "one watch up the tree with heartbeats (`distribute`)"},
-		{Role: RoleEntry, What: "acceptance to in force at the last VM", Resource: InForceMillis, Source: inForce, Size: targetNodes, Times: 1, Mechanism: "tree of watches, whole bundle or change against the last (`distribute`)"},
-		{Role: RoleScheduler, What: "lease grants", Resource: CorePercent, Source: grantTime, Size: enginesEach, Times: perRequest, Mechanism: "one scheduler for each server (`capacity`)"},
-		{Role: RoleScheduler, What: "lease ticks", Resource: CorePercent, Source: tickTime, Size: enginesEach, Times: schedulerTicksPerSecond * corePercentPerNanosecond, Mechanism: "one goroutine for all servers that a VM schedules (`capacity`)", Assumed: "40 leases held on each server, 10 ticks a second"},
+		{Role: RoleEntry, What: "acceptance to in force at the last VM", Resource: InForceMillis, Source: inForce, Size: targetTeams, Times: 1, Mechanism: "tree of watches, whole bundle or change against the last (`distribute`)"},
+		{Role: RoleScheduler, What: "lease grants", Resource: CorePercent, Source: grantTime, Size: enginesEach, Times: grants * corePercentPerNanosecond, Mechanism: "one scheduler for each model of a zone (`capacity`)"},
+		{Role: RoleScheduler, What: "lease ticks", Resource: CorePercent, Source: tickTime, Size: enginesEach, Times: exchangesPerSecond * corePercentPerNanosecond, Mechanism: "one goroutine for all servers that a VM schedules (`capacity`)", Assumed: "40 leases held on each server"},
+		{Role: RoleScheduler, What: "exchanges of all VMs of a zone, bytes", Resource: BytesPerSecond, Source: exchangeBytes, Size: nodesPerZone, Times: exchanges, Mechanism: "every entry VM with every other of its zone (`capacity`)", Assumed: "one lease each, without transport", Replaced: "cells of up to 8 entry VMs with a part of the zone's engines each, by rendezvous hash, behind `capacity.Members`; within a cell only with schedulers that hold one's leases"},
+		{Role: RoleScheduler, What: "exchanges of a cell, bytes", Resource: BytesPerSecond, Source: exchangeBytes, Size: cellVMs, Times: (cellVMs - 1) * exchangesPerSecond * 2, Mechanism: "cells of up to 8 entry VMs; not built, 6 to 9 entry VMs are one cell (`capacity`)", Assumed: "`routing.lease_term` of 4 s, one lease each, without transport"},
 		{Role: RoleLeader, What: "claims, time", Resource: CorePercent, Source: claimTime, Size: claimsKept, Times: claims * corePercentPerNanosecond, Mechanism: "records at a majority, shared syncs (`ledger`)", Assumed: claimsSaid},
 		{Role: RoleLeader, What: "claims, memory", Resource: MemoryBytes, Source: claimMemory, Size: claimsKept, Times: 1, Mechanism: "all records in memory (`ledger.Core`)", Assumed: claimsSaid, Replaced: "records of the last minutes in memory, older ones in sorted files behind `ledger.Log`; the VM is one of those set aside"},
 		{Role: RoleLeader, What: "claims, disk", Resource: DiskBytes, Source: claimLog, Size: claimsKept, Times: 1, Mechanism: "journal, rewritten when four times its entries (`storage.Journal`)", Assumed: claimsSaid},
--- a/internal/sizing/sizing_test.go
+++ b/internal/sizing/sizing_test.go
@@ -46,7 +46,7 @@
 	require.True(t, fit.Extrapolated(100))
 	require.False(t, fit.Extrapolated(40))
 
-	_, err = NewFit(points[:4], placeSource)
+	_, err = NewFit(points[:8], placeSource)
 	require.ErrorContains(t, err, "measured at 2 sizes")
 	_, err = NewTables(points)
 	require.ErrorContains(t, err, "BenchmarkGrant", "every missing series is named")
--- a/internal/sizing/target.go
+++ b/internal/sizing/target.go
@@ -9,6 +9,7 @@
 	targetZones             = 6
 	targetWorkers           = 600
 	targetTeams             = 1700
+	targetModels            = 9
 	targetRequestsPerSecond = 2300
 
 	secondsPerDay  = 86400
