--- a/internal/pipeline/backend_test.go
+++ b/internal/pipeline/backend_test.go
@@ -67,6 +67,8 @@
 	listener *pipeListener
 	server   *http.Server
 	broken   atomic.Pointer[cell]
+	// failEvery, when positive, cuts every attempt of that number.
+	failEvery int
 	// cancelMisses is the number of cancel requests that it ignores.
 	cancelMisses int
 
@@ -255,6 +257,9 @@
 		return
 	}
 	b.begin(id, id)
+	if b.failEvery > 0 && b.total()%b.failEvery == 0 {
+		panic(http.ErrAbortHandler)
+	}
 	b.mu.Lock()
 	b.lastBody = string(body)
 	b.budgets = append(b.budgets, r.Header.Get(backendapi.HeaderBudget))
