--- a/internal/consensus/check.go
+++ b/internal/consensus/check.go
@@ -6,7 +6,7 @@
 func (c *Core) check(m *Message) error {
 	switch {
 	case m.To != c.config.ID || m.From == c.config.ID || m.From == 0:
-		return fmt.Errorf("%w: from member %x to member %x", ErrRefused, uint64(m.From), uint64(m.To))
+		return fmt.Errorf("%w: from member %d to member %d", ErrRefused, uint64(m.From), uint64(m.To))
 	case m.Kind < MessagePreVote || m.Kind > MessageTimeoutNow:
 		return fmt.Errorf("%w: unknown kind %d", ErrRefused, m.Kind)
 	case m.Group == 0:
@@ -18,7 +18,7 @@
 	case m.Term == 0 || m.Term > c.term+maxTermJump:
 		return fmt.Errorf("%w: term %d in term %d", ErrRefused, m.Term, c.term)
 	case isResponse(m.Kind) && !c.knows(m.From):
-		return fmt.Errorf("%w: response of member %x, which is not in the group", ErrRefused, uint64(m.From))
+		return fmt.Errorf("%w: response of member %d, which is not in the group", ErrRefused, uint64(m.From))
 	}
 	if err := checkEntries(m); err != nil {
 		return err
--- a/internal/replica/bootstrap.go
+++ b/internal/replica/bootstrap.go
@@ -145,3 +145,8 @@
 	}
 	observe.Log(r.logger, observe.GroupFormed).Uint64("group", f.group).Send()
 }
+
+// idBytes returns a member id for a hash.
+func idBytes(id consensus.MemberID) []byte {
+	return binary.BigEndian.AppendUint64(nil, uint64(id))
+}
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -1,7 +1,6 @@
 package replica
 
 import (
-	"encoding/binary"
 	"fmt"
 	"time"
 
@@ -193,7 +192,7 @@
 		case consensus.EventSteppedDown:
 			observe.Log(r.logger, observe.SteppedDown).Uint64("term", event.Term).Str("reason", string(event.Reason)).Send()
 		case consensus.EventLeaderKnown:
-			observe.Log(r.logger, observe.LeaderKnown).Uint64("term", event.Term).Hex("leader", idBytes(event.Leader)).Send()
+			observe.Log(r.logger, observe.LeaderKnown).Uint64("term", event.Term).Uint64("leader", uint64(event.Leader)).Send()
 		case consensus.EventSnapshotReceived:
 			observe.Log(r.logger, observe.SnapshotReceived).Uint64("term", event.Term).Send()
 		case consensus.EventRemoved:
@@ -229,8 +228,3 @@
 	observe.Log(r.logger, observe.ReplicaStopped).Send()
 	close(r.done)
 }
-
-// idBytes returns a member id for a log line.
-func idBytes(id consensus.MemberID) []byte {
-	return binary.BigEndian.AppendUint64(nil, uint64(id))
-}
--- a/internal/replica/start.go
+++ b/internal/replica/start.go
@@ -124,7 +124,7 @@
 
 func (r *Replica) logStart(loaded *storage.Loaded, status consensus.Status) {
 	if loaded.Fresh {
-		observe.Log(r.logger, observe.ReplicaFolderNew).Hex("member", idBytes(r.member)).Send()
+		observe.Log(r.logger, observe.ReplicaFolderNew).Uint64("member", uint64(r.member)).Send()
 	}
 	if torn := loaded.Torn; torn != nil {
 		observe.Log(r.logger, observe.ReplicaTornRecord).
