--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -116,12 +116,23 @@
 		return nil, err
 	}
 	c.output.stored = c.hardState()
+	c.raiseToLogTerm()
 	c.refreshMembership()
 	c.promiseUntil = c.clock.patience + config.ElectionTimeout
 	c.resetElectionDue()
 	return c, nil
 }
 
+// raiseToLogTerm takes the term of the log when a crash came between storing a
+// received snapshot and the hard state. This member has not voted in that term,
+// since it would have stored it before.
+func (c *Core) raiseToLogTerm() {
+	if term := c.log.lastTerm(); term > c.term {
+		c.term = term
+		c.vote = 0
+	}
+}
+
 func (c *Core) loadEntries(stored Stored) error {
 	for _, entry := range stored.Entries {
 		if entry.Index <= c.log.offset {
--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -375,3 +375,15 @@
 	}
 	require.Equal(t, 1, events)
 }
+
+func TestTermIsNeverBehindTheLog(t *testing.T) {
+	b := newBench(t, Stored{
+		HardState: HardState{Group: simGroup, Term: 2, Vote: 3},
+		Snapshot:  &Snapshot{Index: 9, Term: 5, Membership: threeVoters},
+	})
+	require.Equal(t, uint64(5), b.core.term)
+	b.pass(2 * simElection)
+	for _, m := range b.ready().Messages {
+		require.Equal(t, uint64(6), m.Term)
+	}
+}
--- a/internal/replica/peer.go
+++ b/internal/replica/peer.go
@@ -173,7 +173,7 @@
 		}
 		if reachable || up {
 			observe.Log(p.network.logger, observe.MemberUnreachable).
-				Hex("member", idBytes(p.id)).Str("address", p.address).Err(err).Send()
+				Uint64("member", uint64(p.id)).Str("address", p.address).Err(err).Send()
 		}
 		reachable = false
 		select {
@@ -219,7 +219,7 @@
 			if !up {
 				up = true
 				observe.Log(p.network.logger, observe.MemberReachable).
-					Hex("member", idBytes(p.id)).Str("address", p.address).Send()
+					Uint64("member", uint64(p.id)).Str("address", p.address).Send()
 			}
 		case <-silence.C:
 			cancel(errSilent)
--- a/internal/replica/start.go
+++ b/internal/replica/start.go
@@ -131,7 +131,7 @@
 			Str("file", torn.File).Int64("offset", torn.Offset).Int64("bytes", torn.Bytes).Send()
 	}
 	observe.Log(r.logger, observe.ReplicaStarted).
-		Hex("member", idBytes(r.member)).Uint64("group", status.Group).
+		Uint64("member", uint64(r.member)).Uint64("group", status.Group).
 		Uint64("term", status.Term).Uint64("last", status.LastIndex).Send()
 }
 
