--- a/internal/distribute/session.go
+++ b/internal/distribute/session.go
@@ -34,10 +34,10 @@
 
 // session is the watch of one peer.
 type session struct {
-	client   *Client
-	peer     Peer
-	stream   distributepb.Distribution_WatchClient
-	started  time.Time
+	client  *Client
+	peer    Peer
+	stream  distributepb.Distribution_WatchClient
+	started time.Time
 	// patience is how long the session lasts although a better peer is known.
 	patience time.Duration
 	attached bool
