orders: go on when the lease holds again in the same term

A leader whose lease lapsed for less than the 100 ms between two looks of the control role gave no orders for the rest of its term, and the roll stood still (order/lease_lost_for_a_moment failed). It now gives none while the lease does not hold, and goes on afterwards.

--- a/internal/orders/runner.go
+++ b/internal/orders/runner.go
@@ -77,8 +77,9 @@
 	return leadership.IsLeader && leadership.Term == term && now.Before(leadership.LeaseUntil)
 }
 
-// Run gives orders as the leader of term until ctx ends, the lease ends, or an
-// engine tells of a newer leader.
+// Run gives orders as the leader of term until ctx ends or an engine tells of a
+// newer leader. While the lease does not hold, it gives none; if it holds again
+// in the same term, nobody else has led in between.
 func (r *Runner) Run(ctx context.Context, term uint64) {
 	start := time.Now()
 	t := &turn{
@@ -96,8 +97,8 @@
 	ticker := time.NewTicker(planInterval)
 	defer ticker.Stop()
 	for {
-		if !leads(r.options.Leadership(), term, time.Now()) || !t.step(ctx, time.Now()) {
-			return
+		if leads(r.options.Leadership(), term, time.Now()) {
+			t.step(ctx, time.Now())
 		}
 		if !t.wait(ctx, ticker.C) {
 			return
@@ -166,21 +167,21 @@
 	return t.book.answered(*end.sent, end.reply, now)
 }
 
-// step plans and sends. It reports whether the work goes on.
-func (t *turn) step(ctx context.Context, now time.Time) bool {
+// step plans and sends.
+func (t *turn) step(ctx context.Context, now time.Time) {
 	rolled, roll := t.runner.options.Rolled()
 	if rolled == nil || !t.load(rolled) {
-		return true
+		return
 	}
 	t.book.report(t.runner.options.Reports(), now)
 	t.readBack(ctx, now)
 	if now.Sub(t.start) < settleTime {
-		return true
+		return
 	}
 	plan := Make(Input{Bundle: t.bundle, Engines: t.book.engines(now), StoreFreeAt: t.storeAt, Now: now})
 	t.publish(roll, plan)
 	if roll.Stopped {
-		return true
+		return
 	}
 	t.storeAt = plan.StoreFreeAt
 	for _, step := range plan.Steps {
@@ -189,7 +190,6 @@
 	for _, due := range t.book.due(now) {
 		t.send(ctx, due)
 	}
-	return true
 }
 
 // load decodes the rolled bundle when it has changed.
--- a/internal/orders/runner_test.go
+++ b/internal/orders/runner_test.go
@@ -145,6 +145,19 @@
 			require.GreaterOrEqual(t, f.minServing, 2)
 		})
 	})
+	t.Run("order/lease lost for a moment", func(t *testing.T) {
+		inFleet(t, 4, true, func(t *testing.T, f *fakeFleet, run func(string, uint64) func()) {
+			f.elect("c1", 1, 2*settleTime)
+			run("c1", 1)
+			time.Sleep(3 * settleTime)
+			taken := f.ordersTaken()
+			time.Sleep(settleTime)
+			require.Equal(t, taken, f.ordersTaken(), "no order without the lease")
+			f.elect("c1", 1, whole)
+			time.Sleep(whole / 2)
+			f.requireRolled(t, "2")
+		})
+	})
 	t.Run("order/two faults at once", testLateOrderOnEngineWithoutFencing)
 }
 
