--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -9,8 +9,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"godwityoke.example/godwityoke/internal/request"
@@ -65,6 +67,10 @@
 	sample := newSample(arrival)
 	ctx, cancel := context.WithDeadline(context.Background(), due.Add(arrival.Deadline+answerGrace))
 	defer cancel()
+	var lag atomic.Int64 // set by the connection's goroutine
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteHeaders: func() { lag.Store(int64(time.Since(due))) },
+	})
 	time.Sleep(c.scenario.ClientDelay.Std())
 	var err error
 	if arrival.Prompt != nil {
@@ -72,6 +78,7 @@
 	} else {
 		err = c.sendCall(ctx, arrival, &sample)
 	}
+	sample.SendLag = time.Duration(lag.Load())
 	sample.Whole = time.Since(due) + c.scenario.ClientDelay.Std()
 	if err != nil && sample.Outcome == "" {
 		sample.Problem = err.Error()
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -143,6 +143,10 @@
 		assert.EqualValues(t, 1, promise.Broken, "%d %s", i, promise.Name)
 	}
 	assert.EqualValues(t, 1, Judge([]Sample{{Arrival: prompt}}, evidence)[0].Broken, "no outcome at all")
+	late := Sample{Arrival: prompt, Outcome: request.Failed, Whole: 4 * time.Second, SendLag: 2500 * time.Millisecond}
+	assert.Zero(t, Judge([]Sample{late}, evidence)[0].Broken, "the client itself was late")
+	late.SendLag = 0
+	assert.EqualValues(t, 1, Judge([]Sample{late}, evidence)[0].Broken)
 }
 
 func TestBoundLeavesOutTheLargest(t *testing.T) {
--- a/internal/load/measure.go
+++ b/internal/load/measure.go
@@ -161,10 +161,13 @@
 	TokenGap Quantiles `json:"token_gap"`
 	// Calls is the whole time of completed idempotent calls of plain services,
 	// KeyedCalls that of calls with an idempotency key, which are claimed.
-	Calls      Quantiles    `json:"calls"`
-	KeyedCalls Quantiles    `json:"keyed_calls"`
-	Outcomes   OutcomeCount `json:"outcomes"`
-	Codes      []CodeCount  `json:"codes"`
+	Calls      Quantiles `json:"calls"`
+	KeyedCalls Quantiles `json:"keyed_calls"`
+	// SendLag is how late the client sent. Figures of a run in which it is not
+	// small are those of a busy machine.
+	SendLag  Quantiles    `json:"send_lag"`
+	Outcomes OutcomeCount `json:"outcomes"`
+	Codes    []CodeCount  `json:"codes"`
 	// Crest covers the phases marked so, WorstSecond the second of them with
 	// the lowest share of requests.
 	Crest       Share       `json:"crest"`
@@ -209,7 +212,7 @@
 }
 
 func (m *Measures) measureTimes(samples []Sample) {
-	short, gap, calls, keyed := newTimes(), newTimes(), newTimes(), newTimes()
+	short, gap, calls, keyed, lag := newTimes(), newTimes(), newTimes(), newTimes(), newTimes()
 	for i := range samples {
 		sample := &samples[i]
 		switch {
@@ -220,11 +223,13 @@
 		case sample.Arrival.Prompt != nil && sample.Arrival.Prompt.Short && sample.FirstToken > 0:
 			short.add(sample.FirstToken)
 		}
+		lag.add(sample.SendLag)
 		if sample.TokenGap > 0 {
 			gap.add(sample.TokenGap)
 		}
 	}
 	m.Short, m.TokenGap = short.quantiles(), gap.quantiles()
+	m.SendLag = lag.quantiles()
 	m.Calls, m.KeyedCalls = calls.quantiles(), keyed.quantiles()
 }
 
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -153,6 +153,7 @@
 	writeQuantiles(w, "between tokens", r.WithLong.TokenGap)
 	writeQuantiles(w, "idempotent calls", r.WithLong.Calls)
 	writeQuantiles(w, "claimed calls", r.WithLong.KeyedCalls)
+	writeQuantiles(w, "client sent late by", r.WithLong.SendLag)
 }
 
 func writeQuantiles(w io.Writer, name string, q Quantiles) {
--- a/internal/load/sample.go
+++ b/internal/load/sample.go
@@ -12,6 +12,9 @@
 	// FirstToken is the time from the scheduled arrival to the first token, 0
 	// when there was none.
 	FirstToken time.Duration
+	// SendLag is the time from the scheduled arrival until the header of the
+	// request had left the client. It grows when the client's machine is busy.
+	SendLag time.Duration
 	// Whole is the time from the scheduled arrival to the end.
 	Whole time.Duration
 	// TokenGap is the mean time between tokens.
