--- a/internal/replica/stop_test.go
+++ b/internal/replica/stop_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"godwityoke.example/godwityoke/internal/consensus"
 )
 
 func TestPlannedStopLeavesALeaderBehind(t *testing.T) {
@@ -49,3 +51,32 @@
 		}
 	}
 }
+
+func TestCallersOfALeaderThatIsCutOffHearSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newMemoryNet(t, 3)
+		defer n.stopAll()
+		n.propose(t, "before")
+		leader := n.leader(t)
+		n.isolate(leader, true, true)
+		start := time.Now()
+		_, err := leader.replica.Propose(t.Context(), []byte("racing"))
+		require.ErrorIs(t, err, ErrUnknown)
+		require.ErrorIs(t, leader.replica.ReadBarrier(t.Context()), ErrNotLeader)
+		require.LessOrEqual(t, time.Since(start), time.Second)
+	})
+}
+
+func TestInboxIsBoundedInBytes(t *testing.T) {
+	r := &Replica{inbox: make(chan consensus.Message, inboxMessages)}
+	large := consensus.Message{Entries: []consensus.Entry{{Data: make([]byte, inboxBytes/4)}}}
+	for range 10 {
+		r.receive(large)
+	}
+	require.Len(t, r.inbox, 3)
+	for range 2 * inboxMessages {
+		r.receive(consensus.Message{})
+	}
+	require.Len(t, r.inbox, inboxMessages)
+	require.LessOrEqual(t, r.inboxSize.Load(), int64(inboxBytes))
+}
