--- a/internal/routing/leases.go
+++ b/internal/routing/leases.go
@@ -95,12 +95,18 @@
 	var sum capacity.Usage
 	for _, usage := range r.service.Usage() {
 		sum.Limit += usage.Limit
+		sum.Memory += usage.Memory
 		sum.Long += usage.Long
 		sum.Short += usage.Short
 		sum.Foreign += usage.Foreign
 		sum.Waiting += usage.Waiting
 		sum.Orphans += usage.Orphans
 	}
+	if sum.Limit != r.lastLimit {
+		observe.Log(r.host.Logger, observe.LeaseLimitChanged).Str("vm", r.host.Settings.VM.Name).
+			Int64("limit_tokens", sum.Limit).Int64("memory_tokens", sum.Memory).Strs("alive", r.service.View()).Send()
+		r.lastLimit = sum.Limit
+	}
 	metrics := r.host.Metrics
 	metrics.Gauge("godwityoke_lease_limit_tokens").Update(sum.Limit)
 	metrics.Gauge("godwityoke_leased_tokens", observe.Label{Name: "length", Value: "short"}).Update(sum.Short)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -28,8 +28,10 @@
 	limiter *limit.Limiter
 	demand  *demand
 	// service and holder are nil unless the policy is settings.PolicyLeases.
-	service    *capacity.Service
-	holder     *capacity.Holder
+	service *capacity.Service
+	holder  *capacity.Holder
+	// lastLimit is the sum that was exported last.
+	lastLimit  int64
 	background sync.WaitGroup
 	cancel     context.CancelFunc
 }
