--- /dev/null
+++ b/internal/cluster/client_test.go
@@ -0,0 +1,62 @@
+package cluster
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/sashabaranov/go-openai"
+	"github.com/stretchr/testify/require"
+
+	"godwityoke.example/godwityoke/internal/request"
+	"godwityoke.example/godwityoke/internal/settings"
+)
+
+// TestPublicClient talks to an entry VM with a client library of the protocol
+// that callers use: models, a whole answer, the same as a stream, an error.
+func TestPublicClient(t *testing.T) {
+	c, err := Start(t.Context(), Options{Scenario: smallScenario(t), Policy: settings.PolicyTwoChoices, Logger: zerolog.Nop()})
+	require.NoError(t, err)
+	defer c.Close()
+	config := openai.DefaultConfig("key-families")
+	config.BaseURL = "http://" + c.Entries[0].Addresses().Callers + "/v1"
+	client := openai.NewClientWithConfig(config)
+
+	models, err := client.ListModels(t.Context())
+	require.NoError(t, err)
+	require.Len(t, models.Models, 1)
+
+	ask := openai.ChatCompletionRequest{
+		Model: models.Models[0].ID, MaxTokens: 20,
+		Messages: []openai.ChatCompletionMessage{{Role: openai.ChatMessageRoleUser, Content: "A few words for my father."}},
+	}
+	whole, err := client.CreateChatCompletion(t.Context(), ask)
+	require.NoError(t, err)
+	require.Equal(t, 20, whole.Usage.CompletionTokens)
+	require.NotEmpty(t, whole.Choices[0].Message.Content)
+
+	stream, err := client.CreateChatCompletionStream(t.Context(), ask)
+	require.NoError(t, err)
+	defer stream.Close()
+	var streamed strings.Builder
+	for {
+		chunk, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		require.NoError(t, err)
+		for _, choice := range chunk.Choices {
+			streamed.WriteString(choice.Delta.Content)
+		}
+	}
+	require.Equal(t, whole.Choices[0].Message.Content, streamed.String())
+
+	ask.Model = "unknown"
+	_, err = client.CreateChatCompletion(t.Context(), ask)
+	var apiError *openai.APIError
+	require.ErrorAs(t, err, &apiError)
+	require.Equal(t, 404, apiError.HTTPStatusCode)
+	require.Equal(t, string(request.CodeModelNotFound), apiError.Code)
+}
