--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -27,7 +27,7 @@
 			ConnectTimeout:    jsonc.Duration(500 * time.Millisecond),
 		},
 		Routing: Routing{
-			Policy:       PolicyTwoChoices,
+			Policy:       PolicyLeases,
 			LeaseTimeout: jsonc.Duration(50 * time.Millisecond),
 			LeaseTerm:    jsonc.Duration(2 * time.Second),
 		},
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -47,15 +47,15 @@
 		`"127.0.0.1:8101",  //`, `"localhost:8101",  //`,
 		`"max_in_flight": 4096`, `"max_in_flight": "many"`,
 		`"silent_after": "2s"`, `"silent_after": "2 minutes"`,
-		`"policy": "two_choices"`, `"policy": "two_choices", "policy": "leases", "colour": 1`,
+		`"policy": "leases"`, `"policy": "leases", "policy": "leases", "colour": 1`,
 	)
 	require.Equal(t, []string{
 		`s.json:6:22: roles[1]: "boss" is no role, allowed: entry, control`,
 		`s.json:9:17: listen.backends: "localhost:8101" is no address, allowed: an IP number and a port, such as 10.0.0.5:7000`,
 		`s.json:29:21: entry.silent_after: "2 minutes" is not a duration, allowed: a number with a unit, such as "250ms", "2s" or "1h"`,
 		`s.json:30:22: entry.max_in_flight: "many" is not allowed here, allowed: a whole number`,
-		`s.json:32:40: routing.policy: the key is repeated, allowed: each key once`,
-		`s.json:32:60: routing.colour: the key is unknown, allowed: policy, lease_timeout, lease_term`,
+		`s.json:32:35: routing.policy: the key is repeated, allowed: each key once`,
+		`s.json:32:55: routing.colour: the key is unknown, allowed: policy, lease_timeout, lease_term`,
 	}, load(t, mistakes.Replace(example(t))))
 }
 
