--- a/internal/sizing/lines.go
+++ b/internal/sizing/lines.go
@@ -60,6 +60,9 @@
 	grantTime      = Source{"BenchmarkGrant", "engines", "ns/op"}
 	exchangeBytes  = Source{"BenchmarkCapacityExchange", "vms", "wire-bytes"}
 	tickTime       = Source{"BenchmarkTick", "engines", "ns/op"}
+	leaderRest     = Source{"BenchmarkCapacityAtRest", "members", "leader-B/s"}
+	followerRest   = Source{"BenchmarkCapacityAtRest", "members", "follower-B/s"}
+	memberRest     = Source{"BenchmarkCapacityAtRest", "members", "core-percent/VM"}
 	claimTime      = Source{"BenchmarkCapacityClaims", "entries", "ns/claim"}
 	claimMemory    = Source{"BenchmarkCapacityClaims", "entries", "heap-bytes"}
 	claimLog       = Source{"BenchmarkCapacityClaims", "entries", "log-bytes"}
@@ -71,6 +74,10 @@
 // relayChildren is the number of watchers that a relay serves.
 const relayChildren = 8
 
+// controlMembers is the size of the control group: one more than a zone loss in
+// each region takes.
+const controlMembers = 5
+
 // cellVMs is the number of entry VMs that share schedulers.
 const cellVMs = 8
 
@@ -111,8 +118,12 @@
 		{Role: RoleLeader, What: "claims, time", Resource: CorePercent, Source: claimTime, Size: claimsKept, Times: claims * corePercentPerNanosecond, Mechanism: "records at a majority, shared syncs (`ledger`)", Assumed: claimsSaid},
 		{Role: RoleLeader, What: "claims, memory", Resource: MemoryBytes, Source: claimMemory, Size: claimsKept, Times: 1, Mechanism: "all records in memory (`ledger.Core`)", Assumed: claimsSaid, Replaced: "records of the last minutes in memory, older ones in sorted files behind `ledger.Log`; the VM is one of those set aside"},
 		{Role: RoleLeader, What: "claims, disk", Resource: DiskBytes, Source: claimLog, Size: claimsKept, Times: 1, Mechanism: "journal, rewritten when four times its entries (`storage.Journal`)", Assumed: claimsSaid},
+		{Role: RoleLeader, What: "control group at rest, bytes", Resource: BytesPerSecond, Source: leaderRest, Size: controlMembers, Times: 1, Mechanism: "heartbeats to each member (`replica`)"},
+		{Role: RoleLeader, What: "control group at rest, time", Resource: CorePercent, Source: memberRest, Size: controlMembers, Times: 1, Mechanism: "one goroutine for control state (`replica`)"},
 		{Role: RoleLeader, What: "watches of its children, bytes", Resource: BytesPerSecond, Source: restBytes, Size: targetNodes, Times: relayChildren, Mechanism: "bounded children, the others relay (`distribute`)"},
 		{Role: RoleFollower, What: "claims, time", Resource: CorePercent, Source: claimTime, Size: claimsKept, Times: claims * corePercentPerNanosecond, Mechanism: "as at the leader: the ledger has none (`ledger`)", Assumed: claimsSaid},
+		{Role: RoleFollower, What: "control group at rest, bytes", Resource: BytesPerSecond, Source: followerRest, Size: controlMembers, Times: 1, Mechanism: "answers to heartbeats (`replica`)"},
+		{Role: RoleFollower, What: "control group at rest, time", Resource: CorePercent, Source: memberRest, Size: controlMembers, Times: 1, Mechanism: "one goroutine for control state (`replica`)"},
 		{Role: RoleFollower, What: "watches of its children, bytes", Resource: BytesPerSecond, Source: restBytes, Size: targetNodes, Times: relayChildren, Mechanism: "bounded children, the others relay (`distribute`)"},
 		{Role: RoleRelay, What: "watches of its children, bytes", Resource: BytesPerSecond, Source: restBytes, Size: targetNodes, Times: relayChildren, Mechanism: "bounded children (`distribute`)"},
 		{Role: RoleRelay, What: "watches of its children, time", Resource: CorePercent, Source: restProcessor, Size: targetNodes, Times: relayChildren, Mechanism: "bounded children (`distribute`)"},
--- a/internal/standin/answer/answer.go
+++ b/internal/standin/answer/answer.go
@@ -72,6 +72,8 @@
 	Prompt    string    `json:"prompt"`
 	Messages  []Message `json:"messages"`
 	MaxTokens int64     `json:"max_tokens"`
+	// MaxCompletionTokens is the newer name of MaxTokens.
+	MaxCompletionTokens int64 `json:"max_completion_tokens"`
 }
 
 // Message is one message of a chat request.
@@ -87,6 +89,9 @@
 		return Body{}, fmt.Errorf("request body: %w", err)
 	}
 	body.Model, _, _ = strings.Cut(body.Model, ":")
+	if body.MaxCompletionTokens > 0 {
+		body.MaxTokens = body.MaxCompletionTokens
+	}
 	if body.MaxTokens <= 0 {
 		body.MaxTokens = DefaultMaxTokens
 	}
