--- a/internal/replica/start.go
+++ b/internal/replica/start.go
@@ -124,14 +124,14 @@
 
 func (r *Replica) logStart(loaded *storage.Loaded, status consensus.Status) {
 	if loaded.Fresh {
-		observe.Log(r.logger, observe.ReplicaFolderNew).Hex("member", idBytes(r.member)).Send()
+		observe.Log(r.logger, observe.ReplicaFolderNew).Uint64("member", uint64(r.member)).Send()
 	}
 	if torn := loaded.Torn; torn != nil {
 		observe.Log(r.logger, observe.ReplicaTornRecord).
 			Str("file", torn.File).Int64("offset", torn.Offset).Int64("bytes", torn.Bytes).Send()
 	}
 	observe.Log(r.logger, observe.ReplicaStarted).
-		Hex("member", idBytes(r.member)).Uint64("group", status.Group).
+		Uint64("member", uint64(r.member)).Uint64("group", status.Group).
 		Uint64("term", status.Term).Uint64("last", status.LastIndex).Send()
 }
 
