distribute: forget reports of lost VMs on the leader too

Old reports were dropped only where reports are passed on, so that the leader kept every VM that ever reported, up to 4,096 (TestReportsOfLostVMsAreForgotten failed).

--- a/internal/distribute/fuzz_test.go
+++ b/internal/distribute/fuzz_test.go
@@ -68,7 +68,7 @@
 		now := time.Unix(1e9, 0)
 		reports := NewReports()
 		reports.Merge(message.GetReports(), now)
-		for _, report := range reports.All() {
+		for _, report := range reports.All(now) {
 			require.LessOrEqual(t, len(report.VM), maxReportNameBytes)
 			require.LessOrEqual(t, len(report.Servers), maxReportServers)
 			require.False(t, report.ConfirmedAt.After(now), "no report is from the future")
@@ -76,3 +76,13 @@
 		require.Empty(t, reports.Merge(reports.messages(now), now), "what was passed on is known")
 	})
 }
+
+// TestReportsOfLostVMsAreForgotten covers a VM that passes no reports on, as
+// the leader does.
+func TestReportsOfLostVMsAreForgotten(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	reports := NewReports()
+	reports.Merge([]*distributepb.Report{{Vm: "entry-a1", Body: &distributepb.ReportBody{Version: 1}}}, now)
+	require.Len(t, reports.All(now.Add(reportLife)), 1)
+	require.Empty(t, reports.All(now.Add(reportLife+time.Second)))
+}
--- a/internal/distribute/node.go
+++ b/internal/distribute/node.go
@@ -94,7 +94,7 @@
 func (n *Node) Reports() []Report {
 	now := time.Now()
 	n.reports.Merge([]*distributepb.Report{n.ownReport()}, now)
-	return n.reports.All()
+	return n.reports.All(now)
 }
 
 // SetControlVMs takes the members of the control group as of a revision and
--- a/internal/distribute/reports.go
+++ b/internal/distribute/reports.go
@@ -152,18 +152,24 @@
 	return 0
 }
 
+// forget drops reports older than reportLife. The caller holds the lock.
+func (r *Reports) forget(now time.Time) {
+	for vm, held := range r.byVM {
+		if now.Sub(held.confirmedAt) > reportLife {
+			delete(r.byVM, vm)
+		}
+	}
+}
+
 // messages returns the reports as they are passed on at now, with their age
-// and body, and forgets those older than reportLife.
+// and body.
 func (r *Reports) messages(now time.Time) []*distributepb.Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.forget(now)
 	messages := make([]*distributepb.Report, 0, len(r.byVM))
-	for vm, held := range r.byVM {
+	for _, held := range r.byVM {
 		age := now.Sub(held.confirmedAt)
-		if age > reportLife {
-			delete(r.byVM, vm)
-			continue
-		}
 		message := held.message
 		messages = append(messages, &distributepb.Report{
 			Vm: message.GetVm(), Zone: message.GetZone(), Control: message.GetControl(),
@@ -174,10 +180,11 @@
 	return messages
 }
 
-// All returns the reports ordered by VM name.
-func (r *Reports) All() []Report {
+// All returns the reports that count at now, ordered by VM name.
+func (r *Reports) All(now time.Time) []Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.forget(now)
 	all := make([]Report, 0, len(r.byVM))
 	for _, held := range r.byVM {
 		all = append(all, reportOf(held))
