--- a/internal/sizing/lines.go
+++ b/internal/sizing/lines.go
@@ -56,7 +56,7 @@
 	histogramBytes = Source{"BenchmarkCapacityTeamHistograms", "teams", "heap-bytes"}
 	restBytes      = Source{"BenchmarkCapacityWatcherAtRest", "watchers", "bytes/s/watcher"}
 	restProcessor  = Source{"BenchmarkCapacityWatcherAtRest", "watchers", "core-percent/watcher"}
-	inForce        = Source{"BenchmarkCapacityAcceptanceToInForce/watchers=390", "teams", "p99-ms"}
+	inForce        = Source{"BenchmarkCapacityLargeBundleToInForce", "teams", "p99-ms"}
 	grantTime      = Source{"BenchmarkGrant", "engines", "ns/op"}
 	exchangeBytes  = Source{"BenchmarkCapacityExchange", "vms", "wire-bytes"}
 	tickTime       = Source{"BenchmarkTick", "engines", "ns/op"}
