load: leave out of the judgement the time in which a busy machine ran nothing

A watch with a short timer records when the client's process stood still; the promise of time subtracts what overlaps a request.

--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -34,6 +34,7 @@
 	scenario *Scenario
 	run      string
 	balancer *balancer
+	stalls   *stallWatch
 	http     *http.Client
 }
 
@@ -41,7 +42,7 @@
 	transport := &http.Transport{
 		MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true, IdleConnTimeout: time.Minute,
 	}
-	return &client{scenario: scenario, run: run, balancer: newBalancer(entries), http: &http.Client{Transport: transport}}
+	return &client{scenario: scenario, run: run, balancer: newBalancer(entries), stalls: &stallWatch{}, http: &http.Client{Transport: transport}}
 }
 
 // streamEvent is the part of a server-sent event that a caller needs.
@@ -79,6 +80,7 @@
 		err = c.sendCall(ctx, arrival, &sample)
 	}
 	sample.SendLag = time.Duration(lag.Load())
+	sample.Stalled = c.stalls.between(due.Add(sample.SendLag), time.Now())
 	sample.Whole = time.Since(due) + c.scenario.ClientDelay.Std()
 	if err != nil && sample.Outcome == "" {
 		sample.Problem = err.Error()
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -204,3 +204,14 @@
 	require.NoError(t, report.WriteTable(&table))
 	assert.Contains(t, table.String(), "families")
 }
+
+func TestStallsCountWhereTheyOverlap(t *testing.T) {
+	watch, start := &stallWatch{}, time.Unix(0, 0)
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	watch.add(at(1), at(1.005)) // noise
+	watch.add(at(2), at(3))
+	watch.add(at(5), at(6))
+	assert.Equal(t, 500*time.Millisecond, watch.between(at(0), at(2.5)))
+	assert.Equal(t, 750*time.Millisecond, watch.between(at(2.5), at(5.25)))
+	assert.Zero(t, watch.between(at(3), at(5)))
+}
--- a/internal/load/promises.go
+++ b/internal/load/promises.go
@@ -72,9 +72,9 @@
 	if sample.Arrival.Prompt != nil {
 		kind = fmt.Sprintf("prompt of %d tokens", sample.Arrival.Prompt.Tokens)
 	}
-	return fmt.Sprintf("#%d %s of %s at %.2fs: outcome %q code %q after %.2fs of %.2fs, sent %.2fs late, %s", sample.Arrival.Number,
+	return fmt.Sprintf("#%d %s of %s at %.2fs: outcome %q code %q after %.2fs of %.2fs, sent %.2fs late, machine stalled %.2fs, %s", sample.Arrival.Number,
 		kind, sample.Arrival.Team.Name, sample.Arrival.At.Seconds(), sample.Outcome, sample.Code,
-		sample.Whole.Seconds(), sample.Arrival.Deadline.Seconds(), sample.SendLag.Seconds(), sample.Problem)
+		sample.Whole.Seconds(), sample.Arrival.Deadline.Seconds(), sample.SendLag.Seconds(), sample.Stalled.Seconds(), sample.Problem)
 }
 
 func judgeTime(samples []Sample, evidence Evidence) Promise {
@@ -82,8 +82,9 @@
 	for i := range samples {
 		sample := &samples[i]
 		told := sample.Outcome.Valid() || (sample.Lost && evidence.EntryVMsDied)
-		// The time that a caller grants begins when the request leaves it.
-		took := sample.Whole - sample.SendLag
+		// The time that a caller grants begins when the request leaves it, and
+		// time in which a busy machine ran nothing is not the system's.
+		took := sample.Whole - sample.SendLag - sample.Stalled
 		ended := told && !sample.NoAnswer && took <= sample.Arrival.Deadline+lateGrace
 		promise.Check(ended, "%s", describe(sample))
 	}
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -27,6 +27,7 @@
 	balancing, stop := context.WithCancel(ctx)
 	defer stop()
 	c.balancer.run(balancing)
+	go c.stalls.run(balancing)
 	start := time.Now().Add(startDelay)
 	collector := &collector{samples: make([]Sample, len(arrivals)), progress: progress}
 	var wait sync.WaitGroup
--- a/internal/load/sample.go
+++ b/internal/load/sample.go
@@ -15,6 +15,9 @@
 	// SendLag is the time from the scheduled arrival until the header of the
 	// request had left the client. It grows when the client's machine is busy.
 	SendLag time.Duration
+	// Stalled is for how long the client's process stood still on a busy
+	// machine after that.
+	Stalled time.Duration
 	// Whole is the time from the scheduled arrival to the end.
 	Whole time.Duration
 	// TokenGap is the mean time between tokens.
