sizing: lease messages count towards an entry VM's bytes

Cause: the page counted heartbeats and watches only; a lease for each request and its renewals cost more than either. Conclusion: reported as broken, with the mechanisms that bring it down.

--- a/internal/capacity/exchange_bench_test.go
+++ b/internal/capacity/exchange_bench_test.go
@@ -20,10 +20,7 @@
 			}
 			request := &capacitypb.ExchangeRequest{Vm: "entry-a01", Renewals: []*capacitypb.Renewal{{
 				Server: "engine-a01",
-				Lease: &capacitypb.Lease{
-					Attempt: "8e6f0c5a3c1d4f1b9a7e2d6c5b4a3f21", Tokens: 4096, PrefillTokens: 3000,
-					Short: true, Priority: 8, LatestStartMillis: 900, DeadlineMillis: 30_000,
-				},
+				Lease:  sizedLease(),
 			}}}
 			size := 0
 			for b.Loop() {
@@ -33,3 +30,49 @@
 		})
 	}
 }
+
+// BenchmarkCapacityLease reports the bytes of all messages of one lease but its
+// renewals: the request, the grant and the release, without transport.
+func BenchmarkCapacityLease(b *testing.B) {
+	for _, choices := range []int{4, 8, 16} {
+		b.Run(fmt.Sprintf("choices=%d", choices), func(b *testing.B) {
+			acquire := &capacitypb.AcquireRequest{Holder: "entry-a01", Lease: sizedLease()}
+			for i := range choices {
+				acquire.Choices = append(acquire.Choices, &capacitypb.Choice{Server: fmt.Sprintf("engine-a%02d", i), PrefillTokens: 3000, TokenNanos: 40_000})
+			}
+			grant := &capacitypb.AcquireReply{Status: capacitypb.Status_STATUS_GRANTED, Server: "engine-a01", AheadTokens: 3000}
+			release := &capacitypb.Release{Server: "engine-a01", Attempt: acquire.Lease.Attempt}
+			size := 0
+			for b.Loop() {
+				size = proto.Size(acquire) + proto.Size(grant) + proto.Size(release)
+			}
+			b.ReportMetric(float64(size), "wire-bytes")
+		})
+	}
+}
+
+// BenchmarkCapacityRenewals reports the bytes of an exchange that renews a
+// number of leases, without transport.
+func BenchmarkCapacityRenewals(b *testing.B) {
+	for _, leases := range []int{1, 10, 60} {
+		b.Run(fmt.Sprintf("leases=%d", leases), func(b *testing.B) {
+			exchange := &capacitypb.ExchangeRequest{Vm: "entry-a01"}
+			for range leases {
+				exchange.Renewals = append(exchange.Renewals, &capacitypb.Renewal{Server: "engine-a01", Lease: sizedLease()})
+			}
+			size := 0
+			for b.Loop() {
+				size = proto.Size(exchange)
+			}
+			b.ReportMetric(float64(size), "wire-bytes")
+		})
+	}
+}
+
+// sizedLease is a lease with values as they are at work.
+func sizedLease() *capacitypb.Lease {
+	return &capacitypb.Lease{
+		Attempt: "8e6f0c5a3c1d4f1b9a7e2d6c5b4a3f21", Tokens: 4096, PrefillTokens: 3000,
+		Short: true, Priority: 8, LatestStartMillis: 900, DeadlineMillis: 30_000,
+	}
+}
--- a/internal/sizing/lines.go
+++ b/internal/sizing/lines.go
@@ -58,6 +58,8 @@
 	restProcessor  = Source{"BenchmarkCapacityWatcherAtRest", "watchers", "core-percent/watcher"}
 	inForce        = Source{"BenchmarkCapacityLargeBundleToInForce", "teams", "p99-ms"}
 	grantTime      = Source{"BenchmarkGrant", "engines", "ns/op"}
+	leaseBytes     = Source{"BenchmarkCapacityLease", "choices", "wire-bytes"}
+	renewalBytes   = Source{"BenchmarkCapacityRenewals", "leases", "wire-bytes"}
 	exchangeBytes  = Source{"BenchmarkCapacityExchange", "vms", "wire-bytes"}
 	tickTime       = Source{"BenchmarkTick", "engines", "ns/op"}
 	leaderRest     = Source{"BenchmarkCapacityAtRest", "members", "leader-B/s"}
@@ -78,6 +80,12 @@
 // each region takes.
 const controlMembers = 5
 
+// leaseChoices is the largest number of servers that a lease request names.
+const leaseChoices = 16
+
+// secondsInProgress is the assumed length of a request.
+const secondsInProgress = 10
+
 // cellVMs is the number of entry VMs that share schedulers.
 const cellVMs = 8
 
@@ -107,6 +115,8 @@
 		{Role: RoleEntry, What: "heartbeats of its subset, time", Resource: CorePercent, Source: announceTime, Size: eventsPerHeartbeat, Times: toSubset * corePercentPerNanosecond, Mechanism: "subset by rendezvous hash (`fleet.Subset`)", Assumed: events},
 		{Role: RoleEntry, What: "heartbeats of its subset, bytes", Resource: BytesPerSecond, Source: announceBytes, Size: eventsPerHeartbeat, Times: toSubset, Mechanism: "subset by rendezvous hash (`fleet.Subset`)", Assumed: events + ", without HTTP headers"},
 		{Role: RoleEntry, What: "heartbeats of the whole zone, bytes", Resource: BytesPerSecond, Source: announceBytes, Size: eventsPerHeartbeat, Times: toAll, Mechanism: "every server to every entry VM of its zone", Assumed: events, Replaced: "subset by rendezvous hash (`fleet.Subset`), a summary per model and zone for the rest"},
+		{Role: RoleEntry, What: "lease requests, grants and releases, bytes", Resource: BytesPerSecond, Source: leaseBytes, Size: leaseChoices, Times: nodeRequestsPerSecond, Mechanism: "one lease for each request (`capacity`)", Assumed: "without transport"},
+		{Role: RoleEntry, What: "renewals of leases in progress, bytes", Resource: BytesPerSecond, Source: renewalBytes, Size: nodeRequestsPerSecond * secondsInProgress, Times: exchangesPerSecond, Mechanism: "each lease in each exchange (`capacity`)", Assumed: "10 s in progress each", Replaced: "renewal of a holder's session in place of each lease; the scheduler already keeps leases by holder (`capacity.State`)"},
 		{Role: RoleEntry, What: "histograms of all teams", Resource: MemoryBytes, Source: histogramBytes, Size: targetTeams, Times: 1, Mechanism: "fixed buckets, teams and classes apart (`observe`)"},
 		{Role: RoleEntry, What: "watch at rest, bytes", Resource: BytesPerSecond, Source: restBytes, Size: targetNodes, Times: 1, Mechanism: "one watch up the tree with heartbeats (`distribute`)"},
 		{Role: RoleEntry, What: "watch at rest, time", Resource: CorePercent, Source: restProcessor, Size: targetNodes, Times: 1, Mechanism: "one watch up the tree with heartbeats (`distribute`)"},
