--- a/internal/sizing/lines.go
+++ b/internal/sizing/lines.go
@@ -58,8 +58,13 @@
 	restProcessor  = Source{"BenchmarkCapacityWatcherAtRest", "watchers", "core-percent/watcher"}
 	inForce        = Source{"BenchmarkCapacityLargeBundleToInForce", "teams", "p99-ms"}
 	grantTime      = Source{"BenchmarkGrant", "engines", "ns/op"}
+	leaseBytes     = Source{"BenchmarkCapacityLease", "choices", "wire-bytes"}
+	renewalBytes   = Source{"BenchmarkCapacityRenewals", "leases", "wire-bytes"}
 	exchangeBytes  = Source{"BenchmarkCapacityExchange", "vms", "wire-bytes"}
 	tickTime       = Source{"BenchmarkTick", "engines", "ns/op"}
+	leaderRest     = Source{"BenchmarkCapacityAtRest", "members", "leader-B/s"}
+	followerRest   = Source{"BenchmarkCapacityAtRest", "members", "follower-B/s"}
+	memberRest     = Source{"BenchmarkCapacityAtRest", "members", "core-percent/VM"}
 	claimTime      = Source{"BenchmarkCapacityClaims", "entries", "ns/claim"}
 	claimMemory    = Source{"BenchmarkCapacityClaims", "entries", "heap-bytes"}
 	claimLog       = Source{"BenchmarkCapacityClaims", "entries", "log-bytes"}
@@ -71,6 +76,16 @@
 // relayChildren is the number of watchers that a relay serves.
 const relayChildren = 8
 
+// controlMembers is the size of the control group: one more than a zone loss in
+// each region takes.
+const controlMembers = 5
+
+// leaseChoices is the largest number of servers that a lease request names.
+const leaseChoices = 16
+
+// secondsInProgress is the assumed length of a request.
+const secondsInProgress = 10
+
 // cellVMs is the number of entry VMs that share schedulers.
 const cellVMs = 8
 
@@ -100,6 +115,8 @@
 		{Role: RoleEntry, What: "heartbeats of its subset, time", Resource: CorePercent, Source: announceTime, Size: eventsPerHeartbeat, Times: toSubset * corePercentPerNanosecond, Mechanism: "subset by rendezvous hash (`fleet.Subset`)", Assumed: events},
 		{Role: RoleEntry, What: "heartbeats of its subset, bytes", Resource: BytesPerSecond, Source: announceBytes, Size: eventsPerHeartbeat, Times: toSubset, Mechanism: "subset by rendezvous hash (`fleet.Subset`)", Assumed: events + ", without HTTP headers"},
 		{Role: RoleEntry, What: "heartbeats of the whole zone, bytes", Resource: BytesPerSecond, Source: announceBytes, Size: eventsPerHeartbeat, Times: toAll, Mechanism: "every server to every entry VM of its zone", Assumed: events, Replaced: "subset by rendezvous hash (`fleet.Subset`), a summary per model and zone for the rest"},
+		{Role: RoleEntry, What: "lease requests, grants and releases, bytes", Resource: BytesPerSecond, Source: leaseBytes, Size: leaseChoices, Times: nodeRequestsPerSecond, Mechanism: "one lease for each request (`capacity`)", Assumed: "without transport"},
+		{Role: RoleEntry, What: "renewals of leases in progress, bytes", Resource: BytesPerSecond, Source: renewalBytes, Size: nodeRequestsPerSecond * secondsInProgress, Times: exchangesPerSecond, Mechanism: "each lease in each exchange (`capacity`)", Assumed: "10 s in progress each", Replaced: "renewal of a holder's session in place of each lease; the scheduler already keeps leases by holder (`capacity.State`)"},
 		{Role: RoleEntry, What: "histograms of all teams", Resource: MemoryBytes, Source: histogramBytes, Size: targetTeams, Times: 1, Mechanism: "fixed buckets, teams and classes apart (`observe`)"},
 		{Role: RoleEntry, What: "watch at rest, bytes", Resource: BytesPerSecond, Source: restBytes, Size: targetNodes, Times: 1, Mechanism: "one watch up the tree with heartbeats (`distribute`)"},
 		{Role: RoleEntry, What: "watch at rest, time", Resource: CorePercent, Source: restProcessor, Size: targetNodes, Times: 1, Mechanism: "one watch up the tree with heartbeats (`distribute`)"},
@@ -111,8 +128,12 @@
 		{Role: RoleLeader, What: "claims, time", Resource: CorePercent, Source: claimTime, Size: claimsKept, Times: claims * corePercentPerNanosecond, Mechanism: "records at a majority, shared syncs (`ledger`)", Assumed: claimsSaid},
 		{Role: RoleLeader, What: "claims, memory", Resource: MemoryBytes, Source: claimMemory, Size: claimsKept, Times: 1, Mechanism: "all records in memory (`ledger.Core`)", Assumed: claimsSaid, Replaced: "records of the last minutes in memory, older ones in sorted files behind `ledger.Log`; the VM is one of those set aside"},
 		{Role: RoleLeader, What: "claims, disk", Resource: DiskBytes, Source: claimLog, Size: claimsKept, Times: 1, Mechanism: "journal, rewritten when four times its entries (`storage.Journal`)", Assumed: claimsSaid},
+		{Role: RoleLeader, What: "control group at rest, bytes", Resource: BytesPerSecond, Source: leaderRest, Size: controlMembers, Times: 1, Mechanism: "heartbeats to each member (`replica`)"},
+		{Role: RoleLeader, What: "control group at rest, time", Resource: CorePercent, Source: memberRest, Size: controlMembers, Times: 1, Mechanism: "one goroutine for control state (`replica`)"},
 		{Role: RoleLeader, What: "watches of its children, bytes", Resource: BytesPerSecond, Source: restBytes, Size: targetNodes, Times: relayChildren, Mechanism: "bounded children, the others relay (`distribute`)"},
 		{Role: RoleFollower, What: "claims, time", Resource: CorePercent, Source: claimTime, Size: claimsKept, Times: claims * corePercentPerNanosecond, Mechanism: "as at the leader: the ledger has none (`ledger`)", Assumed: claimsSaid},
+		{Role: RoleFollower, What: "control group at rest, bytes", Resource: BytesPerSecond, Source: followerRest, Size: controlMembers, Times: 1, Mechanism: "answers to heartbeats (`replica`)"},
+		{Role: RoleFollower, What: "control group at rest, time", Resource: CorePercent, Source: memberRest, Size: controlMembers, Times: 1, Mechanism: "one goroutine for control state (`replica`)"},
 		{Role: RoleFollower, What: "watches of its children, bytes", Resource: BytesPerSecond, Source: restBytes, Size: targetNodes, Times: relayChildren, Mechanism: "bounded children, the others relay (`distribute`)"},
 		{Role: RoleRelay, What: "watches of its children, bytes", Resource: BytesPerSecond, Source: restBytes, Size: targetNodes, Times: relayChildren, Mechanism: "bounded children (`distribute`)"},
 		{Role: RoleRelay, What: "watches of its children, time", Resource: CorePercent, Source: restProcessor, Size: targetNodes, Times: relayChildren, Mechanism: "bounded children (`distribute`)"},
