bundle: up to half of a model's engines may be ejected by default

Cause: with two of five engines of each zone failing every call, a share of 34 % ejects one; the other went on failing calls, and each cost a retry. Change: max_ejected_percent is 50 by default.

--- a/internal/bundle/load.go
+++ b/internal/bundle/load.go
@@ -15,7 +15,7 @@
 			MinTimeLimit:        jsonc.Duration(50 * time.Millisecond),
 			ShortReservePercent: 20,
 			RetryBudgetPercent:  10,
-			MaxEjectedPercent:   34,
+			MaxEjectedPercent:   50,
 			ClaimRetention:      jsonc.Duration(24 * time.Hour),
 		},
 		Roll: RollLimits{
--- a/internal/eject/eject_test.go
+++ b/internal/eject/eject_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"godwityoke.example/godwityoke/internal/bundle"
 )
 
 var start = time.Unix(1_000_000, 0)
@@ -83,6 +85,16 @@
 	assert.Equal(t, []int{0}, kept(e, 1, 50, start.Add(time.Second)), "the only server stays")
 }
 
+// TestDefaultShareTakesTwoOfFive covers a zone of today, where two of five
+// engines fail every call: with a share that ejects only one of them, the other
+// goes on failing calls, and each costs a retry.
+func TestDefaultShareTakesTwoOfFive(t *testing.T) {
+	e := New()
+	observe(e, "e0", 5, Result{Failed: true}, start)
+	observe(e, "e1", 5, Result{Failed: true}, start)
+	assert.Equal(t, []int{2, 3, 4}, kept(e, 5, bundle.Defaults().Limits.MaxEjectedPercent, start.Add(time.Second)))
+}
+
 func TestRestartedServerStartsHealthy(t *testing.T) {
 	e := New()
 	observe(e, "e0", 5, Result{Failed: true}, start)
