ledger, reply: a resend gets the whole answer or a code that says what is known

Change: such an answer is recorded by its outcome alone; codes idempotency_key_not_run and idempotency_key_answer_not_kept. load: the promise of time no longer leaves out stalls of the client's process, which nothing showed to be outside the system; they are still printed.

--- a/internal/filter/reply/reply.go
+++ b/internal/filter/reply/reply.go
@@ -69,7 +69,7 @@
 func (f *Filter) Recorded(call *filter.Call, record *ledger.Record) error {
 	call.Reply.Outcome = record.Outcome
 	if record.Status == 0 {
-		return request.Errorf(request.CodeOutcomeUnknown, record.Outcome, "an earlier send of the idempotency key ended as %s", record.Outcome)
+		return request.Errorf(codeOf(record.Outcome), record.Outcome, "an earlier send of the idempotency key ended as %s", record.Outcome)
 	}
 	header := call.Writer.Header()
 	if record.ContentType != "" {
@@ -78,6 +78,17 @@
 	return f.whole(call, record.Status, record.Body)
 }
 
+// codeOf returns the code for a recorded outcome without an answer.
+func codeOf(outcome request.Outcome) request.Code {
+	switch outcome {
+	case request.NotRun:
+		return request.CodeKeyNotRun
+	case request.Completed:
+		return request.CodeAnswerNotKept
+	}
+	return request.CodeOutcomeUnknown
+}
+
 // whole sends a response that is known from end to end.
 func (f *Filter) whole(call *filter.Call, status int, body []byte) error {
 	header := call.Writer.Header()
--- a/internal/filter/reply/reply_test.go
+++ b/internal/filter/reply/reply_test.go
@@ -14,6 +14,7 @@
 	"godwityoke.example/godwityoke/internal/backendapi"
 	"godwityoke.example/godwityoke/internal/bundle"
 	"godwityoke.example/godwityoke/internal/filter"
+	"godwityoke.example/godwityoke/internal/ledger"
 	"godwityoke.example/godwityoke/internal/observe"
 	"godwityoke.example/godwityoke/internal/place"
 	"godwityoke.example/godwityoke/internal/request"
@@ -72,3 +73,22 @@
 		require.Equal(t, "calm sea", whole.Choices[0].Message.Content)
 	}
 }
+
+// TestRecordedOutcomeWithoutAnswer repeats outcomes of which no answer is kept.
+func TestRecordedOutcomeWithoutAnswer(t *testing.T) {
+	codes := map[request.Outcome]request.Code{
+		request.NotRun:    request.CodeKeyNotRun,
+		request.Completed: request.CodeAnswerNotKept,
+		request.Unknown:   request.CodeOutcomeUnknown,
+	}
+	f := New(observe.NewMetrics(), zerolog.Nop())
+	for outcome, code := range codes {
+		writer := httptest.NewRecorder()
+		err := f.Recorded(&filter.Call{Writer: writer}, &ledger.Record{Outcome: outcome})
+		var refused *request.Error
+		require.ErrorAs(t, err, &refused)
+		require.Equal(t, code, refused.Code)
+		require.Equal(t, outcome, refused.Outcome)
+		require.Empty(t, writer.Body.String())
+	}
+}
--- a/internal/ledger/claims_test.go
+++ b/internal/ledger/claims_test.go
@@ -166,6 +166,18 @@
 	})
 }
 
+func TestAnswerTooLargeToKeepIsNotRepeatedInPart(t *testing.T) {
+	inGroup(t, func(t *testing.T, _ *network, client *Client) {
+		claim, _, err := client.Claim(t.Context(), bookingKey, digestA)
+		require.NoError(t, err)
+		large := Record{Outcome: request.Completed, Status: 200, Body: make([]byte, maxRecordBytes+1)}
+		require.NoError(t, claim.Resolve(t.Context(), large))
+		_, record, err := client.Claim(t.Context(), bookingKey, digestA)
+		require.NoError(t, err)
+		require.Equal(t, &Record{Outcome: request.Completed}, record)
+	})
+}
+
 func TestClaimantThatDiedAfterItsClaimLeavesUnknown(t *testing.T) {
 	inGroup(t, func(t *testing.T, _ *network, client *Client) {
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -258,10 +258,11 @@
 }
 
 // Resolve implements Claim. It returns once a majority has recorded the end;
-// the other holders are told in the background.
+// the other holders are told in the background. Of an answer that is too large
+// to keep only the outcome is recorded, so that no resend gets a part of it.
 func (h *heldClaim) Resolve(ctx context.Context, record Record) error {
 	if len(record.Body) > maxRecordBytes {
-		record.Body = record.Body[:0]
+		record = Record{Outcome: record.Outcome}
 	}
 	message := proto.Clone(h.message).(*ledgerpb.Request)
 	message.Operation = ledgerpb.Operation_OPERATION_RESOLVE
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -35,6 +35,7 @@
 type Record struct {
 	Outcome request.Outcome
 	// Status, ContentType and Body repeat the answer of a completed call.
+	// Status is 0 where no answer is kept.
 	Status      int
 	ContentType string
 	Body        []byte
--- a/internal/load/promises.go
+++ b/internal/load/promises.go
@@ -82,9 +82,8 @@
 	for i := range samples {
 		sample := &samples[i]
 		told := sample.Outcome.Valid() || (sample.Lost && evidence.EntryVMsDied)
-		// The time that a caller grants begins when the request leaves it, and
-		// time in which a busy machine ran nothing is not the system's.
-		took := sample.Whole - sample.SendLag - sample.Stalled
+		// The time that a caller grants begins when the request leaves it.
+		took := sample.Whole - sample.SendLag
 		ended := told && !sample.NoAnswer && took <= sample.Arrival.Deadline+lateGrace
 		promise.Check(ended, "%s", describe(sample))
 	}
--- a/internal/request/code.go
+++ b/internal/request/code.go
@@ -27,6 +27,8 @@
 	CodeKeyConflict       Code = "idempotency_key_conflict"
 	CodeKeyInProgress     Code = "idempotency_key_in_progress"
 	CodeKeyExpired        Code = "idempotency_key_expired"
+	CodeKeyNotRun         Code = "idempotency_key_not_run"
+	CodeAnswerNotKept     Code = "idempotency_key_answer_not_kept"
 	CodeKeyNotFound       Code = "idempotency_key_not_found"
 	CodeClaimsUnreachable Code = "claims_unreachable"
 	CodeOutcomeUnknown    Code = "outcome_unknown"
@@ -53,9 +55,9 @@
 		return http.StatusTooManyRequests
 	case CodeKeyConflict:
 		return http.StatusUnprocessableEntity
-	case CodeKeyInProgress:
+	case CodeKeyInProgress, CodeKeyNotRun:
 		return http.StatusConflict
-	case CodeKeyExpired:
+	case CodeKeyExpired, CodeAnswerNotKept:
 		return http.StatusGone
 	case CodeOverloaded, CodeNoBackend, CodeShuttingDown, CodeClaimsUnreachable:
 		return http.StatusServiceUnavailable
