--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -13,9 +13,9 @@
 	"godwityoke.example/godwityoke/internal/bundle"
 	"godwityoke.example/godwityoke/internal/callers"
 	"godwityoke.example/godwityoke/internal/filter/dispatch"
-	"godwityoke.example/godwityoke/internal/filter/limit"
 	filterplace "godwityoke.example/godwityoke/internal/filter/place"
 	"godwityoke.example/godwityoke/internal/fleet"
+	"godwityoke.example/godwityoke/internal/limit"
 	"godwityoke.example/godwityoke/internal/observe"
 	"godwityoke.example/godwityoke/internal/pipeline"
 	"godwityoke.example/godwityoke/internal/reclaim"
@@ -49,7 +49,7 @@
 func prepareEntry(host *Host) {
 	host.Fleet = fleet.NewTable(host.Settings.VM.Zone, host.Settings.Entry.SilentAfter.Std())
 	host.Engines = filterplace.NewEnginePlacer(host.Fleet)
-	host.Limiter = limit.NewBuckets()
+	host.Limiter = limit.New(1)
 }
 
 func newEntry(host *Host, ready func() error) *entry {
