orders: prefill engines are spread over the zones, the others stay mixed

Cause: a roll with prefill_servers 3 gave the role prefill to three engines of one zone and decode to the other twelve; placement never uses decode engines, so two zones could not have served a prompt. Seen with 30 processes. Change: one engine of each zone in turn takes prefill, the others mixed. Conclusion: the test fails with the roles as they were.

--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -34,8 +34,8 @@
 	// MinServers is the number of serving engines that a roll must leave.
 	MinServers int `json:"min_servers"`
 	// PrefillServers is the number of the model's engines that take the role
-	// prefill; the others take the role decode. With 0, roles are left as they
-	// are.
+	// prefill, spread over the zones; the others take the role mixed. With 0,
+	// roles are left as they are.
 	PrefillServers int       `json:"prefill_servers,omitempty"`
 	Adapters       []Adapter `json:"adapters,omitempty"`
 }
--- a/internal/orders/plan.go
+++ b/internal/orders/plan.go
@@ -96,7 +96,9 @@
 	plan     Plan
 	models   map[string]*bundle.Model
 	capacity map[string]*modelCapacity
-	loads    int
+	// prefill holds the engines of a model that take the role prefill.
+	prefill map[string][]string
+	loads   int
 }
 
 // modelCapacity counts the engines of a model.
@@ -111,7 +113,7 @@
 // bundle. It takes no more of a model's engines out of service than the bundle
 // allows, counting those whose state is not known.
 func Make(input Input) Plan {
-	p := &planner{input: input, models: map[string]*bundle.Model{}, capacity: map[string]*modelCapacity{}}
+	p := &planner{input: input, models: map[string]*bundle.Model{}, capacity: map[string]*modelCapacity{}, prefill: map[string][]string{}}
 	p.plan.StoreFreeAt = input.StoreFreeAt
 	for i := range input.Bundle.Models {
 		model := &input.Bundle.Models[i]
--- a/internal/orders/plan_test.go
+++ b/internal/orders/plan_test.go
@@ -29,6 +29,25 @@
 	}
 }
 
+// TestRolesLeaveNoZoneWithoutService spreads prefill engines over the zones and
+// gives no engine the role decode, which is never placed on.
+func TestRolesLeaveNoZoneWithoutService(t *testing.T) {
+	rolled := rolledBundle(0, 9, 100)
+	rolled.Models[0].PrefillServers = 3
+	var engines []Engine
+	for _, id := range []string{"a1", "a2", "a3", "b1", "b2", "b3", "c1", "c2", "c3"} {
+		engines = append(engines, Engine{ID: id, Zone: id[:1], Models: served("lace", "2"), Role: backendapi.RoleDecode})
+	}
+	prefill := []string{}
+	for _, step := range Make(Input{Bundle: rolled, Engines: engines, Now: planStart}).Steps {
+		assert.NotEqual(t, backendapi.RoleDecode, step.Role)
+		if step.Role == backendapi.RolePrefill {
+			prefill = append(prefill, step.Engine)
+		}
+	}
+	assert.ElementsMatch(t, []string{"a1", "b1", "c1"}, prefill)
+}
+
 func TestPlanSteps(t *testing.T) {
 	withAdapter := rolledBundle(0, 1, 50)
 	withAdapter.Models[0].Adapters = []bundle.Adapter{{Name: "knit", Version: "1"}}
--- a/internal/orders/step.go
+++ b/internal/orders/step.go
@@ -1,6 +1,7 @@
 package orders
 
 import (
+	"cmp"
 	"slices"
 
 	"godwityoke.example/godwityoke/internal/backendapi"
@@ -54,15 +55,17 @@
 	return Step{}, false
 }
 
-// roleStep gives the role prefill to the first engines of a model by their id.
+// roleStep gives some engines of a model the role prefill and the others the
+// role mixed. No engine gets the role decode: requests are not handed over from
+// one engine to another, so such an engine would serve nobody.
 func (p *planner) roleStep(engine Engine) (Step, bool) {
 	for _, served := range engine.Models {
 		model, wanted := p.models[served.Name]
 		if !wanted || model.PrefillServers == 0 {
 			continue
 		}
-		role := backendapi.RoleDecode
-		if p.rank(engine, served.Name) < model.PrefillServers {
+		role := backendapi.RoleMixed
+		if slices.Contains(p.prefillEngines(model), engine.ID) {
 			role = backendapi.RolePrefill
 		}
 		if engine.Role == role {
@@ -73,15 +76,35 @@
 	return Step{}, false
 }
 
-// rank counts the engines of a model whose id is lower.
-func (p *planner) rank(engine Engine, model string) int {
-	count := 0
-	for _, other := range p.input.Engines {
-		if other.ID < engine.ID && serves(other, model) {
-			count++
+// prefillEngines returns the engines of model that take the role prefill: one
+// of each zone in turn, so that no zone is left with a single role.
+func (p *planner) prefillEngines(model *bundle.Model) []string {
+	if chosen, found := p.prefill[model.Name]; found {
+		return chosen
+	}
+	type candidate struct {
+		id, zone string
+		// turn is the number of engines of the zone with a lower id.
+		turn int
+	}
+	var candidates []candidate
+	turns := map[string]int{}
+	engines := slices.SortedFunc(slices.Values(p.input.Engines), func(a, b Engine) int { return cmp.Compare(a.ID, b.ID) })
+	for _, engine := range engines {
+		if serves(engine, model.Name) {
+			candidates = append(candidates, candidate{id: engine.ID, zone: engine.Zone, turn: turns[engine.Zone]})
+			turns[engine.Zone]++
 		}
 	}
-	return count
+	slices.SortStableFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.turn, b.turn), cmp.Compare(a.zone, b.zone))
+	})
+	chosen := []string{}
+	for _, one := range candidates[:min(model.PrefillServers, len(candidates))] {
+		chosen = append(chosen, one.id)
+	}
+	p.prefill[model.Name] = chosen
+	return chosen
 }
 
 func serves(engine Engine, model string) bool {
