observe: find a histogram without building its series name

Cause: each token of an answer built the series name of two histograms. Change: histograms are kept by timing and label. Measured, paired, 1,000 requests of 256 tokens three times: 4,704 to 4,705 allocations before, 3,670 to 3,671 after; 307 KB before, 260 to 264 KB after; time within the noise (3.7 to 4.1 ms before, 3.6 to 3.9 after). Conclusion: kept for the allocations.

--- a/internal/observe/metrics.go
+++ b/internal/observe/metrics.go
@@ -35,10 +35,20 @@
 type Metrics struct {
 	registry metrics.Registry
 
+	// timings maps a timingKey to its histogram: a series name is built once,
+	// not for each token.
+	timings sync.Map
+
 	mu    sync.Mutex
 	teams map[string]bool
 }
 
+// timingKey names the histogram of a timing for one team or one class.
+type timingKey struct {
+	timing Timing
+	label  Label
+}
+
 // NewMetrics returns an empty set of metrics.
 func NewMetrics() *Metrics {
 	return &Metrics{registry: metrics.NewRegistry(), teams: map[string]bool{}}
@@ -47,8 +57,8 @@
 // Observe records a duration for a team and for a class.
 func (m *Metrics) Observe(timing Timing, team, class string, elapsed time.Duration) {
 	millis := elapsed.Milliseconds()
-	m.histogram(string(timing), Label{"team", m.teamLabel(team)}).Update(millis)
-	m.histogram(string(timing), Label{"class", class}).Update(millis)
+	m.histogram(timingKey{timing, Label{"team", m.teamLabel(team)}}).Update(millis)
+	m.histogram(timingKey{timing, Label{"class", class}}).Update(millis)
 }
 
 // CountOutcome counts an ended request by team, class and outcome.
@@ -70,9 +80,15 @@
 	return metrics.GetOrRegisterGauge(seriesName(name, labels), m.registry)
 }
 
-func (m *Metrics) histogram(name string, label Label) metrics.Histogram {
+func (m *Metrics) histogram(key timingKey) metrics.Histogram {
+	if known, found := m.timings.Load(key); found {
+		return known.(metrics.Histogram)
+	}
 	created := func() metrics.Histogram { return newBucketHistogram() }
-	return m.registry.GetOrRegister(seriesName(name, []Label{label}), created).(metrics.Histogram)
+	name := seriesName(string(key.timing), []Label{key.label})
+	histogram := m.registry.GetOrRegister(name, created).(metrics.Histogram)
+	m.timings.Store(key, histogram)
+	return histogram
 }
 
 func (m *Metrics) teamLabel(team string) string {
