ledger: the test's fake network takes its lock everywhere

Cause: the race detector reported the test's own random source and switches. Ruled out: the ledger itself; no report names its code alone.

--- a/internal/ledger/claims_test.go
+++ b/internal/ledger/claims_test.go
@@ -80,21 +80,21 @@
 				var c calls
 				var senders sync.WaitGroup
 				for range 4 {
-					fate := n.random.IntN(5)
+					fate := n.draw(5)
 					senders.Go(func() {
 						time.Sleep(10 * n.delay())
 						c.send(n, fate)
 					})
 				}
 				if seed%4 == 1 {
-					n.holders["b"].down = true
+					n.setDown("b", true)
 				}
 				if seed%4 >= 2 {
 					time.Sleep(10 * n.delay())
 					replaceHolder(t, n, int(seed%3))
 				}
 				senders.Wait()
-				n.loss = 0
+				n.setLoss(0)
 				c.send(n, 0)
 				time.Sleep(time.Minute)
 				n.stopAll()
@@ -204,8 +204,8 @@
 
 func TestWithoutAMajorityNothingIsSentAndNotRunIsNotSaid(t *testing.T) {
 	inGroup(t, func(t *testing.T, n *network, client *Client) {
-		n.holders["a"].down = true
-		n.holders["b"].down = true
+		n.setDown("a", true)
+		n.setDown("b", true)
 		_, _, err := client.Claim(t.Context(), bookingKey, digestA)
 		var refusal *RefusedError
 		require.ErrorAs(t, err, &refusal)
@@ -320,18 +320,18 @@
 // on while the other one that knows the claim is down.
 func TestRepairWaitsForAMajority(t *testing.T) {
 	inGroup(t, func(t *testing.T, n *network, client *Client) {
-		n.holders["b"].down = true
+		n.setDown("b", true)
 		_, _, err := client.Claim(t.Context(), bookingKey, digestA)
 		require.NoError(t, err, "a and c grant the claim")
-		n.holders["b"].down = false
-		n.holders["a"].down = true
+		n.setDown("b", false)
+		n.setDown("a", true)
 		replaceHolder(t, n, 2)
 		time.Sleep(20 * time.Second)
 		_, record, err := NewClient(n, threeHolders, keptForADay).Claim(t.Context(), bookingKey, digestA)
 		require.Nil(t, record)
 		require.ErrorIs(t, err, ErrUnreachable, "c holds no records and b alone is no majority")
 
-		n.holders["a"].down = false
+		n.setDown("a", false)
 		n.running.Go(func() { _ = n.holders["c"].server.Repair(t.Context()) })
 		time.Sleep(5 * time.Second)
 		_, record, err = NewClient(n, threeHolders, keptForADay).Claim(t.Context(), bookingKey, digestA)
--- a/internal/ledger/fake_test.go
+++ b/internal/ledger/fake_test.go
@@ -99,10 +99,34 @@
 	return n.random.Float64() < p
 }
 
-func (n *network) delay() time.Duration {
+// lost draws whether a message is lost.
+func (n *network) lost() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return time.Duration(n.random.IntN(30)) * time.Millisecond
+	return n.random.Float64() < n.loss
+}
+
+func (n *network) delay() time.Duration { return time.Duration(n.draw(30)) * time.Millisecond }
+
+// setLoss sets the share of messages that are lost.
+func (n *network) setLoss(loss float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.loss = loss
+}
+
+// draw returns a number from 0 below limit.
+func (n *network) draw(limit int) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.random.IntN(limit)
+}
+
+// setDown makes a holder answer nothing, or answer again.
+func (n *network) setDown(address string, down bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.holders[address].down = down
 }
 
 func (n *network) reach(address string) (*holderProcess, error) {
@@ -118,7 +142,7 @@
 // Do implements Caller.
 func (n *network) Do(ctx context.Context, address string, request *ledgerpb.Request) (*ledgerpb.Reply, error) {
 	request = proto.Clone(request).(*ledgerpb.Request)
-	if n.chance(n.loss) {
+	if n.lost() {
 		if n.chance(n.late) {
 			n.running.Go(func() {
 				time.Sleep(time.Duration(2+n.delay()/time.Millisecond) * 100 * time.Millisecond)
@@ -130,7 +154,7 @@
 	}
 	time.Sleep(n.delay())
 	reply, err := n.deliver(ctx, address, request)
-	if n.chance(n.loss) {
+	if n.lost() {
 		<-ctx.Done()
 		return nil, errLost
 	}
