distribute: watch heartbeats each 1.5 s, silence after 4 s

Cause: at rest two of three control VMs took more than 4 KB/s between VMs, most of it heartbeats of watches and their framing. Change: heartbeats from 1 s to 1.5 s, silence from 3 s to 4 s, within the 6 s in which a change must be in force.

--- a/internal/distribute/node.go
+++ b/internal/distribute/node.go
@@ -19,9 +19,9 @@
 const (
 	// heartbeatInterval is the longest time between two messages of a stream,
 	// in both directions.
-	heartbeatInterval = time.Second
+	heartbeatInterval = 1500 * time.Millisecond
 	// silentAfter is the silence after which a stream is abandoned.
-	silentAfter = 3 * time.Second
+	silentAfter = 4 * time.Second
 	// reportInterval is how often unchanged reports are confirmed.
 	reportInterval = 5 * time.Second
 	// reportDelay collects changes of reports before they are sent.
