--- a/internal/command/bundle.go
+++ b/internal/command/bundle.go
@@ -56,12 +56,9 @@
 
 // loadContent returns the canonical JSON of a bundle file without mistakes.
 func loadContent(file string) ([]byte, error) {
-	loaded, findings, err := bundle.Load(file)
+	loaded, err := withoutFindings(bundle.Load(file))
 	if err != nil {
 		return nil, err
 	}
-	if len(findings) > 0 {
-		return nil, findings
-	}
 	return bundle.Canonical(loaded)
 }
--- a/internal/command/load.go
+++ b/internal/command/load.go
@@ -47,15 +47,11 @@
 }
 
 func (a *LoadArguments) run(output Output) int {
-	scenario, findings, err := load.ReadScenario(a.Scenario)
+	scenario, err := withoutFindings(load.ReadScenario(a.Scenario))
 	if err != nil {
 		fmt.Fprintln(output.Err, err)
 		return ExitFindings
 	}
-	if len(findings) > 0 {
-		fmt.Fprintln(output.Err, findings.Error())
-		return ExitFindings
-	}
 	policies, err := parsePolicies(a.Policies)
 	faults, faultsErr := parseFaults(a.Faults)
 	if err := errors.Join(err, faultsErr); err != nil || a.Scale <= 0 || a.Rounds < 1 {
--- a/internal/command/operators.go
+++ b/internal/command/operators.go
@@ -27,13 +27,10 @@
 	addresses := a.Address
 	var files settings.TLS
 	if a.Settings != "" {
-		loaded, findings, err := settings.Load(a.Settings)
+		loaded, err := withoutFindings(settings.Load(a.Settings))
 		if err != nil {
 			return nil, nil, nil, err
 		}
-		if len(findings) > 0 {
-			return nil, nil, nil, findings
-		}
 		files = loaded.TLS
 		for _, vm := range loaded.ControlVMs {
 			addresses = append(addresses, vm.Operators)
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -19,15 +19,11 @@
 }
 
 func (a *ServeArguments) run(output Output) int {
-	loaded, findings, err := settings.Load(a.Settings)
+	loaded, err := withoutFindings(settings.Load(a.Settings))
 	if err != nil {
 		fmt.Fprintln(output.Err, err)
 		return ExitFindings
 	}
-	if len(findings) > 0 {
-		fmt.Fprintln(output.Err, findings.Error())
-		return ExitFindings
-	}
 	logger, err := observe.NewLogger(output.Err, loaded.Log.Format, loaded.Log.Level)
 	if err != nil {
 		fmt.Fprintln(output.Err, err)
--- a/internal/command/settings.go
+++ b/internal/command/settings.go
@@ -17,15 +17,11 @@
 }
 
 func (a *SettingsCheckArguments) run(output Output) int {
-	_, findings, err := settings.Load(a.File)
+	_, err := withoutFindings(settings.Load(a.File))
 	if err != nil {
 		fmt.Fprintln(output.Err, err)
 		return ExitFindings
 	}
-	if len(findings) > 0 {
-		fmt.Fprintln(output.Err, findings.Error())
-		return ExitFindings
-	}
 	fmt.Fprintf(output.Out, "%s: no mistakes\n", a.File)
 	return ExitOK
 }
