--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -29,6 +29,7 @@
 	VM       *VMArguments       `arg:"subcommand:vm" help:"list, add and remove control VMs"`
 	Standin  *StandinArguments  `arg:"subcommand:standin" help:"run a stand-in for a backend server"`
 	Demo     *DemoArguments     `arg:"subcommand:demo" help:"run the whole system in one process for less than a minute"`
+	Platform *PlatformArguments `arg:"subcommand:platform" help:"run on the users' platform"`
 	Load     *LoadArguments     `arg:"subcommand:load" help:"offer a scenario's load and report the measures"`
 }
 
@@ -81,6 +82,10 @@
 		if code, known := a.VM.run(output); known {
 			return code
 		}
+	case a.Platform != nil:
+		if code, known := a.Platform.run(output); known {
+			return code
+		}
 	case a.Standin != nil && a.Standin.Engine != nil:
 		return a.Standin.Engine.run(output)
 	case a.Standin != nil && a.Standin.Service != nil:
--- /dev/null
+++ b/internal/command/platform.go
@@ -0,0 +1,88 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/platform"
+)
+
+// memoryShare is the part of a VM's memory, in percent, that the Go runtime
+// aims to stay below.
+const memoryShare = 75
+
+// PlatformArguments are the arguments of "platform".
+type PlatformArguments struct {
+	Serve *PlatformServeArguments `arg:"subcommand:serve" help:"run the process that the boot file asks for"`
+	Check *PlatformCheckArguments `arg:"subcommand:check" help:"print the mistakes of a boot file"`
+}
+
+// PlatformServeArguments are the arguments of "platform serve".
+type PlatformServeArguments struct {
+	Boot  string `arg:"--boot,env:GODWITYOKE_NODE_FILE,required" help:"boot file of the platform"`
+	Level string `arg:"--log-level" default:"info" help:"lowest level that is logged"`
+}
+
+// PlatformCheckArguments are the arguments of "platform check".
+type PlatformCheckArguments struct {
+	Boot string `arg:"positional,required" help:"boot file of the platform"`
+}
+
+func (a *PlatformArguments) run(output Output) (code int, known bool) {
+	switch {
+	case a.Serve != nil:
+		return a.Serve.run(output), true
+	case a.Check != nil:
+		if _, err := platform.LoadBoot(a.Check.Boot); err != nil {
+			fmt.Fprintln(output.Err, err)
+			return ExitFindings, true
+		}
+		return ExitOK, true
+	}
+	return 0, false
+}
+
+func (a *PlatformServeArguments) run(output Output) int {
+	boot, err := platform.LoadBoot(a.Boot)
+	if err != nil {
+		fmt.Fprintln(output.Err, err)
+		return ExitFindings
+	}
+	logger, err := observe.NewLogger(output.Out, observe.LogJSON, a.Level)
+	if err != nil {
+		fmt.Fprintln(output.Err, err)
+		return ExitUsage
+	}
+	logger = logger.With().Str("vm", boot.Settings.VM).Logger()
+	if boot.Settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(boot.Settings.MemoryBytes / 100 * memoryShare)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	go func() {
+		for range hangups {
+			reloadBoot(a.Boot, output)
+		}
+	}()
+	if err := platform.Run(ctx, boot, logger); err != nil {
+		fmt.Fprintln(output.Err, err)
+		return ExitFindings
+	}
+	return ExitOK
+}
+
+// reloadBoot checks a changed boot file. What it holds takes effect at the next
+// start of the process: addresses and ports are fixed while it runs.
+func reloadBoot(path string, output Output) {
+	if _, err := platform.LoadBoot(path); err != nil {
+		fmt.Fprintln(output.Err, err)
+	}
+}
--- /dev/null
+++ b/internal/gateway/exchange.go
@@ -0,0 +1,378 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"godwityoke.example/godwityoke/internal/eventstream"
+	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/routes"
+	"godwityoke.example/godwityoke/internal/schedule"
+)
+
+const (
+	// notReadyRetry is when a request may come back that met a VM without a
+	// route table.
+	notReadyRetry = 500 * time.Millisecond
+	// overloadRetry is when a request may come back that found no scheduler.
+	overloadRetry = time.Second
+	// maxSends bounds the sendings of one request, those included that servers
+	// rejected without running it.
+	maxSends = 3
+	// maxAnswerBytes bounds a whole answer.
+	maxAnswerBytes = 8 << 20
+	// firstEventFactor times the aim is how long a stream may take to begin
+	// before its server is taken for stuck; callers leave at four times the aim.
+	firstEventFactor = 3
+	// stallFactor times the pause bound is the silence after which a stream that
+	// was running is taken up at another server.
+	stallFactor = 4
+	// shortestStall bounds that silence from below.
+	shortestStall = 1200 * time.Millisecond
+)
+
+// errNoBudget refuses a repeat.
+var errNoBudget = errors.New("the retry budget is used up")
+
+// exchange is one request on its way.
+type exchange struct {
+	gateway  *Gateway
+	request  *Request
+	caller   Caller
+	table    *routes.Table
+	route    *routes.Route
+	team     *routes.Team
+	service  string
+	deadline time.Time
+
+	sends int
+	// runs counts the servers on which the request may have run.
+	runs     int
+	excluded []string
+	// begun is set once the head of a stream was passed on.
+	begun     bool
+	lastEvent uint64
+	events    int
+}
+
+// result is what became of one attempt.
+type result struct {
+	// done is set when the caller has the final answer.
+	done bool
+	err  *AttemptError
+}
+
+// run sends the request until it is answered or may not be sent again.
+func (x *exchange) run(ctx context.Context) {
+	for {
+		id := schedule.JobID{VM: x.gateway.options.Incarnation, Seq: x.gateway.last.Add(1)}
+		placement, err := x.gateway.options.Placer.Place(ctx, x.ask(id))
+		if err != nil {
+			x.unplaced(ctx, err.Error(), overloadRetry)
+			return
+		}
+		if placement.Server == "" {
+			x.unplaced(ctx, placement.Reason, placement.RetryAfter)
+			return
+		}
+		if x.sends > 0 && !x.gateway.options.Budget.TryRepeat(x.service) {
+			x.gateway.options.Placer.Ended(id, schedule.EndDone)
+			x.unplaced(ctx, errNoBudget.Error(), overloadRetry)
+			return
+		}
+		x.sends++
+		outcome := x.attempt(ctx, id, placement)
+		if outcome.done {
+			return
+		}
+		if ctx.Err() != nil || !x.mayRepeat(outcome.err) {
+			x.fail(ctx, outcome.err)
+			return
+		}
+		x.excluded = append(x.excluded, placement.Server)
+	}
+}
+
+// mayRepeat tells whether the request may be sent again after err.
+func (x *exchange) mayRepeat(err *AttemptError) bool {
+	if x.sends >= maxSends {
+		return false
+	}
+	if err.Reach != ReachUnknown {
+		return true
+	}
+	return x.route.Repeatable() && x.runs < x.route.MaxAttempts
+}
+
+func (x *exchange) ask(id schedule.JobID) schedule.Ask {
+	now := time.Now()
+	ask := schedule.Ask{
+		ID: id, Service: x.service, Zone: x.gateway.options.Zone,
+		PromptTokens: x.request.PromptTokens, AnswerTokens: x.request.AnswerTokens,
+		AimAt: x.request.ArrivedAt.Add(x.route.Aim), GiveUpAt: x.patience(), Pause: x.route.PauseAim,
+		Worth: x.worth(), Priority: x.priority(), Excluded: x.excluded,
+	}
+	if x.begun {
+		ask.AimAt = now.Add(x.route.PauseAim)
+	}
+	return ask
+}
+
+func (x *exchange) priority() int {
+	if x.team != nil && x.team.Priority >= 0 {
+		return x.team.Priority
+	}
+	return x.route.Priority
+}
+
+// worth weighs a stream by its size: long answers are worth more to callers
+// than short ones. The aim of the route stands for the kind.
+func (x *exchange) worth() float64 {
+	if x.route.Kind != routes.KindStream {
+		return 1
+	}
+	return worthOf(x.route.Aim, x.request.PromptTokens, x.request.AnswerTokens)
+}
+
+// patience is when the caller no longer waits for a first sign of the answer.
+func (x *exchange) patience() time.Time {
+	if x.route.Kind != routes.KindStream {
+		return x.deadline
+	}
+	wait := max(2*time.Second, 4*x.route.Aim, 8*x.route.PauseAim)
+	at := x.request.ArrivedAt.Add(wait)
+	if x.begun {
+		at = time.Now().Add(wait / 2)
+	}
+	if at.After(x.deadline) {
+		return x.deadline
+	}
+	return at
+}
+
+// unplaced answers a request for which no server was found.
+func (x *exchange) unplaced(ctx context.Context, reason string, retryAfter time.Duration) {
+	switch {
+	case x.begun:
+		x.log("no server to go on at: " + reason)
+		x.caller.Abort()
+	case x.runs > 0:
+		x.log(reason)
+		x.caller.Fail(failureOf(ctx))
+	default:
+		x.gateway.refuse(x.request, x.caller, RefusedOverload, retryAfter, reason)
+	}
+}
+
+// fail answers after the last attempt.
+func (x *exchange) fail(ctx context.Context, err *AttemptError) {
+	switch {
+	case x.begun:
+		x.log(err.Error())
+		x.caller.Abort()
+	case x.runs > 0:
+		x.log(err.Error())
+		x.caller.Fail(failureOf(ctx))
+	default:
+		x.gateway.refuse(x.request, x.caller, RefusedOverload, overloadRetry, err.Error())
+	}
+}
+
+func failureOf(ctx context.Context) FailureCode {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return FailedTimeout
+	}
+	return FailedServer
+}
+
+func (x *exchange) log(cause string) {
+	observe.Log(x.gateway.options.Logger, observe.RequestBroken).Str("request", x.request.ID).Str("route", x.route.Name).
+		Int("sends", x.sends).Int("runs", x.runs).Int("events", x.events).Str("cause", cause).
+		Dur("held", time.Since(x.request.ArrivedAt)).Send()
+}
+
+// attempt sends the request to one server and passes its answer on.
+func (x *exchange) attempt(ctx context.Context, id schedule.JobID, placement schedule.Placement) result {
+	placer := x.gateway.options.Placer
+	attempt, err := x.prepare(placement)
+	if err != nil {
+		placer.Ended(id, schedule.EndDone)
+		return result{err: err}
+	}
+	sentAt := time.Now()
+	answer, sendErr := x.gateway.options.Backend.Send(ctx, attempt)
+	outcome := result{}
+	if sendErr != nil {
+		outcome.err = asAttemptError(sendErr)
+	} else {
+		outcome = x.relay(id, attempt, answer)
+		_ = answer.Body.Close()
+	}
+	placer.Ended(id, x.endOf(ctx, outcome))
+	if outcome.err != nil {
+		if outcome.err.Reach == ReachUnknown {
+			x.runs++
+		}
+		observe.Log(x.gateway.options.Logger, observe.ServerAttemptFailed).Str("request", x.request.ID).
+			Str("server", attempt.Server.ID).Str("address", attempt.Server.Address).Int("helpers", len(attempt.Helpers)).
+			Dur("after", time.Since(sentAt)).Int("events", x.events).Err(outcome.err).Send()
+	}
+	return outcome
+}
+
+func (x *exchange) endOf(ctx context.Context, outcome result) schedule.End {
+	switch {
+	case outcome.err == nil, ctx.Err() != nil:
+		return schedule.EndDone
+	case outcome.err.Reach == ReachRejected:
+		return schedule.EndRejected
+	}
+	return schedule.EndFailed
+}
+
+func asAttemptError(err error) *AttemptError {
+	var attemptError *AttemptError
+	if errors.As(err, &attemptError) {
+		return attemptError
+	}
+	return &AttemptError{Reach: ReachUnknown, Err: err}
+}
+
+func (x *exchange) prepare(placement schedule.Placement) (*Attempt, *AttemptError) {
+	server, found := x.gateway.options.Servers.Find(placement.Server)
+	if !found {
+		return nil, &AttemptError{Reach: ReachNone, Err: fmt.Errorf("server %s is unknown here", placement.Server)}
+	}
+	attempt := &Attempt{
+		Request: x.request, Server: server, Remaining: time.Until(x.deadline),
+		ResumeAfter: x.lastEvent, Fresh: !x.route.Repeatable(),
+	}
+	if x.team != nil {
+		attempt.Team = x.team.Name
+	}
+	for _, helper := range placement.Helpers {
+		if one, known := x.gateway.options.Servers.Find(helper.Server); known {
+			attempt.Helpers = append(attempt.Helpers, Helper{Address: one.Address})
+		}
+	}
+	return attempt, nil
+}
+
+// relay passes an answer on, as a stream or as a whole.
+func (x *exchange) relay(id schedule.JobID, attempt *Attempt, answer *Answer) result {
+	success := answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices
+	switch {
+	case success && !answer.Verified:
+		return result{err: &AttemptError{Reach: ReachUnknown, Err: errors.New("the answer carries no signature")}}
+	case success && x.route.Kind == routes.KindStream:
+		return x.relayStream(id, answer)
+	}
+	return x.relayWhole(attempt, answer, success)
+}
+
+func (x *exchange) relayWhole(attempt *Attempt, answer *Answer, success bool) result {
+	if err := answer.Body.SetReadDeadline(x.deadline); err != nil {
+		return result{err: &AttemptError{Reach: ReachUnknown, Err: err}}
+	}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
+	if err == nil && len(body) > maxAnswerBytes {
+		err = errors.New("the answer is too large")
+	}
+	if err != nil {
+		return result{err: &AttemptError{Reach: ReachUnknown, Err: fmt.Errorf("read the answer: %w", err)}}
+	}
+	serverFault := answer.Status >= http.StatusInternalServerError
+	if serverFault {
+		err := &AttemptError{Reach: ReachUnknown, Err: fmt.Errorf("the server answered %d", answer.Status)}
+		if x.begun || x.route.Repeatable() && x.runs+1 < x.route.MaxAttempts && x.sends < maxSends {
+			return result{err: err}
+		}
+	}
+	x.runs++
+	if err := x.caller.Answer(answer.Status, answer.Header, body); err != nil {
+		x.log(err.Error())
+	}
+	x.finish(attempt, answer.Status, success)
+	return result{done: true}
+}
+
+func (x *exchange) finish(attempt *Attempt, status int, success bool) {
+	observe.Log(x.gateway.options.Logger, observe.RequestAnswered).Str("request", x.request.ID).Str("route", x.route.Name).
+		Str("server", attempt.Server.ID).Int("status", status).Bool("success", success).Int("sends", x.sends).
+		Dur("took", time.Since(x.request.ArrivedAt)).Send()
+}
+
+// relayStream passes events on as they arrive, each of them whole and once.
+func (x *exchange) relayStream(id schedule.JobID, answer *Answer) result {
+	reader := eventstream.NewReader(answer.Body)
+	started := false
+	for {
+		if err := answer.Body.SetReadDeadline(x.eventDeadline(started)); err != nil {
+			return result{err: &AttemptError{Reach: ReachUnknown, Err: err}}
+		}
+		event, err := reader.Next()
+		if errors.Is(err, io.EOF) {
+			return x.endStream(started)
+		}
+		if err != nil {
+			return result{err: &AttemptError{Reach: ReachUnknown, Err: fmt.Errorf("read event %d: %w", x.events+1, err)}}
+		}
+		if !started {
+			started = true
+			x.gateway.options.Placer.Started(id)
+		}
+		if event.HasID && event.ID <= x.lastEvent {
+			continue // the caller has it already
+		}
+		if err := x.pass(answer, event); err != nil {
+			return result{done: true}
+		}
+	}
+}
+
+func (x *exchange) pass(answer *Answer, event eventstream.Event) error {
+	if !x.begun {
+		if err := x.caller.Begin(answer.Status, answer.Header); err != nil {
+			return err
+		}
+		x.begun = true
+	}
+	if err := x.caller.Event(event.Raw); err != nil {
+		return err
+	}
+	if event.HasID {
+		x.lastEvent = event.ID
+	}
+	x.events++
+	return nil
+}
+
+// endStream ends the answer after the server's last event.
+func (x *exchange) endStream(started bool) result {
+	if !x.begun {
+		return result{err: &AttemptError{Reach: ReachUnknown, Err: errors.New("the stream ended without an event")}}
+	}
+	_ = started
+	x.runs++
+	return result{done: true}
+}
+
+// eventDeadline is when the server of a stream is taken for stuck.
+func (x *exchange) eventDeadline(started bool) time.Time {
+	wait := max(shortestStall, stallFactor*x.route.PauseAim)
+	at := time.Now().Add(wait)
+	if !started {
+		at = x.request.ArrivedAt.Add(firstEventFactor * x.route.Aim)
+		if floor := time.Now().Add(shortestStall); at.Before(floor) {
+			at = floor
+		}
+	}
+	if at.After(x.deadline) {
+		return x.deadline
+	}
+	return at
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,221 @@
+// Package gateway takes one request of a caller through the steps between the
+// caller and the backend servers: route, key, place, send, relay. Codecs of a
+// platform feed it through the interfaces Caller and Backend.
+package gateway
+
+import (
+	"context"
+	"hash/fnv"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/roster"
+	"godwityoke.example/godwityoke/internal/routes"
+	"godwityoke.example/godwityoke/internal/schedule"
+)
+
+// Request is a caller's request, decoded.
+type Request struct {
+	ID     string
+	Method string
+	Host   string
+	// Path is the decoded path, by which the route is found.
+	Path string
+	// Target is the path with the query as the caller sent it.
+	Target string
+	// Header holds what is passed on unchanged.
+	Header http.Header
+	Body   []byte
+	// Key is the caller's key, empty for none.
+	Key string
+	// Patience is how long the caller waits, 0 when not given.
+	Patience time.Duration
+	// ResumeAfter is the last event that the caller has, 0 for none.
+	ResumeAfter uint64
+	// PromptTokens and AnswerTokens are what the caller said of the sizes, 0 for
+	// a plain request.
+	PromptTokens int
+	AnswerTokens int
+	ArrivedAt    time.Time
+}
+
+// RefusalCode tells why a request was refused before it ran.
+type RefusalCode uint8
+
+// Refusals. The request has not run and never will.
+const (
+	RefusedNoRoute RefusalCode = iota + 1
+	RefusedKey
+	// RefusedNotReady requests came before a route table was known.
+	RefusedNotReady
+	RefusedOverload
+)
+
+// FailureCode tells how an admitted request failed; it may have run.
+type FailureCode uint8
+
+// Failures.
+const (
+	FailedServer FailureCode = iota + 1
+	FailedTimeout
+)
+
+// Caller is the way back to the caller of one request.
+type Caller interface {
+	// Refuse answers that the request has not run. RetryAfter is 0 when coming
+	// back makes no sense.
+	Refuse(code RefusalCode, retryAfter time.Duration)
+	// Fail answers that the request failed and may have run.
+	Fail(code FailureCode)
+	// Answer passes on a whole answer.
+	Answer(status int, header http.Header, body []byte) error
+	// Begin passes on the head of a stream.
+	Begin(status int, header http.Header) error
+	// Event passes on a whole event.
+	Event(raw []byte) error
+	// Abort breaks the answer off so that it can't be taken for whole.
+	Abort()
+}
+
+// Helper is a server that reads a part of a prompt.
+type Helper struct {
+	Address string
+	// Ticket names memory that is reserved there, empty for none.
+	Ticket string
+}
+
+// Attempt is one sending of a request to a server.
+type Attempt struct {
+	Request *Request
+	Server  roster.Server
+	// Team is the name of the team that holds the caller's key.
+	Team string
+	// Remaining is the time that the server may take.
+	Remaining time.Duration
+	// ResumeAfter is the last event that the caller has, 0 for none.
+	ResumeAfter uint64
+	Helpers     []Helper
+	// Fresh asks for a new connection.
+	Fresh bool
+}
+
+// Body is the body of an answer; see h1.Body.
+type Body interface {
+	Read(p []byte) (int, error)
+	SetReadDeadline(at time.Time) error
+	Close() error
+}
+
+// Answer is the head of a server's answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   Body
+	// Verified tells that the answer carries the server's signature.
+	Verified bool
+}
+
+// Backend sends attempts. Its errors are of type *AttemptError.
+type Backend interface {
+	Send(ctx context.Context, attempt *Attempt) (*Answer, error)
+}
+
+// Placer chooses servers.
+type Placer interface {
+	// Place returns a server for the request, or a placement without a server
+	// when it is refused.
+	Place(ctx context.Context, ask schedule.Ask) (schedule.Placement, error)
+	// Started notes the first event of a placed request.
+	Started(id schedule.JobID)
+	// Ended frees its place.
+	Ended(id schedule.JobID, end schedule.End)
+}
+
+// Budget bounds repeated sends.
+type Budget interface {
+	First(service string)
+	TryRepeat(service string) bool
+}
+
+// Servers finds a backend server by its id.
+type Servers interface {
+	Find(id string) (roster.Server, bool)
+}
+
+// Options are the parts that a Gateway uses.
+type Options struct {
+	// Table returns the route table in force, nil before the first.
+	Table   func() *routes.Table
+	Placer  Placer
+	Budget  Budget
+	Servers Servers
+	Backend Backend
+	// Zone of this VM; Incarnation numbers this start of the process.
+	Zone        string
+	Incarnation uint64
+	Logger      zerolog.Logger
+	Metrics     *observe.Metrics
+}
+
+// Gateway serves requests. It is safe for concurrent use.
+type Gateway struct {
+	options Options
+	last    atomic.Uint64
+	running atomic.Int64
+}
+
+// New returns a gateway.
+func New(options Options) *Gateway { return &Gateway{options: options} }
+
+// Running returns how many requests are in progress.
+func (g *Gateway) Running() int { return int(g.running.Load()) }
+
+// Serve takes a request to its answer. It returns when the caller has the
+// answer or is gone; ctx ends when the caller leaves.
+func (g *Gateway) Serve(ctx context.Context, request *Request, caller Caller) {
+	g.running.Add(1)
+	defer g.running.Add(-1)
+	table := g.options.Table()
+	if table == nil {
+		g.refuse(request, caller, RefusedNotReady, notReadyRetry, "no route table is known")
+		return
+	}
+	route := table.Match(request.Host, request.Path)
+	if route == nil {
+		g.refuse(request, caller, RefusedNoRoute, 0, "no route")
+		return
+	}
+	x := &exchange{gateway: g, request: request, caller: caller, table: table, route: route, lastEvent: request.ResumeAfter}
+	if table.NeedsKey(route) {
+		if x.team = table.TeamOf(request.Key); x.team == nil {
+			g.refuse(request, caller, RefusedKey, 0, "unknown key")
+			return
+		}
+	}
+	x.service = route.Choose(hash(request.ID))
+	x.deadline = request.ArrivedAt.Add(route.Timeout)
+	if request.Patience > 0 && request.Patience < route.Timeout {
+		x.deadline = request.ArrivedAt.Add(request.Patience)
+	}
+	g.options.Budget.First(x.service)
+	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	defer cancel()
+	x.run(ctx)
+}
+
+func (g *Gateway) refuse(request *Request, caller Caller, code RefusalCode, retryAfter time.Duration, reason string) {
+	observe.Log(g.options.Logger, observe.RequestRefused).Str("request", request.ID).Str("reason", reason).
+		Dur("retry_after", retryAfter).Dur("held", time.Since(request.ArrivedAt)).Send()
+	caller.Refuse(code, retryAfter)
+}
+
+// hash spreads request ids evenly.
+func hash(id string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(id)) // never fails
+	return h.Sum64()
+}
--- /dev/null
+++ b/internal/hub/convert.go
@@ -0,0 +1,95 @@
+package hub
+
+import (
+	"time"
+
+	"godwityoke.example/godwityoke/internal/hub/hubpb"
+	"godwityoke.example/godwityoke/internal/roster"
+	"godwityoke.example/godwityoke/internal/schedule"
+)
+
+func serverToProto(server roster.Server, now time.Time) *hubpb.Announcement {
+	state := map[roster.State]hubpb.ServerState{
+		roster.StateReady: hubpb.ServerState_SERVER_READY, roster.StateDraining: hubpb.ServerState_SERVER_DRAINING,
+		roster.StateGone: hubpb.ServerState_SERVER_GONE,
+	}[server.State]
+	message := &hubpb.Announcement{
+		Id: server.ID, Service: server.Service, Address: server.Address, Zone: server.Zone,
+		Slots: uint32(server.Slots), State: state, Sequence: server.Sequence,
+		AgeMs: uint32(max(0, now.Sub(server.HeardAt).Milliseconds())),
+	}
+	if !server.Born.IsZero() {
+		message.BornMs = server.Born.UnixMilli()
+	}
+	if cold := server.ColdUntil.Sub(now); cold > 0 {
+		message.ColdMs = uint32(cold.Milliseconds())
+	}
+	return message
+}
+
+func serversFromProto(messages []*hubpb.Announcement, now time.Time) []roster.Server {
+	servers := make([]roster.Server, 0, len(messages))
+	for _, message := range messages {
+		state := map[hubpb.ServerState]roster.State{
+			hubpb.ServerState_SERVER_READY: roster.StateReady, hubpb.ServerState_SERVER_DRAINING: roster.StateDraining,
+			hubpb.ServerState_SERVER_GONE: roster.StateGone,
+		}[message.GetState()]
+		if state == 0 {
+			continue
+		}
+		server := roster.Server{
+			ID: message.GetId(), Service: message.GetService(), Address: message.GetAddress(), Zone: message.GetZone(),
+			Slots: int(message.GetSlots()), State: state, Sequence: message.GetSequence(),
+			HeardAt: now.Add(-time.Duration(message.GetAgeMs()) * time.Millisecond),
+		}
+		if message.GetBornMs() != 0 {
+			server.Born = time.UnixMilli(message.GetBornMs())
+		}
+		if message.GetColdMs() != 0 {
+			server.ColdUntil = now.Add(time.Duration(message.GetColdMs()) * time.Millisecond)
+		}
+		servers = append(servers, server)
+	}
+	return servers
+}
+
+func askToProto(ask schedule.Ask, now time.Time) *hubpb.Ask {
+	return &hubpb.Ask{
+		Id: ask.ID.Seq, Service: ask.Service, PromptTokens: uint32(ask.PromptTokens), AnswerTokens: uint32(ask.AnswerTokens),
+		AimMs: int32(ask.AimAt.Sub(now).Milliseconds()), GiveUpMs: int32(ask.GiveUpAt.Sub(now).Milliseconds()),
+		PauseMs: int32(ask.Pause.Milliseconds()), Worth: ask.Worth, Priority: int32(ask.Priority), Excluded: ask.Excluded,
+	}
+}
+
+func askFromProto(message *hubpb.Ask, s *session, now time.Time) schedule.Ask {
+	return schedule.Ask{
+		ID: schedule.JobID{VM: s.incarnation, Seq: message.GetId()}, Service: message.GetService(), Zone: s.zone,
+		PromptTokens: int(message.GetPromptTokens()), AnswerTokens: int(message.GetAnswerTokens()),
+		AimAt:    now.Add(time.Duration(message.GetAimMs()) * time.Millisecond),
+		GiveUpAt: now.Add(time.Duration(message.GetGiveUpMs()) * time.Millisecond),
+		Pause:    time.Duration(message.GetPauseMs()) * time.Millisecond,
+		Worth:    message.GetWorth(), Priority: int(message.GetPriority()), Excluded: message.GetExcluded(),
+	}
+}
+
+func placementToProto(placement schedule.Placement) *hubpb.Placement {
+	message := &hubpb.Placement{Id: placement.ID.Seq, Server: placement.Server, RetryAfterMs: uint32(placement.RetryAfter.Milliseconds())}
+	for _, helper := range placement.Helpers {
+		message.Helpers = append(message.Helpers, &hubpb.Helper{Server: helper.Server, ReserveTokens: uint32(helper.ReserveTokens)})
+	}
+	return message
+}
+
+func placementFromProto(message *hubpb.Placement, vm uint64) schedule.Placement {
+	placement := schedule.Placement{
+		ID: schedule.JobID{VM: vm, Seq: message.GetId()}, Server: message.GetServer(),
+		RetryAfter: time.Duration(message.GetRetryAfterMs()) * time.Millisecond,
+	}
+	if placement.Server == "" {
+		placement.Reason = "refused by the scheduler"
+	}
+	for _, helper := range message.GetHelpers() {
+		placement.Helpers = append(placement.Helpers, schedule.Helper{Server: helper.GetServer(), ReserveTokens: int(helper.GetReserveTokens())})
+	}
+	return placement
+}
--- /dev/null
+++ b/internal/hub/link.go
@@ -0,0 +1,284 @@
+package hub
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/grpc"
+
+	"godwityoke.example/godwityoke/internal/bundle"
+	"godwityoke.example/godwityoke/internal/hub/hubpb"
+	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/roster"
+	"godwityoke.example/godwityoke/internal/routes"
+	"godwityoke.example/godwityoke/internal/schedule"
+	"godwityoke.example/godwityoke/internal/transport"
+)
+
+const (
+	// linkSilence is the silence after which an entry VM tries another control
+	// VM: three frames that did not come.
+	linkSilence = 1300 * time.Millisecond
+	// linkPulse is the longest time between two frames to a control VM.
+	linkPulse = time.Second
+	// linkRetry is the pause between two attempts to attach.
+	linkRetry = 100 * time.Millisecond
+	// leaderAvoid is how long a leader that could not be reached is not tried.
+	leaderAvoid = 1500 * time.Millisecond
+	// linkInbox bounds the messages that wait for the link's goroutine.
+	linkInbox = 2048
+)
+
+var (
+	errLinkSilent  = errors.New("no frame came")
+	errOtherLeader = errors.New("another control VM leads")
+)
+
+// LinkOptions are what a Link works with.
+type LinkOptions struct {
+	VM          string
+	Zone        string
+	Incarnation uint64
+	// Seeds are the internal addresses that are tried first.
+	Seeds  []string
+	Pool   *transport.Pool
+	Decode func(content []byte) (*routes.Table, error)
+	// SilentAfter and ForgetAfter are as for a Hub.
+	SilentAfter time.Duration
+	ForgetAfter time.Duration
+	Logger      zerolog.Logger
+	// OnServerGone is told of addresses whose server is gone.
+	OnServerGone func(address string)
+}
+
+// Link is the entry VM's side: it holds the newest route table and the servers,
+// and has requests placed by the scheduler, or places them itself while no
+// scheduler is in reach. Its methods are safe for concurrent use.
+type Link struct {
+	options LinkOptions
+	inbox   chan linkMessage
+	done    chan struct{}
+
+	mu       sync.RWMutex
+	table    *routes.Table
+	servers  *roster.Roster
+	entryVMs int
+	attached bool
+
+	state linkState
+}
+
+// NewLink returns a link; Run makes it work.
+func NewLink(options LinkOptions) *Link {
+	l := &Link{
+		options: options, inbox: make(chan linkMessage, linkInbox), done: make(chan struct{}),
+		servers: roster.New(), entryVMs: 1,
+	}
+	l.state = newLinkState(l)
+	return l
+}
+
+// Table returns the route table in force, nil before the first.
+func (l *Link) Table() *routes.Table {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.table
+}
+
+// Find returns the server with id.
+func (l *Link) Find(id string) (roster.Server, bool) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.servers.Find(id)
+}
+
+// EntryVMs returns how many entry VMs share the bounds of the whole system.
+func (l *Link) EntryVMs() int {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.entryVMs
+}
+
+// Ready tells whether this VM knows routes and servers.
+func (l *Link) Ready() bool {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.table != nil
+}
+
+// Place implements gateway.Placer.
+func (l *Link) Place(ctx context.Context, ask schedule.Ask) (schedule.Placement, error) {
+	reply := make(chan schedule.Placement, 1)
+	if err := l.send(ctx, askMessage{ask: ask, reply: reply}); err != nil {
+		return schedule.Placement{}, err
+	}
+	select {
+	case placement := <-reply:
+		return placement, nil
+	case <-ctx.Done():
+		_ = l.send(context.WithoutCancel(ctx), endedMessage{id: ask.ID, end: schedule.EndDone})
+		return schedule.Placement{}, ctx.Err()
+	}
+}
+
+// Started implements gateway.Placer.
+func (l *Link) Started(id schedule.JobID) {
+	_ = l.send(context.Background(), startedMessage{id: id})
+}
+
+// Ended implements gateway.Placer.
+func (l *Link) Ended(id schedule.JobID, end schedule.End) {
+	_ = l.send(context.Background(), endedMessage{id: id, end: end})
+}
+
+func (l *Link) send(ctx context.Context, m linkMessage) error {
+	select {
+	case l.inbox <- m:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-l.done:
+		return context.Canceled
+	}
+}
+
+// Run keeps the link attached until ctx ends.
+func (l *Link) Run(ctx context.Context) {
+	go l.attachLoop(ctx)
+	l.state.run(ctx)
+}
+
+// attachLoop attaches to one control VM after the other.
+func (l *Link) attachLoop(ctx context.Context) {
+	avoid := map[string]time.Time{}
+	lost := true
+	for ctx.Err() == nil {
+		address := l.nextAddress(avoid, time.Now())
+		err := l.attach(ctx, address)
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, errOtherLeader) {
+			continue
+		}
+		avoid[address] = time.Now().Add(leaderAvoid)
+		if !lost || l.isAttached() {
+			observe.Log(l.options.Logger, observe.LinkLost).Str("control_vm", address).Err(err).Send()
+		}
+		lost = true
+		select {
+		case <-time.After(linkRetry):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (l *Link) isAttached() bool {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.attached
+}
+
+// nextAddress prefers the leader, then control VMs that did not fail lately.
+func (l *Link) nextAddress(avoid map[string]time.Time, now time.Time) string {
+	leader, control := l.state.knownControl()
+	if leader != "" && now.After(avoid[leader]) {
+		return leader
+	}
+	var fresh []string
+	all := append(slices.Clone(control), l.options.Seeds...)
+	for _, address := range all {
+		if now.After(avoid[address]) {
+			fresh = append(fresh, address)
+		}
+	}
+	if len(fresh) == 0 {
+		fresh = all
+	}
+	return fresh[rand.IntN(len(fresh))]
+}
+
+// attach runs one stream to its end.
+func (l *Link) attach(ctx context.Context, address string) error {
+	conn, err := l.options.Pool.Conn(address)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(linkSilence, func() { cancel(errLinkSilent) })
+	defer silence.Stop()
+	stream, err := hubpb.NewHubClient(conn).Attach(ctx)
+	if err != nil {
+		return l.abandon(address, conn, ctx, err)
+	}
+	outbox := make(chan *hubpb.EntryFrame, outboxFrames)
+	if err := l.send(ctx, attachMessage{address: address, outbox: outbox, cancel: cancel}); err != nil {
+		return err
+	}
+	defer func() { _ = l.send(context.WithoutCancel(ctx), detachMessage{outbox: outbox}) }()
+	go l.sendFrames(ctx, cancel, stream, outbox)
+	for {
+		frame, err := stream.Recv()
+		if err != nil {
+			return l.abandon(address, conn, ctx, err)
+		}
+		silence.Reset(linkSilence)
+		if err := l.send(ctx, frameMessage{address: address, outbox: outbox, frame: frame}); err != nil {
+			return l.abandon(address, conn, ctx, err)
+		}
+	}
+}
+
+// abandon closes a connection that went silent and returns the cause.
+func (l *Link) abandon(address string, conn *grpc.ClientConn, ctx context.Context, err error) error {
+	cause := context.Cause(ctx)
+	if errors.Is(cause, errLinkSilent) {
+		l.options.Pool.Abandon(address, conn)
+	}
+	if cause != nil {
+		return cause
+	}
+	return err
+}
+
+func (l *Link) sendFrames(ctx context.Context, cancel context.CancelCauseFunc, stream grpc.BidiStreamingClient[hubpb.EntryFrame, hubpb.HubFrame], outbox <-chan *hubpb.EntryFrame) {
+	for {
+		select {
+		case frame := <-outbox:
+			if err := stream.Send(frame); err != nil {
+				cancel(err)
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// takeTable puts a newer route table in force.
+func (l *Link) takeTable(message *hubpb.RouteTable) {
+	current := l.Table()
+	if message == nil || current != nil && message.GetVersion() <= current.Version {
+		return
+	}
+	content, err := bundle.Decompress(message.GetContent(), nil)
+	var table *routes.Table
+	if err == nil {
+		table, err = l.options.Decode(content)
+	}
+	if err != nil {
+		observe.Log(l.options.Logger, observe.RoutesUnreadable).Uint64("version", message.GetVersion()).Err(err).Send()
+		return
+	}
+	l.mu.Lock()
+	l.table = table
+	l.mu.Unlock()
+	l.state.local.SetEngines(table)
+	observe.Log(l.options.Logger, observe.RoutesApplied).Uint64("version", table.Version).Int("routes", len(table.Routes)).Send()
+}
--- /dev/null
+++ b/internal/hub/linkstate.go
@@ -0,0 +1,339 @@
+package hub
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"godwityoke.example/godwityoke/internal/hub/hubpb"
+	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/roster"
+	"godwityoke.example/godwityoke/internal/schedule"
+)
+
+// linkMessage is handled by the goroutine that owns the link's state.
+type linkMessage interface {
+	handle(s *linkState, now time.Time)
+}
+
+// linkState is owned by one goroutine, but for what mu guards.
+type linkState struct {
+	link *Link
+	// local places requests while no scheduler is in reach. It always follows
+	// what runs, so that it knows this VM's part of the load.
+	local *schedule.Scheduler
+	// asked holds the requests that wait for a placement, running those that
+	// have one.
+	asked   map[schedule.JobID]*askState
+	running map[schedule.JobID]*runState
+
+	outbox  chan *hubpb.EntryFrame
+	cancel  context.CancelCauseFunc
+	address string
+	// schedules is set while the attached control VM places requests.
+	schedules bool
+	frame     *hubpb.EntryFrame
+	sentAt    time.Time
+
+	mu      sync.Mutex
+	leader  string
+	control []string
+}
+
+type askState struct {
+	ask   schedule.Ask
+	reply chan schedule.Placement
+	// remote is set while a control VM was asked, askedAt when.
+	remote  bool
+	askedAt time.Time
+}
+
+type runState struct {
+	ask       schedule.Ask
+	placement schedule.Placement
+	writing   bool
+}
+
+func newLinkState(link *Link) linkState {
+	return linkState{
+		link: link, local: schedule.New(),
+		asked: map[schedule.JobID]*askState{}, running: map[schedule.JobID]*runState{},
+	}
+}
+
+func (s *linkState) knownControl() (leader string, control []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leader, slices.Clone(s.control)
+}
+
+func (s *linkState) run(ctx context.Context) {
+	defer close(s.link.done)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	wake := time.NewTimer(time.Hour)
+	defer wake.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-s.link.inbox:
+			m.handle(s, time.Now())
+			s.takeMore()
+		case <-ticker.C:
+			s.tick(time.Now())
+		case <-wake.C:
+		}
+		now := time.Now()
+		for _, placement := range s.local.Decide(now) {
+			s.deliver(placement, now, true)
+		}
+		if at := s.local.Wake(now); !at.IsZero() {
+			wake.Reset(at.Sub(now))
+		}
+		s.flush(now)
+	}
+}
+
+func (s *linkState) takeMore() {
+	for range maxBatch {
+		select {
+		case m := <-s.link.inbox:
+			m.handle(s, time.Now())
+		default:
+			return
+		}
+	}
+}
+
+type askMessage struct {
+	ask   schedule.Ask
+	reply chan schedule.Placement
+}
+
+func (m askMessage) handle(s *linkState, now time.Time) {
+	a := &askState{ask: m.ask, reply: m.reply}
+	s.asked[m.ask.ID] = a
+	s.request(a, now)
+}
+
+// request asks the scheduler, or this VM's own while none is in reach.
+func (s *linkState) request(a *askState, now time.Time) {
+	a.remote, a.askedAt = s.schedules, now
+	if !s.schedules {
+		s.local.Ask(now, a.ask)
+		return
+	}
+	s.pending().Asks = append(s.pending().Asks, askToProto(a.ask, now))
+}
+
+type startedMessage struct{ id schedule.JobID }
+
+func (m startedMessage) handle(s *linkState, now time.Time) {
+	s.local.Started(now, m.id)
+	if run := s.running[m.id]; run != nil {
+		run.writing = true
+		s.progress(m.id, hubpb.ProgressKind_PROGRESS_STARTED)
+	}
+}
+
+type endedMessage struct {
+	id  schedule.JobID
+	end schedule.End
+}
+
+func (m endedMessage) handle(s *linkState, now time.Time) {
+	s.local.Ended(now, m.id, m.end)
+	delete(s.asked, m.id)
+	delete(s.running, m.id)
+	kind := map[schedule.End]hubpb.ProgressKind{
+		schedule.EndDone: hubpb.ProgressKind_PROGRESS_ENDED, schedule.EndFailed: hubpb.ProgressKind_PROGRESS_FAILED,
+		schedule.EndRejected: hubpb.ProgressKind_PROGRESS_REJECTED,
+	}[m.end]
+	s.progress(m.id, kind)
+}
+
+func (s *linkState) progress(id schedule.JobID, kind hubpb.ProgressKind) {
+	if s.outbox != nil {
+		s.pending().Progress = append(s.pending().Progress, &hubpb.Progress{Id: id.Seq, Kind: kind})
+	}
+}
+
+func (s *linkState) pending() *hubpb.EntryFrame {
+	if s.frame == nil {
+		s.frame = &hubpb.EntryFrame{}
+	}
+	return s.frame
+}
+
+type attachMessage struct {
+	address string
+	outbox  chan *hubpb.EntryFrame
+	cancel  context.CancelCauseFunc
+}
+
+func (m attachMessage) handle(s *linkState, now time.Time) {
+	s.outbox, s.cancel, s.address, s.schedules = m.outbox, m.cancel, m.address, false
+	hello := &hubpb.Hello{Vm: s.link.options.VM, Zone: s.link.options.Zone, Incarnation: s.link.options.Incarnation}
+	if table := s.link.Table(); table != nil {
+		hello.TableVersion = table.Version
+	}
+	s.link.mu.RLock()
+	for _, server := range s.link.servers.All() {
+		hello.Servers = append(hello.Servers, serverToProto(server, now))
+	}
+	s.link.mu.RUnlock()
+	for _, run := range s.running {
+		hello.Running = append(hello.Running, &hubpb.RunningJob{
+			Ask: askToProto(run.ask, now), Placement: placementToProto(run.placement), Writing: run.writing,
+		})
+	}
+	s.frame = &hubpb.EntryFrame{Hello: hello}
+}
+
+type detachMessage struct{ outbox chan *hubpb.EntryFrame }
+
+func (m detachMessage) handle(s *linkState, now time.Time) {
+	if s.outbox != m.outbox {
+		return
+	}
+	s.outbox, s.frame, s.schedules = nil, nil, false
+	s.link.mu.Lock()
+	s.link.attached = false
+	s.link.mu.Unlock()
+	s.askLocally(now)
+}
+
+// askLocally places by this VM's own knowledge what the scheduler left open.
+func (s *linkState) askLocally(now time.Time) {
+	for _, a := range s.asked {
+		if a.remote {
+			s.request(a, now)
+		}
+	}
+}
+
+// askRemotely hands what waits here to the scheduler that came in reach.
+func (s *linkState) askRemotely(now time.Time) {
+	for id, a := range s.asked {
+		if !a.remote && s.local.Withdraw(id) {
+			s.request(a, now)
+		}
+	}
+}
+
+type frameMessage struct {
+	address string
+	outbox  chan *hubpb.EntryFrame
+	frame   *hubpb.HubFrame
+}
+
+func (m frameMessage) handle(s *linkState, now time.Time) {
+	if s.outbox != m.outbox {
+		return
+	}
+	s.link.takeTable(m.frame.GetTable())
+	s.takeServers(serversFromProto(m.frame.GetServers(), now), now)
+	for _, placement := range m.frame.GetPlacements() {
+		s.deliver(placementFromProto(placement, s.link.options.Incarnation), now, false)
+	}
+	if view := m.frame.GetView(); view != nil {
+		s.takeView(view, now)
+	}
+}
+
+func (s *linkState) takeView(view *hubpb.View, now time.Time) {
+	s.mu.Lock()
+	s.leader = view.GetLeader()
+	if len(view.GetControl()) > 0 {
+		s.control = view.GetControl()
+	}
+	s.mu.Unlock()
+	s.link.mu.Lock()
+	s.link.entryVMs = int(max(1, view.GetEntryVms()))
+	first := !s.link.attached
+	s.link.attached = true
+	s.link.mu.Unlock()
+	if first {
+		observe.Log(s.link.options.Logger, observe.LinkAttached).Str("control_vm", s.address).
+			Bool("schedules", view.GetSchedules()).Str("leader", view.GetLeader()).Uint32("entry_vms", view.GetEntryVms()).Send()
+	}
+	s.local.SetShare(1 / float64(max(1, view.GetEntryVms())))
+	if s.schedules && !view.GetSchedules() {
+		s.schedules = false
+		s.askLocally(now)
+	}
+	if !s.schedules && view.GetSchedules() {
+		s.schedules = true
+		s.askRemotely(now)
+	}
+	if view.GetLeader() != "" && view.GetLeader() != s.address {
+		s.cancel(errOtherLeader)
+	}
+}
+
+func (s *linkState) takeServers(servers []roster.Server, now time.Time) {
+	s.link.mu.Lock()
+	defer s.link.mu.Unlock()
+	for _, server := range servers {
+		s.link.servers.Apply(server)
+		known, _ := s.link.servers.Find(server.ID)
+		if known.State == roster.StateGone {
+			s.local.RemoveServer(server.ID)
+			s.link.options.OnServerGone(server.Address)
+			continue
+		}
+		s.setServer(known, now)
+	}
+}
+
+func (s *linkState) setServer(server roster.Server, now time.Time) {
+	s.local.SetServer(now, schedule.Server{
+		ID: server.ID, Service: server.Service, Zone: server.Zone, Slots: server.Slots, ColdUntil: server.ColdUntil,
+		Accepts: server.State == roster.StateReady,
+	})
+}
+
+// deliver hands a placement to the request that waits for it. One that nobody
+// waits for any more is given back.
+func (s *linkState) deliver(placement schedule.Placement, now time.Time, local bool) {
+	a := s.asked[placement.ID]
+	if a == nil || a.remote == local {
+		if placement.Server != "" && a == nil {
+			s.progress(placement.ID, hubpb.ProgressKind_PROGRESS_ENDED)
+		}
+		return
+	}
+	delete(s.asked, placement.ID)
+	if placement.Server != "" {
+		s.running[placement.ID] = &runState{ask: a.ask, placement: placement}
+		if !local {
+			s.local.Adopt(now, a.ask, placement, false)
+		}
+	}
+	a.reply <- placement
+}
+
+func (s *linkState) tick(now time.Time) {
+	s.link.mu.Lock()
+	forgotten := s.link.servers.Sweep(now, s.link.options.ForgetAfter)
+	s.link.mu.Unlock()
+	for _, server := range forgotten {
+		s.local.RemoveServer(server.ID)
+	}
+	if s.outbox != nil && now.Sub(s.sentAt) >= linkPulse {
+		s.pending()
+	}
+}
+
+func (s *linkState) flush(now time.Time) {
+	if s.frame == nil || s.outbox == nil {
+		return
+	}
+	select {
+	case s.outbox <- s.frame:
+		s.frame, s.sentAt = nil, now
+	default: // goes out with the next one
+	}
+}
--- /dev/null
+++ b/internal/hub/server.go
@@ -0,0 +1,148 @@
+package hub
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"godwityoke.example/godwityoke/internal/hub/hubpb"
+	"godwityoke.example/godwityoke/internal/registry"
+	"godwityoke.example/godwityoke/internal/registry/registrypb"
+)
+
+const (
+	// proposeTimeout bounds the wait for a majority's disks.
+	proposeTimeout = 2500 * time.Millisecond
+	// readTimeout bounds the check that this VM still leads.
+	readTimeout = 1500 * time.Millisecond
+	// outboxFrames bounds the frames that wait for one entry VM.
+	outboxFrames = 256
+	// entrySilence is the silence after which the stream of an entry VM ends.
+	entrySilence = 3 * time.Second
+)
+
+// PutRoutes implements the gRPC service on the leader.
+func (h *Hub) PutRoutes(ctx context.Context, request *hubpb.PutRoutesRequest) (*hubpb.PutRoutesReply, error) {
+	group := h.options.Group()
+	if group == nil {
+		return nil, status.Error(codes.Unavailable, ErrNoLeader.Error())
+	}
+	table := &registrypb.RouteTable{Version: request.GetTable().GetVersion(), Content: request.GetTable().GetContent()}
+	command, err := registry.Encode(&registrypb.Command{Kind: &registrypb.Command_PutRoutes{PutRoutes: &registrypb.PutRoutes{Table: table}}})
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	encoded, err := group.Propose(ctx, command)
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	result, err := registry.DecodeResult(encoded)
+	if err != nil {
+		return nil, status.Error(codes.Internal, err.Error())
+	}
+	return &hubpb.PutRoutesReply{Version: result.Version}, nil
+}
+
+// GetRoutes implements the gRPC service on the leader.
+func (h *Hub) GetRoutes(ctx context.Context, _ *hubpb.GetRoutesRequest) (*hubpb.GetRoutesReply, error) {
+	group := h.options.Group()
+	if group == nil {
+		return nil, status.Error(codes.Unavailable, ErrNoLeader.Error())
+	}
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	if err := group.ReadBarrier(ctx); err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	table := h.options.Registry.Routes()
+	return &hubpb.GetRoutesReply{Table: &hubpb.RouteTable{Version: table.Version, Content: table.Compressed}}, nil
+}
+
+// Join implements the gRPC service; a VM that does not lead passes it on once.
+func (h *Hub) Join(ctx context.Context, request *hubpb.JoinRequest) (*hubpb.JoinReply, error) {
+	group := h.options.Group()
+	if group == nil {
+		return nil, status.Error(codes.Unavailable, ErrNoLeader.Error())
+	}
+	if group.Leadership().IsLeader {
+		h.options.OnJoin(Joiner{Member: request.GetMember(), Name: request.GetName(), Address: request.GetAddress()})
+		return &hubpb.JoinReply{}, nil
+	}
+	client, err := h.leaderClient()
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return client.Join(ctx, request)
+}
+
+// Spread implements the gRPC service.
+func (h *Hub) Spread(ctx context.Context, request *hubpb.SpreadRequest) (*hubpb.SpreadReply, error) {
+	now := time.Now()
+	reply := make(chan struct{})
+	m := announced{servers: serversFromProto(request.GetServers(), now), reply: reply, entries: request.GetEntryVms()}
+	if err := h.send(ctx, m); err != nil {
+		return nil, err
+	}
+	if err := await(ctx, reply); err != nil {
+		return nil, err
+	}
+	return &hubpb.SpreadReply{}, nil
+}
+
+// Attach implements the gRPC service: it feeds one entry VM.
+func (h *Hub) Attach(stream grpc.BidiStreamingServer[hubpb.EntryFrame, hubpb.HubFrame]) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	hello := first.GetHello()
+	if hello == nil {
+		return status.Error(codes.InvalidArgument, "the first frame must open the stream")
+	}
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	s := &session{
+		vm: hello.GetVm(), zone: hello.GetZone(), incarnation: hello.GetIncarnation(),
+		tableVersion: hello.GetTableVersion(), outbox: make(chan *hubpb.HubFrame, outboxFrames), drop: cancel,
+	}
+	if err := h.send(ctx, attached{session: s, frame: first}); err != nil {
+		return err
+	}
+	defer func() { _ = h.send(context.WithoutCancel(ctx), detached{session: s}) }()
+	go h.receive(ctx, cancel, stream, s)
+	for {
+		select {
+		case frame := <-s.outbox:
+			if err := stream.Send(frame); err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			return status.Error(codes.Unavailable, "the stream ended")
+		case <-h.done:
+			return status.Error(codes.Unavailable, "the VM stops")
+		}
+	}
+}
+
+// receive passes the frames of one entry VM on until the stream ends or falls
+// silent.
+func (h *Hub) receive(ctx context.Context, cancel context.CancelFunc, stream grpc.BidiStreamingServer[hubpb.EntryFrame, hubpb.HubFrame], s *session) {
+	defer cancel()
+	silence := time.AfterFunc(entrySilence, cancel)
+	defer silence.Stop()
+	for {
+		frame, err := stream.Recv()
+		if err != nil {
+			return
+		}
+		silence.Reset(entrySilence)
+		if h.send(ctx, received{session: s, frame: frame}) != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/members/keeper.go
@@ -0,0 +1,114 @@
+package members
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"godwityoke.example/godwityoke/internal/consensus"
+	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/replica"
+)
+
+const (
+	// planInterval is how often the leader looks for a change.
+	planInterval = 200 * time.Millisecond
+	// stepTimeout bounds one change.
+	stepTimeout = 4 * time.Second
+)
+
+// Keeper carries out the plan while its member leads.
+type Keeper struct {
+	replica func() *replica.Replica
+	logger  zerolog.Logger
+	mu      sync.Mutex
+	joiners map[string]Joiner
+	// heard holds when each member last answered, as the leader knows it.
+	heard map[consensus.MemberID]time.Time
+	term  uint64
+}
+
+// NewKeeper returns a keeper for the member that replica returns, nil while
+// there is none.
+func NewKeeper(current func() *replica.Replica, logger zerolog.Logger) *Keeper {
+	return &Keeper{replica: current, logger: logger, joiners: map[string]Joiner{}, heard: map[consensus.MemberID]time.Time{}}
+}
+
+// Asked notes a VM that asks to vote.
+func (k *Keeper) Asked(joiner Joiner) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.joiners[joiner.Address] = joiner
+}
+
+// Run plans until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	ticker := time.NewTicker(planInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if member := k.replica(); member != nil && member.Leadership().IsLeader {
+			k.carryOut(ctx, member, k.next(member, time.Now()))
+		}
+	}
+}
+
+// next returns the next step of the leader.
+func (k *Keeper) next(member *replica.Replica, now time.Time) Step {
+	status := member.Status()
+	if status.Term != k.term {
+		k.term = status.Term
+		clear(k.heard)
+	}
+	reachable := map[consensus.MemberID]bool{status.ID: true}
+	for _, progress := range status.Progress {
+		reachable[progress.ID] = reachable[progress.ID] || progress.Reachable
+	}
+	var all []Member
+	for _, one := range status.Membership.Members {
+		if _, known := k.heard[one.ID]; !known || reachable[one.ID] {
+			k.heard[one.ID] = now
+		}
+		all = append(all, Member{Member: one, Silent: now.Sub(k.heard[one.ID])})
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var joiners []Joiner
+	for address, joiner := range k.joiners {
+		if now.Sub(joiner.AskedAt) > joinerFresh {
+			delete(k.joiners, address)
+			continue
+		}
+		joiners = append(joiners, joiner)
+	}
+	return Plan(all, joiners, now)
+}
+
+func (k *Keeper) carryOut(ctx context.Context, member *replica.Replica, step Step) {
+	if step.Kind == StepNone {
+		return
+	}
+	observe.Log(k.logger, observe.MembershipPlanned).Str("step", step.Kind.String()).
+		Uint64("member", uint64(step.Member.ID)).Str("address", step.Member.Address).Str("reason", step.Reason).Send()
+	ctx, cancel := context.WithTimeout(ctx, stepTimeout)
+	defer cancel()
+	var err error
+	switch step.Kind {
+	case StepAdd:
+		_, err = member.AddLearner(ctx, step.Member.Name, step.Member.Address)
+	case StepPromote:
+		err = member.Promote(ctx, step.Member.Name)
+	case StepRemove:
+		err = member.Remove(ctx, step.Member.Name)
+	}
+	if err != nil {
+		observe.Log(k.logger, observe.MembershipFailed).Str("step", step.Kind.String()).
+			Str("address", step.Member.Address).Err(err).Send()
+	}
+}
--- /dev/null
+++ b/internal/observe/events_gateway.go
@@ -0,0 +1,15 @@
+package observe
+
+import "github.com/rs/zerolog"
+
+// Events 3200-3299: requests by routes.
+var (
+	RequestRefused = newEvent(3200, "request_refused", zerolog.InfoLevel,
+		"A request was refused before it ran; the line gives the reason and when it may come back. Many lines: look at the waiting requests of the scheduler.")
+	RequestBroken = newEvent(3201, "request_broken", zerolog.InfoLevel,
+		"A request failed after it may have run, or its stream broke off. Compare with the server_attempt_failed lines of the same request.")
+	ServerAttemptFailed = newEvent(3202, "server_attempt_failed", zerolog.InfoLevel,
+		"A sending to a backend server failed; the line says how far it got. Many lines for one server: look at that server.")
+	RequestAnswered = newEvent(3203, "request_answered", zerolog.InfoLevel,
+		"A request has its answer. No action.")
+)
--- a/internal/registry/command.go
+++ b/internal/registry/command.go
@@ -75,6 +75,8 @@
 		return validateNames(vm.GetName(), vm.GetZone(), vm.GetInternal())
 	case *registrypb.Command_RemoveControlVm:
 		return validateNames(kind.RemoveControlVm.GetName())
+	case *registrypb.Command_PutRoutes:
+		return validateRoutes(kind.PutRoutes.GetTable())
 	}
 	return fmt.Errorf("%w: its kind is unknown", ErrCommand)
 }
@@ -92,6 +94,13 @@
 	return validateNames(submit.GetSubmissionId())
 }
 
+func validateRoutes(table *registrypb.RouteTable) error {
+	if table.GetVersion() == 0 || len(table.GetContent()) == 0 {
+		return fmt.Errorf("%w: a route table needs a version and content", ErrCommand)
+	}
+	return nil
+}
+
 func validateNames(names ...string) error {
 	for _, name := range names {
 		if name == "" || len(name) > maxNameBytes {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -72,6 +72,7 @@
 		Epochs:          s.epochs,
 
 		ControlVmsRevision: s.vmsRevision,
+		Routes:             s.routes,
 	}
 	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
 	if err != nil {
@@ -99,6 +100,7 @@
 	restored.vms = snapshot.GetControlVms()
 	restored.epochs = snapshot.GetEpochs()
 	restored.vmsRevision = snapshot.GetControlVmsRevision()
+	restored.routes = snapshot.GetRoutes()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.state = restored
@@ -106,6 +108,21 @@
 	return nil
 }
 
+// RouteTable is a stored route table.
+type RouteTable struct {
+	Version uint64
+	// Compressed is the operator's document, compressed with zstd.
+	Compressed []byte
+}
+
+// Routes returns the route table with the highest version; its version is 0
+// before the first.
+func (r *Registry) Routes() RouteTable {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return RouteTable{Version: r.state.routes.GetVersion(), Compressed: r.state.routes.GetContent()}
+}
+
 // Changed returns a channel that is closed at the next change.
 func (r *Registry) Changed() <-chan struct{} {
 	r.mu.RLock()
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -33,6 +33,8 @@
 	// vmsRevision grows with each change of vms.
 	vmsRevision uint64
 	epochs      []*registrypb.Epoch
+	// routes is the route table with the highest version, nil before the first.
+	routes *registrypb.RouteTable
 }
 
 func newState() *state {
@@ -56,6 +58,8 @@
 		return s.putControlVM(kind.PutControlVm.GetVm())
 	case *registrypb.Command_RemoveControlVm:
 		return s.removeControlVM(kind.RemoveControlVm.GetName())
+	case *registrypb.Command_PutRoutes:
+		return s.putRoutes(kind.PutRoutes.GetTable())
 	}
 	return Result{Code: CodeRefused}
 }
@@ -205,6 +209,15 @@
 	return Result{Code: CodeAccepted}
 }
 
+// putRoutes keeps the table with the highest version. An older one, or other
+// content under the version that stands, is acknowledged and changes nothing.
+func (s *state) putRoutes(table *registrypb.RouteTable) Result {
+	if table.GetVersion() > s.routes.GetVersion() {
+		s.routes = table
+	}
+	return Result{Code: CodeAccepted, Version: s.routes.GetVersion()}
+}
+
 func (s *state) removeControlVM(name string) Result {
 	before := len(s.vms)
 	s.vms = slices.DeleteFunc(s.vms, func(vm *registrypb.ControlVM) bool { return vm.GetName() == name })
--- a/internal/replica/server.go
+++ b/internal/replica/server.go
@@ -21,9 +21,12 @@
 
 // Register serves this member on a gRPC server.
 func (r *Replica) Register(registrar *grpc.Server) {
-	replicapb.RegisterReplicaServer(registrar, &server{replica: r})
+	replicapb.RegisterReplicaServer(registrar, r.Service())
 }
 
+// Service returns the gRPC service of this member, for a server that outlives it.
+func (r *Replica) Service() replicapb.ReplicaServer { return &server{replica: r} }
+
 // Describe tells which member serves this address.
 func (s *server) Describe(_ context.Context, request *replicapb.DescribeRequest) (*replicapb.DescribeResponse, error) {
 	if err := s.checkCluster(request.GetCluster()); err != nil {
--- /dev/null
+++ b/internal/schedule/schedule.go
@@ -0,0 +1,286 @@
+// Package schedule decides which backend server runs a request, and when. It
+// follows each server's passes from what was sent there and from what callers'
+// VMs saw come back, so that reading a long prompt never makes streams that
+// write beside it pause for longer than their bound. It is a pure state
+// machine: the time is an argument and nothing is sent from here.
+package schedule
+
+import (
+	"time"
+
+	"godwityoke.example/godwityoke/internal/routes"
+)
+
+// JobID names a request over all entry VMs.
+type JobID struct {
+	// VM is the incarnation of the entry VM, Seq its own number.
+	VM  uint64
+	Seq uint64
+}
+
+// Server is what the scheduler needs to know of a backend server.
+type Server struct {
+	ID      string
+	Service string
+	Zone    string
+	Slots   int
+	// Accepts is false for a server that takes nothing new.
+	Accepts bool
+	// ColdUntil is until when the server is slow after its start.
+	ColdUntil time.Time
+}
+
+// Ask is a request that wants a place.
+type Ask struct {
+	ID      JobID
+	Service string
+	// Zone of the entry VM that asks.
+	Zone         string
+	PromptTokens int
+	AnswerTokens int
+	// AimAt is when the answer, or its first event, must be here to be on time.
+	AimAt time.Time
+	// GiveUpAt is when the caller no longer waits for a first sign.
+	GiveUpAt time.Time
+	// Pause bounds the pauses between events, 0 where the answer is no stream.
+	Pause time.Duration
+	// Worth weighs the request against others of any kind.
+	Worth float64
+	// Priority ranks requests; 0 is the highest.
+	Priority int
+	// Excluded servers have failed this request.
+	Excluded []string
+}
+
+// Helper is a server that reads a part of a prompt.
+type Helper struct {
+	Server string
+	// ReserveTokens is the memory to reserve there, 0 for none.
+	ReserveTokens int
+}
+
+// Placement answers an Ask: either Server is set or the request is refused.
+type Placement struct {
+	ID      JobID
+	Server  string
+	Helpers []Helper
+	// RetryAfter is when a refused request may come back.
+	RetryAfter time.Duration
+	// Reason says why a request was refused, for the log.
+	Reason string
+}
+
+// End tells how a placed request ended.
+type End uint8
+
+// Ends of a placed request.
+const (
+	// EndDone requests were answered, or given up by their caller.
+	EndDone End = iota + 1
+	// EndFailed requests were failed by their server.
+	EndFailed
+	// EndRejected requests were refused by the server without running.
+	EndRejected
+)
+
+// Scheduler places the requests of all services. It is not safe for concurrent
+// use.
+type Scheduler struct {
+	servers map[string]*server
+	// order lists the servers by id, so that equal choices repeat.
+	order   []*server
+	engines map[string]*routes.Engine
+	waiting []*job
+	placed  map[JobID]*job
+	output  []Placement
+	// share is the part of every server that this scheduler may use.
+	share float64
+}
+
+// New returns a scheduler without servers that may use all of each.
+func New() *Scheduler {
+	return &Scheduler{
+		servers: map[string]*server{}, engines: map[string]*routes.Engine{},
+		placed: map[JobID]*job{}, share: 1,
+	}
+}
+
+// SetShare sets the part of every server that this scheduler may use, from 0
+// to 1, where other VMs place requests on their own.
+func (s *Scheduler) SetShare(share float64) { s.share = share }
+
+// job is a request that waits or was placed.
+type job struct {
+	ask   Ask
+	since time.Time
+	// read is the time that one server needs for the whole prompt.
+	read time.Duration
+	// tokens is the memory that the request needs.
+	tokens int
+
+	first   *server
+	helpers []*server
+	// parts that are still to be read.
+	unread  int
+	sentAt  time.Time
+	writing bool
+	// expectedAt is when the first event was expected at placement.
+	expectedAt time.Time
+}
+
+// SetEngines replaces the engine figures by service.
+func (s *Scheduler) SetEngines(table *routes.Table) {
+	clear(s.engines)
+	for i := range table.Services {
+		if engine := table.Services[i].Engine; engine != nil {
+			s.engines[table.Services[i].Name] = engine
+		}
+	}
+	for _, one := range s.order {
+		one.engine = s.engines[one.Service]
+	}
+}
+
+// SetServer adds a server or brings it up to date.
+func (s *Scheduler) SetServer(now time.Time, updated Server) {
+	known, found := s.servers[updated.ID]
+	if !found {
+		known = &server{jobs: map[JobID]*job{}, pace: 1}
+		s.servers[updated.ID] = known
+		s.insert(known, updated.ID)
+	}
+	known.Server = updated
+	known.engine = s.engines[updated.Service]
+	known.roll(now)
+}
+
+func (s *Scheduler) insert(added *server, id string) {
+	at := len(s.order)
+	for i, one := range s.order {
+		if id < one.ID {
+			at = i
+			break
+		}
+	}
+	s.order = append(s.order, nil)
+	copy(s.order[at+1:], s.order[at:])
+	s.order[at] = added
+}
+
+// RemoveServer forgets a server. Requests on it end by themselves.
+func (s *Scheduler) RemoveServer(id string) {
+	gone, found := s.servers[id]
+	if !found {
+		return
+	}
+	delete(s.servers, id)
+	for i, one := range s.order {
+		if one == gone {
+			s.order = append(s.order[:i], s.order[i+1:]...)
+			break
+		}
+	}
+}
+
+// Ask queues a request. Decide places or refuses it.
+func (s *Scheduler) Ask(now time.Time, ask Ask) {
+	j := &job{ask: ask, since: now}
+	if engine := s.engines[ask.Service]; engine != nil {
+		j.read = readTime(engine, ask.PromptTokens)
+		j.tokens = ask.PromptTokens + ask.AnswerTokens
+	}
+	s.waiting = append(s.waiting, j)
+}
+
+// readTime is how long a server reads a prompt when it does nothing else.
+func readTime(engine *routes.Engine, tokens int) time.Duration {
+	pairs := float64(tokens) * float64(tokens) / 2
+	return time.Duration(tokens)*engine.ReadPerToken + time.Duration(pairs*engine.ReadPerPairNs)
+}
+
+// Adopt takes over a request that was placed through another scheduler.
+func (s *Scheduler) Adopt(now time.Time, ask Ask, placement Placement, writing bool) {
+	first := s.servers[placement.Server]
+	if first == nil || s.placed[ask.ID] != nil {
+		return
+	}
+	j := &job{ask: ask, since: now}
+	if engine := s.engines[ask.Service]; engine != nil {
+		j.read = readTime(engine, ask.PromptTokens)
+		j.tokens = ask.PromptTokens + ask.AnswerTokens
+	}
+	var helpers []*server
+	for _, helper := range placement.Helpers {
+		if one := s.servers[helper.Server]; one != nil {
+			helpers = append(helpers, one)
+		}
+	}
+	s.commit(now, j, first, helpers)
+	if writing {
+		s.Started(now, ask.ID)
+	}
+}
+
+// Withdraw takes back a request that still waits and tells whether it did.
+func (s *Scheduler) Withdraw(id JobID) bool {
+	for i, j := range s.waiting {
+		if j.ask.ID == id {
+			s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// Started notes that the first event of a placed request arrived.
+func (s *Scheduler) Started(now time.Time, id JobID) {
+	j := s.placed[id]
+	if j == nil || j.writing {
+		return
+	}
+	j.first.noteStart(now, j)
+	for _, helper := range j.helpers {
+		helper.dropParts(j)
+	}
+	j.first.dropParts(j)
+	j.unread, j.writing = 0, true
+}
+
+// Ended frees the place of a request.
+func (s *Scheduler) Ended(now time.Time, id JobID, end End) {
+	j := s.placed[id]
+	if j == nil {
+		s.Withdraw(id)
+		return
+	}
+	delete(s.placed, id)
+	delete(j.first.jobs, id)
+	j.first.dropParts(j)
+	for _, helper := range j.helpers {
+		helper.dropParts(j)
+		delete(helper.helping, id)
+	}
+	j.first.noteEnd(now, end)
+}
+
+// EndAll frees the places of all requests of an entry VM that is gone.
+func (s *Scheduler) EndAll(now time.Time, vm uint64) {
+	for id := range s.placed {
+		if id.VM == vm {
+			s.Ended(now, id, EndDone)
+		}
+	}
+	kept := s.waiting[:0]
+	for _, j := range s.waiting {
+		if j.ask.ID.VM != vm {
+			kept = append(kept, j)
+		}
+	}
+	s.waiting = kept
+}
+
+// Waiting returns how many requests wait for a place.
+func (s *Scheduler) Waiting() int { return len(s.waiting) }
+
+// Placed returns how many requests have a place.
+func (s *Scheduler) Placed() int { return len(s.placed) }
--- /dev/null
+++ b/internal/schedule/server.go
@@ -0,0 +1,274 @@
+package schedule
+
+import (
+	"math"
+	"time"
+
+	"godwityoke.example/godwityoke/internal/routes"
+)
+
+const (
+	// hop is the usual time from a decision to the arrival of the request at its
+	// server: two passages between zones.
+	hop = 8 * time.Millisecond
+	// pauseShare is the part of the shortest allowed pause that a pass may take;
+	// the rest covers jitter on the way and errors of the estimate.
+	pauseShare = 0.88
+	// longestPass bounds a pass where no stream limits it.
+	longestPass = 2500 * time.Millisecond
+	// firstBackoff and longestBackoff bound how long a server that failed gets
+	// nothing new.
+	firstBackoff   = 400 * time.Millisecond
+	longestBackoff = 6 * time.Second
+	// failuresTolerated is the failures in a row after which a server is left
+	// out; single failures are common and say little.
+	failuresTolerated = 2
+	// paceWeight is the weight of one observation in the pace of a server.
+	paceWeight = 0.15
+	// slowestPace bounds the pace that one observation may show.
+	slowestPace = 6.0
+	// memoryShare is the part of a server's memory that is planned for.
+	memoryShare = 0.95
+)
+
+// part is the reading of one server for one request.
+type part struct {
+	job      *job
+	duration time.Duration
+	// arrivesAt is when the server can begin with it.
+	arrivesAt time.Time
+}
+
+// server is a backend server with the estimate of its passes.
+type server struct {
+	Server
+	engine *routes.Engine
+	// jobs holds the requests for which this is the first server.
+	jobs map[JobID]*job
+	// helping holds the requests of other servers for which this one reads.
+	helping map[JobID]*job
+
+	// passEnd is the estimated end of the pass in progress, zero when idle.
+	passEnd time.Time
+	// current is read in the pass in progress, next in a later one.
+	current []part
+	next    []part
+
+	// pace is how much slower than its figures the server works.
+	pace     float64
+	failures int
+	outUntil time.Time
+}
+
+// writeTime is how long a pass takes without reading.
+func (v *server) writeTime() time.Duration {
+	writers, tokens := 0, 0
+	for _, j := range v.jobs {
+		if j.writing || j.unread == 0 {
+			writers++
+			tokens += j.tokens / (1 + len(j.helpers))
+		}
+	}
+	for _, j := range v.helping {
+		if j.writing {
+			tokens += j.tokens / (1 + len(j.helpers))
+		}
+	}
+	return v.passOf(writers, tokens)
+}
+
+func (v *server) passOf(writers, tokens int) time.Duration {
+	step := v.engine.Step + time.Duration(writers)*v.engine.StepPerWriter + time.Duration(tokens)*v.engine.StepPerToken
+	return v.scaled(time.Duration(v.engine.Stride) * step)
+}
+
+func (v *server) scaled(d time.Duration) time.Duration { return time.Duration(float64(d) * v.pace) }
+
+func sum(parts []part) time.Duration {
+	total := time.Duration(0)
+	for i := range parts {
+		total += parts[i].duration
+	}
+	return total
+}
+
+// roll moves the estimate to now, pass by pass.
+func (v *server) roll(now time.Time) {
+	if v.engine == nil {
+		return
+	}
+	for !v.passEnd.IsZero() && !v.passEnd.After(now) {
+		v.endPass()
+		v.startPass(v.passEnd)
+	}
+	if v.passEnd.IsZero() && len(v.next) > 0 {
+		v.startPass(now)
+	}
+}
+
+func (v *server) endPass() {
+	for i := range v.current {
+		if j := v.current[i].job; j.unread > 0 {
+			j.unread--
+		}
+	}
+	v.current = v.current[:0]
+}
+
+// startPass begins the next pass at the given time with what has arrived.
+func (v *server) startPass(at time.Time) {
+	kept := v.next[:0]
+	soonest := time.Time{}
+	for _, p := range v.next {
+		if p.arrivesAt.After(at) {
+			kept = append(kept, p)
+			if soonest.IsZero() || p.arrivesAt.Before(soonest) {
+				soonest = p.arrivesAt
+			}
+			continue
+		}
+		v.current = append(v.current, p)
+	}
+	v.next = kept
+	write := v.writeTime()
+	switch {
+	case len(v.current) > 0 || v.writes():
+		v.passEnd = at.Add(write + v.scaled(sum(v.current)))
+	case !soonest.IsZero():
+		v.passEnd = soonest // idle until the next prompt arrives
+	default:
+		v.passEnd = time.Time{}
+	}
+}
+
+// writes tells whether any stream is being written.
+func (v *server) writes() bool {
+	for _, j := range v.jobs {
+		if j.writing || j.unread == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// dropParts forgets what is still to be read for a request.
+func (v *server) dropParts(j *job) {
+	v.next = without(v.next, j)
+	v.current = without(v.current, j)
+}
+
+func without(parts []part, j *job) []part {
+	kept := parts[:0]
+	for _, p := range parts {
+		if p.job != j {
+			kept = append(kept, p)
+		}
+	}
+	return kept
+}
+
+// noteStart corrects the estimate by a first event: a pass has just ended.
+func (v *server) noteStart(now time.Time, j *job) {
+	v.failures = 0
+	if v.engine == nil {
+		return
+	}
+	expected, seen := j.expectedAt.Sub(j.sentAt), now.Sub(j.sentAt)
+	if expected > 0 {
+		ratio := math.Min(math.Max(float64(seen)/float64(expected), 1/slowestPace), slowestPace)
+		v.pace = math.Max(1, v.pace*(1-paceWeight)+v.pace*ratio*paceWeight)
+	}
+	reading := false
+	for i := range v.current {
+		reading = reading || v.current[i].job == j
+	}
+	if reading || !v.passEnd.After(now) {
+		v.endPass()
+		j.writing = true
+		v.startPass(now.Add(-hop / 2))
+	}
+}
+
+// noteEnd counts failures in a row.
+func (v *server) noteEnd(now time.Time, end End) {
+	switch end {
+	case EndDone:
+		v.failures = 0
+	case EndRejected:
+		v.outUntil = now.Add(firstBackoff / 2)
+	case EndFailed:
+		v.failures++
+		if v.failures >= failuresTolerated {
+			backoff := min(firstBackoff<<min(v.failures-failuresTolerated, 8), longestBackoff)
+			v.outUntil = now.Add(backoff)
+		}
+	}
+}
+
+// used is the memory that is planned for on this server.
+func (v *server) used() int {
+	tokens := 0
+	for _, j := range v.jobs {
+		tokens += j.tokens
+	}
+	return tokens
+}
+
+// pauseBound is the shortest pause allowed by the streams that write here in
+// the next pass, or longestPass.
+func (v *server) pauseBound() time.Duration {
+	bound := longestPass
+	for _, j := range v.jobs {
+		inNext := j.writing || j.unread == 0
+		for i := range v.current {
+			inNext = inNext || v.current[i].job == j
+		}
+		if inNext && j.ask.Pause > 0 {
+			bound = min(bound, j.ask.Pause)
+		}
+	}
+	return bound
+}
+
+// room describes what a server could read for a further request.
+type room struct {
+	server *server
+	// read is the longest reading that fits into the pass.
+	read time.Duration
+	// readyAt is when a pass would end that reads nothing more.
+	readyAt time.Time
+	bound   time.Duration
+}
+
+// roomAt returns what the next pass of the server can take.
+func (v *server) roomAt(now time.Time) room {
+	v.roll(now)
+	begins := now.Add(hop)
+	if v.passEnd.After(begins) {
+		begins = v.passEnd
+	}
+	write, queued := v.writeTime(), v.scaled(sum(v.next))
+	r := room{server: v, bound: v.pauseBound()}
+	r.readyAt = begins.Add(write + queued)
+	r.read = time.Duration(float64(r.bound)*pauseShare) - write - queued
+	for i := range v.next {
+		slack := v.next[i].job.ask.AimAt.Sub(r.readyAt)
+		if slack > 0 {
+			r.read = min(r.read, slack)
+		}
+	}
+	return r
+}
+
+// available tells whether the server may get a further request of j.
+func (v *server) available(now time.Time, j *job) bool {
+	if !v.Accepts || v.Service != j.ask.Service || now.Before(v.outUntil) {
+		return false
+	}
+	for _, excluded := range j.ask.Excluded {
+		if excluded == v.ID {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/site/entry.go
@@ -0,0 +1,215 @@
+package site
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"godwityoke.example/godwityoke/internal/gateway"
+	"godwityoke.example/godwityoke/internal/h1"
+	"godwityoke.example/godwityoke/internal/hub"
+	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/retrybudget"
+	"godwityoke.example/godwityoke/internal/routes"
+	"godwityoke.example/godwityoke/internal/tcp"
+	"godwityoke.example/godwityoke/internal/transport"
+)
+
+const (
+	// headerTimeout bounds the header of a request on any listener.
+	headerTimeout = 5 * time.Second
+	// idleTimeout closes connections without a request. It lies above the idle
+	// time that route tables allow to callers.
+	idleTimeout = 60 * time.Second
+	// maxHeaderBytes bounds the header of a request.
+	maxHeaderBytes = 64 << 10
+	// connectTimeout bounds a connection to a backend server: a lost opening
+	// packet is repeated after a second, later than another server answers.
+	connectTimeout = 700 * time.Millisecond
+	// maxServerIdle is how long a connection to a backend server is kept.
+	maxServerIdle = 4 * time.Second
+	// sweepInterval is how often idle connections are looked through.
+	sweepInterval = time.Second
+	// stopMargin is how much sooner than its limit a planned stop ends.
+	stopMargin = 400 * time.Millisecond
+	// quietBeforeExit is how long a stopping VM must have had no request.
+	quietBeforeExit = 700 * time.Millisecond
+	// balancerWait is how long callers may still be sent to a VM that is no
+	// longer ready.
+	balancerWait = 2500 * time.Millisecond
+)
+
+// EntryParts are made by the platform's adapter.
+type EntryParts struct {
+	// Backend makes the client of backend servers.
+	Backend func(*h1.Client) gateway.Backend
+	// EchoHeader is the header that backend servers repeat.
+	EchoHeader string
+	// Callers makes the handler of the callers' listener.
+	Callers func(CallerOptions) http.Handler
+	// Readiness makes the handler that tells whether callers may be sent here.
+	Readiness func(ready func() bool) http.Handler
+}
+
+// CallerOptions are what the callers' handler works with.
+type CallerOptions struct {
+	Gateway *gateway.Gateway
+	Table   func() *routes.Table
+	// Stopping tells whether connections are to be closed after their answer.
+	Stopping func() bool
+}
+
+// Entry is the process of an entry VM.
+type Entry struct {
+	settings *Settings
+	logger   zerolog.Logger
+	link     *hub.Link
+	gateway  *gateway.Gateway
+	client   *h1.Client
+	metrics  *observe.Metrics
+	stopping atomic.Bool
+	// lastRequest is when a request last arrived, in Unix nanoseconds.
+	lastRequest atomic.Int64
+	running     sync.WaitGroup
+}
+
+// RunEntry runs an entry VM until ctx ends.
+func RunEntry(ctx context.Context, settings *Settings, codec Codec, parts EntryParts, logger zerolog.Logger) error {
+	seeds, err := settings.SeedAddresses()
+	if err != nil {
+		return err
+	}
+	e := &Entry{settings: settings, logger: logger, metrics: observe.NewMetrics()}
+	incarnation := uint64(time.Now().UnixNano())
+	pool := transport.NewPool(transport.PoolOptions{Identity: transport.Identity{Cluster: clusterName, VM: settings.VM}})
+	defer pool.Close()
+	e.client = h1.NewClient(h1.Options{ConnectTimeout: connectTimeout, MaxIdle: maxServerIdle, EchoHeader: parts.EchoHeader})
+	e.link = hub.NewLink(hub.LinkOptions{
+		VM: settings.VM, Zone: settings.Zone, Incarnation: incarnation, Seeds: seeds, Pool: pool, Decode: codec.DecodeRoutes,
+		SilentAfter: settings.silentAfter(), ForgetAfter: settings.forgetAfter(), Logger: logger, OnServerGone: e.client.Forget,
+	})
+	e.gateway = gateway.New(gateway.Options{
+		Table: e.link.Table, Placer: e.link, Budget: newSharedBudget(settings, e.link.EntryVMs), Servers: e.link,
+		Backend: parts.Backend(e.client), Zone: settings.Zone, Incarnation: incarnation, Logger: logger, Metrics: e.metrics,
+	})
+	return e.run(ctx, parts)
+}
+
+func (e *Entry) run(ctx context.Context, parts EntryParts) error {
+	callers, err := tcp.Listen(ctx, e.settings.Callers)
+	if err != nil {
+		return err
+	}
+	readiness, err := tcp.Listen(ctx, e.settings.Readiness)
+	if err != nil {
+		_ = callers.Close()
+		return err
+	}
+	handler := parts.Callers(CallerOptions{Gateway: e.gateway, Table: e.link.Table, Stopping: e.stopping.Load})
+	counted := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.lastRequest.Store(time.Now().UnixNano())
+		handler.ServeHTTP(w, r)
+	})
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	server := e.serve(callers, counted)
+	ready := e.serve(readiness, parts.Readiness(func() bool { return !e.stopping.Load() && e.link.Ready() }))
+	e.running.Go(func() { e.link.Run(background) })
+	e.running.Go(func() { e.sweep(background) })
+	observe.Log(e.logger, observe.ProcessStarted).Str("callers", e.settings.Callers).Strs("seeds", e.settings.Seeds).Send()
+	<-ctx.Done()
+	observe.Log(e.logger, observe.ProcessStopping).Int("in_progress", e.gateway.Running()).Send()
+	e.drain(time.Now())
+	cut := e.gateway.Running()
+	_ = server.Close()
+	_ = ready.Close()
+	cancel()
+	e.running.Wait()
+	observe.Log(e.logger, observe.ProcessStopped).Int("cut", cut).Send()
+	return nil
+}
+
+func (e *Entry) serve(listener net.Listener, handler http.Handler) *http.Server {
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+	e.running.Go(func() { _ = server.Serve(listener) }) // ends with the server
+	return server
+}
+
+// drain serves on until nothing has come for a while and nothing is in
+// progress, or the limit of the stop is near.
+func (e *Entry) drain(begun time.Time) {
+	e.stopping.Store(true)
+	limit := begun.Add(e.settings.StopLimit - stopMargin)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for now := range ticker.C {
+		quiet := now.Sub(time.Unix(0, e.lastRequest.Load())) > quietBeforeExit
+		if now.After(limit) || now.Sub(begun) > balancerWait && quiet && e.gateway.Running() == 0 {
+			return
+		}
+	}
+}
+
+// tickInterval is how often a stopping VM looks whether it is drained.
+const tickInterval = 50 * time.Millisecond
+
+func (e *Entry) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			e.client.CloseIdle(now)
+		}
+	}
+}
+
+// sharedBudget keeps this VM's part of the retry budget of each service.
+type sharedBudget struct {
+	options  retrybudget.Options
+	vms      func() int
+	mu       sync.Mutex
+	services map[string]*retrybudget.Budget
+}
+
+func newSharedBudget(settings *Settings, vms func() int) *sharedBudget {
+	return &sharedBudget{
+		options:  retrybudget.Options{Ratio: settings.RetryRatio, Allowance: settings.RetryAllowance, Window: settings.RetryWindow},
+		vms:      vms,
+		services: map[string]*retrybudget.Budget{},
+	}
+}
+
+// First implements gateway.Budget.
+func (b *sharedBudget) First(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.of(service).First(time.Now())
+}
+
+// TryRepeat implements gateway.Budget.
+func (b *sharedBudget) TryRepeat(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.of(service).TryRepeat(time.Now(), b.vms())
+}
+
+func (b *sharedBudget) of(service string) *retrybudget.Budget {
+	budget := b.services[service]
+	if budget == nil {
+		budget = retrybudget.New(b.options, time.Now())
+		b.services[service] = budget
+	}
+	return budget
+}
+
+var _ gateway.Placer = (*hub.Link)(nil)
