--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -76,10 +76,10 @@
 // Hub is the control VM's side. Its methods are safe for concurrent use.
 type Hub struct {
 	hubpb.UnimplementedHubServer
-	options  Options
-	inbox    chan message
-	done     chan struct{}
-	core     *core
+	options Options
+	inbox   chan message
+	done    chan struct{}
+	core    *core
 }
 
 // New returns a hub; Run makes it work.
