gateway, schedule: prompts larger than a server's memory are spread over reserved memory

Cause: the largest service histories (over 232,000 tokens) were rejected by every worker and held until their callers left.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -203,6 +203,12 @@
 		placer.Ended(id, schedule.EndDone)
 		return result{err: err}
 	}
+	tickets, err := x.reserve(ctx, attempt, placement)
+	if err != nil {
+		placer.Ended(id, schedule.EndDone)
+		return result{err: err}
+	}
+	defer tickets.release()
 	sentAt := time.Now()
 	answer, sendErr := x.gateway.options.Backend.Send(ctx, attempt)
 	outcome := result{}
@@ -254,11 +260,6 @@
 	if x.team != nil {
 		attempt.Team = x.team.Name
 	}
-	for _, helper := range placement.Helpers {
-		if one, known := x.gateway.options.Servers.Find(helper.Server); known {
-			attempt.Helpers = append(attempt.Helpers, Helper{Address: one.Address})
-		}
-	}
 	return attempt, nil
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -124,6 +124,15 @@
 	Send(ctx context.Context, attempt *Attempt) (*Answer, error)
 }
 
+// Memory reserves memory on backend servers.
+type Memory interface {
+	// Reserve sets tokens of memory aside under a ticket for the time of hold,
+	// counted from its arrival. The same ticket again renews the time.
+	Reserve(ctx context.Context, server roster.Server, ticket string, tokens int, hold time.Duration) error
+	// Release gives it back.
+	Release(ctx context.Context, server roster.Server, ticket string) error
+}
+
 // Placer chooses servers.
 type Placer interface {
 	// Place returns a server for the request, or a placement without a server
@@ -154,6 +163,7 @@
 	Budget  Budget
 	Servers Servers
 	Backend Backend
+	Memory  Memory
 	// Zone of this VM; Incarnation numbers this start of the process.
 	Zone        string
 	Incarnation uint64
--- a/internal/observe/events_gateway.go
+++ b/internal/observe/events_gateway.go
@@ -12,4 +12,6 @@
 		"A sending to a backend server failed; the line says how far it got. Many lines for one server: look at that server.")
 	RequestAnswered = newEvent(3203, "request_answered", zerolog.InfoLevel,
 		"A request has its answer. No action.")
+	MemoryOrderFailed = newEvent(3204, "memory_order_failed", zerolog.InfoLevel,
+		"An order to reserve, renew or release memory for a part of a prompt failed; the line names server and ticket. The memory is given back after its hold. Many lines for one server: look at that server.")
 )
--- a/internal/schedule/decide.go
+++ b/internal/schedule/decide.go
@@ -22,6 +22,14 @@
 	// zonePenalty is the delay that is accepted to stay in the zone, where bytes
 	// are not priced.
 	zonePenalty = 3 * time.Millisecond
+	// soloShare is the part of a server's memory up to which a request is held
+	// by one server.
+	soloShare = 0.8
+	// partMemoryShare is the part of a server's memory that a piece of a larger
+	// one may take.
+	partMemoryShare = 0.5
+	// memoryBlock is the unit in tokens in which memory is reserved.
+	memoryBlock = 16
 	// leastService is the shortest time in which a request can be served; one
 	// that has less left is refused.
 	leastService = 60 * time.Millisecond
@@ -126,7 +134,7 @@
 	if best == nil {
 		return false
 	}
-	s.assign(now, j, best, nil)
+	s.assign(now, j, choice{first: best})
 	return true
 }
 
@@ -140,22 +148,23 @@
 	rooms := s.rooms(now, j)
 	late := now.After(j.ask.AimAt)
 	longestPart := time.Duration(float64(j.ask.AimAt.Sub(j.since)) * partShare)
-	for count := 1; count <= min(len(rooms), maxHelpers+1); count++ {
+	plan := planMemory(s.engines[j.ask.Service].MemoryTokens, j.tokens)
+	for count := 1 + plan.holders; count <= min(len(rooms), maxHelpers+1); count++ {
 		piece := j.read / time.Duration(count)
 		if count == 1 && j.read > 0 && piece > longestPart && len(rooms) > 1 && !late {
 			continue
 		}
-		chosen, readyAt := s.choose(rooms, j, count, piece)
-		if chosen == nil {
+		chosen, found := s.choose(rooms, plan, count, piece)
+		if !found {
 			continue
 		}
-		if !late && readyAt.After(j.ask.AimAt) && count < min(len(rooms), maxHelpers+1) {
+		if !late && chosen.readyAt.After(j.ask.AimAt) && count < min(len(rooms), maxHelpers+1) {
 			continue
 		}
 		if piece > longestPart && count < min(len(rooms), maxHelpers+1) {
 			continue
 		}
-		s.assign(now, j, chosen[0], chosen[1:])
+		s.assign(now, j, chosen)
 		return true
 	}
 	return false
@@ -190,70 +199,95 @@
 	return rooms
 }
 
+// memoryPlan is how the tokens of a request are spread over servers.
+type memoryPlan struct {
+	// holders is how many helpers reserve memory, each how many tokens.
+	holders int
+	each    int
+	// first is what is left for the first server.
+	first int
+}
+
+// planMemory spreads a request that one server should not hold alone.
+func planMemory(memory, tokens int) memoryPlan {
+	if tokens <= int(soloShare*float64(memory)) {
+		return memoryPlan{first: tokens}
+	}
+	parts := int(math.Ceil(float64(tokens) / (partMemoryShare * float64(memory))))
+	each := (tokens/parts/memoryBlock + 1) * memoryBlock
+	return memoryPlan{holders: parts - 1, each: each, first: tokens - (parts-1)*each}
+}
+
+// choice is a set of servers for a request.
+type choice struct {
+	first   *server
+	helpers []Helper
+	// readyAt is when the last of them has read its piece.
+	readyAt time.Time
+}
+
 // choose returns count servers that have room for a piece each, the first one
-// with a slot and the memory, and when the last of them has read it.
-func (s *Scheduler) choose(rooms []candidate, j *job, count int, piece time.Duration) ([]*server, time.Time) {
-	var first *server
-	var chosen []*server
-	readyAt := time.Time{}
+// with a slot, and those that hold a part of the context with the memory.
+func (s *Scheduler) choose(rooms []candidate, plan memoryPlan, count int, piece time.Duration) (choice, bool) {
+	result := choice{}
 	for _, c := range rooms {
-		if len(chosen) == count {
-			break
-		}
 		one := c.server
 		if one.scaled(piece) > c.read {
 			continue
 		}
-		fits := len(one.jobs) < s.slots(one) && one.used()+j.tokens <= int(memoryShare*float64(one.engine.MemoryTokens))
+		free := int(memoryShare*float64(one.engine.MemoryTokens)) - one.used()
 		switch {
-		case first == nil && fits:
-			first = one
-			chosen = append([]*server{one}, chosen...)
-		case first == nil && len(chosen) == count-1, len(one.helping) >= one.Slots/2:
+		case result.first == nil && len(one.jobs) < s.slots(one) && free >= plan.first:
+			result.first = one
+		case len(result.helpers) == count-1 || len(one.helping) >= one.Slots/2:
 			continue
+		case len(result.helpers) < plan.holders && free >= plan.each:
+			result.helpers = append(result.helpers, Helper{Server: one.ID, ReserveTokens: plan.each})
+		case count-1-len(result.helpers) > max(0, plan.holders-len(result.helpers)):
+			result.helpers = append(result.helpers, Helper{Server: one.ID})
 		default:
-			chosen = append(chosen, one)
+			continue
 		}
-		if ready := c.readyAt.Add(one.scaled(piece) + hop/2); ready.After(readyAt) {
-			readyAt = ready
+		if ready := c.readyAt.Add(one.scaled(piece) + hop/2); ready.After(result.readyAt) {
+			result.readyAt = ready
+		}
+		if result.first != nil && len(result.helpers) == count-1 {
+			return result, true
 		}
 	}
-	if first == nil || len(chosen) < count {
-		return nil, time.Time{}
-	}
-	return chosen, readyAt
+	return choice{}, false
 }
 
 // assign places a request and reports it.
-func (s *Scheduler) assign(now time.Time, j *job, first *server, helpers []*server) {
-	s.commit(now, j, first, helpers)
-	placement := Placement{ID: j.ask.ID, Server: first.ID}
-	for _, helper := range helpers {
-		placement.Helpers = append(placement.Helpers, Helper{Server: helper.ID})
-	}
-	s.output = append(s.output, placement)
+func (s *Scheduler) assign(now time.Time, j *job, c choice) {
+	s.commit(now, j, c.first, c.helpers)
+	s.output = append(s.output, Placement{ID: j.ask.ID, Server: c.first.ID, Helpers: c.helpers})
 }
 
 // commit books a request on its servers.
-func (s *Scheduler) commit(now time.Time, j *job, first *server, helpers []*server) {
+func (s *Scheduler) commit(now time.Time, j *job, first *server, helpers []Helper) {
 	s.placed[j.ask.ID] = j
-	j.first, j.helpers, j.sentAt = first, helpers, now
+	j.first, j.sentAt, j.firstTokens = first, now, j.tokens
 	first.jobs[j.ask.ID] = j
 	if first.engine == nil {
 		return
 	}
-	j.unread = 1 + len(helpers)
+	readers := []*server{first}
+	for _, helper := range helpers {
+		one := s.servers[helper.Server]
+		if one == nil {
+			continue
+		}
+		j.helpers = append(j.helpers, one)
+		one.helping[j.ask.ID] = &help{job: j, tokens: helper.ReserveTokens}
+		j.firstTokens -= helper.ReserveTokens
+		readers = append(readers, one)
+	}
+	j.unread = len(readers)
 	piece := j.read / time.Duration(j.unread)
 	j.expectedAt = now
-	for _, one := range append([]*server{first}, helpers...) {
-		if one != first {
-			if one.helping == nil {
-				one.helping = map[JobID]*job{}
-			}
-			one.helping[j.ask.ID] = j
-		}
-		ready := one.roomAt(now).readyAt.Add(one.scaled(piece))
-		if ready.After(j.expectedAt) {
+	for _, one := range readers {
+		if ready := one.roomAt(now).readyAt.Add(one.scaled(piece)); ready.After(j.expectedAt) {
 			j.expectedAt = ready
 		}
 		one.next = append(one.next, part{job: j, duration: piece, arrivesAt: now.Add(hop)})
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -117,6 +117,8 @@
 	read time.Duration
 	// tokens is the memory that the request needs.
 	tokens int
+	// firstTokens is what the first server holds of it.
+	firstTokens int
 
 	first   *server
 	helpers []*server
@@ -145,7 +147,7 @@
 func (s *Scheduler) SetServer(now time.Time, updated Server) {
 	known, found := s.servers[updated.ID]
 	if !found {
-		known = &server{jobs: map[JobID]*job{}, pace: 1}
+		known = &server{jobs: map[JobID]*job{}, helping: map[JobID]*help{}, pace: 1}
 		s.servers[updated.ID] = known
 		s.insert(known, updated.ID)
 	}
@@ -209,13 +211,7 @@
 		j.read = readTime(engine, ask.PromptTokens)
 		j.tokens = ask.PromptTokens + ask.AnswerTokens
 	}
-	var helpers []*server
-	for _, helper := range placement.Helpers {
-		if one := s.servers[helper.Server]; one != nil {
-			helpers = append(helpers, one)
-		}
-	}
-	s.commit(now, j, first, helpers)
+	s.commit(now, j, first, placement.Helpers)
 	if writing {
 		s.Started(now, ask.ID)
 	}
--- a/internal/schedule/server.go
+++ b/internal/schedule/server.go
@@ -39,6 +39,13 @@
 	arrivesAt time.Time
 }
 
+// help is what a server does for a request of another.
+type help struct {
+	job *job
+	// tokens of memory that are reserved for it.
+	tokens int
+}
+
 // server is a backend server with the estimate of its passes.
 type server struct {
 	Server
@@ -46,7 +53,7 @@
 	// jobs holds the requests for which this is the first server.
 	jobs map[JobID]*job
 	// helping holds the requests of other servers for which this one reads.
-	helping map[JobID]*job
+	helping map[JobID]*help
 
 	// passEnd is the estimated end of the pass in progress, zero when idle.
 	passEnd time.Time
@@ -66,12 +73,12 @@
 	for _, j := range v.jobs {
 		if j.writing || j.unread == 0 {
 			writers++
-			tokens += j.tokens / (1 + len(j.helpers))
+			tokens += j.firstTokens
 		}
 	}
-	for _, j := range v.helping {
-		if j.writing {
-			tokens += j.tokens / (1 + len(j.helpers))
+	for _, h := range v.helping {
+		if h.job.writing {
+			tokens += h.tokens
 		}
 	}
 	return v.passOf(writers, tokens)
@@ -209,7 +216,10 @@
 func (v *server) used() int {
 	tokens := 0
 	for _, j := range v.jobs {
-		tokens += j.tokens
+		tokens += j.firstTokens
+	}
+	for _, h := range v.helping {
+		tokens += h.tokens
 	}
 	return tokens
 }
--- a/internal/site/entry.go
+++ b/internal/site/entry.go
@@ -39,6 +39,9 @@
 	stopMargin = 400 * time.Millisecond
 	// quietBeforeExit is how long a stopping VM must have had no request.
 	quietBeforeExit = 700 * time.Millisecond
+	// lateStop is how long after the begin of a stop streams are still begun:
+	// one that comes later might not end within the limit of the stop.
+	lateStop = 2500 * time.Millisecond
 	// balancerWait is how long callers may still be sent to a VM that is no
 	// longer ready.
 	balancerWait = 2500 * time.Millisecond
@@ -46,8 +49,9 @@
 
 // EntryParts are made by the platform's adapter.
 type EntryParts struct {
-	// Backend makes the client of backend servers.
-	Backend func(*h1.Client) gateway.Backend
+	// Backend makes the client of backend servers from one HTTP client for
+	// requests and one for orders.
+	Backend func(requests, orders *h1.Client) ServerCalls
 	// EchoHeader is the header that backend servers repeat.
 	EchoHeader string
 	// Callers makes the handler of the callers' listener.
@@ -56,6 +60,12 @@
 	Readiness func(ready func() bool) http.Handler
 }
 
+// ServerCalls are the calls to backend servers.
+type ServerCalls interface {
+	gateway.Backend
+	gateway.Memory
+}
+
 // CallerOptions are what the callers' handler works with.
 type CallerOptions struct {
 	Gateway *gateway.Gateway
@@ -71,6 +81,7 @@
 	link     *hub.Link
 	gateway  *gateway.Gateway
 	client   *h1.Client
+	orders   *h1.Client
 	metrics  *observe.Metrics
 	stopping atomic.Bool
 	// lastRequest is when a request last arrived, in Unix nanoseconds.
@@ -89,13 +100,15 @@
 	pool := transport.NewPool(transport.PoolOptions{Identity: transport.Identity{Cluster: clusterName, VM: settings.VM}})
 	defer pool.Close()
 	e.client = h1.NewClient(h1.Options{ConnectTimeout: connectTimeout, MaxIdle: maxServerIdle, EchoHeader: parts.EchoHeader})
+	e.orders = h1.NewClient(h1.Options{ConnectTimeout: connectTimeout, MaxIdle: maxServerIdle})
+	calls := parts.Backend(e.client, e.orders)
 	e.link = hub.NewLink(hub.LinkOptions{
 		VM: settings.VM, Zone: settings.Zone, Incarnation: incarnation, Seeds: seeds, Pool: pool, Decode: codec.DecodeRoutes,
-		SilentAfter: settings.silentAfter(), ForgetAfter: settings.forgetAfter(), Logger: logger, OnServerGone: e.client.Forget,
+		SilentAfter: settings.silentAfter(), ForgetAfter: settings.forgetAfter(), Logger: logger, OnServerGone: e.forget,
 	})
 	e.gateway = gateway.New(gateway.Options{
 		Table: e.link.Table, Placer: e.link, Budget: newSharedBudget(settings, e.link.EntryVMs), Servers: e.link,
-		Backend: parts.Backend(e.client), Zone: settings.Zone, Incarnation: incarnation, Logger: logger, Metrics: e.metrics,
+		Backend: calls, Memory: calls, Zone: settings.Zone, Incarnation: incarnation, Logger: logger, Metrics: e.metrics,
 	})
 	return e.run(ctx, parts)
 }
@@ -160,6 +173,12 @@
 // tickInterval is how often a stopping VM looks whether it is drained.
 const tickInterval = 50 * time.Millisecond
 
+// forget closes the connections to a server that is gone.
+func (e *Entry) forget(address string) {
+	e.client.Forget(address)
+	e.orders.Forget(address)
+}
+
 func (e *Entry) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
@@ -169,6 +188,7 @@
 			return
 		case now := <-ticker.C:
 			e.client.CloseIdle(now)
+			e.orders.CloseIdle(now)
 		}
 	}
 }
