schedule: strict streams and long prompts fill the servers from opposite ends

Cause: short streams spread over all servers, so that each pass was bound by their 250 ms and long prompts found no room although 30 of 242 slots were in use; the pace estimate drifted to 4.5 on servers that were not slow and shut them out.

--- a/internal/bundle/compress.go
+++ b/internal/bundle/compress.go
@@ -17,7 +17,7 @@
 // content that the receiver holds already; what both have in common is then
 // left out.
 func Compress(content, base []byte) ([]byte, error) {
-	options := []zstd.EOption{zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedBetterCompression)}
+	options := []zstd.EOption{zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedBetterCompression), zstd.WithLowerEncoderMem(true)}
 	if len(base) > 0 {
 		options = append(options, zstd.WithEncoderDictRaw(dictionaryID, base), zstd.WithWindowSize(MaxContentBytes))
 	}
@@ -31,7 +31,7 @@
 
 // Decompress reverses Compress with the same base.
 func Decompress(compressed, base []byte) ([]byte, error) {
-	options := []zstd.DOption{zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(MaxContentBytes)}
+	options := []zstd.DOption{zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(MaxContentBytes)}
 	if len(base) > 0 {
 		options = append(options, zstd.WithDecoderDictRaw(dictionaryID, base))
 	}
--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -16,6 +16,10 @@
 // aims to stay below.
 const memoryShare = 75
 
+// gcPercent lets the heap grow by this much between collections: the VMs are
+// billed for their peak memory and use a few percent of their processor.
+const gcPercent = 30
+
 // PlatformArguments are the arguments of "platform".
 type PlatformArguments struct {
 	Serve *PlatformServeArguments `arg:"subcommand:serve" help:"run the process that the boot file asks for"`
@@ -59,6 +63,7 @@
 		return ExitUsage
 	}
 	logger = logger.With().Str("vm", boot.Settings.VM).Logger()
+	debug.SetGCPercent(gcPercent)
 	if boot.Settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(boot.Settings.MemoryBytes / 100 * memoryShare)
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -57,6 +57,31 @@
 	begun     bool
 	lastEvent uint64
 	events    int
+	// timing is what the log says of the time that the request took.
+	timing timing
+}
+
+// timing tells where the time of a request went.
+type timing struct {
+	// waited is the time for a placement, all attempts together.
+	waited time.Duration
+	// first is the time from arrival to the first event, longest the longest
+	// pause between two events.
+	first   time.Duration
+	longest time.Duration
+	lastAt  time.Time
+	// local counts placements that this VM made without the scheduler.
+	local int
+}
+
+// event notes that an event was passed on.
+func (t *timing) event(now, arrived time.Time) {
+	if t.lastAt.IsZero() {
+		t.first = now.Sub(arrived)
+	} else {
+		t.longest = max(t.longest, now.Sub(t.lastAt))
+	}
+	t.lastAt = now
 }
 
 // result is what became of one attempt.
@@ -70,7 +95,9 @@
 func (x *exchange) run(ctx context.Context) {
 	for {
 		id := schedule.JobID{VM: x.gateway.options.Incarnation, Seq: x.gateway.last.Add(1)}
+		asked := time.Now()
 		placement, err := x.gateway.options.Placer.Place(ctx, x.ask(id))
+		x.timing.waited += time.Since(asked)
 		if err != nil {
 			x.unplaced(ctx, err.Error(), overloadRetry)
 			return
@@ -85,6 +112,9 @@
 			return
 		}
 		x.sends++
+		if placement.Local {
+			x.timing.local++
+		}
 		outcome := x.attempt(ctx, id, placement)
 		if outcome.done {
 			return
@@ -270,7 +300,7 @@
 	case success && !answer.Verified:
 		return result{err: &AttemptError{Reach: ReachUnknown, Err: errors.New("the answer carries no signature")}}
 	case success && x.route.Kind == routes.KindStream:
-		return x.relayStream(id, answer)
+		return x.relayStream(id, attempt, answer)
 	}
 	return x.relayWhole(attempt, answer, success)
 }
@@ -304,11 +334,14 @@
 func (x *exchange) finish(attempt *Attempt, status int, success bool) {
 	observe.Log(x.gateway.options.Logger, observe.RequestAnswered).Str("request", x.request.ID).Str("route", x.route.Name).
 		Str("server", attempt.Server.ID).Int("status", status).Bool("success", success).Int("sends", x.sends).
+		Int("helpers", len(attempt.Helpers)).Int("prompt", x.request.PromptTokens).Int("events", x.events).
+		Dur("aim", x.route.Aim).Dur("pause_aim", x.route.PauseAim).Dur("waited", x.timing.waited).
+		Dur("first", x.timing.first).Dur("longest", x.timing.longest).Int("local", x.timing.local).
 		Dur("took", time.Since(x.request.ArrivedAt)).Send()
 }
 
 // relayStream passes events on as they arrive, each of them whole and once.
-func (x *exchange) relayStream(id schedule.JobID, answer *Answer) result {
+func (x *exchange) relayStream(id schedule.JobID, attempt *Attempt, answer *Answer) result {
 	reader := eventstream.NewReader(answer.Body)
 	started := false
 	for {
@@ -317,7 +350,7 @@
 		}
 		event, err := reader.Next()
 		if errors.Is(err, io.EOF) {
-			return x.endStream(started)
+			return x.endStream(attempt, answer)
 		}
 		if err != nil {
 			return result{err: &AttemptError{Reach: ReachUnknown, Err: fmt.Errorf("read event %d: %w", x.events+1, err)}}
@@ -349,16 +382,17 @@
 		x.lastEvent = event.ID
 	}
 	x.events++
+	x.timing.event(time.Now(), x.request.ArrivedAt)
 	return nil
 }
 
 // endStream ends the answer after the server's last event.
-func (x *exchange) endStream(started bool) result {
+func (x *exchange) endStream(attempt *Attempt, answer *Answer) result {
 	if !x.begun {
 		return result{err: &AttemptError{Reach: ReachUnknown, Err: errors.New("the stream ended without an event")}}
 	}
-	_ = started
 	x.runs++
+	x.finish(attempt, answer.Status, true)
 	return result{done: true}
 }
 
--- a/internal/hub/core.go
+++ b/internal/hub/core.go
@@ -42,6 +42,8 @@
 	// leading is set while this VM schedules.
 	leading     bool
 	leader      string
+	term        uint64
+	reportedAt  time.Time
 	table       *hubpb.RouteTable
 	peers       *spreader
 	refreshedAt time.Time
@@ -259,6 +261,19 @@
 		}
 	}
 	c.peers.tick(now, c.sessions)
+	c.report(now)
+}
+
+// report logs the scheduler's load while it has any.
+func (c *core) report(now time.Time) {
+	if !c.leading || now.Sub(c.reportedAt) < reportInterval || c.scheduler.Placed()+c.scheduler.Waiting() == 0 {
+		return
+	}
+	c.reportedAt = now
+	load := c.scheduler.Load(now)
+	observe.Log(c.options.Logger, observe.SchedulerLoad).Int("entry_vms", len(c.sessions)).Int("servers", load.Servers).
+		Int("out", load.Out).Int("waiting", load.Waiting).Int("late_waiting", load.LateWaiting).Int("placed", load.Placed).
+		Int("slots", load.Slots).Dur("longest_pass", load.LongestPass).Float64("slowest_pace", load.SlowestPace).Send()
 }
 
 // refresh tells an entry VM which servers still announce themselves.
@@ -274,16 +289,17 @@
 // followLeader notes who leads. A VM that begins to lead places requests with
 // what entry VMs tell it of their running ones when they attach.
 func (c *core) followLeader(now time.Time) {
-	leading, leader := false, ""
+	leading, leader, term := false, "", c.term
 	if group := c.options.Group(); group != nil {
 		leadership := group.Leadership()
 		leading, leader = leadership.IsLeader, leadership.LeaderName
+		term = leadership.Term
 		c.peers.setPeers(group.MemberAddresses())
 	}
-	if leading == c.leading && leader == c.leader {
+	if leading == c.leading && leader == c.leader && term == c.term {
 		return
 	}
-	c.leading, c.leader = leading, leader
+	c.leading, c.leader, c.term = leading, leader, term
 	observe.Log(c.options.Logger, observe.SchedulerChanged).Bool("here", leading).Str("leader", leader).Send()
 	for s := range c.sessions {
 		s.pending().View = c.view(now)
@@ -291,7 +307,7 @@
 }
 
 func (c *core) view(time.Time) *hubpb.View {
-	view := &hubpb.View{Leader: c.leader, Schedules: c.leading, EntryVms: uint32(max(1, len(c.entries)))}
+	view := &hubpb.View{Leader: c.leader, Term: c.term, Schedules: c.leading, EntryVms: uint32(max(1, len(c.entries)))}
 	if group := c.options.Group(); group != nil {
 		view.Control = group.MemberAddresses()
 	}
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -33,6 +33,8 @@
 	// refreshInterval is how often entry VMs hear which servers still announce
 	// themselves without a change.
 	refreshInterval = 2 * time.Second
+	// reportInterval is how often the leader logs the scheduler's load.
+	reportInterval = time.Second
 	// entryForget is how long an entry VM counts after it was last heard of.
 	entryForget = 30 * time.Second
 )
--- a/internal/hub/link.go
+++ b/internal/hub/link.go
@@ -30,6 +30,10 @@
 	linkRetry = 100 * time.Millisecond
 	// leaderAvoid is how long a leader that could not be reached is not tried.
 	leaderAvoid = 1500 * time.Millisecond
+	// leaderPatience is how long an entry VM stays with a control VM that does
+	// not lead before it turns to the leader: long enough to get all news, and
+	// to bound the turns while control VMs disagree about the leader.
+	leaderPatience = 300 * time.Millisecond
 	// linkInbox bounds the messages that wait for the link's goroutine.
 	linkInbox = 2048
 )
--- a/internal/hub/linkstate.go
+++ b/internal/hub/linkstate.go
@@ -28,16 +28,19 @@
 	asked   map[schedule.JobID]*askState
 	running map[schedule.JobID]*runState
 
-	outbox  chan *hubpb.EntryFrame
-	cancel  context.CancelCauseFunc
-	address string
+	outbox     chan *hubpb.EntryFrame
+	cancel     context.CancelCauseFunc
+	address    string
+	attachedAt time.Time
 	// schedules is set while the attached control VM places requests.
 	schedules bool
 	frame     *hubpb.EntryFrame
 	sentAt    time.Time
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// leader leads in term, the newest that was heard of.
 	leader  string
+	term    uint64
 	control []string
 }
 
@@ -175,6 +178,7 @@
 
 func (m attachMessage) handle(s *linkState, now time.Time) {
 	s.outbox, s.cancel, s.address, s.schedules = m.outbox, m.cancel, m.address, false
+	s.attachedAt = now
 	hello := &hubpb.Hello{Vm: s.link.options.VM, Zone: s.link.options.Zone, Incarnation: s.link.options.Incarnation}
 	if table := s.link.Table(); table != nil {
 		hello.TableVersion = table.Version
@@ -245,7 +249,10 @@
 
 func (s *linkState) takeView(view *hubpb.View, now time.Time) {
 	s.mu.Lock()
-	s.leader = view.GetLeader()
+	if view.GetTerm() >= s.term {
+		s.leader, s.term = view.GetLeader(), view.GetTerm()
+	}
+	leader := s.leader
 	if len(view.GetControl()) > 0 {
 		s.control = view.GetControl()
 	}
@@ -268,7 +275,7 @@
 		s.schedules = true
 		s.askRemotely(now)
 	}
-	if view.GetLeader() != "" && view.GetLeader() != s.address {
+	if leader != "" && leader != s.address && now.Sub(s.attachedAt) >= leaderPatience {
 		s.cancel(errOtherLeader)
 	}
 }
@@ -312,6 +319,7 @@
 			s.local.Adopt(now, a.ask, placement, false)
 		}
 	}
+	placement.Local = local
 	a.reply <- placement
 }
 
--- a/internal/observe/events_hub.go
+++ b/internal/observe/events_hub.go
@@ -32,4 +32,6 @@
 		"A stopping leader could not hand leadership over; the others elect one. No action.")
 	JoinWaiting = newEvent(2153, "join_waiting", zerolog.WarnLevel,
 		"This control VM asks to vote and gets no answer; the line gives the last error. If it repeats, check the network to the seeds.")
+	SchedulerLoad = newEvent(2154, "scheduler_load", zerolog.InfoLevel,
+		"The load of the scheduler, once a second while it has any: requests that wait, those past their aim among them, and how long a server's pass takes. Many waiting for long: there are too few backend servers for the load.")
 )
--- a/internal/schedule/decide.go
+++ b/internal/schedule/decide.go
@@ -16,9 +16,12 @@
 	// mixPenalty is the delay that is accepted to keep streams with different
 	// pause bounds on different servers.
 	mixPenalty = 60 * time.Millisecond
-	// idlePenalty is the delay that is accepted to keep a server free for long
-	// prompts.
-	idlePenalty = 15 * time.Millisecond
+	// mixBound parts streams with strict pause bounds from others.
+	mixBound = 400 * time.Millisecond
+	// rankPenalty is the delay that is accepted to take a server one place
+	// earlier in the order: strict streams fill the servers from the first on,
+	// others from the last on, so that both keep apart as long as there is room.
+	rankPenalty = 12 * time.Millisecond
 	// zonePenalty is the delay that is accepted to stay in the zone, where bytes
 	// are not priced.
 	zonePenalty = 3 * time.Millisecond
@@ -142,32 +145,35 @@
 	return max(1, int(math.Round(float64(one.Slots)*s.share)))
 }
 
-// placeEngine looks for the fewest servers that read the prompt in time and
-// within the pause bounds of the streams beside it.
+// placeEngine takes the fewest servers that read the prompt in time and within
+// the pause bounds of the streams beside it. Where none can do it in time, it
+// takes the fewest that can read it at all, but waits while more time is left
+// than servers need to become free.
 func (s *Scheduler) placeEngine(now time.Time, j *job) bool {
 	rooms := s.rooms(now, j)
-	late := now.After(j.ask.AimAt)
-	longestPart := time.Duration(float64(j.ask.AimAt.Sub(j.since)) * partShare)
 	plan := planMemory(s.engines[j.ask.Service].MemoryTokens, j.tokens)
-	for count := 1 + plan.holders; count <= min(len(rooms), maxHelpers+1); count++ {
+	longestPart := time.Duration(float64(j.ask.AimAt.Sub(j.since)) * partShare)
+	most := min(len(rooms), maxHelpers+1)
+	var late choice
+	for count := 1 + plan.holders; count <= most; count++ {
 		piece := j.read / time.Duration(count)
-		if count == 1 && j.read > 0 && piece > longestPart && len(rooms) > 1 && !late {
-			continue
-		}
 		chosen, found := s.choose(rooms, plan, count, piece)
 		if !found {
 			continue
 		}
-		if !late && chosen.readyAt.After(j.ask.AimAt) && count < min(len(rooms), maxHelpers+1) {
-			continue
+		if !chosen.readyAt.After(j.ask.AimAt) && (piece <= longestPart || count == most) {
+			s.assign(now, j, chosen)
+			return true
 		}
-		if piece > longestPart && count < min(len(rooms), maxHelpers+1) {
-			continue
+		if late.first == nil && (piece <= longestPart || count == most) {
+			late = chosen
 		}
-		s.assign(now, j, chosen)
-		return true
 	}
-	return false
+	if late.first == nil {
+		return false
+	}
+	s.assign(now, j, late)
+	return true
 }
 
 // candidate is a server that could read a piece of a prompt.
@@ -178,16 +184,18 @@
 
 func (s *Scheduler) rooms(now time.Time, j *job) []candidate {
 	rooms := make([]candidate, 0, len(s.order))
-	for _, one := range s.order {
+	strict := j.ask.Pause < mixBound
+	for i, one := range s.order {
 		if !one.available(now, j) {
 			continue
 		}
 		r := one.roomAt(now)
-		cost := r.readyAt
-		switch {
-		case len(one.jobs) == 0 && len(one.next) == 0:
-			cost = cost.Add(idlePenalty)
-		case r.bound != j.ask.Pause:
+		rank := i
+		if !strict {
+			rank = len(s.order) - 1 - i
+		}
+		cost := r.readyAt.Add(time.Duration(rank) * rankPenalty)
+		if len(one.jobs) > 0 && strict != (r.bound < mixBound) {
 			cost = cost.Add(mixPenalty)
 		}
 		if one.Zone != j.ask.Zone {
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -68,6 +68,8 @@
 	RetryAfter time.Duration
 	// Reason says why a request was refused, for the log.
 	Reason string
+	// Local is set by an entry VM that placed the request itself.
+	Local bool
 }
 
 // End tells how a placed request ended.
@@ -280,3 +282,37 @@
 
 // Placed returns how many requests have a place.
 func (s *Scheduler) Placed() int { return len(s.placed) }
+
+// Load sums up what a scheduler is busy with.
+type Load struct {
+	Servers int
+	// Out is how many servers take nothing new.
+	Out     int
+	Waiting int
+	// LateWaiting is how many of those are past their aim.
+	LateWaiting int
+	Placed      int
+	Slots       int
+	// LongestPass is the longest pass in progress.
+	LongestPass time.Duration
+	SlowestPace float64
+}
+
+// Load returns the load at now.
+func (s *Scheduler) Load(now time.Time) Load {
+	load := Load{Servers: len(s.order), Waiting: len(s.waiting), Placed: len(s.placed)}
+	for _, j := range s.waiting {
+		if now.After(j.ask.AimAt) {
+			load.LateWaiting++
+		}
+	}
+	for _, one := range s.order {
+		load.Slots += one.Slots
+		if !one.Accepts || now.Before(one.outUntil) {
+			load.Out++
+		}
+		load.LongestPass = max(load.LongestPass, one.passEnd.Sub(now))
+		load.SlowestPace = max(load.SlowestPace, one.pace)
+	}
+	return load
+}
--- a/internal/schedule/server.go
+++ b/internal/schedule/server.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"math"
 	"time"
 
 	"godwityoke.example/godwityoke/internal/routes"
@@ -23,10 +22,6 @@
 	// failuresTolerated is the failures in a row after which a server is left
 	// out; single failures are common and say little.
 	failuresTolerated = 2
-	// paceWeight is the weight of one observation in the pace of a server.
-	paceWeight = 0.15
-	// slowestPace bounds the pace that one observation may show.
-	slowestPace = 6.0
 	// memoryShare is the part of a server's memory that is planned for.
 	memoryShare = 0.95
 )
@@ -180,11 +175,6 @@
 	if v.engine == nil {
 		return
 	}
-	expected, seen := j.expectedAt.Sub(j.sentAt), now.Sub(j.sentAt)
-	if expected > 0 {
-		ratio := math.Min(math.Max(float64(seen)/float64(expected), 1/slowestPace), slowestPace)
-		v.pace = math.Max(1, v.pace*(1-paceWeight)+v.pace*ratio*paceWeight)
-	}
 	reading := false
 	for i := range v.current {
 		reading = reading || v.current[i].job == j
