hub, schedule: fallback while the scheduler is silent; unconfirmed reading counts

Cause: a frozen leader left requests waiting for 1.3 s; connections to a cut zone took 700 ms each to fail and used up the retry budget although nothing had arrived; after a restart of everything gRPC's backoff cost 0.8 s. Passes overran 250 ms by 3 to 30 ms where a prompt fell into another pass than estimated, so reading without a first event counts against the next pass too.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -15,9 +15,12 @@
 )
 
 const (
-	// notReadyRetry is when a request may come back that met a VM without a
-	// route table.
-	notReadyRetry = 500 * time.Millisecond
+	// usualStart is how long a VM takes from its start to its first route table
+	// when all VMs start together, an election included.
+	usualStart = 1200 * time.Millisecond
+	// shortestNotReady bounds from below when a request may come back that met a
+	// VM without a route table.
+	shortestNotReady = 300 * time.Millisecond
 	// overloadRetry is when a request may come back that found no scheduler.
 	overloadRetry = time.Second
 	// maxSends bounds the sendings of one request, those included that servers
@@ -50,6 +53,9 @@
 	deadline time.Time
 
 	sends int
+	// arrivals counts the sendings that reached a server, as the retry budget
+	// does.
+	arrivals int
 	// runs counts the servers on which the request may have run.
 	runs     int
 	excluded []string
@@ -106,7 +112,7 @@
 			x.unplaced(ctx, placement.Reason, placement.RetryAfter)
 			return
 		}
-		if x.sends > 0 && !x.gateway.options.Budget.TryRepeat(x.service) {
+		if x.arrivals > 0 && !x.gateway.options.Budget.TryRepeat(x.service) {
 			x.gateway.options.Placer.Ended(id, schedule.EndDone)
 			x.unplaced(ctx, errNoBudget.Error(), overloadRetry)
 			return
@@ -115,6 +121,7 @@
 		if placement.Local {
 			x.timing.local++
 		}
+		x.logPlacement(placement, time.Since(asked))
 		outcome := x.attempt(ctx, id, placement)
 		if outcome.done {
 			return
@@ -219,6 +226,16 @@
 	return FailedServer
 }
 
+func (x *exchange) logPlacement(placement schedule.Placement, waited time.Duration) {
+	helpers := make([]string, 0, len(placement.Helpers))
+	for _, helper := range placement.Helpers {
+		helpers = append(helpers, helper.Server)
+	}
+	observe.Log(x.gateway.options.Logger, observe.RequestPlaced).Str("request", x.request.ID).Str("route", x.route.Name).
+		Str("server", placement.Server).Strs("helpers", helpers).Bool("local", placement.Local).Int("send", x.sends).
+		Int("prompt", x.request.PromptTokens).Dur("waited", waited).Uint64("table", x.table.Version).Send()
+}
+
 func (x *exchange) log(cause string) {
 	observe.Log(x.gateway.options.Logger, observe.RequestBroken).Str("request", x.request.ID).Str("route", x.route.Name).
 		Int("sends", x.sends).Int("runs", x.runs).Int("events", x.events).Str("cause", cause).
@@ -250,6 +267,9 @@
 	}
 	placer.Ended(id, x.endOf(ctx, outcome))
 	if outcome.err != nil {
+		if outcome.err.Reach != ReachNone {
+			x.arrivals++
+		}
 		if outcome.err.Reach == ReachUnknown {
 			x.runs++
 		}
@@ -266,6 +286,8 @@
 		return schedule.EndDone
 	case outcome.err.Reach == ReachRejected:
 		return schedule.EndRejected
+	case outcome.err.Reach == ReachNone:
+		return schedule.EndUnreached
 	}
 	return schedule.EndFailed
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -174,12 +174,13 @@
 // Gateway serves requests. It is safe for concurrent use.
 type Gateway struct {
 	options Options
+	started time.Time
 	last    atomic.Uint64
 	running atomic.Int64
 }
 
 // New returns a gateway.
-func New(options Options) *Gateway { return &Gateway{options: options} }
+func New(options Options) *Gateway { return &Gateway{options: options, started: time.Now()} }
 
 // Running returns how many requests are in progress.
 func (g *Gateway) Running() int { return int(g.running.Load()) }
@@ -191,7 +192,8 @@
 	defer g.running.Add(-1)
 	table := g.options.Table()
 	if table == nil {
-		g.refuse(request, caller, RefusedNotReady, notReadyRetry, "no route table is known")
+		wait := max(shortestNotReady, usualStart-time.Since(g.started))
+		g.refuse(request, caller, RefusedNotReady, wait, "no route table is known")
 		return
 	}
 	route := table.Match(request.Host, request.Path)
--- a/internal/hub/core.go
+++ b/internal/hub/core.go
@@ -112,15 +112,20 @@
 		frame.Table = c.table
 		s.tableVersion = c.table.GetVersion()
 	}
-	for _, job := range m.frame.GetHello().GetRunning() {
-		ask := askFromProto(job.GetAsk(), s, now)
-		c.scheduler.Adopt(now, ask, placementFromProto(job.GetPlacement(), s.incarnation), job.GetWriting())
-	}
+	c.adopt(s, m.frame.GetHello().GetRunning(), now)
 	frame.View = c.view(now)
 	observe.Log(c.options.Logger, observe.EntryAttached).Str("entry_vm", s.vm).
 		Uint64("table_version", s.tableVersion).Int("running", len(m.frame.GetHello().GetRunning())).Send()
 }
 
+// adopt takes over requests that were placed by another scheduler.
+func (c *core) adopt(s *session, running []*hubpb.RunningJob, now time.Time) {
+	for _, job := range running {
+		ask := askFromProto(job.GetAsk(), s, now)
+		c.scheduler.Adopt(now, ask, placementFromProto(job.GetPlacement(), s.incarnation), job.GetWriting())
+	}
+}
+
 type detached struct{ session *session }
 
 func (m detached) handle(c *core, now time.Time) {
@@ -147,6 +152,7 @@
 		return
 	}
 	c.entries[m.session.vm] = now
+	c.adopt(m.session, m.frame.GetRunning(), now)
 	for _, progress := range m.frame.GetProgress() {
 		id := schedule.JobID{VM: m.session.incarnation, Seq: progress.GetId()}
 		switch progress.GetKind() {
@@ -156,10 +162,15 @@
 			c.scheduler.Ended(now, id, schedule.EndFailed)
 		case hubpb.ProgressKind_PROGRESS_REJECTED:
 			c.scheduler.Ended(now, id, schedule.EndRejected)
+		case hubpb.ProgressKind_PROGRESS_UNREACHED:
+			c.scheduler.Ended(now, id, schedule.EndUnreached)
 		default:
 			c.scheduler.Ended(now, id, schedule.EndDone)
 		}
 	}
+	if len(m.frame.GetAsks()) > 0 {
+		m.session.pending() // an answer, even an empty one, shows that this VM works
+	}
 	for _, ask := range m.frame.GetAsks() {
 		c.scheduler.Ask(now, askFromProto(ask, m.session, now))
 	}
--- a/internal/hub/link.go
+++ b/internal/hub/link.go
@@ -34,6 +34,9 @@
 	// not lead before it turns to the leader: long enough to get all news, and
 	// to bound the turns while control VMs disagree about the leader.
 	leaderPatience = 300 * time.Millisecond
+	// suspectAfter is the silence after an ask that makes an entry VM place
+	// requests itself: ten times the way to another zone and back.
+	suspectAfter = 110 * time.Millisecond
 	// linkInbox bounds the messages that wait for the link's goroutine.
 	linkInbox = 2048
 )
--- a/internal/hub/linkstate.go
+++ b/internal/hub/linkstate.go
@@ -34,8 +34,12 @@
 	attachedAt time.Time
 	// schedules is set while the attached control VM places requests.
 	schedules bool
-	frame     *hubpb.EntryFrame
-	sentAt    time.Time
+	// suspect is set while the scheduler has not answered an ask for too long.
+	suspect bool
+	// heardAt is when the last frame came.
+	heardAt time.Time
+	frame   *hubpb.EntryFrame
+	sentAt  time.Time
 
 	mu sync.Mutex
 	// leader leads in term, the newest that was heard of.
@@ -123,8 +127,8 @@
 
 // request asks the scheduler, or this VM's own while none is in reach.
 func (s *linkState) request(a *askState, now time.Time) {
-	a.remote, a.askedAt = s.schedules, now
-	if !s.schedules {
+	a.remote, a.askedAt = s.schedules && !s.suspect, now
+	if !a.remote {
 		s.local.Ask(now, a.ask)
 		return
 	}
@@ -152,7 +156,7 @@
 	delete(s.running, m.id)
 	kind := map[schedule.End]hubpb.ProgressKind{
 		schedule.EndDone: hubpb.ProgressKind_PROGRESS_ENDED, schedule.EndFailed: hubpb.ProgressKind_PROGRESS_FAILED,
-		schedule.EndRejected: hubpb.ProgressKind_PROGRESS_REJECTED,
+		schedule.EndRejected: hubpb.ProgressKind_PROGRESS_REJECTED, schedule.EndUnreached: hubpb.ProgressKind_PROGRESS_UNREACHED,
 	}[m.end]
 	s.progress(m.id, kind)
 }
@@ -202,7 +206,7 @@
 	if s.outbox != m.outbox {
 		return
 	}
-	s.outbox, s.frame, s.schedules = nil, nil, false
+	s.outbox, s.frame, s.schedules, s.suspect = nil, nil, false, false
 	s.link.mu.Lock()
 	s.link.attached = false
 	s.link.mu.Unlock()
@@ -237,6 +241,7 @@
 	if s.outbox != m.outbox {
 		return
 	}
+	s.heardAt, s.suspect = now, false
 	s.link.takeTable(m.frame.GetTable())
 	s.takeServers(serversFromProto(m.frame.GetServers(), now), now)
 	for _, placement := range m.frame.GetPlacements() {
@@ -272,6 +277,7 @@
 		s.askLocally(now)
 	}
 	if !s.schedules && view.GetSchedules() {
+		s.heardAt = now
 		s.schedules = true
 		s.askRemotely(now)
 	}
@@ -315,6 +321,11 @@
 	delete(s.asked, placement.ID)
 	if placement.Server != "" {
 		s.running[placement.ID] = &runState{ask: a.ask, placement: placement}
+		if local && s.outbox != nil {
+			s.pending().Running = append(s.pending().Running, &hubpb.RunningJob{
+				Ask: askToProto(a.ask, now), Placement: placementToProto(placement),
+			})
+		}
 		if !local {
 			s.local.Adopt(now, a.ask, placement, false)
 		}
@@ -333,6 +344,25 @@
 	if s.outbox != nil && now.Sub(s.sentAt) >= linkPulse {
 		s.pending()
 	}
+	s.suspectScheduler(now)
+}
+
+// suspectScheduler turns to this VM's own scheduler when a request was asked
+// for and nothing came back for much longer than an answer takes. It lasts
+// until the next frame.
+func (s *linkState) suspectScheduler(now time.Time) {
+	if !s.schedules || s.suspect {
+		return
+	}
+	for _, a := range s.asked {
+		if a.remote && a.askedAt.After(s.heardAt) && now.Sub(a.askedAt) >= suspectAfter {
+			s.suspect = true
+			observe.Log(s.link.options.Logger, observe.SchedulerSuspect).Str("control_vm", s.address).
+				Dur("silent", now.Sub(s.heardAt)).Int("asked", len(s.asked)).Send()
+			s.askLocally(now)
+			return
+		}
+	}
 }
 
 func (s *linkState) flush(now time.Time) {
--- a/internal/observe/events_gateway.go
+++ b/internal/observe/events_gateway.go
@@ -6,6 +6,8 @@
 var (
 	RequestRefused = newEvent(3200, "request_refused", zerolog.InfoLevel,
 		"A request was refused before it ran; the line gives the reason and when it may come back. Many lines: look at the waiting requests of the scheduler.")
+	RequestPlaced = newEvent(3205, "request_placed", zerolog.InfoLevel,
+		"A request got a place on a backend server, by the scheduler or by this VM itself (local); the line gives the wait and the version of the route table. No action.")
 	RequestBroken = newEvent(3201, "request_broken", zerolog.InfoLevel,
 		"A request failed after it may have run, or its stream broke off. Compare with the server_attempt_failed lines of the same request.")
 	ServerAttemptFailed = newEvent(3202, "server_attempt_failed", zerolog.InfoLevel,
--- a/internal/observe/events_hub.go
+++ b/internal/observe/events_hub.go
@@ -32,6 +32,8 @@
 		"A stopping leader could not hand leadership over; the others elect one. No action.")
 	JoinWaiting = newEvent(2153, "join_waiting", zerolog.WarnLevel,
 		"This control VM asks to vote and gets no answer; the line gives the last error. If it repeats, check the network to the seeds.")
+	SchedulerSuspect = newEvent(2155, "scheduler_suspect", zerolog.WarnLevel,
+		"The control VM that places requests did not answer in time; this entry VM places them itself until it does. If it repeats, look at that VM's processor and its links.")
 	SchedulerLoad = newEvent(2154, "scheduler_load", zerolog.InfoLevel,
 		"The load of the scheduler, once a second while it has any: requests that wait, those past their aim among them, and how long a server's pass takes. Many waiting for long: there are too few backend servers for the load.")
 )
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -83,6 +83,8 @@
 	EndFailed
 	// EndRejected requests were refused by the server without running.
 	EndRejected
+	// EndUnreached requests found no way to the server.
+	EndUnreached
 )
 
 // Scheduler places the requests of all services. It is not safe for concurrent
--- a/internal/schedule/server.go
+++ b/internal/schedule/server.go
@@ -193,6 +193,9 @@
 		v.failures = 0
 	case EndRejected:
 		v.outUntil = now.Add(firstBackoff / 2)
+	case EndUnreached:
+		v.failures = max(v.failures+1, failuresTolerated)
+		v.outUntil = now.Add(min(firstBackoff<<min(v.failures-failuresTolerated, 8), longestBackoff))
 	case EndFailed:
 		v.failures++
 		if v.failures >= failuresTolerated {
@@ -250,7 +253,8 @@
 	write, queued := v.writeTime(), v.scaled(sum(v.next))
 	r := room{server: v, bound: v.pauseBound()}
 	r.readyAt = begins.Add(write + queued)
-	r.read = time.Duration(float64(r.bound)*pauseShare) - write - queued
+	unconfirmed := v.scaled(sum(v.current))
+	r.read = time.Duration(float64(r.bound)*pauseShare) - write - queued - unconfirmed
 	for i := range v.next {
 		slack := v.next[i].job.ask.AimAt.Sub(r.readyAt)
 		if slack > 0 {
--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -29,8 +29,8 @@
 	// clusterName is told between VMs; a platform runs one system.
 	clusterName = "site"
 	// controlHeartbeat and electionTimeout are the times of the control group.
-	controlHeartbeat = 150 * time.Millisecond
-	electionTimeout  = 900 * time.Millisecond
+	controlHeartbeat = 100 * time.Millisecond
+	electionTimeout  = 600 * time.Millisecond
 	maxDriftPercent  = 5
 	// snapshotEntries keeps the log small beside a disk of a hundred megabytes.
 	snapshotEntries = 64
--- a/internal/site/entry.go
+++ b/internal/site/entry.go
@@ -28,9 +28,10 @@
 	idleTimeout = 60 * time.Second
 	// maxHeaderBytes bounds the header of a request.
 	maxHeaderBytes = 64 << 10
-	// connectTimeout bounds a connection to a backend server: a lost opening
-	// packet is repeated after a second, later than another server answers.
-	connectTimeout = 700 * time.Millisecond
+	// connectTimeout bounds a connection to a backend server: twenty times the
+	// way to another zone and back. A lost opening packet is repeated after a
+	// second, later than another server answers.
+	connectTimeout = 250 * time.Millisecond
 	// maxServerIdle is how long a connection to a backend server is kept.
 	maxServerIdle = 4 * time.Second
 	// sweepInterval is how often idle connections are looked through.
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -20,7 +20,7 @@
 	// reconnectBase and reconnectMax bound the wait between two attempts to
 	// connect to the same address.
 	reconnectBase = 100 * time.Millisecond
-	reconnectMax  = time.Second
+	reconnectMax  = 250 * time.Millisecond
 	// idleTimeout is the time without a call after which a connection is closed
 	// until the next call.
 	idleTimeout = 5 * time.Minute
