schedule: reading may delay every prompt that is not read yet

Cause: servers read newer prompts before older ones (a part of 49,000 tokens placed first on one server was finished last, 4 s later, after five newer ones), so a prompt's start is safe only while all reading there fits.

--- a/internal/gateway/error.go
+++ b/internal/gateway/error.go
@@ -31,7 +31,7 @@
 	case ReachNone:
 		return fmt.Sprintf("not sent: %v", e.Err)
 	case ReachRejected:
-		return fmt.Sprintf("rejected by the server: %v", e.Err)
+		return fmt.Sprintf("rejected by the server: %v, at fault: %q", e.Err, e.AtServer)
 	}
 	return fmt.Sprintf("may have run: %v", e.Err)
 }
--- a/internal/schedule/server.go
+++ b/internal/schedule/server.go
@@ -14,7 +14,7 @@
 	// the rest covers jitter on the way and errors of the estimate.
 	pauseShare = 0.88
 	// longestPass bounds a pass where no stream limits it.
-	longestPass = 2500 * time.Millisecond
+	longestPass = 1200 * time.Millisecond
 	// firstBackoff and longestBackoff bound how long a server that failed gets
 	// nothing new.
 	firstBackoff   = 400 * time.Millisecond
@@ -255,10 +255,13 @@
 	r.readyAt = begins.Add(write + queued)
 	unconfirmed := v.scaled(sum(v.current))
 	r.read = time.Duration(float64(r.bound)*pauseShare) - write - queued - unconfirmed
-	for i := range v.next {
-		slack := v.next[i].job.ask.AimAt.Sub(r.readyAt)
-		if slack > 0 {
-			r.read = min(r.read, slack)
+	// Servers read newer prompts before older ones, so further reading may delay
+	// every prompt that is not read yet.
+	for _, parts := range [][]part{v.current, v.next} {
+		for i := range parts {
+			if slack := parts[i].job.ask.AimAt.Sub(r.readyAt); slack > 0 {
+				r.read = min(r.read, slack)
+			}
 		}
 	}
 	return r
