--- a/internal/schedule/decide.go
+++ b/internal/schedule/decide.go
@@ -25,6 +25,11 @@
 	// zonePenalty is the delay that is accepted to stay in the zone, where bytes
 	// are not priced.
 	zonePenalty = 3 * time.Millisecond
+	// harmShare is the part of what a request gains that others may lose to it.
+	harmShare = 0.5
+	// harmAfter is the part of its time that a request waits for a place without
+	// harm to others before it takes one with.
+	harmAfter = 0.1
 	// soloShare is the part of a server's memory up to which a request is held
 	// by one server.
 	soloShare = 0.8
@@ -145,37 +150,53 @@
 	return max(1, int(math.Round(float64(one.Slots)*s.share)))
 }
 
-// placeEngine takes the fewest servers that read the prompt in time and within
-// the pause bounds of the streams beside it. Where none can do it in time, it
-// takes the fewest that can read it at all, but waits while more time is left
-// than servers need to become free.
+// placeEngine takes the fewest servers that read the prompt in time without
+// making any other request late. Where there are none, it weighs what others
+// would lose against what this one gains; and where the request can't be in
+// time at all, it takes the fewest that can read it without harm.
 func (s *Scheduler) placeEngine(now time.Time, j *job) bool {
 	rooms := s.rooms(now, j)
 	plan := planMemory(s.engines[j.ask.Service].MemoryTokens, j.tokens)
 	longestPart := time.Duration(float64(j.ask.AimAt.Sub(j.since)) * partShare)
 	most := min(len(rooms), maxHelpers+1)
-	var late choice
+	var late, costly choice
 	for count := 1 + plan.holders; count <= most; count++ {
 		piece := j.read / time.Duration(count)
-		chosen, found := s.choose(rooms, plan, count, piece)
-		if !found {
+		if piece > longestPart && count < most {
 			continue
 		}
-		if !chosen.readyAt.After(j.ask.AimAt) && (piece <= longestPart || count == most) {
-			s.assign(now, j, chosen)
-			return true
+		if chosen, found := s.choose(rooms, plan, count, piece, 0); found {
+			if !chosen.readyAt.After(j.ask.AimAt) {
+				s.assign(now, j, chosen)
+				return true
+			}
+			if late.first == nil {
+				late = chosen
+			}
 		}
-		if late.first == nil && (piece <= longestPart || count == most) {
-			late = chosen
+		budget := j.ask.Worth * lateLoss * harmShare
+		if chosen, found := s.choose(rooms, plan, count, piece, budget); found && !chosen.readyAt.After(j.ask.AimAt) {
+			if costly.first == nil || chosen.loss < costly.loss {
+				costly = chosen
+			}
 		}
 	}
-	if late.first == nil {
+	switch {
+	case costly.first != nil && now.Sub(j.since) >= time.Duration(float64(j.ask.AimAt.Sub(j.since))*harmAfter):
+		s.assign(now, j, costly)
+	case late.first != nil && now.After(j.ask.AimAt.Add(-piecesOf(j, late))):
+		s.assign(now, j, late)
+	default:
 		return false
 	}
-	s.assign(now, j, late)
 	return true
 }
 
+// piecesOf is how long the servers of a choice read.
+func piecesOf(j *job, c choice) time.Duration {
+	return j.read / time.Duration(1+len(c.helpers))
+}
+
 // candidate is a server that could read a piece of a prompt.
 type candidate struct {
 	room
@@ -232,15 +253,37 @@
 	helpers []Helper
 	// readyAt is when the last of them has read its piece.
 	readyAt time.Time
+	piece   time.Duration
+	// loss is the worth of other requests that this makes late, rooms those
+	// that they are in.
+	loss  float64
+	rooms []room
+}
+
+// byLoss orders servers by what others lose there.
+func byLoss(rooms []candidate, piece time.Duration) []candidate {
+	ordered := slices.Clone(rooms)
+	slices.SortStableFunc(ordered, func(a, b candidate) int {
+		return cmp.Compare(a.lossOf(a.server.scaled(piece)), b.lossOf(b.server.scaled(piece)))
+	})
+	return ordered
 }
 
 // choose returns count servers that have room for a piece each, the first one
 // with a slot, and those that hold a part of the context with the memory.
-func (s *Scheduler) choose(rooms []candidate, plan memoryPlan, count int, piece time.Duration) (choice, bool) {
-	result := choice{}
-	for _, c := range rooms {
+// The loss of the requests beside it stays within budget.
+func (s *Scheduler) choose(rooms []candidate, plan memoryPlan, count int, piece time.Duration, budget float64) (choice, bool) {
+	result := choice{piece: piece}
+	ordered := rooms
+	if budget > 0 {
+		ordered = byLoss(rooms, piece)
+	}
+	for i := range ordered {
+		c := &ordered[i]
 		one := c.server
-		if one.scaled(piece) > c.read {
+		reading := one.scaled(piece)
+		loss := c.lossOf(reading)
+		if reading > c.longest || result.loss+loss > budget {
 			continue
 		}
 		free := int(memoryShare*float64(one.engine.MemoryTokens)) - one.used()
@@ -256,7 +299,9 @@
 		default:
 			continue
 		}
-		if ready := c.readyAt.Add(one.scaled(piece) + hop/2); ready.After(result.readyAt) {
+		result.loss += loss
+		result.rooms = append(result.rooms, c.room)
+		if ready := c.readyAt.Add(reading + hop/2); ready.After(result.readyAt) {
 			result.readyAt = ready
 		}
 		if result.first != nil && len(result.helpers) == count-1 {
@@ -268,6 +313,10 @@
 
 // assign places a request and reports it.
 func (s *Scheduler) assign(now time.Time, j *job, c choice) {
+	j.late = now.After(j.ask.AimAt) || c.readyAt.After(j.ask.AimAt)
+	for i := range c.rooms {
+		c.rooms[i].accept(c.rooms[i].server.scaled(c.piece))
+	}
 	s.commit(now, j, c.first, c.helpers)
 	s.output = append(s.output, Placement{ID: j.ask.ID, Server: c.first.ID, Helpers: c.helpers})
 }
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -130,6 +130,8 @@
 	unread  int
 	sentAt  time.Time
 	writing bool
+	// late is set once the request can't be on time any more.
+	late bool
 	// expectedAt is when the first event was expected at placement.
 	expectedAt time.Time
 }
@@ -238,6 +240,7 @@
 	if j == nil || j.writing {
 		return
 	}
+	j.late = j.late || now.After(j.ask.AimAt)
 	j.first.noteStart(now, j)
 	for _, helper := range j.helpers {
 		helper.dropParts(j)
--- a/internal/schedule/server.go
+++ b/internal/schedule/server.go
@@ -22,6 +22,8 @@
 	// failuresTolerated is the failures in a row after which a server is left
 	// out; single failures are common and say little.
 	failuresTolerated = 2
+	// lateLoss is the part of its worth that a late answer loses.
+	lateLoss = 0.75
 	// memoryShare is the part of a server's memory that is planned for.
 	memoryShare = 0.95
 )
@@ -175,11 +177,7 @@
 	if v.engine == nil {
 		return
 	}
-	reading := false
-	for i := range v.current {
-		reading = reading || v.current[i].job == j
-	}
-	if reading || !v.passEnd.After(now) {
+	if contains(v.current, j) || !v.passEnd.After(now) {
 		v.endPass()
 		j.writing = true
 		v.startPass(now.Add(-hop / 2))
@@ -222,10 +220,7 @@
 func (v *server) pauseBound() time.Duration {
 	bound := longestPass
 	for _, j := range v.jobs {
-		inNext := j.writing || j.unread == 0
-		for i := range v.current {
-			inNext = inNext || v.current[i].job == j
-		}
+		inNext := j.writing || j.unread == 0 || contains(v.current, j)
 		if inNext && j.ask.Pause > 0 {
 			bound = min(bound, j.ask.Pause)
 		}
@@ -233,11 +228,20 @@
 	return bound
 }
 
+// harm is what a request loses when a pass reads more than limit.
+type harm struct {
+	limit time.Duration
+	worth float64
+	job   *job
+}
+
 // room describes what a server could read for a further request.
 type room struct {
 	server *server
-	// read is the longest reading that fits into the pass.
-	read time.Duration
+	// harms are the requests that further reading may make late.
+	harms []harm
+	// longest bounds the reading where no request is harmed.
+	longest time.Duration
 	// readyAt is when a pass would end that reads nothing more.
 	readyAt time.Time
 	bound   time.Duration
@@ -253,20 +257,55 @@
 	write, queued := v.writeTime(), v.scaled(sum(v.next))
 	r := room{server: v, bound: v.pauseBound()}
 	r.readyAt = begins.Add(write + queued)
-	unconfirmed := v.scaled(sum(v.current))
-	r.read = time.Duration(float64(r.bound)*pauseShare) - write - queued - unconfirmed
+	taken := write + queued + v.scaled(sum(v.current))
+	r.longest = longestPass - taken
+	for _, j := range v.jobs {
+		if !j.late && j.ask.Pause > 0 && (j.writing || j.unread == 0 || contains(v.current, j)) {
+			limit := time.Duration(float64(j.ask.Pause)*pauseShare) - taken
+			r.harms = append(r.harms, harm{limit: limit, worth: j.ask.Worth, job: j})
+		}
+	}
 	// Servers read newer prompts before older ones, so further reading may delay
 	// every prompt that is not read yet.
 	for _, parts := range [][]part{v.current, v.next} {
 		for i := range parts {
-			if slack := parts[i].job.ask.AimAt.Sub(r.readyAt); slack > 0 {
-				r.read = min(r.read, slack)
+			if j := parts[i].job; !j.late {
+				r.harms = append(r.harms, harm{limit: j.ask.AimAt.Sub(r.readyAt), worth: j.ask.Worth, job: j})
 			}
 		}
 	}
 	return r
 }
 
+func contains(parts []part, j *job) bool {
+	for i := range parts {
+		if parts[i].job == j {
+			return true
+		}
+	}
+	return false
+}
+
+// lossOf is the worth that further reading would make late.
+func (r *room) lossOf(reading time.Duration) float64 {
+	loss := 0.0
+	for i := range r.harms {
+		if r.harms[i].limit < reading {
+			loss += r.harms[i].worth * lateLoss
+		}
+	}
+	return loss
+}
+
+// accept marks the requests that further reading makes late.
+func (r *room) accept(reading time.Duration) {
+	for i := range r.harms {
+		if r.harms[i].limit < reading {
+			r.harms[i].job.late = true
+		}
+	}
+}
+
 // available tells whether the server may get a further request of j.
 func (v *server) available(now time.Time, j *job) bool {
 	if !v.Accepts || v.Service != j.ask.Service || now.Before(v.outUntil) {
