--- /dev/null
+++ b/internal/emulate/emulate.go
@@ -0,0 +1,331 @@
+// Package emulate plays load on emulated model servers against the scheduler:
+// no network, no clock, fixed seeds. It counts what callers get, as credit
+// earned against credit owed, by kind of request.
+package emulate
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"godwityoke.example/godwityoke/internal/routes"
+	"godwityoke.example/godwityoke/internal/schedule"
+)
+
+// Kind is a kind of request of a load.
+type Kind struct {
+	Name string
+	// PerSecond is the mean rate.
+	PerSecond float64
+	// PromptTokens and Events are means; the spreads are those of the logarithm.
+	PromptTokens float64
+	PromptSpread float64
+	PromptMax    float64
+	Events       float64
+	EventSpread  float64
+	Aim          time.Duration
+	Pause        time.Duration
+	Worth        float64
+	LateWorth    float64
+}
+
+// Burst multiplies the rates of kinds for a while.
+type Burst struct {
+	From, To time.Duration
+	// Factor by the name of a kind; kinds that are missing stay as they are.
+	Factor map[string]float64
+}
+
+// Load is what is offered.
+type Load struct {
+	Kinds  []Kind
+	Bursts []Burst
+	// Swing and Period shape a wave over all rates.
+	Swing  float64
+	Period time.Duration
+	Length time.Duration
+	// Scale multiplies all rates.
+	Scale float64
+}
+
+// Fleet is the emulated servers.
+type Fleet struct {
+	Servers int
+	Engine  routes.Engine
+}
+
+// Tally is what a kind of request got.
+type Tally struct {
+	Asked   int
+	OnTime  int
+	Late    int
+	Refused int
+	Lost    int
+	Owed    float64
+	Earned  float64
+}
+
+// Share is the credit earned of that owed.
+func (t Tally) Share() float64 {
+	if t.Owed == 0 {
+		return 1
+	}
+	return t.Earned / t.Owed
+}
+
+// Result is the outcome of a play.
+type Result struct {
+	Kinds map[string]*Tally
+	// Largest is the tally of the largest tenth of each kind.
+	Largest map[string]*Tally
+}
+
+// Total sums up all kinds.
+func (r *Result) Total() Tally {
+	total := Tally{}
+	for _, one := range r.Kinds {
+		total.Asked += one.Asked
+		total.OnTime += one.OnTime
+		total.Late += one.Late
+		total.Refused += one.Refused
+		total.Lost += one.Lost
+		total.Owed += one.Owed
+		total.Earned += one.Earned
+	}
+	return total
+}
+
+const (
+	// oneWay is the time of a message between any two parts of the system.
+	oneWay = 4 * time.Millisecond
+	// eventTokens is the tokens in one event.
+	eventTokens = 43
+	// largestQuantile is the 0.9 quantile of the normal distribution: prompts
+	// beyond it are the largest tenth of their kind.
+	largestQuantile = 1.28
+)
+
+// call is one request on its way through the play.
+type call struct {
+	kind    *Kind
+	ask     schedule.Ask
+	owed    float64
+	late    float64
+	large   bool
+	arrived time.Time
+	events  int
+
+	first   *server
+	parts   int
+	written int
+	lastAt  time.Time
+	harmed  bool
+	begun   bool
+	ended   bool
+	context int
+}
+
+// piece is reading on one server.
+type piece struct {
+	call   *call
+	tokens float64
+	// perToken is the time of one token, pairs included.
+	perToken time.Duration
+	helper   bool
+}
+
+type server struct {
+	id      string
+	engine  *routes.Engine
+	pieces  []*piece
+	writers []*call
+	busy    bool
+}
+
+// moment is something that happens at a time.
+type moment struct {
+	at  time.Time
+	seq int
+	do  func(now time.Time)
+}
+
+type agenda []moment
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	return a[i].at.Before(a[j].at) || a[i].at.Equal(a[j].at) && a[i].seq < a[j].seq
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+
+// Push implements heap.Interface.
+func (a *agenda) Push(x any) { *a = append(*a, x.(moment)) }
+
+// Pop implements heap.Interface.
+func (a *agenda) Pop() any {
+	last := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return last
+}
+
+// play is one run of a load.
+type play struct {
+	load      *Load
+	fleet     *Fleet
+	random    *rand.Rand
+	scheduler *schedule.Scheduler
+	agenda    agenda
+	seq       int
+	servers   map[string]*server
+	calls     map[schedule.JobID]*call
+	result    *Result
+	start     time.Time
+	deciding  bool
+	nextID    uint64
+}
+
+// Play offers load to a fleet under the scheduler and returns what callers got.
+func Play(load Load, fleet Fleet, seed uint64) *Result {
+	p := &play{
+		load: &load, fleet: &fleet, random: rand.New(rand.NewPCG(seed, 1)), scheduler: schedule.New(),
+		servers: map[string]*server{}, calls: map[schedule.JobID]*call{},
+		result: &Result{Kinds: map[string]*Tally{}, Largest: map[string]*Tally{}},
+		start:  time.Unix(1_000_000_000, 0),
+	}
+	p.scheduler.SetEngines(&routes.Table{Services: []routes.Service{{Name: "model", Engine: &fleet.Engine}}})
+	for i := range fleet.Servers {
+		id := string(rune('a'+i/26)) + string(rune('a'+i%26))
+		p.servers[id] = &server{id: id, engine: &fleet.Engine}
+		p.scheduler.SetServer(p.start, schedule.Server{ID: id, Service: "model", Slots: fleet.Engine.Slots, Accepts: true})
+	}
+	for i := range load.Kinds {
+		p.result.Kinds[load.Kinds[i].Name] = &Tally{}
+		p.result.Largest[load.Kinds[i].Name] = &Tally{}
+		p.arrive(&load.Kinds[i], p.start)
+	}
+	for len(p.agenda) > 0 {
+		next := heap.Pop(&p.agenda).(moment)
+		next.do(next.at)
+	}
+	return p.result
+}
+
+func (p *play) at(when time.Time, do func(time.Time)) {
+	p.seq++
+	heap.Push(&p.agenda, moment{at: when, seq: p.seq, do: do})
+}
+
+// rate is the rate of a kind at a time.
+func (p *play) rate(kind *Kind, now time.Time) float64 {
+	passed := now.Sub(p.start)
+	rate := kind.PerSecond * p.load.Scale
+	if p.load.Period > 0 {
+		rate *= 1 + p.load.Swing*math.Sin(2*math.Pi*passed.Seconds()/p.load.Period.Seconds())
+	}
+	for _, burst := range p.load.Bursts {
+		if factor, found := burst.Factor[kind.Name]; found && passed >= burst.From && passed < burst.To {
+			rate *= factor
+		}
+	}
+	return rate
+}
+
+// arrive plans the next request of a kind by thinning a faster process.
+func (p *play) arrive(kind *Kind, now time.Time) {
+	const fastest = 8
+	wait := time.Duration(p.random.ExpFloat64() / (kind.PerSecond * p.load.Scale * fastest) * float64(time.Second))
+	at := now.Add(wait)
+	if at.Sub(p.start) > p.load.Length {
+		return
+	}
+	p.at(at, func(now time.Time) {
+		if p.random.Float64()*kind.PerSecond*p.load.Scale*fastest < p.rate(kind, now) {
+			p.request(kind, now)
+		}
+		p.arrive(kind, now)
+	})
+}
+
+func (p *play) lognormal(mean, spread, most float64) float64 {
+	value := mean * math.Exp(spread*p.random.NormFloat64()-spread*spread/2)
+	return math.Min(math.Max(value, 1), most)
+}
+
+func (p *play) request(kind *Kind, now time.Time) {
+	p.nextID++
+	prompt := p.lognormal(kind.PromptTokens, kind.PromptSpread, kind.PromptMax)
+	events := int(math.Ceil(p.lognormal(kind.Events, kind.EventSpread, kind.Events*2.5)))
+	size := 0.3 + 0.7*(prompt+10*float64(events)*eventTokens)/(kind.PromptTokens+10*kind.Events*eventTokens)
+	size = math.Min(size, 4)
+	c := &call{
+		kind: kind, arrived: now, events: events, owed: kind.Worth * size, late: kind.LateWorth * size,
+		large: prompt > kind.PromptTokens*math.Exp(largestQuantile*kind.PromptSpread-kind.PromptSpread*kind.PromptSpread/2),
+		ask: schedule.Ask{
+			ID: schedule.JobID{VM: 1, Seq: p.nextID}, Service: "model", PromptTokens: int(prompt),
+			AnswerTokens: events * eventTokens, AimAt: now.Add(kind.Aim), Pause: kind.Pause, Worth: kind.Worth * size,
+			GiveUpAt: now.Add(patience(kind)),
+		},
+	}
+	c.context = c.ask.PromptTokens + c.ask.AnswerTokens
+	p.calls[c.ask.ID] = c
+	for _, tally := range p.tallies(c) {
+		tally.Asked++
+		tally.Owed += c.owed
+	}
+	p.at(now.Add(2*oneWay), func(now time.Time) {
+		p.scheduler.Ask(now, c.ask)
+		p.decide(now)
+	})
+}
+
+func patience(kind *Kind) time.Duration { return max(2*time.Second, 4*kind.Aim, 8*kind.Pause) }
+
+func (p *play) tallies(c *call) []*Tally {
+	tallies := []*Tally{p.result.Kinds[c.kind.Name]}
+	if c.large {
+		tallies = append(tallies, p.result.Largest[c.kind.Name])
+	}
+	return tallies
+}
+
+func (p *play) decide(now time.Time) {
+	for _, placement := range p.scheduler.Decide(now) {
+		p.place(now, placement)
+	}
+	if wake := p.scheduler.Wake(now); !wake.IsZero() && !p.deciding {
+		p.deciding = true
+		p.at(wake, func(now time.Time) {
+			p.deciding = false
+			p.decide(now)
+		})
+	}
+}
+
+func (p *play) place(now time.Time, placement schedule.Placement) {
+	c := p.calls[placement.ID]
+	if placement.Server == "" {
+		for _, tally := range p.tallies(c) {
+			tally.Refused++
+		}
+		return
+	}
+	p.at(now.Add(2*oneWay), func(now time.Time) {
+		c.first = p.servers[placement.Server]
+		c.parts = 1 + len(placement.Helpers)
+		tokens := float64(c.ask.PromptTokens) / float64(c.parts)
+		engine := &p.fleet.Engine
+		pairs := time.Duration(float64(c.ask.PromptTokens) / 2 * engine.ReadPerPairNs)
+		perToken := engine.ReadPerToken + pairs
+		p.add(now, c.first, &piece{call: c, tokens: tokens, perToken: perToken})
+		for _, helper := range placement.Helpers {
+			p.add(now, p.servers[helper.Server], &piece{call: c, tokens: tokens, perToken: perToken, helper: true})
+		}
+	})
+}
+
+func (p *play) add(now time.Time, s *server, one *piece) {
+	s.pieces = append(s.pieces, one)
+	if !s.busy {
+		p.pass(now, s)
+	}
+}
--- a/internal/schedule/decide.go
+++ b/internal/schedule/decide.go
@@ -12,7 +12,7 @@
 	maxHelpers = 15
 	// partShare is the longest part of a prompt that one server reads, as a part
 	// of the time in which the answer must begin.
-	partShare = 0.3
+	partShare = 0.5
 	// mixPenalty is the delay that is accepted to keep streams with different
 	// pause bounds on different servers.
 	mixPenalty = 60 * time.Millisecond
@@ -30,6 +30,8 @@
 	// harmAfter is the part of its time that a request waits for a place without
 	// harm to others before it takes one with.
 	harmAfter = 0.1
+	// costlyInterval is how often such a place is looked for.
+	costlyInterval = 40 * time.Millisecond
 	// soloShare is the part of a server's memory up to which a request is held
 	// by one server.
 	soloShare = 0.8
@@ -51,7 +53,11 @@
 	for _, one := range s.order {
 		one.roll(now)
 	}
+	if len(s.waiting) == 0 {
+		return nil
+	}
 	s.sortWaiting(now)
+	s.refreshRooms(now)
 	kept := s.waiting[:0]
 	for _, j := range s.waiting {
 		switch {
@@ -155,43 +161,54 @@
 // would lose against what this one gains; and where the request can't be in
 // time at all, it takes the fewest that can read it without harm.
 func (s *Scheduler) placeEngine(now time.Time, j *job) bool {
-	rooms := s.rooms(now, j)
+	candidates := s.candidates(now, j)
 	plan := planMemory(s.engines[j.ask.Service].MemoryTokens, j.tokens)
 	longestPart := time.Duration(float64(j.ask.AimAt.Sub(j.since)) * partShare)
-	most := min(len(rooms), maxHelpers+1)
-	var late, costly choice
-	for count := 1 + plan.holders; count <= most; count++ {
-		piece := j.read / time.Duration(count)
-		if piece > longestPart && count < most {
+	most := min(len(candidates), maxHelpers+1)
+	fewest := max(1+plan.holders, min(most, int((j.read+longestPart-1)/max(longestPart, 1))))
+	var late choice
+	for count := fewest; count <= most; count++ {
+		chosen, found := s.choose(candidates, plan, count, j.read/time.Duration(count), 0)
+		if !found {
 			continue
 		}
-		if chosen, found := s.choose(rooms, plan, count, piece, 0); found {
-			if !chosen.readyAt.After(j.ask.AimAt) {
-				s.assign(now, j, chosen)
-				return true
-			}
-			if late.first == nil {
-				late = chosen
-			}
+		if !chosen.readyAt.After(j.ask.AimAt) {
+			s.assign(now, j, chosen)
+			return true
 		}
-		budget := j.ask.Worth * lateLoss * harmShare
-		if chosen, found := s.choose(rooms, plan, count, piece, budget); found && !chosen.readyAt.After(j.ask.AimAt) {
-			if costly.first == nil || chosen.loss < costly.loss {
-				costly = chosen
-			}
+		if late.first == nil {
+			late = chosen
 		}
 	}
-	switch {
-	case costly.first != nil && now.Sub(j.since) >= time.Duration(float64(j.ask.AimAt.Sub(j.since))*harmAfter):
+	if costly := s.chooseCostly(now, j, candidates, plan, fewest, most); costly.first != nil {
 		s.assign(now, j, costly)
-	case late.first != nil && now.After(j.ask.AimAt.Add(-piecesOf(j, late))):
-		s.assign(now, j, late)
-	default:
+		return true
+	}
+	if late.first == nil || now.Before(j.ask.AimAt.Add(-piecesOf(j, late))) {
 		return false
 	}
+	s.assign(now, j, late)
 	return true
 }
 
+// chooseCostly returns the servers on which a request that has waited for a
+// while is in time with the least loss to others, well below what it gains.
+func (s *Scheduler) chooseCostly(now time.Time, j *job, candidates []candidate, plan memoryPlan, fewest, most int) choice {
+	if now.Sub(j.since) < time.Duration(float64(j.ask.AimAt.Sub(j.since))*harmAfter) || now.Before(j.costlyAt) {
+		return choice{}
+	}
+	j.costlyAt = now.Add(costlyInterval)
+	best := choice{}
+	for count := fewest; count <= most; count++ {
+		piece := j.read / time.Duration(count)
+		chosen, found := s.choose(byLoss(candidates, piece), plan, count, piece, j.ask.Worth*lateLoss*harmShare)
+		if found && !chosen.readyAt.After(j.ask.AimAt) && (best.first == nil || chosen.loss < best.loss) {
+			best = chosen
+		}
+	}
+	return best
+}
+
 // piecesOf is how long the servers of a choice read.
 func piecesOf(j *job, c choice) time.Duration {
 	return j.read / time.Duration(1+len(c.helpers))
@@ -199,33 +216,44 @@
 
 // candidate is a server that could read a piece of a prompt.
 type candidate struct {
-	room
+	*room
+	// cost is when it would be ready, with the penalties of the choice.
 	cost time.Time
 }
 
-func (s *Scheduler) rooms(now time.Time, j *job) []candidate {
-	rooms := make([]candidate, 0, len(s.order))
+// refreshRooms computes what every model server could read now.
+func (s *Scheduler) refreshRooms(now time.Time) {
+	for _, one := range s.order {
+		if one.engine != nil {
+			one.room = one.roomAt(now)
+		}
+	}
+}
+
+// candidates returns the servers that may get the request, the best first.
+func (s *Scheduler) candidates(now time.Time, j *job) []candidate {
+	candidates := s.scratch[:0]
 	strict := j.ask.Pause < mixBound
 	for i, one := range s.order {
 		if !one.available(now, j) {
 			continue
 		}
-		r := one.roomAt(now)
 		rank := i
 		if !strict {
 			rank = len(s.order) - 1 - i
 		}
-		cost := r.readyAt.Add(time.Duration(rank) * rankPenalty)
-		if len(one.jobs) > 0 && strict != (r.bound < mixBound) {
+		cost := one.room.readyAt.Add(time.Duration(rank) * rankPenalty)
+		if len(one.jobs) > 0 && strict != (one.room.bound < mixBound) {
 			cost = cost.Add(mixPenalty)
 		}
 		if one.Zone != j.ask.Zone {
 			cost = cost.Add(zonePenalty)
 		}
-		rooms = append(rooms, candidate{room: r, cost: cost})
+		candidates = append(candidates, candidate{room: &one.room, cost: cost})
 	}
-	slices.SortStableFunc(rooms, func(a, b candidate) int { return a.cost.Compare(b.cost) })
-	return rooms
+	s.scratch = candidates
+	slices.SortFunc(candidates, func(a, b candidate) int { return a.cost.Compare(b.cost) })
+	return candidates
 }
 
 // memoryPlan is how the tokens of a request are spread over servers.
@@ -254,15 +282,13 @@
 	// readyAt is when the last of them has read its piece.
 	readyAt time.Time
 	piece   time.Duration
-	// loss is the worth of other requests that this makes late, rooms those
-	// that they are in.
-	loss  float64
-	rooms []room
+	// loss is the worth of other requests that this makes late.
+	loss float64
 }
 
 // byLoss orders servers by what others lose there.
-func byLoss(rooms []candidate, piece time.Duration) []candidate {
-	ordered := slices.Clone(rooms)
+func byLoss(candidates []candidate, piece time.Duration) []candidate {
+	ordered := slices.Clone(candidates)
 	slices.SortStableFunc(ordered, func(a, b candidate) int {
 		return cmp.Compare(a.lossOf(a.server.scaled(piece)), b.lossOf(b.server.scaled(piece)))
 	})
@@ -272,27 +298,27 @@
 // choose returns count servers that have room for a piece each, the first one
 // with a slot, and those that hold a part of the context with the memory.
 // The loss of the requests beside it stays within budget.
-func (s *Scheduler) choose(rooms []candidate, plan memoryPlan, count int, piece time.Duration, budget float64) (choice, bool) {
+func (s *Scheduler) choose(candidates []candidate, plan memoryPlan, count int, piece time.Duration, budget float64) (choice, bool) {
 	result := choice{piece: piece}
-	ordered := rooms
-	if budget > 0 {
-		ordered = byLoss(rooms, piece)
-	}
-	for i := range ordered {
-		c := &ordered[i]
+	for i := range candidates {
+		c := &candidates[i]
 		one := c.server
 		reading := one.scaled(piece)
-		loss := c.lossOf(reading)
-		if reading > c.longest || result.loss+loss > budget {
+		if reading > c.longest || budget == 0 && reading > c.harmless {
 			continue
 		}
-		free := int(memoryShare*float64(one.engine.MemoryTokens)) - one.used()
+		loss := 0.0
+		if reading > c.harmless {
+			if loss = c.lossOf(reading); result.loss+loss > budget {
+				continue
+			}
+		}
 		switch {
-		case result.first == nil && len(one.jobs) < s.slots(one) && free >= plan.first:
+		case result.first == nil && len(one.jobs) < s.slots(one) && c.free >= plan.first:
 			result.first = one
 		case len(result.helpers) == count-1 || len(one.helping) >= one.Slots/2:
 			continue
-		case len(result.helpers) < plan.holders && free >= plan.each:
+		case len(result.helpers) < plan.holders && c.free >= plan.each:
 			result.helpers = append(result.helpers, Helper{Server: one.ID, ReserveTokens: plan.each})
 		case count-1-len(result.helpers) > max(0, plan.holders-len(result.helpers)):
 			result.helpers = append(result.helpers, Helper{Server: one.ID})
@@ -300,7 +326,6 @@
 			continue
 		}
 		result.loss += loss
-		result.rooms = append(result.rooms, c.room)
 		if ready := c.readyAt.Add(reading + hop/2); ready.After(result.readyAt) {
 			result.readyAt = ready
 		}
@@ -314,8 +339,12 @@
 // assign places a request and reports it.
 func (s *Scheduler) assign(now time.Time, j *job, c choice) {
 	j.late = now.After(j.ask.AimAt) || c.readyAt.After(j.ask.AimAt)
-	for i := range c.rooms {
-		c.rooms[i].accept(c.rooms[i].server.scaled(c.piece))
+	if c.loss > 0 {
+		c.first.room.accept(c.first.scaled(c.piece))
+		for _, helper := range c.helpers {
+			one := s.servers[helper.Server]
+			one.room.accept(one.scaled(c.piece))
+		}
 	}
 	s.commit(now, j, c.first, c.helpers)
 	s.output = append(s.output, Placement{ID: j.ask.ID, Server: c.first.ID, Helpers: c.helpers})
@@ -344,10 +373,12 @@
 	piece := j.read / time.Duration(j.unread)
 	j.expectedAt = now
 	for _, one := range readers {
-		if ready := one.roomAt(now).readyAt.Add(one.scaled(piece)); ready.After(j.expectedAt) {
+		one.room = one.roomAt(now)
+		if ready := one.room.readyAt.Add(one.scaled(piece)); ready.After(j.expectedAt) {
 			j.expectedAt = ready
 		}
 		one.next = append(one.next, part{job: j, duration: piece, arrivesAt: now.Add(hop)})
 		one.roll(now)
+		one.room = one.roomAt(now)
 	}
 }
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -97,6 +97,8 @@
 	waiting []*job
 	placed  map[JobID]*job
 	output  []Placement
+	// scratch is reused between decisions.
+	scratch []candidate
 	// share is the part of every server that this scheduler may use.
 	share float64
 }
@@ -132,6 +134,8 @@
 	writing bool
 	// late is set once the request can't be on time any more.
 	late bool
+	// costlyAt is when a place with harm to others is looked for again.
+	costlyAt time.Time
 	// expectedAt is when the first event was expected at placement.
 	expectedAt time.Time
 }
--- a/internal/schedule/server.go
+++ b/internal/schedule/server.go
@@ -14,7 +14,7 @@
 	// the rest covers jitter on the way and errors of the estimate.
 	pauseShare = 0.88
 	// longestPass bounds a pass where no stream limits it.
-	longestPass = 1200 * time.Millisecond
+	longestPass = 2000 * time.Millisecond
 	// firstBackoff and longestBackoff bound how long a server that failed gets
 	// nothing new.
 	firstBackoff   = 400 * time.Millisecond
@@ -52,6 +52,8 @@
 	// helping holds the requests of other servers for which this one reads.
 	helping map[JobID]*help
 
+	// room is what the server could read, as of the decision in progress.
+	room room
 	// passEnd is the estimated end of the pass in progress, zero when idle.
 	passEnd time.Time
 	// current is read in the pass in progress, next in a later one.
@@ -240,11 +242,15 @@
 	server *server
 	// harms are the requests that further reading may make late.
 	harms []harm
-	// longest bounds the reading where no request is harmed.
+	// harmless is the longest reading that makes no request late.
+	harmless time.Duration
+	// longest bounds the reading in any case.
 	longest time.Duration
 	// readyAt is when a pass would end that reads nothing more.
 	readyAt time.Time
 	bound   time.Duration
+	// free is the memory in tokens that is not planned for.
+	free int
 }
 
 // roomAt returns what the next pass of the server can take.
@@ -255,7 +261,8 @@
 		begins = v.passEnd
 	}
 	write, queued := v.writeTime(), v.scaled(sum(v.next))
-	r := room{server: v, bound: v.pauseBound()}
+	r := room{server: v, bound: v.pauseBound(), harms: v.room.harms[:0]}
+	r.free = int(memoryShare*float64(v.engine.MemoryTokens)) - v.used()
 	r.readyAt = begins.Add(write + queued)
 	taken := write + queued + v.scaled(sum(v.current))
 	r.longest = longestPass - taken
@@ -274,6 +281,10 @@
 			}
 		}
 	}
+	r.harmless = r.longest
+	for i := range r.harms {
+		r.harmless = min(r.harmless, r.harms[i].limit)
+	}
 	return r
 }
 
