site: a stopping VM takes no stream that it can't finish, and closes idle connections

Such requests are refused at once with Retry-After 10 ms; idle connections are closed once the balancer has had time to turn away.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -21,6 +21,13 @@
 	// shortestNotReady bounds from below when a request may come back that met a
 	// VM without a route table.
 	shortestNotReady = 300 * time.Millisecond
+	// streamNeeds and plainNeeds are the times that a stream and a plain request
+	// usually take to their end.
+	streamNeeds = 5 * time.Second
+	plainNeeds  = time.Second
+	// stopRetry is when a request may come back that met a stopping VM; it then
+	// comes to another one.
+	stopRetry = 10 * time.Millisecond
 	// overloadRetry is when a request may come back that found no scheduler.
 	overloadRetry = time.Second
 	// maxSends bounds the sendings of one request, those included that servers
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -167,6 +167,9 @@
 	// Zone of this VM; Incarnation numbers this start of the process.
 	Zone        string
 	Incarnation uint64
+	// StopsIn returns how long this VM still runs when a planned stop is in
+	// progress.
+	StopsIn func() (left time.Duration, stopping bool)
 	Logger      zerolog.Logger
 	Metrics     *observe.Metrics
 }
@@ -201,6 +204,10 @@
 		g.refuse(request, caller, RefusedNoRoute, 0, "no route")
 		return
 	}
+	if left, stopping := g.options.StopsIn(); stopping && left < needed(route) {
+		g.refuse(request, caller, RefusedNotReady, stopRetry, "this VM stops too soon")
+		return
+	}
 	x := &exchange{gateway: g, request: request, caller: caller, table: table, route: route, lastEvent: request.ResumeAfter}
 	if table.NeedsKey(route) {
 		if x.team = table.TeamOf(request.Key); x.team == nil {
@@ -225,6 +232,15 @@
 	caller.Refuse(code, retryAfter)
 }
 
+// needed is the time that a request of route usually takes to its end: a
+// stopping VM takes no request that it could not finish.
+func needed(route *routes.Route) time.Duration {
+	if route.Kind == routes.KindStream {
+		return streamNeeds
+	}
+	return min(plainNeeds, route.Timeout)
+}
+
 // hash spreads request ids evenly.
 func hash(id string) uint64 {
 	h := fnv.New64a()
--- a/internal/site/entry.go
+++ b/internal/site/entry.go
@@ -40,9 +40,6 @@
 	stopMargin = 400 * time.Millisecond
 	// quietBeforeExit is how long a stopping VM must have had no request.
 	quietBeforeExit = 700 * time.Millisecond
-	// lateStop is how long after the begin of a stop streams are still begun:
-	// one that comes later might not end within the limit of the stop.
-	lateStop = 2500 * time.Millisecond
 	// balancerWait is how long callers may still be sent to a VM that is no
 	// longer ready.
 	balancerWait = 2500 * time.Millisecond
@@ -85,6 +82,8 @@
 	orders   *h1.Client
 	metrics  *observe.Metrics
 	stopping atomic.Bool
+	// stopAt is when a planned stop ends at the latest, in Unix nanoseconds.
+	stopAt atomic.Int64
 	// lastRequest is when a request last arrived, in Unix nanoseconds.
 	lastRequest atomic.Int64
 	running     sync.WaitGroup
@@ -110,6 +109,7 @@
 	e.gateway = gateway.New(gateway.Options{
 		Table: e.link.Table, Placer: e.link, Budget: newSharedBudget(settings, e.link.EntryVMs), Servers: e.link,
 		Backend: calls, Memory: calls, Zone: settings.Zone, Incarnation: incarnation, Logger: logger, Metrics: e.metrics,
+		StopsIn: e.stopsIn,
 	})
 	return e.run(ctx, parts)
 }
@@ -138,7 +138,7 @@
 	observe.Log(e.logger, observe.ProcessStarted).Str("callers", e.settings.Callers).Strs("seeds", e.settings.Seeds).Send()
 	<-ctx.Done()
 	observe.Log(e.logger, observe.ProcessStopping).Int("in_progress", e.gateway.Running()).Send()
-	e.drain(time.Now())
+	e.drain(time.Now(), server)
 	cut := e.gateway.Running()
 	_ = server.Close()
 	_ = ready.Close()
@@ -156,16 +156,32 @@
 	return server
 }
 
+// stopsIn returns how long this VM still runs when it stops.
+func (e *Entry) stopsIn() (left time.Duration, stopping bool) {
+	if !e.stopping.Load() {
+		return 0, false
+	}
+	return time.Until(time.Unix(0, e.stopAt.Load())), true
+}
+
 // drain serves on until nothing has come for a while and nothing is in
-// progress, or the limit of the stop is near.
-func (e *Entry) drain(begun time.Time) {
-	e.stopping.Store(true)
+// progress, or the limit of the stop is near. Once the balancer sends nobody
+// here any more, idle connections are closed, so that no request comes late on
+// one of them.
+func (e *Entry) drain(begun time.Time, server *http.Server) {
 	limit := begun.Add(e.settings.StopLimit - stopMargin)
+	e.stopAt.Store(limit.UnixNano())
+	e.stopping.Store(true)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	kept := true
 	for now := range ticker.C {
+		if kept && now.Sub(begun) > balancerWait {
+			kept = false
+			server.SetKeepAlivesEnabled(false)
+		}
 		quiet := now.Sub(time.Unix(0, e.lastRequest.Load())) > quietBeforeExit
-		if now.After(limit) || now.Sub(begun) > balancerWait && quiet && e.gateway.Running() == 0 {
+		if now.After(limit) || !kept && quiet && e.gateway.Running() == 0 {
 			return
 		}
 	}
