--- a/internal/schedule/decide.go
+++ b/internal/schedule/decide.go
@@ -300,6 +300,7 @@
 // The loss of the requests beside it stays within budget.
 func (s *Scheduler) choose(candidates []candidate, plan memoryPlan, count int, piece time.Duration, budget float64) (choice, bool) {
 	result := choice{piece: piece}
+	holders := 0
 	for i := range candidates {
 		c := &candidates[i]
 		one := c.server
@@ -318,9 +319,10 @@
 			result.first = one
 		case len(result.helpers) == count-1 || len(one.helping) >= one.Slots/2:
 			continue
-		case len(result.helpers) < plan.holders && c.free >= plan.each:
+		case holders < plan.holders && c.free >= plan.each:
+			holders++
 			result.helpers = append(result.helpers, Helper{Server: one.ID, ReserveTokens: plan.each})
-		case count-1-len(result.helpers) > max(0, plan.holders-len(result.helpers)):
+		case count-1-len(result.helpers) > plan.holders-holders:
 			result.helpers = append(result.helpers, Helper{Server: one.ID})
 		default:
 			continue
--- /dev/null
+++ b/internal/schedule/memory_test.go
@@ -0,0 +1,53 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwityoke.example/godwityoke/internal/routes"
+)
+
+func testEngine() *routes.Engine {
+	return &routes.Engine{
+		Slots: 16, MemoryTokens: 232_000, Stride: 43, Chunk: 2048, Step: 1020 * time.Microsecond,
+		StepPerWriter: 2260 * time.Nanosecond, StepPerToken: 4 * time.Nanosecond,
+		ReadPerToken: 4854 * time.Nanosecond, ReadPerPairNs: 0.138,
+	}
+}
+
+func testScheduler(now time.Time, servers int) *Scheduler {
+	s := New()
+	s.SetEngines(&routes.Table{Services: []routes.Service{{Name: "model", Engine: testEngine()}}})
+	for i := range servers {
+		s.SetServer(now, Server{ID: string(rune('a' + i)), Service: "model", Slots: 16, Accepts: true})
+	}
+	return s
+}
+
+// A prompt that no server holds alone has memory reserved for all of it but the
+// part of the first server, also where a helper without free memory comes
+// before those that have it.
+func TestMemoryOfALargePromptIsReserved(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	s := testScheduler(now, 6)
+	s.refreshRooms(now)
+	candidates := make([]candidate, 0, len(s.order))
+	for i, one := range s.order {
+		if i == 1 || i == 2 {
+			one.room.free = 1000
+		}
+		candidates = append(candidates, candidate{room: &one.room})
+	}
+	plan := planMemory(232_000, 300_700)
+	require.Equal(t, 2, plan.holders)
+	chosen, found := s.choose(candidates, plan, 5, 100*time.Millisecond, 0)
+	require.True(t, found)
+	require.Len(t, chosen.helpers, 4)
+	reserved := 0
+	for _, helper := range chosen.helpers {
+		reserved += helper.ReserveTokens
+	}
+	require.Equal(t, 300_700-plan.first, reserved)
+}
