--- /dev/null
+++ b/internal/hub/hub_test.go
@@ -0,0 +1,193 @@
+package hub
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"godwityoke.example/godwityoke/internal/registry"
+	"godwityoke.example/godwityoke/internal/replica"
+	"godwityoke.example/godwityoke/internal/roster"
+	"godwityoke.example/godwityoke/internal/routes"
+	"godwityoke.example/godwityoke/internal/schedule"
+	"godwityoke.example/godwityoke/internal/transport"
+)
+
+// fakeGroup is a control group of which one hub leads, or none.
+type fakeGroup struct {
+	mu       sync.Mutex
+	registry *registry.Registry
+	leader   string
+	self     string
+	members  []string
+}
+
+func (g *fakeGroup) Propose(_ context.Context, command []byte) ([]byte, error) {
+	return g.registry.Apply(1, command), nil
+}
+
+func (g *fakeGroup) ReadBarrier(context.Context) error {
+	if !g.Leadership().IsLeader {
+		return replica.ErrNotLeader
+	}
+	return nil
+}
+
+func (g *fakeGroup) Leadership() replica.Leadership {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return replica.Leadership{Term: 1, LeaderName: g.leader, IsLeader: g.leader == g.self && g.self != ""}
+}
+
+func (g *fakeGroup) MemberAddresses() []string { return g.members }
+
+// testHub is a hub that serves on loopback.
+type testHub struct {
+	*Hub
+	group   *fakeGroup
+	address string
+}
+
+func startHub(t *testing.T, listener net.Listener, leader string, members ...string) *testHub {
+	t.Helper()
+	address := listener.Addr().String()
+	state := registry.New()
+	group := &fakeGroup{registry: state, leader: leader, self: address, members: members}
+	pool := transport.NewPool(transport.PoolOptions{})
+	server := transport.NewServer(transport.ServerOptions{})
+	h := New(Options{
+		Address: address, Registry: state, Group: func() Group { return group }, Pool: pool, Decode: decodeTestTable,
+		SilentAfter: 5 * time.Second, ForgetAfter: 10 * time.Second, Logger: zerolog.Nop(), OnJoin: func(Joiner) {},
+	})
+	h.Register(server)
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { h.Run(ctx) })
+	running.Go(func() { _ = server.Serve(listener) })
+	t.Cleanup(func() {
+		cancel()
+		server.Stop()
+		running.Wait()
+		pool.Close()
+	})
+	return &testHub{Hub: h, group: group, address: address}
+}
+
+func decodeTestTable(content []byte) (*routes.Table, error) {
+	return routes.New(routes.Table{Version: uint64(len(content))}), nil
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	return listener
+}
+
+func startLink(t *testing.T, seeds ...string) *Link {
+	t.Helper()
+	pool := transport.NewPool(transport.PoolOptions{})
+	link := NewLink(LinkOptions{
+		VM: "entry-1", Zone: "a", Incarnation: 7, Seeds: seeds, Pool: pool, Decode: decodeTestTable,
+		SilentAfter: 5 * time.Second, ForgetAfter: 10 * time.Second, Logger: zerolog.Nop(), OnServerGone: func(string) {},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { link.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+		pool.Close()
+	})
+	return link
+}
+
+func waitFor(t *testing.T, within time.Duration, what string, condition func() bool) {
+	t.Helper()
+	require.Eventually(t, condition, within, 10*time.Millisecond, what)
+}
+
+func version(l *Link) uint64 {
+	if table := l.Table(); table != nil {
+		return table.Version
+	}
+	return 0
+}
+
+func TestRouteTableReachesEntryVMs(t *testing.T) {
+	listener := listen(t)
+	h := startHub(t, listener, listener.Addr().String(), listener.Addr().String())
+	link := startLink(t, h.address)
+	require.NoError(t, h.Put(context.Background(), 5, []byte("12345")))
+	waitFor(t, 3*time.Second, "version 5", func() bool { return version(link) == 5 })
+	require.NoError(t, h.Put(context.Background(), 3, []byte("123")))
+	content, err := h.Get(context.Background())
+	require.NoError(t, err)
+	require.Equal(t, "12345", string(content))
+}
+
+// A control VM that is cut off from the leader still answers entry VMs; they
+// must not miss what the others accept.
+func TestEntryVMLeavesControlVMWithoutLeader(t *testing.T) {
+	isolated, leading := listen(t), listen(t)
+	both := []string{isolated.Addr().String(), leading.Addr().String()}
+	cut := startHub(t, isolated, "", both...)
+	link := startLink(t, cut.address)
+	waitFor(t, 3*time.Second, "attached", link.isAttached)
+	leader := startHub(t, leading, leading.Addr().String(), both...)
+	require.NoError(t, leader.Put(context.Background(), 5, []byte("12345")))
+	waitFor(t, 6*time.Second, "the table of the leader", func() bool { return version(link) == 5 })
+}
+
+func announceServer(t *testing.T, h *testHub) {
+	t.Helper()
+	require.NoError(t, h.Announce(context.Background(), roster.Server{
+		ID: "s1", Service: "plain", Address: "127.0.0.1:1", Zone: "a", Slots: 2, State: roster.StateReady,
+		Born: time.Now(), Sequence: 1, HeardAt: time.Now(),
+	}))
+}
+
+func testAsk(seq uint64) schedule.Ask {
+	now := time.Now()
+	return schedule.Ask{
+		ID: schedule.JobID{VM: 7, Seq: seq}, Service: "plain", Zone: "a",
+		AimAt: now.Add(time.Second), GiveUpAt: now.Add(2 * time.Second), Worth: 1,
+	}
+}
+
+func TestSchedulerPlacesWithinSlots(t *testing.T) {
+	listener := listen(t)
+	h := startHub(t, listener, listener.Addr().String(), listener.Addr().String())
+	announceServer(t, h)
+	link := startLink(t, h.address)
+	waitFor(t, 3*time.Second, "the server and the scheduler", func() bool {
+		_, found := link.Find("s1")
+		leader, _ := link.state.knownControl()
+		return found && leader == h.address
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	for seq := uint64(1); seq <= 2; seq++ {
+		placement, err := link.Place(ctx, testAsk(seq))
+		require.NoError(t, err)
+		require.Equal(t, "s1", placement.Server)
+		require.False(t, placement.Local)
+	}
+	third := make(chan schedule.Placement, 1)
+	go func() {
+		placement, _ := link.Place(ctx, testAsk(3))
+		third <- placement
+	}()
+	select {
+	case <-third:
+		t.Fatal("a third request was placed on two slots")
+	case <-time.After(300 * time.Millisecond):
+	}
+	link.Ended(schedule.JobID{VM: 7, Seq: 1}, schedule.EndDone)
+	require.Equal(t, "s1", (<-third).Server)
+}
--- a/internal/hub/link.go
+++ b/internal/hub/link.go
@@ -34,6 +34,11 @@
 	// not lead before it turns to the leader: long enough to get all news, and
 	// to bound the turns while control VMs disagree about the leader.
 	leaderPatience = 300 * time.Millisecond
+	// isolatedPatience is how long an entry VM stays with a control VM that knows
+	// no leader: a little longer than an election takes. longestIsolated bounds
+	// it from above while no other is found.
+	isolatedPatience = 900 * time.Millisecond
+	longestIsolated  = 4 * time.Second
 	// suspectAfter is the silence after an ask that makes an entry VM place
 	// requests itself: ten times the way to another zone and back.
 	suspectAfter = 110 * time.Millisecond
@@ -43,6 +48,7 @@
 
 var (
 	errLinkSilent  = errors.New("no frame came")
+	errIsolated    = errors.New("the control VM knows no leader")
 	errOtherLeader = errors.New("another control VM leads")
 )
 
--- a/internal/hub/linkstate.go
+++ b/internal/hub/linkstate.go
@@ -32,6 +32,9 @@
 	cancel     context.CancelCauseFunc
 	address    string
 	attachedAt time.Time
+	// leaderSeenAt is when the attached control VM last knew a leader.
+	leaderSeenAt time.Time
+	isolatedWait time.Duration
 	// schedules is set while the attached control VM places requests.
 	schedules bool
 	// suspect is set while the scheduler has not answered an ask for too long.
@@ -64,7 +67,7 @@
 
 func newLinkState(link *Link) linkState {
 	return linkState{
-		link: link, local: schedule.New(),
+		link: link, local: schedule.New(), isolatedWait: isolatedPatience,
 		asked: map[schedule.JobID]*askState{}, running: map[schedule.JobID]*runState{},
 	}
 }
@@ -281,11 +284,30 @@
 		s.schedules = true
 		s.askRemotely(now)
 	}
+	s.leaveIsolated(view.GetLeader(), now)
 	if leader != "" && leader != s.address && now.Sub(s.attachedAt) >= leaderPatience {
 		s.cancel(errOtherLeader)
 	}
 }
 
+// leaveIsolated turns away from a control VM that has known no leader for a
+// while: it may be cut off from the others, and would keep this VM from their
+// news. While no other one is found, it is left ever more seldom.
+func (s *linkState) leaveIsolated(leader string, now time.Time) {
+	if leader != "" {
+		s.leaderSeenAt, s.isolatedWait = now, isolatedPatience
+		return
+	}
+	if s.leaderSeenAt.Before(s.attachedAt) {
+		s.leaderSeenAt = s.attachedAt
+	}
+	if now.Sub(s.leaderSeenAt) < s.isolatedWait {
+		return
+	}
+	s.isolatedWait = min(2*s.isolatedWait, longestIsolated)
+	s.cancel(errIsolated)
+}
+
 func (s *linkState) takeServers(servers []roster.Server, now time.Time) {
 	s.link.mu.Lock()
 	defer s.link.mu.Unlock()
