schedule: servers are ranked once a decision; entry VMs cut off draw their servers

Cause: on the grown sites the leader ranked 54 servers anew for each waiting request and fell behind at a crest; 403 entry VMs then placed by themselves with at least one slot on every server, 66 for 12 slots, and workers rejected 1,569 of 5,592 arrivals until the retry budget was used up.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -170,8 +170,8 @@
 	// StopsIn returns how long this VM still runs when a planned stop is in
 	// progress.
 	StopsIn func() (left time.Duration, stopping bool)
-	Logger      zerolog.Logger
-	Metrics     *observe.Metrics
+	Logger  zerolog.Logger
+	Metrics *observe.Metrics
 }
 
 // Gateway serves requests. It is safe for concurrent use.
--- a/internal/hub/linkstate.go
+++ b/internal/hub/linkstate.go
@@ -274,7 +274,7 @@
 		observe.Log(s.link.options.Logger, observe.LinkAttached).Str("control_vm", s.address).
 			Bool("schedules", view.GetSchedules()).Str("leader", view.GetLeader()).Uint32("entry_vms", view.GetEntryVms()).Send()
 	}
-	s.local.SetShare(1 / float64(max(1, view.GetEntryVms())))
+	s.local.SetShare(1/float64(max(1, view.GetEntryVms())), s.link.options.Incarnation)
 	if s.schedules && !view.GetSchedules() {
 		s.schedules = false
 		s.askLocally(now)
--- a/internal/schedule/decide.go
+++ b/internal/schedule/decide.go
@@ -22,9 +22,8 @@
 	// earlier in the order: strict streams fill the servers from the first on,
 	// others from the last on, so that both keep apart as long as there is room.
 	rankPenalty = 12 * time.Millisecond
-	// zonePenalty is the delay that is accepted to stay in the zone, where bytes
-	// are not priced.
-	zonePenalty = 3 * time.Millisecond
+	// shortestPart is the reading below which a prompt is not split further.
+	shortestPart = 30 * time.Millisecond
 	// harmShare is the part of what a request gains that others may lose to it.
 	harmShare = 0.5
 	// harmAfter is the part of its time that a request waits for a place without
@@ -56,8 +55,10 @@
 	if len(s.waiting) == 0 {
 		return nil
 	}
+	s.now = now
 	s.sortWaiting(now)
 	s.refreshRooms(now)
+	s.forgetRankings()
 	kept := s.waiting[:0]
 	for _, j := range s.waiting {
 		switch {
@@ -133,11 +134,10 @@
 		if !one.available(now, j) {
 			continue
 		}
-		slots := s.slots(one)
-		if len(one.jobs) >= slots {
+		if len(one.jobs) >= one.share {
 			continue
 		}
-		load := float64(len(one.jobs)) / float64(slots)
+		load := float64(len(one.jobs)) / float64(one.share)
 		if one.Zone != j.ask.Zone {
 			load += 0.01
 		}
@@ -152,19 +152,19 @@
 	return true
 }
 
-func (s *Scheduler) slots(one *server) int {
-	return max(1, int(math.Round(float64(one.Slots)*s.share)))
-}
-
 // placeEngine takes the fewest servers that read the prompt in time without
 // making any other request late. Where there are none, it weighs what others
 // would lose against what this one gains; and where the request can't be in
 // time at all, it takes the fewest that can read it without harm.
 func (s *Scheduler) placeEngine(now time.Time, j *job) bool {
-	candidates := s.candidates(now, j)
+	ranked := s.rank(j)
+	if ranked.failed > 0 && j.read >= ranked.failed && now.Before(j.costlyAt) {
+		return false
+	}
+	candidates := s.candidates(ranked, j)
 	plan := planMemory(s.engines[j.ask.Service].MemoryTokens, j.tokens)
 	longestPart := time.Duration(float64(j.ask.AimAt.Sub(j.since)) * partShare)
-	most := min(len(candidates), maxHelpers+1)
+	most := min(len(candidates), maxHelpers+1, 1+plan.holders+int(j.read/shortestPart))
 	fewest := max(1+plan.holders, min(most, int((j.read+longestPart-1)/max(longestPart, 1))))
 	var late choice
 	for count := fewest; count <= most; count++ {
@@ -184,6 +184,9 @@
 		s.assign(now, j, costly)
 		return true
 	}
+	if late.first == nil && (ranked.failed == 0 || j.read < ranked.failed) {
+		ranked.failed = j.read
+	}
 	if late.first == nil || now.Before(j.ask.AimAt.Add(-piecesOf(j, late))) {
 		return false
 	}
@@ -230,30 +233,69 @@
 	}
 }
 
-// candidates returns the servers that may get the request, the best first.
-func (s *Scheduler) candidates(now time.Time, j *job) []candidate {
-	candidates := s.scratch[:0]
-	strict := j.ask.Pause < mixBound
+// ranking lists the servers of one service from the best to the worst, for
+// requests with a strict pause bound or for others.
+type ranking struct {
+	candidates []candidate
+	// failed is the shortest reading that found no place since the last one did;
+	// longer ones need not be tried.
+	failed time.Duration
+}
+
+// rankingKey names a ranking.
+type rankingKey struct {
+	service string
+	strict  bool
+}
+
+// rank returns the ranking for a request, made when first needed in a decision.
+func (s *Scheduler) rank(j *job) *ranking {
+	key := rankingKey{service: j.ask.Service, strict: j.ask.Pause < mixBound}
+	r := s.rankings[key]
+	if r == nil {
+		r = &ranking{}
+		s.rankings[key] = r
+	}
+	if len(r.candidates) == 0 {
+		s.fillRanking(r, key)
+	}
+	return r
+}
+
+func (s *Scheduler) fillRanking(r *ranking, key rankingKey) {
+	r.failed = 0
 	for i, one := range s.order {
-		if !one.available(now, j) {
+		if one.Service != key.service || !one.takesNew(s.now) {
 			continue
 		}
-		rank := i
-		if !strict {
-			rank = len(s.order) - 1 - i
+		place := i
+		if !key.strict {
+			place = len(s.order) - 1 - i
 		}
-		cost := one.room.readyAt.Add(time.Duration(rank) * rankPenalty)
-		if len(one.jobs) > 0 && strict != (one.room.bound < mixBound) {
+		cost := one.room.readyAt.Add(time.Duration(place) * rankPenalty)
+		if len(one.jobs) > 0 && key.strict != (one.room.bound < mixBound) {
 			cost = cost.Add(mixPenalty)
 		}
-		if one.Zone != j.ask.Zone {
-			cost = cost.Add(zonePenalty)
-		}
-		candidates = append(candidates, candidate{room: &one.room, cost: cost})
+		r.candidates = append(r.candidates, candidate{room: &one.room, cost: cost})
 	}
-	s.scratch = candidates
-	slices.SortFunc(candidates, func(a, b candidate) int { return a.cost.Compare(b.cost) })
-	return candidates
+	slices.SortFunc(r.candidates, func(a, b candidate) int { return a.cost.Compare(b.cost) })
+}
+
+// forgetRankings makes the next request rank the servers anew.
+func (s *Scheduler) forgetRankings() {
+	for _, r := range s.rankings {
+		r.candidates = r.candidates[:0]
+	}
+}
+
+// candidates returns the ranked servers without those that failed the request.
+func (s *Scheduler) candidates(r *ranking, j *job) []candidate {
+	if len(j.ask.Excluded) == 0 {
+		return r.candidates
+	}
+	return slices.DeleteFunc(slices.Clone(r.candidates), func(c candidate) bool {
+		return slices.Contains(j.ask.Excluded, c.server.ID)
+	})
 }
 
 // memoryPlan is how the tokens of a request are spread over servers.
@@ -315,7 +357,7 @@
 			}
 		}
 		switch {
-		case result.first == nil && len(one.jobs) < s.slots(one) && c.free >= plan.first:
+		case result.first == nil && len(one.jobs) < one.share && c.free >= plan.first:
 			result.first = one
 		case len(result.helpers) == count-1 || len(one.helping) >= one.Slots/2:
 			continue
@@ -349,6 +391,7 @@
 		}
 	}
 	s.commit(now, j, c.first, c.helpers)
+	s.forgetRankings()
 	s.output = append(s.output, Placement{ID: j.ask.ID, Server: c.first.ID, Helpers: c.helpers})
 }
 
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -6,6 +6,9 @@
 package schedule
 
 import (
+	"encoding/binary"
+	"hash/fnv"
+	"math"
 	"time"
 
 	"godwityoke.example/godwityoke/internal/routes"
@@ -97,23 +100,48 @@
 	waiting []*job
 	placed  map[JobID]*job
 	output  []Placement
-	// scratch is reused between decisions.
-	scratch []candidate
-	// share is the part of every server that this scheduler may use.
-	share float64
+	// now is the time of the decision in progress, rankings its orders of the
+	// servers.
+	now      time.Time
+	rankings map[rankingKey]*ranking
+	// part is the part of every server that this scheduler may use, seed spreads
+	// what is left over by rounding.
+	part float64
+	seed uint64
 }
 
 // New returns a scheduler without servers that may use all of each.
 func New() *Scheduler {
 	return &Scheduler{
 		servers: map[string]*server{}, engines: map[string]*routes.Engine{},
-		placed: map[JobID]*job{}, share: 1,
+		placed: map[JobID]*job{}, part: 1, rankings: map[rankingKey]*ranking{},
 	}
 }
 
 // SetShare sets the part of every server that this scheduler may use, from 0
-// to 1, where other VMs place requests on their own.
-func (s *Scheduler) SetShare(share float64) { s.share = share }
+// to 1, where other VMs place requests on their own. Seed differs between VMs:
+// where the part is less than a slot, it draws the servers that this one may
+// use, so that all VMs together use about all slots.
+func (s *Scheduler) SetShare(part float64, seed uint64) {
+	s.part, s.seed = part, seed
+	for _, one := range s.order {
+		one.share = s.shareOf(&one.Server)
+	}
+}
+
+func (s *Scheduler) shareOf(server *Server) int {
+	if s.part >= 1 {
+		return server.Slots
+	}
+	exact := float64(server.Slots) * s.part
+	whole := math.Floor(exact)
+	h := fnv.New64a()
+	_, _ = h.Write(binary.BigEndian.AppendUint64([]byte(server.ID), s.seed)) // never fails
+	if float64(h.Sum64()>>11)/(1<<53) < exact-whole {
+		whole++
+	}
+	return int(whole)
+}
 
 // job is a request that waits or was placed.
 type job struct {
@@ -163,6 +191,7 @@
 	}
 	known.Server = updated
 	known.engine = s.engines[updated.Service]
+	known.share = s.shareOf(&updated)
 	known.roll(now)
 }
 
--- a/internal/schedule/server.go
+++ b/internal/schedule/server.go
@@ -47,6 +47,8 @@
 type server struct {
 	Server
 	engine *routes.Engine
+	// share is the slots that this scheduler may use.
+	share int
 	// jobs holds the requests for which this is the first server.
 	jobs map[JobID]*job
 	// helping holds the requests of other servers for which this one reads.
@@ -317,9 +319,12 @@
 	}
 }
 
+// takesNew tells whether the server may get further requests.
+func (v *server) takesNew(now time.Time) bool { return v.Accepts && !now.Before(v.outUntil) }
+
 // available tells whether the server may get a further request of j.
 func (v *server) available(now time.Time, j *job) bool {
-	if !v.Accepts || v.Service != j.ask.Service || now.Before(v.outUntil) {
+	if !v.takesNew(now) || v.Service != j.ask.Service {
 		return false
 	}
 	for _, excluded := range j.ask.Excluded {
