hub: entry VMs find a living control VM in half a second a try

It went back to the dead leader every 1.5 s, and each try took 1.3 s. The first frame must now come within 0.5 s, a VM out of reach is avoided ever longer, and a lost leader is no longer preferred. The new test failed four times of four on the old code.

--- a/internal/hub/hub_test.go
+++ b/internal/hub/hub_test.go
@@ -144,6 +144,22 @@
 	waitFor(t, 6*time.Second, "the table of the leader", func() bool { return version(link) == 5 })
 }
 
+// Control VMs without power take connections to nowhere; an entry VM that lost
+// its leader must not spend seconds on each of them.
+func TestEntryVMFindsTheLivingControlVM(t *testing.T) {
+	living := listen(t)
+	seeds := []string{living.Addr().String()}
+	for range 4 {
+		dead := listen(t) // never accepts
+		t.Cleanup(func() { _ = dead.Close() })
+		seeds = append(seeds, dead.Addr().String())
+	}
+	h := startHub(t, living, living.Addr().String(), seeds...)
+	require.NoError(t, h.Put(context.Background(), 5, []byte("12345")))
+	link := startLink(t, seeds...)
+	waitFor(t, 4*time.Second, "version 5", func() bool { return version(link) == 5 })
+}
+
 func announceServer(t *testing.T, h *testHub) {
 	t.Helper()
 	require.NoError(t, h.Announce(context.Background(), roster.Server{
--- a/internal/hub/link.go
+++ b/internal/hub/link.go
@@ -28,8 +28,13 @@
 	linkPulse = time.Second
 	// linkRetry is the pause between two attempts to attach.
 	linkRetry = 100 * time.Millisecond
-	// leaderAvoid is how long a leader that could not be reached is not tried.
-	leaderAvoid = 1500 * time.Millisecond
+	// firstFrameWait is how long the first frame may take: a connection, a
+	// passage there and back, and a busy control VM.
+	firstFrameWait = 500 * time.Millisecond
+	// firstAvoid and longestAvoid bound how long a control VM that could not be
+	// reached is not tried.
+	firstAvoid   = time.Second
+	longestAvoid = 8 * time.Second
 	// leaderPatience is how long an entry VM stays with a control VM that does
 	// not lead before it turns to the leader: long enough to get all news, and
 	// to bound the turns while control VMs disagree about the leader.
@@ -168,22 +173,21 @@
 
 // attachLoop attaches to one control VM after the other.
 func (l *Link) attachLoop(ctx context.Context) {
-	avoid := map[string]time.Time{}
-	lost := true
+	failures := newFailures()
 	for ctx.Err() == nil {
-		address := l.nextAddress(avoid, time.Now())
-		err := l.attach(ctx, address)
+		address := l.nextAddress(failures, time.Now())
+		up, err := l.attach(ctx, address)
 		if ctx.Err() != nil {
 			return
 		}
+		if up {
+			observe.Log(l.options.Logger, observe.LinkLost).Str("control_vm", address).Err(err).Send()
+			failures.clear(address)
+		}
 		if errors.Is(err, errOtherLeader) {
 			continue
 		}
-		avoid[address] = time.Now().Add(leaderAvoid)
-		if !lost || l.isAttached() {
-			observe.Log(l.options.Logger, observe.LinkLost).Str("control_vm", address).Err(err).Send()
-		}
-		lost = true
+		failures.add(address, time.Now())
 		select {
 		case <-time.After(linkRetry):
 		case <-ctx.Done():
@@ -191,6 +195,29 @@
 	}
 }
 
+// failures holds until when control VMs are not tried again, ever longer while
+// they stay out of reach.
+type failures struct {
+	until map[string]time.Time
+	wait  map[string]time.Duration
+}
+
+func newFailures() *failures {
+	return &failures{until: map[string]time.Time{}, wait: map[string]time.Duration{}}
+}
+
+func (f *failures) add(address string, now time.Time) {
+	wait := min(max(2*f.wait[address], firstAvoid), longestAvoid)
+	f.wait[address], f.until[address] = wait, now.Add(wait)
+}
+
+func (f *failures) clear(address string) {
+	delete(f.wait, address)
+	delete(f.until, address)
+}
+
+func (f *failures) avoided(address string, now time.Time) bool { return now.Before(f.until[address]) }
+
 func (l *Link) isAttached() bool {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
@@ -198,52 +225,55 @@
 }
 
 // nextAddress prefers the leader, then control VMs that did not fail lately.
-func (l *Link) nextAddress(avoid map[string]time.Time, now time.Time) string {
+func (l *Link) nextAddress(failures *failures, now time.Time) string {
 	leader, control := l.state.knownControl()
-	if leader != "" && now.After(avoid[leader]) {
+	if leader != "" && !failures.avoided(leader, now) {
 		return leader
 	}
-	var fresh []string
 	all := append(slices.Clone(control), l.options.Seeds...)
+	slices.Sort(all)
+	all = slices.Compact(all)
+	var fresh []string
 	for _, address := range all {
-		if now.After(avoid[address]) {
+		if !failures.avoided(address, now) {
 			fresh = append(fresh, address)
 		}
 	}
-	if len(fresh) == 0 {
-		fresh = all
+	if len(fresh) > 0 {
+		return fresh[rand.IntN(len(fresh))]
 	}
-	return fresh[rand.IntN(len(fresh))]
+	return slices.MinFunc(all, func(a, b string) int { return failures.until[a].Compare(failures.until[b]) })
 }
 
-// attach runs one stream to its end.
-func (l *Link) attach(ctx context.Context, address string) error {
+// attach runs one stream to its end and tells whether it ever was up.
+func (l *Link) attach(ctx context.Context, address string) (up bool, err error) {
 	conn, err := l.options.Pool.Conn(address)
 	if err != nil {
-		return err
+		return false, err
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	silence := time.AfterFunc(linkSilence, func() { cancel(errLinkSilent) })
+	silence := time.AfterFunc(firstFrameWait, func() { cancel(errLinkSilent) })
 	defer silence.Stop()
 	stream, err := hubpb.NewHubClient(conn).Attach(ctx)
 	if err != nil {
-		return l.abandon(address, conn, ctx, err)
+		return false, l.abandon(address, conn, ctx, err)
 	}
 	outbox := make(chan *hubpb.EntryFrame, outboxFrames)
 	if err := l.send(ctx, attachMessage{address: address, outbox: outbox, cancel: cancel}); err != nil {
-		return err
+		return false, err
 	}
 	defer func() { _ = l.send(context.WithoutCancel(ctx), detachMessage{outbox: outbox}) }()
 	go l.sendFrames(ctx, cancel, stream, outbox)
 	for {
 		frame, err := stream.Recv()
 		if err != nil {
-			return l.abandon(address, conn, ctx, err)
+			return up, l.abandon(address, conn, ctx, err)
 		}
+		up = true
 		silence.Reset(linkSilence)
 		if err := l.send(ctx, frameMessage{address: address, outbox: outbox, frame: frame}); err != nil {
-			return l.abandon(address, conn, ctx, err)
+			return up, l.abandon(address, conn, ctx, err)
 		}
 	}
 }
--- a/internal/hub/linkstate.go
+++ b/internal/hub/linkstate.go
@@ -210,6 +210,11 @@
 		return
 	}
 	s.outbox, s.frame, s.schedules, s.suspect = nil, nil, false, false
+	s.mu.Lock()
+	if s.leader == s.address {
+		s.leader = "" // until another control VM names it again
+	}
+	s.mu.Unlock()
 	s.link.mu.Lock()
 	s.link.attached = false
 	s.link.mu.Unlock()
