schedule: a zone that is cut off gets one probe a server

With two servers of a zone out of reach the others are taken for it, each gets a single request until one came through; an entry VM that reaches nobody is no witness.

--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -90,6 +90,15 @@
 	EndUnreached
 )
 
+const (
+	// witnessUnreached is how many servers in a row an entry VM may not reach
+	// before it is taken for cut off itself.
+	witnessUnreached = 4
+	// zoneUnreached is how many servers of a zone must be out of reach before
+	// the others are taken for it, too.
+	zoneUnreached = 2
+)
+
 // Scheduler places the requests of all services. It is not safe for concurrent
 // use.
 type Scheduler struct {
@@ -100,6 +109,8 @@
 	waiting []*job
 	placed  map[JobID]*job
 	output  []Placement
+	// unreached counts the servers in a row that an entry VM did not reach.
+	unreached map[uint64]int
 	// now is the time of the decision in progress, rankings its orders of the
 	// servers.
 	now      time.Time
@@ -114,7 +125,7 @@
 func New() *Scheduler {
 	return &Scheduler{
 		servers: map[string]*server{}, engines: map[string]*routes.Engine{},
-		placed: map[JobID]*job{}, part: 1, rankings: map[rankingKey]*ranking{},
+		placed: map[JobID]*job{}, part: 1, unreached: map[uint64]int{}, rankings: map[rankingKey]*ranking{},
 	}
 }
 
@@ -273,6 +284,7 @@
 	if j == nil || j.writing {
 		return
 	}
+	delete(s.unreached, id.VM)
 	j.late = j.late || now.After(j.ask.AimAt)
 	j.first.noteStart(now, j)
 	for _, helper := range j.helpers {
@@ -296,9 +308,39 @@
 		helper.dropParts(j)
 		delete(helper.helping, id)
 	}
+	if end == EndUnreached {
+		s.noteUnreached(now, j)
+		return
+	}
+	delete(s.unreached, id.VM)
 	j.first.noteEnd(now, end)
 }
 
+// noteUnreached takes a server out that could not be reached, and with the
+// second one of a zone all servers of that zone, since the zone is most likely
+// cut off. An entry VM that reaches no server at all is no witness.
+func (s *Scheduler) noteUnreached(now time.Time, j *job) {
+	s.unreached[j.ask.ID.VM]++
+	if s.unreached[j.ask.ID.VM] > witnessUnreached {
+		return
+	}
+	j.first.noteEnd(now, EndUnreached)
+	zone, out := j.first.Zone, 0
+	for _, one := range s.order {
+		if one.Zone == zone && one.unreached {
+			out++
+		}
+	}
+	if out < zoneUnreached || zone == j.ask.Zone {
+		return
+	}
+	for _, one := range s.order {
+		if one.Zone == zone && !one.unreached {
+			one.noteEnd(now, EndUnreached)
+		}
+	}
+}
+
 // EndAll frees the places of all requests of an entry VM that is gone.
 func (s *Scheduler) EndAll(now time.Time, vm uint64) {
 	for id := range s.placed {
--- a/internal/schedule/server.go
+++ b/internal/schedule/server.go
@@ -66,6 +66,8 @@
 	pace     float64
 	failures int
 	outUntil time.Time
+	// unreached is set while no request came through since one found no way.
+	unreached bool
 }
 
 // writeTime is how long a pass takes without reading.
@@ -177,7 +179,7 @@
 
 // noteStart corrects the estimate by a first event: a pass has just ended.
 func (v *server) noteStart(now time.Time, j *job) {
-	v.failures = 0
+	v.failures, v.unreached = 0, false
 	if v.engine == nil {
 		return
 	}
@@ -192,10 +194,11 @@
 func (v *server) noteEnd(now time.Time, end End) {
 	switch end {
 	case EndDone:
-		v.failures = 0
+		v.failures, v.unreached = 0, false
 	case EndRejected:
 		v.outUntil = now.Add(firstBackoff / 2)
 	case EndUnreached:
+		v.unreached = true
 		v.failures = max(v.failures+1, failuresTolerated)
 		v.outUntil = now.Add(min(firstBackoff<<min(v.failures-failuresTolerated, 8), longestBackoff))
 	case EndFailed:
@@ -319,8 +322,14 @@
 	}
 }
 
-// takesNew tells whether the server may get further requests.
-func (v *server) takesNew(now time.Time) bool { return v.Accepts && !now.Before(v.outUntil) }
+// takesNew tells whether the server may get further requests. One that could
+// not be reached gets a single one until that came through.
+func (v *server) takesNew(now time.Time) bool {
+	if !v.Accepts || now.Before(v.outUntil) {
+		return false
+	}
+	return !v.unreached || len(v.jobs) == 0 && len(v.helping) == 0
+}
 
 // available tells whether the server may get a further request of j.
 func (v *server) available(now time.Time, j *job) bool {
