schedule: requests that the queue can't serve in time are refused at once

Cause: at a crest requests waited up to 2 s (12 s for long ones) and were then refused; the place in the queue and the recent placements of the service tell that on arrival.

--- a/internal/schedule/decide.go
+++ b/internal/schedule/decide.go
@@ -12,7 +12,7 @@
 	maxHelpers = 15
 	// partShare is the longest part of a prompt that one server reads, as a part
 	// of the time in which the answer must begin.
-	partShare = 0.5
+	partShare = 0.6
 	// mixPenalty is the delay that is accepted to keep streams with different
 	// pause bounds on different servers.
 	mixPenalty = 60 * time.Millisecond
@@ -42,6 +42,11 @@
 	// leastService is the shortest time in which a request can be served; one
 	// that has less left is refused.
 	leastService = 60 * time.Millisecond
+	// shortQueue is the waiting requests that a service may always have.
+	shortQueue = 8
+	// shortestRetry and longestRetry bound when a refused request may come back.
+	shortestRetry = 300 * time.Millisecond
+	longestRetry  = 4 * time.Second
 	// wakeInterval is how soon waiting requests are looked at again.
 	wakeInterval = 5 * time.Millisecond
 )
@@ -60,12 +65,23 @@
 	s.refreshRooms(now)
 	s.forgetRankings()
 	kept := s.waiting[:0]
+	queues := map[string]*queue{}
 	for _, j := range s.waiting {
+		q := queues[j.ask.Service]
+		if q == nil {
+			q = &queue{perSecond: s.throughput(j.ask.Service).perSecond(now)}
+			queues[j.ask.Service] = q
+		}
+		left := j.ask.GiveUpAt.Add(-leastService).Sub(now)
 		switch {
-		case !now.Before(j.ask.GiveUpAt.Add(-leastService)):
-			s.refuse(j, s.retryAfter(), "waited too long")
+		case left <= 0:
+			s.refuse(j, q.wait(), "waited too long")
 		case s.place(now, j):
+			s.throughput(j.ask.Service).add(now)
+		case q.ahead >= shortQueue && q.wait() > left:
+			s.refuse(j, q.wait(), "the queue is too long")
 		default:
+			q.ahead++
 			kept = append(kept, j)
 		}
 	}
@@ -73,6 +89,57 @@
 	return s.output
 }
 
+// queue is the waiting requests of a service that go before one.
+type queue struct {
+	ahead     int
+	perSecond float64
+}
+
+// wait estimates when the next request of the queue gets a place.
+func (q *queue) wait() time.Duration {
+	wait := time.Duration(float64(q.ahead+1) / q.perSecond * float64(time.Second))
+	return min(max(wait, shortestRetry), longestRetry)
+}
+
+// throughput counts the placements of a service in the current and the last
+// second.
+type throughput struct {
+	second        int64
+	current, last int
+}
+
+func (t *throughput) advance(now time.Time) {
+	second := now.Unix()
+	switch {
+	case second == t.second+1:
+		t.last, t.current = t.current, 0
+	case second != t.second:
+		t.last, t.current = 0, 0
+	}
+	t.second = second
+}
+
+func (t *throughput) add(now time.Time) {
+	t.advance(now)
+	t.current++
+}
+
+// perSecond returns the recent rate, at least one a second.
+func (t *throughput) perSecond(now time.Time) float64 {
+	t.advance(now)
+	passed := float64(now.Nanosecond()) / float64(time.Second)
+	return math.Max(1, float64(t.current)+float64(t.last)*(1-passed))
+}
+
+func (s *Scheduler) throughput(service string) *throughput {
+	t := s.throughputs[service]
+	if t == nil {
+		t = &throughput{}
+		s.throughputs[service] = t
+	}
+	return t
+}
+
 // Wake returns when Decide is due again, zero when nothing waits.
 func (s *Scheduler) Wake(now time.Time) time.Time {
 	if len(s.waiting) == 0 {
@@ -85,11 +152,6 @@
 	s.output = append(s.output, Placement{ID: j.ask.ID, RetryAfter: after, Reason: reason})
 }
 
-// retryAfter is when a place can be expected for a request that came now.
-func (s *Scheduler) retryAfter() time.Duration {
-	return time.Duration(500+50*min(len(s.waiting), 40)) * time.Millisecond
-}
-
 // sortWaiting orders by priority; then those that can still be on time, the
 // most worth for a server's time first.
 func (s *Scheduler) sortWaiting(now time.Time) {
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -109,6 +109,8 @@
 	waiting []*job
 	placed  map[JobID]*job
 	output  []Placement
+	// throughputs are the recent placements by service.
+	throughputs map[string]*throughput
 	// unreached counts the servers in a row that an entry VM did not reach.
 	unreached map[uint64]int
 	// now is the time of the decision in progress, rankings its orders of the
@@ -125,7 +127,7 @@
 func New() *Scheduler {
 	return &Scheduler{
 		servers: map[string]*server{}, engines: map[string]*routes.Engine{},
-		placed: map[JobID]*job{}, part: 1, unreached: map[uint64]int{}, rankings: map[rankingKey]*ranking{},
+		placed: map[JobID]*job{}, part: 1, unreached: map[uint64]int{}, throughputs: map[string]*throughput{}, rankings: map[rankingKey]*ranking{},
 	}
 }
 
--- a/internal/schedule/server.go
+++ b/internal/schedule/server.go
@@ -22,6 +22,9 @@
 	// failuresTolerated is the failures in a row after which a server is left
 	// out; single failures are common and say little.
 	failuresTolerated = 2
+	// longPart is the reading from which it is doubtful, until a first event shows
+	// it, whether a server has read a part as soon as estimated.
+	longPart = 250 * time.Millisecond
 	// lateLoss is the part of its worth that a late answer loses.
 	lateLoss = 0.75
 	// memoryShare is the part of a server's memory that is planned for.
@@ -61,6 +64,8 @@
 	// current is read in the pass in progress, next in a later one.
 	current []part
 	next    []part
+	// unproven should be read by now, but no first event has shown it.
+	unproven []part
 
 	// pace is how much slower than its figures the server works.
 	pace     float64
@@ -117,9 +122,12 @@
 }
 
 func (v *server) endPass() {
-	for i := range v.current {
-		if j := v.current[i].job; j.unread > 0 {
-			j.unread--
+	for _, p := range v.current {
+		if p.job.unread > 0 {
+			p.job.unread--
+		}
+		if !p.job.writing && p.duration >= longPart {
+			v.unproven = append(v.unproven, p)
 		}
 	}
 	v.current = v.current[:0]
@@ -165,6 +173,7 @@
 func (v *server) dropParts(j *job) {
 	v.next = without(v.next, j)
 	v.current = without(v.current, j)
+	v.unproven = without(v.unproven, j)
 }
 
 func without(parts []part, j *job) []part {
@@ -269,7 +278,7 @@
 	r := room{server: v, bound: v.pauseBound(), harms: v.room.harms[:0]}
 	r.free = int(memoryShare*float64(v.engine.MemoryTokens)) - v.used()
 	r.readyAt = begins.Add(write + queued)
-	taken := write + queued + v.scaled(sum(v.current))
+	taken := write + queued + v.scaled(sum(v.current)+sum(v.unproven))
 	r.longest = longestPass - taken
 	for _, j := range v.jobs {
 		if !j.late && j.ask.Pause > 0 && (j.writing || j.unread == 0 || contains(v.current, j)) {
@@ -279,7 +288,7 @@
 	}
 	// Servers read newer prompts before older ones, so further reading may delay
 	// every prompt that is not read yet.
-	for _, parts := range [][]part{v.current, v.next} {
+	for _, parts := range [][]part{v.current, v.next, v.unproven} {
 		for i := range parts {
 			if j := parts[i].job; !j.late {
 				r.harms = append(r.harms, harm{limit: j.ask.AimAt.Sub(r.readyAt), worth: j.ask.Worth, job: j})
