--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -173,13 +173,12 @@
 	return x.route.Priority
 }
 
-// worth weighs a stream by its size: long answers are worth more to callers
-// than short ones. The aim of the route stands for the kind.
+// worth weighs the request against others.
 func (x *exchange) worth() float64 {
 	if x.route.Kind != routes.KindStream {
 		return 1
 	}
-	return worthOf(x.route.Aim, x.request.PromptTokens, x.request.AnswerTokens)
+	return x.gateway.sizes.worth(x.route.Name, x.route.Aim, x.request.PromptTokens, x.request.AnswerTokens)
 }
 
 // patience is when the caller no longer waits for a first sign of the answer.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -105,8 +105,11 @@
 
 // Body is the body of an answer; see h1.Body.
 type Body interface {
+	// Read reaches io.EOF only when the answer is whole.
 	Read(p []byte) (int, error)
+	// SetReadDeadline bounds the following reads.
 	SetReadDeadline(at time.Time) error
+	// Close ends the answer; the server drops what it has not finished.
 	Close() error
 }
 
@@ -121,6 +124,7 @@
 
 // Backend sends attempts. Its errors are of type *AttemptError.
 type Backend interface {
+	// Send returns the head of the answer. The caller must close its body.
 	Send(ctx context.Context, attempt *Attempt) (*Answer, error)
 }
 
@@ -146,12 +150,15 @@
 
 // Budget bounds repeated sends.
 type Budget interface {
+	// First counts a request of a caller.
 	First(service string)
+	// TryRepeat counts a repeat and tells whether it is allowed.
 	TryRepeat(service string) bool
 }
 
 // Servers finds a backend server by its id.
 type Servers interface {
+	// Find returns the server with id.
 	Find(id string) (roster.Server, bool)
 }
 
@@ -180,10 +187,11 @@
 	started time.Time
 	last    atomic.Uint64
 	running atomic.Int64
+	sizes   sizes
 }
 
 // New returns a gateway.
-func New(options Options) *Gateway { return &Gateway{options: options, started: time.Now()} }
+func New(options Options) *Gateway { return &Gateway{options: options, started: time.Now(), sizes: sizes{means: map[string]float64{}}} }
 
 // Running returns how many requests are in progress.
 func (g *Gateway) Running() int { return int(g.running.Load()) }
--- a/internal/gateway/worth.go
+++ b/internal/gateway/worth.go
@@ -1,29 +1,44 @@
 package gateway
 
-import "time"
+import (
+	"sync"
+	"time"
+)
 
-// answerTokenWeight is how many prompt tokens an answer token counts for.
-const answerTokenWeight = 10
+const (
+	// answerTokenWeight is how many prompt tokens an answer token counts for:
+	// writing one takes about as long as reading ten.
+	answerTokenWeight = 10
+	// worthAim is the aim of a request of worth 1. Callers who accept a longer
+	// wait have asked for more.
+	worthAim = 250 * time.Millisecond
+	// fixedWorth is the part of a stream's worth that does not grow with its size.
+	fixedWorth = 0.3
+	// largestWorth bounds the worth of a stream against a mean one of its route.
+	largestWorth = 4
+	// sizeWeight is the weight of one request in the mean size of its route.
+	sizeWeight = 0.02
+)
 
-// kindWorth is the worth of a mean request by its aim: a caller who accepts a
-// longer wait has asked for more work.
-type kindWorth struct {
-	aim   time.Duration
-	worth float64
-	// size is the mean size, in prompt tokens.
-	size float64
+// sizes keeps the mean size of the streams of each route. It is safe for
+// concurrent use.
+type sizes struct {
+	mu    sync.Mutex
+	means map[string]float64
 }
 
-// worthOf weighs a stream: the longer its aim, the more its answer is worth,
-// and within its kind a share grows with its size.
-func worthOf(aim time.Duration, promptTokens, answerTokens int) float64 {
-	kinds := []kindWorth{{300 * time.Millisecond, 1.3, 18_700}, {1500 * time.Millisecond, 3.9, 53_000}, {3 * time.Second, 15, 140_000}}
-	kind := kinds[0]
-	for _, one := range kinds {
-		if aim >= one.aim {
-			kind = one
-		}
+// worth weighs a stream against requests of any kind: by the aim of its route,
+// and within the route by its size.
+func (s *sizes) worth(route string, aim time.Duration, promptTokens, answerTokens int) float64 {
+	size := float64(promptTokens + answerTokenWeight*answerTokens)
+	s.mu.Lock()
+	mean, known := s.means[route]
+	if !known {
+		mean = size
 	}
-	size := float64(promptTokens+answerTokenWeight*answerTokens) / kind.size
-	return kind.worth * min(0.3+0.7*size, 4)
+	mean += sizeWeight * (size - mean)
+	s.means[route] = mean
+	s.mu.Unlock()
+	share := min(fixedWorth+(1-fixedWorth)*size/max(mean, 1), largestWorth)
+	return float64(aim) / float64(worthAim) * share
 }
