--- /dev/null
+++ b/internal/members/members_test.go
@@ -0,0 +1,63 @@
+package members
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwityoke.example/godwityoke/internal/consensus"
+)
+
+var now = time.Unix(1_000_000, 0)
+
+func voter(id uint64, address string, silent time.Duration) Member {
+	return Member{Member: consensus.Member{ID: consensus.MemberID(id), Name: address, Address: address}, Silent: silent}
+}
+
+func joiner(id uint64, address string) Joiner {
+	return Joiner{ID: consensus.MemberID(id), Name: address, Address: address, AskedAt: now}
+}
+
+func TestVMWithoutItsDiskReplacesItsEarlierSelf(t *testing.T) {
+	members := []Member{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", time.Second)}
+	step := Plan(members, []Joiner{joiner(9, "c")}, now)
+	require.Equal(t, StepRemove, step.Kind)
+	require.EqualValues(t, 3, step.Member.ID)
+	step = Plan(members[:2], []Joiner{joiner(9, "c")}, now)
+	require.Equal(t, StepAdd, step.Kind)
+	learner := voter(9, "c", 0)
+	learner.Learner = true
+	step = Plan(append(members[:2:2], learner), []Joiner{joiner(9, "c")}, now)
+	require.Equal(t, StepPromote, step.Kind)
+}
+
+func TestSilentVoterGoesOnlyForAnother(t *testing.T) {
+	members := []Member{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", time.Minute)}
+	require.Equal(t, StepNone, Plan(members, nil, now).Kind)
+	step := Plan(members, []Joiner{joiner(9, "d")}, now)
+	require.Equal(t, StepRemove, step.Kind)
+	require.EqualValues(t, 3, step.Member.ID)
+}
+
+func TestVoterThatAsksIsLeftAlone(t *testing.T) {
+	members := []Member{voter(1, "a", 0), voter(2, "b", 0)}
+	require.Equal(t, StepNone, Plan(members, []Joiner{joiner(2, "b")}, now).Kind)
+	stale := joiner(9, "d")
+	stale.AskedAt = now.Add(-joinerFresh - time.Second)
+	require.Equal(t, StepNone, Plan(members, []Joiner{stale}, now).Kind)
+}
+
+func TestSilentLearnerIsDropped(t *testing.T) {
+	learner := voter(9, "c", time.Minute)
+	learner.Learner = true
+	require.Equal(t, StepRemove, Plan([]Member{voter(1, "a", 0), learner}, nil, now).Kind)
+}
+
+func TestVotersAreBounded(t *testing.T) {
+	var members []Member
+	for i := range uint64(maxVoters) {
+		members = append(members, voter(i+1, string(rune('a'+i)), 0))
+	}
+	require.Equal(t, StepNone, Plan(members, []Joiner{joiner(99, "z")}, now).Kind)
+}
--- /dev/null
+++ b/internal/retrybudget/retrybudget_test.go
@@ -0,0 +1,68 @@
+package retrybudget
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// In no window of the whole system repeats exceed the ratio of first sends
+// plus the allowance, with any spread of the traffic over the VMs.
+func TestRepeatsStayWithinTheBudgetInEveryWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const vms, window = 4, 10 * time.Second
+		options := Options{Ratio: 0.2, Allowance: 20, Window: window}
+		start := time.Unix(1_000_000, 0)
+		budgets := make([]*Budget, vms)
+		for i := range budgets {
+			budgets[i] = New(options, start)
+		}
+		type event struct {
+			at     time.Time
+			repeat bool
+		}
+		var events []event
+		now := start
+		for range rapid.IntRange(50, 600).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "gap")) * time.Millisecond)
+			budget := budgets[rapid.IntRange(0, vms-1).Draw(t, "vm")]
+			if rapid.IntRange(0, 2).Draw(t, "kind") == 0 {
+				budget.First(now)
+				events = append(events, event{now, false})
+			} else if budget.TryRepeat(now, vms) {
+				events = append(events, event{now, true})
+			}
+		}
+		for i := range events {
+			firsts, repeats := 0, 0
+			for _, e := range events[i:] {
+				if e.at.Sub(events[i].at) >= window {
+					break
+				}
+				if e.repeat {
+					repeats++
+				} else {
+					firsts++
+				}
+			}
+			// First sends of the window before count, too, as the platform counts.
+			for _, e := range events[:i] {
+				if events[i].at.Sub(e.at) < window && !e.repeat {
+					firsts++
+				}
+			}
+			require.LessOrEqual(t, float64(repeats), options.Ratio*float64(firsts)+options.Allowance)
+		}
+	})
+}
+
+func TestQuietTimeForgetsAll(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	b := New(Options{Ratio: 0.2, Allowance: 5, Window: 10 * time.Second}, now)
+	for b.TryRepeat(now, 1) {
+	}
+	require.False(t, b.TryRepeat(now.Add(time.Second), 1))
+	require.True(t, b.TryRepeat(now.Add(time.Hour), 1))
+}
