--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -191,7 +191,9 @@
 }
 
 // New returns a gateway.
-func New(options Options) *Gateway { return &Gateway{options: options, started: time.Now(), sizes: sizes{means: map[string]float64{}}} }
+func New(options Options) *Gateway {
+	return &Gateway{options: options, started: time.Now(), sizes: sizes{means: map[string]float64{}}}
+}
 
 // Running returns how many requests are in progress.
 func (g *Gateway) Running() int { return int(g.running.Load()) }
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,236 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/roster"
+	"godwityoke.example/godwityoke/internal/routes"
+	"godwityoke.example/godwityoke/internal/schedule"
+)
+
+// fakes stand for everything around a gateway.
+type fakes struct {
+	mu sync.Mutex
+	// sends answers the n-th sending, counted from 0.
+	sends    []func(*Attempt) (*Answer, error)
+	attempts []Attempt
+	ends     []schedule.End
+	places   int
+	budget   int
+	refuse   bool
+	stopping bool
+}
+
+func (f *fakes) Send(_ context.Context, attempt *Attempt) (*Answer, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.attempts = append(f.attempts, *attempt)
+	return f.sends[len(f.attempts)-1](attempt)
+}
+
+func (f *fakes) Reserve(context.Context, roster.Server, string, int, time.Duration) error { return nil }
+func (f *fakes) Release(context.Context, roster.Server, string) error                     { return nil }
+
+func (f *fakes) Place(_ context.Context, ask schedule.Ask) (schedule.Placement, error) {
+	if f.refuse {
+		return schedule.Placement{ID: ask.ID, RetryAfter: 2 * time.Second, Reason: "full"}, nil
+	}
+	f.places++
+	return schedule.Placement{ID: ask.ID, Server: "s" + string(rune('1'+len(ask.Excluded)))}, nil
+}
+func (f *fakes) Started(schedule.JobID) {}
+func (f *fakes) Ended(_ schedule.JobID, end schedule.End) {
+	f.ends = append(f.ends, end)
+}
+func (f *fakes) First(string) {}
+func (f *fakes) TryRepeat(string) bool {
+	f.budget--
+	return f.budget >= 0
+}
+func (f *fakes) Find(id string) (roster.Server, bool) {
+	return roster.Server{ID: id, Address: id}, true
+}
+
+// fakeCaller records what a caller gets.
+type fakeCaller struct {
+	refusal    RefusalCode
+	retryAfter time.Duration
+	failure    FailureCode
+	status     int
+	body       string
+	begun      int
+	aborted    bool
+}
+
+func (c *fakeCaller) Refuse(code RefusalCode, after time.Duration) {
+	c.refusal, c.retryAfter = code, after
+}
+func (c *fakeCaller) Fail(code FailureCode) { c.failure = code }
+func (c *fakeCaller) Answer(status int, _ http.Header, body []byte) error {
+	c.status, c.body = status, string(body)
+	return nil
+}
+func (c *fakeCaller) Begin(status int, _ http.Header) error {
+	c.status = status
+	c.begun++
+	return nil
+}
+func (c *fakeCaller) Event(raw []byte) error {
+	c.body += string(raw)
+	return nil
+}
+func (c *fakeCaller) Abort() { c.aborted = true }
+
+type fakeBody struct {
+	io.Reader
+}
+
+func (fakeBody) SetReadDeadline(time.Time) error { return nil }
+func (fakeBody) Close() error                    { return nil }
+
+func answers(status int, body string, end error) func(*Attempt) (*Answer, error) {
+	return func(*Attempt) (*Answer, error) {
+		reader := io.Reader(strings.NewReader(body))
+		if end != nil {
+			reader = io.MultiReader(reader, brokenReader{end})
+		}
+		return &Answer{Status: status, Header: http.Header{}, Body: fakeBody{reader}, Verified: status < 300}, nil
+	}
+}
+
+type brokenReader struct{ err error }
+
+func (b brokenReader) Read([]byte) (int, error) { return 0, b.err }
+
+func fails(reach Reach) func(*Attempt) (*Answer, error) {
+	return func(*Attempt) (*Answer, error) {
+		return nil, &AttemptError{Reach: reach, Err: errors.New("test")}
+	}
+}
+
+var errReset = errors.New("connection reset")
+
+func testTable() *routes.Table {
+	route := func(prefix string, kind routes.Kind, resumable bool) routes.Route {
+		return routes.Route{
+			Name: prefix, Host: "h", Prefix: "/" + prefix + "/", Kind: kind, Timeout: time.Second, Aim: 300 * time.Millisecond,
+			PauseAim: 250 * time.Millisecond, Split: []routes.Share{{Service: "s", Weight: 1}}, MaxAttempts: 2, Resumable: resumable,
+		}
+	}
+	return routes.New(routes.Table{
+		Version: 1, Services: []routes.Service{{Name: "s"}},
+		Routes: []routes.Route{
+			route("safe", routes.KindSafe, false), route("unsafe", routes.KindUnsafe, false),
+			route("stream", routes.KindStream, true), route("once", routes.KindStream, false),
+		},
+		Teams: []routes.Team{{Name: "team", Keys: []string{"key"}, Priority: -1}},
+	})
+}
+
+func serve(f *fakes, kind, key string) *fakeCaller {
+	table := testTable()
+	g := New(Options{
+		Table: func() *routes.Table { return table }, Placer: f, Budget: f, Servers: f, Backend: f, Memory: f,
+		StopsIn: func() (time.Duration, bool) { return time.Second / 2, f.stopping },
+		Zone:    "a", Incarnation: 1, Logger: zerolog.Nop(), Metrics: observe.NewMetrics(),
+	})
+	caller := &fakeCaller{}
+	g.Serve(context.Background(), &Request{
+		ID: "r1", Host: "h", Path: "/" + kind + "/x", Key: key, ArrivedAt: time.Now(), Patience: time.Second,
+	}, caller)
+	return caller
+}
+
+func TestRefusalsBeforeAnythingIsSent(t *testing.T) {
+	require.Equal(t, RefusedNoRoute, serve(&fakes{}, "gone", "key").refusal)
+	require.Equal(t, RefusedKey, serve(&fakes{}, "safe", "other").refusal)
+	caller := serve(&fakes{refuse: true}, "safe", "key")
+	require.Equal(t, RefusedOverload, caller.refusal)
+	require.Equal(t, 2*time.Second, caller.retryAfter)
+	require.Equal(t, RefusedNotReady, serve(&fakes{stopping: true}, "stream", "key").refusal)
+}
+
+func TestTeamGoesOnAndTheKeyDoesNot(t *testing.T) {
+	f := &fakes{sends: []func(*Attempt) (*Answer, error){answers(200, "ok", nil)}}
+	require.Equal(t, "ok", serve(f, "unsafe", "key").body)
+	require.Equal(t, "team", f.attempts[0].Team)
+	require.True(t, f.attempts[0].Fresh)
+	require.LessOrEqual(t, f.attempts[0].Remaining, time.Second)
+}
+
+// What may be sent again, and what the caller may conclude, for each way in
+// which a sending fails.
+func TestRepeatsAndOutcomes(t *testing.T) {
+	ok := answers(200, "ok", nil)
+	for _, c := range []struct {
+		name, kind string
+		budget     int
+		sends      []func(*Attempt) (*Answer, error)
+		wantSends  int
+		refused    bool
+		failed     bool
+		body       string
+	}{
+		{"safe runs again", "safe", 9, []func(*Attempt) (*Answer, error){fails(ReachUnknown), ok}, 2, false, false, "ok"},
+		{"safe without budget fails", "safe", 0, []func(*Attempt) (*Answer, error){fails(ReachUnknown)}, 1, false, true, ""},
+		{"safe after an error of the server", "safe", 9, []func(*Attempt) (*Answer, error){answers(500, "no", nil), ok}, 2, false, false, "ok"},
+		{"unsafe never runs twice", "unsafe", 9, []func(*Attempt) (*Answer, error){fails(ReachUnknown)}, 1, false, true, ""},
+		{"unsafe may go elsewhere after a rejection", "unsafe", 9, []func(*Attempt) (*Answer, error){fails(ReachRejected), ok}, 2, false, false, "ok"},
+		{"rejected everywhere has not run", "unsafe", 9, []func(*Attempt) (*Answer, error){fails(ReachRejected), fails(ReachRejected), fails(ReachRejected)}, 3, true, false, ""},
+		{"rejected after it may have run", "safe", 9, []func(*Attempt) (*Answer, error){fails(ReachUnknown), fails(ReachRejected), fails(ReachRejected)}, 3, false, true, ""},
+		{"nothing arrived costs no budget", "unsafe", 0, []func(*Attempt) (*Answer, error){fails(ReachNone), ok}, 2, false, false, "ok"},
+		{"a broken answer of an unsafe call", "unsafe", 9, []func(*Attempt) (*Answer, error){answers(200, "o", errReset)}, 1, false, true, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := &fakes{sends: c.sends, budget: c.budget}
+			caller := serve(f, c.kind, "key")
+			require.Len(t, f.attempts, c.wantSends)
+			require.Equal(t, c.refused, caller.refusal == RefusedOverload)
+			require.Equal(t, c.failed, caller.failure != 0)
+			require.Equal(t, c.body, caller.body)
+			require.Len(t, f.ends, f.places, "each place is given back")
+		})
+	}
+}
+
+const events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+
+func TestStreamGoesOnAfterTheLastWholeEvent(t *testing.T) {
+	f := &fakes{budget: 9, sends: []func(*Attempt) (*Answer, error){
+		answers(200, events+"id: 3\ndata: cu", errReset),
+		answers(200, "id: 2\ndata: b\n\nid: 3\ndata: c\n\n", nil),
+	}}
+	caller := serve(f, "stream", "key")
+	require.Equal(t, events+"id: 3\ndata: c\n\n", caller.body)
+	require.Equal(t, 1, caller.begun)
+	require.EqualValues(t, 2, f.attempts[1].ResumeAfter)
+	require.False(t, caller.aborted)
+}
+
+func TestStreamThatMayNotResumeIsBrokenOff(t *testing.T) {
+	f := &fakes{budget: 9, sends: []func(*Attempt) (*Answer, error){answers(200, events, errReset)}}
+	caller := serve(f, "once", "key")
+	require.Equal(t, events, caller.body)
+	require.True(t, caller.aborted, "an answer that ends early must not look complete")
+}
+
+func TestSuccessWithoutSignatureIsNotPassedOn(t *testing.T) {
+	unsigned := func(*Attempt) (*Answer, error) {
+		return &Answer{Status: 200, Header: http.Header{}, Body: fakeBody{strings.NewReader("ok")}}, nil
+	}
+	f := &fakes{sends: []func(*Attempt) (*Answer, error){unsigned}}
+	caller := serve(f, "unsafe", "key")
+	require.Equal(t, FailedServer, caller.failure)
+	require.Empty(t, caller.body)
+}
--- /dev/null
+++ b/internal/h1/client_test.go
@@ -0,0 +1,199 @@
+package h1
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// scriptedServer answers the n-th request of all connections with answer(n).
+// An empty answer closes the connection.
+func scriptedServer(t *testing.T, answer func(n int, request *http.Request) string) (address string, connections *atomic.Int32) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	var served, opened atomic.Int32
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			opened.Add(1)
+			go func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				for {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, request.Body)
+					text := answer(int(served.Add(1)), request)
+					if text == "" {
+						return
+					}
+					_, _ = io.WriteString(conn, text)
+					if strings.Contains(text, "Connection: close") {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String(), &opened
+}
+
+func testClient() *Client {
+	return NewClient(Options{ConnectTimeout: time.Second, MaxIdle: time.Minute, EchoHeader: "Id"})
+}
+
+func request(id string) *Request {
+	return &Request{Method: http.MethodPost, Target: "/p?q=%2F", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("body")}
+}
+
+func exchange(t *testing.T, c *Client, address string, r *Request) (string, error) {
+	t.Helper()
+	response, err := c.Do(context.Background(), address, r)
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, response.Body.Close())
+	return string(body), err
+}
+
+const ok = "HTTP/1.1 200 OK\r\nId: %\r\nContent-Length: 2\r\n\r\nok"
+
+func answerTo(id string) string { return strings.Replace(ok, "%", id, 1) }
+
+func TestConnectionIsUsedAgain(t *testing.T) {
+	address, connections := scriptedServer(t, func(_ int, r *http.Request) string { return answerTo(r.Header.Get("Id")) })
+	c := testClient()
+	for _, id := range []string{"1", "2", "3"} {
+		body, err := exchange(t, c, address, request(id))
+		require.NoError(t, err)
+		require.Equal(t, "ok", body)
+	}
+	require.EqualValues(t, 1, connections.Load())
+	fresh := request("4")
+	fresh.Fresh = true
+	_, err := exchange(t, c, address, fresh)
+	require.NoError(t, err)
+	require.EqualValues(t, 2, connections.Load())
+}
+
+func TestExtraAnswerOfAnotherRequestIsNotTaken(t *testing.T) {
+	address, _ := scriptedServer(t, func(n int, r *http.Request) string {
+		if n == 2 { // the second answer to the first request comes late
+			return strings.Replace(answerTo("1"), "ok", "no", 1) + answerTo(r.Header.Get("Id"))
+		}
+		return answerTo(r.Header.Get("Id"))
+	})
+	c := testClient()
+	for _, id := range []string{"1", "2"} {
+		body, err := exchange(t, c, address, request(id))
+		require.NoError(t, err)
+		require.Equal(t, "ok", body)
+	}
+}
+
+func TestBytesAfterAnAnswerEndTheConnection(t *testing.T) {
+	address, connections := scriptedServer(t, func(_ int, r *http.Request) string {
+		return answerTo(r.Header.Get("Id")) + "garbage"
+	})
+	c := testClient()
+	for _, id := range []string{"1", "2"} {
+		body, err := exchange(t, c, address, request(id))
+		require.NoError(t, err)
+		require.Equal(t, "ok", body)
+		time.Sleep(20 * time.Millisecond)
+	}
+	require.EqualValues(t, 2, connections.Load())
+}
+
+func TestBrokenAnswersAreNeverWhole(t *testing.T) {
+	for name, text := range map[string]string{
+		"short body":  "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\nConnection: close\r\n\r\nok",
+		"open chunks": "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n2\r\nok\r\n",
+		"no answer":   "",
+		"not HTTP":    "what is this\r\nConnection: close\r\n\r\n",
+		"another's":   answerTo("7") + answerTo("8") + answerTo("9"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, _ := scriptedServer(t, func(int, *http.Request) string { return text })
+			_, err := exchange(t, testClient(), address, request("1"))
+			require.Error(t, err)
+			require.NotErrorIs(t, err, ErrNotSent, "the request may have run")
+		})
+	}
+}
+
+func TestUnreachableServerWasNotSentAnything(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	_, err = testClient().Do(context.Background(), address, request("1"))
+	require.ErrorIs(t, err, ErrNotSent)
+}
+
+func TestCancelledRequestClosesItsConnection(t *testing.T) {
+	released := make(chan struct{})
+	address, _ := scriptedServer(t, func(int, *http.Request) string { <-released; return "" })
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	begun := time.Now()
+	_, err := testClient().Do(ctx, address, request("1"))
+	close(released)
+	require.ErrorIs(t, err, context.Canceled)
+	require.Less(t, time.Since(begun), time.Second)
+}
+
+func TestEarlyAnswerToALongBodyIsNotFollowedByAnotherRequest(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() { // answers before it reads the body
+				reader := bufio.NewReader(conn)
+				if _, err := http.ReadRequest(reader); err == nil {
+					_, _ = io.WriteString(conn, answerTo("1"))
+				}
+			}()
+		}
+	}()
+	long := request("1")
+	long.Body = make([]byte, 32<<20)
+	c := testClient()
+	body, err := exchange(t, c, listener.Addr().String(), long)
+	require.NoError(t, err)
+	require.Equal(t, "ok", body)
+	require.Nil(t, c.take(listener.Addr().String()), "the rest of the body is still on its way")
+}
+
+func TestTargetAndHostAreSentUnchanged(t *testing.T) {
+	var seen atomic.Pointer[http.Request]
+	address, _ := scriptedServer(t, func(_ int, r *http.Request) string {
+		seen.Store(r)
+		return answerTo(r.Header.Get("Id"))
+	})
+	_, err := exchange(t, testClient(), address, request("1"))
+	require.NoError(t, err)
+	require.Equal(t, "/p?q=%2F", seen.Load().RequestURI)
+	require.Equal(t, "h", seen.Load().Host)
+}
