replica: a leader whose disk fails hands over; views come on time under load

The followers waited 1.2 s for the end of its lease; entry VMs left control VMs at once for want of a view, since views were sent only when no other frame was, and then left those that still named the dead leader every 0.3 s (19 lost links in 2 s).

--- a/internal/hub/core.go
+++ b/internal/hub/core.go
@@ -22,6 +22,8 @@
 	// frame collects what goes out at the next flush.
 	frame  *hubpb.HubFrame
 	sentAt time.Time
+	// viewedAt is when a frame last held a view.
+	viewedAt time.Time
 }
 
 func (s *session) pending() *hubpb.HubFrame {
@@ -113,7 +115,7 @@
 		s.tableVersion = c.table.GetVersion()
 	}
 	c.adopt(s, m.frame.GetHello().GetRunning(), now)
-	frame.View = c.view(now)
+	c.showView(s, now)
 	observe.Log(c.options.Logger, observe.EntryAttached).Str("entry_vm", s.vm).
 		Uint64("table_version", s.tableVersion).Int("running", len(m.frame.GetHello().GetRunning())).Send()
 }
@@ -267,8 +269,8 @@
 		if refresh {
 			c.refresh(s, now)
 		}
-		if now.Sub(s.sentAt) >= viewInterval {
-			s.pending().View = c.view(now)
+		if now.Sub(s.viewedAt) >= viewInterval {
+			c.showView(s, now)
 		}
 	}
 	c.peers.tick(now, c.sessions)
@@ -317,11 +319,16 @@
 	c.leading, c.leader, c.term = leading, leader, term
 	observe.Log(c.options.Logger, observe.SchedulerChanged).Bool("here", leading).Str("leader", leader).Send()
 	for s := range c.sessions {
-		s.pending().View = c.view(now)
+		c.showView(s, now)
 	}
 }
 
-func (c *core) view(time.Time) *hubpb.View {
+// showView tells an entry VM how this VM sees the system.
+func (c *core) showView(s *session, now time.Time) {
+	s.pending().View, s.viewedAt = c.view(), now
+}
+
+func (c *core) view() *hubpb.View {
 	view := &hubpb.View{Leader: c.leader, Term: c.term, Schedules: c.leading, EntryVms: uint32(max(1, len(c.entries)))}
 	if group := c.options.Group(); group != nil {
 		view.Control = group.MemberAddresses()
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -29,7 +29,8 @@
 	maxBatch = 256
 	// tickInterval is how often the hub looks at the time while nothing waits.
 	tickInterval = 50 * time.Millisecond
-	// viewInterval is the longest time between two frames to an entry VM.
+	// viewInterval is the time between two views of the system that an entry VM
+	// gets, and so the longest time between two frames.
 	viewInterval = 400 * time.Millisecond
 	// refreshInterval is how often entry VMs hear which servers still announce
 	// themselves without a change.
--- a/internal/hub/link.go
+++ b/internal/hub/link.go
@@ -81,6 +81,8 @@
 	options LinkOptions
 	inbox   chan linkMessage
 	done    chan struct{}
+	// failures are the control VMs that could not be reached lately.
+	failures *failures
 
 	mu       sync.RWMutex
 	table    *routes.Table
@@ -95,7 +97,7 @@
 func NewLink(options LinkOptions) *Link {
 	l := &Link{
 		options: options, inbox: make(chan linkMessage, linkInbox), done: make(chan struct{}),
-		servers: roster.New(), entryVMs: 1,
+		servers: roster.New(), entryVMs: 1, failures: newFailures(),
 	}
 	l.state = newLinkState(l)
 	return l
@@ -173,7 +175,7 @@
 
 // attachLoop attaches to one control VM after the other.
 func (l *Link) attachLoop(ctx context.Context) {
-	failures := newFailures()
+	failures := l.failures
 	for ctx.Err() == nil {
 		address := l.nextAddress(failures, time.Now())
 		up, err := l.attach(ctx, address)
@@ -197,7 +199,9 @@
 
 // failures holds until when control VMs are not tried again, ever longer while
 // they stay out of reach.
+// It is safe for concurrent use.
 type failures struct {
+	mu    sync.Mutex
 	until map[string]time.Time
 	wait  map[string]time.Duration
 }
@@ -207,16 +211,28 @@
 }
 
 func (f *failures) add(address string, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	wait := min(max(2*f.wait[address], firstAvoid), longestAvoid)
 	f.wait[address], f.until[address] = wait, now.Add(wait)
 }
 
 func (f *failures) clear(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	delete(f.wait, address)
 	delete(f.until, address)
 }
 
-func (f *failures) avoided(address string, now time.Time) bool { return now.Before(f.until[address]) }
+func (f *failures) avoided(address string, now time.Time) bool {
+	return now.Before(f.avoidedUntil(address))
+}
+
+func (f *failures) avoidedUntil(address string) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.until[address]
+}
 
 func (l *Link) isAttached() bool {
 	l.mu.RLock()
@@ -242,7 +258,7 @@
 	if len(fresh) > 0 {
 		return fresh[rand.IntN(len(fresh))]
 	}
-	return slices.MinFunc(all, func(a, b string) int { return failures.until[a].Compare(failures.until[b]) })
+	return slices.MinFunc(all, func(a, b string) int { return failures.avoidedUntil(a).Compare(failures.avoidedUntil(b)) })
 }
 
 // attach runs one stream to its end and tells whether it ever was up.
--- a/internal/hub/linkstate.go
+++ b/internal/hub/linkstate.go
@@ -290,7 +290,8 @@
 		s.askRemotely(now)
 	}
 	s.leaveIsolated(view.GetLeader(), now)
-	if leader != "" && leader != s.address && now.Sub(s.attachedAt) >= leaderPatience {
+	elsewhere := leader != "" && leader != s.address && !s.link.failures.avoided(leader, now)
+	if elsewhere && now.Sub(s.attachedAt) >= leaderPatience {
 		s.cancel(errOtherLeader)
 	}
 }
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -213,8 +214,42 @@
 	r.network.update(membership)
 }
 
+const (
+	// handOverWait is how long a leader whose disk failed waits for another
+	// member to have all entries.
+	handOverWait = 150 * time.Millisecond
+	// farewellWait is the time that the last message has to leave.
+	farewellWait = 20 * time.Millisecond
+)
+
+// handOver lets a leader whose disk failed give leadership to a member that has
+// all entries, so that the others need not wait for the end of its lease.
+func (r *Replica) handOver() {
+	limit := time.After(handOverWait)
+	for {
+		err := r.loop.core.Transfer(time.Now())
+		ready := r.loop.core.Ready()
+		for i := range ready.Messages {
+			r.network.send(&ready.Messages[i])
+		}
+		if !errors.Is(err, consensus.ErrNotCaughtUp) {
+			break // leadership is on its way, or was not here
+		}
+		select {
+		case m := <-r.inbox:
+			r.step(m)
+		case <-limit:
+			return
+		}
+	}
+	time.Sleep(farewellWait)
+}
+
 // end stops all that the member runs and answers all callers.
 func (r *Replica) end(err error) {
+	if err != nil {
+		r.handOver()
+	}
 	r.stop()
 	r.failWaiters(ErrUnknown, ErrStopped)
 	if err != nil {
