--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -30,6 +30,7 @@
 	Standin  *StandinArguments  `arg:"subcommand:standin" help:"run a stand-in for a backend server"`
 	Demo     *DemoArguments     `arg:"subcommand:demo" help:"run the whole system in one process for less than a minute"`
 	Platform *PlatformArguments `arg:"subcommand:platform" help:"run on the users' platform"`
+	Explain  *ExplainArguments  `arg:"subcommand:explain" help:"join the log lines of one request from several files"`
 	Emulate  *EmulateArguments  `arg:"subcommand:emulate" help:"play load on emulated model servers against the scheduler"`
 	Load     *LoadArguments     `arg:"subcommand:load" help:"offer a scenario's load and report the measures"`
 }
@@ -83,6 +84,8 @@
 		if code, known := a.VM.run(output); known {
 			return code
 		}
+	case a.Explain != nil:
+		return a.Explain.run(output)
 	case a.Emulate != nil:
 		return a.Emulate.run(output)
 	case a.Platform != nil:
--- /dev/null
+++ b/internal/command/explain.go
@@ -0,0 +1,46 @@
+package command
+
+import (
+	"fmt"
+	"os"
+
+	"godwityoke.example/godwityoke/internal/explain"
+)
+
+// ExplainArguments are the arguments of "explain".
+type ExplainArguments struct {
+	Request string   `arg:"--request,required" help:"id of the request"`
+	Files   []string `arg:"positional,required" help:"log files of the processes"`
+}
+
+func (a *ExplainArguments) run(output Output) int {
+	lines, err := a.read()
+	if err == nil && len(lines) == 0 {
+		err = fmt.Errorf("request %q: %w", a.Request, explain.ErrNothing)
+	}
+	if err != nil {
+		fmt.Fprintln(output.Err, err)
+		return ExitFindings
+	}
+	for _, line := range explain.TimeLine(lines) {
+		fmt.Fprintln(output.Out, line.Text)
+	}
+	return ExitOK
+}
+
+func (a *ExplainArguments) read() ([]explain.Line, error) {
+	var all []explain.Line
+	for _, name := range a.Files {
+		file, err := os.Open(name)
+		if err != nil {
+			return nil, fmt.Errorf("log file: %w", err)
+		}
+		lines, err := explain.Read(file, a.Request)
+		_ = file.Close() // only read
+		if err != nil {
+			return nil, fmt.Errorf("log file %s: %w", name, err)
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
