gateway, schedule: silent and erring servers are told apart; begun streams go first

Cause: a server that did not begin to answer held a request until its deadline; a stream that had to be taken up elsewhere waited behind all others; answers of 500 counted as good ends, so that grey servers were never left out.

--- a/internal/gateway/error.go
+++ b/internal/gateway/error.go
@@ -22,7 +22,11 @@
 	AtServer string
 	// Misdirected tells that another server answers at the address.
 	Misdirected bool
-	Err         error
+	// Silent tells that the server took no connection or sent nothing in time,
+	// Errored that it answered with an error of its own.
+	Silent  bool
+	Errored bool
+	Err     error
 }
 
 // Error implements error.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"godwityoke.example/godwityoke/internal/eventstream"
@@ -45,8 +46,12 @@
 	shortestStall = 1200 * time.Millisecond
 )
 
-// errNoBudget refuses a repeat.
-var errNoBudget = errors.New("the retry budget is used up")
+var (
+	// errNoBudget refuses a repeat.
+	errNoBudget = errors.New("the retry budget is used up")
+	// errSilent gives up a server that does not begin to answer.
+	errSilent = errors.New("the server does not begin to answer")
+)
 
 // exchange is one request on its way.
 type exchange struct {
@@ -102,6 +107,8 @@
 	// done is set when the caller has the final answer.
 	done bool
 	err  *AttemptError
+	// errored is set when that answer is an error of the server's own.
+	errored bool
 }
 
 // run sends the request until it is answered or may not be sent again.
@@ -160,8 +167,9 @@
 		AimAt: x.request.ArrivedAt.Add(x.route.Aim), GiveUpAt: x.patience(), Pause: x.route.PauseAim,
 		Worth: x.worth(), Priority: x.priority(), Excluded: x.excluded,
 	}
-	if x.begun {
+	if x.begun { // what was begun goes first: its caller has a part of the answer
 		ask.AimAt = now.Add(x.route.PauseAim)
+		ask.Priority = min(ask.Priority, 0) - 1
 	}
 	return ask
 }
@@ -287,10 +295,15 @@
 	}
 	defer tickets.release()
 	sentAt := time.Now()
-	answer, sendErr := x.gateway.options.Backend.Send(ctx, attempt)
+	sending, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := x.limitSilence(cancel)
+	answer, sendErr := x.gateway.options.Backend.Send(sending, attempt)
+	silence.Stop()
 	outcome := result{}
 	if sendErr != nil {
 		outcome.err = asAttemptError(sendErr)
+		outcome.err.Silent = outcome.err.Silent || errors.Is(context.Cause(sending), errSilent)
 	} else {
 		outcome = x.relay(id, attempt, answer)
 		_ = answer.Body.Close()
@@ -310,14 +323,28 @@
 	return outcome
 }
 
+// limitSilence gives a server up that does not begin to answer, where the
+// request may run elsewhere.
+func (x *exchange) limitSilence(cancel context.CancelCauseFunc) *time.Timer {
+	wait := time.Until(x.deadline)
+	if x.route.Repeatable() {
+		wait = time.Until(x.eventDeadline(false))
+	}
+	return time.AfterFunc(wait, func() { cancel(errSilent) })
+}
+
 func (x *exchange) endOf(ctx context.Context, outcome result) schedule.End {
 	switch {
+	case outcome.errored, outcome.err != nil && outcome.err.Errored:
+		return schedule.EndErrored
 	case outcome.err == nil, ctx.Err() != nil:
 		return schedule.EndDone
 	case outcome.err.Reach == ReachRejected:
 		return schedule.EndRejected
-	case outcome.err.Reach == ReachNone:
+	case outcome.err.Reach == ReachNone && !outcome.err.Silent:
 		return schedule.EndUnreached
+	case outcome.err.Silent:
+		return schedule.EndStalled
 	}
 	return schedule.EndFailed
 }
@@ -370,7 +397,7 @@
 	}
 	serverFault := answer.Status >= http.StatusInternalServerError
 	if serverFault {
-		err := &AttemptError{Reach: ReachUnknown, Err: fmt.Errorf("the server answered %d", answer.Status)}
+		err := &AttemptError{Reach: ReachUnknown, Errored: true, Err: fmt.Errorf("the server answered %d", answer.Status)}
 		if x.begun || x.route.Repeatable() && x.runs+1 < x.route.MaxAttempts && x.sends < maxSends {
 			return result{err: err}
 		}
@@ -380,7 +407,7 @@
 		x.log(err.Error())
 	}
 	x.finish(attempt, answer.Status, success)
-	return result{done: true}
+	return result{done: true, errored: serverFault}
 }
 
 func (x *exchange) finish(attempt *Attempt, status int, success bool) {
@@ -411,7 +438,7 @@
 			return x.endStream(attempt, answer)
 		}
 		if err != nil {
-			return result{err: &AttemptError{Reach: ReachUnknown, Err: fmt.Errorf("read event %d: %w", x.events+1, err)}}
+			return result{err: &AttemptError{Reach: ReachUnknown, Silent: errors.Is(err, os.ErrDeadlineExceeded), Err: fmt.Errorf("read event %d: %w", x.events+1, err)}}
 		}
 		if !started {
 			started = true
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -139,15 +139,18 @@
 }
 
 func serve(f *fakes, kind, key string) *fakeCaller {
-	table := testTable()
+	return serveWith(f, f, testTable(), kind, key, time.Second)
+}
+
+func serveWith(f *fakes, backend Backend, table *routes.Table, kind, key string, patience time.Duration) *fakeCaller {
 	g := New(Options{
-		Table: func() *routes.Table { return table }, Placer: f, Budget: f, Servers: f, Backend: f, Memory: f,
+		Table: func() *routes.Table { return table }, Placer: f, Budget: f, Servers: f, Backend: backend, Memory: f,
 		StopsIn: func() (time.Duration, bool) { return time.Second / 2, f.stopping },
 		Zone:    "a", Incarnation: 1, Logger: zerolog.Nop(), Metrics: observe.NewMetrics(),
 	})
 	caller := &fakeCaller{}
 	g.Serve(context.Background(), &Request{
-		ID: "r1", Host: "h", Path: "/" + kind + "/x", Key: key, ArrivedAt: time.Now(), Patience: time.Second,
+		ID: "r1", Host: "h", Path: "/" + kind + "/x", Key: key, ArrivedAt: time.Now(), Patience: patience,
 	}, caller)
 	return caller
 }
@@ -225,6 +228,33 @@
 	require.True(t, caller.aborted, "an answer that ends early must not look complete")
 }
 
+// A server that never begins to answer costs a resumable stream a second, not
+// all of its time.
+func TestSilentServerIsGivenUp(t *testing.T) {
+	f := &fakes{budget: 9}
+	f.sends = []func(*Attempt) (*Answer, error){nil, answers(200, events, nil)}
+	blocking := &silentFirst{fakes: f}
+	table := testTable()
+	for i := range table.Routes {
+		table.Routes[i].Timeout = 5 * time.Second
+	}
+	caller := serveWith(f, blocking, table, "stream", "key", 5*time.Second)
+	require.Equal(t, events, caller.body)
+	require.Equal(t, schedule.EndStalled, f.ends[0])
+}
+
+// silentFirst does not answer the first sending.
+type silentFirst struct{ *fakes }
+
+func (s *silentFirst) Send(ctx context.Context, attempt *Attempt) (*Answer, error) {
+	if len(s.attempts) == 0 {
+		s.attempts = append(s.attempts, *attempt)
+		<-ctx.Done()
+		return nil, &AttemptError{Reach: ReachUnknown, Err: ctx.Err()}
+	}
+	return s.fakes.Send(ctx, attempt)
+}
+
 func TestSuccessWithoutSignatureIsNotPassedOn(t *testing.T) {
 	unsigned := func(*Attempt) (*Answer, error) {
 		return &Answer{Status: 200, Header: http.Header{}, Body: fakeBody{strings.NewReader("ok")}}, nil
--- a/internal/hub/convert.go
+++ b/internal/hub/convert.go
@@ -93,3 +93,19 @@
 	}
 	return placement
 }
+
+var endsToProto = map[schedule.End]hubpb.ProgressKind{
+	schedule.EndDone: hubpb.ProgressKind_PROGRESS_ENDED, schedule.EndFailed: hubpb.ProgressKind_PROGRESS_FAILED,
+	schedule.EndRejected: hubpb.ProgressKind_PROGRESS_REJECTED, schedule.EndUnreached: hubpb.ProgressKind_PROGRESS_UNREACHED,
+	schedule.EndErrored: hubpb.ProgressKind_PROGRESS_ERRORED, schedule.EndStalled: hubpb.ProgressKind_PROGRESS_STALLED,
+}
+
+// endFromProto returns EndDone for a kind that a newer VM may send.
+func endFromProto(kind hubpb.ProgressKind) schedule.End {
+	for end, known := range endsToProto {
+		if known == kind {
+			return end
+		}
+	}
+	return schedule.EndDone
+}
--- a/internal/hub/core.go
+++ b/internal/hub/core.go
@@ -157,18 +157,11 @@
 	c.adopt(m.session, m.frame.GetRunning(), now)
 	for _, progress := range m.frame.GetProgress() {
 		id := schedule.JobID{VM: m.session.incarnation, Seq: progress.GetId()}
-		switch progress.GetKind() {
-		case hubpb.ProgressKind_PROGRESS_STARTED:
+		if progress.GetKind() == hubpb.ProgressKind_PROGRESS_STARTED {
 			c.scheduler.Started(now, id)
-		case hubpb.ProgressKind_PROGRESS_FAILED:
-			c.scheduler.Ended(now, id, schedule.EndFailed)
-		case hubpb.ProgressKind_PROGRESS_REJECTED:
-			c.scheduler.Ended(now, id, schedule.EndRejected)
-		case hubpb.ProgressKind_PROGRESS_UNREACHED:
-			c.scheduler.Ended(now, id, schedule.EndUnreached)
-		default:
-			c.scheduler.Ended(now, id, schedule.EndDone)
+			continue
 		}
+		c.scheduler.Ended(now, id, endFromProto(progress.GetKind()))
 	}
 	if len(m.frame.GetAsks()) > 0 {
 		m.session.pending() // an answer, even an empty one, shows that this VM works
--- a/internal/hub/linkstate.go
+++ b/internal/hub/linkstate.go
@@ -157,11 +157,7 @@
 	s.local.Ended(now, m.id, m.end)
 	delete(s.asked, m.id)
 	delete(s.running, m.id)
-	kind := map[schedule.End]hubpb.ProgressKind{
-		schedule.EndDone: hubpb.ProgressKind_PROGRESS_ENDED, schedule.EndFailed: hubpb.ProgressKind_PROGRESS_FAILED,
-		schedule.EndRejected: hubpb.ProgressKind_PROGRESS_REJECTED, schedule.EndUnreached: hubpb.ProgressKind_PROGRESS_UNREACHED,
-	}[m.end]
-	s.progress(m.id, kind)
+	s.progress(m.id, endsToProto[m.end])
 }
 
 func (s *linkState) progress(id schedule.JobID, kind hubpb.ProgressKind) {
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -86,14 +86,26 @@
 	EndFailed
 	// EndRejected requests were refused by the server without running.
 	EndRejected
-	// EndUnreached requests found no way to the server.
+	// EndUnreached requests found no way to the server's VM.
 	EndUnreached
+	// EndErrored requests were answered with an error of the server's own.
+	EndErrored
+	// EndStalled requests met a server that was silent or took no connection.
+	EndStalled
 )
 
 const (
 	// witnessUnreached is how many servers in a row an entry VM may not reach
 	// before it is taken for cut off itself.
 	witnessUnreached = 4
+	// errorWeight is the weight of one request in the error rate of a server.
+	errorWeight = 0.12
+	// errorsSuspect is the error rate from which a server is compared with the
+	// others, errorsFactor how much higher than theirs it must be.
+	errorsSuspect = 0.3
+	errorsFactor  = 2.5
+	// errorsOut is how long such a server gets nothing new.
+	errorsOut = 3 * time.Second
 	// zoneUnreached is how many servers of a zone must be out of reach before
 	// the others are taken for it, too.
 	zoneUnreached = 2
@@ -316,6 +328,39 @@
 	}
 	delete(s.unreached, id.VM)
 	j.first.noteEnd(now, end)
+	s.judgeErrors(now, j.first, end == EndErrored || end == EndFailed)
+}
+
+// judgeErrors takes a server out for a while that errs much more often than the
+// others of its service: requests that fail by nature fail everywhere. Half of
+// the servers of a service always stay.
+func (s *Scheduler) judgeErrors(now time.Time, v *server, erred bool) {
+	sample := 0.0
+	if erred {
+		sample = 1
+	}
+	v.errors += errorWeight * (sample - v.errors)
+	if v.errors < errorsSuspect {
+		return
+	}
+	others, count, out := 0.0, 0, 0
+	for _, one := range s.order {
+		if one.Service != v.Service {
+			continue
+		}
+		count++
+		if now.Before(one.outUntil) {
+			out++
+		}
+		if one != v {
+			others += one.errors
+		}
+	}
+	if count < 2 || 2*(out+1) > count || v.errors < errorsFactor*others/float64(count-1) {
+		return
+	}
+	v.outUntil = now.Add(errorsOut)
+	v.errors = errorsSuspect / 2
 }
 
 // noteUnreached takes a server out that could not be reached, and with the
@@ -327,9 +372,10 @@
 		return
 	}
 	j.first.noteEnd(now, EndUnreached)
+	j.first.cutOff = true
 	zone, out := j.first.Zone, 0
 	for _, one := range s.order {
-		if one.Zone == zone && one.unreached {
+		if one.Zone == zone && one.cutOff {
 			out++
 		}
 	}
@@ -337,7 +383,7 @@
 		return
 	}
 	for _, one := range s.order {
-		if one.Zone == zone && !one.unreached {
+		if one.Zone == zone && !one.cutOff {
 			one.noteEnd(now, EndUnreached)
 		}
 	}
--- a/internal/schedule/server.go
+++ b/internal/schedule/server.go
@@ -70,9 +70,13 @@
 	// pace is how much slower than its figures the server works.
 	pace     float64
 	failures int
+	// errors is the recent rate of requests that the server failed.
+	errors   float64
 	outUntil time.Time
 	// unreached is set while no request came through since one found no way.
 	unreached bool
+	// cutOff is set while its VM was out of reach, not just the server silent.
+	cutOff bool
 }
 
 // writeTime is how long a pass takes without reading.
@@ -188,7 +192,7 @@
 
 // noteStart corrects the estimate by a first event: a pass has just ended.
 func (v *server) noteStart(now time.Time, j *job) {
-	v.failures, v.unreached = 0, false
+	v.failures, v.unreached, v.cutOff = 0, false, false
 	if v.engine == nil {
 		return
 	}
@@ -203,10 +207,10 @@
 func (v *server) noteEnd(now time.Time, end End) {
 	switch end {
 	case EndDone:
-		v.failures, v.unreached = 0, false
+		v.failures, v.unreached, v.cutOff = 0, false, false
 	case EndRejected:
 		v.outUntil = now.Add(firstBackoff / 2)
-	case EndUnreached:
+	case EndUnreached, EndStalled:
 		v.unreached = true
 		v.failures = max(v.failures+1, failuresTolerated)
 		v.outUntil = now.Add(min(firstBackoff<<min(v.failures-failuresTolerated, 8), longestBackoff))
