schedule: no pass breaks a stream off

A pass beside a stream now stays below the silence after which it is given up; silence within a stream counts as an ordinary failure; a request whose own time ends says nothing of its server.

--- a/internal/schedule/memory_test.go
+++ b/internal/schedule/memory_test.go
@@ -51,3 +51,27 @@
 	}
 	require.Equal(t, 300_700-plan.first, reserved)
 }
+
+// A long prompt may make a short stream late, but not pause it for so long that
+// its server is taken for dead.
+func TestNoPassBreaksAStreamOff(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	s := testScheduler(now, 1)
+	s.commit(now, &job{ask: ask(now, 1, 1000, 300*time.Millisecond, 250*time.Millisecond), since: now}, s.servers["a"], nil)
+	s.Started(now.Add(100*time.Millisecond), JobID{VM: 1, Seq: 1})
+	now = now.Add(200 * time.Millisecond)
+	large := ask(now, 2, 100_000, 3*time.Second, time.Second) // 1.2 s of reading
+	large.Worth = 1000
+	s.Ask(now, large)
+	for range 50 {
+		require.Empty(t, s.Decide(now))
+		now = now.Add(50 * time.Millisecond)
+	}
+}
+
+func ask(now time.Time, seq uint64, prompt int, aim, pause time.Duration) Ask {
+	return Ask{
+		ID: JobID{VM: 1, Seq: seq}, Service: "model", PromptTokens: prompt, AnswerTokens: 700,
+		AimAt: now.Add(aim), GiveUpAt: now.Add(4 * aim), Pause: pause, Worth: 10,
+	}
+}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -328,7 +328,9 @@
 	}
 	delete(s.unreached, id.VM)
 	j.first.noteEnd(now, end)
-	s.judgeErrors(now, j.first, end == EndErrored || end == EndFailed)
+	if end != EndFailed {
+		s.judgeErrors(now, j.first, end == EndErrored)
+	}
 }
 
 // judgeErrors takes a server out for a while that errs much more often than the
--- a/internal/schedule/server.go
+++ b/internal/schedule/server.go
@@ -22,6 +22,11 @@
 	// failuresTolerated is the failures in a row after which a server is left
 	// out; single failures are common and say little.
 	failuresTolerated = 2
+	// brokenAfter and brokenFactor times its pause bound are the pauses up to
+	// which a stream is only late: its entry VM takes a server that is silent for
+	// longer for dead.
+	brokenAfter  = 950 * time.Millisecond
+	brokenFactor = 3
 	// longPart is the reading from which it is doubtful, until a first event shows
 	// it, whether a server has read a part as soon as estimated.
 	longPart = 250 * time.Millisecond
@@ -285,6 +290,9 @@
 	taken := write + queued + v.scaled(sum(v.current)+sum(v.unproven))
 	r.longest = longestPass - taken
 	for _, j := range v.jobs {
+		if j.ask.Pause > 0 && j.writing {
+			r.longest = min(r.longest, max(brokenAfter, brokenFactor*j.ask.Pause)-taken)
+		}
 		if !j.late && j.ask.Pause > 0 && (j.writing || j.unread == 0 || contains(v.current, j)) {
 			limit := time.Duration(float64(j.ask.Pause)*pauseShare) - taken
 			r.harms = append(r.harms, harm{limit: limit, worth: j.ask.Worth, job: j})
