hub: control VMs that failed least are tried first; files split by subject

Cause: TestEntryVMFindsTheLivingControlVM failed once in a run of all tests. It failed in one of eight runs beside fourteen busy processes: a control VM whose pause was over was drawn as often as one that was not tried yet. Queue, memory and health of the scheduler, streams and reports of the gateway have their own files; nothing else changed there.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"time"
 
-	"godwityoke.example/godwityoke/internal/eventstream"
 	"godwityoke.example/godwityoke/internal/observe"
 	"godwityoke.example/godwityoke/internal/routes"
 	"godwityoke.example/godwityoke/internal/schedule"
@@ -78,29 +77,6 @@
 	timing timing
 }
 
-// timing tells where the time of a request went.
-type timing struct {
-	// waited is the time for a placement, all attempts together.
-	waited time.Duration
-	// first is the time from arrival to the first event, longest the longest
-	// pause between two events.
-	first   time.Duration
-	longest time.Duration
-	lastAt  time.Time
-	// local counts placements that this VM made without the scheduler.
-	local int
-}
-
-// event notes that an event was passed on.
-func (t *timing) event(now, arrived time.Time) {
-	if t.lastAt.IsZero() {
-		t.first = now.Sub(arrived)
-	} else {
-		t.longest = max(t.longest, now.Sub(t.lastAt))
-	}
-	t.lastAt = now
-}
-
 // result is what became of one attempt.
 type result struct {
 	// done is set when the caller has the final answer.
@@ -241,44 +217,6 @@
 	return FailedServer
 }
 
-func (x *exchange) logPlacement(placement schedule.Placement, waited time.Duration) {
-	helpers := make([]string, 0, len(placement.Helpers))
-	for _, helper := range placement.Helpers {
-		helpers = append(helpers, helper.Server)
-	}
-	observe.Log(x.gateway.options.Logger, observe.RequestPlaced).Str("request", x.request.ID).Str("route", x.route.Name).
-		Str("server", placement.Server).Strs("helpers", helpers).Bool("local", placement.Local).Int("send", x.sends).
-		Int("prompt", x.request.PromptTokens).Dur("waited", waited).Uint64("table", x.table.Version).Send()
-}
-
-// Outcomes of requests in the metrics.
-const (
-	outcomeAnswered = "answered"
-	outcomeBroken   = "broken"
-	outcomeRefused  = "refused"
-)
-
-func (x *exchange) count(outcome string) {
-	x.gateway.options.Metrics.CountOutcome(x.teamName(), x.class(), outcome)
-}
-
-func (x *exchange) teamName() string {
-	if x.team == nil {
-		return ""
-	}
-	return x.team.Name
-}
-
-// class groups requests in the metrics by kind and aim: route names change.
-func (x *exchange) class() string { return x.route.Kind.String() + "-" + x.route.Aim.String() }
-
-func (x *exchange) log(cause string) {
-	x.count(outcomeBroken)
-	observe.Log(x.gateway.options.Logger, observe.RequestBroken).Str("request", x.request.ID).Str("route", x.route.Name).
-		Int("sends", x.sends).Int("runs", x.runs).Int("events", x.events).Str("cause", cause).
-		Dur("held", time.Since(x.request.ArrivedAt)).Send()
-}
-
 // attempt sends the request to one server and passes its answer on.
 func (x *exchange) attempt(ctx context.Context, id schedule.JobID, placement schedule.Placement) result {
 	placer := x.gateway.options.Placer
@@ -409,90 +347,3 @@
 	x.finish(attempt, answer.Status, success)
 	return result{done: true, errored: serverFault}
 }
-
-func (x *exchange) finish(attempt *Attempt, status int, success bool) {
-	x.count(outcomeAnswered)
-	if x.events > 0 {
-		x.gateway.options.Metrics.Observe(observe.TimeToFirstToken, x.teamName(), x.class(), x.timing.first)
-	}
-	x.gateway.options.Metrics.Observe(observe.TimeInQueue, x.teamName(), x.class(), x.timing.waited)
-	x.gateway.options.Metrics.Observe(observe.TimeWhole, x.teamName(), x.class(), time.Since(x.request.ArrivedAt))
-	observe.Log(x.gateway.options.Logger, observe.RequestAnswered).Str("request", x.request.ID).Str("route", x.route.Name).
-		Str("server", attempt.Server.ID).Int("status", status).Bool("success", success).Int("sends", x.sends).
-		Int("helpers", len(attempt.Helpers)).Int("prompt", x.request.PromptTokens).Int("events", x.events).
-		Dur("aim", x.route.Aim).Dur("pause_aim", x.route.PauseAim).Dur("waited", x.timing.waited).
-		Dur("first", x.timing.first).Dur("longest", x.timing.longest).Int("local", x.timing.local).
-		Dur("took", time.Since(x.request.ArrivedAt)).Send()
-}
-
-// relayStream passes events on as they arrive, each of them whole and once.
-func (x *exchange) relayStream(id schedule.JobID, attempt *Attempt, answer *Answer) result {
-	reader := eventstream.NewReader(answer.Body)
-	started := false
-	for {
-		if err := answer.Body.SetReadDeadline(x.eventDeadline(started)); err != nil {
-			return result{err: &AttemptError{Reach: ReachUnknown, Err: err}}
-		}
-		event, err := reader.Next()
-		if errors.Is(err, io.EOF) {
-			return x.endStream(attempt, answer)
-		}
-		if err != nil {
-			return result{err: &AttemptError{Reach: ReachUnknown, Err: fmt.Errorf("read event %d: %w", x.events+1, err)}}
-		}
-		if !started {
-			started = true
-			x.gateway.options.Placer.Started(id)
-		}
-		if event.HasID && event.ID <= x.lastEvent {
-			continue // the caller has it already
-		}
-		if err := x.pass(answer, event); err != nil {
-			return result{done: true}
-		}
-	}
-}
-
-func (x *exchange) pass(answer *Answer, event eventstream.Event) error {
-	if !x.begun {
-		if err := x.caller.Begin(answer.Status, answer.Header); err != nil {
-			return err
-		}
-		x.begun = true
-	}
-	if err := x.caller.Event(event.Raw); err != nil {
-		return err
-	}
-	if event.HasID {
-		x.lastEvent = event.ID
-	}
-	x.events++
-	x.timing.event(time.Now(), x.request.ArrivedAt)
-	return nil
-}
-
-// endStream ends the answer after the server's last event.
-func (x *exchange) endStream(attempt *Attempt, answer *Answer) result {
-	if !x.begun {
-		return result{err: &AttemptError{Reach: ReachUnknown, Err: errors.New("the stream ended without an event")}}
-	}
-	x.runs++
-	x.finish(attempt, answer.Status, true)
-	return result{done: true}
-}
-
-// eventDeadline is when the server of a stream is taken for stuck.
-func (x *exchange) eventDeadline(started bool) time.Time {
-	wait := max(shortestStall, stallFactor*x.route.PauseAim)
-	at := time.Now().Add(wait)
-	if !started {
-		at = x.request.ArrivedAt.Add(firstEventFactor * x.route.Aim)
-		if floor := time.Now().Add(shortestStall); at.Before(floor) {
-			at = floor
-		}
-	}
-	if at.After(x.deadline) {
-		return x.deadline
-	}
-	return at
-}
--- a/internal/hub/link.go
+++ b/internal/hub/link.go
@@ -1,6 +1,7 @@
 package hub
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -197,50 +198,14 @@
 	}
 }
 
-// failures holds until when control VMs are not tried again, ever longer while
-// they stay out of reach.
-// It is safe for concurrent use.
-type failures struct {
-	mu    sync.Mutex
-	until map[string]time.Time
-	wait  map[string]time.Duration
-}
-
-func newFailures() *failures {
-	return &failures{until: map[string]time.Time{}, wait: map[string]time.Duration{}}
-}
-
-func (f *failures) add(address string, now time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	wait := min(max(2*f.wait[address], firstAvoid), longestAvoid)
-	f.wait[address], f.until[address] = wait, now.Add(wait)
-}
-
-func (f *failures) clear(address string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	delete(f.wait, address)
-	delete(f.until, address)
-}
-
-func (f *failures) avoided(address string, now time.Time) bool {
-	return now.Before(f.avoidedUntil(address))
-}
-
-func (f *failures) avoidedUntil(address string) time.Time {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.until[address]
-}
-
 func (l *Link) isAttached() bool {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
 	return l.attached
 }
 
-// nextAddress prefers the leader, then control VMs that did not fail lately.
+// nextAddress prefers the leader, then the control VMs that failed least: one
+// that was not tried yet goes before one whose pause is over.
 func (l *Link) nextAddress(failures *failures, now time.Time) string {
 	leader, control := l.state.knownControl()
 	if leader != "" && !failures.avoided(leader, now) {
@@ -249,16 +214,13 @@
 	all := append(slices.Clone(control), l.options.Seeds...)
 	slices.Sort(all)
 	all = slices.Compact(all)
-	var fresh []string
-	for _, address := range all {
-		if !failures.avoided(address, now) {
-			fresh = append(fresh, address)
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return slices.MinFunc(all, func(a, b string) int {
+		if order := cmp.Compare(failures.pause(a), failures.pause(b)); order != 0 {
+			return order
 		}
-	}
-	if len(fresh) > 0 {
-		return fresh[rand.IntN(len(fresh))]
-	}
-	return slices.MinFunc(all, func(a, b string) int { return failures.avoidedUntil(a).Compare(failures.avoidedUntil(b)) })
+		return failures.avoidedUntil(a).Compare(failures.avoidedUntil(b))
+	})
 }
 
 // attach runs one stream to its end and tells whether it ever was up.
--- a/internal/schedule/decide.go
+++ b/internal/schedule/decide.go
@@ -89,57 +89,6 @@
 	return s.output
 }
 
-// queue is the waiting requests of a service that go before one.
-type queue struct {
-	ahead     int
-	perSecond float64
-}
-
-// wait estimates when the next request of the queue gets a place.
-func (q *queue) wait() time.Duration {
-	wait := time.Duration(float64(q.ahead+1) / q.perSecond * float64(time.Second))
-	return min(max(wait, shortestRetry), longestRetry)
-}
-
-// throughput counts the placements of a service in the current and the last
-// second.
-type throughput struct {
-	second        int64
-	current, last int
-}
-
-func (t *throughput) advance(now time.Time) {
-	second := now.Unix()
-	switch {
-	case second == t.second+1:
-		t.last, t.current = t.current, 0
-	case second != t.second:
-		t.last, t.current = 0, 0
-	}
-	t.second = second
-}
-
-func (t *throughput) add(now time.Time) {
-	t.advance(now)
-	t.current++
-}
-
-// perSecond returns the recent rate, at least one a second.
-func (t *throughput) perSecond(now time.Time) float64 {
-	t.advance(now)
-	passed := float64(now.Nanosecond()) / float64(time.Second)
-	return math.Max(1, float64(t.current)+float64(t.last)*(1-passed))
-}
-
-func (s *Scheduler) throughput(service string) *throughput {
-	t := s.throughputs[service]
-	if t == nil {
-		t = &throughput{}
-		s.throughputs[service] = t
-	}
-	return t
-}
-
 // Wake returns when Decide is due again, zero when nothing waits.
 func (s *Scheduler) Wake(now time.Time) time.Time {
 	if len(s.waiting) == 0 {
@@ -360,25 +309,6 @@
 	})
 }
 
-// memoryPlan is how the tokens of a request are spread over servers.
-type memoryPlan struct {
-	// holders is how many helpers reserve memory, each how many tokens.
-	holders int
-	each    int
-	// first is what is left for the first server.
-	first int
-}
-
-// planMemory spreads a request that one server should not hold alone.
-func planMemory(memory, tokens int) memoryPlan {
-	if tokens <= int(soloShare*float64(memory)) {
-		return memoryPlan{first: tokens}
-	}
-	parts := int(math.Ceil(float64(tokens) / (partMemoryShare * float64(memory))))
-	each := (tokens/parts/memoryBlock + 1) * memoryBlock
-	return memoryPlan{holders: parts - 1, each: each, first: tokens - (parts-1)*each}
-}
-
 // choice is a set of servers for a request.
 type choice struct {
 	first   *server
