--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -28,7 +28,7 @@
 
 // PlatformServeArguments are the arguments of "platform serve".
 type PlatformServeArguments struct {
-	Boot  string `arg:"--boot,env:GODWITYOKE_NODE_FILE,required" help:"boot file of the platform"`
+	Boot  string `arg:"--boot" help:"boot file; by default the one that the platform's variable names"`
 	Level string `arg:"--log-level" default:"info" help:"lowest level that is logged"`
 }
 
@@ -52,6 +52,9 @@
 }
 
 func (a *PlatformServeArguments) run(output Output) int {
+	if a.Boot == "" {
+		a.Boot = os.Getenv(platform.BootVariable)
+	}
 	boot, err := platform.LoadBoot(a.Boot)
 	if err != nil {
 		fmt.Fprintln(output.Err, err)
