hub, schedule: a request holds one place at most, and gives it back

Cause: a request that an entry VM placed itself while the scheduler was silent stayed in the scheduler's queue. It then got a second place there, which no end ever freed: Adopt did not take it out of the queue. A placement that came late was thrown away while its request waited locally, where a VM's part of a small service may hold no slot, and a local refusal was not told to the scheduler. An entry VM that attached again over a silent connection left places behind, too.

Now: Adopt moves a request from the queue or its old place, Ask ignores what it knows, a late placement serves a request that waits locally, waiting requests turn to the scheduler as soon as it is heard again, a new session ends its predecessor and what does not run any more. Plain servers always give a VM on its own one slot.

--- a/internal/hub/core.go
+++ b/internal/hub/core.go
@@ -101,6 +101,7 @@
 
 func (m attached) handle(c *core, now time.Time) {
 	s := m.session
+	c.supersede(s)
 	c.sessions[s] = true
 	c.entries[s.vm] = now
 	for _, server := range serversFromProto(m.frame.GetHello().GetServers(), now) {
@@ -114,12 +115,29 @@
 		frame.Table = c.table
 		s.tableVersion = c.table.GetVersion()
 	}
-	c.adopt(s, m.frame.GetHello().GetRunning(), now)
+	running := m.frame.GetHello().GetRunning()
+	ids := make(map[schedule.JobID]bool, len(running))
+	for _, job := range running {
+		ids[schedule.JobID{VM: s.incarnation, Seq: job.GetAsk().GetId()}] = true
+	}
+	c.scheduler.EndAll(now, s.incarnation, ids)
+	c.adopt(s, running, now)
 	c.showView(s, now)
 	observe.Log(c.options.Logger, observe.EntryAttached).Str("entry_vm", s.vm).
 		Uint64("table_version", s.tableVersion).Int("running", len(m.frame.GetHello().GetRunning())).Send()
 }
 
+// supersede drops older sessions of an entry VM: their connections are dead,
+// even where this VM has not noticed yet.
+func (c *core) supersede(by *session) {
+	for old := range c.sessions {
+		if old.incarnation == by.incarnation {
+			delete(c.sessions, old)
+			old.drop()
+		}
+	}
+}
+
 // adopt takes over requests that were placed by another scheduler.
 func (c *core) adopt(s *session, running []*hubpb.RunningJob, now time.Time) {
 	for _, job := range running {
@@ -135,12 +153,7 @@
 		return
 	}
 	delete(c.sessions, m.session)
-	for other := range c.sessions {
-		if other.incarnation == m.session.incarnation {
-			return
-		}
-	}
-	c.scheduler.EndAll(now, m.session.incarnation)
+	c.scheduler.EndAll(now, m.session.incarnation, nil)
 	observe.Log(c.options.Logger, observe.EntryDetached).Str("entry_vm", m.session.vm).Send()
 }
 
--- a/internal/hub/linkstate.go
+++ b/internal/hub/linkstate.go
@@ -54,9 +54,12 @@
 type askState struct {
 	ask   schedule.Ask
 	reply chan schedule.Placement
-	// remote is set while a control VM was asked, askedAt when.
+	// remote is set while the scheduler's answer is waited for, askedAt since
+	// when.
 	remote  bool
 	askedAt time.Time
+	// sent is set while the attached control VM knows the ask.
+	sent bool
 }
 
 type runState struct {
@@ -135,7 +138,10 @@
 		s.local.Ask(now, a.ask)
 		return
 	}
-	s.pending().Asks = append(s.pending().Asks, askToProto(a.ask, now))
+	if !a.sent {
+		s.pending().Asks = append(s.pending().Asks, askToProto(a.ask, now))
+		a.sent = true
+	}
 }
 
 type startedMessage struct{ id schedule.JobID }
@@ -181,7 +187,10 @@
 
 func (m attachMessage) handle(s *linkState, now time.Time) {
 	s.outbox, s.cancel, s.address, s.schedules = m.outbox, m.cancel, m.address, false
-	s.attachedAt = now
+	s.attachedAt, s.suspect = now, false
+	for _, a := range s.asked {
+		a.sent = false
+	}
 	hello := &hubpb.Hello{Vm: s.link.options.VM, Zone: s.link.options.Zone, Incarnation: s.link.options.Incarnation}
 	if table := s.link.Table(); table != nil {
 		hello.TableVersion = table.Version
@@ -206,6 +215,9 @@
 		return
 	}
 	s.outbox, s.frame, s.schedules, s.suspect = nil, nil, false, false
+	for _, a := range s.asked {
+		a.sent = false
+	}
 	s.mu.Lock()
 	if s.leader == s.address {
 		s.leader = "" // until another control VM names it again
@@ -245,6 +257,7 @@
 	if s.outbox != m.outbox {
 		return
 	}
+	resumed := s.schedules && s.suspect
 	s.heardAt, s.suspect = now, false
 	s.link.takeTable(m.frame.GetTable())
 	s.takeServers(serversFromProto(m.frame.GetServers(), now), now)
@@ -254,6 +267,9 @@
 	if view := m.frame.GetView(); view != nil {
 		s.takeView(view, now)
 	}
+	if resumed && s.schedules {
+		s.askRemotely(now)
+	}
 }
 
 func (s *linkState) takeView(view *hubpb.View, now time.Time) {
@@ -332,14 +348,17 @@
 	})
 }
 
-// deliver hands a placement to the request that waits for it. One that nobody
-// waits for any more is given back.
+// deliver hands a placement to the request that waits for it. Whichever of the
+// scheduler and this VM's own places it first serves it.
 func (s *linkState) deliver(placement schedule.Placement, now time.Time, local bool) {
 	a := s.asked[placement.ID]
-	if a == nil || a.remote == local {
-		if placement.Server != "" && a == nil {
-			s.progress(placement.ID, hubpb.ProgressKind_PROGRESS_ENDED)
-		}
+	switch {
+	case a == nil:
+		s.giveBack(placement)
+		return
+	case local && a.remote:
+		return
+	case !local && !a.remote && !s.local.Withdraw(placement.ID):
 		return
 	}
 	delete(s.asked, placement.ID)
@@ -353,11 +372,21 @@
 		if !local {
 			s.local.Adopt(now, a.ask, placement, false)
 		}
+	} else if local && a.sent {
+		s.progress(placement.ID, hubpb.ProgressKind_PROGRESS_ENDED)
 	}
 	placement.Local = local
 	a.reply <- placement
 }
 
+// giveBack frees a place that nobody waits for any more. A request that this VM
+// has placed meanwhile was reported, which took it off that place.
+func (s *linkState) giveBack(placement schedule.Placement) {
+	if placement.Server != "" && s.running[placement.ID] == nil {
+		s.progress(placement.ID, hubpb.ProgressKind_PROGRESS_ENDED)
+	}
+}
+
 func (s *linkState) tick(now time.Time) {
 	s.link.mu.Lock()
 	forgotten := s.link.servers.Sweep(now, s.link.options.ForgetAfter)
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -9,6 +9,7 @@
 	"encoding/binary"
 	"hash/fnv"
 	"math"
+	"slices"
 	"time"
 
 	"godwityoke.example/godwityoke/internal/routes"
@@ -141,6 +142,9 @@
 	if s.part >= 1 {
 		return server.Slots
 	}
+	if s.engines[server.Service] == nil {
+		return max(1, int(float64(server.Slots)*s.part)) // a server queues or rejects what is too much
+	}
 	exact := float64(server.Slots) * s.part
 	whole := math.Floor(exact)
 	h := fnv.New64a()
@@ -186,6 +190,7 @@
 	}
 	for _, one := range s.order {
 		one.engine = s.engines[one.Service]
+		one.share = s.shareOf(&one.Server)
 	}
 }
 
@@ -231,14 +236,26 @@
 	}
 }
 
-// Ask queues a request. Decide places or refuses it.
+// Ask queues a request. Decide places or refuses it. One that waits or has a
+// place already is not queued again.
 func (s *Scheduler) Ask(now time.Time, ask Ask) {
+	if s.placed[ask.ID] != nil || s.waits(ask.ID) {
+		return
+	}
+	s.waiting = append(s.waiting, s.newJob(now, ask))
+}
+
+func (s *Scheduler) newJob(now time.Time, ask Ask) *job {
 	j := &job{ask: ask, since: now}
 	if engine := s.engines[ask.Service]; engine != nil {
 		j.read = readTime(engine, ask.PromptTokens)
 		j.tokens = ask.PromptTokens + ask.AnswerTokens
 	}
-	s.waiting = append(s.waiting, j)
+	return j
+}
+
+func (s *Scheduler) waits(id JobID) bool {
+	return slices.ContainsFunc(s.waiting, func(j *job) bool { return j.ask.ID == id })
 }
 
 // readTime is how long a server reads a prompt when it does nothing else.
@@ -247,18 +264,22 @@
 	return time.Duration(tokens)*engine.ReadPerToken + time.Duration(pairs*engine.ReadPerPairNs)
 }
 
-// Adopt takes over a request that was placed through another scheduler.
+// Adopt takes over a request that was placed through another scheduler. It
+// leaves the queue and the place that it may have had here: each request holds
+// one place, which its end frees.
 func (s *Scheduler) Adopt(now time.Time, ask Ask, placement Placement, writing bool) {
+	s.Withdraw(ask.ID)
 	first := s.servers[placement.Server]
-	if first == nil || s.placed[ask.ID] != nil {
-		return
+	if held := s.placed[ask.ID]; held != nil {
+		if held.first == first {
+			return
+		}
+		s.release(held)
 	}
-	j := &job{ask: ask, since: now}
-	if engine := s.engines[ask.Service]; engine != nil {
-		j.read = readTime(engine, ask.PromptTokens)
-		j.tokens = ask.PromptTokens + ask.AnswerTokens
+	if first == nil {
+		return
 	}
-	s.commit(now, j, first, placement.Helpers)
+	s.commit(now, s.newJob(now, ask), first, placement.Helpers)
 	if writing {
 		s.Started(now, ask.ID)
 	}
@@ -298,13 +319,7 @@
 		s.Withdraw(id)
 		return
 	}
-	delete(s.placed, id)
-	delete(j.first.jobs, id)
-	j.first.dropParts(j)
-	for _, helper := range j.helpers {
-		helper.dropParts(j)
-		delete(helper.helping, id)
-	}
+	s.release(j)
 	if end == EndUnreached {
 		s.noteUnreached(now, j)
 		return
@@ -316,10 +331,23 @@
 	}
 }
 
-// EndAll frees the places of all requests of an entry VM that is gone.
-func (s *Scheduler) EndAll(now time.Time, vm uint64) {
+// release frees the servers of a placed request.
+func (s *Scheduler) release(j *job) {
+	id := j.ask.ID
+	delete(s.placed, id)
+	delete(j.first.jobs, id)
+	j.first.dropParts(j)
+	for _, helper := range j.helpers {
+		helper.dropParts(j)
+		delete(helper.helping, id)
+	}
+}
+
+// EndAll frees the places of the requests of an entry VM but for those that
+// still run, and forgets its waiting ones.
+func (s *Scheduler) EndAll(now time.Time, vm uint64, running map[JobID]bool) {
 	for id := range s.placed {
-		if id.VM == vm {
+		if id.VM == vm && !running[id] {
 			s.Ended(now, id, EndDone)
 		}
 	}
