observe: log lines are bounded and never block the process

Cause: lines went straight to standard output, so a reader that stops would have blocked every request, and nothing bounded their number.

A writer of its own takes whole lines from a bounded buffer. Lines below the warning level are bounded by event and second and leave a quarter of the buffer to those of failed, refused, late and repeated requests, which are warnings now; late answers and further places have events of their own. What is left out is counted in a line. A closed reader no longer ends the process.

Ruled out: a limit when the line is begun (it would save the cost of building it, but needs state of the process in every logger).

--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -7,6 +7,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"godwityoke.example/godwityoke/internal/observe"
 	"godwityoke.example/godwityoke/platform"
@@ -20,6 +21,9 @@
 // billed for their peak memory and use a few percent of their processor.
 const gcPercent = 30
 
+// logPatience is how long a process that ends waits for the reader of its log.
+const logPatience = 500 * time.Millisecond
+
 // PlatformArguments are the arguments of "platform".
 type PlatformArguments struct {
 	Serve *PlatformServeArguments `arg:"subcommand:serve" help:"run the process that the boot file asks for"`
@@ -60,7 +64,10 @@
 		fmt.Fprintln(output.Err, err)
 		return ExitFindings
 	}
-	logger, err := observe.NewLogger(output.Out, observe.LogJSON, a.Level)
+	lines := observe.NewLineWriter(output.Out)
+	defer lines.Close(logPatience)
+	signal.Ignore(syscall.SIGPIPE) // a reader of the logs that ends must not end the process
+	logger, err := observe.NewLogger(lines, observe.LogJSON, a.Level)
 	if err != nil {
 		fmt.Fprintln(output.Err, err)
 		return ExitUsage
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -24,7 +24,9 @@
 		fmt.Fprintln(output.Err, err)
 		return ExitFindings
 	}
-	logger, err := observe.NewLogger(output.Err, loaded.Log.Format, loaded.Log.Level)
+	lines := observe.NewLineWriter(output.Err)
+	defer lines.Close(logPatience)
+	logger, err := observe.NewLogger(lines, loaded.Log.Format, loaded.Log.Level)
 	if err != nil {
 		fmt.Fprintln(output.Err, err)
 		return ExitFindings
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -42,7 +42,11 @@
 	for _, helper := range placement.Helpers {
 		helpers = append(helpers, helper.Server)
 	}
-	observe.Log(x.gateway.options.Logger, observe.RequestPlaced).Str("request", x.request.ID).Str("route", x.route.Name).
+	event := observe.RequestPlaced
+	if x.sends > 1 {
+		event = observe.RequestPlacedAgain
+	}
+	observe.Log(x.gateway.options.Logger, event).Str("request", x.request.ID).Str("route", x.route.Name).
 		Str("server", placement.Server).Strs("helpers", helpers).Bool("local", placement.Local).Int("send", x.sends).
 		Int("prompt", x.request.PromptTokens).Dur("waited", waited).Uint64("table", x.table.Version).Send()
 }
@@ -68,6 +72,15 @@
 		Dur("held", time.Since(x.request.ArrivedAt)).Send()
 }
 
+// late tells whether an answer is not what its route aims at.
+func (x *exchange) late(success bool) bool {
+	begun := x.timing.first
+	if x.events == 0 {
+		begun = time.Since(x.request.ArrivedAt)
+	}
+	return !success || x.sends > 1 || begun > x.route.Aim || x.route.PauseAim > 0 && x.timing.longest > x.route.PauseAim
+}
+
 func (x *exchange) finish(attempt *Attempt, status int, success bool) {
 	x.count(outcomeAnswered)
 	if x.events > 0 {
@@ -75,7 +88,11 @@
 	}
 	x.gateway.options.Metrics.Observe(observe.TimeInQueue, x.teamName(), x.class(), x.timing.waited)
 	x.gateway.options.Metrics.Observe(observe.TimeWhole, x.teamName(), x.class(), time.Since(x.request.ArrivedAt))
-	observe.Log(x.gateway.options.Logger, observe.RequestAnswered).Str("request", x.request.ID).Str("route", x.route.Name).
+	event := observe.RequestAnswered
+	if x.late(success) {
+		event = observe.RequestAnsweredLate
+	}
+	observe.Log(x.gateway.options.Logger, event).Str("request", x.request.ID).Str("route", x.route.Name).
 		Str("server", attempt.Server.ID).Int("status", status).Bool("success", success).Int("sends", x.sends).
 		Int("helpers", len(attempt.Helpers)).Int("prompt", x.request.PromptTokens).Int("events", x.events).
 		Dur("aim", x.route.Aim).Dur("pause_aim", x.route.PauseAim).Dur("waited", x.timing.waited).
--- /dev/null
+++ b/internal/observe/linewriter_test.go
@@ -0,0 +1,139 @@
+package observe
+
+import (
+	"bytes"
+	"io"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+)
+
+func logTo(w io.Writer) zerolog.Logger { return zerolog.New(w) }
+
+func TestLinesComeOutInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		w := NewLineWriter(&out)
+		logger := logTo(w)
+		for i := range 50 {
+			Log(logger, RequestPlaced).Int("i", i).Send()
+		}
+		w.Close(time.Second)
+		lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+		require.Len(t, lines, 50)
+		require.Contains(t, lines[0], `"i":0`)
+		require.Contains(t, lines[49], `"i":49`)
+	})
+}
+
+// The reader has stopped: callers go on at once, the lines of failed requests
+// are kept up to the bound, and what was left out is counted once it reads on.
+func TestStoppedReaderCostsLinesAndNoTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reader, pipe := io.Pipe()
+		w := NewLineWriter(pipe)
+		logger := logTo(w)
+		begun := time.Now()
+		filler := strings.Repeat("x", 1000)
+		const ordinary, failed = 5000, 60
+		for i := range ordinary {
+			Log(logger, RequestPlaced).Str("filler", filler).Send()
+			if i%100 == 0 {
+				time.Sleep(100 * time.Millisecond)
+			}
+		}
+		require.Equal(t, 50*100*time.Millisecond, time.Since(begun), "no write waits for the reader")
+		for range failed {
+			Log(logger, RequestBroken).Str("filler", filler).Send()
+		}
+		var out bytes.Buffer
+		go func() { _, _ = io.Copy(&out, reader) }()
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+		text := out.String()
+		require.Equal(t, failed, strings.Count(text, `"name":"request_broken"`))
+		placed := strings.Count(text, `"name":"request_placed"`)
+		require.LessOrEqual(t, len(text), maxPendingBytes+4096)
+		require.Contains(t, text, `"name":"log_lines_left_out","lines":`+strconv.Itoa(ordinary-placed))
+		w.Close(time.Second)
+		_ = pipe.Close()
+	})
+}
+
+func TestLinesOfOneEventAreBoundedBySecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		w := NewLineWriter(&out)
+		logger := logTo(w)
+		for range 3 {
+			for range maxKindLines + 50 {
+				Log(logger, RequestPlaced).Send()
+			}
+			Log(logger, RequestAnswered).Send()
+			synctest.Wait()
+			time.Sleep(1100 * time.Millisecond)
+		}
+		w.Close(time.Second)
+		text := out.String()
+		require.Equal(t, 3*maxKindLines, strings.Count(text, `"name":"request_placed"`))
+		require.Equal(t, 3, strings.Count(text, `"name":"request_answered"`))
+		require.Equal(t, 3, strings.Count(text, `"by_event":{"3205":50}`))
+	})
+}
+
+func TestCloseDoesNotWaitForAStoppedReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reader, pipe := io.Pipe()
+		w := NewLineWriter(pipe)
+		Log(logTo(w), RequestPlaced).Send()
+		begun := time.Now()
+		w.Close(time.Second)
+		require.Equal(t, time.Second, time.Since(begun))
+		_ = reader.Close() // ends the writer's goroutine
+	})
+}
+
+func TestBrokenOutputIsCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reader, pipe := io.Pipe()
+		_ = reader.Close()
+		w := NewLineWriter(pipe)
+		Log(logTo(w), RequestPlaced).Send()
+		synctest.Wait()
+		w.mu.Lock()
+		require.Equal(t, 1, w.leftOut[RequestPlaced.Number])
+		w.mu.Unlock()
+		w.Close(time.Second)
+	})
+}
+
+// blockedWriter never returns from a write until it is freed.
+type blockedWriter struct{ free chan struct{} }
+
+func (b *blockedWriter) Write(p []byte) (int, error) {
+	<-b.free
+	return len(p), nil
+}
+
+// BenchmarkLogLine compares the cost of a line with a free and with a blocked
+// reader.
+func BenchmarkLogLine(b *testing.B) {
+	blocked := &blockedWriter{free: make(chan struct{})}
+	for name, out := range map[string]io.Writer{"free": io.Discard, "blocked": blocked} {
+		b.Run(name, func(b *testing.B) {
+			w := NewLineWriter(out)
+			logger := logTo(w)
+			for b.Loop() {
+				Log(logger, RequestPlaced).Str("request", "0c3a025e2713e635").Str("server", "i-95d13d4741").Int("send", 1).
+					Dur("waited", time.Millisecond).Send()
+			}
+			w.Close(0)
+		})
+	}
+	close(blocked.free)
+}
