site: limits of callers follow the route table

Cause: header size, header time and idle time were fixed bounds; a deployment that allows callers a longer idle time than 60 s would have had connections closed under a request, and a shorter one was not enforced.

Each set of limits has an HTTP server of its own: changing the limits of a running server would be a data race, and connections must survive a change. The bound of a body and its time moved from the adapter to site, the least number of attempts and steps to routes.

Tests: TestChangedLimitsHoldForNewConnections, TestHeaderThatTakesTooLong..., TestLeavingClosesIdleConnectionsOfAllLimits.

--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -137,18 +137,23 @@
 	keys     map[string]*Team
 }
 
-// New completes a table with its indexes. The table must have passed Check.
+// New completes a table with its indexes, and with one attempt or step where it
+// gives none. The table must have passed Check.
 func New(table Table) *Table {
 	t := &table
 	t.byHost = make(map[string][]*Route)
 	for i := range t.Routes {
 		route := &t.Routes[i]
+		route.MaxAttempts = max(1, route.MaxAttempts)
 		host := strings.ToLower(route.Host)
 		t.byHost[host] = append(t.byHost[host], route)
 	}
 	t.services = make(map[string]*Service, len(t.Services))
 	for i := range t.Services {
 		t.services[t.Services[i].Name] = &t.Services[i]
+		if engine := t.Services[i].Engine; engine != nil {
+			engine.Stride = max(1, engine.Stride)
+		}
 	}
 	t.keys = make(map[string]*Team)
 	for i := range t.Teams {
--- /dev/null
+++ b/internal/site/callers_test.go
@@ -0,0 +1,118 @@
+package site
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwityoke.example/godwityoke/internal/routes"
+)
+
+// startCallers serves with limits that a test may replace.
+func startCallers(t *testing.T) (address string, limits *atomic.Pointer[routes.Limits], servers *callerServers) {
+	t.Helper()
+	limits = &atomic.Pointer[routes.Limits]{}
+	limits.Store(&routes.Limits{MaxHeaderBytes: 4 << 10, HeaderTimeout: 5 * time.Second, IdleTimeout: 5 * time.Second})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
+	servers = newCallerServers(listener, handler, func() routes.Limits { return *limits.Load() })
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		servers.run(context.Background())
+	}()
+	t.Cleanup(func() {
+		servers.close()
+		<-done
+	})
+	return listener.Addr().String(), limits, servers
+}
+
+type rawCaller struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func dialCallers(t *testing.T, address string) *rawCaller {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return &rawCaller{Conn: conn, reader: bufio.NewReader(conn)}
+}
+
+// get sends a request with a header of the given size and returns the status.
+func (c *rawCaller) get(headerBytes int) (int, error) {
+	if _, err := fmt.Fprintf(c, "GET / HTTP/1.1\r\nHost: a\r\nFiller: %s\r\n\r\n", strings.Repeat("x", headerBytes)); err != nil {
+		return 0, err
+	}
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, err
+}
+
+func TestChangedLimitsHoldForNewConnections(t *testing.T) {
+	address, limits, _ := startCallers(t)
+	old := dialCallers(t, address)
+	status, err := old.get(100)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+
+	limits.Store(&routes.Limits{MaxHeaderBytes: 64 << 10, HeaderTimeout: 5 * time.Second, IdleTimeout: 100 * time.Millisecond})
+	fresh := dialCallers(t, address)
+	status, err = fresh.get(32 << 10)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status, "the new bound of headers")
+	time.Sleep(300 * time.Millisecond)
+	_, err = fresh.get(0)
+	require.Error(t, err, "the new idle time has passed")
+
+	status, err = old.get(100)
+	require.NoError(t, err, "a change closes no open connection")
+	require.Equal(t, http.StatusOK, status)
+	status, err = old.get(32 << 10)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, status)
+}
+
+func TestHeaderThatTakesTooLongEndsItsConnection(t *testing.T) {
+	address, limits, _ := startCallers(t)
+	limits.Store(&routes.Limits{MaxHeaderBytes: 4 << 10, HeaderTimeout: 100 * time.Millisecond, IdleTimeout: 5 * time.Second})
+	slow := dialCallers(t, address)
+	_, err := io.WriteString(slow, "GET / HTTP/1.1\r\nHost: a\r\n")
+	require.NoError(t, err)
+	require.NoError(t, slow.SetReadDeadline(time.Now().Add(3*time.Second)))
+	_, err = slow.reader.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
+
+func TestLeavingClosesIdleConnectionsOfAllLimits(t *testing.T) {
+	address, limits, servers := startCallers(t)
+	callers := []*rawCaller{dialCallers(t, address)}
+	_, err := callers[0].get(0)
+	require.NoError(t, err)
+	limits.Store(&routes.Limits{MaxHeaderBytes: 8 << 10, HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second})
+	callers = append(callers, dialCallers(t, address))
+	_, err = callers[1].get(0)
+	require.NoError(t, err)
+	servers.closeIdle()
+	for _, caller := range callers {
+		require.NoError(t, caller.SetReadDeadline(time.Now().Add(3*time.Second)))
+		_, err := caller.reader.ReadByte()
+		require.ErrorIs(t, err, io.EOF)
+	}
+}
--- a/internal/site/entry.go
+++ b/internal/site/entry.go
@@ -21,13 +21,18 @@
 )
 
 const (
-	// headerTimeout bounds the header of a request on any listener.
+	// headerTimeout bounds the header of a request on any listener, unless the
+	// route table gives callers another bound.
 	headerTimeout = 5 * time.Second
-	// idleTimeout closes connections without a request. It lies above the idle
-	// time that route tables allow to callers.
+	// idleTimeout closes connections without a request, unless the route table
+	// gives callers another bound.
 	idleTimeout = 60 * time.Second
-	// maxHeaderBytes bounds the header of a request.
+	// maxHeaderBytes and maxBodyBytes bound a caller's request unless the route
+	// table does.
 	maxHeaderBytes = 64 << 10
+	maxBodyBytes   = 4 << 20
+	// bodyTimeout bounds the reading of a body.
+	bodyTimeout = 10 * time.Second
 	// connectTimeout bounds a connection to a backend server: twenty times the
 	// way to another zone and back. A lost opening packet is repeated after a
 	// second, later than another server answers.
@@ -67,7 +72,10 @@
 // CallerOptions are what the callers' handler works with.
 type CallerOptions struct {
 	Gateway *gateway.Gateway
-	Table   func() *routes.Table
+	// Limits returns what callers may send now.
+	Limits func() routes.Limits
+	// BodyTimeout bounds the reading of a body.
+	BodyTimeout time.Duration
 	// Stopping tells whether connections are to be closed after their answer.
 	Stopping func() bool
 }
@@ -124,14 +132,15 @@
 		_ = callers.Close()
 		return err
 	}
-	handler := parts.Callers(CallerOptions{Gateway: e.gateway, Table: e.link.Table, Stopping: e.stopping.Load})
+	handler := parts.Callers(CallerOptions{Gateway: e.gateway, Limits: e.limits, BodyTimeout: bodyTimeout, Stopping: e.stopping.Load})
 	counted := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.lastRequest.Store(time.Now().UnixNano())
 		handler.ServeHTTP(w, r)
 	})
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	server := e.serve(callers, counted)
+	server := newCallerServers(callers, counted, e.limits)
+	e.running.Go(func() { server.run(background) })
 	ready := e.serve(readiness, parts.Readiness(func() bool { return !e.stopping.Load() && e.link.Ready() }))
 	e.running.Go(func() { e.link.Run(background) })
 	e.running.Go(func() { e.sweep(background) })
@@ -141,7 +150,7 @@
 	observe.Log(e.logger, observe.ProcessStopping).Int("in_progress", e.gateway.Running()).Send()
 	e.drain(time.Now(), server)
 	cut := e.gateway.Running()
-	_ = server.Close()
+	server.close()
 	_ = ready.Close()
 	cancel()
 	e.running.Wait()
@@ -157,6 +166,28 @@
 	return server
 }
 
+// limits returns what the route table in force allows to callers, with bounds
+// of this program where it gives none.
+func (e *Entry) limits() routes.Limits {
+	limits := routes.Limits{}
+	if table := e.link.Table(); table != nil {
+		limits = table.Limits
+	}
+	if limits.MaxHeaderBytes <= 0 {
+		limits.MaxHeaderBytes = maxHeaderBytes
+	}
+	if limits.MaxBodyBytes <= 0 {
+		limits.MaxBodyBytes = maxBodyBytes
+	}
+	if limits.HeaderTimeout <= 0 {
+		limits.HeaderTimeout = headerTimeout
+	}
+	if limits.IdleTimeout <= 0 {
+		limits.IdleTimeout = idleTimeout
+	}
+	return limits
+}
+
 // stopsIn returns how long this VM still runs when it stops.
 func (e *Entry) stopsIn() (left time.Duration, stopping bool) {
 	if !e.stopping.Load() {
@@ -169,7 +200,7 @@
 // progress, or the limit of the stop is near. Once the balancer sends nobody
 // here any more, idle connections are closed, so that no request comes late on
 // one of them.
-func (e *Entry) drain(begun time.Time, server *http.Server) {
+func (e *Entry) drain(begun time.Time, server *callerServers) {
 	limit := begun.Add(e.settings.StopLimit - stopMargin)
 	e.stopAt.Store(limit.UnixNano())
 	e.stopping.Store(true)
@@ -179,7 +210,7 @@
 	for now := range ticker.C {
 		if kept && now.Sub(begun) > balancerWait {
 			kept = false
-			server.SetKeepAlivesEnabled(false)
+			server.closeIdle()
 		}
 		quiet := now.Sub(time.Unix(0, e.lastRequest.Load())) > quietBeforeExit
 		if now.After(limit) || !kept && quiet && e.gateway.Running() == 0 {
