hub, retrybudget: a restart hands out no allowance twice

Cause: control VMs that had just started counted only the entry VMs that had reached them, one at first, and each entry VM then took the whole allowance of repeats for its own. An entry VM that restarted had forgotten what it spent in the same window.

Now: a control VM counts nobody for 5 s after its start, an entry VM holds the largest count of the last 12 s and takes a hundred before the first, and a new process has no allowance for one window. TestRepeatsStayWithin... restarts processes now and fails without the change (24 repeats where 20 are allowed), as do three tests of the hub.

--- a/internal/hub/core.go
+++ b/internal/hub/core.go
@@ -331,11 +331,16 @@
 
 // showView tells an entry VM how this VM sees the system.
 func (c *core) showView(s *session, now time.Time) {
-	s.pending().View, s.viewedAt = c.view(), now
+	s.pending().View, s.viewedAt = c.view(now), now
 }
 
-func (c *core) view() *hubpb.View {
-	view := &hubpb.View{Leader: c.leader, Term: c.term, Schedules: c.leading, EntryVms: uint32(max(1, len(c.entries)))}
+// view is how this VM sees the system. It counts no entry VMs until all had the
+// time to be heard of after a start.
+func (c *core) view(now time.Time) *hubpb.View {
+	view := &hubpb.View{Leader: c.leader, Term: c.term, Schedules: c.leading}
+	if now.Sub(c.startedAt) >= countAfter {
+		view.EntryVms = uint32(max(1, len(c.entries)))
+	}
 	if group := c.options.Group(); group != nil {
 		view.Control = group.MemberAddresses()
 	}
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -37,6 +37,10 @@
 	refreshInterval = 2 * time.Second
 	// reportInterval is how often the leader logs the scheduler's load.
 	reportInterval = time.Second
+	// countAfter is how long after its start a control VM does not count entry
+	// VMs: they attach to some control VM within a few attempts, and control VMs
+	// tell each other every second.
+	countAfter = 5 * time.Second
 	// entryForget is how long an entry VM counts after it was last heard of.
 	entryForget = 30 * time.Second
 )
--- a/internal/hub/link.go
+++ b/internal/hub/link.go
@@ -48,6 +48,13 @@
 	// suspectAfter is the silence after an ask that makes an entry VM place
 	// requests itself: ten times the way to another zone and back.
 	suspectAfter = 110 * time.Millisecond
+	// uncountedEntryVMs is taken for the number of entry VMs before any control VM
+	// has counted them; a large number divides too much rather than too little.
+	uncountedEntryVMs = 100
+	// countMemory is how long the largest count of entry VMs holds: longer than
+	// the window in which repeats are counted, so that VMs that are gone may have
+	// spent their parts.
+	countMemory = 12 * time.Second
 	// linkInbox bounds the messages that wait for the link's goroutine.
 	linkInbox = 2048
 )
@@ -98,7 +105,7 @@
 func NewLink(options LinkOptions) *Link {
 	l := &Link{
 		options: options, inbox: make(chan linkMessage, linkInbox), done: make(chan struct{}),
-		servers: roster.New(), entryVMs: 1, failures: newFailures(),
+		servers: roster.New(), entryVMs: uncountedEntryVMs, failures: newFailures(),
 	}
 	l.state = newLinkState(l)
 	return l
--- a/internal/hub/linkstate.go
+++ b/internal/hub/linkstate.go
@@ -1,6 +1,7 @@
 package hub
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -43,6 +44,8 @@
 	heardAt time.Time
 	frame   *hubpb.EntryFrame
 	sentAt  time.Time
+	// counts are the recent counts of entry VMs.
+	counts []entryCount
 
 	mu sync.Mutex
 	// leader leads in term, the newest that was heard of.
@@ -51,6 +54,12 @@
 	control []string
 }
 
+// entryCount is how many entry VMs a control VM knew at a time.
+type entryCount struct {
+	at  time.Time
+	vms int
+}
+
 type askState struct {
 	ask   schedule.Ask
 	reply chan schedule.Placement
@@ -283,7 +292,8 @@
 	}
 	s.mu.Unlock()
 	s.link.mu.Lock()
-	s.link.entryVMs = int(max(1, view.GetEntryVms()))
+	s.link.entryVMs = s.countEntryVMs(int(view.GetEntryVms()), now)
+	entryVMs := s.link.entryVMs
 	first := !s.link.attached
 	s.link.attached = true
 	s.link.mu.Unlock()
@@ -291,7 +301,7 @@
 		observe.Log(s.link.options.Logger, observe.LinkAttached).Str("control_vm", s.address).
 			Bool("schedules", view.GetSchedules()).Str("leader", view.GetLeader()).Uint32("entry_vms", view.GetEntryVms()).Send()
 	}
-	s.local.SetShare(1/float64(max(1, view.GetEntryVms())), s.link.options.Incarnation)
+	s.local.SetShare(1/float64(entryVMs), s.link.options.Incarnation)
 	if s.schedules && !view.GetSchedules() {
 		s.schedules = false
 		s.askLocally(now)
@@ -308,6 +318,24 @@
 	}
 }
 
+// countEntryVMs returns the largest count of the last while; 0 is none.
+func (s *linkState) countEntryVMs(count int, now time.Time) int {
+	if count > 0 {
+		s.counts = append(s.counts, entryCount{at: now, vms: count})
+	}
+	recent := s.counts[:0]
+	for _, c := range s.counts {
+		if now.Sub(c.at) < countMemory {
+			recent = append(recent, c)
+		}
+	}
+	s.counts = recent
+	if len(recent) == 0 {
+		return s.link.entryVMs
+	}
+	return slices.MaxFunc(recent, func(a, b entryCount) int { return cmp.Compare(a.vms, b.vms) }).vms
+}
+
 // leaveIsolated turns away from a control VM that has known no leader for a
 // while: it may be cut off from the others, and would keep this VM from their
 // news. While no other one is found, it is left ever more seldom.
--- a/internal/hub/linkstate_test.go
+++ b/internal/hub/linkstate_test.go
@@ -132,6 +132,43 @@
 	require.Empty(t, b.sent().GetProgress())
 }
 
+func (b *stateBench) see(entryVMs uint32) {
+	b.receive(&hubpb.HubFrame{View: &hubpb.View{Leader: "control-1", Term: 1, Schedules: true, EntryVms: entryVMs}})
+}
+
+// Control VMs that have just started know few entry VMs. What is divided among
+// them must not be handed out twice meanwhile.
+func TestEntryVMsAreCountedByTheLargestRecentView(t *testing.T) {
+	b := newStateBench(t)
+	b.now = b.now.Add(time.Minute)
+	b.see(79)
+	require.Equal(t, 79, b.link.EntryVMs())
+	b.now = b.now.Add(countMemory - time.Second)
+	b.see(2)
+	b.see(0)
+	require.Equal(t, 79, b.link.EntryVMs())
+	b.now = b.now.Add(2 * time.Second)
+	b.see(2)
+	require.Equal(t, 2, b.link.EntryVMs())
+}
+
+func TestEntryVMsAreManyUntilTheyAreCounted(t *testing.T) {
+	b := newStateBench(t)
+	link := NewLink(b.link.options)
+	require.Equal(t, uncountedEntryVMs, link.EntryVMs())
+	b = &stateBench{linkState: &link.state, t: t, now: b.now}
+	b.leaderSeenAt = b.now
+	b.receive(&hubpb.HubFrame{View: &hubpb.View{Term: 1}})
+	require.Equal(t, uncountedEntryVMs, link.EntryVMs())
+}
+
+func TestControlVMCountsNobodyRightAfterItsStart(t *testing.T) {
+	c := newCore(&Options{Logger: zerolog.Nop(), Group: func() Group { return nil }})
+	c.entries["entry-1"] = c.startedAt
+	require.Zero(t, c.view(c.startedAt.Add(countAfter-time.Millisecond)).GetEntryVms())
+	require.EqualValues(t, 1, c.view(c.startedAt.Add(countAfter)).GetEntryVms())
+}
+
 // An entry VM whose connection went silent attaches again before the control VM
 // has missed it; what ended meanwhile must not hold its place for ever.
 func TestAttachingAgainFreesWhatEndedMeanwhile(t *testing.T) {
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -22,6 +22,9 @@
 type Budget struct {
 	options Options
 	start   time.Time
+	// wholeAt is when the allowance may be used: a process that ran here before
+	// may have spent it in the window that began with its last repeat.
+	wholeAt time.Time
 	firsts  [buckets + 1]int
 	repeats [buckets + 1]int
 	at      int
@@ -32,7 +35,7 @@
 
 // New returns a budget that starts at now.
 func New(options Options, now time.Time) *Budget {
-	return &Budget{options: options, start: now}
+	return &Budget{options: options, start: now, wholeAt: now.Add(options.Window)}
 }
 
 // First counts a request that is sent for the first time.
@@ -52,7 +55,10 @@
 			firsts += b.firsts[i]
 		}
 	}
-	allowed := safetyFactor * (b.options.Ratio*float64(firsts) + b.options.Allowance/float64(max(vms, 1)))
+	allowed := safetyFactor * b.options.Ratio * float64(firsts)
+	if !now.Before(b.wholeAt) {
+		allowed += safetyFactor * b.options.Allowance / float64(max(vms, 1))
+	}
 	if float64(repeats+1) > allowed {
 		return false
 	}
--- a/internal/retrybudget/retrybudget_test.go
+++ b/internal/retrybudget/retrybudget_test.go
@@ -27,7 +27,20 @@
 		now := start
 		for range rapid.IntRange(50, 600).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "gap")) * time.Millisecond)
-			budget := budgets[rapid.IntRange(0, vms-1).Draw(t, "vm")]
+			vm := rapid.IntRange(0, vms-1).Draw(t, "vm")
+			budget := budgets[vm]
+			switch rapid.IntRange(0, 60).Draw(t, "restart") {
+			case 0: // the process has forgotten what it spent
+				budgets[vm] = New(options, now)
+				continue
+			case 1: // a burst of failures
+				for range 10 {
+					if budget.TryRepeat(now, vms) {
+						events = append(events, event{now, true})
+					}
+				}
+				continue
+			}
 			if rapid.IntRange(0, 2).Draw(t, "kind") == 0 {
 				budget.First(now)
 				events = append(events, event{now, false})
@@ -61,6 +74,8 @@
 func TestQuietTimeForgetsAll(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	b := New(Options{Ratio: 0.2, Allowance: 5, Window: 10 * time.Second}, now)
+	require.False(t, b.TryRepeat(now, 1), "an earlier process may have spent the allowance")
+	now = now.Add(10 * time.Second)
 	for b.TryRepeat(now, 1) {
 	}
 	require.False(t, b.TryRepeat(now.Add(time.Second), 1))
