soak: the real programs under faults from a seed, judged from outside

"godwityoke soak" starts control and entry VMs as processes on loopback addresses of their own. Stand-ins for workers, clients and the operator (platform/standin) speak the platform's protocol with them through proxies that delay, cut either way, silence and reset connections; processes are killed, frozen, rolled, told of changed settings, wiped; workers crash, leave and misbehave; the configuration changes all the while. Judges check whole and own answers, single runs, truth of refusals, budget, departures, configuration, order of streams, deadlines, memory and recovery while it runs.

For the proxies a process can be told the address of its own listeners and connections (--bind) where others know it by another one.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -32,6 +32,7 @@
 	Platform *PlatformArguments `arg:"subcommand:platform" help:"run on the users' platform"`
 	Explain  *ExplainArguments  `arg:"subcommand:explain" help:"join the log lines of one request from several files"`
 	Emulate  *EmulateArguments  `arg:"subcommand:emulate" help:"play load on emulated model servers against the scheduler"`
+	Soak     *SoakArguments     `arg:"subcommand:soak" help:"run the real programs under faults from a seed and judge what callers see"`
 	Load     *LoadArguments     `arg:"subcommand:load" help:"offer a scenario's load and report the measures"`
 }
 
@@ -88,6 +89,8 @@
 		return a.Explain.run(output)
 	case a.Emulate != nil:
 		return a.Emulate.run(output)
+	case a.Soak != nil:
+		return a.Soak.run(output)
 	case a.Platform != nil:
 		if code, known := a.Platform.run(output); known {
 			return code
--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -33,6 +33,7 @@
 // PlatformServeArguments are the arguments of "platform serve".
 type PlatformServeArguments struct {
 	Boot  string `arg:"--boot" help:"boot file; by default the one that the platform's variable names"`
+	Bind  string `arg:"--bind" help:"IP number of own listeners between VMs and of outgoing connections, where others reach this VM by another one"`
 	Level string `arg:"--log-level" default:"info" help:"lowest level that is logged"`
 }
 
@@ -72,6 +73,7 @@
 		fmt.Fprintln(output.Err, err)
 		return ExitUsage
 	}
+	boot.Settings.Bind = a.Bind
 	logger = logger.With().Str("vm", boot.Settings.VM).Logger()
 	debug.SetGCPercent(gcPercent)
 	if boot.Settings.MemoryBytes > 0 {
--- /dev/null
+++ b/internal/command/soak.go
@@ -0,0 +1,91 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+	"time"
+
+	"godwityoke.example/godwityoke/internal/soak"
+)
+
+// SoakArguments are the arguments of "soak".
+type SoakArguments struct {
+	Seed     uint64 `arg:"--seed" default:"0" help:"first seed, 0 for one drawn from the clock"`
+	Seeds    int    `arg:"--seeds" default:"1" help:"how many seeds are played, one after the other from the first"`
+	Parallel int    `arg:"--parallel" default:"1" help:"how many are played at the same time"`
+	Block    int    `arg:"--block" default:"0" help:"first block of loopback addresses, to tell runs on one machine apart"`
+	Entries  int    `arg:"--entries" default:"3" help:"entry VMs"`
+	Controls int    `arg:"--controls" default:"3" help:"control VMs"`
+	Models   int    `arg:"--models" default:"4" help:"stand-ins for model servers"`
+	Desks    int    `arg:"--desks" default:"2" help:"stand-ins for plain servers"`
+	Clients  int    `arg:"--clients" default:"16" help:"callers, each with one connection"`
+	Folder   string `arg:"--out" default:"out/soak" help:"folder for what failed runs leave"`
+	Keep     bool   `arg:"--keep" help:"keep the logs of runs that found nothing, too"`
+}
+
+func (a *SoakArguments) run(output Output) int {
+	binary, err := os.Executable()
+	if err != nil {
+		fmt.Fprintln(output.Err, err)
+		return ExitFindings
+	}
+	if a.Seed == 0 {
+		a.Seed = uint64(time.Now().Unix())
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	var mu sync.Mutex
+	failed, code := 0, ExitOK
+	slots := make(chan int, max(1, a.Parallel))
+	for block := range cap(slots) {
+		slots <- a.Block + block
+	}
+	var running sync.WaitGroup
+	for i := range a.Seeds {
+		block := <-slots
+		if ctx.Err() != nil {
+			break
+		}
+		running.Go(func() {
+			defer func() { slots <- block }()
+			report, err := soak.Run(ctx, soak.Options{
+				Binary: binary, Seed: a.Seed + uint64(i), Block: block, Folder: a.Folder, Keep: a.Keep,
+				Entries: a.Entries, Controls: a.Controls, Models: a.Models, Desks: a.Desks, Clients: a.Clients,
+			})
+			mu.Lock()
+			defer mu.Unlock()
+			if errors.Is(err, context.Canceled) {
+				return
+			}
+			if err != nil {
+				fmt.Fprintf(output.Out, "seed %d: not played: %v\n", a.Seed+uint64(i), err)
+				code = ExitFindings
+				return
+			}
+			printReport(output, report)
+			if len(report.Findings) > 0 {
+				failed++
+				code = ExitFindings
+			}
+		})
+	}
+	running.Wait()
+	fmt.Fprintf(output.Out, "%d of %d seeds broke a promise\n", failed, a.Seeds)
+	return code
+}
+
+func printReport(output Output, report *soak.Report) {
+	fmt.Fprintf(output.Out, "seed %d: %d requests, %d served, %d steps, %.0f s: %d findings\n",
+		report.Seed, report.Requests, report.Served, report.Steps, report.Took.Seconds(), len(report.Findings))
+	for _, finding := range report.Findings {
+		fmt.Fprintf(output.Out, "  %s\n", finding)
+	}
+	if len(report.Findings) > 0 {
+		fmt.Fprintf(output.Out, "  kept in %s\n", report.Folder)
+	}
+}
--- a/internal/h1/client.go
+++ b/internal/h1/client.go
@@ -48,6 +48,8 @@
 type Options struct {
 	// ConnectTimeout bounds the opening of a connection.
 	ConnectTimeout time.Duration
+	// Source is the local IP number of connections, empty for any.
+	Source string
 	// MaxIdle is the idle age after which a connection is not used again.
 	MaxIdle time.Duration
 	// EchoHeader is the header of a request that the server repeats in its
@@ -225,7 +227,7 @@
 		}
 		_ = kept.Close()
 	}
-	opened, err := tcp.Dialer(c.options.ConnectTimeout).DialContext(ctx, "tcp", address)
+	opened, err := tcp.DialerFrom(c.options.Source, c.options.ConnectTimeout).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -71,7 +71,7 @@
 	identity := transport.Identity{Cluster: clusterName, VM: settings.Internal()}
 	c := &Control{
 		settings: settings, logger: logger, registry: registry.New(), metrics: observe.NewMetrics(),
-		pool:   transport.NewPool(transport.PoolOptions{Identity: identity}),
+		pool:   transport.NewPool(transport.PoolOptions{Identity: identity, Source: settings.Bind}),
 		server: transport.NewServer(transport.ServerOptions{Identity: identity, Log: logger}),
 	}
 	c.keeper = members.NewKeeper(c.replica.Load, logger)
@@ -87,7 +87,7 @@
 }
 
 func (c *Control) run(ctx context.Context, handler http.Handler) error {
-	internal, err := tcp.Listen(ctx, c.settings.Internal())
+	internal, err := tcp.Listen(ctx, c.settings.internalListener())
 	if err != nil {
 		return err
 	}
--- a/internal/site/entry.go
+++ b/internal/site/entry.go
@@ -105,10 +105,10 @@
 	}
 	e := &Entry{settings: settings, logger: logger, metrics: observe.NewMetrics()}
 	incarnation := uint64(time.Now().UnixNano())
-	pool := transport.NewPool(transport.PoolOptions{Identity: transport.Identity{Cluster: clusterName, VM: settings.VM}})
+	pool := transport.NewPool(transport.PoolOptions{Identity: transport.Identity{Cluster: clusterName, VM: settings.VM}, Source: settings.Bind})
 	defer pool.Close()
-	e.client = h1.NewClient(h1.Options{ConnectTimeout: connectTimeout, MaxIdle: maxServerIdle, EchoHeader: parts.EchoHeader})
-	e.orders = h1.NewClient(h1.Options{ConnectTimeout: connectTimeout, MaxIdle: maxServerIdle})
+	e.client = h1.NewClient(h1.Options{ConnectTimeout: connectTimeout, Source: settings.Bind, MaxIdle: maxServerIdle, EchoHeader: parts.EchoHeader})
+	e.orders = h1.NewClient(h1.Options{ConnectTimeout: connectTimeout, Source: settings.Bind, MaxIdle: maxServerIdle})
 	calls := parts.Backend(e.client, e.orders)
 	e.link = hub.NewLink(hub.LinkOptions{
 		VM: settings.VM, Zone: settings.Zone, Incarnation: incarnation, Seeds: seeds, Pool: pool, Decode: codec.DecodeRoutes,
--- a/internal/site/settings.go
+++ b/internal/site/settings.go
@@ -15,8 +15,11 @@
 	// VM names this VM in logs.
 	VM   string
 	Zone string
-	// Address is this VM's IP number.
+	// Address is the IP number by which others reach this VM.
 	Address string
+	// Bind is the IP number of its own listeners between VMs and of its outgoing
+	// connections where that differs from Address, as behind a proxy.
+	Bind string
 	// Callers and Readiness are the "ip:port" listeners of an entry VM.
 	Callers   string
 	Readiness string
@@ -47,6 +50,16 @@
 // Internal returns this VM's listener for other VMs.
 func (s *Settings) Internal() string { return net.JoinHostPort(s.Address, strconv.Itoa(s.FirstPort)) }
 
+// internalListener returns where this VM listens for other VMs.
+func (s *Settings) internalListener() string { return s.bound(s.FirstPort) }
+
+func (s *Settings) bound(port int) string {
+	if s.Bind != "" {
+		return net.JoinHostPort(s.Bind, strconv.Itoa(port))
+	}
+	return net.JoinHostPort(s.Address, strconv.Itoa(port))
+}
+
 // MetricsPort is where every process serves its metrics, at MetricsPath.
 const (
 	MetricsPort = 9464
@@ -54,7 +67,7 @@
 )
 
 // Metrics returns this VM's listener for metrics.
-func (s *Settings) Metrics() string { return net.JoinHostPort(s.Address, strconv.Itoa(MetricsPort)) }
+func (s *Settings) Metrics() string { return s.bound(MetricsPort) }
 
 // SeedAddresses returns the internal listeners of the seeds: all VMs use the
 // same ports.
--- /dev/null
+++ b/internal/soak/judge.go
@@ -0,0 +1,361 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"godwityoke.example/godwityoke/platform/standin"
+)
+
+// Bounds of the judges.
+const (
+	// contact is how long after a disturbance bounds of time hold again.
+	contact = 4 * time.Second
+	// applied is how long an acknowledged configuration may take to be in force.
+	applied = 2500 * time.Millisecond
+	// rollback is how much later than an effect of a version a request may still
+	// be handled by an older one.
+	rollback = 250 * time.Millisecond
+	// drained is how long requests may reach a worker that leaves.
+	drained = 2500 * time.Millisecond
+	// gone is how long work may go on after its client left.
+	gone = 500 * time.Millisecond
+	// lossSlack is how long after its last byte a request counts as read.
+	lossSlack = 200 * time.Millisecond
+	// passedOnSlack is how much more time than a client gave a worker may get.
+	passedOnSlack = 500 * time.Millisecond
+	// recovered is the part of the requests that must be served once all is well,
+	// and lastWindow the time at the end of the load that it is taken over.
+	recovered  = 0.9
+	lastWindow = 3 * time.Second
+	// servedStatus begins the statuses of success.
+	servedStatus = 200
+)
+
+// Finding is a broken promise.
+type Finding struct {
+	Rule    string
+	Request string
+	Detail  string
+}
+
+// String returns the finding as a line.
+func (f Finding) String() string { return fmt.Sprintf("%-10s %-18s %s", f.Rule, f.Request, f.Detail) }
+
+// judge checks all promises on what was seen until now. It changes nothing and
+// may be called while records still grow.
+func judge(r *Records, now time.Time) []Finding {
+	j := &judgement{Records: r, now: now}
+	for _, id := range slices.Sorted(mapKeys(r.Requests)) {
+		j.request(r.Requests[id], r.Arrivals[id])
+	}
+	for _, id := range slices.Sorted(mapKeys(r.Arrivals)) {
+		if r.Requests[id] == nil {
+			j.found("UNASKED", id, "a worker got a request that no client sent")
+		}
+	}
+	j.retries()
+	j.configuration()
+	j.generations()
+	j.draining()
+	for _, exit := range r.Exits {
+		j.found("EXIT", "", "%s", exit)
+	}
+	j.end()
+	return j.findings
+}
+
+func mapKeys[V any](m map[string]V) func(yield func(string) bool) {
+	return func(yield func(string) bool) {
+		for key := range m {
+			if !yield(key) {
+				return
+			}
+		}
+	}
+}
+
+type judgement struct {
+	*Records
+	now      time.Time
+	findings []Finding
+}
+
+func (j *judgement) found(rule, request, format string, arguments ...any) {
+	j.findings = append(j.findings, Finding{Rule: rule, Request: request, Detail: fmt.Sprintf(format, arguments...)})
+}
+
+// calm tells whether nothing disturbed from contact before a time to another;
+// planned work counts unless it is ignored.
+func (j *judgement) calm(from, to time.Time, ignorePlanned bool) bool {
+	for _, span := range j.Spans {
+		if span.Planned && ignorePlanned {
+			continue
+		}
+		if span.From.Before(to) && span.To.After(from.Add(-contact)) {
+			return false
+		}
+	}
+	return true
+}
+
+// request judges one request by its reply and its arrivals.
+func (j *judgement) request(q *Request, arrivals []*Arrival) {
+	id, runs := q.Call.ID, 0
+	for _, a := range arrivals {
+		if !a.Rejected {
+			runs++
+		}
+		j.arrival(q, a)
+	}
+	if q.Unsafe && runs > 1 {
+		j.found("TWICE", id, "ran %d times", runs)
+	}
+	if !q.Done {
+		return
+	}
+	reply := &q.Reply
+	refused := slices.Contains([]int{408, 421, 429, 503}, reply.Status) && reply.Seal == ""
+	if refused && q.Unsafe && runs > 0 {
+		j.found("REFUSED", id, "answered %d and ran", reply.Status)
+	}
+	if reply.Status != 0 {
+		j.answer(q, arrivals)
+	}
+	if q.Generation == 0 && reply.Seal == "" && slices.Contains([]int{400, 401, 403, 404, 413, 431}, reply.Status) {
+		j.found("DENIED", id, "%s answered %d to a request that every version allows", q.VM, reply.Status)
+	}
+	if reply.TimedOut && j.calm(q.Begun, reply.Ended, true) {
+		j.found("HELD", id, "no end after %v at %s", q.Call.Deadline, q.VM)
+	}
+	if reply.Left {
+		j.abandoned(q, arrivals)
+	}
+	inTime := reply.Ended.Sub(q.Begun) < routeTimeout
+	cut := reply.Err != nil && !reply.Left && inTime
+	read := len(arrivals) > 0 || reply.Ended.Sub(reply.Sent) > lossSlack
+	if cut && read && j.calm(q.Begun, reply.Ended, true) {
+		j.found("LOST", id, "cut after %v at %s: %v", reply.Ended.Sub(q.Begun), q.VM, reply.Err)
+	}
+}
+
+// arrival judges what a worker was given.
+func (j *judgement) arrival(q *Request, a *Arrival) {
+	id := q.Call.ID
+	if a.Path != q.Call.Path || a.Body != q.Call.Body {
+		j.found("UNASKED", id, "%s got %s with body %q", a.Server, a.Path, a.Body)
+	}
+	if a.Tenant != q.Tenant || a.Key != "" {
+		j.found("UNASKED", id, "%s got tenant %q, key %q", a.Server, a.Tenant, a.Key)
+	}
+	if over := a.Left - q.Call.Deadline; over > passedOnSlack || a.Left == 0 {
+		j.found("BUDGET", id, "%s was given %v of %v", a.Server, a.Left, q.Call.Deadline)
+	}
+}
+
+// answer judges that an answer is the worker's own, whole and to this request.
+func (j *judgement) answer(q *Request, arrivals []*Arrival) {
+	reply, id := &q.Reply, q.Call.ID
+	if reply.Status != servedStatus {
+		if reply.Seal != "" && reply.Status != 500 {
+			j.found("MIXED", id, "status %d bears a seal", reply.Status)
+		}
+		return
+	}
+	sealed := slices.ContainsFunc(arrivals, func(a *Arrival) bool { return !a.Rejected && reply.Seal == standin.SealOf(id, a.Server) })
+	if !sealed || reply.AnsweredID != id {
+		j.found("MIXED", id, "seal %q, id %q", reply.Seal, reply.AnsweredID)
+	}
+	want := standin.PlainAnswer(id, q.Call.Body)
+	if q.Call.Stream {
+		want = standin.StreamAnswer(id, 0)
+	}
+	switch {
+	case reply.Whole && reply.Body != want:
+		j.found("MIXED", id, "%d bytes instead of %d look complete", len(reply.Body), len(want))
+	case !strings.HasPrefix(want, reply.Body):
+		j.found("ORDER", id, "the part of the answer is not its beginning: %.200q", reply.Body)
+	}
+}
+
+// abandoned judges that work ends soon after its client left.
+func (j *judgement) abandoned(q *Request, arrivals []*Arrival) {
+	limit := q.Reply.Ended.Add(gone)
+	for _, a := range arrivals {
+		if a.At.After(limit) && j.calm(q.Begun, a.At, true) {
+			j.found("GONE", q.Call.ID, "reached %s %v after its client left", a.Server, a.At.Sub(q.Reply.Ended))
+		}
+		ended := a.EndedAt
+		if ended.IsZero() {
+			ended = j.now
+		}
+		if ended.After(limit) && a.At.Before(limit) && j.calm(q.Begun, ended, true) {
+			j.found("GONE", q.Call.ID, "%s worked on for %v", a.Server, ended.Sub(q.Reply.Ended))
+		}
+	}
+}
+
+// retries judges arrivals beyond the first against the budget of each service.
+// Its requests are those that clients sent, in the window, the one before it or
+// the one that begins half a window earlier, whichever has most.
+func (j *judgement) retries() {
+	repeats, asked := map[string][]time.Time{}, map[string][]time.Time{}
+	for id, arrivals := range j.Arrivals {
+		for _, a := range arrivals[min(1, len(arrivals)):] {
+			repeats[a.Service] = append(repeats[a.Service], a.At)
+		}
+		if q := j.Requests[id]; q != nil && len(arrivals) > 0 {
+			asked[arrivals[0].Service] = append(asked[arrivals[0].Service], q.Begun)
+		}
+	}
+	for service, times := range repeats {
+		slices.SortFunc(times, time.Time.Compare)
+		for first, from := range times {
+			count := 0
+			for count < len(times)-first && times[first+count].Sub(from) <= bounds.RetryWindow {
+				count++
+			}
+			requests := 0
+			for _, back := range []time.Duration{0, bounds.RetryWindow / 2, bounds.RetryWindow} {
+				requests = max(requests, within(asked[service], from.Add(-back), bounds.RetryWindow))
+			}
+			if limit := bounds.RetryRatio*float64(requests) + bounds.RetrySlack; float64(count) > limit {
+				j.found("BUDGET", "", "%s got %d repeats in a window that allows %.1f", service, count, limit)
+				break
+			}
+		}
+	}
+}
+
+// within counts the times in a window.
+func within(times []time.Time, from time.Time, window time.Duration) int {
+	count := 0
+	for _, at := range times {
+		if !at.Before(from) && at.Sub(from) <= window {
+			count++
+		}
+	}
+	return count
+}
+
+// configuration judges that nothing acknowledged is lost or read back older.
+func (j *judgement) configuration() {
+	for _, read := range j.Reads {
+		if newest := j.ackedBefore(read.SentAt.Add(-applied)); read.Version < newest {
+			j.found("CONFIG", "", "version %d was read, %d had been acknowledged", read.Version, newest)
+		}
+	}
+	for _, change := range j.Changes {
+		if change.Refused {
+			j.found("CONFIG", "", "version %d was refused", change.Version)
+		}
+	}
+}
+
+// ackedBefore is the newest version that was acknowledged before a time.
+func (j *judgement) ackedBefore(at time.Time) uint64 {
+	newest := uint64(0)
+	for _, change := range j.Changes {
+		if !change.AckedAt.IsZero() && change.AckedAt.Before(at) {
+			newest = max(newest, change.Version)
+		}
+	}
+	return newest
+}
+
+// sentBefore is the newest version that was sent before a time.
+func (j *judgement) sentBefore(at time.Time) uint64 {
+	newest := uint64(0)
+	for _, change := range j.Changes {
+		if change.SentAt.Before(at) {
+			newest = max(newest, change.Version)
+		}
+	}
+	return newest
+}
+
+// generations judges requests on routes and keys that one version alone has.
+func (j *judgement) generations() {
+	type process struct {
+		vm          string
+		incarnation int
+	}
+	probes := map[process][]*Request{}
+	for _, q := range j.Requests {
+		if q.Generation > 0 && q.Done && q.Reply.Status != 0 {
+			p := process{q.VM, q.Incarnation}
+			probes[p] = append(probes[p], q)
+		}
+	}
+	for p, all := range probes {
+		slices.SortFunc(all, func(a, b *Request) int { return a.Begun.Compare(b.Begun) })
+		for i, later := range all {
+			if later.Reply.Status != servedStatus {
+				j.missing(later)
+				continue
+			}
+			if acked := j.ackedBefore(later.Begun.Add(-applied)); later.Generation < acked && j.calm(later.Begun, later.Reply.Ended, true) {
+				j.found("CONFIG", later.Call.ID, "%s served version %d, %d is in force", p.vm, later.Generation, acked)
+			}
+			for _, earlier := range all[:i] {
+				if earlier.Reply.Status == servedStatus && earlier.Generation > later.Generation &&
+					later.Begun.Sub(earlier.Reply.Ended) > rollback {
+					j.found("CONFIG", later.Call.ID, "%s went back from version %d to %d", p.vm, earlier.Generation, later.Generation)
+					break
+				}
+			}
+		}
+	}
+}
+
+// missing judges a probe that was not served though its version is in force.
+func (j *judgement) missing(q *Request) {
+	unknown := slices.Contains([]int{401, 403, 404}, q.Reply.Status)
+	if unknown && q.Generation == j.ackedBefore(q.Begun.Add(-applied)) && j.sentBefore(q.Reply.Ended) == q.Generation &&
+		j.calm(q.Begun, q.Reply.Ended, true) {
+		j.found("CONFIG", q.Call.ID, "%s answers %d to version %d, which is in force", q.VM, q.Reply.Status, q.Generation)
+	}
+}
+
+// draining judges that a worker that leaves gets nothing more.
+func (j *judgement) draining() {
+	for id, arrivals := range j.Arrivals {
+		for _, a := range arrivals {
+			left, leaving := j.Leavings[a.Server]
+			if leaving && a.At.After(left.Add(drained)) && j.calm(left, a.At, true) {
+				j.found("DRAIN", id, "%s got it %v after its departure", a.Server, a.At.Sub(left))
+			}
+		}
+	}
+}
+
+// end judges what must hold once all faults are over.
+func (j *judgement) end() {
+	if j.LoadEnds.IsZero() {
+		return
+	}
+	for server, tokens := range j.Left {
+		if tokens > 0 {
+			j.found("LEAK", "", "%s has %d tokens reserved", server, tokens)
+		}
+	}
+	asked, served := 0, 0
+	for _, q := range j.Requests {
+		if q.Generation > 0 || q.Reply.Left || q.Begun.Before(j.LoadEnds.Add(-lastWindow)) {
+			continue
+		}
+		asked++
+		if q.Reply.Status == servedStatus && q.Reply.Whole {
+			served++
+		}
+	}
+	if float64(served) < recovered*float64(asked) || asked == 0 {
+		j.found("RECOVER", "", "%d of %d requests were served at the end", served, asked)
+	}
+	newest := j.ackedBefore(j.now)
+	if len(j.Reads) == 0 || j.Reads[len(j.Reads)-1].Version < newest {
+		j.found("LOST", "", "version %d was acknowledged and is not read back at the end", newest)
+	}
+}
--- /dev/null
+++ b/internal/soak/record.go
@@ -0,0 +1,140 @@
+package soak
+
+import (
+	"sync"
+	"time"
+
+	"godwityoke.example/godwityoke/platform/standin"
+)
+
+// Request is what a client knows of a request.
+type Request struct {
+	Call standin.Call
+	// Unsafe requests may run once at most.
+	Unsafe bool
+	// Tenant is the holder of the call's key.
+	Tenant string
+	// Generation is the configuration that alone has the route or key of a probe,
+	// 0 for other requests.
+	Generation  uint64
+	ByKey       bool
+	VM          string
+	Incarnation int
+	Begun       time.Time
+	// Reused tells that the connection had served a request before.
+	Reused bool
+	// Reply is complete once Done is set.
+	Reply standin.Reply
+	Done  bool
+}
+
+// Arrival is what a worker knows of one sending of a request.
+type Arrival struct {
+	standin.Arrival
+	Rejected bool
+	// EndedAt is zero while the run goes on. Whole runs were not given up.
+	EndedAt time.Time
+	Whole   bool
+	// VM is the process that sent it.
+	VM string
+}
+
+// Change is a configuration that the operator sends.
+type Change struct {
+	Version uint64
+	SentAt  time.Time
+	// AckedAt is zero without an acknowledgement.
+	AckedAt time.Time
+	Refused bool
+}
+
+// Read is a configuration that the operator read back.
+type Read struct {
+	SentAt  time.Time
+	Version uint64
+}
+
+// Span is a time in which a step may disturb.
+type Span struct {
+	From, To time.Time
+	Node     string
+	// Planned spans suspend nothing that holds beside planned work.
+	Planned bool
+}
+
+// Records are all that was seen from outside.
+type Records struct {
+	Requests map[string]*Request
+	Arrivals map[string][]*Arrival
+	Changes  []*Change
+	Reads    []Read
+	Spans    []Span
+	// Leavings holds when workers had an acknowledgement of their departure.
+	Leavings map[string]time.Time
+	// Exits are processes that ended by themselves.
+	Exits []string
+	// Left is the memory in tokens that workers still have reserved at the end.
+	Left map[string]int
+	// LoadEnds is when the last client stopped, zero before.
+	LoadEnds time.Time
+	// Healthy is from when on all must work again, zero before.
+	Healthy time.Time
+}
+
+// recorder collects records.
+type recorder struct {
+	mu sync.Mutex
+	Records
+	vmOf map[string]string
+}
+
+func newRecorder() *recorder {
+	return &recorder{
+		Records: Records{
+			Requests: map[string]*Request{}, Arrivals: map[string][]*Arrival{}, Leavings: map[string]time.Time{}, Left: map[string]int{},
+		},
+		vmOf: map[string]string{},
+	}
+}
+
+// locked calls do while no record changes.
+func (r *recorder) locked(do func(*Records)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	do(&r.Records)
+}
+
+// Arrived implements standin.Observer.
+func (r *recorder) Arrived(a standin.Arrival, rejected bool) standin.Run {
+	arrival := &Arrival{Arrival: a, Rejected: rejected, VM: r.vmOf[a.From]}
+	if rejected {
+		arrival.EndedAt = a.At
+	}
+	r.locked(func(all *Records) { all.Arrivals[a.RequestID] = append(all.Arrivals[a.RequestID], arrival) })
+	return &run{recorder: r, arrival: arrival}
+}
+
+// Leaving implements standin.Observer.
+func (r *recorder) Leaving(server string, at time.Time) {
+	r.locked(func(all *Records) { all.Leavings[server] = at })
+}
+
+type run struct {
+	recorder *recorder
+	arrival  *Arrival
+}
+
+// Ended implements standin.Run.
+func (r *run) Ended(whole bool) {
+	r.recorder.locked(func(*Records) { r.arrival.EndedAt, r.arrival.Whole = time.Now(), whole })
+}
+
+// span notes that a step may disturb from now on, and returns how to end it.
+func (r *recorder) span(node string, planned bool) (end func()) {
+	at := 0
+	r.locked(func(all *Records) {
+		at = len(all.Spans)
+		all.Spans = append(all.Spans, Span{From: time.Now(), To: time.Now().Add(time.Hour), Node: node, Planned: planned})
+	})
+	return func() { r.locked(func(all *Records) { all.Spans[at].To = time.Now() }) }
+}
--- /dev/null
+++ b/internal/soak/steps.go
@@ -0,0 +1,244 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"syscall"
+	"time"
+
+	"godwityoke.example/godwityoke/platform/standin"
+)
+
+// longestDelay is the largest delay of a link.
+const longestDelay = 250 * time.Millisecond
+
+// apply carries out a step and waits for its end.
+func (s *soak) apply(ctx context.Context, step Step) {
+	s.note("begins: %s", step)
+	end := s.records.span(step.Target, planned[step.Kind])
+	defer func() {
+		end()
+		s.note("ends: %s", step)
+	}()
+	hold := func() { sleep(ctx, step.For) }
+	switch step.Kind {
+	case KindKill, KindRoll, KindHangUp:
+		s.fleet.signal(step.Target, signals[step.Kind])
+		if step.Kind == KindRoll {
+			sleep(ctx, bounds.Grace)
+		}
+	case KindKillAll:
+		for i := range s.shape.controls {
+			s.fleet.signal(s.shape.control(i), syscall.SIGKILL)
+		}
+	case KindFreeze:
+		s.fleet.signal(step.Target, syscall.SIGSTOP)
+		hold()
+		s.fleet.signal(step.Target, syscall.SIGCONT)
+	case KindWipe:
+		if err := s.fleet.wipe(step.Target); err != nil {
+			s.exited(step.Target, err.Error())
+		}
+	case KindCut, KindCutFrom, KindCutTo:
+		s.cut(ctx, step)
+	case KindDelay:
+		by := longestDelay / time.Duration(1+step.Strength)
+		s.network.delay(link{everyone, step.Target}, by)
+		s.network.delay(link{step.Target, everyone}, by)
+		hold()
+		s.network.delay(link{everyone, step.Target}, 0)
+		s.network.delay(link{step.Target, everyone}, 0)
+	case KindReset:
+		s.network.resetAll(step.Target)
+	case KindSilence:
+		s.network.silenceAll(step.Target)
+	case KindCrash, KindMisdo, KindLeave:
+		s.disturbWorker(ctx, step)
+	case KindConfig, KindConfig2:
+		s.change(ctx, step.Kind == KindConfig2)
+	}
+}
+
+func (s *soak) cut(ctx context.Context, step Step) {
+	var cuts []link
+	if step.Kind != KindCutTo {
+		cuts = append(cuts, link{step.Target, everyone})
+	}
+	if step.Kind != KindCutFrom {
+		cuts = append(cuts, link{everyone, step.Target})
+	}
+	for _, l := range cuts {
+		s.network.cut(l)
+	}
+	sleep(ctx, step.For)
+	for _, l := range cuts {
+		s.network.heal(l)
+	}
+}
+
+// addWorker starts the worker of a seat.
+func (s *soak) addWorker(i int) error {
+	name := s.shape.worker(i)
+	own, public := address(s.fleet.ip(partWorker, 1+i), workerPort), address(s.fleet.ip(partWorkerPublic, 1+i), workerPort)
+	seat := &workerSeat{name: name, options: standin.WorkerOptions{
+		Service: modelService, Zone: s.fleet.zones[i%len(s.fleet.zones)], Listen: own, Announce: public, Slots: workerSlots,
+		Heartbeats: s.control, Interval: bounds.Heartbeat, Observer: s.records,
+	}}
+	if i >= s.shape.models {
+		seat.options.Service = deskService
+	}
+	s.network.name(s.fleet.ip(partWorker, 1+i), name)
+	if err := s.network.forward(public, own, name); err != nil {
+		return fmt.Errorf("forward to %s: %w", name, err)
+	}
+	s.workers.Store(name, seat)
+	return seat.start()
+}
+
+// start starts the next incarnation, with an id of its own.
+func (w *workerSeat) start() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.starts++
+	started, err := standin.StartWorker(fmt.Sprintf("%s-%d", w.name, w.starts), w.options)
+	w.worker = started
+	return err
+}
+
+// disturbWorker has a worker crash, leave or misbehave. One at a time does.
+func (s *soak) disturbWorker(ctx context.Context, step Step) {
+	found, _ := s.workers.Load(step.Target)
+	seat := found.(*workerSeat)
+	seat.mu.Lock()
+	worker, busy := seat.worker, seat.busy
+	seat.busy = true
+	seat.mu.Unlock()
+	if busy || worker == nil {
+		return
+	}
+	defer func() {
+		seat.mu.Lock()
+		seat.busy = false
+		seat.mu.Unlock()
+	}()
+	switch step.Kind {
+	case KindMisdo:
+		worker.SetFault(standin.Truncating + standin.Fault(step.Strength%int(standin.Full)))
+		sleep(ctx, step.For)
+		worker.SetFault(standin.Sound)
+		return
+	case KindLeave:
+		worker.Leave(ctx)
+	default:
+		worker.Crash()
+		sleep(ctx, step.For)
+	}
+	sleep(ctx, restartPause)
+	if err := seat.start(); err != nil {
+		s.exited(seat.name, err.Error())
+	}
+}
+
+func (s *soak) stopWorkers() {
+	var all sync.WaitGroup
+	s.workers.Range(func(_, seat any) bool {
+		all.Go(func() {
+			w := seat.(*workerSeat)
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if w.worker != nil {
+				w.worker.Crash()
+			}
+		})
+		return true
+	})
+	all.Wait()
+}
+
+// change sends the next configuration, or the next two at once to two nodes.
+func (s *soak) change(ctx context.Context, race bool) {
+	s.changes.Lock()
+	defer s.changes.Unlock()
+	count := 1
+	if race {
+		count = 2
+	}
+	var sendings sync.WaitGroup
+	for i := range count {
+		s.mu.Lock()
+		s.version++
+		version := s.version
+		s.mu.Unlock()
+		sendings.Go(func() { s.send(ctx, version, i) })
+	}
+	sendings.Wait()
+}
+
+// send sends a version until it has a clear answer.
+func (s *soak) send(ctx context.Context, version uint64, first int) {
+	content, err := configuration(version, workerSlots).Encode()
+	if err != nil {
+		s.exited("operator", err.Error())
+		return
+	}
+	change := &Change{Version: version, SentAt: time.Now()}
+	s.records.locked(func(r *Records) { r.Changes = append(r.Changes, change) })
+	operator := standin.NewOperator(orderPatience)
+	for turn := range orderRetries {
+		if ctx.Err() != nil {
+			return
+		}
+		to := s.control[(first+turn)%len(s.control)]
+		err := operator.Put(to, content)
+		s.note("version %d to %s: %v", version, to, err)
+		switch {
+		case err == nil:
+			s.records.locked(func(*Records) { change.AckedAt = time.Now() })
+			return
+		case errors.Is(err, standin.ErrRefused):
+			s.records.locked(func(*Records) { change.Refused = true })
+			return
+		}
+		sleep(ctx, readyInterval)
+	}
+}
+
+// readBack reads the configuration again and again.
+func (s *soak) readBack(ctx context.Context) {
+	for turn := 0; ctx.Err() == nil; turn++ {
+		s.readAt(s.control[turn%len(s.control)])
+		sleep(ctx, readyInterval)
+	}
+}
+
+func (s *soak) readAt(node string) bool {
+	begun := time.Now()
+	version, err := standin.NewOperator(orderPatience).Get(node)
+	if err != nil {
+		return false // a node that can't be sure says so
+	}
+	s.records.locked(func(r *Records) { r.Reads = append(r.Reads, Read{SentAt: begun, Version: version}) })
+	return true
+}
+
+// readOnce reads the configuration at the end from any node that answers.
+func (s *soak) readOnce() {
+	for turn := range orderRetries {
+		if s.readAt(s.control[turn%len(s.control)]) {
+			return
+		}
+		time.Sleep(readyInterval)
+	}
+}
+
+func (s *soak) newestSent() uint64 {
+	newest := uint64(0)
+	s.records.locked(func(r *Records) {
+		for _, change := range r.Changes {
+			newest = max(newest, change.Version)
+		}
+	})
+	return newest
+}
--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -31,6 +31,16 @@
 	return &net.Dialer{Timeout: connectTimeout, KeepAliveConfig: keepAlive(), Control: limitUnacked}
 }
 
+// DialerFrom is as Dialer, for connections from a local IP number; empty leaves
+// the choice to the system.
+func DialerFrom(source string, connectTimeout time.Duration) *net.Dialer {
+	dialer := Dialer(connectTimeout)
+	if source != "" {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(source)}
+	}
+	return dialer
+}
+
 // Listen opens a listener whose connections must not stay silent unnoticed.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
 	config := net.ListenConfig{KeepAliveConfig: keepAlive(), Control: limitUnacked}
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -25,6 +25,8 @@
 	Identity Identity
 	// Certificates gives the files for mutual TLS; nil means plaintext.
 	Certificates *Certificates
+	// Source is the local IP number of connections, empty for any.
+	Source string
 	// Dial replaces the TCP dialer. Nil means TCP.
 	Dial DialFunc
 }
@@ -44,7 +46,7 @@
 // NewPool returns an empty pool.
 func NewPool(options PoolOptions) *Pool {
 	if options.Dial == nil {
-		options.Dial = dialTCP
+		options.Dial = dialTCP(options.Source)
 	}
 	return &Pool{options: options, connections: map[string]*grpc.ClientConn{}}
 }
@@ -114,8 +116,10 @@
 	}
 }
 
-// dialTCP opens a TCP connection whose death is noticed in a few seconds,
-// whether it is idle or not.
-func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	return tcp.Dialer(dialTimeout).DialContext(ctx, "tcp", address)
+// dialTCP opens TCP connections whose death is noticed in a few seconds,
+// whether they are idle or not.
+func dialTCP(source string) DialFunc {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		return tcp.DialerFrom(source, dialTimeout).DialContext(ctx, "tcp", address)
+	}
 }
