schedule: waits are estimated by size, and no place is given too late

Cause: the wait of every request was estimated by all placements of its service, sixty short prompts a second for a long one.

A VM that places by itself takes a larger part of its zone's servers where the other zones are cut off, and its draw of servers mixes ids and VMs properly.

--- a/internal/command/emulate.go
+++ b/internal/command/emulate.go
@@ -12,8 +12,10 @@
 // EmulateArguments are the arguments of "emulate".
 type EmulateArguments struct {
 	Scale       float64 `arg:"--scale" default:"1" help:"load against that of today"`
+	Grown       bool    `arg:"--grown" help:"the mix and the servers of the grown fleet"`
 	Alternating bool    `arg:"--alternating" help:"bursts of short and of long requests by turns"`
-	Servers     int     `arg:"--servers" default:"14" help:"model servers"`
+	Servers     int     `arg:"--servers" help:"model servers [default: those of the fleet]"`
+	Alone       int     `arg:"--alone" help:"entry VMs that each place requests by themselves, 0 for a scheduler that knows all"`
 	Seeds       int     `arg:"--seeds" default:"6" help:"plays that are summed up"`
 }
 
@@ -21,20 +23,26 @@
 const largestSuffix = ", largest tenth"
 
 func (a *EmulateArguments) run(output Output) int {
-	if a.Scale <= 0 || a.Servers <= 0 || a.Seeds <= 0 {
-		fmt.Fprintln(output.Err, "--scale, --servers and --seeds must be positive")
+	if a.Scale <= 0 || a.Servers < 0 || a.Alone < 0 || a.Seeds <= 0 {
+		fmt.Fprintln(output.Err, "--scale and --seeds must be positive, --servers and --alone not negative")
 		return ExitUsage
 	}
 	load, fleet := emulate.StandardLoad(a.Scale), emulate.StandardFleet()
+	if a.Grown {
+		load, fleet = emulate.GrownLoad(a.Scale), emulate.GrownFleet()
+	}
 	if a.Alternating {
 		load = emulate.Alternating(load)
 	}
-	fleet.Servers = a.Servers
+	fleet.Alone = a.Alone
+	if a.Servers > 0 {
+		fleet.Servers = a.Servers
+	}
 	rows := a.play(load, fleet)
-	fmt.Fprintf(output.Out, "%-22s %8s %8s %8s %8s %8s %7s\n", "requests", "asked", "in time", "late", "refused", "lost", "credit")
+	fmt.Fprintf(output.Out, "%-22s %8s %8s %8s %8s %8s %7s %7s\n", "requests", "asked", "in time", "late", "refused", "lost", "credit", "net")
 	for _, name := range slices.Sorted(maps.Keys(rows)) {
 		row := rows[name]
-		fmt.Fprintf(output.Out, "%-22s %8d %8d %8d %8d %8d %7.3f\n", name, row.Asked, row.OnTime, row.Late, row.Refused, row.Lost, row.Share())
+		fmt.Fprintf(output.Out, "%-22s %8d %8d %8d %8d %8d %7.3f %7.3f\n", name, row.Asked, row.OnTime, row.Late, row.Refused, row.Lost, row.Share(), row.Net())
 	}
 	return ExitOK
 }
--- a/internal/emulate/emulate.go
+++ b/internal/emulate/emulate.go
@@ -30,6 +30,9 @@
 	Pause        time.Duration
 	Worth        float64
 	LateWorth    float64
+	// Deadline is how long a caller wants an answer in all; one that is refused
+	// comes back once if that leaves the time.
+	Deadline time.Duration
 }
 
 // Burst multiplies the rates of kinds for a while.
@@ -55,6 +58,9 @@
 type Fleet struct {
 	Servers int
 	Engine  routes.Engine
+	// Alone is the entry VMs that each place requests by what they see
+	// themselves; 0 for one scheduler that knows all.
+	Alone int
 }
 
 // Tally is what a kind of request got.
@@ -66,6 +72,9 @@
 	Lost    int
 	Owed    float64
 	Earned  float64
+	// Held is the price of requests that waited or came back in vain, by how long
+	// they did.
+	Held float64
 }
 
 // Share is the credit earned of that owed.
@@ -76,6 +85,15 @@
 	return t.Earned / t.Owed
 }
 
+// Net is the credit earned less the price of requests that waited in vain, of
+// the credit owed.
+func (t Tally) Net() float64 {
+	if t.Owed == 0 {
+		return 1
+	}
+	return (t.Earned - t.Held) / t.Owed
+}
+
 // Result is the outcome of a play.
 type Result struct {
 	Kinds map[string]*Tally
@@ -92,6 +110,7 @@
 	t.Lost += other.Lost
 	t.Owed += other.Owed
 	t.Earned += other.Earned
+	t.Held += other.Held
 }
 
 // Total sums up all kinds, always in the same order.
@@ -111,6 +130,16 @@
 	// largestQuantile is the 0.9 quantile of the normal distribution: prompts
 	// beyond it are the largest tenth of their kind.
 	largestQuantile = 1.28
+	// freeHold is the part of its aim that a request may wait in vain for free,
+	// wholeHold the part of its time after which that costs its whole credit.
+	freeHold  = 1.0 / 8
+	wholeHold = 3.0 / 4
+	// refusedAgain is the price of refusing one that came back, as a part of its
+	// worth.
+	refusedAgain = 0.3
+	// returnShare is the part of the time left that a refused caller waits at
+	// most before it comes back.
+	returnShare = 1.0 / 3
 )
 
 // call is one request on its way through the play.
@@ -123,6 +152,7 @@
 	arrived time.Time
 	events  int
 
+	desk    *desk
 	first   *server
 	parts   int
 	written int
@@ -131,6 +161,11 @@
 	begun   bool
 	ended   bool
 	context int
+	// askedAt is when it was last asked for, returned whether it has come back.
+	askedAt  time.Time
+	returned bool
+	// offered is set when it got a place within its aim.
+	offered bool
 }
 
 // piece is reading on one server.
@@ -177,33 +212,46 @@
 
 // play is one run of a load.
 type play struct {
-	load      *Load
-	fleet     *Fleet
-	random    *rand.Rand
-	scheduler *schedule.Scheduler
-	agenda    agenda
-	seq       int
-	servers   map[string]*server
-	calls     map[schedule.JobID]*call
-	result    *Result
-	start     time.Time
-	deciding  bool
-	nextID    uint64
+	load   *Load
+	fleet  *Fleet
+	random *rand.Rand
+	// desks place requests: one, or one for each entry VM that is alone.
+	desks   []*desk
+	agenda  agenda
+	seq     int
+	servers map[string]*server
+	calls   map[schedule.JobID]*call
+	result  *Result
+	start   time.Time
+	nextID  uint64
+}
+
+// desk is a scheduler that is woken while requests wait there.
+type desk struct {
+	*schedule.Scheduler
+	waking bool
 }
 
 // Play offers load to a fleet under the scheduler and returns what callers got.
 func Play(load Load, fleet Fleet, seed uint64) *Result {
 	p := &play{
-		load: &load, fleet: &fleet, random: rand.New(rand.NewPCG(seed, 1)), scheduler: schedule.New(),
+		load: &load, fleet: &fleet, random: rand.New(rand.NewPCG(seed, 1)),
 		servers: map[string]*server{}, calls: map[schedule.JobID]*call{},
 		result: &Result{Kinds: map[string]*Tally{}, Largest: map[string]*Tally{}},
 		start:  time.Unix(1_000_000_000, 0),
 	}
-	p.scheduler.SetEngines(&routes.Table{Services: []routes.Service{{Name: "model", Engine: &fleet.Engine}}})
+	for range max(1, fleet.Alone) {
+		scheduler := schedule.New()
+		scheduler.SetEngines(&routes.Table{Services: []routes.Service{{Name: "model", Engine: &fleet.Engine}}})
+		scheduler.SetShare(1/float64(max(1, fleet.Alone)), p.random.Uint64())
+		p.desks = append(p.desks, &desk{Scheduler: scheduler})
+	}
 	for i := range fleet.Servers {
 		id := string(rune('a'+i/26)) + string(rune('a'+i%26))
 		p.servers[id] = &server{id: id, engine: &fleet.Engine}
-		p.scheduler.SetServer(p.start, schedule.Server{ID: id, Service: "model", Slots: fleet.Engine.Slots, Accepts: true})
+		for _, d := range p.desks {
+			d.SetServer(p.start, schedule.Server{ID: id, Service: "model", Slots: fleet.Engine.Slots, Accepts: true})
+		}
 	}
 	for i := range load.Kinds {
 		p.result.Kinds[load.Kinds[i].Name] = &Tally{}
@@ -274,17 +322,53 @@
 		},
 	}
 	c.context = c.ask.PromptTokens + c.ask.AnswerTokens
-	p.calls[c.ask.ID] = c
+	c.desk = p.desks[p.random.IntN(len(p.desks))]
 	for _, tally := range p.tallies(c) {
 		tally.Asked++
 		tally.Owed += c.owed
 	}
+	p.ask(now, c)
+}
+
+// ask sends a request to the scheduler.
+func (p *play) ask(now time.Time, c *call) {
+	c.askedAt = now
+	p.calls[c.ask.ID] = c
 	p.at(now.Add(2*oneWay), func(now time.Time) {
-		p.scheduler.Ask(now, c.ask)
-		p.decide(now)
+		c.desk.Ask(now, c.ask)
+		p.decide(now, c.desk)
 	})
 }
 
+// refuse has the caller come back once, if its time allows.
+func (p *play) refuse(now time.Time, c *call, after time.Duration) {
+	left := c.arrived.Add(c.kind.Deadline).Sub(now)
+	if !c.returned && after < time.Duration(returnShare*float64(left)) {
+		c.returned = true
+		p.at(now.Add(after), func(now time.Time) {
+			p.nextID++
+			c.ask.ID.Seq = p.nextID
+			c.ask.GiveUpAt = now.Add(min(patience(c.kind), c.arrived.Add(c.kind.Deadline).Sub(now)))
+			p.ask(now, c)
+		})
+		return
+	}
+	for _, tally := range p.tallies(c) {
+		tally.Refused++
+		tally.Held += c.owed * c.held(now)
+		if c.returned {
+			tally.Held += c.owed * refusedAgain
+		}
+	}
+}
+
+// held is the price of having waited until now, as a part of the worth.
+func (c *call) held(now time.Time) float64 {
+	free := time.Duration(freeHold * float64(c.kind.Aim))
+	whole := time.Duration(wholeHold * float64(patience(c.kind)))
+	return min(max(float64(now.Sub(c.askedAt)-free)/float64(whole-free), 0), 1)
+}
+
 func patience(kind *Kind) time.Duration { return max(2*time.Second, 4*kind.Aim, 8*kind.Pause) }
 
 func (p *play) tallies(c *call) []*Tally {
@@ -295,15 +379,15 @@
 	return tallies
 }
 
-func (p *play) decide(now time.Time) {
-	for _, placement := range p.scheduler.Decide(now) {
+func (p *play) decide(now time.Time, d *desk) {
+	for _, placement := range d.Decide(now) {
 		p.place(now, placement)
 	}
-	if wake := p.scheduler.Wake(now); !wake.IsZero() && !p.deciding {
-		p.deciding = true
+	if wake := d.Wake(now); !wake.IsZero() && !d.waking {
+		d.waking = true
 		p.at(wake, func(now time.Time) {
-			p.deciding = false
-			p.decide(now)
+			d.waking = false
+			p.decide(now, d)
 		})
 	}
 }
@@ -311,11 +395,10 @@
 func (p *play) place(now time.Time, placement schedule.Placement) {
 	c := p.calls[placement.ID]
 	if placement.Server == "" {
-		for _, tally := range p.tallies(c) {
-			tally.Refused++
-		}
+		p.refuse(now, c, placement.RetryAfter)
 		return
 	}
+	c.offered = !now.After(c.ask.AimAt)
 	p.at(now.Add(2*oneWay), func(now time.Time) {
 		c.first = p.servers[placement.Server]
 		c.parts = 1 + len(placement.Helpers)
--- a/internal/emulate/pass.go
+++ b/internal/emulate/pass.go
@@ -83,8 +83,8 @@
 			return
 		}
 		p.at(now.Add(2*oneWay), func(now time.Time) {
-			p.scheduler.Started(now, c.ask.ID)
-			p.decide(now)
+			c.desk.Started(now, c.ask.ID)
+			p.decide(now, c.desk)
 		})
 	} else if seen.Sub(c.lastAt) > c.kind.Pause {
 		c.harmed = true
@@ -103,6 +103,9 @@
 		switch {
 		case !whole:
 			tally.Lost++
+			if !c.offered {
+				tally.Held += c.owed * c.held(now)
+			}
 		case c.harmed:
 			tally.Late++
 			tally.Earned += c.late
@@ -112,7 +115,7 @@
 		}
 	}
 	p.at(now.Add(2*oneWay), func(now time.Time) {
-		p.scheduler.Ended(now, c.ask.ID, schedule.EndDone)
-		p.decide(now)
+		c.desk.Ended(now, c.ask.ID, schedule.EndDone)
+		p.decide(now, c.desk)
 	})
 }
--- a/internal/emulate/standard.go
+++ b/internal/emulate/standard.go
@@ -21,15 +21,32 @@
 		Scale: scale, Length: 40 * time.Second, Swing: 0.55, Period: 17 * time.Second,
 		Kinds: []Kind{
 			{Name: "short", PerSecond: 26.2, PromptTokens: 4960, PromptSpread: 0.9, PromptMax: 23800, Events: 31.6, EventSpread: 0.7,
-				Aim: 300 * time.Millisecond, Pause: 250 * time.Millisecond, Worth: 1.3, LateWorth: 0.33},
+				Aim: 300 * time.Millisecond, Pause: 250 * time.Millisecond, Worth: 1.3, LateWorth: 0.33, Deadline: 10 * time.Second},
 			{Name: "medium", PerSecond: 1.42, PromptTokens: 45000, PromptSpread: 0.5, PromptMax: 110000, Events: 19, EventSpread: 0.6,
-				Aim: 1500 * time.Millisecond, Pause: 600 * time.Millisecond, Worth: 3.9, LateWorth: 0.98},
+				Aim: 1500 * time.Millisecond, Pause: 600 * time.Millisecond, Worth: 3.9, LateWorth: 0.98, Deadline: 10 * time.Second},
 			{Name: "long", PerSecond: 1.2, PromptTokens: 133000, PromptSpread: 0.55, PromptMax: 600000, Events: 15.8, EventSpread: 0.5,
-				Aim: 3 * time.Second, Pause: time.Second, Worth: 15, LateWorth: 3.7},
+				Aim: 3 * time.Second, Pause: time.Second, Worth: 15, LateWorth: 3.7, Deadline: 15 * time.Second},
 		},
 	}
 }
 
+// GrownFleet is a fleet of the size that is planned for: more servers, each
+// with fewer slots and less memory.
+func GrownFleet() Fleet {
+	fleet := StandardFleet()
+	fleet.Servers, fleet.Engine.Slots, fleet.Engine.MemoryTokens = 45, 12, 197_200
+	return fleet
+}
+
+// GrownLoad is the mix for GrownFleet: its long prompts fill a server each.
+func GrownLoad(scale float64) Load {
+	load := StandardLoad(scale)
+	load.Kinds[0].PerSecond, load.Kinds[1].PerSecond, load.Kinds[2].PerSecond = 65.8, 4.49, 2.77
+	load.Kinds[1].Worth, load.Kinds[1].LateWorth = 3.3, 0.83
+	load.Kinds[2].PromptTokens, load.Kinds[2].PromptSpread, load.Kinds[2].Worth, load.Kinds[2].LateWorth = 190_000, 0.45, 20, 5.1
+	return load
+}
+
 // Alternating adds bursts of short and of long requests by turns.
 func Alternating(load Load) Load {
 	short := map[string]float64{"short": 2.4, "medium": 0.5, "long": 0.05}
--- a/internal/hub/linkstate.go
+++ b/internal/hub/linkstate.go
@@ -293,7 +293,6 @@
 	s.mu.Unlock()
 	s.link.mu.Lock()
 	s.link.entryVMs = s.countEntryVMs(int(view.GetEntryVms()), now)
-	entryVMs := s.link.entryVMs
 	first := !s.link.attached
 	s.link.attached = true
 	s.link.mu.Unlock()
@@ -301,7 +300,6 @@
 		observe.Log(s.link.options.Logger, observe.LinkAttached).Str("control_vm", s.address).
 			Bool("schedules", view.GetSchedules()).Str("leader", view.GetLeader()).Uint32("entry_vms", view.GetEntryVms()).Send()
 	}
-	s.local.SetShare(1/float64(entryVMs), s.link.options.Incarnation)
 	if s.schedules && !view.GetSchedules() {
 		s.schedules = false
 		s.askLocally(now)
@@ -336,6 +334,13 @@
 	return slices.MaxFunc(recent, func(a, b entryCount) int { return cmp.Compare(a.vms, b.vms) }).vms
 }
 
+// shareServers sets the part of the servers that this VM may use by itself: an
+// equal one, as long as all VMs reach all zones. The VMs of a zone that is cut
+// off share its servers among themselves; VMs are spread evenly over zones.
+func (s *linkState) shareServers() {
+	s.local.SetShare(1/(float64(s.link.EntryVMs())*s.local.ZonesInReach()), s.link.options.Incarnation)
+}
+
 // leaveIsolated turns away from a control VM that has known no leader for a
 // while: it may be cut off from the others, and would keep this VM from their
 // news. While no other one is found, it is left ever more seldom.
@@ -425,6 +430,7 @@
 	if s.outbox != nil && now.Sub(s.sentAt) >= linkPulse {
 		s.pending()
 	}
+	s.shareServers()
 	s.suspectScheduler(now)
 }
 
--- a/internal/hub/linkstate_test.go
+++ b/internal/hub/linkstate_test.go
@@ -169,6 +169,42 @@
 	require.EqualValues(t, 1, c.view(c.startedAt.Add(countAfter)).GetEntryVms())
 }
 
+// The VMs of a zone that is cut off use what the others can't.
+func TestShareGrowsWhereZonesAreOutOfReach(t *testing.T) {
+	b := newStateBench(t)
+	b.link.entryVMs = 6
+	model := schedule.Server{Service: "model", Slots: 12, Accepts: true}
+	b.local.SetEngines(&routes.Table{Services: []routes.Service{{Name: "model", Engine: &routes.Engine{Slots: 12, Stride: 1, MemoryTokens: 1000}}}})
+	placeable := func() int {
+		count := 0
+		for seq := range uint64(20) {
+			b.local.Ask(b.now, schedule.Ask{
+				ID: schedule.JobID{VM: 7, Seq: 100 + seq}, Service: "model", Zone: "a", AimAt: b.now.Add(time.Second), GiveUpAt: b.now.Add(time.Minute),
+			})
+		}
+		for _, placement := range b.local.Decide(b.now) {
+			if placement.Server == "a1" {
+				count++
+			}
+		}
+		b.local.EndAll(b.now, 7, nil)
+		return count
+	}
+	for _, id := range []string{"a1", "b1", "b2"} {
+		model.ID, model.Zone = id, id[:1]
+		b.local.SetServer(b.now, model)
+	}
+	b.tick(b.now)
+	require.Equal(t, 2, placeable())
+	for seq, id := range []string{"b1", "b2"} {
+		ask := schedule.Ask{ID: schedule.JobID{VM: 7, Seq: uint64(seq)}, Service: "model", Zone: "a"}
+		b.local.Adopt(b.now, ask, schedule.Placement{ID: ask.ID, Server: id}, false)
+		b.local.Ended(b.now, ask.ID, schedule.EndUnreached)
+	}
+	b.tick(b.now)
+	require.Equal(t, 4, placeable())
+}
+
 // An entry VM whose connection went silent attaches again before the control VM
 // has missed it; what ended meanwhile must not hold its place for ever.
 func TestAttachingAgainFreesWhatEndedMeanwhile(t *testing.T) {
--- a/internal/schedule/decide.go
+++ b/internal/schedule/decide.go
@@ -39,11 +39,9 @@
 	partMemoryShare = 0.5
 	// memoryBlock is the unit in tokens in which memory is reserved.
 	memoryBlock = 16
-	// leastService is the shortest time in which a request can be served; one
-	// that has less left is refused.
-	leastService = 60 * time.Millisecond
-	// shortQueue is the waiting requests that a service may always have.
-	shortQueue = 8
+	// shortestService is the shortest time in which a request is served, beside
+	// the reading of its prompt.
+	shortestService = 60 * time.Millisecond
 	// shortestRetry and longestRetry bound when a refused request may come back.
 	shortestRetry = 300 * time.Millisecond
 	longestRetry  = 4 * time.Second
@@ -58,6 +56,9 @@
 		one.roll(now)
 	}
 	if len(s.waiting) == 0 {
+		for _, rate := range s.throughputs {
+			rate.follow(now, false)
+		}
 		return nil
 	}
 	s.now = now
@@ -65,30 +66,40 @@
 	s.refreshRooms(now)
 	s.forgetRankings()
 	kept := s.waiting[:0]
-	queues := map[string]*queue{}
+	queues := map[queueKey]*queue{}
 	for _, j := range s.waiting {
-		q := queues[j.ask.Service]
+		key := j.queueKey()
+		q := queues[key]
 		if q == nil {
-			q = &queue{perSecond: s.throughput(j.ask.Service).perSecond(now)}
-			queues[j.ask.Service] = q
+			q = &queue{key: key, rate: s.throughput(key)}
+			queues[key] = q
 		}
-		left := j.ask.GiveUpAt.Add(-leastService).Sub(now)
+		left := j.ask.GiveUpAt.Add(-j.leastService()).Sub(now)
 		switch {
 		case left <= 0:
-			s.refuse(j, q.wait(), "waited too long")
+			s.refuse(j, q.retryAfter(now), "waited too long")
 		case s.place(now, j):
-			s.throughput(j.ask.Service).add(now)
-		case q.ahead >= shortQueue && q.wait() > left:
-			s.refuse(j, q.wait(), "the queue is too long")
+			q.rate.add(now)
+		case q.tooLong(now, left):
+			s.refuse(j, q.retryAfter(now), "the queue is too long")
 		default:
 			q.ahead++
 			kept = append(kept, j)
 		}
 	}
 	s.waiting = kept
+	for key, rate := range s.throughputs {
+		rate.follow(now, queues[key] != nil && queues[key].ahead > 0)
+	}
 	return s.output
 }
 
+// leastService is the shortest time in which the request can be served: one that
+// has less left is refused.
+func (j *job) leastService() time.Duration {
+	return shortestService + j.read/(maxHelpers+1)
+}
+
 // Wake returns when Decide is due again, zero when nothing waits.
 func (s *Scheduler) Wake(now time.Time) time.Time {
 	if len(s.waiting) == 0 {
@@ -180,7 +191,7 @@
 	var late choice
 	for count := fewest; count <= most; count++ {
 		chosen, found := s.choose(candidates, plan, count, j.read/time.Duration(count), 0)
-		if !found {
+		if !found || chosen.readyAt.After(j.ask.GiveUpAt) {
 			continue
 		}
 		if !chosen.readyAt.After(j.ask.AimAt) {
--- a/internal/schedule/health.go
+++ b/internal/schedule/health.go
@@ -21,6 +21,25 @@
 	zoneUnreached = 2
 )
 
+// ZonesInReach returns the part of the zones with servers that is not taken for
+// cut off as a whole, and 1 without servers.
+func (s *Scheduler) ZonesInReach() float64 {
+	inReach := map[string]bool{}
+	for _, one := range s.order {
+		inReach[one.Zone] = inReach[one.Zone] || !one.unreached
+	}
+	reached := 0
+	for _, reach := range inReach {
+		if reach {
+			reached++
+		}
+	}
+	if reached == 0 {
+		return 1
+	}
+	return float64(reached) / float64(len(inReach))
+}
+
 // judgeErrors takes a server out for a while that errs much more often than the
 // others of its service: requests that fail by nature fail everywhere. Half of
 // the servers of a service always stay.
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -6,9 +6,9 @@
 package schedule
 
 import (
-	"encoding/binary"
 	"hash/fnv"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -105,8 +105,8 @@
 	waiting []*job
 	placed  map[JobID]*job
 	output  []Placement
-	// throughputs are the recent placements by service.
-	throughputs map[string]*throughput
+	// throughputs are the recent placements by queue.
+	throughputs map[queueKey]*throughput
 	// unreached counts the servers in a row that an entry VM did not reach.
 	unreached map[uint64]int
 	// now is the time of the decision in progress, rankings its orders of the
@@ -123,7 +123,7 @@
 func New() *Scheduler {
 	return &Scheduler{
 		servers: map[string]*server{}, engines: map[string]*routes.Engine{},
-		placed: map[JobID]*job{}, part: 1, unreached: map[uint64]int{}, throughputs: map[string]*throughput{}, rankings: map[rankingKey]*ranking{},
+		placed: map[JobID]*job{}, part: 1, unreached: map[uint64]int{}, throughputs: map[queueKey]*throughput{}, rankings: map[rankingKey]*ranking{},
 	}
 }
 
@@ -132,6 +132,9 @@
 // where the part is less than a slot, it draws the servers that this one may
 // use, so that all VMs together use about all slots.
 func (s *Scheduler) SetShare(part float64, seed uint64) {
+	if s.part == part && s.seed == seed {
+		return
+	}
 	s.part, s.seed = part, seed
 	for _, one := range s.order {
 		one.share = s.shareOf(&one.Server)
@@ -148,8 +151,8 @@
 	exact := float64(server.Slots) * s.part
 	whole := math.Floor(exact)
 	h := fnv.New64a()
-	_, _ = h.Write(binary.BigEndian.AppendUint64([]byte(server.ID), s.seed)) // never fails
-	if float64(h.Sum64()>>11)/(1<<53) < exact-whole {
+	_, _ = h.Write([]byte(server.ID)) // never fails
+	if rand.New(rand.NewPCG(h.Sum64(), s.seed)).Float64() < exact-whole {
 		whole++
 	}
 	return int(whole)
--- a/internal/schedule/unreached_test.go
+++ b/internal/schedule/unreached_test.go
@@ -55,3 +55,14 @@
 	require.True(t, s.servers["b1"].takesNew(now))
 	require.True(t, s.servers["b3"].takesNew(now))
 }
+
+func TestZonesInReachFollowWhatWasFoundCutOff(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	s := plainScheduler(now)
+	require.InDelta(t, 1, s.ZonesInReach(), 0)
+	fail(s, now, 1, 1, "b1")
+	require.InDelta(t, 1, s.ZonesInReach(), 0, "one server may be down by itself")
+	fail(s, now, 1, 2, "b2")
+	require.InDelta(t, 0.5, s.ZonesInReach(), 0)
+	require.InDelta(t, 1, New().ZonesInReach(), 0)
+}
