--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -59,13 +59,13 @@
 // client sends requests one after the other on connections that it keeps as
 // long as they last.
 type client struct {
-	soak    *soak
-	number  int
-	random  *rand.Rand
-	sent    int
-	vm      string
-	conn    *standin.Connection
-	reused  bool
+	soak   *soak
+	number int
+	random *rand.Rand
+	sent   int
+	vm     string
+	conn   *standin.Connection
+	// started is the incarnation of the VM that it is connected to.
 	started int
 }
 
@@ -80,7 +80,6 @@
 		c.soak.records.locked(func(r *Records) { r.Requests[q.Call.ID] = q })
 		reply := c.conn.Do(q.Call)
 		c.soak.records.locked(func(*Records) { q.Reply, q.Done = reply, true })
-		c.reused = true
 		if reply.Err != nil || reply.Closes || reply.Left || c.random.IntN(30) == 0 {
 			c.drop()
 		}
@@ -116,7 +115,7 @@
 	if err != nil {
 		return false
 	}
-	c.conn, c.vm, c.reused = conn, vm, false
+	c.conn, c.vm = conn, vm
 	c.started = c.soak.fleet.incarnation(vm)
 	return true
 }
@@ -125,7 +124,7 @@
 func (c *client) next() *Request {
 	c.sent++
 	id := fmt.Sprintf("q%02d-%05d", c.number, c.sent)
-	q := &Request{Tenant: steadyTenant, VM: c.vm, Incarnation: c.started, Begun: time.Now(), Reused: c.reused}
+	q := &Request{Tenant: steadyTenant, VM: c.vm, Incarnation: c.started, Begun: time.Now()}
 	switch draw := c.random.IntN(20); {
 	case draw < 8:
 		tokens := 2000 + c.random.IntN(3000)
@@ -155,8 +154,7 @@
 	if newest > 1 && c.random.IntN(2) == 0 {
 		q.Generation = newest - 1
 	}
-	q.ByKey = c.random.IntN(2) == 0
-	if q.ByKey {
+	if c.random.IntN(2) == 0 {
 		q.Tenant = movingTenant
 		q.Call = standin.NewCall(id, host, "/look/key", movingKey(q.Generation), false, 0)
 		return
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -14,25 +14,30 @@
 // Kinds of faults. Those of planned are work of an operator, which callers must
 // not notice.
 const (
-	KindKill     Kind = "kill"
-	KindKillAll  Kind = "kill_control"
-	KindFreeze   Kind = "freeze"
-	KindWipe     Kind = "wipe"
-	KindCut      Kind = "cut"
-	KindCutFrom  Kind = "cut_from"
-	KindCutTo    Kind = "cut_to"
-	KindDelay    Kind = "delay"
-	KindReset    Kind = "reset"
-	KindSilence  Kind = "silence"
-	KindCrash    Kind = "worker_crash"
-	KindMisdo    Kind = "worker_fault"
-	KindRoll     Kind = "roll"
-	KindHangUp   Kind = "hang_up"
-	KindLeave    Kind = "worker_leave"
-	KindConfig   Kind = "config"
-	KindConfig2  Kind = "config_race"
-	plannedSteps      = 14
-	faultSteps        = 6
+	KindKill    Kind = "kill"
+	KindKillAll Kind = "kill_control"
+	KindFreeze  Kind = "freeze"
+	KindWipe    Kind = "wipe"
+	KindCut     Kind = "cut"
+	KindCutFrom Kind = "cut_from"
+	KindCutTo   Kind = "cut_to"
+	KindDelay   Kind = "delay"
+	KindReset   Kind = "reset"
+	KindSilence Kind = "silence"
+	KindCrash   Kind = "worker_crash"
+	KindMisdo   Kind = "worker_fault"
+	KindRoll    Kind = "roll"
+	KindHangUp  Kind = "hang_up"
+	KindLeave   Kind = "worker_leave"
+	KindConfig  Kind = "config"
+	KindConfig2 Kind = "config_race"
+)
+
+const (
+	// plannedSteps is the planned work of a run, faultSteps the faults of one of
+	// its bursts.
+	plannedSteps = 14
+	faultSteps   = 6
 )
 
 var planned = map[Kind]bool{KindRoll: true, KindHangUp: true, KindLeave: true, KindConfig: true, KindConfig2: true}
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -17,12 +17,9 @@
 	// Generation is the configuration that alone has the route or key of a probe,
 	// 0 for other requests.
 	Generation  uint64
-	ByKey       bool
 	VM          string
 	Incarnation int
 	Begun       time.Time
-	// Reused tells that the connection had served a request before.
-	Reused bool
 	// Reply is complete once Done is set.
 	Reply standin.Reply
 	Done  bool
