observe: the report of left-out lines comes although others go on

Cause: the writer began the second after which it reports anew with each line, so a process that logs all the time never reported. Found by reading; the test before had pauses. TestLeftOutLinesAreReportedAmongOthers fails without the change.

--- a/internal/observe/linewriter.go
+++ b/internal/observe/linewriter.go
@@ -101,19 +101,20 @@
 	}
 }
 
-// run writes what is pending. A report of lines that were left out waits for
-// the end of their second.
+// run writes what is pending. A report of lines that were left out comes a
+// second after the first of them.
 func (w *LineWriter) run() {
 	defer close(w.done)
 	var spare []byte
+	var report <-chan time.Time
 	for {
-		var report <-chan time.Time
-		if w.leavesOut() {
+		if report == nil && w.leavesOut() {
 			report = time.After(time.Second)
 		}
 		select {
 		case <-w.wake:
 		case <-report:
+			report = nil
 			w.reportLeftOut()
 		}
 		for {
--- a/internal/observe/linewriter_test.go
+++ b/internal/observe/linewriter_test.go
@@ -86,6 +86,24 @@
 	})
 }
 
+// Lines that go on coming must not put the report off for ever.
+func TestLeftOutLinesAreReportedAmongOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		w := NewLineWriter(&out)
+		logger := logTo(w)
+		for range maxKindLines + 1 {
+			Log(logger, RequestPlaced).Send()
+		}
+		for range 30 {
+			Log(logger, RequestAnswered).Send()
+			time.Sleep(100 * time.Millisecond)
+		}
+		w.Close(time.Second)
+		require.Equal(t, 1, strings.Count(out.String(), `"name":"log_lines_left_out","lines":1,`))
+	})
+}
+
 func TestCloseDoesNotWaitForAStoppedReader(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		reader, pipe := io.Pipe()
