--- a/internal/distribute/ask.go
+++ b/internal/distribute/ask.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"godwityoke.example/godwityoke/internal/distribute/distributepb"
+	"godwityoke.example/godwityoke/internal/pause"
 )
 
 const (
@@ -27,7 +28,7 @@
 	cancel()
 	c.Node.setReady()
 	for ctx.Err() == nil {
-		sleep(ctx, askInterval)
+		pause.For(ctx, askInterval)
 		if !c.Node.Attached() {
 			c.ask(ctx)
 		}
@@ -41,7 +42,7 @@
 		if answered > 0 && c.Node.store.Newest() != nil {
 			return
 		}
-		sleep(ctx, retryInterval)
+		pause.For(ctx, retryInterval)
 	}
 }
 
--- a/internal/distribute/client.go
+++ b/internal/distribute/client.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/pause"
 	"godwityoke.example/godwityoke/internal/transport"
 )
 
@@ -55,7 +56,7 @@
 	}()
 	for ctx.Err() == nil {
 		c.round(ctx)
-		sleep(ctx, retryInterval/2+rand.N(retryInterval))
+		pause.For(ctx, retryInterval/2+rand.N(retryInterval))
 	}
 	<-asked
 }
@@ -79,12 +80,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/distribute/session.go
+++ b/internal/distribute/session.go
@@ -11,6 +11,7 @@
 
 	"godwityoke.example/godwityoke/internal/distribute/distributepb"
 	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/pause"
 )
 
 // endReason tells why a session ended.
@@ -165,9 +166,9 @@
 		hello = nil
 		select {
 		case <-changed:
-			sleep(ctx, reportDelay)
+			pause.For(ctx, reportDelay)
 		case <-below:
-			sleep(ctx, reportDelay)
+			pause.For(ctx, reportDelay)
 		case vms := <-s.want:
 			reports.forget(vms)
 		case <-ticker.C:
--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"godwityoke.example/godwityoke/internal/ledger/ledgerpb"
+	"godwityoke.example/godwityoke/internal/pause"
 	"godwityoke.example/godwityoke/internal/request"
 )
 
@@ -150,7 +151,7 @@
 			c.yield(ctx, message, preferred, t.rivals[preferred].digest)
 			return nil, nil, refused(reasonOf(t, ErrInProgress), request.Unknown)
 		case verdictPending, verdictSplit:
-			pause(roundCtx, roundPause)
+			pause.For(roundCtx, roundPause)
 		default:
 			record, err := recordOf(t, decided)
 			return nil, record, err
@@ -216,7 +217,7 @@
 		if t.answered == t.holders {
 			break
 		}
-		pause(sealCtx, roundPause)
+		pause.For(sealCtx, roundPause)
 	}
 	return refused(ErrUnreachable, request.NotSent)
 }
@@ -229,7 +230,7 @@
 	for lookupCtx.Err() == nil {
 		t := count("", nil, c.round(lookupCtx, message, func([]*ledgerpb.Reply) bool { return false }))
 		if t.answered < majority(t.holders) {
-			pause(lookupCtx, roundPause)
+			pause.For(lookupCtx, roundPause)
 			continue
 		}
 		if t.free == t.answered {
@@ -244,13 +245,6 @@
 	return nil, refused(ErrUnreachable, request.Unknown)
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // heldClaim is a granted claim.
 type heldClaim struct {
 	client  *Client
@@ -297,7 +291,7 @@
 		if countDone(replies) == len(replies) {
 			return
 		}
-		pause(ctx, callTimeout)
+		pause.For(ctx, callTimeout)
 	}
 }
 
--- /dev/null
+++ b/internal/pause/pause_test.go
@@ -0,0 +1,22 @@
+package pause
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestPauseLastsItsTimeOrAsLongAsItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begun := time.Now()
+		For(t.Context(), time.Second)
+		require.Equal(t, time.Second, time.Since(begun))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		For(ctx, time.Hour)
+		require.Equal(t, 2*time.Second, time.Since(begun))
+	})
+}
--- a/internal/schedule/decide.go
+++ b/internal/schedule/decide.go
@@ -56,9 +56,7 @@
 		one.roll(now)
 	}
 	if len(s.waiting) == 0 {
-		for _, rate := range s.throughputs {
-			rate.follow(now, false)
-		}
+		s.followQueues(now, nil)
 		return nil
 	}
 	s.now = now
@@ -88,9 +86,7 @@
 		}
 	}
 	s.waiting = kept
-	for key, rate := range s.throughputs {
-		rate.follow(now, queues[key] != nil && queues[key].ahead > 0)
-	}
+	s.followQueues(now, queues)
 	return s.output
 }
 
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -127,3 +127,11 @@
 	}
 	return t
 }
+
+// followQueues tells each rate whether its queue lasts.
+func (s *Scheduler) followQueues(now time.Time, queues map[queueKey]*queue) {
+	for key, rate := range s.throughputs {
+		q := queues[key]
+		rate.follow(now, q != nil && q.ahead > 0)
+	}
+}
--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -37,6 +37,11 @@
 	// joinInterval is how often a control VM asks to vote until it does.
 	joinInterval = 400 * time.Millisecond
 	joinTimeout  = 800 * time.Millisecond
+	// MaxTableBytes bounds a route table as an operator sends it: 20,000 routes of
+	// 400 bytes.
+	MaxTableBytes = 8 << 20
+	// MaxAnnouncementBytes bounds what a backend server says of itself.
+	MaxAnnouncementBytes = 64 << 10
 	// replicaRetry is the pause before a member that ended is started again.
 	replicaRetry = 500 * time.Millisecond
 )
--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"time"
 
+	"godwityoke.example/godwityoke/internal/pause"
+	"godwityoke.example/godwityoke/internal/routes"
 	"godwityoke.example/godwityoke/platform/standin"
 )
 
@@ -13,6 +15,12 @@
 	// routeTimeout, callDeadline: an entry VM answers before a client gives up.
 	routeTimeout = 2500 * time.Millisecond
 	callDeadline = 3500 * time.Millisecond
+	// pauseAim is the longest pause of a stream that is on time.
+	pauseAim = 6 * eventPause
+	// readChunk is the prompt tokens of a step, maxConnections those to a worker;
+	// both are far above what a run needs.
+	readChunk      = 2048
+	maxConnections = 1000
 	// thinkTime is the mean pause of a client between two requests.
 	thinkTime = 40 * time.Millisecond
 	// connectPatience is how long a client waits for a connection.
@@ -26,34 +34,55 @@
 	host         = "soak.example"
 	modelService = "models"
 	deskService  = "desk"
-	steadyTenant = "steady"
+	steadyTeam   = "steady"
 	steadyKey    = "key-steady"
-	// movingTenant holds another key in each version.
-	movingTenant = "moving"
+	// movingTeam holds another key in each version.
+	movingTeam = "moving"
 )
 
 func movingKey(version uint64) string { return fmt.Sprintf("key-%d", version) }
 
-// configuration returns the complete configuration of a version: besides the
-// lasting routes it has one route and one key that no other version has.
-func configuration(version uint64, slots int) *standin.Configuration {
-	route := func(name, prefix, service, kind string) standin.Route {
-		return standin.Route{
-			Name: name, Host: host, Prefix: prefix, Service: service, Kind: kind, Timeout: routeTimeout,
-			Aim: routeTimeout / 5, MaxAttempts: 2, Resumable: kind == "streaming",
+// routeTable returns the complete table of a version: besides the lasting
+// routes it has one route and one key that no other version has.
+func routeTable(version uint64) *routes.Table {
+	route := func(name, prefix, service string, kind routes.Kind) routes.Route {
+		made := routes.Route{
+			Name: name, Host: host, Prefix: prefix, Kind: kind, Timeout: routeTimeout, Aim: routeTimeout / 5,
+			Split: []routes.Share{{Service: service, Weight: 1}}, MaxAttempts: 2,
 		}
+		if kind == routes.KindStream {
+			made.Resumable, made.PauseAim = true, pauseAim
+		}
+		return made
 	}
-	return &standin.Configuration{
+	return &routes.Table{
 		Version: version,
-		Routes: []standin.Route{
-			route("chat", "/chat/", modelService, "streaming"), route("order", "/order/", deskService, "unsafe"),
-			route("look", "/look/", deskService, "safe"), route("probe", probePath(version), deskService, "safe"),
+		Routes: []routes.Route{
+			route("chat", "/chat/", modelService, routes.KindStream), route("order", "/order/", deskService, routes.KindUnsafe),
+			route("look", "/look/", deskService, routes.KindSafe), route("probe", probePath(version), deskService, routes.KindSafe),
+		},
+		Services: []routes.Service{
+			{Name: modelService, MaxConnections: maxConnections, Engine: &routes.Engine{
+				Slots: workerSlots, MemoryTokens: workerMemory, Stride: 1, Chunk: readChunk, Step: eventPause,
+				ReadPerToken: readPerToken, UsualAnswer: streamEvents,
+			}},
+			{Name: deskService, MaxConnections: maxConnections},
+		},
+		Teams: []routes.Team{
+			{Name: steadyTeam, Keys: []string{steadyKey}, Priority: -1}, {Name: movingTeam, Keys: []string{movingKey(version)}, Priority: -1},
 		},
-		Services: []standin.Service{{Name: modelService, Model: true, Slots: slots}, {Name: deskService}},
-		Tenants:  []standin.Tenant{{Name: steadyTenant, Keys: []string{steadyKey}}, {Name: movingTenant, Keys: []string{movingKey(version)}}},
 	}
 }
 
+// newCall builds a call that is answered by a plain body or a stream.
+func newCall(id, path, key string, stream bool, promptTokens int) standin.Call {
+	call := standin.Call{ID: id, Host: host, Path: path, Key: key, Body: "plain " + id, PromptTokens: promptTokens, Deadline: callDeadline}
+	if stream {
+		call.Body, call.AnswerTokens = streamBody+id, streamEvents
+	}
+	return call
+}
+
 func probePath(version uint64) string { return fmt.Sprintf("/probe/%d/", version) }
 
 // client sends requests one after the other on connections that it keeps as
@@ -73,7 +102,7 @@
 	defer c.drop()
 	for ctx.Err() == nil {
 		if c.conn == nil && !c.connect() {
-			sleep(ctx, refusalPause)
+			pause.For(ctx, refusalPause)
 			continue
 		}
 		q := c.next()
@@ -87,14 +116,7 @@
 		if reply.Status != servedStatus {
 			wait += refusalPause
 		}
-		sleep(ctx, wait)
-	}
-}
-
-func sleep(ctx context.Context, wait time.Duration) {
-	select {
-	case <-time.After(wait):
-	case <-ctx.Done():
+		pause.For(ctx, wait)
 	}
 }
 
@@ -124,23 +146,22 @@
 func (c *client) next() *Request {
 	c.sent++
 	id := fmt.Sprintf("q%02d-%05d", c.number, c.sent)
-	q := &Request{Tenant: steadyTenant, VM: c.vm, Incarnation: c.started, Begun: time.Now()}
+	q := &Request{Team: steadyTeam, VM: c.vm, Incarnation: c.started, Begun: time.Now()}
 	switch draw := c.random.IntN(20); {
 	case draw < 8:
 		tokens := 2000 + c.random.IntN(3000)
 		if c.random.IntN(6) == 0 {
 			tokens = 40_000 + c.random.IntN(90_000)
 		}
-		q.Call = standin.NewCall(id, host, "/chat/a", steadyKey, true, tokens)
+		q.Call = newCall(id, "/chat/a", steadyKey, true, tokens)
 	case draw < 12:
 		q.Unsafe = true
-		q.Call = standin.NewCall(id, host, "/order/a", steadyKey, false, 0)
+		q.Call = newCall(id, "/order/a", steadyKey, false, 0)
 	case draw < 15:
-		q.Call = standin.NewCall(id, host, "/look/a", steadyKey, false, 0)
+		q.Call = newCall(id, "/look/a", steadyKey, false, 0)
 	default:
 		c.probe(q, id)
 	}
-	q.Call.Deadline = callDeadline
 	if q.Generation == 0 && c.random.IntN(12) == 0 {
 		q.Call.LeaveAfter = time.Duration(10+c.random.IntN(400)) * time.Millisecond
 	}
@@ -155,9 +176,9 @@
 		q.Generation = newest - 1
 	}
 	if c.random.IntN(2) == 0 {
-		q.Tenant = movingTenant
-		q.Call = standin.NewCall(id, host, "/look/key", movingKey(q.Generation), false, 0)
+		q.Team = movingTeam
+		q.Call = newCall(id, "/look/key", movingKey(q.Generation), false, 0)
 		return
 	}
-	q.Call = standin.NewCall(id, host, probePath(q.Generation)+"a", steadyKey, false, 0)
+	q.Call = newCall(id, probePath(q.Generation)+"a", steadyKey, false, 0)
 }
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -11,21 +11,31 @@
 	"syscall"
 	"time"
 
-	"godwityoke.example/godwityoke/platform/standin"
+	"godwityoke.example/godwityoke/internal/site"
+	"godwityoke.example/godwityoke/platform"
 )
 
 // restartPause is how long a process that ended stays down.
 const restartPause = 300 * time.Millisecond
 
 // bounds are the promises that the processes are started with.
-var bounds = standin.Bounds{
-	Heartbeat: 800 * time.Millisecond, Grace: 6 * time.Second, RetryRatio: 0.2, RetrySlack: 30, RetryWindow: 10 * time.Second,
+var bounds = site.Settings{
+	AnnounceInterval: 800 * time.Millisecond, StopLimit: 6 * time.Second, MemoryBytes: 256 << 20,
+	RetryRatio: 0.2, RetryAllowance: 30, RetryWindow: 10 * time.Second,
 }
 
+// Ports of every VM.
+const (
+	frontPort    = 7300
+	readyPort    = 7301
+	controlPort  = 7302
+	internalPort = 7340
+)
+
 // node is a VM: one process at a time.
 type node struct {
-	settings standin.Node
-	folder   string
+	boot   platform.Boot
+	folder string
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -66,17 +76,21 @@
 // addVM prepares a VM and its way through the network.
 func (f *fleet) addVM(name string, number int, control bool, folder string, seeds []string) error {
 	own, public := f.ip(partVM, number), f.ip(partVMPublic, number)
-	n := &node{folder: folder, settings: standin.Node{
-		Name: name, IP: public, Bind: own, Zone: f.zones[number%len(f.zones)], Control: control, Seeds: seeds, Bootstrap: true, Bounds: bounds,
-	}}
+	n := &node{folder: folder, boot: platform.Boot{Settings: bounds, Entry: !control, Control: control}}
+	settings := &n.boot.Settings
+	settings.VM, settings.Zone, settings.Address, settings.Bind = name, f.zones[number%len(f.zones)], public, own
+	settings.FirstPort, settings.LastPort, settings.Seeds, settings.Bootstrap = internalPort, internalPort+10, seeds, true
 	f.network.name(own, name)
-	ports := []int{standin.FrontPort, standin.InternalPort}
+	ports := []int{frontPort, internalPort}
 	if control {
-		n.settings.DataDir = filepath.Join(folder, name+".data")
-		if err := os.MkdirAll(n.settings.DataDir, 0o700); err != nil {
+		ports[0] = controlPort
+		settings.Control = address(own, controlPort)
+		settings.DataDir = filepath.Join(folder, name+".data")
+		if err := os.MkdirAll(settings.DataDir, 0o700); err != nil {
 			return fmt.Errorf("make a data folder: %w", err)
 		}
-		ports[0] = standin.ControlPort
+	} else {
+		settings.Callers, settings.Readiness = address(own, frontPort), address(own, readyPort)
 	}
 	for _, port := range ports {
 		if err := f.network.forward(address(public, port), address(own, port), name); err != nil {
@@ -99,20 +113,25 @@
 }
 
 func (f *fleet) startLocked(n *node) error {
-	path := filepath.Join(n.folder, n.settings.Name+".yaml")
-	if err := standin.WriteSettings(path, n.settings); err != nil {
+	name := n.boot.Settings.VM
+	content, err := platform.EncodeBoot(&n.boot)
+	if err != nil {
 		return err
 	}
-	output, err := os.OpenFile(filepath.Join(n.folder, n.settings.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	path := filepath.Join(n.folder, name+".yaml")
+	if err := os.WriteFile(path, content, 0o600); err != nil {
+		return fmt.Errorf("write the boot file of %s: %w", name, err)
+	}
+	output, err := os.OpenFile(filepath.Join(n.folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return fmt.Errorf("open a log: %w", err)
 	}
-	command := exec.Command(f.binary, "platform", "serve", "--boot", path, "--bind", n.settings.Bind)
+	command := exec.Command(f.binary, "platform", "serve", "--boot", path, "--bind", n.boot.Settings.Bind)
 	command.Stdout, command.Stderr = output, output
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
 		_ = output.Close()
-		return fmt.Errorf("start %s: %w", n.settings.Name, err)
+		return fmt.Errorf("start %s: %w", name, err)
 	}
 	n.command, n.ending = command, false
 	n.starts++
@@ -130,14 +149,14 @@
 	unasked := !n.ending
 	n.mu.Unlock()
 	if unasked {
-		f.onExit(n.settings.Name, fmt.Sprint(err))
+		f.onExit(n.boot.Settings.VM, fmt.Sprint(err))
 	}
 	time.Sleep(restartPause)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.wanted && n.command == command {
 		if err := f.startLocked(n); err != nil {
-			f.onExit(n.settings.Name, err.Error())
+			f.onExit(n.boot.Settings.VM, err.Error())
 		}
 	}
 }
@@ -162,11 +181,11 @@
 	n.ending = true
 	_ = n.command.Process.Kill() // it may have ended already
 	<-n.exited
-	n.settings.Bootstrap = false
-	if err := os.RemoveAll(n.settings.DataDir); err != nil {
+	n.boot.Settings.Bootstrap = false
+	if err := os.RemoveAll(n.boot.Settings.DataDir); err != nil {
 		return fmt.Errorf("wipe the disk of %s: %w", name, err)
 	}
-	return os.MkdirAll(n.settings.DataDir, 0o700)
+	return os.MkdirAll(n.boot.Settings.DataDir, 0o700)
 }
 
 // incarnation tells which process of a VM runs.
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -2,11 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
-
-	"godwityoke.example/godwityoke/platform/standin"
 )
 
 // Bounds of the judges.
@@ -53,10 +52,10 @@
 // may be called while records still grow.
 func judge(r *Records, now time.Time) []Finding {
 	j := &judgement{Records: r, now: now}
-	for _, id := range slices.Sorted(mapKeys(r.Requests)) {
+	for _, id := range slices.Sorted(maps.Keys(r.Requests)) {
 		j.request(r.Requests[id], r.Arrivals[id])
 	}
-	for _, id := range slices.Sorted(mapKeys(r.Arrivals)) {
+	for _, id := range slices.Sorted(maps.Keys(r.Arrivals)) {
 		if r.Requests[id] == nil {
 			j.found("UNASKED", id, "a worker got a request that no client sent")
 		}
@@ -72,16 +71,6 @@
 	return j.findings
 }
 
-func mapKeys[V any](m map[string]V) func(yield func(string) bool) {
-	return func(yield func(string) bool) {
-		for key := range m {
-			if !yield(key) {
-				return
-			}
-		}
-	}
-}
-
 type judgement struct {
 	*Records
 	now      time.Time
@@ -170,8 +159,8 @@
 	if a.Path != q.Call.Path || a.Body != q.Call.Body {
 		j.found("UNASKED", id, "%s got %s with body %q", a.Server, a.Path, a.Body)
 	}
-	if a.Tenant != q.Tenant || a.Key != "" {
-		j.found("UNASKED", id, "%s got tenant %q, key %q", a.Server, a.Tenant, a.Key)
+	if a.Team != q.Team || a.Key != "" {
+		j.found("UNASKED", id, "%s got team %q, key %q", a.Server, a.Team, a.Key)
 	}
 	if over := a.Left - q.Call.Deadline; over > passedOnSlack || a.Left == 0 {
 		j.found("BUDGET", id, "%s was given %v of %v", a.Server, a.Left, q.Call.Deadline)
@@ -187,13 +176,13 @@
 		}
 		return
 	}
-	sealed := slices.ContainsFunc(arrivals, func(a *Arrival) bool { return !a.Rejected && reply.Seal == standin.SealOf(id, a.Server) })
+	sealed := slices.ContainsFunc(arrivals, func(a *Arrival) bool { return !a.Rejected && reply.Seal == sealOf(id, a.Server) })
 	if !sealed || reply.AnsweredID != id {
 		j.found("MIXED", id, "seal %q, id %q", reply.Seal, reply.AnsweredID)
 	}
-	want := standin.PlainAnswer(id, q.Call.Body)
-	if q.Call.Stream {
-		want = standin.StreamAnswer(id, 0)
+	want := plainAnswer(id, q.Call.Body)
+	if strings.HasPrefix(q.Call.Body, streamBody) {
+		want = streamAnswer(id)
 	}
 	switch {
 	case reply.Whole && reply.Body != want:
@@ -244,7 +233,7 @@
 			for _, back := range []time.Duration{0, bounds.RetryWindow / 2, bounds.RetryWindow} {
 				requests = max(requests, within(asked[service], from.Add(-back), bounds.RetryWindow))
 			}
-			if limit := bounds.RetryRatio*float64(requests) + bounds.RetrySlack; float64(count) > limit {
+			if limit := bounds.RetryRatio*float64(requests) + bounds.RetryAllowance; float64(count) > limit {
 				j.found("BUDGET", "", "%s got %d repeats in a window that allows %.1f", service, count, limit)
 				break
 			}
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -17,14 +17,14 @@
 func sound() *Records {
 	r := newRecorder().Records
 	for id, stream := range map[string]bool{"plain": false, "stream": true} {
-		q := &Request{Call: standin.NewCall(id, host, "/x/a", steadyKey, stream, 0), Unsafe: !stream, Tenant: steadyTenant, VM: "entry-1", Begun: begun, Done: true}
+		q := &Request{Call: newCall(id, "/x/a", steadyKey, stream, 0), Unsafe: !stream, Team: steadyTeam, VM: "entry-1", Begun: begun, Done: true}
 		q.Call.Deadline = callDeadline
 		q.Reply = standin.Reply{
-			Sent: begun, Status: servedStatus, Seal: standin.SealOf(id, "w"), AnsweredID: id, Whole: true, Ended: begun.Add(time.Second),
-			Body: standin.PlainAnswer(id, q.Call.Body),
+			Sent: begun, Status: servedStatus, Seal: sealOf(id, "w"), AnsweredID: id, Whole: true, Ended: begun.Add(time.Second),
+			Body: plainAnswer(id, q.Call.Body),
 		}
 		if stream {
-			q.Reply.Body = standin.StreamAnswer(id, 0)
+			q.Reply.Body = streamAnswer(id)
 		}
 		r.Requests[id] = q
 		r.Arrivals[id] = []*Arrival{arrivalOf(q, begun)}
@@ -37,16 +37,16 @@
 func arrivalOf(q *Request, at time.Time) *Arrival {
 	return &Arrival{
 		Arrival: standin.Arrival{
-			RequestID: q.Call.ID, Server: "w", Service: "s", Path: q.Call.Path, Body: q.Call.Body, Tenant: steadyTenant, Left: callDeadline, At: at,
+			RequestID: q.Call.ID, Path: q.Call.Path, Body: q.Call.Body, Team: steadyTeam, Left: callDeadline, At: at,
 		},
-		EndedAt: at.Add(time.Second), Whole: true,
+		Server: "w", Service: "s", EndedAt: at.Add(time.Second), Whole: true,
 	}
 }
 
 func probeOf(r *Records, id string, generation uint64, status int, at time.Time) {
-	q := &Request{Call: standin.NewCall(id, host, "/x/a", steadyKey, false, 0), Tenant: steadyTenant, VM: "entry-1", Begun: at, Done: true, Generation: generation}
+	q := &Request{Call: newCall(id, "/x/a", steadyKey, false, 0), Team: steadyTeam, VM: "entry-1", Begun: at, Done: true, Generation: generation}
 	q.Call.Deadline = callDeadline
-	q.Reply = standin.Reply{Sent: at, Status: status, AnsweredID: id, Whole: true, Ended: at, Seal: standin.SealOf(id, "w"), Body: standin.PlainAnswer(id, q.Call.Body)}
+	q.Reply = standin.Reply{Sent: at, Status: status, AnsweredID: id, Whole: true, Ended: at, Seal: sealOf(id, "w"), Body: plainAnswer(id, q.Call.Body)}
 	if status != servedStatus {
 		q.Reply.Seal = ""
 	}
@@ -66,14 +66,14 @@
 		"other request":      {"MIXED", func(r *Records) { r.Requests["plain"].Reply.AnsweredID = "stream" }},
 		"seal of nobody":     {"MIXED", func(r *Records) { r.Requests["plain"].Reply.Seal = "x" }},
 		"seal on a failure":  {"MIXED", func(r *Records) { r.Requests["plain"].Reply.Status = 502 }},
-		"short but complete": {"MIXED", func(r *Records) { r.Requests["stream"].Reply.Body = standin.StreamEvent("stream", 1) }},
+		"short but complete": {"MIXED", func(r *Records) { r.Requests["stream"].Reply.Body = streamEvent("stream", 1) }},
 		"event is missing": {"ORDER", func(r *Records) {
-			r.Requests["stream"].Reply.Body, r.Requests["stream"].Reply.Whole = standin.StreamEvent("stream", 2), false
+			r.Requests["stream"].Reply.Body, r.Requests["stream"].Reply.Whole = streamEvent("stream", 2), false
 		}},
 		"unknown request":   {"UNASKED", func(r *Records) { r.Arrivals["made up"] = r.Arrivals["plain"] }},
 		"other path":        {"UNASKED", func(r *Records) { r.Arrivals["plain"][0].Path = "/y" }},
 		"key passed on":     {"UNASKED", func(r *Records) { r.Arrivals["plain"][0].Key = steadyKey }},
-		"other tenant":      {"UNASKED", func(r *Records) { r.Arrivals["plain"][0].Tenant = movingTenant }},
+		"other team":        {"UNASKED", func(r *Records) { r.Arrivals["plain"][0].Team = movingTeam }},
 		"two runs":          {"TWICE", func(r *Records) { r.Arrivals["plain"] = append(r.Arrivals["plain"], r.Arrivals["plain"][0]) }},
 		"refused and ran":   {"REFUSED", func(r *Records) { r.Requests["plain"].Reply.Status, r.Requests["plain"].Reply.Seal = 503, "" }},
 		"proper but denied": {"DENIED", func(r *Records) { r.Requests["plain"].Reply.Status, r.Requests["plain"].Reply.Seal = 404, "" }},
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -12,8 +12,8 @@
 	Call standin.Call
 	// Unsafe requests may run once at most.
 	Unsafe bool
-	// Tenant is the holder of the call's key.
-	Tenant string
+	// Team holds the call's key.
+	Team string
 	// Generation is the configuration that alone has the route or key of a probe,
 	// 0 for other requests.
 	Generation  uint64
@@ -28,6 +28,8 @@
 // Arrival is what a worker knows of one sending of a request.
 type Arrival struct {
 	standin.Arrival
+	Server   string
+	Service  string
 	Rejected bool
 	// EndedAt is zero while the run goes on. Whole runs were not given up.
 	EndedAt time.Time
@@ -74,8 +76,6 @@
 	Left map[string]int
 	// LoadEnds is when the last client stopped, zero before.
 	LoadEnds time.Time
-	// Healthy is from when on all must work again, zero before.
-	Healthy time.Time
 }
 
 // recorder collects records.
@@ -101,29 +101,24 @@
 	do(&r.Records)
 }
 
-// Arrived implements standin.Observer.
-func (r *recorder) Arrived(a standin.Arrival, rejected bool) standin.Run {
-	arrival := &Arrival{Arrival: a, Rejected: rejected, VM: r.vmOf[a.From]}
+// arrived notes a request that a worker got.
+func (r *recorder) arrived(arrival *Arrival, rejected bool) {
+	arrival.Rejected, arrival.VM = rejected, r.vmOf[arrival.From]
 	if rejected {
-		arrival.EndedAt = a.At
+		arrival.EndedAt = arrival.At
 	}
-	r.locked(func(all *Records) { all.Arrivals[a.RequestID] = append(all.Arrivals[a.RequestID], arrival) })
-	return &run{recorder: r, arrival: arrival}
+	r.locked(func(all *Records) { all.Arrivals[arrival.RequestID] = append(all.Arrivals[arrival.RequestID], arrival) })
 }
 
-// Leaving implements standin.Observer.
-func (r *recorder) Leaving(server string, at time.Time) {
-	r.locked(func(all *Records) { all.Leavings[server] = at })
+// ended notes that a worker works on a request no more. Whole runs were not
+// given up.
+func (r *recorder) ended(arrival *Arrival, whole bool) {
+	r.locked(func(*Records) { arrival.EndedAt, arrival.Whole = time.Now(), whole })
 }
 
-type run struct {
-	recorder *recorder
-	arrival  *Arrival
-}
-
-// Ended implements standin.Run.
-func (r *run) Ended(whole bool) {
-	r.recorder.locked(func(*Records) { r.arrival.EndedAt, r.arrival.Whole = time.Now(), whole })
+// left notes that a worker's departure was acknowledged.
+func (r *recorder) left(server string) {
+	r.locked(func(all *Records) { all.Leavings[server] = time.Now() })
 }
 
 // span notes that a step may disturb from now on, and returns how to end it.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"godwityoke.example/godwityoke/internal/pause"
 	"godwityoke.example/godwityoke/platform/standin"
 )
 
@@ -84,11 +85,11 @@
 // workerSeat is a worker and its successors at one address.
 type workerSeat struct {
 	name    string
-	options standin.WorkerOptions
+	options workerOptions
 
 	mu     sync.Mutex
 	starts int
-	worker *standin.Worker
+	worker *worker
 	busy   bool
 }
 
@@ -152,7 +153,7 @@
 func (s *soak) start(ctx context.Context, folder string) error {
 	var seeds []string
 	for i := range s.shape.controls {
-		public := address(s.fleet.ip(partVMPublic, 1+i), standin.ControlPort)
+		public := address(s.fleet.ip(partVMPublic, 1+i), controlPort)
 		s.control = append(s.control, public)
 		if i < 3 {
 			seeds = append(seeds, public)
@@ -185,20 +186,20 @@
 		if len(s.readyVMs()) == s.shape.entries && s.serves() {
 			return nil
 		}
-		sleep(ctx, readyInterval)
+		pause.For(ctx, readyInterval)
 	}
 	return errors.Join(errNotServing, ctx.Err())
 }
 
 // serves tells whether a request of each service is answered.
 func (s *soak) serves() bool {
-	for i, call := range []standin.Call{
-		standin.NewCall("start-1", host, "/chat/a", steadyKey, true, 1000), standin.NewCall("start-2", host, "/look/a", steadyKey, false, 0),
+	attempt := time.Now().UnixNano()
+	for _, call := range []standin.Call{
+		newCall(fmt.Sprintf("chat-%d", attempt), "/chat/a", steadyKey, true, 1000),
+		newCall(fmt.Sprintf("look-%d", attempt), "/look/a", steadyKey, false, 0),
 	} {
-		call.ID = fmt.Sprintf("start-%d-%d", time.Now().UnixNano(), i)
-		call.Deadline = callDeadline
 		s.records.locked(func(r *Records) {
-			r.Requests[call.ID] = &Request{Call: call, Tenant: steadyTenant, Begun: time.Now()}
+			r.Requests[call.ID] = &Request{Call: call, Team: steadyTeam, Begun: time.Now()}
 		})
 		conn, err := standin.Connect(s.public(s.shape.entry(0)), connectPatience)
 		if err != nil {
@@ -214,7 +215,7 @@
 }
 
 func (s *soak) public(vm string) string {
-	return address(s.fleet.nodes[vm].settings.IP, standin.FrontPort)
+	return address(s.fleet.nodes[vm].boot.Settings.Address, frontPort)
 }
 
 // play runs the load and the steps of a plan, and returns what was found.
@@ -233,7 +234,7 @@
 	others.Go(func() { s.readBack(background) })
 	for _, step := range plan {
 		others.Go(func() {
-			sleep(load, time.Until(s.started.Add(step.At)))
+			pause.For(load, time.Until(s.started.Add(step.At)))
 			if load.Err() == nil {
 				s.apply(background, step)
 			}
@@ -244,7 +245,7 @@
 	clients.Wait()
 	s.records.locked(func(r *Records) { r.LoadEnds = time.Now() })
 	if len(findings) == 0 {
-		sleep(ctx, settleTime)
+		pause.For(ctx, settleTime)
 	}
 	s.readOnce()
 	stop()
@@ -254,7 +255,7 @@
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		if w.worker != nil {
-			s.records.locked(func(r *Records) { r.Left[w.worker.ID()] = w.worker.Reserved() })
+			s.records.locked(func(r *Records) { r.Left[w.worker.id] = w.worker.reserved() })
 		}
 		return true
 	})
@@ -267,7 +268,7 @@
 // watch judges while the load runs and returns at the first findings.
 func (s *soak) watch(load context.Context) []Finding {
 	for {
-		sleep(load, judgeInterval)
+		pause.For(load, judgeInterval)
 		if load.Err() != nil {
 			return nil
 		}
@@ -283,7 +284,7 @@
 func (s *soak) balance(ctx context.Context) {
 	for ctx.Err() == nil {
 		s.askReady()
-		sleep(ctx, readyInterval)
+		pause.For(ctx, readyInterval)
 	}
 }
 
@@ -292,7 +293,7 @@
 	for i := range s.shape.entries {
 		name := s.shape.entry(i)
 		all.Go(func() {
-			ready := standin.Ready(address(s.fleet.nodes[name].settings.Bind, standin.ReadyPort), readyInterval)
+			ready := standin.Ready(s.fleet.nodes[name].boot.Settings.Readiness, readyInterval)
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.ready[name] = ready
--- a/internal/soak/steps.go
+++ b/internal/soak/steps.go
@@ -8,6 +8,8 @@
 	"syscall"
 	"time"
 
+	"godwityoke.example/godwityoke/internal/pause"
+	"godwityoke.example/godwityoke/internal/roster"
 	"godwityoke.example/godwityoke/platform/standin"
 )
 
@@ -22,12 +24,12 @@
 		end()
 		s.note("ends: %s", step)
 	}()
-	hold := func() { sleep(ctx, step.For) }
+	hold := func() { pause.For(ctx, step.For) }
 	switch step.Kind {
 	case KindKill, KindRoll, KindHangUp:
 		s.fleet.signal(step.Target, signals[step.Kind])
 		if step.Kind == KindRoll {
-			sleep(ctx, bounds.Grace)
+			pause.For(ctx, bounds.StopLimit)
 		}
 	case KindKillAll:
 		for i := range s.shape.controls {
@@ -72,7 +74,7 @@
 	for _, l := range cuts {
 		s.network.cut(l)
 	}
-	sleep(ctx, step.For)
+	pause.For(ctx, step.For)
 	for _, l := range cuts {
 		s.network.heal(l)
 	}
@@ -82,12 +84,12 @@
 func (s *soak) addWorker(i int) error {
 	name := s.shape.worker(i)
 	own, public := address(s.fleet.ip(partWorker, 1+i), workerPort), address(s.fleet.ip(partWorkerPublic, 1+i), workerPort)
-	seat := &workerSeat{name: name, options: standin.WorkerOptions{
-		Service: modelService, Zone: s.fleet.zones[i%len(s.fleet.zones)], Listen: own, Announce: public, Slots: workerSlots,
-		Heartbeats: s.control, Interval: bounds.Heartbeat, Observer: s.records,
+	seat := &workerSeat{name: name, options: workerOptions{
+		server: roster.Server{Service: modelService, Zone: s.fleet.zones[i%len(s.fleet.zones)], Address: public, Slots: workerSlots},
+		listen: own, heartbeats: s.control, interval: bounds.AnnounceInterval, records: s.records,
 	}}
 	if i >= s.shape.models {
-		seat.options.Service = deskService
+		seat.options.server.Service = deskService
 	}
 	s.network.name(s.fleet.ip(partWorker, 1+i), name)
 	if err := s.network.forward(public, own, name); err != nil {
@@ -102,7 +104,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.starts++
-	started, err := standin.StartWorker(fmt.Sprintf("%s-%d", w.name, w.starts), w.options)
+	started, err := startWorker(fmt.Sprintf("%s-%d", w.name, w.starts), w.options)
 	w.worker = started
 	return err
 }
@@ -125,17 +127,17 @@
 	}()
 	switch step.Kind {
 	case KindMisdo:
-		worker.SetFault(standin.Truncating + standin.Fault(step.Strength%int(standin.Full)))
-		sleep(ctx, step.For)
-		worker.SetFault(standin.Sound)
+		worker.setFault(Truncating + Fault(step.Strength%int(Full)))
+		pause.For(ctx, step.For)
+		worker.setFault(Sound)
 		return
 	case KindLeave:
-		worker.Leave(ctx)
+		worker.leave(ctx)
 	default:
-		worker.Crash()
-		sleep(ctx, step.For)
+		worker.crash()
+		pause.For(ctx, step.For)
 	}
-	sleep(ctx, restartPause)
+	pause.For(ctx, restartPause)
 	if err := seat.start(); err != nil {
 		s.exited(seat.name, err.Error())
 	}
@@ -149,7 +151,7 @@
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			if w.worker != nil {
-				w.worker.Crash()
+				w.worker.crash()
 			}
 		})
 		return true
@@ -178,11 +180,7 @@
 
 // send sends a version until it has a clear answer.
 func (s *soak) send(ctx context.Context, version uint64, first int) {
-	content, err := configuration(version, workerSlots).Encode()
-	if err != nil {
-		s.exited("operator", err.Error())
-		return
-	}
+	table := routeTable(version)
 	change := &Change{Version: version, SentAt: time.Now()}
 	s.records.locked(func(r *Records) { r.Changes = append(r.Changes, change) })
 	operator := standin.NewOperator(orderPatience)
@@ -191,7 +189,7 @@
 			return
 		}
 		to := s.control[(first+turn)%len(s.control)]
-		err := operator.Put(to, content)
+		err := operator.Put(to, table)
 		s.note("version %d to %s: %v", version, to, err)
 		switch {
 		case err == nil:
@@ -201,7 +199,7 @@
 			s.records.locked(func(*Records) { change.Refused = true })
 			return
 		}
-		sleep(ctx, readyInterval)
+		pause.For(ctx, readyInterval)
 	}
 }
 
@@ -209,17 +207,17 @@
 func (s *soak) readBack(ctx context.Context) {
 	for turn := 0; ctx.Err() == nil; turn++ {
 		s.readAt(s.control[turn%len(s.control)])
-		sleep(ctx, readyInterval)
+		pause.For(ctx, readyInterval)
 	}
 }
 
 func (s *soak) readAt(node string) bool {
 	begun := time.Now()
-	version, err := standin.NewOperator(orderPatience).Get(node)
+	table, err := standin.NewOperator(orderPatience).Get(node)
 	if err != nil {
 		return false // a node that can't be sure says so
 	}
-	s.records.locked(func(r *Records) { r.Reads = append(r.Reads, Read{SentAt: begun, Version: version}) })
+	s.records.locked(func(r *Records) { r.Reads = append(r.Reads, Read{SentAt: begun, Version: table.Version}) })
 	return true
 }
 
--- /dev/null
+++ b/internal/soak/worker_test.go
@@ -0,0 +1,62 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwityoke.example/godwityoke/internal/roster"
+	"godwityoke.example/godwityoke/platform/standin"
+)
+
+func TestWorkerAnswersAndMisbehavesAsTold(t *testing.T) {
+	const listen = "127.9.3.1:7400"
+	records := newRecorder()
+	w, err := startWorker("w", workerOptions{listen: listen, server: roster.Server{Address: listen, Slots: 2}, interval: time.Hour, records: records})
+	require.NoError(t, err)
+	defer w.crash()
+	call := func(body string) standin.Reply {
+		conn, err := standin.Connect(listen, time.Second)
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		return conn.Do(standin.Call{ID: "q1", Host: "h", Path: "/a", Body: body, PromptTokens: 100, Deadline: 5 * time.Second})
+	}
+	reply := call("plain")
+	require.True(t, reply.Whole)
+	require.Equal(t, plainAnswer("q1", "plain"), reply.Body)
+	require.Equal(t, sealOf("q1", "w"), reply.Seal)
+	reply = call(streamBody)
+	require.True(t, reply.Whole)
+	require.Equal(t, streamAnswer("q1"), reply.Body)
+	w.setFault(Truncating)
+	whole := 0
+	for range 2 {
+		if call("plain").Whole {
+			whole++
+		}
+	}
+	require.Equal(t, 1, whole, "every other body is cut")
+	w.setFault(Garbling)
+	require.Error(t, call("plain").Err)
+	w.setFault(Full)
+	require.Equal(t, 503, call("plain").Status)
+	records.locked(func(r *Records) {
+		require.Len(t, r.Arrivals["q1"], 6)
+		require.Equal(t, "/a", r.Arrivals["q1"][0].Path)
+		require.True(t, r.Arrivals["q1"][5].Rejected)
+	})
+}
+
+func TestReservedMemoryIsBoundedAndExpires(t *testing.T) {
+	w := &worker{tickets: map[string]ticket{}}
+	free, err := w.Reserve("a", workerMemory-10, time.Hour)
+	require.NoError(t, err)
+	require.Equal(t, 10, free)
+	_, err = w.Reserve("b", 11, time.Hour)
+	require.ErrorIs(t, err, standin.ErrMemoryRefused)
+	free, err = w.Reserve("a", workerMemory, -time.Second)
+	require.NoError(t, err, "renewed, not reserved again")
+	require.Equal(t, 10, free)
+	require.Zero(t, w.reserved(), "its hold is over")
+}
