--- a/internal/observe/linewriter.go
+++ b/internal/observe/linewriter.go
@@ -126,6 +126,7 @@
 		}
 		for {
 			chunk, closed := w.take(spare)
+			spare = chunk // the previous spare buffer collects lines now
 			if len(chunk) == 0 {
 				if closed {
 					return
@@ -135,7 +136,6 @@
 			if _, err := w.out.Write(chunk); err != nil {
 				w.countDropped(chunk) // the error cannot be logged, as the log itself has failed
 			}
-			spare = chunk
 		}
 	}
 }
--- a/internal/observe/linewriter_test.go
+++ b/internal/observe/linewriter_test.go
@@ -1,7 +1,9 @@
 package observe
 
 import (
+	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 	"strconv"
 	"strings"
@@ -87,6 +89,29 @@
 	})
 }
 
+// The line being written must stay intact while others are buffered.
+func TestBufferedLinesDoNotOverwriteTheLineBeingWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reader, pipe := io.Pipe()
+		w := NewLineWriter(pipe)
+		lines := bufio.NewReader(reader)
+		for round := range 5 {
+			first, second := fmt.Sprintf("first %d\n", round), fmt.Sprintf("other %d\n", round)
+			_, _ = io.WriteString(w, first)
+			synctest.Wait() // the goroutine of w is blocked in its write of the first line
+			_, _ = io.WriteString(w, second)
+			for _, want := range []string{first, second} {
+				line, err := lines.ReadString('\n')
+				require.NoError(t, err)
+				require.Equal(t, want, line)
+			}
+			synctest.Wait()
+		}
+		w.Close(time.Second)
+		_ = pipe.Close()
+	})
+}
+
 // A steady flow of other lines must not delay the report of dropped lines indefinitely.
 func TestDroppedLinesAreReportedWhileOtherLinesArrive(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
