--- a/internal/hub/link.go
+++ b/internal/hub/link.go
@@ -131,6 +131,15 @@
 	return l.table
 }
 
+// tableVersion returns the version of the route table in force, 0 before the first
+// one.
+func (l *Link) tableVersion() uint64 {
+	if table := l.Table(); table != nil {
+		return table.Version
+	}
+	return 0
+}
+
 // Find returns the server with id and whether it is known.
 func (l *Link) Find(id string) (roster.Server, bool) {
 	l.mu.RLock()
--- a/internal/hub/linkstate.go
+++ b/internal/hub/linkstate.go
@@ -231,9 +231,7 @@
 		q.sent = false
 	}
 	hello := &hubpb.Hello{Vm: s.link.options.VM, Zone: s.link.options.Zone, Incarnation: s.link.options.Incarnation}
-	if table := s.link.Table(); table != nil {
-		hello.TableVersion = table.Version
-	}
+	hello.TableVersion = s.link.tableVersion()
 	s.link.mu.RLock()
 	for _, server := range s.link.servers.All() {
 		hello.Servers = append(hello.Servers, serverToProto(server, now))
@@ -335,7 +333,8 @@
 	s.link.mu.Unlock()
 	if justAttached {
 		observe.Log(s.link.options.Logger, observe.LinkAttached).Str("control_vm", s.address).
-			Bool("schedules", view.GetSchedules()).Str("leader", view.GetLeader()).Uint32("entry_vms", view.GetEntryVms()).Send()
+			Bool("schedules", view.GetSchedules()).Str("leader", view.GetLeader()).Uint32("entry_vms", view.GetEntryVms()).
+			Uint64("table_version", s.link.tableVersion()).Send()
 	}
 	if s.schedulerAttached && !view.GetSchedules() {
 		s.schedulerAttached = false
--- a/internal/members/reconciler.go
+++ b/internal/members/reconciler.go
@@ -24,6 +24,7 @@
 type Reconciler struct {
 	replica func() *replica.Replica
 	logger  zerolog.Logger
+	metrics *observe.Metrics
 	mu      sync.Mutex
 	// joiners holds the latest join request of each VM by its address.
 	joiners map[string]Joiner
@@ -31,12 +32,18 @@
 	// membership, during term. Only Run uses both.
 	lastSeen map[consensus.MemberID]time.Time
 	term     uint64
+	// margin is the last reported one. Only Run uses it.
+	margin quorumMargin
 }
 
+// quorumMargin tells how many voters the leader reaches, and how many of these may
+// fail before there is no quorum.
+type quorumMargin struct{ voters, reachable, quorum, margin int }
+
 // NewReconciler returns a reconciler for the local member, which current returns; nil
 // while there is none.
-func NewReconciler(current func() *replica.Replica, logger zerolog.Logger) *Reconciler {
-	return &Reconciler{replica: current, logger: logger, joiners: map[string]Joiner{}, lastSeen: map[consensus.MemberID]time.Time{}}
+func NewReconciler(current func() *replica.Replica, logger zerolog.Logger, metrics *observe.Metrics) *Reconciler {
+	return &Reconciler{replica: current, logger: logger, metrics: metrics, joiners: map[string]Joiner{}, lastSeen: map[consensus.MemberID]time.Time{}}
 }
 
 // RecordJoinRequest records the latest join request of a VM, by its address.
@@ -66,7 +73,7 @@
 func (r *Reconciler) nextStep(member *replica.Replica, now time.Time) Step {
 	status := member.Status()
 	if status.Term != r.term {
-		r.term = status.Term
+		r.term, r.margin = status.Term, quorumMargin{}
 		clear(r.lastSeen)
 	}
 	reachable := map[consensus.MemberID]bool{status.ID: true}
@@ -80,6 +87,7 @@
 		}
 		observed = append(observed, Member{Member: m, UnresponsiveFor: now.Sub(r.lastSeen[m.ID])})
 	}
+	r.reportMargin(status.Membership, reachable)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var joiners []Joiner
@@ -93,6 +101,26 @@
 	return Plan(observed, joiners, now)
 }
 
+// reportMargin logs the quorum margin and updates its metrics if it has changed.
+func (r *Reconciler) reportMargin(membership consensus.Membership, reachable map[consensus.MemberID]bool) {
+	current := quorumMargin{voters: len(membership.Voters()), quorum: membership.Quorum()}
+	for _, id := range membership.Voters() {
+		if reachable[id] {
+			current.reachable++
+		}
+	}
+	current.margin = current.reachable - current.quorum
+	if current == r.margin {
+		return
+	}
+	r.margin = current
+	r.metrics.Gauge("godwityoke_control_voters").Update(int64(current.voters))
+	r.metrics.Gauge("godwityoke_control_voters_reachable").Update(int64(current.reachable))
+	r.metrics.Gauge("godwityoke_control_quorum_margin").Update(int64(current.margin))
+	observe.Log(r.logger, observe.QuorumMargin).Int("voters", current.voters).Int("reachable", current.reachable).
+		Int("quorum", current.quorum).Int("margin", current.margin).Send()
+}
+
 // execute carries out a step within stepTimeout. A failed step is logged; the next plan
 // repeats it if it is still due.
 func (r *Reconciler) execute(ctx context.Context, member *replica.Replica, step Step) {
--- a/internal/observe/events_consensus.go
+++ b/internal/observe/events_consensus.go
@@ -19,7 +19,7 @@
 	GroupWaiting = newEvent(2011, "group_waiting", zerolog.WarnLevel,
 		"This control VM belongs to no control group yet and waits. The line gives the reason. If a listed VM does not answer, check that VM; if the group already exists, add this VM to it with `godwityoke vm add`.")
 	ElectionStarted = newEvent(2020, "election_started", zerolog.InfoLevel,
-		"This member has no leader and asks the other control VMs for their votes. Expected when a leader stops. If it repeats, check the network between the control VMs.")
+		"This member has no leader and asks the other control VMs for their votes, of which a quorum is needed. Expected when a leader stops. If it repeats, compare the number of voters with the control VMs that run, and check the network between them.")
 	BecameLeader = newEvent(2021, "became_leader", zerolog.InfoLevel,
 		"This member was elected leader of the control group. No action.")
 	SteppedDown = newEvent(2022, "stepped_down", zerolog.WarnLevel,
@@ -31,7 +31,7 @@
 	SnapshotFailed = newEvent(2031, "snapshot_failed", zerolog.ErrorLevel,
 		"A snapshot of the state could not be made, because encoding failed or the result is too large. The log on disk grows until a snapshot succeeds. Report the error, and watch the free disk space.")
 	MembershipChanged = newEvent(2040, "membership_changed", zerolog.InfoLevel,
-		"The members of the control group have changed. The line lists the current members. No action.")
+		"The members of the control group have changed. The line lists the current members, and how many of them are voters and make a quorum. No action.")
 	MemberRemoved = newEvent(2041, "member_removed", zerolog.WarnLevel,
 		"Another control VM reports that this member was removed from the control group. If that was intended, stop the process; otherwise wipe the data folder and add the VM again.")
 	MemberUnreachable = newEvent(2050, "member_unreachable", zerolog.WarnLevel,
--- a/internal/observe/events_hub.go
+++ b/internal/observe/events_hub.go
@@ -20,7 +20,9 @@
 	SpreadPeerChanged = newEvent(2146, "spread_peer_changed", zerolog.WarnLevel,
 		"Another control VM became unreachable for server announcements, or reachable again (reachable). If it stays unreachable, check that VM and the network.")
 	LinkAttached = newEvent(2147, "link_attached", zerolog.InfoLevel,
-		"This entry VM connected to the named control VM. No action.")
+		"This entry VM connected to the named control VM. The line gives the version of its own route table. No action.")
+	QuorumMargin = newEvent(2156, "quorum_margin", zerolog.InfoLevel,
+		"The number of voters of the control group, or of those that the leader reaches, changed. margin is how many of the reachable voters may fail before the group stops accepting changes. If it stays at 0, bring back the control VMs that don't run, or replace them.")
 	LinkLost = newEvent(2148, "link_lost", zerolog.WarnLevel,
 		"This entry VM lost the connection to its control VM and tries others; meanwhile it places requests by itself. If no link_attached line follows, check the control VMs and the network.")
 	MembershipPlanned = newEvent(2149, "membership_planned", zerolog.InfoLevel,
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -204,7 +204,9 @@
 	for _, event := range events {
 		switch event.Kind {
 		case consensus.EventElectionStarted:
-			observe.Log(r.logger, observe.ElectionStarted).Uint64("term", event.Term).Send()
+			membership := r.loop.core.Status().Membership
+			observe.Log(r.logger, observe.ElectionStarted).Uint64("term", event.Term).
+				Int("voters", len(membership.Voters())).Int("quorum", membership.Quorum()).Send()
 		case consensus.EventBecameLeader:
 			observe.Log(r.logger, observe.BecameLeader).Uint64("term", event.Term).Send()
 		case consensus.EventSteppedDown:
@@ -227,7 +229,8 @@
 	for _, member := range membership.Members {
 		names = append(names, member.Name)
 	}
-	observe.Log(r.logger, observe.MembershipChanged).Strs("members", names).Send()
+	observe.Log(r.logger, observe.MembershipChanged).Strs("members", names).
+		Int("voters", len(membership.Voters())).Int("quorum", membership.Quorum()).Send()
 	r.network.update(membership)
 }
 
--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -87,7 +87,7 @@
 		pool:   transport.NewPool(transport.PoolOptions{Identity: identity, SourceIP: settings.Bind}),
 		server: transport.NewServer(transport.ServerOptions{Identity: identity, Log: logger}),
 	}
-	c.reconciler = members.NewReconciler(c.replica.Load, logger)
+	c.reconciler = members.NewReconciler(c.replica.Load, logger, c.metrics)
 	c.hub = hub.New(hub.Options{
 		Address: settings.InternalAddress(), Registry: c.registry, Group: c.group, Pool: c.pool, Decode: codec.DecodeRoutes,
 		UnresponsiveAfter: settings.unresponsiveAfter(), ExpireAfter: settings.expireAfter(), Logger: logger, Metrics: c.metrics,
