--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -70,6 +70,8 @@
 // former ID is removed before the new one is added, since the former ID counts for
 // quorums although no VM can answer for it. An unresponsive voter is removed only if
 // another VM requests to join, so that the group doesn't shrink without a replacement.
+// It is removed before that VM is promoted: while it counts, the reachable voters may be
+// too few for the promotion, see consensus.ErrQuorumAtRisk.
 // An unresponsive learner is removed if no join request needs a change first.
 func Plan(members []Member, joiners []Joiner, now time.Time) Step {
 	for _, joiner := range joiners {
@@ -79,12 +81,12 @@
 		if former, found := findFormer(members, joiner); found {
 			return Step{Kind: StepRemove, Member: former.Member, Reason: "the VM requested to join with a new ID after the loss of its disk"}
 		}
-		if learner, found := findMember(members, joiner.ID); found {
-			return Step{Kind: StepPromote, Member: learner.Member, Reason: "the VM requested to join"}
-		}
 		if voter, found := findUnresponsiveVoter(members); found {
 			return Step{Kind: StepRemove, Member: voter.Member, Reason: "the voter is unresponsive and another VM requested to join"}
 		}
+		if learner, found := findMember(members, joiner.ID); found {
+			return Step{Kind: StepPromote, Member: learner.Member, Reason: "the VM requested to join"}
+		}
 		if len(members) >= maxMembers {
 			continue
 		}
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -41,6 +41,15 @@
 	require.EqualValues(t, 3, step.Member.ID)
 }
 
+func TestUnresponsiveVoterIsRemovedBeforeItsReplacementIsPromoted(t *testing.T) {
+	learner := voter(9, "d", 0)
+	learner.Learner = true
+	members := []Member{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", time.Minute), learner}
+	step := Plan(members, []Joiner{joiner(9, "d")}, now)
+	require.Equal(t, StepRemove, step.Kind)
+	require.EqualValues(t, 3, step.Member.ID)
+}
+
 func TestJoinRequestsOfVotersAndExpiredOnesAreIgnored(t *testing.T) {
 	members := []Member{voter(1, "a", 0), voter(2, "b", 0)}
 	require.Equal(t, StepNone, Plan(members, []Joiner{joiner(2, "b")}, now).Kind)
