--- a/internal/consensus/change.go
+++ b/internal/consensus/change.go
@@ -9,6 +9,10 @@
 // the promoted or removed member, would not form a quorum.
 var ErrQuorumAtRisk = errors.New("too few of the other voters are in reach for this change")
 
+// ErrTooFewVoters refuses a removal after which fewer than Change.MinVoters voters
+// would remain.
+var ErrTooFewVoters = errors.New("too few voters would remain")
+
 // ChangeKind is the type of a membership change.
 type ChangeKind uint8
 
@@ -25,14 +29,17 @@
 	// Member is the member to change. ChangeAddLearner uses its ID, Name and Address,
 	// the other kinds only its ID.
 	Member Member
+	// MinVoters is the number of voters that must remain after a ChangeRemove, 0 for
+	// no limit.
+	MinVoters int
 }
 
 // ProposeChange appends a membership change and returns its index and term. The
 // new membership determines quorums as soon as it is in the log; the change is
 // accepted when Ready returns that entry as committed. ProposeChange returns
 // ErrNotLeader, ErrChangeInProgress or the reason why the change is refused:
-// ErrMemberExists, ErrUnknownMember, ErrNotCaughtUp, ErrLastVoter or
-// ErrQuorumAtRisk.
+// ErrMemberExists, ErrUnknownMember, ErrNotCaughtUp, ErrLastVoter, ErrTooFewVoters
+// or ErrQuorumAtRisk.
 //
 // Safety rests on single-step changes: each adds, promotes or removes one member,
 // so that any quorum of the old membership shares a voter with any quorum of the
@@ -65,7 +72,7 @@
 	case ChangePromote:
 		return c.withPromoted(change.Member.ID)
 	default:
-		return c.withRemoved(change.Member.ID)
+		return c.withRemoved(change.Member.ID, change.MinVoters)
 	}
 }
 
@@ -105,8 +112,8 @@
 }
 
 // withRemoved returns the membership without member id. The reachable remaining
-// voters must form a quorum.
-func (c *Core) withRemoved(id MemberID) (Membership, error) {
+// voters must form a quorum, and a removed voter must leave minVoters.
+func (c *Core) withRemoved(id MemberID, minVoters int) (Membership, error) {
 	if _, found := c.membership.Find(id); !found {
 		return Membership{}, ErrUnknownMember
 	}
@@ -115,6 +122,9 @@
 	if len(voters) == 0 {
 		return Membership{}, ErrLastVoter
 	}
+	if c.membership.IsVoter(id) && len(voters) < minVoters {
+		return Membership{}, ErrTooFewVoters
+	}
 	if c.countReachable(voters) < next.Quorum() {
 		return Membership{}, ErrQuorumAtRisk
 	}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -1,6 +1,6 @@
 // Package members maintains the membership of the control group without an operator:
 // it adds VMs that request to join, removes the members that they replace, and removes
-// unresponsive learners. Plan is a pure function that decides on the next single-step
+// unresponsive members that the group does not need. Plan is a pure function that decides on the next single-step
 // change; Reconciler executes it on the leader. Consensus itself is in package consensus.
 package members
 
@@ -22,6 +22,8 @@
 	// maxMembers bounds the members, learners included, up to which a joiner is added.
 	// More voters make each write slower but no safer.
 	maxMembers = 9
+	// defaultMinVoters is the smallest group that survives the loss of a disk.
+	defaultMinVoters = 3
 )
 
 // Joiner is a VM that requests to become a voter.
@@ -60,20 +62,31 @@
 type Step struct {
 	Kind   StepKind
 	Member consensus.Member
-	Reason string
+	// MinVoters is the number of voters that must remain after a removal, 0 for no
+	// limit.
+	MinVoters int
+	Reason    string
 }
 
+// MinVoters returns the number of voters below which a group does not shrink without a
+// replacement. It is the smallest group in which, after the loss of lostDisks disks at the
+// same time, the other voters are a quorum and each committed entry is on one of their
+// disks.
+func MinVoters(lostDisks int) int { return max(2*lostDisks+1, defaultMinVoters) }
+
 // Plan returns the next membership change, or a Step of kind StepNone if none is due.
 // Join requests of voters and expired ones are ignored.
 //
 // A VM that lost its disk requests to join with a new ID under its former address. Its
 // former ID is removed before the new one is added, since the former ID counts for
-// quorums although no VM can answer for it. An unresponsive voter is removed only if
-// another VM requests to join, so that the group doesn't shrink without a replacement.
-// It is removed before that VM is promoted: while it counts, the reachable voters may be
-// too few for the promotion, see consensus.ErrQuorumAtRisk.
-// An unresponsive learner is removed if no join request needs a change first.
-func Plan(members []Member, joiners []Joiner, now time.Time) Step {
+// quorums although no VM can answer for it. An unresponsive voter is removed if another
+// VM requests to join. It is removed before that VM is promoted: while it counts, the
+// reachable voters may be too few for the promotion, see consensus.ErrQuorumAtRisk.
+//
+// If no join request needs a change, an unresponsive learner is removed, and an
+// unresponsive voter if at least minVoters remain: while it counts, it takes part in no
+// quorum but makes it larger. It joins again if it comes back.
+func Plan(members []Member, joiners []Joiner, minVoters int, now time.Time) Step {
 	for _, joiner := range joiners {
 		if now.Sub(joiner.RequestedAt) > joinRequestTTL || isVoter(members, joiner.ID) {
 			continue
@@ -98,9 +111,25 @@
 			return Step{Kind: StepRemove, Member: member.Member, Reason: "the learner is unresponsive"}
 		}
 	}
+	if voter, found := findUnresponsiveVoter(members); found && countVoters(members) > minVoters {
+		return Step{
+			Kind: StepRemove, Member: voter.Member, MinVoters: minVoters,
+			Reason: "the voter is unresponsive and enough others remain",
+		}
+	}
 	return Step{}
 }
 
+func countVoters(members []Member) int {
+	voters := 0
+	for _, member := range members {
+		if !member.Learner {
+			voters++
+		}
+	}
+	return voters
+}
+
 func isVoter(members []Member, id consensus.MemberID) bool {
 	member, found := findMember(members, id)
 	return found && !member.Learner
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -22,21 +22,21 @@
 // The former ID is removed before the new one is added as a learner and then promoted.
 func TestVMThatLostItsDiskReplacesItsFormerMember(t *testing.T) {
 	members := []Member{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", time.Second)}
-	step := Plan(members, []Joiner{joiner(9, "c")}, now)
+	step := Plan(members, []Joiner{joiner(9, "c")}, MinVoters(1), now)
 	require.Equal(t, StepRemove, step.Kind)
 	require.EqualValues(t, 3, step.Member.ID)
-	step = Plan(members[:2], []Joiner{joiner(9, "c")}, now)
+	step = Plan(members[:2], []Joiner{joiner(9, "c")}, MinVoters(1), now)
 	require.Equal(t, StepAdd, step.Kind)
 	learner := voter(9, "c", 0)
 	learner.Learner = true
-	step = Plan(append(members[:2:2], learner), []Joiner{joiner(9, "c")}, now)
+	step = Plan(append(members[:2:2], learner), []Joiner{joiner(9, "c")}, MinVoters(1), now)
 	require.Equal(t, StepPromote, step.Kind)
 }
 
 func TestUnresponsiveVoterIsRemovedOnlyForAJoiner(t *testing.T) {
 	members := []Member{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", time.Minute)}
-	require.Equal(t, StepNone, Plan(members, nil, now).Kind)
-	step := Plan(members, []Joiner{joiner(9, "d")}, now)
+	require.Equal(t, StepNone, Plan(members, nil, MinVoters(1), now).Kind)
+	step := Plan(members, []Joiner{joiner(9, "d")}, MinVoters(1), now)
 	require.Equal(t, StepRemove, step.Kind)
 	require.EqualValues(t, 3, step.Member.ID)
 }
@@ -45,23 +45,34 @@
 	learner := voter(9, "d", 0)
 	learner.Learner = true
 	members := []Member{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", time.Minute), learner}
-	step := Plan(members, []Joiner{joiner(9, "d")}, now)
+	step := Plan(members, []Joiner{joiner(9, "d")}, MinVoters(1), now)
 	require.Equal(t, StepRemove, step.Kind)
 	require.EqualValues(t, 3, step.Member.ID)
 }
 
 func TestJoinRequestsOfVotersAndExpiredOnesAreIgnored(t *testing.T) {
 	members := []Member{voter(1, "a", 0), voter(2, "b", 0)}
-	require.Equal(t, StepNone, Plan(members, []Joiner{joiner(2, "b")}, now).Kind)
+	require.Equal(t, StepNone, Plan(members, []Joiner{joiner(2, "b")}, MinVoters(1), now).Kind)
 	expired := joiner(9, "d")
 	expired.RequestedAt = now.Add(-joinRequestTTL - time.Second)
-	require.Equal(t, StepNone, Plan(members, []Joiner{expired}, now).Kind)
+	require.Equal(t, StepNone, Plan(members, []Joiner{expired}, MinVoters(1), now).Kind)
+}
+
+func TestVoterThatIsGoneAfterItsReplacementJoinedIsRemoved(t *testing.T) {
+	members := []Member{voter(1, "a", 0), voter(2, "b", 0), voter(3, "c", time.Minute), voter(4, "d", 0)}
+	step := Plan(members, nil, MinVoters(1), now)
+	require.Equal(t, StepRemove, step.Kind)
+	require.EqualValues(t, 3, step.Member.ID)
+	require.Equal(t, 3, step.MinVoters)
+	require.Equal(t, StepNone, Plan(members, nil, MinVoters(2), now).Kind, "two disks may be lost")
+	members[2].UnresponsiveFor = unresponsiveAfter
+	require.Equal(t, StepNone, Plan(members, nil, MinVoters(1), now).Kind, "the voter may only be restarting")
 }
 
 func TestUnresponsiveLearnerIsRemoved(t *testing.T) {
 	learner := voter(9, "c", time.Minute)
 	learner.Learner = true
-	require.Equal(t, StepRemove, Plan([]Member{voter(1, "a", 0), learner}, nil, now).Kind)
+	require.Equal(t, StepRemove, Plan([]Member{voter(1, "a", 0), learner}, nil, MinVoters(1), now).Kind)
 }
 
 func TestNoJoinerIsAddedToAFullGroup(t *testing.T) {
@@ -69,5 +80,5 @@
 	for i := range uint64(maxMembers) {
 		members = append(members, voter(i+1, string(rune('a'+i)), 0))
 	}
-	require.Equal(t, StepNone, Plan(members, []Joiner{joiner(99, "z")}, now).Kind)
+	require.Equal(t, StepNone, Plan(members, []Joiner{joiner(99, "z")}, MinVoters(1), now).Kind)
 }
--- a/internal/members/reconciler.go
+++ b/internal/members/reconciler.go
@@ -22,9 +22,7 @@
 // Reconciler executes the steps of Plan while the local member is the leader.
 // RecordJoinRequest may be called concurrently with Run.
 type Reconciler struct {
-	replica func() *replica.Replica
-	logger  zerolog.Logger
-	metrics *observe.Metrics
+	options Options
 	mu      sync.Mutex
 	// joiners holds the latest join request of each VM by its address.
 	joiners map[string]Joiner
@@ -40,10 +38,20 @@
 // fail before there is no quorum.
 type quorumMargin struct{ voters, reachable, quorum, margin int }
 
-// NewReconciler returns a reconciler for the local member, which current returns; nil
-// while there is none.
-func NewReconciler(current func() *replica.Replica, logger zerolog.Logger, metrics *observe.Metrics) *Reconciler {
-	return &Reconciler{replica: current, logger: logger, metrics: metrics, joiners: map[string]Joiner{}, lastSeen: map[consensus.MemberID]time.Time{}}
+// Options configure a Reconciler.
+type Options struct {
+	// Replica returns the local member; nil while there is none.
+	Replica func() *replica.Replica
+	// MinVoters is the number of voters below which the group does not shrink without a
+	// replacement.
+	MinVoters int
+	Logger    zerolog.Logger
+	Metrics   *observe.Metrics
+}
+
+// NewReconciler returns a reconciler with the given options.
+func NewReconciler(options Options) *Reconciler {
+	return &Reconciler{options: options, joiners: map[string]Joiner{}, lastSeen: map[consensus.MemberID]time.Time{}}
 }
 
 // RecordJoinRequest records the latest join request of a VM, by its address.
@@ -63,7 +71,7 @@
 			return
 		case <-ticker.C:
 		}
-		if member := r.replica(); member != nil && member.Leadership().IsLeader {
+		if member := r.options.Replica(); member != nil && member.Leadership().IsLeader {
 			r.execute(ctx, member, r.nextStep(member, time.Now()))
 		}
 	}
@@ -98,7 +106,7 @@
 		}
 		joiners = append(joiners, joiner)
 	}
-	return Plan(observed, joiners, now)
+	return Plan(observed, joiners, r.options.MinVoters, now)
 }
 
 // reportMargin logs the quorum margin and updates its metrics if it has changed.
@@ -114,10 +122,10 @@
 		return
 	}
 	r.margin = current
-	r.metrics.Gauge("godwityoke_control_voters").Update(int64(current.voters))
-	r.metrics.Gauge("godwityoke_control_voters_reachable").Update(int64(current.reachable))
-	r.metrics.Gauge("godwityoke_control_quorum_margin").Update(int64(current.margin))
-	observe.Log(r.logger, observe.QuorumMargin).Int("voters", current.voters).Int("reachable", current.reachable).
+	r.options.Metrics.Gauge("godwityoke_control_voters").Update(int64(current.voters))
+	r.options.Metrics.Gauge("godwityoke_control_voters_reachable").Update(int64(current.reachable))
+	r.options.Metrics.Gauge("godwityoke_control_quorum_margin").Update(int64(current.margin))
+	observe.Log(r.options.Logger, observe.QuorumMargin).Int("voters", current.voters).Int("reachable", current.reachable).
 		Int("quorum", current.quorum).Int("margin", current.margin).Send()
 }
 
@@ -127,7 +135,7 @@
 	if step.Kind == StepNone {
 		return
 	}
-	observe.Log(r.logger, observe.MembershipPlanned).Str("step", step.Kind.String()).
+	observe.Log(r.options.Logger, observe.MembershipPlanned).Str("step", step.Kind.String()).
 		Uint64("member", uint64(step.Member.ID)).Str("address", step.Member.Address).Str("reason", step.Reason).Send()
 	ctx, cancel := context.WithTimeout(ctx, stepTimeout)
 	defer cancel()
@@ -138,10 +146,10 @@
 	case StepPromote:
 		err = member.Promote(ctx, step.Member.Name)
 	case StepRemove:
-		err = member.Remove(ctx, step.Member.Name)
+		err = member.RemoveKeeping(ctx, step.Member.Name, step.MinVoters)
 	}
 	if err != nil {
-		observe.Log(r.logger, observe.MembershipFailed).Str("step", step.Kind.String()).
+		observe.Log(r.options.Logger, observe.MembershipFailed).Str("step", step.Kind.String()).
 			Str("address", step.Member.Address).Err(err).Send()
 	}
 }
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -19,6 +19,9 @@
 	// ErrQuorumAtRisk is returned for a removal or a promotion after which the reachable
 	// voters, without the changed member, would be no majority of the new membership.
 	ErrQuorumAtRisk = consensus.ErrQuorumAtRisk
+	// ErrTooFewVoters is returned for a removal after which fewer voters than wanted
+	// would remain.
+	ErrTooFewVoters = consensus.ErrTooFewVoters
 	// ErrOtherGroup is returned if the VM to add belongs to another group.
 	ErrOtherGroup = errors.New("the VM belongs to another control group")
 	// ErrNameMismatch is returned if the VM at the address has another name than the one
@@ -81,19 +84,27 @@
 // Promote makes a learner a voter. It waits until the learner has synced the complete
 // state, and returns when the change is committed.
 func (r *Replica) Promote(ctx context.Context, name string) error {
-	return r.changeByName(ctx, consensus.ChangePromote, name)
+	return r.changeByName(ctx, name, consensus.Change{Kind: consensus.ChangePromote})
 }
 
 // Remove removes a member from the group and returns when the change is committed. It
 // returns ErrQuorumAtRisk if the remaining reachable voters would be no majority.
 func (r *Replica) Remove(ctx context.Context, name string) error {
-	return r.changeByName(ctx, consensus.ChangeRemove, name)
+	return r.RemoveKeeping(ctx, name, 0)
 }
 
-func (r *Replica) changeByName(ctx context.Context, kind consensus.ChangeKind, name string) error {
+// RemoveKeeping removes a member as Remove does. It returns ErrTooFewVoters for a voter
+// without which fewer than minVoters would remain.
+func (r *Replica) RemoveKeeping(ctx context.Context, name string, minVoters int) error {
+	return r.changeByName(ctx, name, consensus.Change{Kind: consensus.ChangeRemove, MinVoters: minVoters})
+}
+
+// changeByName makes a change of the member with the name.
+func (r *Replica) changeByName(ctx context.Context, name string, change consensus.Change) error {
 	for _, member := range r.Members() {
 		if member.Name == name {
-			return r.change(ctx, consensus.Change{Kind: kind, Member: member})
+			change.Member = member
+			return r.change(ctx, change)
 		}
 	}
 	return fmt.Errorf("%w: %s", ErrUnknownMember, name)
--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -81,13 +81,20 @@
 // RunControl runs a control VM until ctx ends, and then stops it. It returns an error
 // if a listener can't be opened.
 func RunControl(ctx context.Context, settings *Settings, codec Codec, newHandler ControlHandlerFactory, logger zerolog.Logger) error {
+	c := newControl(settings, codec, logger)
+	return c.run(ctx, newHandler(c.hub))
+}
+
+func newControl(settings *Settings, codec Codec, logger zerolog.Logger) *Control {
 	identity := transport.Identity{Cluster: clusterName, VM: settings.InternalAddress()}
 	c := &Control{
 		settings: settings, logger: logger, registry: registry.New(), metrics: observe.NewMetrics(),
 		pool:   transport.NewPool(transport.PoolOptions{Identity: identity, SourceIP: settings.Bind}),
 		server: transport.NewServer(transport.ServerOptions{Identity: identity, Log: logger}),
 	}
-	c.reconciler = members.NewReconciler(c.replica.Load, logger, c.metrics)
+	c.reconciler = members.NewReconciler(members.Options{
+		Replica: c.replica.Load, MinVoters: members.MinVoters(settings.ToleratedDiskLosses), Logger: logger, Metrics: c.metrics,
+	})
 	c.hub = hub.New(hub.Options{
 		Address: settings.InternalAddress(), Registry: c.registry, Group: c.group, Pool: c.pool, Decode: codec.DecodeRoutes,
 		UnresponsiveAfter: settings.unresponsiveAfter(), ExpireAfter: settings.expireAfter(), Logger: logger, Metrics: c.metrics,
@@ -96,7 +103,7 @@
 	c.hub.Register(c.server)
 	c.forwarder = &replicaForwarder{}
 	c.forwarder.register(c.server)
-	return c.run(ctx, newHandler(c.hub))
+	return c
 }
 
 func (c *Control) run(ctx context.Context, handler http.Handler) error {
--- /dev/null
+++ b/internal/site/control_test.go
@@ -0,0 +1,128 @@
+package site
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"godwityoke.example/godwityoke/internal/routes"
+)
+
+// versionCodec decodes a route table that consists of its version only.
+type versionCodec struct{}
+
+func (versionCodec) DecodeRoutes(content []byte) (*routes.Table, error) {
+	version, err := strconv.ParseUint(string(content), 10, 64)
+	return routes.New(routes.Table{Version: version}), err
+}
+
+// controlVM is a running control VM with its own loopback address.
+type controlVM struct {
+	*Control
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// controlGroup starts control VMs. All use the same port, each at another loopback
+// address.
+type controlGroup struct {
+	t     *testing.T
+	port  int
+	seeds []string
+}
+
+func newControlGroup(t *testing.T) *controlGroup {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	port := listener.Addr().(*net.TCPAddr).Port
+	require.NoError(t, listener.Close())
+	g := &controlGroup{t: t, port: port}
+	for n := range 3 {
+		g.seeds = append(g.seeds, net.JoinHostPort(g.address(n), "1"))
+	}
+	return g
+}
+
+func (g *controlGroup) address(n int) string { return "127.0.3." + strconv.Itoa(n+1) }
+
+// start starts control VM n with the data in folder.
+func (g *controlGroup) start(n int, folder string, bootstrap bool) *controlVM {
+	settings := &Settings{
+		VM: "control-" + strconv.Itoa(n), Address: g.address(n), Control: net.JoinHostPort(g.address(n), "0"),
+		FirstPort: g.port, LastPort: g.port, Seeds: g.seeds, Bootstrap: bootstrap, DataDir: folder,
+		AnnounceInterval: time.Second, StopLimit: 4 * time.Second, ToleratedDiskLosses: 1,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	vm := &controlVM{Control: newControl(settings, versionCodec{}, zerolog.Nop()), cancel: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(vm.done)
+		_ = vm.run(ctx, http.NotFoundHandler()) // a listener that can't be opened fails the test at its next step
+	}()
+	g.t.Cleanup(vm.end)
+	return vm
+}
+
+// end stops the VM as at a planned stop.
+func (vm *controlVM) end() {
+	vm.cancel()
+	<-vm.done
+}
+
+func (g *controlGroup) put(vm *controlVM, version uint64, within time.Duration) {
+	g.t.Helper()
+	require.Eventually(g.t, func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		return vm.hub.PutTable(ctx, version, []byte(strconv.FormatUint(version, 10))) == nil
+	}, within, 50*time.Millisecond, "version %d was not accepted", version)
+}
+
+func (g *controlGroup) get(vm *controlVM, within time.Duration) string {
+	g.t.Helper()
+	var content []byte
+	require.Eventually(g.t, func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		var err error
+		content, err = vm.hub.GetTable(ctx)
+		return err == nil
+	}, within, 50*time.Millisecond, "the route table could not be read")
+	return string(content)
+}
+
+// awaitVoters waits until the group has the given number of voters, as vm knows it.
+func (g *controlGroup) awaitVoters(vm *controlVM, voters int, within time.Duration) {
+	g.t.Helper()
+	require.Eventually(g.t, func() bool {
+		member := vm.replica.Load()
+		return member != nil && len(member.Status().Membership.Voters()) == voters
+	}, within, 50*time.Millisecond, "the group did not get %d voters", voters)
+}
+
+func TestGroupSurvivesALostDiskAfterAPlannedReplacement(t *testing.T) {
+	g := newControlGroup(t)
+	var vms []*controlVM
+	for n := range 3 {
+		vms = append(vms, g.start(n, t.TempDir(), true))
+	}
+	g.put(vms[0], 1, 10*time.Second)
+	replacement := g.start(3, t.TempDir(), false)
+	g.awaitVoters(replacement, 4, 10*time.Second)
+	vms[2].end()
+	g.put(replacement, 2, 5*time.Second)
+	time.Sleep(4 * time.Second) // longer than a removed VM counts as lost on the platform
+
+	vms[1].end()
+	require.NoError(t, os.RemoveAll(vms[1].settings.DataDir))
+	g.put(replacement, 3, 5*time.Second)
+	g.start(1, t.TempDir(), false)
+	g.awaitVoters(replacement, 3, 10*time.Second)
+	require.Equal(t, "3", g.get(replacement, 5*time.Second))
+}
--- a/internal/site/settings.go
+++ b/internal/site/settings.go
@@ -39,6 +39,9 @@
 	Bootstrap bool
 	// DataDir is the directory that survives a restart; empty on a VM without a disk.
 	DataDir string
+	// ToleratedDiskLosses is the number of control VMs that may lose their disks at the
+	// same time without a loss of accepted state.
+	ToleratedDiskLosses int
 	// MemoryBytes is the memory limit that the platform sets for this process.
 	MemoryBytes int64
 	// AnnounceInterval is the interval between announcements of a backend server.
