--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -85,9 +85,13 @@
 	Metrics     *observe.Metrics
 	// OnJoin is called on the leader for a control VM that wants to become a voter.
 	OnJoin func(Joiner)
+	// OnLeave is called on the leader for a voter that stops. It returns when the
+	// voter is removed, or nil at once if too few would remain without it.
+	OnLeave func(context.Context, Joiner) error
 }
 
-// Joiner is a control VM that wants to become a voter of the control group.
+// Joiner is a control VM that wants to become a voter of the control group, or one
+// that leaves it.
 type Joiner struct {
 	Member  uint64
 	Name    string
@@ -287,3 +291,14 @@
 	_, err = hubpb.NewHubClient(conn).Join(ctx, &hubpb.JoinRequest{Member: joiner.Member, Name: joiner.Name, Address: joiner.Address})
 	return err
 }
+
+// RequestLeave asks the leader to remove this VM's member, which stops, from the
+// voters. It returns when the member is removed or has to stay.
+func (h *Hub) RequestLeave(ctx context.Context, leaver Joiner) error {
+	client, err := h.leaderClient()
+	if err != nil {
+		return err
+	}
+	_, err = client.Leave(ctx, &hubpb.LeaveRequest{Member: leaver.Member, Name: leaver.Name, Address: leaver.Address})
+	return err
+}
--- a/internal/hub/server.go
+++ b/internal/hub/server.go
@@ -83,6 +83,19 @@
 	return client.Join(ctx, request)
 }
 
+// Leave implements the gRPC service. It succeeds on the leader only.
+func (h *Hub) Leave(ctx context.Context, request *hubpb.LeaveRequest) (*hubpb.LeaveReply, error) {
+	group := h.options.Group()
+	if group == nil || !group.Leadership().IsLeader {
+		return nil, status.Error(codes.Unavailable, ErrNoLeader.Error())
+	}
+	leaver := Joiner{Member: request.GetMember(), Name: request.GetName(), Address: request.GetAddress()}
+	if err := h.options.OnLeave(ctx, leaver); err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return &hubpb.LeaveReply{}, nil
+}
+
 // Spread implements the gRPC service.
 func (h *Hub) Spread(ctx context.Context, request *hubpb.SpreadRequest) (*hubpb.SpreadReply, error) {
 	now := time.Now()
--- a/internal/members/reconciler.go
+++ b/internal/members/reconciler.go
@@ -20,7 +20,7 @@
 )
 
 // Reconciler executes the steps of Plan while the local member is the leader.
-// RecordJoinRequest may be called concurrently with Run.
+// RecordJoinRequest and Leave may be called concurrently with Run.
 type Reconciler struct {
 	options Options
 	mu      sync.Mutex
@@ -61,6 +61,27 @@
 	r.joiners[joiner.Address] = joiner
 }
 
+// Leave removes a voter that stops, if at least MinVoters others remain. It returns when
+// the removal is committed, or nil at once if the voter has to stay. A voter that stops
+// may not come back, and counts for quorums as long as it is a member.
+func (r *Reconciler) Leave(ctx context.Context, leaver Joiner) error {
+	r.mu.Lock()
+	delete(r.joiners, leaver.Address)
+	r.mu.Unlock()
+	member := r.options.Replica()
+	if member == nil {
+		return replica.ErrNotLeader
+	}
+	membership := member.Status().Membership
+	left, found := membership.Find(leaver.ID)
+	if !found || len(membership.Voters()) <= r.options.MinVoters {
+		return nil
+	}
+	return r.execute(ctx, member, Step{
+		Kind: StepRemove, Member: left, MinVoters: r.options.MinVoters, Reason: "the VM stops and enough other voters remain",
+	})
+}
+
 // Run plans and executes membership changes until ctx ends.
 func (r *Reconciler) Run(ctx context.Context) {
 	ticker := time.NewTicker(planInterval)
@@ -72,7 +93,8 @@
 		case <-ticker.C:
 		}
 		if member := r.options.Replica(); member != nil && member.Leadership().IsLeader {
-			r.execute(ctx, member, r.nextStep(member, time.Now()))
+			// execute logs a failure; the next plan repeats the step if it is still due.
+			_ = r.execute(ctx, member, r.nextStep(member, time.Now()))
 		}
 	}
 }
@@ -129,11 +151,10 @@
 		Int("quorum", current.quorum).Int("margin", current.margin).Send()
 }
 
-// execute carries out a step within stepTimeout. A failed step is logged; the next plan
-// repeats it if it is still due.
-func (r *Reconciler) execute(ctx context.Context, member *replica.Replica, step Step) {
+// execute carries out a step within stepTimeout and logs its failure.
+func (r *Reconciler) execute(ctx context.Context, member *replica.Replica, step Step) error {
 	if step.Kind == StepNone {
-		return
+		return nil
 	}
 	observe.Log(r.options.Logger, observe.MembershipPlanned).Str("step", step.Kind.String()).
 		Uint64("member", uint64(step.Member.ID)).Str("address", step.Member.Address).Str("reason", step.Reason).Send()
@@ -152,4 +173,5 @@
 		observe.Log(r.options.Logger, observe.MembershipFailed).Str("step", step.Kind.String()).
 			Str("address", step.Member.Address).Err(err).Send()
 	}
+	return err
 }
--- a/internal/observe/events_hub.go
+++ b/internal/observe/events_hub.go
@@ -26,13 +26,13 @@
 	LinkLost = newEvent(2148, "link_lost", zerolog.WarnLevel,
 		"This entry VM lost the connection to its control VM and tries others; meanwhile it places requests by itself. If no link_attached line follows, check the control VMs and the network.")
 	MembershipPlanned = newEvent(2149, "membership_planned", zerolog.InfoLevel,
-		"The leader changes the members of the control group by itself, to add a VM that joins or to replace one that is unresponsive. The line gives the step and the reason. No action.")
+		"The leader changes the members of the control group by itself, to add a VM that joins, to replace one that is unresponsive, or to remove one that stops and is not needed. The line gives the step and the reason. No action.")
 	MembershipFailed = newEvent(2150, "membership_failed", zerolog.WarnLevel,
 		"A change of the members of the control group failed; it is tried again. If it repeats, check the VM at the address in the line.")
 	ReplicaRestarting = newEvent(2151, "replica_restarting", zerolog.WarnLevel,
 		"This VM's member of the control group stopped unexpectedly, mostly because of a failed disk write, and is restarted within this process. Check the disk and its free space.")
 	ControlStopIncomplete = newEvent(2152, "control_stop_incomplete", zerolog.WarnLevel,
-		"The leader could not hand leadership over before it stopped. The other control VMs elect a new leader by themselves. No action.")
+		"A control VM that stops could not transfer leadership or leave the control group in time. The other control VMs elect a new leader, and remove a voter that does not come back, by themselves. No action.")
 	JoinWaiting = newEvent(2153, "join_waiting", zerolog.WarnLevel,
 		"This control VM asked to join the control group as a voter, and the request failed; it is sent again. The line gives the last error. If it repeats, check the network to the seeds.")
 	SchedulerSuspect = newEvent(2155, "scheduler_suspect", zerolog.WarnLevel,
--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -42,6 +42,11 @@
 	joinInterval = 400 * time.Millisecond
 	// joinTimeout bounds one request to become a voter.
 	joinTimeout = 800 * time.Millisecond
+	// leaveTimeout bounds the time that a planned stop waits for the removal of this VM
+	// from the voters. It covers an election after the transfer of leadership.
+	leaveTimeout = 1200 * time.Millisecond
+	// leaveRetryDelay is the delay between two requests to leave.
+	leaveRetryDelay = 50 * time.Millisecond
 	// MaxTableBytes bounds the encoded route table of an operator's request: 20,000
 	// routes of 400 bytes.
 	MaxTableBytes = 8 << 20
@@ -98,7 +103,8 @@
 	c.hub = hub.New(hub.Options{
 		Address: settings.InternalAddress(), Registry: c.registry, Group: c.group, Pool: c.pool, Decode: codec.DecodeRoutes,
 		UnresponsiveAfter: settings.unresponsiveAfter(), ExpireAfter: settings.expireAfter(), Logger: logger, Metrics: c.metrics,
-		OnJoin: func(j hub.Joiner) { c.reconciler.RecordJoinRequest(joinerOf(j)) },
+		OnJoin:  func(j hub.Joiner) { c.reconciler.RecordJoinRequest(joinerOf(j)) },
+		OnLeave: func(ctx context.Context, j hub.Joiner) error { return c.reconciler.Leave(ctx, joinerOf(j)) },
 	})
 	c.hub.Register(c.server)
 	c.forwarder = &replicaForwarder{}
@@ -122,7 +128,7 @@
 	c.running.Go(func() { c.superviseReplica(background) })
 	c.running.Go(func() { c.hub.Run(background) })
 	c.running.Go(func() { c.reconciler.Run(background) })
-	c.running.Go(func() { c.join(background) })
+	c.running.Go(func() { c.join(ctx) })
 	c.running.Go(func() { serveMetrics(background, c.settings.MetricsAddress(), c.metrics, c.logger) })
 	c.running.Go(func() { _ = c.server.Serve(internal) }) // returns when the server is stopped
 	c.running.Go(func() { _ = server.Serve(external) })   // returns when the server is shut down
@@ -136,7 +142,8 @@
 }
 
 // stop transfers leadership to another member before it stops the rest, so that the
-// control group doesn't have to wait for an election timeout.
+// control group doesn't have to wait for an election timeout. It then leaves the group if
+// that is large enough without this VM.
 func (c *Control) stop(server *http.Server, cancel context.CancelFunc) {
 	ctx, done := context.WithTimeout(context.Background(), c.settings.StopLimit/2)
 	defer done()
@@ -145,6 +152,7 @@
 			observe.Log(c.logger, observe.ControlStopIncomplete).Err(err).Send()
 		}
 	}
+	c.leave(ctx)
 	_ = server.Shutdown(ctx) // connections that are still open are closed when the process ends
 	cancel()
 	c.server.Stop()
@@ -287,13 +295,44 @@
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	via := others[tick%len(others)]
-	joiner := hub.Joiner{Member: uint64(member.Status().ID), Name: c.settings.InternalAddress(), Address: c.settings.InternalAddress()}
-	if err := c.hub.RequestJoin(ctx, via, joiner); err != nil {
+	if err := c.hub.RequestJoin(ctx, via, c.joiner(member.Status().ID)); err != nil {
 		return fmt.Errorf("request to join the control group via %s: %w", via, err)
 	}
 	return nil
 }
 
+// joiner describes this VM for requests to join and to leave.
+func (c *Control) joiner(id consensus.MemberID) hub.Joiner {
+	return hub.Joiner{Member: uint64(id), Name: c.settings.InternalAddress(), Address: c.settings.InternalAddress()}
+}
+
+// leave asks the leader to remove this VM from the voters. It returns at once if this VM
+// is no voter or the group is too small without it, and gives up after leaveTimeout.
+func (c *Control) leave(ctx context.Context) {
+	member := c.replica.Load()
+	if member == nil {
+		return
+	}
+	status := member.Status()
+	if !status.Membership.IsVoter(status.ID) || len(status.Membership.Voters()) <= members.MinVoters(c.settings.ToleratedDiskLosses) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	for {
+		err := c.hub.RequestLeave(ctx, c.joiner(status.ID))
+		if err == nil {
+			return
+		}
+		select {
+		case <-time.After(leaveRetryDelay): // after a transfer, the next leader is not known at once
+		case <-ctx.Done():
+			observe.Log(c.logger, observe.ControlStopIncomplete).Err(fmt.Errorf("leave the control group: %w", err)).Send()
+			return
+		}
+	}
+}
+
 func joinerOf(j hub.Joiner) members.Joiner {
 	return members.Joiner{ID: consensus.MemberID(j.Member), Name: j.Name, Address: j.Address, RequestedAt: time.Now()}
 }
--- a/internal/site/control_test.go
+++ b/internal/site/control_test.go
@@ -75,6 +75,16 @@
 	<-vm.done
 }
 
+// kill ends the VM without its planned stop: its member is aborted first, so that it
+// neither transfers leadership nor leaves the group.
+func (vm *controlVM) kill() {
+	vm.replica.Load().Abort()
+	for vm.replica.Load() != nil {
+		time.Sleep(time.Millisecond)
+	}
+	vm.end()
+}
+
 func (g *controlGroup) put(vm *controlVM, version uint64, within time.Duration) {
 	g.t.Helper()
 	require.Eventually(g.t, func() bool {
@@ -106,20 +116,36 @@
 	}, within, 50*time.Millisecond, "the group did not get %d voters", voters)
 }
 
-func TestGroupSurvivesALostDiskAfterAPlannedReplacement(t *testing.T) {
-	g := newControlGroup(t)
-	var vms []*controlVM
+// startWithReplacement starts a group of three control VMs and one that joins them.
+func (g *controlGroup) startWithReplacement() (vms []*controlVM, replacement *controlVM) {
 	for n := range 3 {
-		vms = append(vms, g.start(n, t.TempDir(), true))
+		vms = append(vms, g.start(n, g.t.TempDir(), true))
 	}
 	g.put(vms[0], 1, 10*time.Second)
-	replacement := g.start(3, t.TempDir(), false)
+	replacement = g.start(3, g.t.TempDir(), false)
 	g.awaitVoters(replacement, 4, 10*time.Second)
+	return vms, replacement
+}
+
+func TestPlannedStopLeavesNoVoterThatMayNotComeBack(t *testing.T) {
+	g := newControlGroup(t)
+	vms, replacement := g.startWithReplacement()
 	vms[2].end()
 	g.put(replacement, 2, 5*time.Second)
+	require.Len(t, replacement.replica.Load().Status().Membership.Voters(), 3)
+	vms[2] = g.start(2, vms[2].settings.DataDir, false)
+	g.awaitVoters(replacement, 4, 5*time.Second)
+	require.Equal(t, "2", g.get(vms[2], 5*time.Second))
+}
+
+func TestGroupSurvivesALostDiskAfterAPlannedReplacement(t *testing.T) {
+	g := newControlGroup(t)
+	vms, replacement := g.startWithReplacement()
+	vms[2].kill()
+	g.put(replacement, 2, 5*time.Second)
 	time.Sleep(4 * time.Second) // longer than a removed VM counts as lost on the platform
 
-	vms[1].end()
+	vms[1].kill()
 	require.NoError(t, os.RemoveAll(vms[1].settings.DataDir))
 	g.put(replacement, 3, 5*time.Second)
 	g.start(1, t.TempDir(), false)
