--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
 	"godwityoke.example/godwityoke/internal/observe"
@@ -37,22 +39,26 @@
 	// name identifies the reservation on the server.
 	name   string
 	tokens int
+	// unanswered counts the orders that the server did not answer in time.
+	unanswered *atomic.Int64
 }
 
 // tickets are the memory reservations of one attempt. They are renewed in the background until release.
 type tickets struct {
 	memory       Memory
 	list         []ticket
+	reservedAt   time.Time
 	stopRenewals context.CancelFunc
 	renewals     sync.WaitGroup
-	logFailure   func(step string, item ticket, err error)
+	// logLine starts a log line on an order.
+	logLine func(event observe.Event, item ticket) *zerolog.Event
 }
 
 // reserve adds the prefill helpers of a placement to the attempt and reserves memory on those that need it. Helpers
 // that this VM does not know are left out. If a reservation fails, all are released and the error says that the
 // request was not sent.
 func (x *exchange) reserve(ctx context.Context, attempt *Attempt, placement schedule.Placement) (*tickets, *AttemptError) {
-	t := &tickets{memory: x.gateway.options.Memory, logFailure: x.logTicketFailure}
+	t := &tickets{memory: x.gateway.options.Memory, reservedAt: time.Now(), logLine: x.logTicket}
 	for i, helper := range placement.Helpers {
 		server, known := x.gateway.options.Servers.Find(helper.Server)
 		if !known {
@@ -61,7 +67,7 @@
 		entry := Helper{Address: server.Address}
 		if helper.ReserveTokens > 0 {
 			entry.Ticket = x.request.ID + "-" + strconv.Itoa(x.attempts) + "-" + strconv.Itoa(i)
-			t.list = append(t.list, ticket{server: server, name: entry.Ticket, tokens: helper.ReserveTokens})
+			t.list = append(t.list, ticket{server: server, name: entry.Ticket, tokens: helper.ReserveTokens, unanswered: &atomic.Int64{}})
 		}
 		attempt.Helpers = append(attempt.Helpers, entry)
 	}
@@ -78,9 +84,9 @@
 	return t, nil
 }
 
-func (x *exchange) logTicketFailure(step string, item ticket, err error) {
-	observe.Log(x.gateway.options.Logger, observe.MemoryOrderFailed).Str("request", x.request.ID).Str("step", step).
-		Str("server", item.server.ID).Str("ticket", item.name).Int("tokens", item.tokens).Err(err).Send()
+func (x *exchange) logTicket(event observe.Event, item ticket) *zerolog.Event {
+	return observe.Log(x.gateway.options.Logger, event).Str("request", x.request.ID).
+		Str("server", item.server.ID).Str("ticket", item.name).Int("tokens", item.tokens)
 }
 
 func (t *tickets) reserveOne(ctx context.Context, item ticket) error {
@@ -101,16 +107,21 @@
 	for _, item := range t.list {
 		group.Go(func() error {
 			var err error
-			for range maxOrderAttempts {
+			for attempt := range maxOrderAttempts {
 				orderCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 				err = send(orderCtx, item)
 				cancel()
-				if err == nil || errors.Is(err, ErrMemoryRefused) || ctx.Err() != nil {
+				if err == nil || errors.Is(err, ErrMemoryRefused) {
+					break
+				}
+				item.unanswered.Add(1)
+				t.logLine(observe.MemoryOrderUnanswered, item).Str("step", step).Int("attempt", attempt+1).Err(err).Send()
+				if ctx.Err() != nil {
 					break
 				}
 			}
 			if err != nil {
-				t.logFailure(step, item, err)
+				t.logLine(observe.MemoryOrderFailed, item).Str("step", step).Err(err).Send()
 			}
 			return err
 		})
@@ -145,5 +156,8 @@
 		}
 		// orderAll logs a failure; the reservation then expires after ticketHoldTime.
 		_ = t.orderAll(context.Background(), "release", t.releaseOne)
+		for _, item := range t.list {
+			t.logLine(observe.MemoryReleased, item).Dur("held", time.Since(t.reservedAt)).Int64("unanswered", item.unanswered.Load()).Send()
+		}
 	}()
 }
--- a/internal/observe/events_gateway.go
+++ b/internal/observe/events_gateway.go
@@ -18,6 +18,10 @@
 		"The response of a request was sent to the caller, but it missed the targets of its route: it exceeded the target latency or the target gap between events, needed a retry, or is a server error. The fields are those of request_answered: compare first with aim, longest with pause_aim, and waited for the time in the queue. If there are many, read the scheduler_load lines.")
 	RequestPlacedAgain = newEvent(3207, "request_placed_again", zerolog.WarnLevel,
 		"A request was placed again after a failed attempt. The fields are those of request_placed. No action.")
+	MemoryOrderUnanswered = newEvent(3208, "memory_order_unanswered", zerolog.InfoLevel,
+		"A prefill helper did not answer an order to reserve, renew or release memory in time; the order is sent again, but the server may still carry out the first one. The line gives the step, the reservation (ticket) and the attempt. If one server causes many of these lines, check that server.")
+	MemoryReleased = newEvent(3209, "memory_released", zerolog.InfoLevel,
+		"The memory of a prompt on a prefill helper was released. The line gives how long it was reserved (held) and how many orders on it were not answered (unanswered). No action.")
 	MemoryOrderFailed = newEvent(3204, "memory_order_failed", zerolog.InfoLevel,
 		"Memory for a part of a prompt could not be reserved, renewed or released on a prefill helper. The line names the server and the reservation (ticket). The server frees the memory when the reservation expires. If one server causes many of these lines, check that server.")
 )
