--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -105,6 +105,8 @@
 	Helpers     []Helper
 	// NewConnection requires a new connection instead of a pooled one.
 	NewConnection bool
+	// UnreachableAfter is the time after which the attempt fails if the server's VM is unreachable, 0 for the default.
+	UnreachableAfter time.Duration
 }
 
 // Body is the body of a response; see h1.Body.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -146,11 +146,15 @@
 }
 
 func serveWith(f *fakes, backend Backend, table *routes.Table, kind, key string, timeout time.Duration) *fakeCaller {
-	g := New(Options{
+	return serveOptions(Options{
 		Table: func() *routes.Table { return table }, Placer: f, Budget: f, Servers: f, Backend: backend, Memory: f,
 		StopsIn: func() (time.Duration, bool) { return time.Second / 2, f.stopping },
-		Zone:    "a", Incarnation: 1, Logger: zerolog.Nop(), Metrics: observe.NewMetrics(),
-	})
+	}, kind, key, timeout)
+}
+
+func serveOptions(options Options, kind, key string, timeout time.Duration) *fakeCaller {
+	options.Zone, options.Incarnation, options.Logger, options.Metrics = "a", 1, zerolog.Nop(), observe.NewMetrics()
+	g := New(options)
 	caller := &fakeCaller{}
 	g.Serve(context.Background(), &Request{
 		ID: "r1", Host: "h", Path: "/" + kind + "/x", Key: key, ArrivedAt: time.Now(), Timeout: timeout,
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -25,6 +25,10 @@
 	// ticketRenewInterval is the time between two renewals. Two of them may fail in a row before a reservation
 	// expires.
 	ticketRenewInterval = 1200 * time.Millisecond
+	// holderUnreachableAfter is the time after which an attempt with reservations fails if the VM of its server is
+	// unreachable. The server's part ends with its VM, so the reservations are released within this time and that of
+	// the orders, which is less than ticketHoldTime.
+	holderUnreachableAfter = 3 * time.Second
 	// orderTimeout limits the wait for the answer to one order, since an order or its answer may be lost. An order
 	// reserves or releases memory on one server, or renews a reservation.
 	orderTimeout = 300 * time.Millisecond
@@ -78,6 +82,7 @@
 		t.release()
 		return nil, &AttemptError{Delivery: DeliveryNotSent, Err: fmt.Errorf("reserve memory: %w", err)}
 	}
+	attempt.UnreachableAfter = holderUnreachableAfter
 	renewCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	t.stopRenewals = stop
 	t.renewals.Go(func() { t.renew(renewCtx) })
--- a/internal/h1/client.go
+++ b/internal/h1/client.go
@@ -79,6 +79,9 @@
 	// NewConnection requires a new connection. It is for requests that must not run twice: on a reused connection
 	// that the server is closing, it stays unknown whether the request has run.
 	NewConnection bool
+	// UnreachableAfter is the time after which the request fails if the server's VM is unreachable, 0 for the default
+	// of package tcp. A request with one gets a connection of its own.
+	UnreachableAfter time.Duration
 }
 
 // Response is a response whose head has been read.
@@ -100,14 +103,29 @@
 	reused      bool
 }
 
+// setUnreachableAfter sets the time after which the kernel closes the connection to an unreachable VM.
+func (c *conn) setUnreachableAfter(unreachableAfter time.Duration) error {
+	tcpConn, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return fmt.Errorf("the connection to %s is no TCP connection: %T", c.address, c.Conn)
+	}
+	return tcp.SetUnreachableAfter(tcpConn, unreachableAfter)
+}
+
 // Do sends a request to address, an "ip:port", and reads the head of the response. Cancelling ctx aborts the exchange,
 // including reads of the body. The caller must close the body. Errors wrap ErrNotSent, ErrMalformed, the error of ctx,
 // or the network error.
 func (c *Client) Do(ctx context.Context, address string, request *Request) (*Response, error) {
-	connection, err := c.connect(ctx, address, request.NewConnection)
+	connection, err := c.connect(ctx, address, request.NewConnection || request.UnreachableAfter > 0)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	if request.UnreachableAfter > 0 {
+		if err := connection.setUnreachableAfter(request.UnreachableAfter); err != nil {
+			_ = connection.Close()
+			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
+	}
 	stopCancel := context.AfterFunc(ctx, func() { _ = connection.SetDeadline(time.Unix(1, 0)) })
 	response, err := c.exchange(connection, request, stopCancel)
 	if err != nil {
@@ -145,7 +163,7 @@
 		return nil, err
 	}
 	body.reader = response.Body
-	body.reusable = !response.Close && (response.ContentLength >= 0 || len(response.TransferEncoding) > 0)
+	body.reusable = !response.Close && request.UnreachableAfter == 0 && (response.ContentLength >= 0 || len(response.TransferEncoding) > 0)
 	connection.idleTimeout = idleTimeout(response.Header, c.options.MaxIdleTime)
 	return &Response{Status: response.StatusCode, Header: response.Header, Body: body}, nil
 }
--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -24,6 +24,10 @@
 	// unackedTimeout is the time after which a connection is closed if sent data is not
 	// acknowledged.
 	unackedTimeout = 6 * time.Second
+	// minKeepAliveIdle and minKeepAliveInterval are the shortest times that the kernel's
+	// options can express.
+	minKeepAliveIdle     = time.Second
+	minKeepAliveInterval = time.Second
 )
 
 func keepAlive() net.KeepAliveConfig {
@@ -57,12 +61,31 @@
 	return listener, nil
 }
 
+// SetUnreachableAfter makes the kernel close an open connection once its peer has been
+// unreachable for the given time, at least 2 s, instead of the default of this package.
+func SetUnreachableAfter(conn *net.TCPConn, unreachableAfter time.Duration) error {
+	probes := int((unreachableAfter - minKeepAliveIdle) / minKeepAliveInterval)
+	config := net.KeepAliveConfig{Enable: true, Idle: minKeepAliveIdle, Interval: minKeepAliveInterval, Count: max(1, probes)}
+	if err := conn.SetKeepAliveConfig(config); err != nil {
+		return fmt.Errorf("set keep-alive: %w", err)
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return fmt.Errorf("access the socket to set TCP_USER_TIMEOUT: %w", err)
+	}
+	return setUserTimeoutOf(raw, unreachableAfter)
+}
+
 // setUserTimeout sets TCP_USER_TIMEOUT to unackedTimeout. Accepted connections inherit
 // it from the socket of the listener.
 func setUserTimeout(_, _ string, conn syscall.RawConn) error {
+	return setUserTimeoutOf(conn, unackedTimeout)
+}
+
+func setUserTimeoutOf(conn syscall.RawConn, timeout time.Duration) error {
 	var setErr error
 	err := conn.Control(func(fd uintptr) {
-		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
 	})
 	if err != nil {
 		return fmt.Errorf("access the socket to set TCP_USER_TIMEOUT: %w", err)
--- a/internal/tcp/tcp_test.go
+++ b/internal/tcp/tcp_test.go
@@ -39,3 +39,24 @@
 		}))
 	}
 }
+
+func TestConnectionToAnUnreachableVMIsClosedWithinTheGivenTime(t *testing.T) {
+	listener, err := Listen(t.Context(), "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	dialed, err := Dialer(time.Second).DialContext(t.Context(), "tcp", listener.Addr().String())
+	require.NoError(t, err)
+	defer dialed.Close()
+	require.NoError(t, SetUnreachableAfter(dialed.(*net.TCPConn), 3*time.Second))
+	raw, err := dialed.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	require.NoError(t, raw.Control(func(fd uintptr) {
+		values := map[int]int{}
+		for _, option := range []int{unix.TCP_USER_TIMEOUT, unix.TCP_KEEPIDLE, unix.TCP_KEEPINTVL, unix.TCP_KEEPCNT} {
+			values[option], err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, option)
+			require.NoError(t, err)
+		}
+		require.Equal(t, 3000, values[unix.TCP_USER_TIMEOUT])
+		require.Equal(t, 3, values[unix.TCP_KEEPIDLE]+values[unix.TCP_KEEPINTVL]*values[unix.TCP_KEEPCNT])
+	}))
+}
