--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -76,7 +76,9 @@
 	// lastEventID is the id of the last event that the caller has, 0 for none.
 	lastEventID uint64
 	eventsSent  int
-	timing      timing
+	// mayCrashServers is set once several servers have crashed under prompts that share a part with this one.
+	mayCrashServers bool
+	timing          timing
 }
 
 // attemptResult is the result of one attempt.
@@ -84,6 +86,8 @@
 	// done is set when the caller has the final answer or disconnected while it was sent. Otherwise err is set.
 	done bool
 	err  *AttemptError
+	// events is the number of events that the server sent.
+	events int
 	// serverError is set when the final answer is a 5xx response of the server.
 	serverError bool
 }
@@ -103,6 +107,11 @@
 			x.failUnplaced(ctx, placement.Reason, placement.RetryAfter)
 			return
 		}
+		if part, found := x.gateway.options.Evidence.Quarantined(time.Now(), x.request.Parts); found {
+			x.gateway.options.Placer.Ended(id, schedule.OutcomeDone)
+			x.refuseQuarantined(part)
+			return
+		}
 		if x.deliveries > 0 && !x.gateway.options.Budget.TryRetry(x.service) {
 			x.gateway.options.Placer.Ended(id, schedule.OutcomeDone)
 			x.failUnplaced(ctx, errRetryBudgetSpent.Error(), overloadRetryAfter)
@@ -127,7 +136,7 @@
 
 // canRetry tells whether the request may be sent to another server after the attempt that failed with err.
 func (x *exchange) canRetry(err *AttemptError) bool {
-	if x.attempts >= maxAttempts {
+	if x.attempts >= maxAttempts || x.mayCrashServers {
 		return false
 	}
 	if err.Delivery != DeliveryUnknown {
@@ -250,6 +259,7 @@
 		result = x.relay(id, attempt, response)
 		_ = response.Body.Close()
 	}
+	x.recordCrash(ctx, attempt, result)
 	placer.Ended(id, x.placementOutcome(ctx, result))
 	if result.err != nil {
 		if result.err.Delivery != DeliveryNotSent {
@@ -358,6 +368,9 @@
 			return attemptResult{err: err}
 		}
 	}
+	if success {
+		x.recordSound()
+	}
 	x.possibleRuns++
 	if err := x.caller.WriteResponse(response.Status, response.Header, body); err != nil {
 		x.logBroken(err.Error())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/quarantine"
 	"godwityoke.example/godwityoke/internal/roster"
 	"godwityoke.example/godwityoke/internal/routes"
 	"godwityoke.example/godwityoke/internal/schedule"
@@ -40,7 +41,9 @@
 	// PromptTokens and AnswerTokens are the sizes as stated by the caller, 0 for a request that is not streamed.
 	PromptTokens int
 	AnswerTokens int
-	ArrivedAt    time.Time
+	// Parts are the parts of the prompt that other prompts may share.
+	Parts     []quarantine.Part
+	ArrivedAt time.Time
 }
 
 // RefusalCode is the reason why a request was refused. A refused request has not run and will not.
@@ -55,6 +58,8 @@
 	// RefusedOverload means that no server could be found or that all attempts failed without the request having
 	// run.
 	RefusedOverload
+	// RefusedQuarantine means that the prompt has a part under which backend servers have crashed.
+	RefusedQuarantine
 )
 
 // FailureCode is the reason why a request failed that may have run.
@@ -177,6 +182,8 @@
 	Servers Servers
 	Backend Backend
 	Memory  Memory
+	// Evidence tells which parts of prompts crash backend servers; nil for evidence of this VM only.
+	Evidence *quarantine.Guard
 	// Zone is the availability zone of this VM.
 	Zone string
 	// Incarnation identifies this run of the process; it makes job ids unique over restarts.
@@ -198,6 +205,9 @@
 
 // New returns a Gateway with the given options.
 func New(options Options) *Gateway {
+	if options.Evidence == nil {
+		options.Evidence = quarantine.NewGuard()
+	}
 	return &Gateway{options: options, startedAt: time.Now(), meanSizes: meanSizes{byRoute: map[string]float64{}}}
 }
 
@@ -233,6 +243,10 @@
 			return
 		}
 	}
+	if part, found := g.options.Evidence.Quarantined(time.Now(), request.Parts); found {
+		x.refuseQuarantined(part)
+		return
+	}
 	x.service = route.ChooseService(hashID(request.ID))
 	x.deadline = request.ArrivedAt.Add(route.Timeout)
 	if request.Timeout > 0 && request.Timeout < route.Timeout {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/quarantine"
 	"godwityoke.example/godwityoke/internal/roster"
 	"godwityoke.example/godwityoke/internal/routes"
 	"godwityoke.example/godwityoke/internal/schedule"
@@ -152,12 +153,12 @@
 	}, kind, key, timeout)
 }
 
-func serveOptions(options Options, kind, key string, timeout time.Duration) *fakeCaller {
+func serveOptions(options Options, kind, key string, timeout time.Duration, parts ...quarantine.Part) *fakeCaller {
 	options.Zone, options.Incarnation, options.Logger, options.Metrics = "a", 1, zerolog.Nop(), observe.NewMetrics()
 	g := New(options)
 	caller := &fakeCaller{}
 	g.Serve(context.Background(), &Request{
-		ID: "r1", Host: "h", Path: "/" + kind + "/x", Key: key, ArrivedAt: time.Now(), Timeout: timeout,
+		ID: "r1", Host: "h", Path: "/" + kind + "/x", Key: key, ArrivedAt: time.Now(), Timeout: timeout, Parts: parts,
 	}, caller)
 	return caller
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -14,23 +14,26 @@
 // lastEventID, which the caller has from an earlier attempt.
 func (x *exchange) relayStream(id schedule.JobID, attempt *Attempt, response *Response) attemptResult {
 	reader := eventstream.NewReader(response.Body)
-	started := false
+	received := 0
 	for {
-		if err := response.Body.SetReadDeadline(x.eventDeadline(started)); err != nil {
-			return attemptResult{err: &AttemptError{Delivery: DeliveryUnknown, Err: err}}
+		if err := response.Body.SetReadDeadline(x.eventDeadline(received > 0)); err != nil {
+			return attemptResult{events: received, err: &AttemptError{Delivery: DeliveryUnknown, Err: err}}
 		}
 		event, err := reader.Next()
 		if errors.Is(err, io.EOF) {
 			return x.finishStream(attempt, response)
 		}
 		if err != nil {
-			return attemptResult{err: &AttemptError{
+			return attemptResult{events: received, err: &AttemptError{
 				Delivery: DeliveryUnknown, Err: fmt.Errorf("read event %d: %w", x.eventsSent+1, err),
 			}}
 		}
-		if !started {
-			started = true
+		received++
+		switch received {
+		case 1:
 			x.gateway.options.Placer.Started(id)
+		case minEventsOfSoundPrompt:
+			x.recordSound()
 		}
 		if event.HasID && event.ID <= x.lastEventID {
 			continue
@@ -69,6 +72,7 @@
 			Delivery: DeliveryUnknown, Err: errors.New("the stream ended without an event"),
 		}}
 	}
+	x.recordSound()
 	x.possibleRuns++
 	x.recordAnswered(attempt, response.Status, true)
 	return attemptResult{done: true}
--- a/internal/hub/broadcast.go
+++ b/internal/hub/broadcast.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
 	"godwityoke.example/godwityoke/internal/hub/hubpb"
 	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/quarantine"
 	"godwityoke.example/godwityoke/internal/roster"
 )
 
@@ -16,6 +19,9 @@
 	broadcastInterval = 200 * time.Millisecond
 	// broadcastTimeout bounds one call to another control VM.
 	broadcastTimeout = 900 * time.Millisecond
+	// maxQueuedEvidence bounds the parts with evidence that are queued for a control VM
+	// that can't be reached.
+	maxQueuedEvidence = 1024
 )
 
 // broadcaster sends announcements to the other control VMs, to each from a
@@ -48,6 +54,8 @@
 	// servers holds the newest announcement of each server that is to be sent.
 	servers map[string]roster.Server
 	entries []string
+	// evidence holds the newest evidence on each part of prompts that is to be sent.
+	evidence map[quarantine.Part]quarantine.Evidence
 }
 
 // setPeers starts and stops peers, so that they match the given addresses without
@@ -73,7 +81,7 @@
 
 func startBroadcastPeer(options *Options, address string) *broadcastPeer {
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &broadcastPeer{address: address, options: options, cancel: cancel, wake: make(chan struct{}, 1), servers: map[string]roster.Server{}}
+	p := &broadcastPeer{address: address, options: options, cancel: cancel, wake: make(chan struct{}, 1), servers: map[string]roster.Server{}, evidence: map[quarantine.Part]quarantine.Evidence{}}
 	go p.run(ctx)
 	return p
 }
@@ -89,6 +97,19 @@
 	}
 }
 
+// addEvidence queues evidence on parts of prompts for all peers; it is sent with the next
+// flush.
+func (b *broadcaster) addEvidence(evidence []quarantine.Evidence) {
+	b.urgent = true
+	for _, peer := range b.peers {
+		peer.mu.Lock()
+		for _, e := range evidence {
+			peer.evidence[e.Part] = e
+		}
+		peer.mu.Unlock()
+	}
+}
+
 // tick sends the queued announcements and the names of the attached entry VMs to
 // all peers every broadcastInterval.
 func (b *broadcaster) tick(now time.Time, sessions map[*session]bool) {
@@ -156,14 +177,15 @@
 
 func (p *broadcastPeer) send(ctx context.Context) error {
 	p.mu.Lock()
-	servers, entries := p.servers, p.entries
-	p.servers, p.entries = map[string]roster.Server{}, nil
+	servers, entries, evidence := p.servers, p.entries, p.evidence
+	p.servers, p.entries, p.evidence = map[string]roster.Server{}, nil, map[quarantine.Part]quarantine.Evidence{}
 	p.mu.Unlock()
-	if len(servers) == 0 && len(entries) == 0 {
+	if len(servers) == 0 && len(entries) == 0 && len(evidence) == 0 {
 		return nil
 	}
 	now := time.Now()
 	request := &hubpb.SpreadRequest{EntryVms: entries, Sender: p.options.Address}
+	request.Evidence = evidenceToProto(slices.Collect(maps.Values(evidence)), now)
 	for _, server := range servers {
 		request.Servers = append(request.Servers, serverToProto(server, now))
 	}
@@ -174,14 +196,15 @@
 		_, err = hubpb.NewHubClient(conn).Spread(ctx, request)
 	}
 	if err != nil {
-		p.requeue(servers)
+		p.requeue(servers, evidence)
 	}
 	return err
 }
 
-// requeue queues announcements again after a failed call, except for servers with
-// a newer announcement in the queue.
-func (p *broadcastPeer) requeue(servers map[string]roster.Server) {
+// requeue queues announcements and evidence again after a failed call, except for
+// servers and parts with newer ones in the queue. Evidence on parts beyond
+// maxQueuedEvidence is dropped: quarantined parts are sent again every refreshInterval.
+func (p *broadcastPeer) requeue(servers map[string]roster.Server, evidence map[quarantine.Part]quarantine.Evidence) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, server := range servers {
@@ -189,4 +212,9 @@
 			p.servers[id] = server
 		}
 	}
+	for part, e := range evidence {
+		if _, newer := p.evidence[part]; !newer && len(p.evidence) < maxQueuedEvidence {
+			p.evidence[part] = e
+		}
+	}
 }
--- a/internal/hub/convert.go
+++ b/internal/hub/convert.go
@@ -3,7 +3,10 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"godwityoke.example/godwityoke/internal/hub/hubpb"
+	"godwityoke.example/godwityoke/internal/quarantine"
 	"godwityoke.example/godwityoke/internal/roster"
 	"godwityoke.example/godwityoke/internal/schedule"
 )
@@ -53,6 +56,42 @@
 	return servers
 }
 
+func evidenceToProto(evidence []quarantine.Evidence, now time.Time) []*hubpb.PartEvidence {
+	age := func(at time.Time) uint32 { return uint32(max(0, now.Sub(at).Milliseconds())) }
+	messages := make([]*hubpb.PartEvidence, 0, len(evidence))
+	for _, e := range evidence {
+		message := &hubpb.PartEvidence{Part: uint64(e.Part)}
+		for _, crash := range e.Crashes {
+			message.Crashes = append(message.Crashes, &hubpb.PartCrash{
+				ServerRun: uint64(crash.Server), Request: uint64(crash.Request), AgeMs: age(crash.At),
+			})
+		}
+		if !e.SoundAt.IsZero() {
+			message.SoundAgeMs = proto.Uint32(age(e.SoundAt))
+		}
+		messages = append(messages, message)
+	}
+	return messages
+}
+
+func evidenceFromProto(messages []*hubpb.PartEvidence, now time.Time) []quarantine.Evidence {
+	at := func(ageMs uint32) time.Time { return now.Add(-time.Duration(ageMs) * time.Millisecond) }
+	evidence := make([]quarantine.Evidence, 0, len(messages))
+	for _, message := range messages {
+		e := quarantine.Evidence{Part: quarantine.Part(message.GetPart())}
+		for _, crash := range message.GetCrashes() {
+			e.Crashes = append(e.Crashes, quarantine.Crash{
+				Server: quarantine.ServerRun(crash.GetServerRun()), Request: quarantine.Request(crash.GetRequest()), At: at(crash.GetAgeMs()),
+			})
+		}
+		if message.SoundAgeMs != nil {
+			e.SoundAt = at(message.GetSoundAgeMs())
+		}
+		evidence = append(evidence, e)
+	}
+	return evidence
+}
+
 func requestToProto(request schedule.PlacementRequest, now time.Time) *hubpb.Ask {
 	return &hubpb.Ask{
 		Id: request.ID.Seq, Service: request.Service,
--- a/internal/hub/core.go
+++ b/internal/hub/core.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"godwityoke.example/godwityoke/internal/bundle"
 	"godwityoke.example/godwityoke/internal/hub/hubpb"
 	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/quarantine"
 	"godwityoke.example/godwityoke/internal/roster"
 	"godwityoke.example/godwityoke/internal/schedule"
 )
@@ -57,12 +59,17 @@
 	// serversSentAt is when all servers were last sent to the entry VMs.
 	serversSentAt time.Time
 	startedAt     time.Time
+	// evidence is passed on between VMs; this VM itself stops no request.
+	evidence *quarantine.Tracker
+	// quarantined holds the quarantined parts that were logged.
+	quarantined map[quarantine.Part]bool
 }
 
 func newCore(options *Options) *core {
 	return &core{
 		options: options, roster: roster.New(), sessions: map[*session]bool{}, entryLastSeen: map[string]time.Time{},
 		scheduler: schedule.New(), peers: newBroadcaster(options), table: &hubpb.RouteTable{}, startedAt: time.Now(),
+		evidence: quarantine.NewTracker(),
 	}
 }
 
@@ -79,6 +86,8 @@
 	local bool
 	// entries lists the entry VMs that are attached to the sending control VM.
 	entries []string
+	// evidence is that of the sending control VM on parts of prompts.
+	evidence []quarantine.Evidence
 	// reply is closed when the announcements are applied.
 	reply chan struct{}
 }
@@ -90,6 +99,7 @@
 	for _, server := range m.servers {
 		c.applyAnnouncement(server, now, m.local)
 	}
+	c.evidence.Merge(now, m.evidence)
 	close(m.reply)
 }
 
@@ -130,6 +140,8 @@
 		frame.Table = c.table
 		s.tableVersion = c.table.GetVersion()
 	}
+	c.evidence.Merge(now, evidenceFromProto(m.frame.GetHello().GetEvidence(), now))
+	frame.Evidence = evidenceToProto(c.evidence.All(), now)
 	running := m.frame.GetHello().GetRunning()
 	ids := make(map[schedule.JobID]bool, len(running))
 	for _, job := range running {
@@ -184,6 +196,7 @@
 		return
 	}
 	c.entryLastSeen[m.session.vm] = now
+	c.evidence.Merge(now, evidenceFromProto(m.frame.GetEvidence(), now))
 	c.adopt(m.session, m.frame.GetRunning(), now)
 	for _, progress := range m.frame.GetProgress() {
 		id := schedule.JobID{VM: m.session.incarnation, Seq: progress.GetId()}
@@ -291,6 +304,10 @@
 	refresh := now.Sub(c.serversSentAt) >= refreshInterval
 	if refresh {
 		c.serversSentAt = now
+		c.evidence.Expire(now)
+		quarantined := c.evidence.AllQuarantined()
+		c.logQuarantined(quarantined)
+		c.spreadEvidence(quarantined, now)
 	}
 	for s := range c.sessions {
 		c.entryLastSeen[s.vm] = now
@@ -390,9 +407,36 @@
 	return c.scheduler.NextDecisionAt(now)
 }
 
-// flush sends the collected frames. A session whose outbox is full is ended; its
+// spreadEvidence queues evidence for all attached entry VMs and all other control VMs.
+func (c *core) spreadEvidence(evidence []quarantine.Evidence, now time.Time) {
+	if len(evidence) == 0 {
+		return
+	}
+	messages := evidenceToProto(evidence, now)
+	for s := range c.sessions {
+		frame := s.pending()
+		frame.Evidence = append(frame.Evidence, messages...)
+	}
+	c.peers.addEvidence(evidence)
+}
+
+// logQuarantined logs the parts that were not quarantined at the last call.
+func (c *core) logQuarantined(quarantined []quarantine.Evidence) {
+	known := c.quarantined
+	c.quarantined = make(map[quarantine.Part]bool, len(quarantined))
+	for _, e := range quarantined {
+		c.quarantined[e.Part] = true
+		if !known[e.Part] {
+			observe.Log(c.options.Logger, observe.PartQuarantined).Str("part", fmt.Sprintf("%016x", uint64(e.Part))).
+				Int("crashes", len(e.Crashes)).Send()
+		}
+	}
+}
+
+// flush sends the collected frames, with the evidence that has changed. A session whose outbox is full is ended; its
 // entry VM attaches again.
 func (c *core) flush(now time.Time) {
+	c.spreadEvidence(c.evidence.TakeChanges(), now)
 	for s := range c.sessions {
 		if s.frame == nil {
 			continue
--- a/internal/hub/hub_test.go
+++ b/internal/hub/hub_test.go
@@ -91,10 +91,16 @@
 }
 
 func startLink(t *testing.T, seeds ...string) *Link {
+	t.Helper()
+	return startLinkOf(t, "entry-1", 7, seeds...)
+}
+
+// startLinkOf starts the link of the entry VM with the given name and incarnation.
+func startLinkOf(t *testing.T, vm string, incarnation uint64, seeds ...string) *Link {
 	t.Helper()
 	pool := transport.NewPool(transport.PoolOptions{})
 	link := NewLink(LinkOptions{
-		VM: "entry-1", Zone: "a", Incarnation: 7, Seeds: seeds, Pool: pool, Decode: decodeTestTable,
+		VM: vm, Zone: "a", Incarnation: incarnation, Seeds: seeds, Pool: pool, Decode: decodeTestTable,
 		UnresponsiveAfter: 5 * time.Second, ExpireAfter: 10 * time.Second, Logger: zerolog.Nop(), OnServerGone: func(string) {},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/hub/link.go
+++ b/internal/hub/link.go
@@ -15,6 +15,7 @@
 	"godwityoke.example/godwityoke/internal/bundle"
 	"godwityoke.example/godwityoke/internal/hub/hubpb"
 	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/quarantine"
 	"godwityoke.example/godwityoke/internal/roster"
 	"godwityoke.example/godwityoke/internal/routes"
 	"godwityoke.example/godwityoke/internal/schedule"
@@ -98,9 +99,10 @@
 // them itself while the leader's scheduler is unreachable or unresponsive. Its
 // methods are safe for concurrent use.
 type Link struct {
-	options LinkOptions
-	inbox   chan linkMessage
-	done    chan struct{}
+	options  LinkOptions
+	inbox    chan linkMessage
+	done     chan struct{}
+	evidence *quarantine.Guard
 	// backoffs are the control VMs in backoff.
 	backoffs *backoffs
 
@@ -119,6 +121,7 @@
 	l := &Link{
 		options: options, inbox: make(chan linkMessage, linkInboxSize), done: make(chan struct{}),
 		servers: roster.New(), entryVMs: defaultEntryVMs, backoffs: newBackoffs(),
+		evidence: quarantine.NewGuard(),
 	}
 	l.state = newLinkState(l)
 	return l
@@ -162,6 +165,10 @@
 	return l.table != nil
 }
 
+// Evidence returns this VM's evidence on parts of prompts that crash backend servers. The
+// link exchanges it with the other VMs.
+func (l *Link) Evidence() *quarantine.Guard { return l.evidence }
+
 // Place implements gateway.Placer. It waits until the request is placed or
 // refused, and returns the error of ctx if that is done first.
 func (l *Link) Place(ctx context.Context, request schedule.PlacementRequest) (schedule.Placement, error) {
--- a/internal/hub/linkstate.go
+++ b/internal/hub/linkstate.go
@@ -9,6 +9,7 @@
 
 	"godwityoke.example/godwityoke/internal/hub/hubpb"
 	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/quarantine"
 	"godwityoke.example/godwityoke/internal/roster"
 	"godwityoke.example/godwityoke/internal/schedule"
 )
@@ -242,6 +243,7 @@
 			Ask: requestToProto(run.request, now), Placement: placementToProto(run.placement), Writing: run.decoding,
 		})
 	}
+	s.link.evidence.Do(func(t *quarantine.Tracker) { hello.Evidence = evidenceToProto(t.All(), now) })
 	s.frame = &hubpb.EntryFrame{Hello: hello}
 }
 
@@ -303,6 +305,9 @@
 	s.lastFrameAt, s.schedulerSuspect = now, false
 	s.link.applyTable(m.frame.GetTable())
 	s.applyServers(serversFromProto(m.frame.GetServers(), now), now)
+	if evidence := evidenceFromProto(m.frame.GetEvidence(), now); len(evidence) > 0 {
+		s.link.evidence.Do(func(t *quarantine.Tracker) { t.Merge(now, evidence) })
+	}
 	for _, placement := range m.frame.GetPlacements() {
 		s.deliver(placementFromProto(placement, s.link.options.Incarnation), now, false)
 	}
@@ -476,6 +481,7 @@
 	if s.outbox != nil && now.Sub(s.sentAt) >= linkHeartbeatInterval {
 		s.pending()
 	}
+	s.link.evidence.Do(func(t *quarantine.Tracker) { t.Expire(now) })
 	s.updateShare()
 	s.checkScheduler(now)
 }
@@ -500,6 +506,13 @@
 
 // flush sends the collected frame.
 func (s *linkState) flush(now time.Time) {
+	if s.outbox != nil {
+		var changes []quarantine.Evidence
+		s.link.evidence.Do(func(t *quarantine.Tracker) { changes = t.TakeChanges() })
+		if len(changes) > 0 {
+			s.pending().Evidence = append(s.pending().Evidence, evidenceToProto(changes, now)...)
+		}
+	}
 	if s.frame == nil || s.outbox == nil {
 		return
 	}
--- a/internal/observe/events_gateway.go
+++ b/internal/observe/events_gateway.go
@@ -18,6 +18,8 @@
 		"The response of a request was sent to the caller, but it missed the targets of its route: it exceeded the target latency or the target gap between events, needed a retry, or is a server error. The fields are those of request_answered: compare first with aim, longest with pause_aim, and waited for the time in the queue. If there are many, read the scheduler_load lines.")
 	RequestPlacedAgain = newEvent(3207, "request_placed_again", zerolog.WarnLevel,
 		"A request was placed again after a failed attempt. The fields are those of request_placed. No action.")
+	ConnectionLostBeforeAnswer = newEvent(3210, "connection_lost_before_answer", zerolog.InfoLevel,
+		"A backend server closed or reset the connection of a request before it had answered its prompt, as in a crash. The line counts the parts of the prompt that others may share; suspected means that several servers did so under one of them, and the request is not sent again. If there are many for one server, check that server.")
 	MemoryOrderUnanswered = newEvent(3208, "memory_order_unanswered", zerolog.InfoLevel,
 		"A prefill helper did not answer an order to reserve, renew or release memory in time; the order is sent again, but the server may still carry out the first one. The line gives the step, the reservation (ticket) and the attempt. If one server causes many of these lines, check that server.")
 	MemoryReleased = newEvent(3209, "memory_released", zerolog.InfoLevel,
--- a/internal/observe/events_hub.go
+++ b/internal/observe/events_hub.go
@@ -21,6 +21,8 @@
 		"Another control VM became unreachable for server announcements, or reachable again (reachable). If it stays unreachable, check that VM and the network.")
 	LinkAttached = newEvent(2147, "link_attached", zerolog.InfoLevel,
 		"This entry VM connected to the named control VM. The line gives the version of its own route table. No action.")
+	PartQuarantined = newEvent(2157, "part_quarantined", zerolog.WarnLevel,
+		"A part of prompts has crashed several backend servers. All entry VMs refuse requests with it. The line gives the part as in request_refused, and the number of crashes that are known. Find the prompts with the part and the defect of the server.")
 	QuorumMargin = newEvent(2156, "quorum_margin", zerolog.InfoLevel,
 		"The number of voters of the control group, or of those that the leader reaches, changed. margin is how many of the reachable voters may fail before the group stops accepting changes. If it stays at 0, bring back the control VMs that don't run, or replace them.")
 	LinkLost = newEvent(2148, "link_lost", zerolog.WarnLevel,
--- a/internal/site/entry.go
+++ b/internal/site/entry.go
@@ -122,7 +122,7 @@
 	})
 	e.gateway = gateway.New(gateway.Options{
 		Table: e.link.Table, Placer: e.link, Budget: newServiceBudgets(settings, e.link.EntryVMCount), Servers: e.link,
-		Backend: backend, Memory: backend, Zone: settings.Zone, Incarnation: incarnation, Logger: logger, Metrics: e.metrics,
+		Backend: backend, Memory: backend, Evidence: e.link.Evidence(), Zone: settings.Zone, Incarnation: incarnation, Logger: logger, Metrics: e.metrics,
 		StopsIn: e.stopsIn,
 	})
 	return e.run(ctx, adapter)
