--- a/internal/h1/client.go
+++ b/internal/h1/client.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -33,6 +34,10 @@
 	// the server closes the connection.
 	keepAliveMargin = 700 * time.Millisecond
 	readBufferBytes = 4 << 10
+	// maxHeadBytes limits the status line and the header of a response, including any read-ahead of its body.
+	maxHeadBytes = 64 << 10
+	// maxStrayBodyBytes limits the body of a response that is skipped.
+	maxStrayBodyBytes = 1 << 20
 )
 
 var (
@@ -95,6 +100,8 @@
 // conn is one connection to a server.
 type conn struct {
 	net.Conn
+	// limited is the source of reader.
+	limited *limitedReader
 	reader  *bufio.Reader
 	address string
 	// idleSince is when the connection was last returned to the pool, idleTimeout how long it may stay there.
@@ -103,6 +110,22 @@
 	reused      bool
 }
 
+// limitedReader returns ErrMalformed once it has read limit bytes.
+type limitedReader struct {
+	source io.Reader
+	limit  int
+}
+
+// Read implements io.Reader.
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if l.limit <= 0 {
+		return 0, fmt.Errorf("%w: the head exceeds %d bytes", ErrMalformed, maxHeadBytes)
+	}
+	n, err := l.source.Read(p[:min(len(p), l.limit)])
+	l.limit -= n
+	return n, err
+}
+
 // setUnreachableAfter sets the time after which the kernel closes the connection to an unreachable VM.
 func (c *conn) setUnreachableAfter(unreachableAfter time.Duration) error {
 	tcpConn, ok := c.Conn.(*net.TCPConn)
@@ -173,12 +196,17 @@
 func (c *Client) readHead(connection *conn, request *Request) (*http.Response, error) {
 	matching := &http.Request{Method: request.Method}
 	for range maxStrayResponses + 1 {
+		connection.limited.limit = maxHeadBytes
 		response, err := http.ReadResponse(connection.reader, matching)
+		connection.limited.limit = math.MaxInt
 		if err != nil {
 			var netErr net.Error
 			if errors.As(err, &netErr) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
 				return nil, fmt.Errorf("read the response: %w", err)
 			}
+			if errors.Is(err, ErrMalformed) {
+				return nil, err
+			}
 			return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 		}
 		if response.StatusCode < http.StatusOK {
@@ -187,7 +215,8 @@
 		if c.options.EchoHeader == "" || response.Header.Get(c.options.EchoHeader) == request.Header.Get(c.options.EchoHeader) {
 			return response, nil
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil || response.Close {
+		skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBodyBytes+1))
+		if err != nil || response.Close || skipped > maxStrayBodyBytes {
 			break
 		}
 	}
@@ -252,7 +281,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: opened, reader: bufio.NewReaderSize(opened, readBufferBytes), address: address}, nil
+	limited := &limitedReader{source: opened, limit: math.MaxInt}
+	return &conn{Conn: opened, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes), address: address}, nil
 }
 
 // takeIdle removes and returns the most recently used idle connection to address, or nil.
--- a/internal/h1/client_test.go
+++ b/internal/h1/client_test.go
@@ -200,3 +200,61 @@
 	require.Equal(t, "/p?q=%2F", seen.Load().RequestURI)
 	require.Equal(t, "h", seen.Load().Host)
 }
+
+// endlessServer answers each connection with start and then with repeated until the client closes the connection. It
+// returns its address and a channel that receives the number of bytes that were sent.
+func endlessServer(t *testing.T, start, repeated string) (address string, sent chan int) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	sent = make(chan int, 1)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
+		total, chunk := 0, strings.Repeat(repeated, 1000)
+		for part := start; ; part = chunk {
+			n, err := io.WriteString(conn, part)
+			total += n
+			if err != nil {
+				sent <- total
+				return
+			}
+		}
+	}()
+	return listener.Addr().String(), sent
+}
+
+func TestEndlessBytesBeforeAResponseEndTheRequest(t *testing.T) {
+	const socketBufferBytes = 16 << 20 // more than the kernel buffers on both ends
+	for name, answer := range map[string][2]string{
+		"bytes":         {"", "x"},
+		"lines":         {"", "x\r\n"},
+		"status line":   {"HTTP/1.1 200 ", "OK"},
+		"header field":  {"HTTP/1.1 200 OK\r\nId: 1\r\nX: ", "x"},
+		"header":        {"HTTP/1.1 200 OK\r\nId: 1\r\n", "X: x\r\n"},
+		"1xx responses": {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		"stray body":    {"HTTP/1.1 200 OK\r\nId: 0\r\n\r\n", "x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, sent := endlessServer(t, answer[0], answer[1])
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			_, err := testClient().Do(ctx, address, request("1"))
+			require.ErrorIs(t, err, ErrMalformed)
+			require.NoError(t, ctx.Err(), "the request must not wait for its deadline")
+			select {
+			case total := <-sent:
+				require.Less(t, total, socketBufferBytes)
+			case <-time.After(5 * time.Second):
+				require.Fail(t, "the connection was not closed")
+			}
+		})
+	}
+}
