--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -289,3 +289,44 @@
 	require.Equal(t, FailedServer, caller.failure)
 	require.Empty(t, caller.body)
 }
+
+// endlessReader repeats a text without end.
+type endlessReader struct {
+	text string
+	read int
+}
+
+func (e *endlessReader) Read(p []byte) (int, error) {
+	n := 0
+	for n < len(p) {
+		copied := copy(p[n:], e.text[e.read%len(e.text):])
+		n, e.read = n+copied, e.read+copied
+	}
+	return n, nil
+}
+
+func TestEndlessBytesInAResponseEndTheAttempt(t *testing.T) {
+	for name, c := range map[string]struct{ kind, text string }{
+		"whole response":   {"safe", "x"},
+		"line of a stream": {"once", "x"},
+		"lines":            {"once", "data: x\n"},
+		"blank lines":      {"once", "\n"},
+		"events":           {"once", "data: x\n\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bytes := &endlessReader{text: c.text}
+			f := &fakes{responses: []func(*Attempt) (*Response, error){func(*Attempt) (*Response, error) {
+				return &Response{Status: http.StatusOK, Header: http.Header{}, Body: fakeBody{bytes}, Verified: true}, nil
+			}}}
+			done := make(chan *fakeCaller, 1)
+			go func() { done <- serve(f, c.kind, "key") }()
+			select {
+			case caller := <-done:
+				require.True(t, caller.aborted || caller.failure != 0, "the response must not look complete")
+				require.Less(t, bytes.read, 2*maxResponseBytes)
+			case <-time.After(10 * time.Second):
+				require.Fail(t, "the attempt does not end")
+			}
+		})
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -10,16 +10,24 @@
 	"godwityoke.example/godwityoke/internal/schedule"
 )
 
+// maxBytesWithoutID limits consecutive events without an id, such as comments. The events of an answer have ids.
+const maxBytesWithoutID = 64 << 10
+
 // relayStream sends the events of a response to the caller as they arrive, whole events only. It skips events up to
 // lastEventID, which the caller has from an earlier attempt.
 func (x *exchange) relayStream(id schedule.JobID, attempt *Attempt, response *Response) attemptResult {
 	reader := eventstream.NewReader(response.Body)
-	received := 0
+	received, bytesWithoutID := 0, 0
 	for {
 		if err := response.Body.SetReadDeadline(x.eventDeadline(received > 0)); err != nil {
 			return attemptResult{events: received, err: &AttemptError{Delivery: DeliveryUnknown, Err: err}}
 		}
 		event, err := reader.Next()
+		if event.HasID {
+			bytesWithoutID = 0
+		} else if bytesWithoutID += len(event.Raw); bytesWithoutID > maxBytesWithoutID {
+			err = fmt.Errorf("events without an id: %w", eventstream.ErrTooLarge)
+		}
 		if errors.Is(err, io.EOF) {
 			return x.finishStream(attempt, response)
 		}
