--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -1,7 +1,8 @@
 // Package members maintains the membership of the control group without an operator:
 // it adds VMs that request to join, removes the members that they replace, and removes
-// unresponsive members that the group does not need. Plan is a pure function that decides on the next single-step
-// change; Reconciler executes it on the leader. Consensus itself is in package consensus.
+// unresponsive and stopping members that the group does not need. Plan is a pure function
+// that decides on the next single-step change; Reconciler executes it on the leader.
+// Consensus itself is in package consensus.
 package members
 
 import (
--- a/internal/observe/events_consensus.go
+++ b/internal/observe/events_consensus.go
@@ -33,7 +33,7 @@
 	MembershipChanged = newEvent(2040, "membership_changed", zerolog.InfoLevel,
 		"The members of the control group have changed. The line lists the current members, and how many of them are voters and make a quorum. No action.")
 	MemberRemoved = newEvent(2041, "member_removed", zerolog.WarnLevel,
-		"Another control VM reports that this member was removed from the control group. If that was intended, stop the process; otherwise wipe the data folder and add the VM again.")
+		"Another control VM reports that this member was removed from the control group, as after a planned stop or an outage. On a platform without a list of VMs it joins again by itself. Otherwise stop the process if that was intended, or wipe the data folder and add the VM again.")
 	MemberUnreachable = newEvent(2050, "member_unreachable", zerolog.WarnLevel,
 		"The connection to another control VM failed or timed out; this VM reconnects by itself. If it repeats, check that VM and the network.")
 	MemberReachable = newEvent(2051, "member_reachable", zerolog.InfoLevel,
