--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"godwityoke.example/godwityoke/internal/observe"
@@ -76,6 +77,8 @@
 	// lastEventID is the id of the last event that the caller has, 0 for none.
 	lastEventID uint64
 	eventsSent  int
+	// retryAllowed is set when the retry budget has allowed the next retry already.
+	retryAllowed atomic.Bool
 	// mayCrashServers is set once several servers have crashed under prompts that share a part with this one.
 	mayCrashServers bool
 	timing          timing
@@ -112,7 +115,7 @@
 			x.refuseQuarantined(part)
 			return
 		}
-		if x.deliveries > 0 && !x.gateway.options.Budget.TryRetry(x.service) {
+		if x.deliveries > 0 && !x.retryAllowed.Swap(false) && !x.gateway.options.Budget.TryRetry(x.service) {
 			x.gateway.options.Placer.Ended(id, schedule.OutcomeDone)
 			x.failUnplaced(ctx, errRetryBudgetSpent.Error(), overloadRetryAfter)
 			return
@@ -276,15 +279,15 @@
 }
 
 // startResponseTimer cancels the attempt with errUnresponsive when the server has not begun its response by the
-// deadline of the first event. It returns a function that stops the timer. No timer is started when the request must
+// deadline of the first event and a retry is allowed. It returns a function that stops the timer. No timer is started when the request must
 // not be retried or when too little time would be left for a retry: then the deadline of the request ends the attempt,
 // and the server is not reported as unresponsive.
-func (x *exchange) startResponseTimer(cancel context.CancelCauseFunc) (stop func() bool) {
+func (x *exchange) startResponseTimer(cancel context.CancelCauseFunc) (stop func()) {
 	firstEventDeadline := x.eventDeadline(false)
-	if !x.route.IsRetryable() || x.deadline.Sub(firstEventDeadline) < minStallTimeout/2 {
-		return func() bool { return true }
+	if x.deadline.Sub(firstEventDeadline) < minStallTimeout/2 {
+		return func() {}
 	}
-	return time.AfterFunc(time.Until(firstEventDeadline), func() { cancel(errUnresponsive) }).Stop
+	return x.startStallTimer(firstEventDeadline, func() { cancel(errUnresponsive) }).stop
 }
 
 // placementOutcome returns what the scheduler is told about the attempt. An attempt that failed because the request
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -5,9 +5,11 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -330,3 +332,65 @@
 		})
 	}
 }
+
+// slowBody sends the first of its parts at once and the others from resumeAt on. A pending read fails at its deadline,
+// also if that is set during the read.
+type slowBody struct {
+	parts    []string
+	resumeAt time.Time
+	mu       sync.Mutex
+	deadline time.Time
+}
+
+func (s *slowBody) SetReadDeadline(deadline time.Time) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deadline = deadline
+	return nil
+}
+
+func (s *slowBody) Close() error { return nil }
+
+func (s *slowBody) Read(p []byte) (int, error) {
+	if len(s.parts) == 0 {
+		return 0, io.EOF
+	}
+	for len(s.parts) == 1 && time.Now().Before(s.resumeAt) {
+		s.mu.Lock()
+		passed := !time.Now().Before(s.deadline)
+		s.mu.Unlock()
+		if passed {
+			return 0, os.ErrDeadlineExceeded
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	n := copy(p, s.parts[0])
+	s.parts = s.parts[1:]
+	return n, nil
+}
+
+func TestStalledStreamGoesOnWhileNoRetryIsAllowed(t *testing.T) {
+	for name, retries := range map[string]int{"no retry": 0, "retry": 9} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				slow := &slowBody{parts: []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}}
+				slow.resumeAt = time.Now().Add(3 * time.Second)
+				f := &fakes{retriesLeft: retries, responses: []func(*Attempt) (*Response, error){
+					func(*Attempt) (*Response, error) {
+						return &Response{Status: 200, Header: http.Header{}, Body: slow, Verified: true}, nil
+					},
+					respond(200, events, nil),
+				}}
+				table := testTable()
+				for i := range table.Routes {
+					table.Routes[i].Timeout = 10 * time.Second
+				}
+				startedAt := time.Now()
+				caller := serveWith(f, f, table, "stream", "key", 10*time.Second)
+				require.False(t, caller.aborted)
+				require.Equal(t, events, caller.body)
+				require.Equal(t, retries > 0, time.Since(startedAt) < 2*time.Second, "a stalled stream goes on elsewhere if it may")
+			})
+		})
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -18,11 +18,16 @@
 func (x *exchange) relayStream(id schedule.JobID, attempt *Attempt, response *Response) attemptResult {
 	reader := eventstream.NewReader(response.Body)
 	received, bytesWithoutID := 0, 0
+	if err := response.Body.SetReadDeadline(x.deadline); err != nil {
+		return attemptResult{err: &AttemptError{Delivery: DeliveryUnknown, Err: err}}
+	}
+	stall := x.startStallTimer(x.eventDeadline(false), func() {
+		_ = response.Body.SetReadDeadline(time.Unix(1, 0)) // ends the pending read; fails only on a closed connection
+	})
+	defer stall.stop()
 	for {
-		if err := response.Body.SetReadDeadline(x.eventDeadline(received > 0)); err != nil {
-			return attemptResult{events: received, err: &AttemptError{Delivery: DeliveryUnknown, Err: err}}
-		}
 		event, err := reader.Next()
+		stall.stop() // the time that the caller needs to read an event does not count
 		if event.HasID {
 			bytesWithoutID = 0
 		} else if bytesWithoutID += len(event.Raw); bytesWithoutID > maxBytesWithoutID {
@@ -43,12 +48,12 @@
 		case minEventsOfSoundPrompt:
 			x.recordSound()
 		}
-		if event.HasID && event.ID <= x.lastEventID {
-			continue
-		}
-		if err := x.forwardEvent(response, event); err != nil {
-			return attemptResult{done: true}
+		if !event.HasID || event.ID > x.lastEventID {
+			if err := x.forwardEvent(response, event); err != nil {
+				return attemptResult{done: true}
+			}
 		}
+		stall.restart(x.eventDeadline(true))
 	}
 }
 
