--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -279,9 +279,9 @@
 }
 
 // startResponseTimer cancels the attempt with errUnresponsive when the server has not begun its response by the
-// deadline of the first event and a retry is allowed. It returns a function that stops the timer. No timer is started when the request must
-// not be retried or when too little time would be left for a retry: then the deadline of the request ends the attempt,
-// and the server is not reported as unresponsive.
+// deadline of the first event and a retry is allowed. It returns a function that stops the timer. No timer is started
+// when the request must not be retried or when too little time would be left for a retry: then the deadline of the
+// request ends the attempt, and the server is not reported as unresponsive.
 func (x *exchange) startResponseTimer(cancel context.CancelCauseFunc) (stop func()) {
 	firstEventDeadline := x.eventDeadline(false)
 	if x.deadline.Sub(firstEventDeadline) < minStallTimeout/2 {
