observe, gateway, site: each request that was read has a last line

Callers saw connections end without an answer, and no line told why: a caller that disconnected while its response was sent, a panic in a handler, and a body that did not arrive ended a request silently, and the HTTP servers for callers had no error log. New events 3220 to 3223 log these; 3224 logs the end of a stall timeout and whether the retry budget allows a retry. No decision changes.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -287,7 +287,7 @@
 	if x.deadline.Sub(firstEventDeadline) < minStallTimeout/2 {
 		return func() {}
 	}
-	return x.startStallTimer(firstEventDeadline, func() { cancel(errUnresponsive) }).stop
+	return x.startStallTimer(firstEventDeadline, false, func() { cancel(errUnresponsive) }).stop
 }
 
 // placementOutcome returns what the scheduler is told about the attempt. An attempt that failed because the request
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,8 +6,10 @@
 
 import (
 	"context"
+	"fmt"
 	"hash/fnv"
 	"net/http"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -219,6 +221,7 @@
 func (g *Gateway) Serve(ctx context.Context, request *Request, caller Caller) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
+	defer g.logPanic(request)
 	table := g.options.Table()
 	if table == nil {
 		wait := max(minNotReadyRetryAfter, typicalStartup-time.Since(g.startedAt))
@@ -258,6 +261,15 @@
 	x.run(ctx)
 }
 
+// logPanic logs a panic of the calling goroutine and continues it.
+func (g *Gateway) logPanic(request *Request) {
+	if cause := recover(); cause != nil {
+		observe.Log(g.options.Logger, observe.RequestPanicked).Str("request", request.ID).Str("cause", fmt.Sprint(cause)).
+			Bytes("stack", debug.Stack()).Dur("held", time.Since(request.ArrivedAt)).Send()
+		panic(cause)
+	}
+}
+
 func (g *Gateway) refuse(request *Request, caller Caller, code RefusalCode, retryAfter time.Duration, reason string) {
 	observe.Log(g.options.Logger, observe.RequestRefused).Str("request", request.ID).Str("reason", reason).
 		Dur("retry_after", retryAfter).Dur("held", time.Since(request.ArrivedAt)).Send()
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -9,9 +9,10 @@
 
 // Outcomes of requests, as label values of the metrics.
 const (
-	outcomeAnswered = "answered"
-	outcomeBroken   = "broken"
-	outcomeRefused  = "refused"
+	outcomeAnswered  = "answered"
+	outcomeAbandoned = "abandoned"
+	outcomeBroken    = "broken"
+	outcomeRefused   = "refused"
 )
 
 // timing collects the times of one request for the log and the metrics.
@@ -76,6 +77,14 @@
 		Dur("held", time.Since(x.request.ArrivedAt)).Send()
 }
 
+// logAbandoned logs and counts a request whose caller disconnected while the response was sent. err is the write error.
+func (x *exchange) logAbandoned(attempt *Attempt, err error) {
+	x.countOutcome(outcomeAbandoned)
+	observe.Log(x.gateway.options.Logger, observe.RequestAbandoned).Str("request", x.request.ID).Str("route", x.route.Name).
+		Str("server", attempt.Server.ID).Int("sends", x.attempts).Int("events", x.eventsSent).Err(err).
+		Dur("held", time.Since(x.request.ArrivedAt)).Send()
+}
+
 // isLate tells whether the request missed the targets of its route: it failed, needed a retry, or exceeded the target
 // latency or the target gap.
 func (x *exchange) isLate(success bool) bool {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -21,7 +21,7 @@
 	if err := response.Body.SetReadDeadline(x.deadline); err != nil {
 		return attemptResult{err: &AttemptError{Delivery: DeliveryUnknown, Err: err}}
 	}
-	stall := x.startStallTimer(x.eventDeadline(false), func() {
+	stall := x.startStallTimer(x.eventDeadline(false), true, func() {
 		_ = response.Body.SetReadDeadline(time.Unix(1, 0)) // ends the pending read; fails only on a closed connection
 	})
 	defer stall.stop()
@@ -50,6 +50,7 @@
 		}
 		if !event.HasID || event.ID > x.lastEventID {
 			if err := x.forwardEvent(response, event); err != nil {
+				x.logAbandoned(attempt, err)
 				return attemptResult{done: true}
 			}
 		}
--- a/internal/observe/events_gateway.go
+++ b/internal/observe/events_gateway.go
@@ -24,6 +24,16 @@
 		"A prefill helper did not answer an order to reserve, renew or release memory in time; the order is sent again, but the server may still carry out the first one. The line gives the step, the reservation (ticket) and the attempt. If one server causes many of these lines, check that server.")
 	MemoryReleased = newEvent(3209, "memory_released", zerolog.InfoLevel,
 		"The memory of a prompt on a prefill helper was released. The line gives how long it was reserved (held) and how many orders on it were not answered (unanswered). No action.")
+	RequestAbandoned = newEvent(3220, "request_abandoned", zerolog.InfoLevel,
+		"A request ended because its caller disconnected while the response was sent. The line gives the error and the number of events that were sent. No action.")
+	RequestPanicked = newEvent(3221, "request_panicked", zerolog.ErrorLevel,
+		"The code that served a request panicked, and the caller's connection was closed. The line gives the cause and the stack. Report the line.")
+	RequestUnreadable = newEvent(3222, "request_unreadable", zerolog.InfoLevel,
+		"The body of a request was too large or did not arrive in time, so the request was answered with the status in the line and not run. If there are many, check the callers and the limits of the route table.")
+	CallerServerError = newEvent(3223, "caller_server_error", zerolog.WarnLevel,
+		"The HTTP server for callers reported an error, such as a malformed header or a panic. The line gives it. If it follows a request_panicked line, it has the same cause.")
+	BackendServerSilent = newEvent(3224, "backend_server_silent", zerolog.InfoLevel,
+		"A backend server sent nothing within the stall timeout (timeout) of a request that may be retried. The line gives whether the response had begun (responding) and whether the retry budget allows another attempt (retry). The request_placed line names the server. If one server causes many of these lines, check that server.")
 	MemoryOrderFailed = newEvent(3204, "memory_order_failed", zerolog.InfoLevel,
 		"Memory for a part of a prompt could not be reserved, renewed or released on a prefill helper. The line names the server and the reservation (ticket). The server frees the memory when the reservation expires. If one server causes many of these lines, check that server.")
 )
--- a/internal/site/callers.go
+++ b/internal/site/callers.go
@@ -2,10 +2,15 @@
 
 import (
 	"context"
+	"log"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 
+	"github.com/rs/zerolog"
+
+	"godwityoke.example/godwityoke/internal/observe"
 	"godwityoke.example/godwityoke/internal/routes"
 )
 
@@ -17,6 +22,7 @@
 	listener net.Listener
 	handler  http.Handler
 	limits   func() routes.Limits
+	errorLog *log.Logger
 	running  sync.WaitGroup
 
 	mu           sync.Mutex
@@ -30,8 +36,17 @@
 	closed   bool
 }
 
-func newCallerServers(listener net.Listener, handler http.Handler, limits func() routes.Limits) *callerServers {
-	return &callerServers{listener: listener, handler: handler, limits: limits}
+func newCallerServers(listener net.Listener, handler http.Handler, limits func() routes.Limits, logger zerolog.Logger) *callerServers {
+	return &callerServers{listener: listener, handler: handler, limits: limits, errorLog: log.New(errorLogWriter{logger}, "", 0)}
+}
+
+// errorLogWriter logs each line of an http.Server's error log as an event.
+type errorLogWriter struct{ logger zerolog.Logger }
+
+// Write implements io.Writer.
+func (w errorLogWriter) Write(p []byte) (int, error) {
+	observe.Log(w.logger, observe.CallerServerError).Str("error", strings.TrimSpace(string(p))).Send()
+	return len(p), nil
 }
 
 // run accepts connections until the listener is closed, and then waits for the
@@ -64,6 +79,7 @@
 	}
 	server := &http.Server{
 		Handler: s.handler, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout, MaxHeaderBytes: limits.MaxHeaderBytes,
+		ErrorLog: s.errorLog,
 	}
 	server.SetKeepAlivesEnabled(!s.draining)
 	s.activeLimits, s.active = limits, newHandoffListener(s.listener.Addr())
--- a/internal/site/callers_test.go
+++ b/internal/site/callers_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"godwityoke.example/godwityoke/internal/routes"
@@ -26,7 +27,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
-	servers = newCallerServers(listener, handler, func() routes.Limits { return *limits.Load() })
+	servers = newCallerServers(listener, handler, func() routes.Limits { return *limits.Load() }, zerolog.Nop())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -121,3 +122,27 @@
 		require.ErrorIs(t, err, io.EOF)
 	}
 }
+
+func TestPanicOfTheCallersHandlerIsLogged(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	lines := make(chan string, 10)
+	logger := zerolog.New(writerFunc(func(p []byte) (int, error) { lines <- string(p); return len(p), nil }))
+	panicking := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic("test") })
+	servers := newCallerServers(listener, panicking, func() routes.Limits { return routes.Limits{} }, logger)
+	go servers.run(context.Background())
+	t.Cleanup(servers.close)
+	_, err = dialCallers(t, listener.Addr().String()).get(0)
+	require.Error(t, err)
+	select {
+	case line := <-lines:
+		require.Contains(t, line, `"name":"caller_server_error"`)
+		require.Contains(t, line, "panic serving")
+	case <-time.After(3 * time.Second):
+		require.Fail(t, "the panic was not logged")
+	}
+}
+
+type writerFunc func(p []byte) (int, error)
+
+func (f writerFunc) Write(p []byte) (int, error) { return f(p) }
--- a/internal/site/entry.go
+++ b/internal/site/entry.go
@@ -81,6 +81,7 @@
 	BodyTimeout time.Duration
 	// IsStopping reports whether a connection is to be closed after its response.
 	IsStopping func() bool
+	Logger     zerolog.Logger
 }
 
 // Entry is the process of an entry VM.
@@ -138,14 +139,16 @@
 		_ = callers.Close()
 		return err
 	}
-	handler := adapter.NewCallerHandler(CallerOptions{Gateway: e.gateway, Limits: e.limits, BodyTimeout: bodyTimeout, IsStopping: e.stopping.Load})
+	handler := adapter.NewCallerHandler(CallerOptions{
+		Gateway: e.gateway, Limits: e.limits, BodyTimeout: bodyTimeout, IsStopping: e.stopping.Load, Logger: e.logger,
+	})
 	recorded := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.lastRequest.Store(time.Now().UnixNano())
 		handler.ServeHTTP(w, r)
 	})
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	server := newCallerServers(callers, recorded, e.limits)
+	server := newCallerServers(callers, recorded, e.limits, e.logger)
 	e.running.Go(func() { server.run(background) })
 	readinessServer := e.serve(readiness, adapter.NewReadinessHandler(func() bool { return !e.stopping.Load() && e.link.IsReady() }))
 	e.running.Go(func() { e.link.Run(background) })
