gateway, quarantine: the lines on lost connections tell whole requests apart

Callers saw servers crash one after the other; the log lines of lost connections could not show whether requests of one team with the same path and body did it, nor what the bounds on suspects had dropped. They now give the identity of the whole request, the run of the server, the events of the attempt, the servers crashed under its parts and the number of suspects and evictions. No decision changes.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/quarantine"
 	"godwityoke.example/godwityoke/internal/routes"
 	"godwityoke.example/godwityoke/internal/schedule"
 )
@@ -79,6 +80,8 @@
 	eventsSent  int
 	// retryAllowed is set when the retry budget has allowed the next retry already.
 	retryAllowed atomic.Bool
+	// identity is the whole request in the evidence on crashes.
+	identity *quarantine.Request
 	// mayCrashServers is set once several servers have crashed under prompts that share a part with this one.
 	mayCrashServers bool
 	timing          timing
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,7 +42,7 @@
 	PromptTokens int
 	AnswerTokens int
 	// Parts are the parts of the prompt that other prompts may share.
-	Parts     []quarantine.Part
+	Parts     []quarantine.Subject
 	ArrivedAt time.Time
 }
 
@@ -243,6 +243,7 @@
 			return
 		}
 	}
+	x.identity = quarantine.NewRequest(x.teamName(), request.Method, route.Host, request.Target, request.Body)
 	if part, found := g.options.Evidence.Quarantined(time.Now(), request.Parts); found {
 		x.refuseQuarantined(part)
 		return
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -155,7 +155,7 @@
 	}, kind, key, timeout)
 }
 
-func serveOptions(options Options, kind, key string, timeout time.Duration, parts ...quarantine.Part) *fakeCaller {
+func serveOptions(options Options, kind, key string, timeout time.Duration, parts ...quarantine.Subject) *fakeCaller {
 	options.Zone, options.Incarnation, options.Logger, options.Metrics = "a", 1, zerolog.Nop(), observe.NewMetrics()
 	g := New(options)
 	caller := &fakeCaller{}
--- a/internal/gateway/harmful.go
+++ b/internal/gateway/harmful.go
@@ -26,16 +26,21 @@
 // connection before it had answered. A timeout or an error response is no evidence.
 func (x *exchange) recordCrash(ctx context.Context, attempt *Attempt, result attemptResult) {
 	lost := result.err != nil && result.err.Delivery == DeliveryUnknown && isConnectionLost(result.err)
-	if !lost || ctx.Err() != nil || len(x.request.Parts) == 0 || result.events > maxEventsBeforeCrash {
+	if !lost || ctx.Err() != nil || result.events > maxEventsBeforeCrash {
 		return
 	}
 	run := quarantine.NewServerRun(attempt.Server.ID, attempt.Server.StartedAt)
+	var crashed, suspects, evicted int
 	x.gateway.options.Evidence.Do(func(t *quarantine.Tracker) {
-		t.RecordCrash(time.Now(), run, quarantine.NewRequest(x.request.ID), x.request.Parts)
+		t.RecordCrash(time.Now(), run, quarantine.NewRequestID(x.request.ID), x.request.Parts)
 		x.mayCrashServers = t.Suspected(x.request.Parts)
+		crashed = t.CrashedServers(x.request.Parts)
+		suspects, evicted = t.Stats()
 	})
 	observe.Log(x.gateway.options.Logger, observe.ConnectionLostBeforeAnswer).Str("request", x.request.ID).
-		Str("server", attempt.Server.ID).Int("parts", len(x.request.Parts)).Bool("suspected", x.mayCrashServers).Err(result.err).Send()
+		Stringer("identity", x.identity.Subject()).Str("server", attempt.Server.ID).Str("run", fmt.Sprintf("%016x", uint64(run))).
+		Int("events", result.events).Int("parts", len(x.request.Parts)).Int("crashed", crashed).
+		Bool("suspected", x.mayCrashServers).Int("suspects", suspects).Int("evicted", evicted).Err(result.err).Send()
 }
 
 // recordSound records that a server has answered the prompt.
@@ -51,7 +56,7 @@
 }
 
 // refuseQuarantined ends a request whose prompt has a quarantined part.
-func (x *exchange) refuseQuarantined(part quarantine.Part) {
+func (x *exchange) refuseQuarantined(part quarantine.Subject) {
 	reason := fmt.Sprintf("part %016x of the prompt crashes backend servers", uint64(part))
 	if x.headSent || x.possibleRuns > 0 {
 		x.failUnplaced(context.Background(), reason, 0)
--- a/internal/gateway/harmful_test.go
+++ b/internal/gateway/harmful_test.go
@@ -20,7 +20,7 @@
 // crashingServers is a Backend whose servers crash when they begin an answer to a prompt with the part.
 type crashingServers struct {
 	*fakes
-	part    quarantine.Part
+	part    quarantine.Subject
 	crashes int
 }
 
@@ -36,7 +36,7 @@
 }
 
 // servePrompts serves a stream for each prompt, one after the other, and returns their callers.
-func servePrompts(backend *crashingServers, prompts ...[]quarantine.Part) []*fakeCaller {
+func servePrompts(backend *crashingServers, prompts ...[]quarantine.Subject) []*fakeCaller {
 	table := testTable()
 	g := New(Options{
 		Table: func() *routes.Table { return table }, Placer: backend, Budget: backend, Servers: backend, Backend: backend,
@@ -57,9 +57,9 @@
 func TestPromptsThatCrashServersAreRefusedAndSoundOnesAreServed(t *testing.T) {
 	shared, harmful := quarantine.NewPart("shared"), quarantine.NewPart("harmful")
 	backend := &crashingServers{fakes: &fakes{retriesLeft: 100}, part: harmful}
-	var prompts [][]quarantine.Part
+	var prompts [][]quarantine.Subject
 	for range 10 {
-		prompts = append(prompts, []quarantine.Part{shared, harmful}, []quarantine.Part{shared})
+		prompts = append(prompts, []quarantine.Subject{shared, harmful}, []quarantine.Subject{shared})
 	}
 	callers := servePrompts(backend, prompts...)
 	require.LessOrEqual(t, backend.crashes, 5, "requests with the part must not reach servers after the fifth crash")
--- a/internal/hub/broadcast.go
+++ b/internal/hub/broadcast.go
@@ -55,7 +55,7 @@
 	servers map[string]roster.Server
 	entries []string
 	// evidence holds the newest evidence on each part of prompts that is to be sent.
-	evidence map[quarantine.Part]quarantine.Evidence
+	evidence map[quarantine.Subject]quarantine.Evidence
 }
 
 // setPeers starts and stops peers, so that they match the given addresses without
@@ -81,7 +81,7 @@
 
 func startBroadcastPeer(options *Options, address string) *broadcastPeer {
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &broadcastPeer{address: address, options: options, cancel: cancel, wake: make(chan struct{}, 1), servers: map[string]roster.Server{}, evidence: map[quarantine.Part]quarantine.Evidence{}}
+	p := &broadcastPeer{address: address, options: options, cancel: cancel, wake: make(chan struct{}, 1), servers: map[string]roster.Server{}, evidence: map[quarantine.Subject]quarantine.Evidence{}}
 	go p.run(ctx)
 	return p
 }
@@ -104,7 +104,7 @@
 	for _, peer := range b.peers {
 		peer.mu.Lock()
 		for _, e := range evidence {
-			peer.evidence[e.Part] = e
+			peer.evidence[e.Subject] = e
 		}
 		peer.mu.Unlock()
 	}
@@ -178,7 +178,7 @@
 func (p *broadcastPeer) send(ctx context.Context) error {
 	p.mu.Lock()
 	servers, entries, evidence := p.servers, p.entries, p.evidence
-	p.servers, p.entries, p.evidence = map[string]roster.Server{}, nil, map[quarantine.Part]quarantine.Evidence{}
+	p.servers, p.entries, p.evidence = map[string]roster.Server{}, nil, map[quarantine.Subject]quarantine.Evidence{}
 	p.mu.Unlock()
 	if len(servers) == 0 && len(entries) == 0 && len(evidence) == 0 {
 		return nil
@@ -204,7 +204,7 @@
 // requeue queues announcements and evidence again after a failed call, except for
 // servers and parts with newer ones in the queue. Evidence on parts beyond
 // maxQueuedEvidence is dropped: quarantined parts are sent again every refreshInterval.
-func (p *broadcastPeer) requeue(servers map[string]roster.Server, evidence map[quarantine.Part]quarantine.Evidence) {
+func (p *broadcastPeer) requeue(servers map[string]roster.Server, evidence map[quarantine.Subject]quarantine.Evidence) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, server := range servers {
--- a/internal/hub/convert.go
+++ b/internal/hub/convert.go
@@ -60,7 +60,7 @@
 	age := func(at time.Time) uint32 { return uint32(max(0, now.Sub(at).Milliseconds())) }
 	messages := make([]*hubpb.PartEvidence, 0, len(evidence))
 	for _, e := range evidence {
-		message := &hubpb.PartEvidence{Part: uint64(e.Part)}
+		message := &hubpb.PartEvidence{Part: uint64(e.Subject)}
 		for _, crash := range e.Crashes {
 			message.Crashes = append(message.Crashes, &hubpb.PartCrash{
 				ServerRun: uint64(crash.Server), Request: uint64(crash.Request), AgeMs: age(crash.At),
@@ -78,10 +78,10 @@
 	at := func(ageMs uint32) time.Time { return now.Add(-time.Duration(ageMs) * time.Millisecond) }
 	evidence := make([]quarantine.Evidence, 0, len(messages))
 	for _, message := range messages {
-		e := quarantine.Evidence{Part: quarantine.Part(message.GetPart())}
+		e := quarantine.Evidence{Subject: quarantine.Subject(message.GetPart())}
 		for _, crash := range message.GetCrashes() {
 			e.Crashes = append(e.Crashes, quarantine.Crash{
-				Server: quarantine.ServerRun(crash.GetServerRun()), Request: quarantine.Request(crash.GetRequest()), At: at(crash.GetAgeMs()),
+				Server: quarantine.ServerRun(crash.GetServerRun()), Request: quarantine.RequestID(crash.GetRequest()), At: at(crash.GetAgeMs()),
 			})
 		}
 		if message.SoundAgeMs != nil {
--- a/internal/hub/core.go
+++ b/internal/hub/core.go
@@ -62,7 +62,7 @@
 	// evidence is passed on between VMs; this VM itself stops no request.
 	evidence *quarantine.Tracker
 	// quarantined holds the quarantined parts that were logged.
-	quarantined map[quarantine.Part]bool
+	quarantined map[quarantine.Subject]bool
 }
 
 func newCore(options *Options) *core {
@@ -423,11 +423,11 @@
 // logQuarantined logs the parts that were not quarantined at the last call.
 func (c *core) logQuarantined(quarantined []quarantine.Evidence) {
 	known := c.quarantined
-	c.quarantined = make(map[quarantine.Part]bool, len(quarantined))
+	c.quarantined = make(map[quarantine.Subject]bool, len(quarantined))
 	for _, e := range quarantined {
-		c.quarantined[e.Part] = true
-		if !known[e.Part] {
-			observe.Log(c.options.Logger, observe.PartQuarantined).Str("part", fmt.Sprintf("%016x", uint64(e.Part))).
+		c.quarantined[e.Subject] = true
+		if !known[e.Subject] {
+			observe.Log(c.options.Logger, observe.PartQuarantined).Str("part", fmt.Sprintf("%016x", uint64(e.Subject))).
 				Int("crashes", len(e.Crashes)).Send()
 		}
 	}
--- a/internal/hub/evidence_test.go
+++ b/internal/hub/evidence_test.go
@@ -12,11 +12,11 @@
 	"godwityoke.example/godwityoke/internal/quarantine"
 )
 
-var harmfulParts = []quarantine.Part{quarantine.NewPart("harmful")}
+var harmfulParts = []quarantine.Subject{quarantine.NewPart("harmful")}
 
 func recordCrash(link *Link, name string) {
 	link.Evidence().Do(func(t *quarantine.Tracker) {
-		t.RecordCrash(time.Now(), quarantine.NewServerRun(name, time.Time{}), quarantine.NewRequest(name), harmfulParts)
+		t.RecordCrash(time.Now(), quarantine.NewServerRun(name, time.Time{}), quarantine.NewRequestID(name), harmfulParts)
 	})
 }
 
@@ -70,7 +70,7 @@
 	s := &session{vm: "entry-1", outbox: make(chan *hubpb.HubFrame, outboxFrames), drop: func() {}}
 	c.sessions[s] = true
 	for _, name := range []string{"server 1", "server 2", "server 3"} {
-		c.evidence.RecordCrash(now, quarantine.NewServerRun(name, time.Time{}), quarantine.NewRequest(name), harmfulParts)
+		c.evidence.RecordCrash(now, quarantine.NewServerRun(name, time.Time{}), quarantine.NewRequestID(name), harmfulParts)
 	}
 	for round := range 3 {
 		c.tick(now.Add(time.Duration(round) * refreshInterval))
--- a/internal/observe/events_gateway.go
+++ b/internal/observe/events_gateway.go
@@ -19,7 +19,7 @@
 	RequestPlacedAgain = newEvent(3207, "request_placed_again", zerolog.WarnLevel,
 		"A request was placed again after a failed attempt. The fields are those of request_placed. No action.")
 	ConnectionLostBeforeAnswer = newEvent(3210, "connection_lost_before_answer", zerolog.InfoLevel,
-		"A backend server closed or reset the connection of a request before it had answered its prompt, as in a crash. The line counts the parts of the prompt that others may share; suspected means that several servers did so under one of them, and the request is not sent again. If there are many for one server, check that server.")
+		"A backend server closed or reset the connection of a request before it had answered its prompt, as in a crash. The line gives the run of the server, the events of the attempt (events), the number of the parts of the prompt that others may share (parts), and the largest number of servers that crashed under one of them (crashed); requests of one team with the same method, host, path and body have the same identity. Suspected means that several servers crashed, and the request is not sent again. suspects counts what this VM has evidence on, evicted what it has dropped for want of space. If there are many for one server, check that server.")
 	MemoryOrderUnanswered = newEvent(3208, "memory_order_unanswered", zerolog.InfoLevel,
 		"A prefill helper did not answer an order to reserve, renew or release memory in time; the order is sent again, but the server may still carry out the first one. The line gives the step, the reservation (ticket) and the attempt. If one server causes many of these lines, check that server.")
 	MemoryReleased = newEvent(3209, "memory_released", zerolog.InfoLevel,
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -22,7 +22,7 @@
 }
 
 // Quarantined is Tracker.Quarantined.
-func (g *Guard) Quarantined(now time.Time, parts []Part) (part Part, found bool) {
+func (g *Guard) Quarantined(now time.Time, parts []Subject) (part Subject, found bool) {
 	if len(parts) == 0 {
 		return 0, false
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -9,6 +9,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"hash/fnv"
 	"maps"
 	"slices"
@@ -37,17 +38,32 @@
 	soundReportInterval = time.Second
 )
 
-// Part identifies a part of a prompt that other prompts may share.
-type Part uint64
+// Subject identifies what may crash servers: a part of a prompt that other prompts may
+// share, or a whole request.
+type Subject uint64
 
-// NewPart returns the part with the given name.
-func NewPart(name string) Part { return Part(hash(name)) }
+// wholeRequest is the bit that whole requests have and parts of prompts have not.
+const wholeRequest Subject = 1 << 63
 
-// Request identifies a request of a caller.
-type Request uint64
+// NewPart returns the part of prompts with the given name.
+func NewPart(name string) Subject { return Subject(hash(name)) &^ wholeRequest }
 
-// NewRequest returns the request with the given id.
-func NewRequest(id string) Request { return Request(hash(id)) }
+// IsWholeRequest reports whether the subject is a whole request.
+func (s Subject) IsWholeRequest() bool { return s&wholeRequest != 0 }
+
+// RequestID identifies a request of a caller by its id.
+type RequestID uint64
+
+// NewRequestID returns the request with the given id.
+func NewRequestID(id string) RequestID { return RequestID(hash(id)) }
+
+// String returns the kind of the subject and its identity in hexadecimal digits.
+func (s Subject) String() string {
+	if s.IsWholeRequest() {
+		return fmt.Sprintf("request %016x", uint64(s))
+	}
+	return fmt.Sprintf("part %016x", uint64(s))
+}
 
 // ServerRun identifies one run of a backend server: a server that has crashed and
 // started again is another one.
@@ -67,13 +83,13 @@
 // Crash is the crash of a server before it had answered a request.
 type Crash struct {
 	Server  ServerRun
-	Request Request
+	Request RequestID
 	At      time.Time
 }
 
 // Evidence is what is known of one part.
 type Evidence struct {
-	Part    Part
+	Subject Subject
 	Crashes []Crash
 	// SoundAt is when a server last answered a prompt with the part, zero if unknown.
 	SoundAt time.Time
@@ -93,7 +109,7 @@
 
 // isHarmful reports whether enough different servers crashed under different requests.
 func (s *suspect) isHarmful() bool {
-	requests := map[Request]bool{}
+	requests := map[RequestID]bool{}
 	for _, crash := range s.crashes {
 		requests[crash.Request] = true
 	}
@@ -122,36 +138,38 @@
 
 // Tracker holds the evidence that one VM knows. It is not safe for concurrent use.
 type Tracker struct {
-	suspects map[Part]*suspect
+	suspects map[Subject]*suspect
 	// changed holds the parts whose evidence changed since the last TakeChanges.
-	changed map[Part]bool
+	changed map[Subject]bool
 	// sound and olderSound hold when parts were last answered, in two generations.
-	sound, olderSound map[Part]time.Time
+	sound, olderSound map[Subject]time.Time
 	rotatedAt         time.Time
+	// evicted counts the suspects that were dropped to stay within maxSuspects.
+	evicted int
 }
 
 // NewTracker returns a tracker without evidence.
 func NewTracker() *Tracker {
 	return &Tracker{
-		suspects: map[Part]*suspect{}, changed: map[Part]bool{}, sound: map[Part]time.Time{}, olderSound: map[Part]time.Time{},
+		suspects: map[Subject]*suspect{}, changed: map[Subject]bool{}, sound: map[Subject]time.Time{}, olderSound: map[Subject]time.Time{},
 	}
 }
 
 // RecordCrash records that a server crashed before it had answered a request whose
 // prompt has the given parts. Parts that were answered lately are not suspected.
-func (t *Tracker) RecordCrash(now time.Time, server ServerRun, request Request, parts []Part) {
+func (t *Tracker) RecordCrash(now time.Time, server ServerRun, request RequestID, parts []Subject) {
 	for _, part := range parts {
 		if t.suspects[part] == nil && now.Sub(t.lastSound(part)) <= soundFor {
 			continue
 		}
-		t.merge(now, Evidence{Part: part, Crashes: []Crash{{Server: server, Request: request, At: now}}})
+		t.merge(now, Evidence{Subject: part, Crashes: []Crash{{Server: server, Request: request, At: now}}})
 	}
 }
 
 // RecordSound records that a server has answered a prompt with the given parts.
-func (t *Tracker) RecordSound(now time.Time, parts []Part) {
+func (t *Tracker) RecordSound(now time.Time, parts []Subject) {
 	if now.Sub(t.rotatedAt) > soundFor || len(t.sound) >= maxSound {
-		t.sound, t.olderSound, t.rotatedAt = make(map[Part]time.Time, len(parts)), t.sound, now
+		t.sound, t.olderSound, t.rotatedAt = make(map[Subject]time.Time, len(parts)), t.sound, now
 	}
 	for _, part := range parts {
 		t.sound[part] = now
@@ -165,7 +183,7 @@
 	}
 }
 
-func (t *Tracker) lastSound(part Part) time.Time {
+func (t *Tracker) lastSound(part Subject) time.Time {
 	if at, found := t.sound[part]; found {
 		return at
 	}
@@ -180,22 +198,22 @@
 }
 
 func (t *Tracker) merge(now time.Time, e Evidence) {
-	s := t.suspects[e.Part]
+	s := t.suspects[e.Subject]
 	if s == nil {
 		if len(e.Crashes) == 0 {
 			return // only evidence on suspected parts is kept
 		}
 		s = &suspect{usedAt: now}
-		t.suspects[e.Part] = s
+		t.suspects[e.Subject] = s
 	}
 	soundAt := e.SoundAt
-	if own := t.lastSound(e.Part); own.After(soundAt) {
+	if own := t.lastSound(e.Subject); own.After(soundAt) {
 		soundAt = own
 	}
 	if soundAt.Sub(s.soundAt) >= soundReportInterval {
 		s.setSound(soundAt)
 		s.reportedSoundAt = soundAt
-		t.changed[e.Part] = true
+		t.changed[e.Subject] = true
 	}
 	for _, crash := range e.Crashes {
 		if now.Sub(crash.At) > retention || len(s.crashes) >= maxCrashesPerPart || !s.counts(crash) || s.hasCrash(crash) {
@@ -203,7 +221,7 @@
 		}
 		s.crashes = append(s.crashes, crash)
 		s.usedAt = now
-		t.changed[e.Part] = true
+		t.changed[e.Subject] = true
 	}
 	t.limitSuspects()
 }
@@ -219,7 +237,7 @@
 func (t *Tracker) limitSuspects() {
 	for len(t.suspects) > maxSuspects {
 		parts := slices.Collect(maps.Keys(t.suspects))
-		dropped := slices.MinFunc(parts, func(a, b Part) int {
+		dropped := slices.MinFunc(parts, func(a, b Subject) int {
 			first, second := t.suspects[a], t.suspects[b]
 			switch {
 			case first.isHarmful() && !second.isHarmful():
@@ -231,7 +249,23 @@
 		})
 		delete(t.suspects, dropped)
 		delete(t.changed, dropped)
+		t.evicted++
+	}
+}
+
+// Stats returns the number of suspects, and of those dropped for want of space so far.
+func (t *Tracker) Stats() (suspects, evicted int) { return len(t.suspects), t.evicted }
+
+// CrashedServers returns the largest number of servers that crashed under one of the
+// subjects.
+func (t *Tracker) CrashedServers(subjects []Subject) int {
+	most := 0
+	for _, subject := range subjects {
+		if s := t.suspects[subject]; s != nil {
+			most = max(most, s.servers())
+		}
 	}
+	return most
 }
 
 // Expire drops the suspects that were not used within retention.
@@ -246,7 +280,7 @@
 
 // Quarantined returns the first quarantined part and true if there is one among parts.
 // The quarantine lasts for another retention from now.
-func (t *Tracker) Quarantined(now time.Time, parts []Part) (Part, bool) {
+func (t *Tracker) Quarantined(now time.Time, parts []Subject) (Subject, bool) {
 	for _, part := range parts {
 		if s := t.suspects[part]; s != nil && s.isHarmful() {
 			s.usedAt = now
@@ -258,8 +292,8 @@
 
 // Suspected reports whether several servers have crashed under prompts with one of the
 // parts, so that a retry of such a prompt may crash another one.
-func (t *Tracker) Suspected(parts []Part) bool {
-	return slices.ContainsFunc(parts, func(part Part) bool {
+func (t *Tracker) Suspected(parts []Subject) bool {
+	return slices.ContainsFunc(parts, func(part Subject) bool {
 		s := t.suspects[part]
 		return s != nil && s.servers() > 1
 	})
@@ -280,7 +314,7 @@
 
 // AllQuarantined returns the evidence on the quarantined parts.
 func (t *Tracker) AllQuarantined() []Evidence {
-	var parts []Part
+	var parts []Subject
 	for part, s := range t.suspects {
 		if s.isHarmful() {
 			parts = append(parts, part)
@@ -290,11 +324,11 @@
 	return t.evidence(parts)
 }
 
-func (t *Tracker) evidence(parts []Part) []Evidence {
+func (t *Tracker) evidence(parts []Subject) []Evidence {
 	list := make([]Evidence, 0, len(parts))
 	for _, part := range parts {
 		s := t.suspects[part]
-		list = append(list, Evidence{Part: part, Crashes: slices.Clone(s.crashes), SoundAt: s.soundAt})
+		list = append(list, Evidence{Subject: part, Crashes: slices.Clone(s.crashes), SoundAt: s.soundAt})
 	}
 	return list
 }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -11,39 +11,39 @@
 
 var start = time.Unix(1_000_000, 0)
 
-func run(n int) ServerRun   { return NewServerRun(fmt.Sprintf("s%d", n), start) }
-func request(n int) Request { return NewRequest(fmt.Sprintf("r%d", n)) }
+func run(n int) ServerRun     { return NewServerRun(fmt.Sprintf("s%d", n), start) }
+func request(n int) RequestID { return NewRequestID(fmt.Sprintf("r%d", n)) }
 
 var harmful, shared = NewPart("harmful"), NewPart("shared")
 
 func TestPartThatCrashesServersIsQuarantined(t *testing.T) {
 	tracker := NewTracker()
-	tracker.RecordSound(start, []Part{shared})
+	tracker.RecordSound(start, []Subject{shared})
 	for n := range minCrashes {
-		_, found := tracker.Quarantined(start, []Part{shared, harmful})
+		_, found := tracker.Quarantined(start, []Subject{shared, harmful})
 		require.False(t, found, "after %d crashes", n)
-		tracker.RecordCrash(start.Add(time.Second), run(n), request(n), []Part{shared, harmful})
+		tracker.RecordCrash(start.Add(time.Second), run(n), request(n), []Subject{shared, harmful})
 	}
-	part, found := tracker.Quarantined(start.Add(time.Second), []Part{shared, harmful})
+	part, found := tracker.Quarantined(start.Add(time.Second), []Subject{shared, harmful})
 	require.True(t, found)
 	require.Equal(t, harmful, part)
-	_, found = tracker.Quarantined(start.Add(time.Second), []Part{shared})
+	_, found = tracker.Quarantined(start.Add(time.Second), []Subject{shared})
 	require.False(t, found, "sound prompts share this part")
 }
 
 func TestRepeatsOfOneRequestAndCrashesOfOneServerCountOnce(t *testing.T) {
 	tracker := NewTracker()
 	for n := range 2 * minCrashes {
-		tracker.RecordCrash(start, run(n), request(0), []Part{harmful})
+		tracker.RecordCrash(start, run(n), request(0), []Subject{harmful})
 	}
-	_, found := tracker.Quarantined(start, []Part{harmful})
+	_, found := tracker.Quarantined(start, []Subject{harmful})
 	require.False(t, found, "one request")
-	require.True(t, tracker.Suspected([]Part{harmful}))
+	require.True(t, tracker.Suspected([]Subject{harmful}))
 	tracker = NewTracker()
 	for n := range 2 * minCrashes {
-		tracker.RecordCrash(start, run(0), request(n), []Part{harmful})
+		tracker.RecordCrash(start, run(0), request(n), []Subject{harmful})
 	}
-	_, found = tracker.Quarantined(start, []Part{harmful})
+	_, found = tracker.Quarantined(start, []Subject{harmful})
 	require.False(t, found, "one server")
 }
 
@@ -53,11 +53,11 @@
 	tracker := NewTracker()
 	now := start
 	for n := range 10 * minCrashes {
-		tracker.RecordCrash(now, run(n), request(n), []Part{shared})
-		tracker.RecordSound(now, []Part{shared})
+		tracker.RecordCrash(now, run(n), request(n), []Subject{shared})
+		tracker.RecordSound(now, []Subject{shared})
 		now = now.Add(100 * time.Millisecond)
 	}
-	_, found := tracker.Quarantined(now.Add(2*soundFor), []Part{shared})
+	_, found := tracker.Quarantined(now.Add(2*soundFor), []Subject{shared})
 	require.False(t, found)
 }
 
@@ -65,14 +65,14 @@
 // have seen.
 func TestVMThatStartedLaterLearnsThatAPartIsSound(t *testing.T) {
 	known, started := NewTracker(), NewTracker()
-	known.RecordSound(start, []Part{shared})
+	known.RecordSound(start, []Subject{shared})
 	for n := range minCrashes {
-		started.RecordCrash(start.Add(time.Second), run(n), request(n), []Part{shared})
+		started.RecordCrash(start.Add(time.Second), run(n), request(n), []Subject{shared})
 	}
 	known.Merge(start.Add(time.Second), started.TakeChanges())
 	started.Merge(start.Add(time.Second), known.TakeChanges())
 	for name, tracker := range map[string]*Tracker{"known": known, "started": started} {
-		_, found := tracker.Quarantined(start.Add(time.Second), []Part{shared})
+		_, found := tracker.Quarantined(start.Add(time.Second), []Subject{shared})
 		require.False(t, found, name)
 	}
 }
@@ -80,13 +80,13 @@
 func TestQuarantineEndsWhenNoSuchRequestCame(t *testing.T) {
 	tracker := NewTracker()
 	for n := range minCrashes {
-		tracker.RecordCrash(start, run(n), request(n), []Part{harmful})
+		tracker.RecordCrash(start, run(n), request(n), []Subject{harmful})
 	}
 	now := start
 	for range 5 {
 		now = now.Add(retention - time.Second)
 		tracker.Expire(now)
-		_, found := tracker.Quarantined(now, []Part{harmful})
+		_, found := tracker.Quarantined(now, []Subject{harmful})
 		require.True(t, found, "requests with the part still come")
 	}
 	tracker.Expire(now.Add(retention + time.Second))
@@ -98,24 +98,24 @@
 func TestEvidenceIsBounded(t *testing.T) {
 	tracker := NewTracker()
 	for n := range minCrashes {
-		tracker.RecordCrash(start, run(n), request(n), []Part{harmful})
+		tracker.RecordCrash(start, run(n), request(n), []Subject{harmful})
 	}
 	for n := range 3 * maxSuspects {
 		now := start.Add(time.Duration(n) * time.Millisecond)
 		part := NewPart(fmt.Sprintf("part %d", n))
-		tracker.RecordCrash(now, run(n), request(n), []Part{part})
-		tracker.RecordSound(now, []Part{NewPart(fmt.Sprintf("sound %d", n))})
+		tracker.RecordCrash(now, run(n), request(n), []Subject{part})
+		tracker.RecordSound(now, []Subject{NewPart(fmt.Sprintf("sound %d", n))})
 	}
 	require.LessOrEqual(t, len(tracker.suspects), maxSuspects)
 	require.LessOrEqual(t, len(tracker.changed), maxSuspects)
-	_, found := tracker.Quarantined(start, []Part{harmful})
+	_, found := tracker.Quarantined(start, []Subject{harmful})
 	require.True(t, found)
 	for n := range 10 * maxCrashesPerPart {
-		tracker.RecordCrash(start, run(n), request(n), []Part{harmful})
+		tracker.RecordCrash(start, run(n), request(n), []Subject{harmful})
 	}
 	require.Len(t, tracker.suspects[harmful].crashes, maxCrashesPerPart)
 	for n := range 5 * maxSound {
-		tracker.RecordSound(start.Add(time.Minute), []Part{NewPart(fmt.Sprintf("sound %d", n))})
+		tracker.RecordSound(start.Add(time.Minute), []Subject{NewPart(fmt.Sprintf("sound %d", n))})
 	}
 	require.LessOrEqual(t, len(tracker.sound)+len(tracker.olderSound), 2*maxSound)
 }
@@ -135,9 +135,9 @@
 			tracker := trackers[draw("vm", len(trackers))]
 			switch draw("step", 4) {
 			case 0:
-				tracker.RecordCrash(now, run(draw("server", 6)), request(draw("request", 6)), []Part{harmful, shared})
+				tracker.RecordCrash(now, run(draw("server", 6)), request(draw("request", 6)), []Subject{harmful, shared})
 			case 1:
-				tracker.RecordSound(now, []Part{shared})
+				tracker.RecordSound(now, []Subject{shared})
 			case 2:
 				trackers[draw("to", len(trackers))].Merge(now, tracker.All())
 			case 3:
@@ -162,9 +162,9 @@
 			}
 		}
 		for _, tracker := range trackers[1:] {
-			for _, part := range []Part{harmful, shared} {
-				_, want := trackers[0].Quarantined(now, []Part{part})
-				_, got := tracker.Quarantined(now, []Part{part})
+			for _, part := range []Subject{harmful, shared} {
+				_, want := trackers[0].Quarantined(now, []Subject{part})
+				_, got := tracker.Quarantined(now, []Subject{part})
 				require.Equal(t, want, got)
 			}
 		}
