gateway: an error response is not sent within a stream

Callers of a stream that had broken off found the text of an error in the middle of their events: the next server had answered the resumed request with a status below 500, relayWhole passed it on with status, header and body, and the response ended as if the stream were complete. With a 5xx the attempt counted as failed already; the condition covered no other status.

Once part of a stream was sent, relay accepts only a success response of events. Any other response is a failed attempt, which is retried while the route allows it and aborts the stream otherwise. The body is not read: it is of no use, and a slow one would delay the retry.

TestErrorResponseIsNotSentWithinAStream failed before with status 302 (expected 200, the status of the head already sent) and covers 3xx, 4xx and 5xx, with a retry left and without.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -334,7 +334,8 @@
 }
 
 // relay sends a response to the caller, as a stream of events or as a whole. A success response without the server's
-// signature is not sent and counts as a failed attempt.
+// signature is not sent and counts as a failed attempt. Once part of a stream was sent, only further events may follow, so
+// that every other response counts as a failed attempt, too.
 func (x *exchange) relay(id schedule.JobID, attempt *Attempt, response *Response) attemptResult {
 	success := response.Status >= http.StatusOK && response.Status < http.StatusMultipleChoices
 	switch {
@@ -342,6 +343,11 @@
 		return attemptResult{err: &AttemptError{
 			Delivery: DeliveryUnknown, Err: errors.New("the response carries no signature"),
 		}}
+	case x.headSent && !success:
+		return attemptResult{err: &AttemptError{
+			Delivery: DeliveryUnknown, ServerError: response.Status >= http.StatusInternalServerError,
+			Err: fmt.Errorf("the server responded with status %d to a stream that has begun", response.Status),
+		}}
 	case success && x.route.Kind == routes.KindStream:
 		return x.relayStream(id, attempt, response)
 	}
@@ -349,7 +355,7 @@
 }
 
 // relayWhole reads the whole body of a response and sends the response to the caller. A 5xx response is not sent but
-// returned as an error while the request may be retried or when part of a stream was already sent.
+// returned as an error while the request may be retried.
 func (x *exchange) relayWhole(attempt *Attempt, response *Response, success bool) attemptResult {
 	if err := response.Body.SetReadDeadline(x.deadline); err != nil {
 		return attemptResult{err: &AttemptError{Delivery: DeliveryUnknown, Err: err}}
@@ -362,14 +368,12 @@
 		return attemptResult{err: &AttemptError{Delivery: DeliveryUnknown, Err: fmt.Errorf("read the response: %w", err)}}
 	}
 	isServerError := response.Status >= http.StatusInternalServerError
-	if isServerError {
-		err := &AttemptError{
+	mayRetry := x.route.IsRetryable() && x.possibleRuns+1 < x.route.MaxAttempts && x.attempts < maxAttempts
+	if isServerError && mayRetry {
+		return attemptResult{err: &AttemptError{
 			Delivery: DeliveryUnknown, ServerError: true,
 			Err: fmt.Errorf("the server responded with status %d", response.Status),
-		}
-		if x.headSent || x.route.IsRetryable() && x.possibleRuns+1 < x.route.MaxAttempts && x.attempts < maxAttempts {
-			return attemptResult{err: err}
-		}
+		}}
 	}
 	if success {
 		x.recordSound()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -256,6 +256,33 @@
 	require.True(t, caller.aborted, "a truncated stream must not look complete to the caller")
 }
 
+func TestErrorResponseIsNotSentWithinAStream(t *testing.T) {
+	rest := "id: 3\ndata: c\n\n"
+	for _, status := range []int{302, 400, 404, 409, 429, 500, 503} {
+		for _, maxAttempts := range []int{2, 3} {
+			f := &fakes{retriesLeft: 9, responses: []func(*Attempt) (*Response, error){
+				respond(200, events, errReset), respond(status, "id: 3\ndata: error text\n\n", nil), respond(200, rest, nil),
+			}}
+			table := testTable()
+			for i := range table.Routes {
+				table.Routes[i].MaxAttempts = maxAttempts
+			}
+			caller := serveWith(f, f, table, "stream", "key", time.Second)
+			require.Len(t, f.attempts, maxAttempts)
+			require.Equal(t, 200, caller.status)
+			require.Zero(t, caller.failure)
+			require.Zero(t, caller.refusal)
+			resumed := maxAttempts > 2
+			require.Equal(t, resumed, !caller.aborted, "status %d: a truncated stream must not look complete", status)
+			want := events
+			if resumed {
+				want += rest
+			}
+			require.Equal(t, want, caller.body, "status %d", status)
+		}
+	}
+}
+
 // A server that never begins its response delays a resumable stream by about a second, not until its deadline.
 func TestStreamIsRetriedWhenServerIsUnresponsive(t *testing.T) {
 	f := &fakes{retriesLeft: 9}
