gateway: a whole response does not end or continue a stream

Callers of a stream that had broken off found it ended as if it were complete, or text of another answer after its events, when the next server had answered with success, but with a whole body instead of events: an empty body ended the stream properly, and a body with blank lines was taken for events.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -334,8 +334,8 @@
 }
 
 // relay sends a response to the caller, as a stream of events or as a whole. A success response without the server's
-// signature is not sent and counts as a failed attempt. Once part of a stream was sent, only further events may follow, so
-// that every other response counts as a failed attempt, too.
+// signature is not sent and counts as a failed attempt, as does one that is no stream on a route of streams. Once part of
+// a stream was sent, only further events may follow, so that every other response counts as a failed attempt, too.
 func (x *exchange) relay(id schedule.JobID, attempt *Attempt, response *Response) attemptResult {
 	success := response.Status >= http.StatusOK && response.Status < http.StatusMultipleChoices
 	switch {
@@ -343,6 +343,10 @@
 		return attemptResult{err: &AttemptError{
 			Delivery: DeliveryUnknown, Err: errors.New("the response carries no signature"),
 		}}
+	case success && x.route.Kind == routes.KindStream && !response.IsStream:
+		return attemptResult{err: &AttemptError{
+			Delivery: DeliveryUnknown, Err: fmt.Errorf("the response with status %d is not a stream of events", response.Status),
+		}}
 	case x.headSent && !success:
 		return attemptResult{err: &AttemptError{
 			Delivery: DeliveryUnknown, ServerError: response.Status >= http.StatusInternalServerError,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -131,6 +131,8 @@
 	Body   Body
 	// Verified is set when the response carries the server's signature.
 	Verified bool
+	// IsStream is set when the response states that its body is a stream of events.
+	IsStream bool
 }
 
 // Backend sends requests to backend servers. Its errors are of type *AttemptError.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -110,7 +110,7 @@
 		if readErr != nil {
 			reader = io.MultiReader(reader, brokenReader{readErr})
 		}
-		return &Response{Status: status, Header: http.Header{}, Body: fakeBody{reader}, Verified: status < 300}, nil
+		return &Response{Status: status, Header: http.Header{}, Body: fakeBody{reader}, Verified: status < 300, IsStream: true}, nil
 	}
 }
 
@@ -256,6 +256,20 @@
 	require.True(t, caller.aborted, "a truncated stream must not look complete to the caller")
 }
 
+func TestWholeResponseIsNotSentWithinAStream(t *testing.T) {
+	for name, text := range map[string]string{"empty": "", "like events": "id: 3\ndata: c\n\n"} {
+		t.Run(name, func(t *testing.T) {
+			whole := func(*Attempt) (*Response, error) {
+				return &Response{Status: 200, Header: http.Header{}, Body: fakeBody{strings.NewReader(text)}, Verified: true}, nil
+			}
+			f := &fakes{retriesLeft: 9, responses: []func(*Attempt) (*Response, error){respond(200, events, errReset), whole}}
+			caller := serve(f, "stream", "key")
+			require.Equal(t, events, caller.body)
+			require.True(t, caller.aborted, "a truncated stream must not look complete")
+		})
+	}
+}
+
 func TestErrorResponseIsNotSentWithinAStream(t *testing.T) {
 	rest := "id: 3\ndata: c\n\n"
 	for _, status := range []int{302, 400, 404, 409, 429, 500, 503} {
@@ -345,7 +359,7 @@
 		t.Run(name, func(t *testing.T) {
 			bytes := &endlessReader{text: c.text}
 			f := &fakes{responses: []func(*Attempt) (*Response, error){func(*Attempt) (*Response, error) {
-				return &Response{Status: http.StatusOK, Header: http.Header{}, Body: fakeBody{bytes}, Verified: true}, nil
+				return &Response{Status: http.StatusOK, Header: http.Header{}, Body: fakeBody{bytes}, Verified: true, IsStream: true}, nil
 			}}}
 			done := make(chan *fakeCaller, 1)
 			go func() { done <- serve(f, c.kind, "key") }()
@@ -404,7 +418,7 @@
 				slow.resumeAt = time.Now().Add(3 * time.Second)
 				f := &fakes{retriesLeft: retries, responses: []func(*Attempt) (*Response, error){
 					func(*Attempt) (*Response, error) {
-						return &Response{Status: 200, Header: http.Header{}, Body: slow, Verified: true}, nil
+						return &Response{Status: 200, Header: http.Header{}, Body: slow, Verified: true, IsStream: true}, nil
 					},
 					respond(200, events, nil),
 				}}
