gateway: a resumed stream ends only after the last event sent

A stream that broke off after event 2 ended as if it were complete when the next server sent event 1 and then the proper end of its stream, and events without an id from before event 2 were sent to the caller twice.

The end of a resumed stream now counts only if the response reached the last event that the caller has; otherwise the attempt failed. Events without an id are skipped until the response has reached that event.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -256,6 +256,31 @@
 	require.True(t, caller.aborted, "a truncated stream must not look complete to the caller")
 }
 
+// The caller has events 1 and 2 when the stream breaks off. The second server ends its stream properly.
+func TestResumedStreamIsCompleteOnlyAfterTheLastEventSent(t *testing.T) {
+	for name, c := range map[string]struct {
+		second, want string
+		complete     bool
+	}{
+		"no event":                      {"", "", true},
+		"note only":                     {": note\n\n", "", true},
+		"earlier events":                {"id: 1\ndata: a\n\n", "", false},
+		"last event again":              {"id: 2\ndata: b\n\n", "", true},
+		"later event":                   {"id: 3\ndata: c\n\n", "id: 3\ndata: c\n\n", true},
+		"earlier event without an id":   {"data: x\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n", "id: 3\ndata: c\n\n", true},
+		"repeated and descending event": {"id: 3\ndata: c\n\nid: 3\ndata: c\n\nid: 2\ndata: b\n\n", "id: 3\ndata: c\n\n", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := &fakes{retriesLeft: 9, responses: []func(*Attempt) (*Response, error){
+				respond(200, events, errReset), respond(200, c.second, nil),
+			}}
+			caller := serve(f, "stream", "key")
+			require.Equal(t, events+c.want, caller.body)
+			require.Equal(t, c.complete, !caller.aborted)
+		})
+	}
+}
+
 func TestWholeResponseIsNotSentWithinAStream(t *testing.T) {
 	for name, text := range map[string]string{"empty": "", "like events": "id: 3\ndata: c\n\n"} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -14,10 +14,10 @@
 const maxBytesWithoutID = 64 << 10
 
 // relayStream sends the events of a response to the caller as they arrive, whole events only. It skips events up to
-// lastEventID, which the caller has from an earlier attempt.
+// lastEventID, which the caller has from an earlier attempt, and events without an id before the first new one.
 func (x *exchange) relayStream(id schedule.JobID, attempt *Attempt, response *Response) attemptResult {
 	reader := eventstream.NewReader(response.Body)
-	received, bytesWithoutID := 0, 0
+	received, bytesWithoutID, maxID := 0, 0, uint64(0)
 	if err := response.Body.SetReadDeadline(x.deadline); err != nil {
 		return attemptResult{err: &AttemptError{Delivery: DeliveryUnknown, Err: err}}
 	}
@@ -29,12 +29,12 @@
 		event, err := reader.Next()
 		stall.stop() // the time that the caller needs to read an event does not count
 		if event.HasID {
-			bytesWithoutID = 0
+			bytesWithoutID, maxID = 0, max(maxID, event.ID)
 		} else if bytesWithoutID += len(event.Raw); bytesWithoutID > maxBytesWithoutID {
 			err = fmt.Errorf("events without an id: %w", eventstream.ErrTooLarge)
 		}
 		if errors.Is(err, io.EOF) {
-			return x.finishStream(attempt, response)
+			return x.finishStream(attempt, response, maxID)
 		}
 		if err != nil {
 			return attemptResult{events: received, err: &AttemptError{
@@ -48,7 +48,7 @@
 		case minEventsOfSoundPrompt:
 			x.recordSound()
 		}
-		if !event.HasID || event.ID > x.lastEventID {
+		if event.HasID && event.ID > x.lastEventID || !event.HasID && maxID >= x.lastEventID {
 			if err := x.forwardEvent(response, event); err != nil {
 				return attemptResult{done: true}
 			}
@@ -77,14 +77,20 @@
 	return nil
 }
 
-// finishStream ends a request whose response ended properly. If the caller has not been sent any event, the attempt
-// counts as failed.
-func (x *exchange) finishStream(attempt *Attempt, response *Response) attemptResult {
+// finishStream ends a request whose response ended properly; maxID is the highest event id in it, 0 for none. The attempt
+// counts as failed if the caller has not been sent any event, or has a later event than the response. A response without
+// events states that the caller has all of them.
+func (x *exchange) finishStream(attempt *Attempt, response *Response, maxID uint64) attemptResult {
 	if !x.headSent {
 		return attemptResult{err: &AttemptError{
 			Delivery: DeliveryUnknown, Err: errors.New("the stream ended without an event"),
 		}}
 	}
+	if maxID > 0 && maxID < x.lastEventID {
+		return attemptResult{err: &AttemptError{
+			Delivery: DeliveryUnknown, Err: fmt.Errorf("the stream ended at event %d, the caller has event %d", maxID, x.lastEventID),
+		}}
+	}
 	x.recordSound()
 	x.possibleRuns++
 	x.recordAnswered(attempt, response.Status, true)
