gateway: a stream without event ids is not resumed

A caller got the events of a stream twice: its events had no ids, the stream broke off, and the next server, which could not be told where to go on, began again. Such a stream is now aborted once a part of it was sent.

TestStreamWithoutEventIDsIsNotResumed failed before (event a was sent twice). The streams of the platform have ids, so this needs a faulty server.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -142,6 +142,9 @@
 	if x.attempts >= maxAttempts || x.mayCrashServers {
 		return false
 	}
+	if x.headSent && x.lastEventID == 0 { // the events have no ids, so that none can be named to resume after
+		return false
+	}
 	if err.Delivery != DeliveryUnknown {
 		return true
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -281,6 +281,15 @@
 	}
 }
 
+func TestStreamWithoutEventIDsIsNotResumed(t *testing.T) {
+	f := &fakes{retriesLeft: 9, responses: []func(*Attempt) (*Response, error){
+		respond(200, "data: a\n\n", errReset), respond(200, "data: a\n\ndata: b\n\n", nil),
+	}}
+	caller := serve(f, "stream", "key")
+	require.Equal(t, "data: a\n\n", caller.body, "an event must not be sent twice")
+	require.True(t, caller.aborted)
+}
+
 func TestWholeResponseIsNotSentWithinAStream(t *testing.T) {
 	for name, text := range map[string]string{"empty": "", "like events": "id: 3\ndata: c\n\n"} {
 		t.Run(name, func(t *testing.T) {
