gateway: a response that cannot be sent is broken, not answered

A failed write to a caller ended the request without any line (streams), or with one that it had broken and one that it was answered (whole responses), and the handler returned as after a complete response. net/http cuts the connection after a failed write, so that callers saw no complete response; but a write that fails for another reason, such as a status without a body, would have left one.

Both paths now log the request as broken and abort the response.

TestResponseThatCannotBeSentIsBrokenAndNotAnswered failed before: the response was not aborted.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -387,7 +387,9 @@
 	}
 	x.possibleRuns++
 	if err := x.caller.WriteResponse(response.Status, response.Header, body); err != nil {
-		x.logBroken(err.Error())
+		x.logBroken(fmt.Sprintf("send the response to the caller: %v", err))
+		x.caller.Abort()
+		return attemptResult{done: true, serverError: isServerError}
 	}
 	x.recordAnswered(attempt, response.Status, success)
 	return attemptResult{done: true, serverError: isServerError}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,7 +85,7 @@
 	BeginStream(status int, header http.Header) error
 	// WriteEvent sends one whole event of a stream, in its encoded form.
 	WriteEvent(raw []byte) error
-	// Abort breaks off a stream in such a way that the caller does not consider it complete.
+	// Abort breaks off a response in such a way that the caller does not consider it complete.
 	Abort()
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -74,6 +75,8 @@
 	body         string
 	streamsBegun int
 	aborted      bool
+	// disconnected makes all writes fail after the head of the response.
+	disconnected bool
 }
 
 func (c *fakeCaller) Refuse(code RefusalCode, retryAfter time.Duration) {
@@ -81,7 +84,11 @@
 }
 func (c *fakeCaller) Fail(code FailureCode) { c.failure = code }
 func (c *fakeCaller) WriteResponse(status int, _ http.Header, body []byte) error {
-	c.status, c.body = status, string(body)
+	c.status = status
+	if c.disconnected {
+		return errReset
+	}
+	c.body = string(body)
 	return nil
 }
 func (c *fakeCaller) BeginStream(status int, _ http.Header) error {
@@ -90,6 +97,9 @@
 	return nil
 }
 func (c *fakeCaller) WriteEvent(raw []byte) error {
+	if c.disconnected {
+		return errReset
+	}
 	c.body += string(raw)
 	return nil
 }
@@ -156,13 +166,17 @@
 }
 
 func serveOptions(options Options, kind, key string, timeout time.Duration, parts ...quarantine.Part) *fakeCaller {
-	options.Zone, options.Incarnation, options.Logger, options.Metrics = "a", 1, zerolog.Nop(), observe.NewMetrics()
-	g := New(options)
+	options.Logger = zerolog.Nop()
 	caller := &fakeCaller{}
-	g.Serve(context.Background(), &Request{
+	serveCaller(options, caller, kind, key, timeout, parts...)
+	return caller
+}
+
+func serveCaller(options Options, caller *fakeCaller, kind, key string, timeout time.Duration, parts ...quarantine.Part) {
+	options.Zone, options.Incarnation, options.Metrics = "a", 1, observe.NewMetrics()
+	New(options).Serve(context.Background(), &Request{
 		ID: "r1", Host: "h", Path: "/" + kind + "/x", Key: key, ArrivedAt: time.Now(), Timeout: timeout, Parts: parts,
 	}, caller)
-	return caller
 }
 
 func TestRequestsAreRefusedBeforeSending(t *testing.T) {
@@ -290,6 +304,21 @@
 	require.True(t, caller.aborted)
 }
 
+func TestResponseThatCannotBeSentIsBrokenAndNotAnswered(t *testing.T) {
+	for _, kind := range []string{"safe", "stream"} {
+		var log bytes.Buffer
+		f := &fakes{retriesLeft: 9, responses: []func(*Attempt) (*Response, error){respond(200, events, nil)}}
+		table, caller := testTable(), &fakeCaller{disconnected: true}
+		serveCaller(Options{
+			Table: func() *routes.Table { return table }, Placer: f, Budget: f, Servers: f, Backend: f, Memory: f,
+			StopsIn: func() (time.Duration, bool) { return 0, false }, Logger: zerolog.New(&log),
+		}, caller, kind, "key", time.Second)
+		require.True(t, caller.aborted, "%s: a truncated response must not look complete", kind)
+		require.Contains(t, log.String(), "to the caller: connection reset", kind)
+		require.NotContains(t, log.String(), `"status":200`, kind)
+	}
+}
+
 func TestWholeResponseIsNotSentWithinAStream(t *testing.T) {
 	for name, text := range map[string]string{"empty": "", "like events": "id: 3\ndata: c\n\n"} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -50,6 +50,8 @@
 		}
 		if event.HasID && event.ID > x.lastEventID || !event.HasID && maxID >= x.lastEventID {
 			if err := x.forwardEvent(response, event); err != nil {
+				x.logBroken(fmt.Sprintf("send event %d to the caller: %v", x.eventsSent+1, err))
+				x.caller.Abort()
 				return attemptResult{done: true}
 			}
 		}
