--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -87,7 +87,7 @@
 	BeginStream(status int, header http.Header) error
 	// WriteEvent sends one whole event of a stream, in its encoded form.
 	WriteEvent(raw []byte) error
-	// Abort breaks off a stream in such a way that the caller does not consider it complete.
+	// Abort breaks off a response in such a way that the caller does not consider it complete.
 	Abort()
 }
 
@@ -133,6 +133,8 @@
 	Body   Body
 	// Verified is set when the response carries the server's signature.
 	Verified bool
+	// IsStream is set when the response states that its body is a stream of events.
+	IsStream bool
 }
 
 // Backend sends requests to backend servers. Its errors are of type *AttemptError.
