schedule: passes planned by an entry VM itself spare the streams of other VMs

What callers saw: beside a change of the leader all streams of a sound server paused for 1.2 s or more; their stall timers gave them up together, and with the servers full some were cut with "no server to go on at". Cause: an entry VM without the leader's scheduler knows only its own streams. Servers that look idle to it got parts of long prompts of up to 2 s in one pass. While a scheduler shares the servers with others, it plans passes of up to minBreakGap, as for a server that is known to decode a stream. The test failed before with two parts of 1.15 s. Very long prompts (over about 430,000 tokens) are not placed while there is no leader.

--- a/internal/schedule/decide.go
+++ b/internal/schedule/decide.go
@@ -262,7 +262,7 @@
 func (s *Scheduler) refreshHeadrooms(now time.Time) {
 	for _, srv := range s.sortedServers {
 		if srv.engine != nil {
-			srv.headroom = srv.headroomAt(now)
+			srv.headroom = srv.headroomAt(now, s.maxPass())
 		}
 	}
 }
@@ -442,12 +442,12 @@
 	partTime := j.prefillTime / time.Duration(j.unfinishedParts)
 	j.expectedAt = now
 	for _, srv := range prefillServers {
-		srv.headroom = srv.headroomAt(now)
+		srv.headroom = srv.headroomAt(now, s.maxPass())
 		if ready := srv.headroom.readyAt.Add(srv.scaled(partTime)); ready.After(j.expectedAt) {
 			j.expectedAt = ready
 		}
 		srv.nextParts = append(srv.nextParts, promptPart{job: j, duration: partTime, arrivesAt: now.Add(transitTime)})
 		srv.advanceTo(now)
-		srv.headroom = srv.headroomAt(now)
+		srv.headroom = srv.headroomAt(now, s.maxPass())
 	}
 }
--- a/internal/schedule/memory_test.go
+++ b/internal/schedule/memory_test.go
@@ -75,3 +75,17 @@
 		TargetAt: now.Add(target), StartDeadline: now.Add(4 * target), MaxGap: maxGap, Weight: 10,
 	}
 }
+
+// While other VMs place requests on the same servers, a server that looks idle here may run their streams.
+func TestSharedServerPassesDoNotBreakStreamsOfOtherVMs(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	s := testScheduler(now, 8)
+	s.SetShare(0.1, 1)
+	long := testRequest(now, 1, 151_000, 3*time.Second, time.Second) // 2.3 s of prefill
+	s.Enqueue(now, long)
+	placements := s.Decide(now)
+	require.Len(t, placements, 1)
+	parts := 1 + len(placements[0].Helpers)
+	part := prefillTimeOf(testEngine(), long.PromptTokens) / time.Duration(parts)
+	require.LessOrEqual(t, part, minBreakGap, "%d parts", parts)
+}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -182,6 +182,16 @@
 	return int(whole)
 }
 
+// maxPass returns the upper bound of the passes that this scheduler plans. While
+// other VMs also place requests, any server may decode streams that this scheduler
+// does not know.
+func (s *Scheduler) maxPass() time.Duration {
+	if s.fraction < 1 {
+		return minBreakGap
+	}
+	return maxPassTime
+}
+
 // job is a request that is queued or placed.
 type job struct {
 	request  PlacementRequest
--- a/internal/schedule/server.go
+++ b/internal/schedule/server.go
@@ -307,7 +307,8 @@
 }
 
 // headroomAt returns the capacity of the server's next pass for further prefill.
-func (srv *server) headroomAt(now time.Time) headroom {
+// The pass takes at most maxPass.
+func (srv *server) headroomAt(now time.Time, maxPass time.Duration) headroom {
 	srv.advanceTo(now)
 	nextPassStart := now.Add(transitTime)
 	if srv.passEnd.After(nextPassStart) {
@@ -318,7 +319,7 @@
 	h.freeTokens = int(memoryFraction*float64(srv.engine.MemoryTokens)) - srv.plannedTokens()
 	h.readyAt = nextPassStart.Add(decode + queued)
 	usedTime := decode + queued + srv.scaled(totalDuration(srv.currentParts)+totalDuration(srv.unconfirmedParts))
-	h.maxPrefill = maxPassTime - usedTime
+	h.maxPrefill = maxPass - usedTime
 	for _, j := range srv.jobs {
 		if j.request.MaxGap > 0 && j.decoding {
 			h.maxPrefill = min(h.maxPrefill, max(minBreakGap, breakGapFactor*j.request.MaxGap)-usedTime)
