quarantine: whole requests that come again and crash servers are recognised by all VMs

Cause: the evidence knew parts of prompts only, never the last one. The harmful request shares its part with sound ones whose answers clear it, and a request without shared parts left no evidence at all.

The team is hashed too, so no team can get another team's request refused. Three different server runs that crashed under it since its last answer quarantine it for ten minutes after the last crash; then it is let through, and one more crash renews the quarantine, so a request whose fault is mended is served again. Crashes of the same second quarantine it for a minute only, and not if it was answered in the 30 s before: servers that fail together crash under copies of sound requests. Under parts, requests are now told apart by the whole request instead of its id: repeats of one request are no evidence against a part. After two crashes the request is not sent again.

Bounds: 4096 subjects in place of 512; those with the fewest crashed servers are dropped first.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -82,7 +82,8 @@
 	retryAllowed atomic.Bool
 	// identity is the whole request in the evidence on crashes.
 	identity *quarantine.Request
-	// mayCrashServers is set once several servers have crashed under prompts that share a part with this one.
+	// mayCrashServers is set once several servers have crashed under this request or under prompts that share a part with
+	// it.
 	mayCrashServers bool
 	timing          timing
 }
@@ -113,9 +114,9 @@
 			x.failUnplaced(ctx, placement.Reason, placement.RetryAfter)
 			return
 		}
-		if part, found := x.gateway.options.Evidence.Quarantined(time.Now(), x.request.Parts); found {
+		if subject, found := x.gateway.options.Evidence.Quarantined(time.Now(), x.identity, x.request.Parts); found {
 			x.gateway.options.Placer.Ended(id, schedule.OutcomeDone)
-			x.refuseQuarantined(part)
+			x.refuseQuarantined(subject)
 			return
 		}
 		if x.deliveries > 0 && !x.retryAllowed.Swap(false) && !x.gateway.options.Budget.TryRetry(x.service) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,7 +58,7 @@
 	// RefusedOverload means that no server could be found or that all attempts failed without the request having
 	// run.
 	RefusedOverload
-	// RefusedQuarantine means that the prompt has a part under which backend servers have crashed.
+	// RefusedQuarantine means that backend servers have crashed under the request or under a part of its prompt.
 	RefusedQuarantine
 )
 
@@ -182,7 +182,7 @@
 	Servers Servers
 	Backend Backend
 	Memory  Memory
-	// Evidence tells which parts of prompts crash backend servers; nil for evidence of this VM only.
+	// Evidence tells which requests and parts of prompts crash backend servers; nil for evidence of this VM only.
 	Evidence *quarantine.Guard
 	// Zone is the availability zone of this VM.
 	Zone string
@@ -244,8 +244,8 @@
 		}
 	}
 	x.identity = quarantine.NewRequest(x.teamName(), request.Method, route.Host, request.Target, request.Body)
-	if part, found := g.options.Evidence.Quarantined(time.Now(), request.Parts); found {
-		x.refuseQuarantined(part)
+	if subject, found := g.options.Evidence.Quarantined(time.Now(), x.identity, request.Parts); found {
+		x.refuseQuarantined(subject)
 		return
 	}
 	x.service = route.ChooseService(hashID(request.ID))
--- a/internal/gateway/harmful.go
+++ b/internal/gateway/harmful.go
@@ -14,27 +14,28 @@
 
 const (
 	// maxEventsBeforeCrash is the maximum number of events of an attempt after which the end of its connection may be a
-	// crash under its prompt: a server that begins an answer on a harmful part may still send its first event.
+	// crash under its request: a server that begins to run a harmful request may still send its first event.
 	maxEventsBeforeCrash = 1
-	// minEventsOfSoundPrompt is the number of events of an attempt that show that its prompt does not crash servers.
+	// minEventsOfSoundPrompt is the number of events of an attempt that show that its request does not crash servers.
 	minEventsOfSoundPrompt = maxEventsBeforeCrash + 2
-	// quarantineRetryAfter is the retry delay announced for a prompt with a quarantined part.
+	// quarantineRetryAfter is the retry delay announced for a quarantined request.
 	quarantineRetryAfter = 5 * time.Minute
 )
 
-// recordCrash records a failed attempt as evidence against the parts of its prompt if the server closed or reset the
-// connection before it had answered. A timeout or an error response is no evidence.
+// recordCrash records a failed attempt as evidence against the request and the parts of its prompt if the server closed
+// or reset the connection before any server had answered. A timeout or an error response is no evidence.
 func (x *exchange) recordCrash(ctx context.Context, attempt *Attempt, result attemptResult) {
 	lost := result.err != nil && result.err.Delivery == DeliveryUnknown && isConnectionLost(result.err)
-	if !lost || ctx.Err() != nil || result.events > maxEventsBeforeCrash {
+	if !lost || ctx.Err() != nil || result.events > maxEventsBeforeCrash || x.eventsSent >= minEventsOfSoundPrompt {
 		return
 	}
+	x.identity.Subject() // outside of the lock: it reads the whole body
 	run := quarantine.NewServerRun(attempt.Server.ID, attempt.Server.StartedAt)
 	var crashed, suspects, evicted int
 	x.gateway.options.Evidence.Do(func(t *quarantine.Tracker) {
-		t.RecordCrash(time.Now(), run, quarantine.NewRequestID(x.request.ID), x.request.Parts)
-		x.mayCrashServers = t.Suspected(x.request.Parts)
-		crashed = t.CrashedServers(x.request.Parts)
+		t.RecordCrash(time.Now(), run, x.identity, x.request.Parts)
+		x.mayCrashServers = t.Suspected(x.identity, x.request.Parts)
+		crashed = t.CrashedServers(x.identity, x.request.Parts)
 		suspects, evicted = t.Stats()
 	})
 	observe.Log(x.gateway.options.Logger, observe.ConnectionLostBeforeAnswer).Str("request", x.request.ID).
@@ -43,11 +44,9 @@
 		Bool("suspected", x.mayCrashServers).Int("suspects", suspects).Int("evicted", evicted).Err(result.err).Send()
 }
 
-// recordSound records that a server has answered the prompt.
+// recordSound records that a server has answered the request.
 func (x *exchange) recordSound() {
-	if len(x.request.Parts) > 0 {
-		x.gateway.options.Evidence.Do(func(t *quarantine.Tracker) { t.RecordSound(time.Now(), x.request.Parts) })
-	}
+	x.gateway.options.Evidence.RecordSound(time.Now(), x.identity, x.request.Parts)
 }
 
 // isConnectionLost tells whether err means that the server closed or reset the connection within a response.
@@ -55,9 +54,9 @@
 	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)
 }
 
-// refuseQuarantined ends a request whose prompt has a quarantined part.
-func (x *exchange) refuseQuarantined(part quarantine.Subject) {
-	reason := fmt.Sprintf("part %016x of the prompt crashes backend servers", uint64(part))
+// refuseQuarantined ends a request that is quarantined, or whose prompt has a quarantined part.
+func (x *exchange) refuseQuarantined(subject quarantine.Subject) {
+	reason := fmt.Sprintf("%v crashes backend servers", subject)
 	if x.headSent || x.possibleRuns > 0 {
 		x.failUnplaced(context.Background(), reason, 0)
 		return
--- a/internal/gateway/harmful_test.go
+++ b/internal/gateway/harmful_test.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -14,6 +16,7 @@
 
 	"godwityoke.example/godwityoke/internal/observe"
 	"godwityoke.example/godwityoke/internal/quarantine"
+	"godwityoke.example/godwityoke/internal/roster"
 	"godwityoke.example/godwityoke/internal/routes"
 )
 
@@ -47,7 +50,7 @@
 	for n, parts := range prompts {
 		caller := &fakeCaller{}
 		g.Serve(context.Background(), &Request{
-			ID: fmt.Sprintf("r%d", n), Host: "h", Path: "/stream/x", Key: "key", ArrivedAt: time.Now(), Timeout: time.Second, Parts: parts,
+			ID: fmt.Sprintf("r%d", n), Host: "h", Path: "/stream/x", Body: []byte(fmt.Sprint(n)), Key: "key", ArrivedAt: time.Now(), Timeout: time.Second, Parts: parts,
 		}, caller)
 		callers = append(callers, caller)
 	}
@@ -103,3 +106,125 @@
 		})
 	}
 }
+
+// quarantineCrashes is the number of crashes after which no copy of a request may reach a server.
+const quarantineCrashes = 3
+
+// crashingRequests is a Backend whose servers crash when they begin to run a request for which harmful returns true.
+type crashingRequests struct {
+	*fakes
+	harmful func(*Attempt) bool
+	// crash is how the caller sees the crash.
+	crash   func(*Attempt) (*Response, error)
+	crashes int
+}
+
+func (c *crashingRequests) Send(_ context.Context, attempt *Attempt) (*Response, error) {
+	if c.harmful(attempt) {
+		c.crashes++
+		return c.crash(attempt)
+	}
+	return respond(http.StatusOK, events+"id: 3\ndata: c\n\n", nil)(attempt)
+}
+
+// Find returns a server that has started again after each crash.
+func (c *crashingRequests) Find(id string) (roster.Server, bool) {
+	return roster.Server{ID: id, Address: id, StartedAt: time.Unix(int64(c.crashes), 0)}, true
+}
+
+func (c *crashingRequests) gateway() *Gateway {
+	table := testTable()
+	table.Teams = append(table.Teams, routes.Team{Name: "other", Keys: []string{"other key"}, Priority: -1})
+	table = routes.New(*table)
+	return New(Options{
+		Table: func() *routes.Table { return table }, Placer: c, Budget: c, Servers: c, Backend: c, Memory: c,
+		StopsIn: func() (time.Duration, bool) { return 0, false },
+		Zone:    "a", Incarnation: 1, Logger: zerolog.Nop(), Metrics: observe.NewMetrics(),
+	})
+}
+
+func TestRequestThatComesAgainAndCrashesServersIsRefusedAndOthersAreServed(t *testing.T) {
+	crashes := map[string]func(*Attempt) (*Response, error){
+		"before the response": func(*Attempt) (*Response, error) {
+			return nil, &AttemptError{Delivery: DeliveryUnknown, Err: fmt.Errorf("read the response: %w", syscall.ECONNRESET)}
+		},
+		"before the first event": respond(http.StatusOK, "", io.ErrUnexpectedEOF),
+		"after the first event":  respond(http.StatusOK, "id: 1\ndata: a\n\n", io.ErrUnexpectedEOF),
+	}
+	for _, kind := range []string{"stream", "once", "safe", "unsafe"} {
+		for crash, respondWith := range crashes {
+			for _, parts := range [][]quarantine.Subject{nil, {quarantine.NewPart("shared")}} {
+				t.Run(fmt.Sprintf("%s, %s, %d parts", kind, crash, len(parts)), func(t *testing.T) {
+					backend := &crashingRequests{fakes: &fakes{retriesLeft: 100}, crash: respondWith}
+					backend.harmful = func(a *Attempt) bool { return a.Team == "team" && string(a.Request.Body) == "harmful" }
+					g := backend.gateway()
+					sent := 0
+					serve := func(key, body string) *fakeCaller {
+						sent++
+						caller := &fakeCaller{}
+						g.Serve(context.Background(), &Request{
+							ID: fmt.Sprintf("r%d", sent), Method: http.MethodPost, Host: "h", Path: "/" + kind + "/x", Target: "/" + kind + "/x?q",
+							Body: []byte(body), Key: key, ArrivedAt: time.Now(), Timeout: time.Second, Parts: parts,
+						}, caller)
+						return caller
+					}
+					for n := range 12 {
+						harmful := serve("key", "harmful")
+						if n >= quarantineCrashes {
+							require.Equal(t, RefusedQuarantine, harmful.refusal, "request %d", n)
+							require.Equal(t, quarantineRetryAfter, harmful.retryAfter)
+						}
+						require.Equal(t, http.StatusOK, serve("key", fmt.Sprint("sound", n)).status, "another body")
+						require.Equal(t, http.StatusOK, serve("key", "charmed").status, "another body of the same length")
+						require.Equal(t, http.StatusOK, serve("other key", "harmful").status, "the same request of another team")
+					}
+					require.LessOrEqual(t, backend.crashes, quarantineCrashes)
+				})
+			}
+		}
+	}
+}
+
+func TestRequestIsServedAgainAfterTheFaultOfTheServerIsMended(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mended := false
+		backend := &crashingRequests{fakes: &fakes{retriesLeft: 100}, crash: respond(http.StatusOK, "", io.ErrUnexpectedEOF)}
+		backend.harmful = func(*Attempt) bool { return !mended }
+		g := backend.gateway()
+		serve := func() *fakeCaller {
+			caller := &fakeCaller{}
+			g.Serve(context.Background(), &Request{
+				ID: "r", Host: "h", Path: "/stream/x", Target: "/stream/x", Key: "key", ArrivedAt: time.Now(), Timeout: time.Second,
+			}, caller)
+			return caller
+		}
+		for range 5 {
+			serve()
+			time.Sleep(time.Second)
+		}
+		require.Equal(t, RefusedQuarantine, serve().refusal)
+		require.Equal(t, quarantineCrashes, backend.crashes)
+		mended = true
+		for minutes := 0; serve().status != http.StatusOK; minutes++ {
+			require.Less(t, minutes, 15, "minutes after the last crash")
+			time.Sleep(time.Minute)
+		}
+		require.Equal(t, http.StatusOK, serve().status)
+	})
+}
+
+// A stream that broke off with servers that other requests have crashed must be resumed each time.
+func TestStreamThatWasAnsweredIsNoSuspectWhenItsServersCrash(t *testing.T) {
+	evidence := quarantine.NewGuard()
+	f := &fakes{retriesLeft: 9}
+	f.responses = []func(*Attempt) (*Response, error){
+		respond(http.StatusOK, events+"id: 3\ndata: c\n\n", io.ErrUnexpectedEOF),
+		respond(http.StatusOK, "", io.ErrUnexpectedEOF),
+	}
+	serveOptions(Options{
+		Table: testTable, Placer: f, Budget: f, Servers: f, Backend: f, Memory: f, Evidence: evidence,
+		StopsIn: func() (time.Duration, bool) { return 0, false },
+	}, "stream", "key", time.Second)
+	require.Len(t, f.attempts, 2)
+	evidence.Do(func(tracker *quarantine.Tracker) { require.Empty(t, tracker.All()) })
+}
--- a/internal/hub/broadcast.go
+++ b/internal/hub/broadcast.go
@@ -19,9 +19,9 @@
 	broadcastInterval = 200 * time.Millisecond
 	// broadcastTimeout bounds one call to another control VM.
 	broadcastTimeout = 900 * time.Millisecond
-	// maxQueuedEvidence bounds the parts with evidence that are queued for a control VM
-	// that can't be reached.
-	maxQueuedEvidence = 1024
+	// maxQueuedEvidence bounds the parts and requests with evidence that are queued for a
+	// control VM that can't be reached.
+	maxQueuedEvidence = 4096
 )
 
 // broadcaster sends announcements to the other control VMs, to each from a
@@ -54,7 +54,7 @@
 	// servers holds the newest announcement of each server that is to be sent.
 	servers map[string]roster.Server
 	entries []string
-	// evidence holds the newest evidence on each part of prompts that is to be sent.
+	// evidence holds the newest evidence on each part and request that is to be sent.
 	evidence map[quarantine.Subject]quarantine.Evidence
 }
 
@@ -97,8 +97,7 @@
 	}
 }
 
-// addEvidence queues evidence on parts of prompts for all peers; it is sent with the next
-// flush.
+// addEvidence queues evidence on crashes for all peers; it is sent with the next flush.
 func (b *broadcaster) addEvidence(evidence []quarantine.Evidence) {
 	b.urgent = true
 	for _, peer := range b.peers {
@@ -202,8 +201,8 @@
 }
 
 // requeue queues announcements and evidence again after a failed call, except for
-// servers and parts with newer ones in the queue. Evidence on parts beyond
-// maxQueuedEvidence is dropped: quarantined parts are sent again every refreshInterval.
+// servers and subjects with newer ones in the queue. Evidence beyond maxQueuedEvidence is
+// dropped: that on what is quarantined is sent again every refreshInterval.
 func (p *broadcastPeer) requeue(servers map[string]roster.Server, evidence map[quarantine.Subject]quarantine.Evidence) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/hub/convert.go
+++ b/internal/hub/convert.go
@@ -63,7 +63,7 @@
 		message := &hubpb.PartEvidence{Part: uint64(e.Subject)}
 		for _, crash := range e.Crashes {
 			message.Crashes = append(message.Crashes, &hubpb.PartCrash{
-				ServerRun: uint64(crash.Server), Request: uint64(crash.Request), AgeMs: age(crash.At),
+				ServerRun: uint64(crash.Server), Request: crash.Request, AgeMs: age(crash.At),
 			})
 		}
 		if !e.SoundAt.IsZero() {
@@ -81,7 +81,7 @@
 		e := quarantine.Evidence{Subject: quarantine.Subject(message.GetPart())}
 		for _, crash := range message.GetCrashes() {
 			e.Crashes = append(e.Crashes, quarantine.Crash{
-				Server: quarantine.ServerRun(crash.GetServerRun()), Request: quarantine.RequestID(crash.GetRequest()), At: at(crash.GetAgeMs()),
+				Server: quarantine.ServerRun(crash.GetServerRun()), Request: crash.GetRequest(), At: at(crash.GetAgeMs()),
 			})
 		}
 		if message.SoundAgeMs != nil {
--- a/internal/hub/core.go
+++ b/internal/hub/core.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"godwityoke.example/godwityoke/internal/bundle"
@@ -61,7 +60,7 @@
 	startedAt     time.Time
 	// evidence is passed on between VMs; this VM itself stops no request.
 	evidence *quarantine.Tracker
-	// quarantined holds the quarantined parts that were logged.
+	// quarantined holds what was logged as quarantined.
 	quarantined map[quarantine.Subject]bool
 }
 
@@ -86,7 +85,7 @@
 	local bool
 	// entries lists the entry VMs that are attached to the sending control VM.
 	entries []string
-	// evidence is that of the sending control VM on parts of prompts.
+	// evidence is that of the sending control VM on crashes.
 	evidence []quarantine.Evidence
 	// reply is closed when the announcements are applied.
 	reply chan struct{}
@@ -305,7 +304,7 @@
 	if refresh {
 		c.serversSentAt = now
 		c.evidence.Expire(now)
-		quarantined := c.evidence.AllQuarantined()
+		quarantined := c.evidence.AllQuarantined(now)
 		c.logQuarantined(quarantined)
 		c.spreadEvidence(quarantined, now)
 	}
@@ -420,15 +419,20 @@
 	c.peers.addEvidence(evidence)
 }
 
-// logQuarantined logs the parts that were not quarantined at the last call.
+// logQuarantined logs the parts and requests that were not quarantined at the last call.
 func (c *core) logQuarantined(quarantined []quarantine.Evidence) {
 	known := c.quarantined
 	c.quarantined = make(map[quarantine.Subject]bool, len(quarantined))
 	for _, e := range quarantined {
 		c.quarantined[e.Subject] = true
 		if !known[e.Subject] {
-			observe.Log(c.options.Logger, observe.PartQuarantined).Str("part", fmt.Sprintf("%016x", uint64(e.Subject))).
-				Int("crashes", len(e.Crashes)).Send()
+			event := observe.PartQuarantined
+			if e.Subject.IsWholeRequest() {
+				event = observe.RequestQuarantined
+			}
+			suspects, evicted := c.evidence.Stats()
+			observe.Log(c.options.Logger, event).Stringer("subject", e.Subject).Int("crashes", len(e.Crashes)).
+				Int("suspects", suspects).Int("evicted", evicted).Send()
 		}
 	}
 }
--- a/internal/hub/evidence_test.go
+++ b/internal/hub/evidence_test.go
@@ -14,16 +14,20 @@
 
 var harmfulParts = []quarantine.Subject{quarantine.NewPart("harmful")}
 
+func requestTo(target string) *quarantine.Request {
+	return quarantine.NewRequest("team", "POST", "host", target, nil)
+}
+
 func recordCrash(link *Link, name string) {
 	link.Evidence().Do(func(t *quarantine.Tracker) {
-		t.RecordCrash(time.Now(), quarantine.NewServerRun(name, time.Time{}), quarantine.NewRequestID(name), harmfulParts)
+		t.RecordCrash(time.Now(), quarantine.NewServerRun(name, time.Time{}), requestTo(name), harmfulParts)
 	})
 }
 
 func requireQuarantine(t *testing.T, link *Link, within time.Duration) {
 	t.Helper()
 	require.Eventually(t, func() bool {
-		_, found := link.Evidence().Quarantined(time.Now(), harmfulParts)
+		_, found := link.Evidence().Quarantined(time.Now(), requestTo("other"), harmfulParts)
 		return found
 	}, within, 10*time.Millisecond)
 }
@@ -70,7 +74,7 @@
 	s := &session{vm: "entry-1", outbox: make(chan *hubpb.HubFrame, outboxFrames), drop: func() {}}
 	c.sessions[s] = true
 	for _, name := range []string{"server 1", "server 2", "server 3"} {
-		c.evidence.RecordCrash(now, quarantine.NewServerRun(name, time.Time{}), quarantine.NewRequestID(name), harmfulParts)
+		c.evidence.RecordCrash(now, quarantine.NewServerRun(name, time.Time{}), requestTo(name), harmfulParts)
 	}
 	for round := range 3 {
 		c.tick(now.Add(time.Duration(round) * refreshInterval))
@@ -78,3 +82,45 @@
 		require.NotEmpty(t, (<-s.outbox).GetEvidence(), "round %d", round)
 	}
 }
+
+// Each crash is seen by another entry VM, and the control VM changes between the second and the third.
+func TestQuarantineOfARequestReachesAllEntryVMsAcrossAChangeOfTheControlVM(t *testing.T) {
+	first, second := listen(t), listen(t)
+	members := []string{first.Addr().String(), second.Addr().String()}
+	startHub(t, first, members[0], members...)
+	links := []*Link{startLinkOf(t, "entry-1", 1, members[0]), startLinkOf(t, "entry-2", 2, members[0])}
+	for _, link := range links {
+		require.Eventually(t, link.isAttached, 5*time.Second, 10*time.Millisecond)
+	}
+	crash := func(link *Link, server string) {
+		link.Evidence().Do(func(t *quarantine.Tracker) {
+			t.RecordCrash(time.Now(), quarantine.NewServerRun(server, time.Time{}), requestTo("/harmful"), nil)
+		})
+	}
+	crash(links[0], "server 1")
+	crash(links[1], "server 2")
+	startHub(t, second, members[0], members...)
+	links = append(links, startLinkOf(t, "entry-3", 3, members[1]))
+	require.Eventually(t, links[2].isAttached, 5*time.Second, 10*time.Millisecond)
+	crash(links[2], "server 3")
+	for _, link := range links {
+		require.Eventually(t, func() bool {
+			_, found := link.Evidence().Quarantined(time.Now(), requestTo("/harmful"), nil)
+			return found
+		}, 2*refreshInterval, 10*time.Millisecond)
+		_, found := link.Evidence().Quarantined(time.Now(), requestTo("/other"), nil)
+		require.False(t, found)
+	}
+}
+
+func TestEvidenceOnRequestsAndPartsIsTheSameAfterTheWire(t *testing.T) {
+	now := time.Now()
+	sender, receiver := quarantine.NewTracker(), quarantine.NewTracker()
+	for _, name := range []string{"server 1", "server 2", "server 3"} {
+		sender.RecordCrash(now, quarantine.NewServerRun(name, time.Time{}), requestTo("/harmful"), harmfulParts)
+	}
+	receiver.Merge(now, evidenceFromProto(evidenceToProto(sender.All(), now), now))
+	require.Equal(t, sender.All(), receiver.All())
+	_, found := receiver.Quarantined(now, requestTo("/harmful"), nil)
+	require.True(t, found)
+}
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -5,7 +5,8 @@
 	"time"
 )
 
-// Guard is a Tracker that is safe for concurrent use.
+// Guard is a Tracker that is safe for concurrent use. It computes the Subjects of requests
+// outside of its lock, since bodies may have megabytes.
 type Guard struct {
 	mu      sync.Mutex
 	tracker *Tracker
@@ -21,11 +22,23 @@
 	f(g.tracker)
 }
 
-// Quarantined is Tracker.Quarantined.
-func (g *Guard) Quarantined(now time.Time, parts []Subject) (part Subject, found bool) {
-	if len(parts) == 0 {
-		return 0, false
+// DoWith is Do for a function that gets request and may need its Subject.
+func (g *Guard) DoWith(request *Request, f func(*Tracker)) {
+	var mayKnow bool
+	g.Do(func(t *Tracker) { mayKnow = t.mayKnow(request) })
+	if mayKnow {
+		request.Subject()
 	}
-	g.Do(func(t *Tracker) { part, found = t.Quarantined(now, parts) })
-	return part, found
+	g.Do(f)
+}
+
+// Quarantined is Tracker.Quarantined.
+func (g *Guard) Quarantined(now time.Time, request *Request, parts []Subject) (subject Subject, found bool) {
+	g.DoWith(request, func(t *Tracker) { subject, found = t.Quarantined(now, request, parts) })
+	return subject, found
+}
+
+// RecordSound is Tracker.RecordSound.
+func (g *Guard) RecordSound(now time.Time, request *Request, parts []Subject) {
+	g.DoWith(request, func(t *Tracker) { t.RecordSound(now, request, parts) })
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,14 +1,15 @@
-// Package quarantine recognises parts of prompts that crash backend servers. A harmful
-// part crashes each server that begins an answer to a prompt with it; each entry VM sees
-// only the crashes of its own requests. So all VMs exchange evidence: the crashes under
-// prompts with a part, and that servers have answered prompts with it. Each VM decides
-// on the evidence that it knows, also while it is cut off from the others.
+// Package quarantine recognises what crashes backend servers: parts of prompts, and whole
+// requests that come again. Either crashes each server that begins to run it; each entry VM
+// sees only the crashes of its own requests. So all VMs exchange evidence: the crashes under
+// a part or a whole request, and that servers have answered it. Each VM decides on the
+// evidence that it knows, also while it is cut off from the others.
 //
 // Tracker is a state machine without I/O; the time is an argument. Evidence is merged as
 // a set, so that it may arrive repeatedly, in any order and over any path.
 package quarantine
 
 import (
+	"cmp"
 	"fmt"
 	"hash/fnv"
 	"maps"
@@ -17,24 +18,39 @@
 )
 
 const (
-	// minCrashes is the number of different servers that must have crashed under
-	// different requests with a part before the part is quarantined. A request counts
-	// once, also if it was retried, and so does a server that several VMs saw crash.
+	// minCrashes is the number of different servers that must have crashed under a subject
+	// before it is quarantined. A server that several VMs saw crash counts once. For a part,
+	// as many different requests must have been sent.
 	minCrashes = 3
-	// soundFor is how long a part counts as sound after a server has answered a prompt
+	// minCrashSpan is the shortest time from the first to the last crash under a whole
+	// request that was answered lately before it is quarantined: servers that fail together
+	// crash at the same time under copies of a sound request, which is answered soon after.
+	minCrashSpan = time.Second
+	// answeredFor is how long a request counts as answered lately.
+	answeredFor = 30 * time.Second
+	// shortQuarantine is how long a whole request is quarantined after the last crash if
+	// the crashes don't span minCrashSpan.
+	shortQuarantine = time.Minute
+	// partSoundFor is how long a part counts as sound after a server has answered a prompt
 	// with it. Crashes within that time have another cause.
-	soundFor = 30 * time.Second
-	// retention is how long a part is kept after the last crash, and a quarantine after
-	// the last request that it has stopped.
+	partSoundFor = 30 * time.Second
+	// requestSoundFor is the same for a whole request: the time within which VMs may
+	// disagree on the order of an answer and a crash.
+	requestSoundFor = 500 * time.Millisecond
+	// retention is how long a part is kept after the last crash, and its quarantine after
+	// the last request that it has stopped. The quarantine of a whole request lasts so long
+	// after the last crash; then its evidence is kept for another retention, and one more
+	// crash renews the quarantine.
 	retention = 10 * time.Minute
-	// maxSuspects bounds the parts with evidence, maxCrashesPerPart the crashes that are
-	// kept for each.
-	maxSuspects       = 512
-	maxCrashesPerPart = 8
-	// maxSound bounds each of the two generations of recently answered parts.
+	// maxSuspects bounds the subjects with evidence, maxCrashesPerSubject the crashes that
+	// are kept for each.
+	maxSuspects          = 4096
+	maxCrashesPerSubject = 8
+	// maxSound bounds each of the two generations of recently answered parts, and of
+	// recently answered requests.
 	maxSound = 4096
-	// soundReportInterval is the shortest interval between two reports that a suspected
-	// part was answered.
+	// soundReportInterval is the shortest interval between two reports that a suspect was
+	// answered, unless an answer has outweighed crashes.
 	soundReportInterval = time.Second
 )
 
@@ -51,12 +67,6 @@
 // IsWholeRequest reports whether the subject is a whole request.
 func (s Subject) IsWholeRequest() bool { return s&wholeRequest != 0 }
 
-// RequestID identifies a request of a caller by its id.
-type RequestID uint64
-
-// NewRequestID returns the request with the given id.
-func NewRequestID(id string) RequestID { return RequestID(hash(id)) }
-
 // String returns the kind of the subject and its identity in hexadecimal digits.
 func (s Subject) String() string {
 	if s.IsWholeRequest() {
@@ -82,68 +92,137 @@
 
 // Crash is the crash of a server before it had answered a request.
 type Crash struct {
-	Server  ServerRun
-	Request RequestID
+	Server ServerRun
+	// Request is the Subject of the request if the crash is evidence against a part, and
+	// its Outline if the crash is evidence against the whole request.
+	Request uint64
 	At      time.Time
 }
 
-// Evidence is what is known of one part.
+// Evidence is what is known of one subject.
 type Evidence struct {
 	Subject Subject
 	Crashes []Crash
-	// SoundAt is when a server last answered a prompt with the part, zero if unknown.
+	// SoundAt is when a server last answered the whole request or a prompt with the part,
+	// zero if unknown.
 	SoundAt time.Time
 }
 
-// suspect is a part with evidence.
+// suspect is a subject with evidence.
 type suspect struct {
-	// crashes are those that count: no other prompt with the part was answered within
+	subject Subject
+	// outline is that of a whole request.
+	outline Outline
+	// crashes are those that count, the oldest first: the subject was not answered within
 	// soundFor before them, or since.
 	crashes []Crash
 	soundAt time.Time
-	// usedAt is when a crash was added or the quarantine last stopped a request.
+	// answeredAt is when this VM last saw an answer to a request with the outline before
+	// the first crash, zero if unknown.
+	answeredAt time.Time
+	// usedAt is when a crash was added, or the quarantine of a part last stopped a request.
 	usedAt time.Time
 	// reportedSoundAt is the value of soundAt that was last reported.
 	reportedSoundAt time.Time
 }
 
-// isHarmful reports whether enough different servers crashed under different requests.
-func (s *suspect) isHarmful() bool {
-	requests := map[RequestID]bool{}
+// isHarmful reports whether enough different servers crashed to quarantine the subject.
+func (s *suspect) isHarmful(now time.Time) bool {
+	if s.servers() < minCrashes {
+		return false
+	}
+	if s.subject.IsWholeRequest() {
+		first, last := s.crashes[0].At, s.crashes[len(s.crashes)-1].At
+		if last.Sub(first) >= minCrashSpan {
+			return now.Sub(last) <= retention
+		}
+		return now.Sub(last) <= shortQuarantine && first.Sub(s.soundAt) > answeredFor && first.Sub(s.answeredAt) > answeredFor
+	}
+	requests := map[uint64]bool{}
 	for _, crash := range s.crashes {
 		requests[crash.Request] = true
 	}
-	return s.servers() >= minCrashes && len(requests) >= minCrashes
+	return len(requests) >= minCrashes
 }
 
 // servers returns the number of different servers that crashed.
 func (s *suspect) servers() int {
-	servers := map[ServerRun]bool{}
-	for _, crash := range s.crashes {
-		servers[crash.Server] = true
+	count := 0
+	for i, crash := range s.crashes {
+		if !slices.ContainsFunc(s.crashes[:i], func(earlier Crash) bool { return earlier.Server == crash.Server }) {
+			count++
+		}
 	}
-	return len(servers)
+	return count
 }
 
-// counts reports whether a crash is evidence against the part.
+// lifetime returns how long the suspect is kept after usedAt.
+func (s *suspect) lifetime() time.Duration {
+	if s.subject.IsWholeRequest() {
+		return 2 * retention
+	}
+	return retention
+}
+
+// counts reports whether a crash is evidence against the subject.
 func (s *suspect) counts(crash Crash) bool {
+	soundFor := partSoundFor
+	if s.subject.IsWholeRequest() {
+		soundFor = requestSoundFor
+	}
 	return s.soundAt.IsZero() || crash.At.Sub(s.soundAt) > soundFor
 }
 
-// setSound sets the time at which a prompt with the part was last answered.
-func (s *suspect) setSound(at time.Time) {
+// setSound sets the time at which the subject was last answered, and returns whether this
+// outweighs crashes.
+func (s *suspect) setSound(at time.Time) bool {
 	s.soundAt = at
+	before := len(s.crashes)
 	s.crashes = slices.DeleteFunc(s.crashes, func(crash Crash) bool { return !s.counts(crash) })
+	return len(s.crashes) < before
+}
+
+// addCrash adds a crash that counts, in place of the oldest if there are too many, and
+// returns whether it has. Of several crashes of one server under the same request only the
+// first is kept.
+func (s *suspect) addCrash(crash Crash) bool {
+	if !s.counts(crash) {
+		return false
+	}
+	known := slices.IndexFunc(s.crashes, func(known Crash) bool {
+		return known.Server == crash.Server && known.Request == crash.Request
+	})
+	switch {
+	case known >= 0 && !crash.At.Before(s.crashes[known].At):
+		return false
+	case known >= 0:
+		s.crashes = slices.Delete(s.crashes, known, known+1)
+	case len(s.crashes) >= maxCrashesPerSubject && compareCrashes(crash, s.crashes[0]) <= 0:
+		return false
+	case len(s.crashes) >= maxCrashesPerSubject:
+		s.crashes = s.crashes[1:]
+	}
+	at, _ := slices.BinarySearchFunc(s.crashes, crash, compareCrashes)
+	s.crashes = slices.Insert(s.crashes, at, crash)
+	return true
+}
+
+// compareCrashes orders crashes by time, and those of the same time in the same way on all
+// VMs.
+func compareCrashes(a, b Crash) int {
+	return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Server, b.Server), cmp.Compare(a.Request, b.Request))
 }
 
 // Tracker holds the evidence that one VM knows. It is not safe for concurrent use.
 type Tracker struct {
 	suspects map[Subject]*suspect
-	// changed holds the parts whose evidence changed since the last TakeChanges.
+	// outlines counts the suspects with each outline of a whole request.
+	outlines map[Outline]int
+	// changed holds the subjects whose evidence changed since the last TakeChanges.
 	changed map[Subject]bool
-	// sound and olderSound hold when parts were last answered, in two generations.
-	sound, olderSound map[Subject]time.Time
-	rotatedAt         time.Time
+	// sound holds when parts were last answered, answered the same of outlines.
+	sound    answers[Subject]
+	answered answers[Outline]
 	// evicted counts the suspects that were dropped to stay within maxSuspects.
 	evicted int
 }
@@ -151,155 +230,198 @@
 // NewTracker returns a tracker without evidence.
 func NewTracker() *Tracker {
 	return &Tracker{
-		suspects: map[Subject]*suspect{}, changed: map[Subject]bool{}, sound: map[Subject]time.Time{}, olderSound: map[Subject]time.Time{},
+		suspects: map[Subject]*suspect{}, outlines: map[Outline]int{}, changed: map[Subject]bool{},
 	}
 }
 
 // RecordCrash records that a server crashed before it had answered a request whose
 // prompt has the given parts. Parts that were answered lately are not suspected.
-func (t *Tracker) RecordCrash(now time.Time, server ServerRun, request RequestID, parts []Subject) {
+func (t *Tracker) RecordCrash(now time.Time, server ServerRun, request *Request, parts []Subject) {
+	crash := Crash{Server: server, Request: uint64(request.outline), At: now}
+	t.merge(now, Evidence{Subject: request.Subject(), Crashes: []Crash{crash}})
 	for _, part := range parts {
-		if t.suspects[part] == nil && now.Sub(t.lastSound(part)) <= soundFor {
+		if t.suspects[part] == nil && now.Sub(t.sound.last(part)) <= partSoundFor {
 			continue
 		}
-		t.merge(now, Evidence{Subject: part, Crashes: []Crash{{Server: server, Request: request, At: now}}})
+		crash.Request = uint64(request.Subject())
+		t.merge(now, Evidence{Subject: part, Crashes: []Crash{crash}})
 	}
+	t.limitSuspects()
 }
 
-// RecordSound records that a server has answered a prompt with the given parts.
-func (t *Tracker) RecordSound(now time.Time, parts []Subject) {
-	if now.Sub(t.rotatedAt) > soundFor || len(t.sound) >= maxSound {
-		t.sound, t.olderSound, t.rotatedAt = make(map[Subject]time.Time, len(parts)), t.sound, now
-	}
+// RecordSound records that a server has answered a request whose prompt has the given
+// parts.
+func (t *Tracker) RecordSound(now time.Time, request *Request, parts []Subject) {
 	for _, part := range parts {
-		t.sound[part] = now
-		if s := t.suspects[part]; s != nil && now.After(s.soundAt) {
-			s.setSound(now)
-			if now.Sub(s.reportedSoundAt) >= soundReportInterval {
-				s.reportedSoundAt = now
-				t.changed[part] = true
-			}
-		}
+		t.sound.add(now, part)
+		t.setSound(part, now)
+	}
+	t.answered.add(now, request.outline)
+	if t.mayKnow(request) {
+		t.setSound(request.Subject(), now)
 	}
 }
 
-func (t *Tracker) lastSound(part Subject) time.Time {
-	if at, found := t.sound[part]; found {
-		return at
+// setSound applies an answer that this VM has seen.
+func (t *Tracker) setSound(subject Subject, now time.Time) {
+	s := t.suspects[subject]
+	if s == nil || !now.After(s.soundAt) {
+		return
+	}
+	if s.setSound(now) || now.Sub(s.reportedSoundAt) >= soundReportInterval {
+		s.reportedSoundAt = now
+		t.changed[subject] = true
 	}
-	return t.olderSound[part]
 }
 
+// mayKnow reports whether there is evidence on a request with the same outline. If not,
+// the Subject of the request need not be computed.
+func (t *Tracker) mayKnow(request *Request) bool { return t.outlines[request.outline] > 0 }
+
 // Merge adds evidence of another VM.
 func (t *Tracker) Merge(now time.Time, evidence []Evidence) {
 	for _, e := range evidence {
 		t.merge(now, e)
 	}
+	t.limitSuspects()
 }
 
 func (t *Tracker) merge(now time.Time, e Evidence) {
 	s := t.suspects[e.Subject]
 	if s == nil {
 		if len(e.Crashes) == 0 {
-			return // only evidence on suspected parts is kept
+			return // only evidence on suspects is kept
 		}
-		s = &suspect{usedAt: now}
+		s = &suspect{subject: e.Subject, usedAt: now}
 		t.suspects[e.Subject] = s
+		if e.Subject.IsWholeRequest() {
+			s.outline = Outline(e.Crashes[0].Request)
+			s.answeredAt = t.answered.last(s.outline)
+			t.outlines[s.outline]++
+		}
 	}
 	soundAt := e.SoundAt
-	if own := t.lastSound(e.Subject); own.After(soundAt) {
+	if own := t.sound.last(e.Subject); own.After(soundAt) {
 		soundAt = own
 	}
-	if soundAt.Sub(s.soundAt) >= soundReportInterval {
-		s.setSound(soundAt)
-		s.reportedSoundAt = soundAt
-		t.changed[e.Subject] = true
+	if soundAt.After(s.soundAt) {
+		isDue := soundAt.Sub(s.soundAt) >= soundReportInterval
+		if s.setSound(soundAt) || isDue {
+			s.reportedSoundAt = soundAt
+			t.changed[e.Subject] = true
+		}
 	}
 	for _, crash := range e.Crashes {
-		if now.Sub(crash.At) > retention || len(s.crashes) >= maxCrashesPerPart || !s.counts(crash) || s.hasCrash(crash) {
-			continue
+		if !s.counts(crash) && e.SoundAt.Before(s.soundAt) {
+			t.changed[e.Subject] = true // the sender does not know of the answer
+		}
+		if now.Sub(crash.At) <= s.lifetime() && s.addCrash(crash) {
+			s.usedAt = now
+			t.changed[e.Subject] = true
 		}
-		s.crashes = append(s.crashes, crash)
-		s.usedAt = now
-		t.changed[e.Subject] = true
 	}
-	t.limitSuspects()
 }
 
-func (s *suspect) hasCrash(crash Crash) bool {
-	return slices.ContainsFunc(s.crashes, func(known Crash) bool {
-		return known.Server == crash.Server && known.Request == crash.Request
+// limitSuspects drops an eighth of the suspects if there are too many: first those with the
+// fewest crashed servers, and of these the least recently used.
+func (t *Tracker) limitSuspects() {
+	if len(t.suspects) <= maxSuspects {
+		return
+	}
+	excess := len(t.suspects) - maxSuspects*7/8
+	type candidate struct {
+		*suspect
+		crashed int
+	}
+	candidates := make([]candidate, 0, len(t.suspects))
+	for _, s := range t.suspects {
+		candidates = append(candidates, candidate{s, s.servers()})
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.crashed, b.crashed), a.usedAt.Compare(b.usedAt), cmp.Compare(a.subject, b.subject))
 	})
+	for _, c := range candidates[:excess] {
+		t.drop(c.suspect)
+	}
+	t.evicted += excess
 }
 
-// limitSuspects drops the suspect that was least recently used while there are too many.
-// Quarantined parts are dropped last.
-func (t *Tracker) limitSuspects() {
-	for len(t.suspects) > maxSuspects {
-		parts := slices.Collect(maps.Keys(t.suspects))
-		dropped := slices.MinFunc(parts, func(a, b Subject) int {
-			first, second := t.suspects[a], t.suspects[b]
-			switch {
-			case first.isHarmful() && !second.isHarmful():
-				return 1
-			case second.isHarmful() && !first.isHarmful():
-				return -1
-			}
-			return first.usedAt.Compare(second.usedAt)
-		})
-		delete(t.suspects, dropped)
-		delete(t.changed, dropped)
-		t.evicted++
+func (t *Tracker) drop(s *suspect) {
+	delete(t.suspects, s.subject)
+	delete(t.changed, s.subject)
+	if !s.subject.IsWholeRequest() {
+		return
+	}
+	if t.outlines[s.outline]--; t.outlines[s.outline] == 0 {
+		delete(t.outlines, s.outline)
 	}
 }
 
 // Stats returns the number of suspects, and of those dropped for want of space so far.
 func (t *Tracker) Stats() (suspects, evicted int) { return len(t.suspects), t.evicted }
 
-// CrashedServers returns the largest number of servers that crashed under one of the
-// subjects.
-func (t *Tracker) CrashedServers(subjects []Subject) int {
+// CrashedServers returns the largest number of servers that crashed under the whole
+// request or one of the parts.
+func (t *Tracker) CrashedServers(request *Request, parts []Subject) int {
 	most := 0
-	for _, subject := range subjects {
-		if s := t.suspects[subject]; s != nil {
-			most = max(most, s.servers())
-		}
+	for _, s := range t.find(request, parts) {
+		most = max(most, s.servers())
 	}
 	return most
 }
 
-// Expire drops the suspects that were not used within retention.
+// find returns the suspects among the whole request and the parts.
+func (t *Tracker) find(request *Request, parts []Subject) []*suspect {
+	if len(t.suspects) == 0 {
+		return nil
+	}
+	var found []*suspect
+	if t.mayKnow(request) {
+		if s := t.suspects[request.Subject()]; s != nil {
+			found = append(found, s)
+		}
+	}
+	for _, part := range parts {
+		if s := t.suspects[part]; s != nil {
+			found = append(found, s)
+		}
+	}
+	return found
+}
+
+// Expire drops the suspects that were not used within their lifetime, and whole requests
+// whose answer has outweighed all crashes.
 func (t *Tracker) Expire(now time.Time) {
-	for part, s := range t.suspects {
-		if now.Sub(s.usedAt) > retention {
-			delete(t.suspects, part)
-			delete(t.changed, part)
+	for _, s := range t.suspects {
+		isCleared := s.subject.IsWholeRequest() && len(s.crashes) == 0 && now.Sub(s.soundAt) > answeredFor
+		if isCleared || now.Sub(s.usedAt) > s.lifetime() {
+			t.drop(s)
 		}
 	}
 }
 
-// Quarantined returns the first quarantined part and true if there is one among parts.
-// The quarantine lasts for another retention from now.
-func (t *Tracker) Quarantined(now time.Time, parts []Subject) (Subject, bool) {
-	for _, part := range parts {
-		if s := t.suspects[part]; s != nil && s.isHarmful() {
+// Quarantined returns the first quarantined subject and true if the whole request or one of
+// the parts is one. The quarantine of a part lasts for another retention from now.
+func (t *Tracker) Quarantined(now time.Time, request *Request, parts []Subject) (Subject, bool) {
+	for _, s := range t.find(request, parts) {
+		if !s.isHarmful(now) {
+			continue
+		}
+		if !s.subject.IsWholeRequest() {
 			s.usedAt = now
-			return part, true
 		}
+		return s.subject, true
 	}
 	return 0, false
 }
 
-// Suspected reports whether several servers have crashed under prompts with one of the
-// parts, so that a retry of such a prompt may crash another one.
-func (t *Tracker) Suspected(parts []Subject) bool {
-	return slices.ContainsFunc(parts, func(part Subject) bool {
-		s := t.suspects[part]
-		return s != nil && s.servers() > 1
-	})
+// Suspected reports whether several servers have crashed under the whole request or one of
+// the parts, so that a retry of the request may crash another one.
+func (t *Tracker) Suspected(request *Request, parts []Subject) bool {
+	return t.CrashedServers(request, parts) > 1
 }
 
-// TakeChanges returns the evidence on the parts that changed since the last call.
+// TakeChanges returns the evidence on the subjects that changed since the last call.
 func (t *Tracker) TakeChanges() []Evidence {
 	if len(t.changed) == 0 {
 		return nil
@@ -312,23 +434,23 @@
 // All returns all evidence, for a VM that may know none of it.
 func (t *Tracker) All() []Evidence { return t.evidence(slices.Sorted(maps.Keys(t.suspects))) }
 
-// AllQuarantined returns the evidence on the quarantined parts.
-func (t *Tracker) AllQuarantined() []Evidence {
-	var parts []Subject
-	for part, s := range t.suspects {
-		if s.isHarmful() {
-			parts = append(parts, part)
+// AllQuarantined returns the evidence on the quarantined subjects.
+func (t *Tracker) AllQuarantined(now time.Time) []Evidence {
+	var subjects []Subject
+	for subject, s := range t.suspects {
+		if s.isHarmful(now) {
+			subjects = append(subjects, subject)
 		}
 	}
-	slices.Sort(parts)
-	return t.evidence(parts)
+	slices.Sort(subjects)
+	return t.evidence(subjects)
 }
 
-func (t *Tracker) evidence(parts []Subject) []Evidence {
-	list := make([]Evidence, 0, len(parts))
-	for _, part := range parts {
-		s := t.suspects[part]
-		list = append(list, Evidence{Subject: part, Crashes: slices.Clone(s.crashes), SoundAt: s.soundAt})
+func (t *Tracker) evidence(subjects []Subject) []Evidence {
+	list := make([]Evidence, 0, len(subjects))
+	for _, subject := range subjects {
+		s := t.suspects[subject]
+		list = append(list, Evidence{Subject: subject, Crashes: slices.Clone(s.crashes), SoundAt: s.soundAt})
 	}
 	return list
 }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -11,23 +11,29 @@
 
 var start = time.Unix(1_000_000, 0)
 
-func run(n int) ServerRun     { return NewServerRun(fmt.Sprintf("s%d", n), start) }
-func request(n int) RequestID { return NewRequestID(fmt.Sprintf("r%d", n)) }
+func run(n int) ServerRun { return NewServerRun(fmt.Sprintf("s%d", n), start) }
+
+func request(n int) *Request { return NewRequest("team", "POST", "host", fmt.Sprintf("/r%d", n), nil) }
+
+// quarantined reports on parts alone, for a request without evidence.
+func quarantined(tracker *Tracker, now time.Time, parts ...Subject) (Subject, bool) {
+	return tracker.Quarantined(now, request(-1), parts)
+}
 
 var harmful, shared = NewPart("harmful"), NewPart("shared")
 
 func TestPartThatCrashesServersIsQuarantined(t *testing.T) {
 	tracker := NewTracker()
-	tracker.RecordSound(start, []Subject{shared})
+	tracker.RecordSound(start, request(-1), []Subject{shared})
 	for n := range minCrashes {
-		_, found := tracker.Quarantined(start, []Subject{shared, harmful})
+		_, found := quarantined(tracker, start, shared, harmful)
 		require.False(t, found, "after %d crashes", n)
 		tracker.RecordCrash(start.Add(time.Second), run(n), request(n), []Subject{shared, harmful})
 	}
-	part, found := tracker.Quarantined(start.Add(time.Second), []Subject{shared, harmful})
+	part, found := quarantined(tracker, start.Add(time.Second), shared, harmful)
 	require.True(t, found)
 	require.Equal(t, harmful, part)
-	_, found = tracker.Quarantined(start.Add(time.Second), []Subject{shared})
+	_, found = quarantined(tracker, start.Add(time.Second), shared)
 	require.False(t, found, "sound prompts share this part")
 }
 
@@ -36,14 +42,14 @@
 	for n := range 2 * minCrashes {
 		tracker.RecordCrash(start, run(n), request(0), []Subject{harmful})
 	}
-	_, found := tracker.Quarantined(start, []Subject{harmful})
+	_, found := quarantined(tracker, start, harmful)
 	require.False(t, found, "one request")
-	require.True(t, tracker.Suspected([]Subject{harmful}))
+	require.True(t, tracker.Suspected(request(-1), []Subject{harmful}))
 	tracker = NewTracker()
 	for n := range 2 * minCrashes {
 		tracker.RecordCrash(start, run(0), request(n), []Subject{harmful})
 	}
-	_, found = tracker.Quarantined(start, []Subject{harmful})
+	_, found = quarantined(tracker, start, harmful)
 	require.False(t, found, "one server")
 }
 
@@ -54,10 +60,10 @@
 	now := start
 	for n := range 10 * minCrashes {
 		tracker.RecordCrash(now, run(n), request(n), []Subject{shared})
-		tracker.RecordSound(now, []Subject{shared})
+		tracker.RecordSound(now, request(-1), []Subject{shared})
 		now = now.Add(100 * time.Millisecond)
 	}
-	_, found := tracker.Quarantined(now.Add(2*soundFor), []Subject{shared})
+	_, found := quarantined(tracker, now.Add(2*partSoundFor), shared)
 	require.False(t, found)
 }
 
@@ -65,14 +71,14 @@
 // have seen.
 func TestVMThatStartedLaterLearnsThatAPartIsSound(t *testing.T) {
 	known, started := NewTracker(), NewTracker()
-	known.RecordSound(start, []Subject{shared})
+	known.RecordSound(start, request(-1), []Subject{shared})
 	for n := range minCrashes {
 		started.RecordCrash(start.Add(time.Second), run(n), request(n), []Subject{shared})
 	}
 	known.Merge(start.Add(time.Second), started.TakeChanges())
 	started.Merge(start.Add(time.Second), known.TakeChanges())
 	for name, tracker := range map[string]*Tracker{"known": known, "started": started} {
-		_, found := tracker.Quarantined(start.Add(time.Second), []Subject{shared})
+		_, found := quarantined(tracker, start.Add(time.Second), shared)
 		require.False(t, found, name)
 	}
 }
@@ -86,7 +92,7 @@
 	for range 5 {
 		now = now.Add(retention - time.Second)
 		tracker.Expire(now)
-		_, found := tracker.Quarantined(now, []Subject{harmful})
+		_, found := quarantined(tracker, now, harmful)
 		require.True(t, found, "requests with the part still come")
 	}
 	tracker.Expire(now.Add(retention + time.Second))
@@ -104,20 +110,20 @@
 		now := start.Add(time.Duration(n) * time.Millisecond)
 		part := NewPart(fmt.Sprintf("part %d", n))
 		tracker.RecordCrash(now, run(n), request(n), []Subject{part})
-		tracker.RecordSound(now, []Subject{NewPart(fmt.Sprintf("sound %d", n))})
+		tracker.RecordSound(now, request(-1), []Subject{NewPart(fmt.Sprintf("sound %d", n))})
 	}
 	require.LessOrEqual(t, len(tracker.suspects), maxSuspects)
 	require.LessOrEqual(t, len(tracker.changed), maxSuspects)
-	_, found := tracker.Quarantined(start, []Subject{harmful})
+	_, found := quarantined(tracker, start, harmful)
 	require.True(t, found)
-	for n := range 10 * maxCrashesPerPart {
+	for n := range 10 * maxCrashesPerSubject {
 		tracker.RecordCrash(start, run(n), request(n), []Subject{harmful})
 	}
-	require.Len(t, tracker.suspects[harmful].crashes, maxCrashesPerPart)
+	require.Len(t, tracker.suspects[harmful].crashes, maxCrashesPerSubject)
 	for n := range 5 * maxSound {
-		tracker.RecordSound(start.Add(time.Minute), []Subject{NewPart(fmt.Sprintf("sound %d", n))})
+		tracker.RecordSound(start.Add(time.Minute), request(-1), []Subject{NewPart(fmt.Sprintf("sound %d", n))})
 	}
-	require.LessOrEqual(t, len(tracker.sound)+len(tracker.olderSound), 2*maxSound)
+	require.LessOrEqual(t, len(tracker.sound.current)+len(tracker.sound.older), 2*maxSound)
 }
 
 // VMs that see the crashes in parts, and exchange evidence over lost, repeated and
@@ -137,7 +143,7 @@
 			case 0:
 				tracker.RecordCrash(now, run(draw("server", 6)), request(draw("request", 6)), []Subject{harmful, shared})
 			case 1:
-				tracker.RecordSound(now, []Subject{shared})
+				tracker.RecordSound(now, request(draw("answered", 3)), []Subject{shared})
 			case 2:
 				trackers[draw("to", len(trackers))].Merge(now, tracker.All())
 			case 3:
@@ -163,10 +169,15 @@
 		}
 		for _, tracker := range trackers[1:] {
 			for _, part := range []Subject{harmful, shared} {
-				_, want := trackers[0].Quarantined(now, []Subject{part})
-				_, got := tracker.Quarantined(now, []Subject{part})
+				_, want := quarantined(trackers[0], now, part)
+				_, got := quarantined(tracker, now, part)
 				require.Equal(t, want, got)
 			}
+			// Until then, a VM that has answered a request before its crashes needs crashes over a longer time.
+			later := now.Add(shortQuarantine + time.Second)
+			for n := range 6 {
+				require.Equal(t, isQuarantined(trackers[0], later, request(n)), isQuarantined(tracker, later, request(n)), "request %d", n)
+			}
 		}
 	})
 }
