quarantine: requests beside one that crashes servers are not refused

A subject is now served, and may be sent again, if all its crashed servers, and more, crashed under one that is harmful. One server that crashed under it alone ends this, so two harmful requests on the same servers cost one crash more at most.

TestRequestBesideOneThatCrashesServersIsNotRefused failed before.

--- a/internal/gateway/harmful.go
+++ b/internal/gateway/harmful.go
@@ -33,9 +33,10 @@
 	run := quarantine.NewServerRun(attempt.Server.ID, attempt.Server.StartedAt)
 	var crashed, suspects, evicted int
 	x.gateway.options.Evidence.Do(func(t *quarantine.Tracker) {
-		t.RecordCrash(time.Now(), run, x.identity, x.request.Parts)
-		x.mayCrashServers = t.Suspected(x.identity, x.request.Parts)
-		crashed = t.CrashedServers(x.identity, x.request.Parts)
+		now := time.Now()
+		t.RecordCrash(now, run, x.identity, x.request.Parts)
+		x.mayCrashServers = t.Suspected(now, x.identity, x.request.Parts)
+		crashed = t.CrashedServers(now, x.identity, x.request.Parts)
 		suspects, evicted = t.Stats()
 	})
 	observe.Log(x.gateway.options.Logger, observe.ConnectionLostBeforeAnswer).Str("request", x.request.ID).
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -164,6 +164,16 @@
 	return retention
 }
 
+// includes reports whether all servers that crashed under other crashed under s, too.
+func (s *suspect) includes(other *suspect) bool {
+	for _, crash := range other.crashes {
+		if !slices.ContainsFunc(s.crashes, func(own Crash) bool { return own.Server == crash.Server }) {
+			return false
+		}
+	}
+	return true
+}
+
 // counts reports whether a crash is evidence against the subject.
 func (s *suspect) counts(crash Crash) bool {
 	soundFor := partSoundFor
@@ -361,15 +371,34 @@
 func (t *Tracker) Stats() (suspects, evicted int) { return len(t.suspects), t.evicted }
 
 // CrashedServers returns the largest number of servers that crashed under the whole
-// request or one of the parts.
-func (t *Tracker) CrashedServers(request *Request, parts []Subject) int {
+// request or one of the parts, without subjects whose crashes another one explains.
+func (t *Tracker) CrashedServers(now time.Time, request *Request, parts []Subject) int {
 	most := 0
 	for _, s := range t.find(request, parts) {
-		most = max(most, s.servers())
+		if servers := s.servers(); servers > most && (servers == 1 || !t.isExplained(now, s)) {
+			most = servers
+		}
 	}
 	return most
 }
 
+// isQuarantined reports whether requests with the subject are refused.
+func (t *Tracker) isQuarantined(now time.Time, s *suspect) bool {
+	return s.isHarmful(now) && !t.isExplained(now, s)
+}
+
+// isExplained reports whether all servers that crashed under the subject, and more, crashed
+// under one that is harmful. A server that crashes makes suspects of all requests that it
+// ran.
+func (t *Tracker) isExplained(now time.Time, s *suspect) bool {
+	for _, other := range t.suspects {
+		if other != s && other.isHarmful(now) && other.servers() > s.servers() && other.includes(s) {
+			return true
+		}
+	}
+	return false
+}
+
 // find returns the suspects among the whole request and the parts.
 func (t *Tracker) find(request *Request, parts []Subject) []*suspect {
 	if len(t.suspects) == 0 {
@@ -404,7 +433,7 @@
 // the parts is one. The quarantine of a part lasts for another retention from now.
 func (t *Tracker) Quarantined(now time.Time, request *Request, parts []Subject) (Subject, bool) {
 	for _, s := range t.find(request, parts) {
-		if !s.isHarmful(now) {
+		if !t.isQuarantined(now, s) {
 			continue
 		}
 		if !s.subject.IsWholeRequest() {
@@ -417,8 +446,8 @@
 
 // Suspected reports whether several servers have crashed under the whole request or one of
 // the parts, so that a retry of the request may crash another one.
-func (t *Tracker) Suspected(request *Request, parts []Subject) bool {
-	return t.CrashedServers(request, parts) > 1
+func (t *Tracker) Suspected(now time.Time, request *Request, parts []Subject) bool {
+	return t.CrashedServers(now, request, parts) > 1
 }
 
 // TakeChanges returns the evidence on the subjects that changed since the last call.
@@ -438,7 +467,7 @@
 func (t *Tracker) AllQuarantined(now time.Time) []Evidence {
 	var subjects []Subject
 	for subject, s := range t.suspects {
-		if s.isHarmful(now) {
+		if t.isQuarantined(now, s) {
 			subjects = append(subjects, subject)
 		}
 	}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -44,7 +44,7 @@
 	}
 	_, found := quarantined(tracker, start, harmful)
 	require.False(t, found, "one request")
-	require.True(t, tracker.Suspected(request(-1), []Subject{harmful}))
+	require.True(t, tracker.Suspected(start, request(-1), []Subject{harmful}))
 	tracker = NewTracker()
 	for n := range 2 * minCrashes {
 		tracker.RecordCrash(start, run(0), request(n), []Subject{harmful})
--- a/internal/quarantine/request_test.go
+++ b/internal/quarantine/request_test.go
@@ -44,7 +44,7 @@
 	for n := range minCrashes {
 		now := start.Add(time.Duration(n) * 300 * time.Millisecond)
 		require.False(t, isQuarantined(tracker, now, request(0)), "after %d crashes", n)
-		require.Equal(t, n > 1, tracker.Suspected(request(0), nil), "after %d crashes", n)
+		require.Equal(t, n > 1, tracker.Suspected(now, request(0), nil), "after %d crashes", n)
 		crashUnder(tracker, now, n, request(0))
 	}
 	now := start.Add(time.Second)
@@ -167,6 +167,46 @@
 	}
 }
 
+// The servers that a harmful request has crashed are no evidence against sound requests that ran beside it.
+func TestRequestBesideOneThatCrashesServersIsNotRefused(t *testing.T) {
+	tracker := NewTracker()
+	for n := range minCrashes + 1 {
+		now := start.Add(time.Duration(n) * time.Second)
+		crashUnder(tracker, now, n, request(0))
+		if n > 0 {
+			tracker.RecordCrash(now, run(n), request(1), []Subject{shared})
+			tracker.RecordCrash(now, run(n), request(n+1), []Subject{shared})
+		}
+	}
+	now := start.Add(10 * time.Second)
+	require.True(t, isQuarantined(tracker, now, request(0)))
+	require.False(t, isQuarantined(tracker, now, request(1)))
+	_, found := quarantined(tracker, now, shared)
+	require.False(t, found)
+	require.False(t, tracker.Suspected(now, request(1), []Subject{shared}), "it may be sent again")
+	require.Len(t, tracker.AllQuarantined(now), 1)
+}
+
+func TestTwoRequestsThatCrashTheSameServersAreBothQuarantined(t *testing.T) {
+	for alone := range minCrashes { // the servers that only the first has crashed before
+		tracker := NewTracker()
+		now, crashes := start, 0
+		for range alone {
+			crashUnder(tracker, now, crashes, request(0))
+			now, crashes = now.Add(time.Second), crashes+1
+		}
+		for !isQuarantined(tracker, now, request(0)) || !isQuarantined(tracker, now, request(1)) {
+			for n := range 2 {
+				if !isQuarantined(tracker, now, request(n)) {
+					crashUnder(tracker, now, crashes, request(n))
+				}
+			}
+			now, crashes = now.Add(time.Second), crashes+1
+		}
+		require.LessOrEqual(t, crashes, alone+minCrashes+1)
+	}
+}
+
 // At 600 servers with four requests before their second event each, of which 15 % crash at the same time every four
 // seconds, a request that crashes a server every ten seconds must stay known until it is quarantined.
 func TestCrashesOfOtherCausesDoNotDisplaceARequestThatCrashesServers(t *testing.T) {
@@ -199,7 +239,7 @@
 	for n := 1; n <= 3*maxSuspects; n++ {
 		crashUnder(tracker, start.Add(time.Duration(n)*time.Millisecond), 3, request(n))
 	}
-	require.True(t, tracker.Suspected(request(0), nil))
+	require.True(t, tracker.Suspected(start, request(0), nil))
 	require.Positive(t, tracker.evicted)
 }
 
