gateway: an error answer of the request itself clears it of crashes

A request that servers answer with 404, say, and that ran on three servers that crashed for other reasons was refused: only successes counted as answers. A whole response with a 4xx status that does not say 'not run' (408, 421, 425, 429) now counts for the whole request; for the parts of the prompt only a success does.

TestRequestThatServersAnswerWithAnErrorOfItsOwnIsNotRefused failed before (status 404).

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -375,8 +375,8 @@
 			return attemptResult{err: err}
 		}
 	}
-	if success {
-		x.recordSound()
+	if hasRun(response.Status) {
+		x.recordSound(success)
 	}
 	x.possibleRuns++
 	if err := x.caller.WriteResponse(response.Status, response.Header, body); err != nil {
--- a/internal/gateway/harmful.go
+++ b/internal/gateway/harmful.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -45,9 +46,24 @@
 		Bool("suspected", x.mayCrashServers).Int("suspects", suspects).Int("evicted", evicted).Err(result.err).Send()
 }
 
-// recordSound records that a server has answered the request.
-func (x *exchange) recordSound() {
-	x.gateway.options.Evidence.RecordSound(time.Now(), x.identity, x.request.Parts)
+// recordSound records that a server has answered the request, and its prompt if success is set.
+func (x *exchange) recordSound(success bool) {
+	var parts []quarantine.Subject
+	if success {
+		parts = x.request.Parts
+	}
+	x.gateway.options.Evidence.RecordSound(time.Now(), x.identity, parts)
+}
+
+// hasRun tells whether a response with the given status shows that the server ran the request and is still there: a
+// success, or an error of the request itself, such as a missing object.
+func hasRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooEarly, http.StatusTooManyRequests:
+		return false
+	}
+	return status >= http.StatusOK && status < http.StatusMultipleChoices ||
+		status >= http.StatusBadRequest && status < http.StatusInternalServerError
 }
 
 // isConnectionLost tells whether err means that the server closed or reset the connection within a response.
--- a/internal/gateway/harmful_test.go
+++ b/internal/gateway/harmful_test.go
@@ -114,9 +114,9 @@
 type crashingRequests struct {
 	*fakes
 	harmful func(*Attempt) bool
-	// crash is how the caller sees the crash.
-	crash   func(*Attempt) (*Response, error)
-	crashes int
+	// crash is how a crash is seen, answer the response to any other request, nil for a stream of three events.
+	crash, answer func(*Attempt) (*Response, error)
+	crashes       int
 }
 
 func (c *crashingRequests) Send(_ context.Context, attempt *Attempt) (*Response, error) {
@@ -124,6 +124,9 @@
 		c.crashes++
 		return c.crash(attempt)
 	}
+	if c.answer != nil {
+		return c.answer(attempt)
+	}
 	return respond(http.StatusOK, events+"id: 3\ndata: c\n\n", nil)(attempt)
 }
 
@@ -213,6 +216,30 @@
 	})
 }
 
+func TestRequestThatServersAnswerWithAnErrorOfItsOwnIsNotRefused(t *testing.T) {
+	for status, wantRefused := range map[int]bool{http.StatusNotFound: false, http.StatusTooManyRequests: true} {
+		backend := &crashingRequests{fakes: &fakes{retriesLeft: 9}, crash: respond(http.StatusOK, "", io.ErrUnexpectedEOF)}
+		backend.answer = respond(status, "", nil)
+		crash := true
+		backend.harmful = func(*Attempt) bool { return crash }
+		g := backend.gateway()
+		serve := func() *fakeCaller {
+			caller := &fakeCaller{}
+			g.Serve(context.Background(), &Request{
+				ID: "r", Host: "h", Path: "/unsafe/x", Target: "/unsafe/x", Key: "key", ArrivedAt: time.Now(), Timeout: time.Second,
+			}, caller)
+			return caller
+		}
+		for range quarantineCrashes {
+			crash = true
+			serve()
+			crash = false
+			serve()
+		}
+		require.Equal(t, wantRefused, serve().refusal == RefusedQuarantine, "status %d", status)
+	}
+}
+
 // A stream that broke off with servers that other requests have crashed must be resumed each time.
 func TestStreamThatWasAnsweredIsNoSuspectWhenItsServersCrash(t *testing.T) {
 	evidence := quarantine.NewGuard()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -46,7 +46,7 @@
 		case 1:
 			x.gateway.options.Placer.Started(id)
 		case minEventsOfSoundPrompt:
-			x.recordSound()
+			x.recordSound(true)
 		}
 		if !event.HasID || event.ID > x.lastEventID {
 			if err := x.forwardEvent(response, event); err != nil {
@@ -85,7 +85,7 @@
 			Delivery: DeliveryUnknown, Err: errors.New("the stream ended without an event"),
 		}}
 	}
-	x.recordSound()
+	x.recordSound(true)
 	x.possibleRuns++
 	x.recordAnswered(attempt, response.Status, true)
 	return attemptResult{done: true}
