--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -46,7 +46,7 @@
 		case 1:
 			x.gateway.options.Placer.Started(id)
 		case minEventsOfSoundPrompt:
-			x.recordSound()
+			x.recordSound(true)
 		}
 		if event.HasID && event.ID > x.lastEventID || !event.HasID && maxID >= x.lastEventID {
 			if err := x.forwardEvent(response, event); err != nil {
@@ -93,7 +93,7 @@
 			Delivery: DeliveryUnknown, Err: fmt.Errorf("the stream ended at event %d, the caller has event %d", maxID, x.lastEventID),
 		}}
 	}
-	x.recordSound()
+	x.recordSound(true)
 	x.possibleRuns++
 	x.recordAnswered(attempt, response.Status, true)
 	return attemptResult{done: true}
