gateway: a silent server is left only for a granted one

Callers saw streams cut with "no server to go on at: refused by the scheduler", and whole requests answered 502, although their servers went on a second or two later. Cause: the stall timer asked the retry budget, gave the attempt up and charged the retry; the placement was requested afterwards, and where the scheduler refused it, nothing was left. Class: giving up what one has before a replacement is certain. The same timer raced with the response: its callback could run after the event or the end of the response that should have stopped it. It then charged a retry, ended a working stream, or set a past read deadline on a connection that the pool had already handed to another request.

Now stallWatch searches another server while the attempt goes on. The attempt is given up, and the retry charged, in one step under a mutex: only with a granted placement on a known server, a retry that the budget allows, and nothing arrived. An event that arrives first ends the search, and an unused placement is released. A refused search asks again after 0.5 to 2 s, and not while the budget is spent. It holds for streams before and after their first event and for whole requests.

Failed before, on: TestStalledStreamGoesOnWhileNoServerIsGranted (aborted), TestUnansweredRequestGoesOnWhileNoServerIsGranted (failed, both kinds), TestEventThatPrecedesTheGrantKeepsTheStream (a second attempt was made), TestConnectionOfACompleteResponseGetsNoDeadline (deadline set after Close). TestStallWatchMovesOrReleasesEachPlacement is new and passes with -race.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"godwityoke.example/godwityoke/internal/observe"
@@ -47,11 +46,7 @@
 	minStallTimeout = 1200 * time.Millisecond
 )
 
-var (
-	errRetryBudgetSpent = errors.New("the retry budget is used up")
-	// errUnresponsive is the cause with which an attempt is cancelled when the server does not respond in time.
-	errUnresponsive = errors.New("the server did not begin its response in time")
-)
+var errRetryBudgetSpent = errors.New("the retry budget is used up")
 
 // exchange is the state of one request while it is served.
 type exchange struct {
@@ -77,8 +72,6 @@
 	// lastEventID is the id of the last event that the caller has, 0 for none.
 	lastEventID uint64
 	eventsSent  int
-	// retryAllowed is set when the retry budget has allowed the next retry already.
-	retryAllowed atomic.Bool
 	// mayCrashServers is set once several servers have crashed under prompts that share a part with this one.
 	mayCrashServers bool
 	timing          timing
@@ -89,6 +82,8 @@
 	// done is set when the caller has the final answer or disconnected while it was sent. Otherwise err is set.
 	done bool
 	err  *AttemptError
+	// moved is the placement for which the attempt was given up, nil if it was not.
+	moved *grant
 	// events is the number of events that the server sent.
 	events int
 	// serverError is set when the final answer is a 5xx response of the server.
@@ -97,25 +92,21 @@
 
 // run sends the request until it is answered or must not be retried.
 func (x *exchange) run(ctx context.Context) {
+	var granted *grant
 	for {
-		id := schedule.JobID{VM: x.gateway.options.Incarnation, Seq: x.gateway.lastSeq.Add(1)}
-		requestedAt := time.Now()
-		placement, err := x.gateway.options.Placer.Place(ctx, x.placementRequest(id))
-		x.timing.placementWait += time.Since(requestedAt)
-		if err != nil {
-			x.failUnplaced(ctx, err.Error(), overloadRetryAfter)
-			return
-		}
-		if placement.Server == "" {
-			x.failUnplaced(ctx, placement.Reason, placement.RetryAfter)
-			return
+		if granted == nil {
+			if granted = x.place(ctx); granted == nil {
+				return
+			}
 		}
+		id, placement := granted.id, granted.placement
+		x.timing.placementWait += granted.waited
 		if part, found := x.gateway.options.Evidence.Quarantined(time.Now(), x.request.Parts); found {
 			x.gateway.options.Placer.Ended(id, schedule.OutcomeDone)
 			x.refuseQuarantined(part)
 			return
 		}
-		if x.deliveries > 0 && !x.retryAllowed.Swap(false) && !x.gateway.options.Budget.TryRetry(x.service) {
+		if x.deliveries > 0 && !granted.charged && !x.gateway.options.Budget.TryRetry(x.service) {
 			x.gateway.options.Placer.Ended(id, schedule.OutcomeDone)
 			x.failUnplaced(ctx, errRetryBudgetSpent.Error(), overloadRetryAfter)
 			return
@@ -124,19 +115,38 @@
 		if placement.Local {
 			x.timing.localPlacements++
 		}
-		x.logPlacement(placement, time.Since(requestedAt))
+		x.logPlacement(placement, granted.waited)
 		result := x.attempt(ctx, id, placement)
-		if result.done {
-			return
-		}
-		if ctx.Err() != nil || !x.canRetry(result.err) {
-			x.failAttempted(ctx, result.err)
+		granted = result.moved
+		if result.done || ctx.Err() != nil || !x.canRetry(result.err) {
+			if granted != nil {
+				x.gateway.options.Placer.Ended(granted.id, schedule.OutcomeDone)
+			}
+			if !result.done {
+				x.failAttempted(ctx, result.err)
+			}
 			return
 		}
 		x.excluded = append(x.excluded, placement.Server)
 	}
 }
 
+// place waits for a placement. It returns nil if none is granted; the request has then been ended.
+func (x *exchange) place(ctx context.Context) *grant {
+	id, requestedAt := x.gateway.nextID(), time.Now()
+	placement, err := x.gateway.options.Placer.Place(ctx, x.placementRequest(id))
+	waited := time.Since(requestedAt)
+	if err != nil {
+		placement.Server, placement.Reason, placement.RetryAfter = "", err.Error(), overloadRetryAfter
+	}
+	if placement.Server == "" {
+		x.timing.placementWait += waited
+		x.failUnplaced(ctx, placement.Reason, placement.RetryAfter)
+		return nil
+	}
+	return &grant{id: id, placement: placement, waited: waited}
+}
+
 // canRetry tells whether the request may be sent to another server after the attempt that failed with err.
 func (x *exchange) canRetry(err *AttemptError) bool {
 	if x.attempts >= maxAttempts || x.mayCrashServers {
@@ -251,17 +261,23 @@
 	sentAt := time.Now()
 	sendCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stopTimer := x.startResponseTimer(cancel)
+	watch := x.watchStalls(ctx, placement.Server)
+	x.beginResponseWait(watch, cancel)
 	response, sendErr := x.gateway.options.Backend.Send(sendCtx, attempt)
-	stopTimer()
+	givenUp := watch.end()
 	result := attemptResult{}
-	if sendErr != nil {
+	switch {
+	case sendErr != nil:
 		result.err = asAttemptError(sendErr)
-		result.err.Unresponsive = result.err.Unresponsive || errors.Is(context.Cause(sendCtx), errUnresponsive)
-	} else {
-		result = x.relay(id, attempt, response)
+		result.err.Unresponsive = result.err.Unresponsive || givenUp
+	case givenUp: // the response began while it was cancelled
+		result.err = &AttemptError{Delivery: DeliveryUnknown, Unresponsive: true, Err: errUnresponsive}
+		_ = response.Body.Close()
+	default:
+		result = x.relay(id, attempt, response, watch)
 		_ = response.Body.Close()
 	}
+	result.moved = watch.grant()
 	x.recordCrash(ctx, attempt, result)
 	placer.Ended(id, x.placementOutcome(ctx, result))
 	if result.err != nil {
@@ -278,16 +294,15 @@
 	return result
 }
 
-// startResponseTimer cancels the attempt with errUnresponsive when the server has not begun its response by the
-// deadline of the first event and a retry is allowed. It returns a function that stops the timer. No timer is started
-// when the request must not be retried or when too little time would be left for a retry: then the deadline of the
-// request ends the attempt, and the server is not reported as unresponsive.
-func (x *exchange) startResponseTimer(cancel context.CancelCauseFunc) (stop func()) {
+// beginResponseWait begins the wait for the response. Its end by watch cancels the attempt with errUnresponsive. Nothing
+// is watched when too little time would be left for a retry: then the deadline of the request ends the attempt, and the
+// server is not reported as unresponsive.
+func (x *exchange) beginResponseWait(watch *stallWatch, cancel context.CancelCauseFunc) {
 	firstEventDeadline := x.eventDeadline(false)
 	if x.deadline.Sub(firstEventDeadline) < minStallTimeout/2 {
-		return func() {}
+		return
 	}
-	return x.startStallTimer(firstEventDeadline, false, func() { cancel(errUnresponsive) }).stop
+	watch.begin(firstEventDeadline, func() { cancel(errUnresponsive) })
 }
 
 // placementOutcome returns what the scheduler is told about the attempt. An attempt that failed because the request
@@ -335,7 +350,7 @@
 
 // relay sends a response to the caller, as a stream of events or as a whole. A success response without the server's
 // signature is not sent and counts as a failed attempt.
-func (x *exchange) relay(id schedule.JobID, attempt *Attempt, response *Response) attemptResult {
+func (x *exchange) relay(id schedule.JobID, attempt *Attempt, response *Response, watch *stallWatch) attemptResult {
 	success := response.Status >= http.StatusOK && response.Status < http.StatusMultipleChoices
 	switch {
 	case success && !response.Verified:
@@ -343,7 +358,7 @@
 			Delivery: DeliveryUnknown, Err: errors.New("the response carries no signature"),
 		}}
 	case success && x.route.Kind == routes.KindStream:
-		return x.relayStream(id, attempt, response)
+		return x.relayStream(id, attempt, response, watch)
 	}
 	return x.relayWhole(attempt, response, success)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -165,6 +165,8 @@
 type Budget interface {
 	// CountRequest counts a request of a caller, which adds to the retries allowed.
 	CountRequest(service string)
+	// CanRetry tells whether TryRetry would allow a retry now. It counts nothing.
+	CanRetry(service string) bool
 	// TryRetry counts a retry if it is allowed and tells whether it is.
 	TryRetry(service string) bool
 }
@@ -270,6 +272,11 @@
 	}
 }
 
+// nextID returns an id for the next placement request.
+func (g *Gateway) nextID() schedule.JobID {
+	return schedule.JobID{VM: g.options.Incarnation, Seq: g.lastSeq.Add(1)}
+}
+
 func (g *Gateway) refuse(request *Request, caller Caller, code RefusalCode, retryAfter time.Duration, reason string) {
 	observe.Log(g.options.Logger, observe.RequestRefused).Str("request", request.ID).Str("reason", reason).
 		Dur("retry_after", retryAfter).Dur("held", time.Since(request.ArrivedAt)).Send()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -32,7 +32,12 @@
 	placements  int
 	retriesLeft int
 	refuse      bool
-	stopping    bool
+	// refuseRetries refuses placements that exclude a server; placeDelay is the time until they are granted.
+	refuseRetries bool
+	placeDelay    time.Duration
+	// retriesRequested counts the placement requests that exclude a server.
+	retriesRequested int
+	stopping         bool
 }
 
 func (f *fakes) Send(_ context.Context, attempt *Attempt) (*Response, error) {
@@ -46,7 +51,16 @@
 func (f *fakes) Release(context.Context, roster.Server, string) error                     { return nil }
 
 func (f *fakes) Place(_ context.Context, request schedule.PlacementRequest) (schedule.Placement, error) {
-	if f.refuse {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	isRetry := len(request.Excluded) > 0
+	if isRetry {
+		f.retriesRequested++
+		f.mu.Unlock()
+		time.Sleep(f.placeDelay)
+		f.mu.Lock()
+	}
+	if f.refuse || f.refuseRetries && isRetry {
 		return schedule.Placement{ID: request.ID, RetryAfter: 2 * time.Second, Reason: "full"}, nil
 	}
 	f.placements++
@@ -54,10 +68,19 @@
 }
 func (f *fakes) Started(schedule.JobID) {}
 func (f *fakes) Ended(_ schedule.JobID, outcome schedule.Outcome) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.outcomes = append(f.outcomes, outcome)
 }
 func (f *fakes) CountRequest(string) {}
+func (f *fakes) CanRetry(string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.retriesLeft > 0
+}
 func (f *fakes) TryRetry(string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.retriesLeft--
 	return f.retriesLeft >= 0
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -15,19 +15,19 @@
 
 // relayStream sends the events of a response to the caller as they arrive, whole events only. It skips events up to
 // lastEventID, which the caller has from an earlier attempt.
-func (x *exchange) relayStream(id schedule.JobID, attempt *Attempt, response *Response) attemptResult {
+func (x *exchange) relayStream(id schedule.JobID, attempt *Attempt, response *Response, watch *stallWatch) attemptResult {
 	reader := eventstream.NewReader(response.Body)
 	received, bytesWithoutID := 0, 0
 	if err := response.Body.SetReadDeadline(x.deadline); err != nil {
 		return attemptResult{err: &AttemptError{Delivery: DeliveryUnknown, Err: err}}
 	}
-	stall := x.startStallTimer(x.eventDeadline(false), true, func() {
+	giveUp := func() {
 		_ = response.Body.SetReadDeadline(time.Unix(1, 0)) // ends the pending read; fails only on a closed connection
-	})
-	defer stall.stop()
+	}
 	for {
+		watch.begin(x.eventDeadline(received > 0), giveUp)
 		event, err := reader.Next()
-		stall.stop() // the time that the caller needs to read an event does not count
+		givenUp := watch.end() // the time that the caller needs to read an event does not count
 		if event.HasID {
 			bytesWithoutID = 0
 		} else if bytesWithoutID += len(event.Raw); bytesWithoutID > maxBytesWithoutID {
@@ -37,6 +37,9 @@
 			return x.finishStream(attempt, response)
 		}
 		if err != nil {
+			if givenUp {
+				err = errSilent
+			}
 			return attemptResult{events: received, err: &AttemptError{
 				Delivery: DeliveryUnknown, Err: fmt.Errorf("read event %d: %w", x.eventsSent+1, err),
 			}}
@@ -54,7 +57,9 @@
 				return attemptResult{done: true}
 			}
 		}
-		stall.restart(x.eventDeadline(true))
+		if givenUp {
+			return attemptResult{events: received, err: &AttemptError{Delivery: DeliveryUnknown, Err: errSilent}}
+		}
 	}
 }
 
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -56,6 +56,15 @@
 // TryRetry reports whether the budget allows a retry, and counts it if so. vms is
 // the number of entry VMs that share the allowance.
 func (b *Budget) TryRetry(now time.Time, vms int) bool {
+	if !b.CanRetry(now, vms) {
+		return false
+	}
+	b.retries[b.current]++
+	return true
+}
+
+// CanRetry reports whether TryRetry would allow a retry at now.
+func (b *Budget) CanRetry(now time.Time, vms int) bool {
 	b.advance(now)
 	firstAttempts, retries := 0, 0
 	for i := range b.firstAttempts {
@@ -68,11 +77,7 @@
 	if !now.Before(b.allowanceFrom) {
 		allowed += safetyFactor * b.options.Allowance / float64(max(vms, 1))
 	}
-	if float64(retries+1) > allowed {
-		return false
-	}
-	b.retries[b.current]++
-	return true
+	return float64(retries+1) <= allowed
 }
 
 // advance drops the buckets that have left the window.
--- a/internal/site/entry.go
+++ b/internal/site/entry.go
@@ -289,6 +289,13 @@
 	b.forService(service).RecordFirstAttempt(time.Now())
 }
 
+// CanRetry implements gateway.Budget.
+func (b *serviceBudgets) CanRetry(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.forService(service).CanRetry(time.Now(), b.entryVMCount())
+}
+
 // TryRetry implements gateway.Budget.
 func (b *serviceBudgets) TryRetry(service string) bool {
 	b.mu.Lock()
