gateway: the deadline of a request is no failure of its server

Cause: the read deadline fires before the context's, so ctx.Err() was still nil; and the wait for an event had no least time for a retry, as that for the response had. Failed before: TestDeadlineOfARequestIsNoFailureOfItsServer (outcome failed) and TestNoServerIsSearchedShortlyBeforeTheDeadline (a second attempt was made).

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -118,7 +118,7 @@
 		x.logPlacement(placement, granted.waited)
 		result := x.attempt(ctx, id, placement)
 		granted = result.moved
-		if result.done || ctx.Err() != nil || !x.canRetry(result.err) {
+		if result.done || x.isOver(ctx) || !x.canRetry(result.err) {
 			if granted != nil {
 				x.gateway.options.Placer.Ended(granted.id, schedule.OutcomeDone)
 			}
@@ -147,6 +147,12 @@
 	return &grant{id: id, placement: placement, waited: waited}
 }
 
+// isOver tells whether the request was cancelled or its deadline has passed. A read may fail at the deadline before ctx
+// is done.
+func (x *exchange) isOver(ctx context.Context) bool {
+	return ctx.Err() != nil || !time.Now().Before(x.deadline)
+}
+
 // canRetry tells whether the request may be sent to another server after the attempt that failed with err.
 func (x *exchange) canRetry(err *AttemptError) bool {
 	if x.attempts >= maxAttempts || x.mayCrashServers {
@@ -262,7 +268,7 @@
 	sendCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watch := x.watchStalls(ctx, placement.Server)
-	x.beginResponseWait(watch, cancel)
+	watch.begin(x.eventDeadline(false), func() { cancel(errUnresponsive) })
 	response, sendErr := x.gateway.options.Backend.Send(sendCtx, attempt)
 	givenUp := watch.end()
 	result := attemptResult{}
@@ -294,24 +300,13 @@
 	return result
 }
 
-// beginResponseWait begins the wait for the response. Its end by watch cancels the attempt with errUnresponsive. Nothing
-// is watched when too little time would be left for a retry: then the deadline of the request ends the attempt, and the
-// server is not reported as unresponsive.
-func (x *exchange) beginResponseWait(watch *stallWatch, cancel context.CancelCauseFunc) {
-	firstEventDeadline := x.eventDeadline(false)
-	if x.deadline.Sub(firstEventDeadline) < minStallTimeout/2 {
-		return
-	}
-	watch.begin(firstEventDeadline, func() { cancel(errUnresponsive) })
-}
-
 // placementOutcome returns what the scheduler is told about the attempt. An attempt that failed because the request
 // was cancelled or its deadline passed counts as done, since the server is not at fault.
 func (x *exchange) placementOutcome(ctx context.Context, result attemptResult) schedule.Outcome {
 	switch {
 	case result.serverError, result.err != nil && result.err.ServerError:
 		return schedule.OutcomeServerError
-	case result.err == nil, ctx.Err() != nil:
+	case result.err == nil, x.isOver(ctx):
 		return schedule.OutcomeDone
 	case result.err.Delivery == DeliveryRejected:
 		return schedule.OutcomeRejected
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -72,10 +72,10 @@
 	return &stallWatch{exchange: x, ctx: ctx, server: server}
 }
 
-// begin starts a wait for the server that lasts until end. From deadline on, another server is searched. giveUp must
-// make the calling goroutine's wait return.
+// begin starts a wait for the server that lasts until end. From deadline on, another server is searched, unless too
+// little time would be left for a retry. giveUp must make the calling goroutine's wait return.
 func (w *stallWatch) begin(deadline time.Time, giveUp func()) {
-	if w == nil {
+	if w == nil || w.exchange.deadline.Sub(deadline) < minStallTimeout/2 {
 		return
 	}
 	w.mu.Lock()
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -228,3 +229,19 @@
 	require.Equal(t, waits-moves, f.retriesLeft, "each move is charged, and nothing else")
 	t.Logf("%d moves, %d placements released", moves, len(f.outcomes))
 }
+
+func TestDeadlineOfARequestIsNoFailureOfItsServer(t *testing.T) {
+	x := &exchange{deadline: time.Now()}
+	result := attemptResult{err: &AttemptError{Delivery: DeliveryUnknown, Err: os.ErrDeadlineExceeded}}
+	require.Equal(t, schedule.OutcomeDone, x.placementOutcome(context.Background(), result))
+}
+
+func TestNoServerIsSearchedShortlyBeforeTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakes{retriesLeft: 9, responses: []func(*Attempt) (*Response, error){slowStream(longTimeout)}}
+		table := longTable()
+		serveWith(f, f, table, "stream", "key", minStallTimeout+100*time.Millisecond)
+		require.Zero(t, f.retriesRequested)
+		require.Equal(t, []schedule.Outcome{schedule.OutcomeDone}, f.outcomes)
+	})
+}
