site: the HTTP server of earlier limits ends with its last connection

Each change of the callers' limits starts a further http.Server, and none was ever forgotten: a process kept one per change, and closing went through all of them. Now a server that accepts no more connections is dropped when its last one closes; open connections keep the limits that they were opened with. TestServersOfEarlierLimitsEndWithTheirConnections failed before (21 servers kept).

--- a/internal/site/callers.go
+++ b/internal/site/callers.go
@@ -5,6 +5,7 @@
 	"log"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 
@@ -28,14 +29,23 @@
 	mu           sync.Mutex
 	activeLimits routes.Limits
 	// active passes new connections to the server with activeLimits; servers holds
-	// all servers, since those of earlier limits may still have connections.
+	// it and those of earlier limits that still have connections.
 	active  *handoffListener
-	servers []*http.Server
+	servers []*callerServer
 	// draining is true once every connection has to be closed after its current response.
 	draining bool
 	closed   bool
 }
 
+// callerServer is the HTTP server of one set of limits. The mutex of callerServers
+// guards its fields.
+type callerServer struct {
+	*http.Server
+	accepting bool
+	// conns is the number of open connections.
+	conns int
+}
+
 func newCallerServers(listener net.Listener, handler http.Handler, limits func() routes.Limits, logger zerolog.Logger) *callerServers {
 	return &callerServers{listener: listener, handler: handler, limits: limits, errorLog: log.New(errorLogWriter{logger}, "", 0)}
 }
@@ -77,18 +87,48 @@
 	if s.active != nil {
 		_ = s.active.Close()
 	}
-	server := &http.Server{
+	server := &callerServer{accepting: true}
+	server.Server = &http.Server{
 		Handler: s.handler, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout, MaxHeaderBytes: limits.MaxHeaderBytes,
-		ErrorLog: s.errorLog,
+		ErrorLog: s.errorLog, ConnState: func(_ net.Conn, state http.ConnState) { s.recordState(server, state) },
 	}
 	server.SetKeepAlivesEnabled(!s.draining)
 	s.activeLimits, s.active = limits, newHandoffListener(s.listener.Addr())
 	s.servers = append(s.servers, server)
 	listener := s.active
-	s.running.Go(func() { _ = server.Serve(listener) }) // ends when its listener is closed
+	s.running.Go(func() {
+		_ = server.Serve(listener) // ends when its listener is closed; its connections stay open
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		server.accepting = false
+		s.dropUnused(server)
+	})
 	return listener
 }
 
+// recordState counts the open connections of a server.
+func (s *callerServers) recordState(server *callerServer, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		server.conns++
+	case http.StateClosed, http.StateHijacked:
+		server.conns--
+		s.dropUnused(server)
+	case http.StateActive, http.StateIdle:
+	}
+}
+
+// dropUnused forgets a server that accepts no connections any more and has none
+// open. The caller holds mu.
+func (s *callerServers) dropUnused(server *callerServer) {
+	if server.accepting || server.conns > 0 {
+		return
+	}
+	s.servers = slices.DeleteFunc(s.servers, func(other *callerServer) bool { return other == server })
+}
+
 // closeIdle closes idle connections at once and the others after their current
 // response.
 func (s *callerServers) closeIdle() {
--- a/internal/site/callers_test.go
+++ b/internal/site/callers_test.go
@@ -123,6 +123,31 @@
 	}
 }
 
+func TestServersOfEarlierLimitsEndWithTheirConnections(t *testing.T) {
+	address, limits, servers := startCallers(t)
+	earlier := dialCallers(t, address)
+	_, err := earlier.get(0)
+	require.NoError(t, err)
+	for i := range 20 {
+		limits.Store(&routes.Limits{MaxHeaderBytes: 4<<10 + i + 1, HeaderTimeout: 5 * time.Second, IdleTimeout: 5 * time.Second})
+		caller := dialCallers(t, address)
+		_, err := caller.get(0)
+		require.NoError(t, err)
+		require.NoError(t, caller.Close())
+	}
+	count := func() int {
+		servers.mu.Lock()
+		defer servers.mu.Unlock()
+		return len(servers.servers)
+	}
+	require.Eventually(t, func() bool { return count() == 2 }, 3*time.Second, 10*time.Millisecond, "the active one and that of an open connection")
+	status, err := earlier.get(0)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	require.NoError(t, earlier.Close())
+	require.Eventually(t, func() bool { return count() == 1 }, 3*time.Second, 10*time.Millisecond)
+}
+
 func TestPanicOfTheCallersHandlerIsLogged(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
