gateway: a connection that breaks as its attempt is given up keeps its error

The error told silence also where the server had reset the connection at that moment, so a crash would not have counted as one. Found on reading; not seen in a play.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"time"
 
 	"godwityoke.example/godwityoke/internal/eventstream"
@@ -37,7 +38,7 @@
 			return x.finishStream(attempt, response)
 		}
 		if err != nil {
-			if givenUp {
+			if givenUp && errors.Is(err, os.ErrDeadlineExceeded) {
 				err = errSilent
 			}
 			return attemptResult{events: received, err: &AttemptError{
