roster: an odd announcement of a server is refused

One odd heartbeat took the list of backend servers away from all entry VMs: an id of invalid UTF-8, which a path may hold as %FF, was put into the list, and from then on no message with the list could be encoded. A name of megabytes exceeds the maximum size of a message in the same way. Slots beyond 32 bits became other numbers on the way; ids with line ends went into a header of requests; a start in the year superseded every later announcement of that id or address; ports out of range, host names and 0.0.0.0 became servers to which requests were placed.

Server.Check names what an announcement must be. Announcements that another VM passes on are checked, too, and left out.

--- a/internal/hub/convert.go
+++ b/internal/hub/convert.go
@@ -30,6 +30,7 @@
 	return message
 }
 
+// serversFromProto leaves out invalid announcements, which a VM with an older version may pass on.
 func serversFromProto(messages []*hubpb.Announcement, now time.Time) []roster.Server {
 	servers := make([]roster.Server, 0, len(messages))
 	for _, message := range messages {
@@ -51,6 +52,9 @@
 		if message.GetColdMs() != 0 {
 			server.ColdUntil = now.Add(time.Duration(message.GetColdMs()) * time.Millisecond)
 		}
+		if server.Check(now) != nil {
+			continue
+		}
 		servers = append(servers, server)
 	}
 	return servers
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -178,8 +178,11 @@
 
 // Announce handles an announcement that a backend server sent to this VM. It
 // returns when the announcement is applied and queued for the entry VMs and the
-// other control VMs.
+// other control VMs. The error for an invalid announcement wraps roster.ErrInvalid.
 func (h *Hub) Announce(ctx context.Context, server roster.Server) error {
+	if err := server.Check(time.Now()); err != nil {
+		return err
+	}
 	reply := make(chan struct{})
 	if err := h.send(ctx, serversAnnounced{servers: []roster.Server{server}, local: true, reply: reply}); err != nil {
 		return err
--- a/internal/hub/hub_test.go
+++ b/internal/hub/hub_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -10,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"godwityoke.example/godwityoke/internal/hub/hubpb"
 	"godwityoke.example/godwityoke/internal/observe"
 	"godwityoke.example/godwityoke/internal/registry"
 	"godwityoke.example/godwityoke/internal/replica"
@@ -175,6 +178,45 @@
 	}))
 }
 
+// A message with a string of invalid UTF-8 cannot be sent, nor one with strings of megabytes.
+func TestEntryVMFollowsAfterAnInvalidAnnouncement(t *testing.T) {
+	listener := listen(t)
+	h := startHub(t, listener, listener.Addr().String(), listener.Addr().String())
+	for _, id := range []string{"s\xff", strings.Repeat("s", 20<<20)} {
+		require.ErrorIs(t, h.Announce(context.Background(), roster.Server{
+			ID: id, Service: "plain", Address: "127.0.0.1:2", Zone: "a", Slots: 2, State: roster.StateReady,
+			StartedAt: time.Now(), Sequence: 1, LastSeen: time.Now(),
+		}), roster.ErrInvalid)
+	}
+	announceServer(t, h)
+	link := startLink(t, h.address)
+	waitFor(t, 3*time.Second, "the other server", func() bool {
+		_, found := link.Find("s1")
+		return found
+	})
+}
+
+func TestInvalidServersOfAnotherVMAreLeftOut(t *testing.T) {
+	now := time.Now()
+	valid := roster.Server{ID: "s1", Service: "plain", Address: "127.0.0.1:1", Slots: 2, State: roster.StateReady, LastSeen: now}
+	messages := []*hubpb.Announcement{serverToProto(valid, now)}
+	for _, spoil := range []func(*hubpb.Announcement){
+		func(m *hubpb.Announcement) { m.Id = "" },
+		func(m *hubpb.Announcement) { m.Address = "127.0.0.1:65536" },
+		func(m *hubpb.Announcement) { m.Slots = math.MaxUint32 },
+		func(m *hubpb.Announcement) { m.BornMs = math.MaxInt64 },
+		func(m *hubpb.Announcement) { m.ColdMs = math.MaxUint32 },
+		func(m *hubpb.Announcement) { m.State = 99 },
+	} {
+		spoiled := serverToProto(valid, now)
+		spoil(spoiled)
+		messages = append(messages, spoiled)
+	}
+	servers := serversFromProto(messages, now)
+	require.Len(t, servers, 1)
+	require.Equal(t, "s1", servers[0].ID)
+}
+
 func testRequest(seq uint64) schedule.PlacementRequest {
 	now := time.Now()
 	return schedule.PlacementRequest{
