platform: figures with which the scheduler cannot calculate are left out

One odd entry among the services of a configuration ended every process, again and again: with a negative kv_capacity, the scheduler of each control VM and entry VM divided by 0 at the next prompt, and since the configuration was stored, each did so again after its restart. With step times of 0, the scheduler did not end its estimate, and the process stopped following anything.

Event 2140 names what was left out and why.

--- a/internal/hub/core.go
+++ b/internal/hub/core.go
@@ -282,7 +282,8 @@
 		s.pending().Table = c.table
 		s.tableVersion = newest.Version
 	}
-	observe.Log(c.options.Logger, observe.RoutesApplied).Uint64("version", newest.Version).Int("routes", len(table.Routes)).Send()
+	observe.Log(c.options.Logger, observe.RoutesApplied).Uint64("version", newest.Version).Int("routes", len(table.Routes)).
+		Strs("ignored", table.Ignored).Send()
 	_ = now
 }
 
--- a/internal/observe/events_hub.go
+++ b/internal/observe/events_hub.go
@@ -6,7 +6,7 @@
 // platform with a route table, and the scheduler on the leader.
 var (
 	RoutesApplied = newEvent(2140, "routes_applied", zerolog.InfoLevel,
-		"A new route table took effect on this VM. The line gives its version. No action.")
+		"A new route table took effect on this VM. The line gives its version, and in ignored what was left out because its values cannot be used. No action, unless something was left out: correct the table then.")
 	RoutesUnreadable = newEvent(2141, "routes_unreadable", zerolog.ErrorLevel,
 		"This VM could not read an accepted route table, so the previous one stays in force. Check that this VM runs the same program version as the others, and report the line.")
 	ServerChanged = newEvent(2142, "server_changed", zerolog.InfoLevel,
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -136,6 +136,8 @@
 	Services []Service
 	Limits   Limits
 	Teams    []Team
+	// Ignored names what was left out of the table because its values cannot be used, for the log.
+	Ignored []string
 
 	byHost   map[string][]*Route // by host in lower case
 	services map[string]*Service // by name
