gateway: a stream whose event ids decrease has failed

A stream with an event id that was too large, followed by the usual ones, ended as if it were complete although the events after it were left out: they count as events that the caller has. Ids increase within one response, so that a lower one shows that the response is not one stream. The attempt now fails: it is aborted or goes on elsewhere after the last event sent.

The case "events in descending order" of TestResumedStreamIsCompleteOnlyAfterTheLastEventSent failed before; the case of a repeated event stays.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -276,13 +276,14 @@
 		second, want string
 		complete     bool
 	}{
-		"no event":                      {"", "", true},
-		"note only":                     {": note\n\n", "", true},
-		"earlier events":                {"id: 1\ndata: a\n\n", "", false},
-		"last event again":              {"id: 2\ndata: b\n\n", "", true},
-		"later event":                   {"id: 3\ndata: c\n\n", "id: 3\ndata: c\n\n", true},
-		"earlier event without an id":   {"data: x\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n", "id: 3\ndata: c\n\n", true},
-		"repeated and descending event": {"id: 3\ndata: c\n\nid: 3\ndata: c\n\nid: 2\ndata: b\n\n", "id: 3\ndata: c\n\n", true},
+		"no event":                    {"", "", true},
+		"note only":                   {": note\n\n", "", true},
+		"earlier events":              {"id: 1\ndata: a\n\n", "", false},
+		"last event again":            {"id: 2\ndata: b\n\n", "", true},
+		"later event":                 {"id: 3\ndata: c\n\n", "id: 3\ndata: c\n\n", true},
+		"earlier event without an id": {"data: x\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n", "id: 3\ndata: c\n\n", true},
+		"repeated event":              {"id: 3\ndata: c\n\nid: 3\ndata: c\n\n", "id: 3\ndata: c\n\n", true},
+		"events in descending order":  {"id: 9\ndata: i\n\nid: 3\ndata: c\n\n", "id: 9\ndata: i\n\n", false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := &fakes{retriesLeft: 9, responses: []func(*Attempt) (*Response, error){
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -29,7 +29,10 @@
 		event, err := reader.Next()
 		stall.stop() // the time that the caller needs to read an event does not count
 		if event.HasID {
-			bytesWithoutID, maxID = 0, max(maxID, event.ID)
+			if event.ID < maxID {
+				err = fmt.Errorf("event %d follows event %d", event.ID, maxID)
+			}
+			bytesWithoutID, maxID = 0, event.ID
 		} else if bytesWithoutID += len(event.Raw); bytesWithoutID > maxBytesWithoutID {
 			err = fmt.Errorf("events without an id: %w", eventstream.ErrTooLarge)
 		}
