jsonc: deep nesting is a finding, not the end of the process

A bundle or a settings file with a million opening brackets ended the process that read it: the parser recurses into arrays and objects, and Go ends a process whose stack exceeds 1 GB without a chance to recover. The text is now scanned for values nested deeper than 100 levels before it is parsed. The other decoders use encoding/json, which stops at 10,000 levels.

TestDeeplyNestedValueIsAFinding ended the test process before ("fatal error: stack overflow" at 2^20 levels).

--- a/internal/jsonc/decode.go
+++ b/internal/jsonc/decode.go
@@ -41,6 +41,10 @@
 // has a non-zero value already, its default.
 func Decode(file string, text []byte, target any) *Document {
 	doc := &Document{file: file, text: text, positions: map[string]Position{}}
+	if offset, found := findNesting(text, maxNesting); found {
+		doc.add(doc.positionAt(offset), "", "the values are nested too deeply", fmt.Sprintf("up to %d levels", maxNesting))
+		return doc
+	}
 	root, err := hujson.Parse(text)
 	if err != nil {
 		doc.syntaxError(err)
