quarantine: copies at all entry VMs at once get no sound request refused

Callers of a sound request that ran beside a harmful one were refused where the harmful one came at all entry VMs at once: with eight crashes kept, or with the crash of the same server under the harmful request not yet known, the crashes were not explained. 32 crashes are kept for each subject, and the crash under the harmful request is waited for for a second.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -31,6 +31,8 @@
 	// shortQuarantine is how long a whole request is quarantined after the last crash if
 	// the crashes don't span minCrashSpan.
 	shortQuarantine = time.Minute
+	// exchangeTime is the time within which all VMs that are connected know of a crash.
+	exchangeTime = time.Second
 	// partSoundFor is how long a part counts as sound after a server has answered a prompt
 	// with it. Crashes within that time have another cause.
 	partSoundFor = 30 * time.Second
@@ -45,7 +47,7 @@
 	// maxSuspects bounds the subjects with evidence, maxCrashesPerSubject the crashes that
 	// are kept for each.
 	maxSuspects          = 4096
-	maxCrashesPerSubject = 8
+	maxCrashesPerSubject = 32
 	// maxSound bounds each of the two generations of recently answered parts, and of
 	// recently answered requests.
 	maxSound = 4096
@@ -164,14 +166,23 @@
 	return retention
 }
 
-// includes reports whether all servers that crashed under other crashed under s, too.
-func (s *suspect) includes(other *suspect) bool {
+// explains reports whether more servers crashed under s than under other, and all that
+// crashed under other crashed under s, too. Of the last ones, the crash under s may not be
+// known yet.
+func (s *suspect) explains(other *suspect, now time.Time) bool {
+	if s.servers() <= other.servers() {
+		return false
+	}
+	shared := 0
 	for _, crash := range other.crashes {
-		if !slices.ContainsFunc(s.crashes, func(own Crash) bool { return own.Server == crash.Server }) {
+		switch {
+		case slices.ContainsFunc(s.crashes, func(own Crash) bool { return own.Server == crash.Server }):
+			shared++
+		case now.Sub(crash.At) > exchangeTime:
 			return false
 		}
 	}
-	return true
+	return shared > 0
 }
 
 // counts reports whether a crash is evidence against the subject.
@@ -392,7 +403,7 @@
 // ran.
 func (t *Tracker) isExplained(now time.Time, s *suspect) bool {
 	for _, other := range t.suspects {
-		if other != s && other.isHarmful(now) && other.servers() > s.servers() && other.includes(s) {
+		if other != s && other.isHarmful(now) && other.explains(s, now) {
 			return true
 		}
 	}
