--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/quarantine"
 	"godwityoke.example/godwityoke/internal/routes"
 	"godwityoke.example/godwityoke/internal/schedule"
 )
@@ -72,7 +73,10 @@
 	// lastEventID is the id of the last event that the caller has, 0 for none.
 	lastEventID uint64
 	eventsSent  int
-	// mayCrashServers is set once several servers have crashed under prompts that share a part with this one.
+	// identity is the whole request in the evidence on crashes.
+	identity *quarantine.Request
+	// mayCrashServers is set once several servers have crashed under this request or under prompts that share a part with
+	// it.
 	mayCrashServers bool
 	timing          timing
 }
@@ -101,9 +105,9 @@
 		}
 		id, placement := granted.id, granted.placement
 		x.timing.placementWait += granted.waited
-		if part, found := x.gateway.options.Evidence.Quarantined(time.Now(), x.request.Parts); found {
+		if subject, found := x.gateway.options.Evidence.Quarantined(time.Now(), x.identity, x.request.Parts); found {
 			x.gateway.options.Placer.Ended(id, schedule.OutcomeDone)
-			x.refuseQuarantined(part)
+			x.refuseQuarantined(subject)
 			return
 		}
 		if x.deliveries > 0 && !granted.charged && !x.gateway.options.Budget.TryRetry(x.service) {
@@ -158,6 +162,9 @@
 	if x.attempts >= maxAttempts || x.mayCrashServers {
 		return false
 	}
+	if x.headSent && x.lastEventID == 0 { // the events have no ids, so that none can be named to resume after
+		return false
+	}
 	if err.Delivery != DeliveryUnknown {
 		return true
 	}
@@ -344,7 +351,8 @@
 }
 
 // relay sends a response to the caller, as a stream of events or as a whole. A success response without the server's
-// signature is not sent and counts as a failed attempt.
+// signature is not sent and counts as a failed attempt, as does one that is no stream on a route of streams. Once part of
+// a stream was sent, only further events may follow, so that every other response counts as a failed attempt, too.
 func (x *exchange) relay(id schedule.JobID, attempt *Attempt, response *Response, watch *stallWatch) attemptResult {
 	success := response.Status >= http.StatusOK && response.Status < http.StatusMultipleChoices
 	switch {
@@ -352,6 +360,15 @@
 		return attemptResult{err: &AttemptError{
 			Delivery: DeliveryUnknown, Err: errors.New("the response carries no signature"),
 		}}
+	case success && x.route.Kind == routes.KindStream && !response.IsStream:
+		return attemptResult{err: &AttemptError{
+			Delivery: DeliveryUnknown, Err: fmt.Errorf("the response with status %d is not a stream of events", response.Status),
+		}}
+	case x.headSent && !success:
+		return attemptResult{err: &AttemptError{
+			Delivery: DeliveryUnknown, ServerError: response.Status >= http.StatusInternalServerError,
+			Err: fmt.Errorf("the server responded with status %d to a stream that has begun", response.Status),
+		}}
 	case success && x.route.Kind == routes.KindStream:
 		return x.relayStream(id, attempt, response, watch)
 	}
@@ -359,7 +376,7 @@
 }
 
 // relayWhole reads the whole body of a response and sends the response to the caller. A 5xx response is not sent but
-// returned as an error while the request may be retried or when part of a stream was already sent.
+// returned as an error while the request may be retried.
 func (x *exchange) relayWhole(attempt *Attempt, response *Response, success bool) attemptResult {
 	if err := response.Body.SetReadDeadline(x.deadline); err != nil {
 		return attemptResult{err: &AttemptError{Delivery: DeliveryUnknown, Err: err}}
@@ -372,21 +389,21 @@
 		return attemptResult{err: &AttemptError{Delivery: DeliveryUnknown, Err: fmt.Errorf("read the response: %w", err)}}
 	}
 	isServerError := response.Status >= http.StatusInternalServerError
-	if isServerError {
-		err := &AttemptError{
+	mayRetry := x.route.IsRetryable() && x.possibleRuns+1 < x.route.MaxAttempts && x.attempts < maxAttempts
+	if isServerError && mayRetry {
+		return attemptResult{err: &AttemptError{
 			Delivery: DeliveryUnknown, ServerError: true,
 			Err: fmt.Errorf("the server responded with status %d", response.Status),
-		}
-		if x.headSent || x.route.IsRetryable() && x.possibleRuns+1 < x.route.MaxAttempts && x.attempts < maxAttempts {
-			return attemptResult{err: err}
-		}
+		}}
 	}
-	if success {
-		x.recordSound()
+	if hasRun(response.Status) {
+		x.recordSound(success)
 	}
 	x.possibleRuns++
 	if err := x.caller.WriteResponse(response.Status, response.Header, body); err != nil {
-		x.logBroken(err.Error())
+		x.logAbandoned(attempt, err)
+		x.caller.Abort()
+		return attemptResult{done: true, serverError: isServerError}
 	}
 	x.recordAnswered(attempt, response.Status, success)
 	return attemptResult{done: true, serverError: isServerError}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,7 +44,7 @@
 	PromptTokens int
 	AnswerTokens int
 	// Parts are the parts of the prompt that other prompts may share.
-	Parts     []quarantine.Part
+	Parts     []quarantine.Subject
 	ArrivedAt time.Time
 }
 
@@ -60,7 +60,7 @@
 	// RefusedOverload means that no server could be found or that all attempts failed without the request having
 	// run.
 	RefusedOverload
-	// RefusedQuarantine means that the prompt has a part under which backend servers have crashed.
+	// RefusedQuarantine means that backend servers have crashed under the request or under a part of its prompt.
 	RefusedQuarantine
 )
 
@@ -87,7 +87,7 @@
 	BeginStream(status int, header http.Header) error
 	// WriteEvent sends one whole event of a stream, in its encoded form.
 	WriteEvent(raw []byte) error
-	// Abort breaks off a stream in such a way that the caller does not consider it complete.
+	// Abort breaks off a response in such a way that the caller does not consider it complete.
 	Abort()
 }
 
@@ -133,6 +133,8 @@
 	Body   Body
 	// Verified is set when the response carries the server's signature.
 	Verified bool
+	// IsStream is set when the response states that its body is a stream of events.
+	IsStream bool
 }
 
 // Backend sends requests to backend servers. Its errors are of type *AttemptError.
@@ -186,7 +188,7 @@
 	Servers Servers
 	Backend Backend
 	Memory  Memory
-	// Evidence tells which parts of prompts crash backend servers; nil for evidence of this VM only.
+	// Evidence tells which requests and parts of prompts crash backend servers; nil for evidence of this VM only.
 	Evidence *quarantine.Guard
 	// Zone is the availability zone of this VM.
 	Zone string
@@ -248,8 +250,9 @@
 			return
 		}
 	}
-	if part, found := g.options.Evidence.Quarantined(time.Now(), request.Parts); found {
-		x.refuseQuarantined(part)
+	x.identity = quarantine.NewRequest(x.teamName(), request.Method, route.Host, request.Target, request.Body)
+	if subject, found := g.options.Evidence.Quarantined(time.Now(), x.identity, request.Parts); found {
+		x.refuseQuarantined(subject)
 		return
 	}
 	x.service = route.ChooseService(hashID(request.ID))
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -97,6 +98,8 @@
 	body         string
 	streamsBegun int
 	aborted      bool
+	// disconnected makes all writes fail after the head of the response.
+	disconnected bool
 }
 
 func (c *fakeCaller) Refuse(code RefusalCode, retryAfter time.Duration) {
@@ -104,7 +107,11 @@
 }
 func (c *fakeCaller) Fail(code FailureCode) { c.failure = code }
 func (c *fakeCaller) WriteResponse(status int, _ http.Header, body []byte) error {
-	c.status, c.body = status, string(body)
+	c.status = status
+	if c.disconnected {
+		return errReset
+	}
+	c.body = string(body)
 	return nil
 }
 func (c *fakeCaller) BeginStream(status int, _ http.Header) error {
@@ -113,6 +120,9 @@
 	return nil
 }
 func (c *fakeCaller) WriteEvent(raw []byte) error {
+	if c.disconnected {
+		return errReset
+	}
 	c.body += string(raw)
 	return nil
 }
@@ -133,7 +143,7 @@
 		if readErr != nil {
 			reader = io.MultiReader(reader, brokenReader{readErr})
 		}
-		return &Response{Status: status, Header: http.Header{}, Body: fakeBody{reader}, Verified: status < 300}, nil
+		return &Response{Status: status, Header: http.Header{}, Body: fakeBody{reader}, Verified: status < 300, IsStream: true}, nil
 	}
 }
 
@@ -178,14 +188,18 @@
 	}, kind, key, timeout)
 }
 
-func serveOptions(options Options, kind, key string, timeout time.Duration, parts ...quarantine.Part) *fakeCaller {
-	options.Zone, options.Incarnation, options.Logger, options.Metrics = "a", 1, zerolog.Nop(), observe.NewMetrics()
-	g := New(options)
+func serveOptions(options Options, kind, key string, timeout time.Duration, parts ...quarantine.Subject) *fakeCaller {
+	options.Logger = zerolog.Nop()
 	caller := &fakeCaller{}
-	g.Serve(context.Background(), &Request{
+	serveCaller(options, caller, kind, key, timeout, parts...)
+	return caller
+}
+
+func serveCaller(options Options, caller *fakeCaller, kind, key string, timeout time.Duration, parts ...quarantine.Subject) {
+	options.Zone, options.Incarnation, options.Metrics = "a", 1, observe.NewMetrics()
+	New(options).Serve(context.Background(), &Request{
 		ID: "r1", Host: "h", Path: "/" + kind + "/x", Key: key, ArrivedAt: time.Now(), Timeout: timeout, Parts: parts,
 	}, caller)
-	return caller
 }
 
 func TestRequestsAreRefusedBeforeSending(t *testing.T) {
@@ -279,6 +293,97 @@
 	require.True(t, caller.aborted, "a truncated stream must not look complete to the caller")
 }
 
+// The caller has events 1 and 2 when the stream breaks off. The second server ends its stream properly.
+func TestResumedStreamIsCompleteOnlyAfterTheLastEventSent(t *testing.T) {
+	for name, c := range map[string]struct {
+		second, want string
+		complete     bool
+	}{
+		"no event":                      {"", "", true},
+		"note only":                     {": note\n\n", "", true},
+		"earlier events":                {"id: 1\ndata: a\n\n", "", false},
+		"last event again":              {"id: 2\ndata: b\n\n", "", true},
+		"later event":                   {"id: 3\ndata: c\n\n", "id: 3\ndata: c\n\n", true},
+		"earlier event without an id":   {"data: x\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n", "id: 3\ndata: c\n\n", true},
+		"repeated and descending event": {"id: 3\ndata: c\n\nid: 3\ndata: c\n\nid: 2\ndata: b\n\n", "id: 3\ndata: c\n\n", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := &fakes{retriesLeft: 9, responses: []func(*Attempt) (*Response, error){
+				respond(200, events, errReset), respond(200, c.second, nil),
+			}}
+			caller := serve(f, "stream", "key")
+			require.Equal(t, events+c.want, caller.body)
+			require.Equal(t, c.complete, !caller.aborted)
+		})
+	}
+}
+
+func TestStreamWithoutEventIDsIsNotResumed(t *testing.T) {
+	f := &fakes{retriesLeft: 9, responses: []func(*Attempt) (*Response, error){
+		respond(200, "data: a\n\n", errReset), respond(200, "data: a\n\ndata: b\n\n", nil),
+	}}
+	caller := serve(f, "stream", "key")
+	require.Equal(t, "data: a\n\n", caller.body, "an event must not be sent twice")
+	require.True(t, caller.aborted)
+}
+
+func TestResponseThatCannotBeSentIsBrokenAndNotAnswered(t *testing.T) {
+	for _, kind := range []string{"safe", "stream"} {
+		var log bytes.Buffer
+		f := &fakes{retriesLeft: 9, responses: []func(*Attempt) (*Response, error){respond(200, events, nil)}}
+		table, caller := testTable(), &fakeCaller{disconnected: true}
+		serveCaller(Options{
+			Table: func() *routes.Table { return table }, Placer: f, Budget: f, Servers: f, Backend: f, Memory: f,
+			StopsIn: func() (time.Duration, bool) { return 0, false }, Logger: zerolog.New(&log),
+		}, caller, kind, "key", time.Second)
+		require.True(t, caller.aborted, "%s: a truncated response must not look complete", kind)
+		require.Contains(t, log.String(), `"name":"request_abandoned"`, kind)
+		require.Contains(t, log.String(), `"error":"connection reset"`, kind)
+		require.NotContains(t, log.String(), `"status":200`, kind)
+	}
+}
+
+func TestWholeResponseIsNotSentWithinAStream(t *testing.T) {
+	for name, text := range map[string]string{"empty": "", "like events": "id: 3\ndata: c\n\n"} {
+		t.Run(name, func(t *testing.T) {
+			whole := func(*Attempt) (*Response, error) {
+				return &Response{Status: 200, Header: http.Header{}, Body: fakeBody{strings.NewReader(text)}, Verified: true}, nil
+			}
+			f := &fakes{retriesLeft: 9, responses: []func(*Attempt) (*Response, error){respond(200, events, errReset), whole}}
+			caller := serve(f, "stream", "key")
+			require.Equal(t, events, caller.body)
+			require.True(t, caller.aborted, "a truncated stream must not look complete")
+		})
+	}
+}
+
+func TestErrorResponseIsNotSentWithinAStream(t *testing.T) {
+	rest := "id: 3\ndata: c\n\n"
+	for _, status := range []int{302, 400, 404, 409, 429, 500, 503} {
+		for _, maxAttempts := range []int{2, 3} {
+			f := &fakes{retriesLeft: 9, responses: []func(*Attempt) (*Response, error){
+				respond(200, events, errReset), respond(status, "id: 3\ndata: error text\n\n", nil), respond(200, rest, nil),
+			}}
+			table := testTable()
+			for i := range table.Routes {
+				table.Routes[i].MaxAttempts = maxAttempts
+			}
+			caller := serveWith(f, f, table, "stream", "key", time.Second)
+			require.Len(t, f.attempts, maxAttempts)
+			require.Equal(t, 200, caller.status)
+			require.Zero(t, caller.failure)
+			require.Zero(t, caller.refusal)
+			resumed := maxAttempts > 2
+			require.Equal(t, resumed, !caller.aborted, "status %d: a truncated stream must not look complete", status)
+			want := events
+			if resumed {
+				want += rest
+			}
+			require.Equal(t, want, caller.body, "status %d", status)
+		}
+	}
+}
+
 // A server that never begins its response delays a resumable stream by about a second, not until its deadline.
 func TestStreamIsRetriedWhenServerIsUnresponsive(t *testing.T) {
 	f := &fakes{retriesLeft: 9}
@@ -341,7 +446,7 @@
 		t.Run(name, func(t *testing.T) {
 			bytes := &endlessReader{text: c.text}
 			f := &fakes{responses: []func(*Attempt) (*Response, error){func(*Attempt) (*Response, error) {
-				return &Response{Status: http.StatusOK, Header: http.Header{}, Body: fakeBody{bytes}, Verified: true}, nil
+				return &Response{Status: http.StatusOK, Header: http.Header{}, Body: fakeBody{bytes}, Verified: true, IsStream: true}, nil
 			}}}
 			done := make(chan *fakeCaller, 1)
 			go func() { done <- serve(f, c.kind, "key") }()
@@ -400,7 +505,7 @@
 				slow.resumeAt = time.Now().Add(3 * time.Second)
 				f := &fakes{retriesLeft: retries, responses: []func(*Attempt) (*Response, error){
 					func(*Attempt) (*Response, error) {
-						return &Response{Status: 200, Header: http.Header{}, Body: slow, Verified: true}, nil
+						return &Response{Status: 200, Header: http.Header{}, Body: slow, Verified: true, IsStream: true}, nil
 					},
 					respond(200, events, nil),
 				}}
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -38,7 +38,7 @@
 func slowStream(delay time.Duration) func(*Attempt) (*Response, error) {
 	return func(*Attempt) (*Response, error) {
 		body := &slowBody{parts: []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}, resumeAt: time.Now().Add(delay)}
-		return &Response{Status: 200, Header: http.Header{}, Body: body, Verified: true}, nil
+		return &Response{Status: 200, Header: http.Header{}, Body: body, Verified: true, IsStream: true}, nil
 	}
 }
 
@@ -165,7 +165,7 @@
 	}}
 	f := &fakes{retriesLeft: 9, responses: []func(*Attempt) (*Response, error){
 		func(*Attempt) (*Response, error) {
-			return &Response{Status: 200, Header: http.Header{}, Body: body, Verified: true}, nil
+			return &Response{Status: 200, Header: http.Header{}, Body: body, Verified: true, IsStream: true}, nil
 		},
 		respond(200, "id: 2\ndata: b\n\n", nil),
 	}}
--- a/internal/hub/broadcast.go
+++ b/internal/hub/broadcast.go
@@ -19,9 +19,9 @@
 	broadcastInterval = 200 * time.Millisecond
 	// broadcastTimeout bounds one call to another control VM.
 	broadcastTimeout = 900 * time.Millisecond
-	// maxQueuedEvidence bounds the parts with evidence that are queued for a control VM
-	// that can't be reached.
-	maxQueuedEvidence = 1024
+	// maxQueuedEvidence bounds the parts and requests with evidence that are queued for a
+	// control VM that can't be reached.
+	maxQueuedEvidence = 4096
 )
 
 // broadcaster sends announcements to the other control VMs, to each from a
@@ -54,8 +54,8 @@
 	// servers holds the newest announcement of each server that is to be sent.
 	servers map[string]roster.Server
 	entries []string
-	// evidence holds the newest evidence on each part of prompts that is to be sent.
-	evidence map[quarantine.Part]quarantine.Evidence
+	// evidence holds the newest evidence on each part and request that is to be sent.
+	evidence map[quarantine.Subject]quarantine.Evidence
 }
 
 // setPeers starts and stops peers, so that they match the given addresses without
@@ -81,7 +81,7 @@
 
 func startBroadcastPeer(options *Options, address string) *broadcastPeer {
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &broadcastPeer{address: address, options: options, cancel: cancel, wake: make(chan struct{}, 1), servers: map[string]roster.Server{}, evidence: map[quarantine.Part]quarantine.Evidence{}}
+	p := &broadcastPeer{address: address, options: options, cancel: cancel, wake: make(chan struct{}, 1), servers: map[string]roster.Server{}, evidence: map[quarantine.Subject]quarantine.Evidence{}}
 	go p.run(ctx)
 	return p
 }
@@ -97,14 +97,13 @@
 	}
 }
 
-// addEvidence queues evidence on parts of prompts for all peers; it is sent with the next
-// flush.
+// addEvidence queues evidence on crashes for all peers; it is sent with the next flush.
 func (b *broadcaster) addEvidence(evidence []quarantine.Evidence) {
 	b.urgent = true
 	for _, peer := range b.peers {
 		peer.mu.Lock()
 		for _, e := range evidence {
-			peer.evidence[e.Part] = e
+			peer.evidence[e.Subject] = e
 		}
 		peer.mu.Unlock()
 	}
@@ -178,7 +177,7 @@
 func (p *broadcastPeer) send(ctx context.Context) error {
 	p.mu.Lock()
 	servers, entries, evidence := p.servers, p.entries, p.evidence
-	p.servers, p.entries, p.evidence = map[string]roster.Server{}, nil, map[quarantine.Part]quarantine.Evidence{}
+	p.servers, p.entries, p.evidence = map[string]roster.Server{}, nil, map[quarantine.Subject]quarantine.Evidence{}
 	p.mu.Unlock()
 	if len(servers) == 0 && len(entries) == 0 && len(evidence) == 0 {
 		return nil
@@ -202,9 +201,9 @@
 }
 
 // requeue queues announcements and evidence again after a failed call, except for
-// servers and parts with newer ones in the queue. Evidence on parts beyond
-// maxQueuedEvidence is dropped: quarantined parts are sent again every refreshInterval.
-func (p *broadcastPeer) requeue(servers map[string]roster.Server, evidence map[quarantine.Part]quarantine.Evidence) {
+// servers and subjects with newer ones in the queue. Evidence beyond maxQueuedEvidence is
+// dropped: that on what is quarantined is sent again every refreshInterval.
+func (p *broadcastPeer) requeue(servers map[string]roster.Server, evidence map[quarantine.Subject]quarantine.Evidence) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, server := range servers {
