gateway: a stalled attempt is not given up for a placement that quarantine refuses

Found on reading: a prompt or request that is quarantined while its attempt stalls was given up for a granted placement and refused right after it, so a stream that its server still served was aborted. TestStalledStreamIsKeptWhenItsPromptIsQuarantined failed before (aborted).

--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -191,7 +191,7 @@
 }
 
 // moveTo gives up the attempt for another placement. It returns the reason if it does not: the wait has ended, this VM
-// does not know the server, or the retry budget is spent.
+// does not know the server, the request would be refused by quarantine, or the retry budget is spent.
 func (w *stallWatch) moveTo(ctx context.Context, to *grant) (reason string) {
 	options := w.exchange.gateway.options
 	w.mu.Lock()
@@ -202,6 +202,9 @@
 	if _, known := options.Servers.Find(to.placement.Server); !known {
 		return "server " + to.placement.Server + " is not known to this VM"
 	}
+	if _, found := options.Evidence.Quarantined(time.Now(), w.exchange.identity, w.exchange.request.Parts); found {
+		return "the request is quarantined"
+	}
 	if !options.Budget.TryRetry(w.exchange.service) {
 		return errRetryBudgetSpent.Error()
 	}
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -14,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/quarantine"
 	"godwityoke.example/godwityoke/internal/routes"
 	"godwityoke.example/godwityoke/internal/schedule"
 )
@@ -197,6 +199,7 @@
 				x := &exchange{
 					gateway: g, request: &Request{ArrivedAt: time.Now()}, table: table, route: table.Match("h", "/stream/x"),
 					service: "s", deadline: time.Now().Add(time.Second),
+					identity: quarantine.NewRequest("", "GET", "h", "/stream/x", nil),
 				}
 				watch := x.watchStalls(ctx, "s1")
 				given := make(chan struct{})
@@ -245,3 +248,26 @@
 		require.Equal(t, []schedule.Outcome{schedule.OutcomeDone}, f.outcomes)
 	})
 }
+
+func TestStalledStreamIsKeptWhenItsPromptIsQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		part, evidence := quarantine.NewPart("part"), quarantine.NewGuard()
+		f := &fakes{retriesLeft: 9, responses: []func(*Attempt) (*Response, error){slowStream(3 * time.Second)}}
+		time.AfterFunc(minStallTimeout/2, func() {
+			evidence.Do(func(tracker *quarantine.Tracker) {
+				for n := range quarantineCrashes {
+					other := quarantine.NewRequest("", "GET", "h", fmt.Sprint(n), nil)
+					run := quarantine.NewServerRun(fmt.Sprint("other", n), time.Now())
+					tracker.RecordCrash(time.Now(), run, other, []quarantine.Subject{part})
+				}
+			})
+		})
+		caller := serveOptions(Options{
+			Table: longTable, Placer: f, Budget: f, Servers: f, Backend: f, Memory: f, Evidence: evidence,
+			StopsIn: func() (time.Duration, bool) { return 0, false },
+		}, "stream", "key", longTimeout, part)
+		require.False(t, caller.aborted)
+		require.Equal(t, events, caller.body)
+		require.Equal(t, 9, f.retriesLeft)
+	})
+}
