--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,8 +6,10 @@
 
 import (
 	"context"
+	"fmt"
 	"hash/fnv"
 	"net/http"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -42,7 +44,7 @@
 	PromptTokens int
 	AnswerTokens int
 	// Parts are the parts of the prompt that other prompts may share.
-	Parts     []quarantine.Part
+	Parts     []quarantine.Subject
 	ArrivedAt time.Time
 }
 
@@ -85,7 +87,7 @@
 	BeginStream(status int, header http.Header) error
 	// WriteEvent sends one whole event of a stream, in its encoded form.
 	WriteEvent(raw []byte) error
-	// Abort breaks off a stream in such a way that the caller does not consider it complete.
+	// Abort breaks off a response in such a way that the caller does not consider it complete.
 	Abort()
 }
 
@@ -131,6 +133,8 @@
 	Body   Body
 	// Verified is set when the response carries the server's signature.
 	Verified bool
+	// IsStream is set when the response states that its body is a stream of events.
+	IsStream bool
 }
 
 // Backend sends requests to backend servers. Its errors are of type *AttemptError.
@@ -219,6 +223,7 @@
 func (g *Gateway) Serve(ctx context.Context, request *Request, caller Caller) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
+	defer g.logPanic(request)
 	table := g.options.Table()
 	if table == nil {
 		wait := max(minNotReadyRetryAfter, typicalStartup-time.Since(g.startedAt))
@@ -243,6 +248,7 @@
 			return
 		}
 	}
+	x.identity = quarantine.NewRequest(x.teamName(), request.Method, route.Host, request.Target, request.Body)
 	if part, found := g.options.Evidence.Quarantined(time.Now(), request.Parts); found {
 		x.refuseQuarantined(part)
 		return
@@ -258,6 +264,15 @@
 	x.run(ctx)
 }
 
+// logPanic logs a panic of the calling goroutine and continues it.
+func (g *Gateway) logPanic(request *Request) {
+	if cause := recover(); cause != nil {
+		observe.Log(g.options.Logger, observe.RequestPanicked).Str("request", request.ID).Str("cause", fmt.Sprint(cause)).
+			Bytes("stack", debug.Stack()).Dur("held", time.Since(request.ArrivedAt)).Send()
+		panic(cause)
+	}
+}
+
 func (g *Gateway) refuse(request *Request, caller Caller, code RefusalCode, retryAfter time.Duration, reason string) {
 	observe.Log(g.options.Logger, observe.RequestRefused).Str("request", request.ID).Str("reason", reason).
 		Dur("retry_after", retryAfter).Dur("held", time.Since(request.ArrivedAt)).Send()
