gateway, site: a waiting request is refused before a planned stop ends

It was sent 0.2 to 1.1 s after its entry VM got SIGTERM and was closed without an answer 7.6 s after it. Cause: a stopping VM refuses requests that it can't finish when they arrive, but not requests that already wait for a server. At the end of the stop their connections are closed, and the refusal is written to a closed connection. No line shows it at a server. Now the wait ends with a refusal once the time until the exit is shorter than the typical time of the route, as on arrival. Requests that may have run are not affected.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -103,7 +103,7 @@
 	for {
 		id := schedule.JobID{VM: x.gateway.options.Incarnation, Seq: x.gateway.lastSeq.Add(1)}
 		requestedAt := time.Now()
-		placement, err := x.gateway.options.Placer.Place(ctx, x.placementRequest(id))
+		placement, err := x.requestPlacement(ctx, id)
 		x.timing.placementWait += time.Since(requestedAt)
 		if err != nil {
 			x.failUnplaced(ctx, err.Error(), overloadRetryAfter)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -205,6 +205,9 @@
 	lastSeq   atomic.Uint64
 	inFlight  atomic.Int64
 	meanSizes meanSizes
+	// stopping is done once a planned stop has begun.
+	stopping  context.Context
+	beginStop context.CancelFunc
 }
 
 // New returns a Gateway with the given options.
@@ -212,7 +215,9 @@
 	if options.Evidence == nil {
 		options.Evidence = quarantine.NewGuard()
 	}
-	return &Gateway{options: options, startedAt: time.Now(), meanSizes: meanSizes{byRoute: map[string]float64{}}}
+	g := &Gateway{options: options, startedAt: time.Now(), meanSizes: meanSizes{byRoute: map[string]float64{}}}
+	g.stopping, g.beginStop = context.WithCancel(context.Background())
+	return g
 }
 
 // InFlight returns the number of requests that Serve is serving, whether they are queued or sent to a server.
@@ -236,7 +241,7 @@
 		return
 	}
 	if left, stopping := g.options.StopsIn(); stopping && left < typicalTime(route) {
-		g.refuse(request, caller, RefusedNotReady, stoppingRetryAfter, "this VM stops before the request could finish")
+		g.refuse(request, caller, RefusedNotReady, stoppingRetryAfter, errStopping.Error())
 		return
 	}
 	x := &exchange{
--- /dev/null
+++ b/internal/gateway/stop.go
@@ -0,0 +1,40 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"godwityoke.example/godwityoke/internal/schedule"
+)
+
+// errStopping is the cause with which the wait for a placement ends when this VM is about to exit.
+var errStopping = errors.New("this VM stops before the request could finish")
+
+// BeginStop reports that a planned stop has begun. Requests that wait for their first server are refused once the time
+// that Options.StopsIn returns is too short for them.
+func (g *Gateway) BeginStop() { g.beginStop() }
+
+// requestPlacement waits for a placement. A request that has not run is refused while it waits if a planned stop leaves
+// too little time for it.
+func (x *exchange) requestPlacement(ctx context.Context, id schedule.JobID) (schedule.Placement, error) {
+	request := x.placementRequest(id)
+	if x.headSent || x.possibleRuns > 0 {
+		return x.gateway.options.Placer.Place(ctx, request)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer context.AfterFunc(x.gateway.stopping, func() {
+		left, _ := x.gateway.options.StopsIn()
+		select {
+		case <-time.After(left - typicalTime(x.route)):
+			cancel(errStopping)
+		case <-ctx.Done():
+		}
+	})()
+	placement, err := x.gateway.options.Placer.Place(ctx, request)
+	if err != nil && errors.Is(context.Cause(ctx), errStopping) {
+		return schedule.Placement{Reason: errStopping.Error(), RetryAfter: stoppingRetryAfter}, nil
+	}
+	return placement, err
+}
--- a/internal/site/entry.go
+++ b/internal/site/entry.go
@@ -214,6 +214,7 @@
 	limit := startedAt.Add(e.settings.StopLimit - stopMargin)
 	e.stopAt.Store(limit.UnixNano())
 	e.stopping.Store(true)
+	e.gateway.BeginStop()
 	ticker := time.NewTicker(drainCheckInterval)
 	defer ticker.Stop()
 	keepAlive := true
