--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -138,7 +138,7 @@
 // place waits for a placement. It returns nil if none is granted; the request has then been ended.
 func (x *exchange) place(ctx context.Context) *grant {
 	id, requestedAt := x.gateway.nextID(), time.Now()
-	placement, err := x.gateway.options.Placer.Place(ctx, x.placementRequest(id))
+	placement, err := x.requestPlacement(ctx, id)
 	waited := time.Since(requestedAt)
 	if err != nil {
 		placement.Server, placement.Reason, placement.RetryAfter = "", err.Error(), overloadRetryAfter
