gateway, site: requests in progress are answered before a stopping VM closes

What callers saw: at the end of a planned stop, connections of requests that may have run were closed without an answer; they waited for a retry's server or for a slow one. Cause: the HTTP servers for callers were closed while handlers still ran, so that the answers, also refusals, were written to closed connections. Now the requests that are left end with a cause (refused, failed or aborted), and the connections are closed once their responses are sent, at most 0.2 s later, within the margin of the stop. TestRequestsInProgressAreAnsweredWhenTheVMExits (0x2 instead of 0x1) and TestResponseInProgressIsSentBeforeItsConnectionIsClosed (EOF) fail without it.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -226,6 +226,9 @@
 // failUnplaced ends a request for which no server was found. A stream that has begun is aborted; a request that may
 // have run fails; any other is refused, so that the caller may safely retry it after retryAfter.
 func (x *exchange) failUnplaced(ctx context.Context, reason string, retryAfter time.Duration) {
+	if errors.Is(context.Cause(ctx), errExiting) {
+		reason, retryAfter = errExiting.Error(), stoppingRetryAfter
+	}
 	switch {
 	case x.headSent:
 		x.logBroken("no server to go on at: " + reason)
@@ -241,16 +244,20 @@
 
 // failAttempted ends a request whose last attempt failed with err, in the same way as failUnplaced.
 func (x *exchange) failAttempted(ctx context.Context, err *AttemptError) {
+	reason, retryAfter := err.Error(), overloadRetryAfter
+	if cause := context.Cause(ctx); errors.Is(cause, errExiting) {
+		reason, retryAfter = fmt.Sprintf("%v: %v", cause, err), stoppingRetryAfter
+	}
 	switch {
 	case x.headSent:
-		x.logBroken(err.Error())
+		x.logBroken(reason)
 		x.caller.Abort()
 	case x.possibleRuns > 0:
-		x.logBroken(err.Error())
+		x.logBroken(reason)
 		x.caller.Fail(failureCode(ctx))
 	default:
 		x.countOutcome(outcomeRefused)
-		x.gateway.refuse(x.request, x.caller, RefusedOverload, overloadRetryAfter, err.Error())
+		x.gateway.refuse(x.request, x.caller, RefusedOverload, retryAfter, reason)
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -207,9 +207,11 @@
 	lastSeq   atomic.Uint64
 	inFlight  atomic.Int64
 	meanSizes meanSizes
-	// stopping is done once a planned stop has begun.
+	// stopping is done once a planned stop has begun, exiting once this VM exits.
 	stopping  context.Context
 	beginStop context.CancelFunc
+	exiting   context.Context
+	beginExit context.CancelFunc
 }
 
 // New returns a Gateway with the given options.
@@ -219,6 +221,7 @@
 	}
 	g := &Gateway{options: options, startedAt: time.Now(), meanSizes: meanSizes{byRoute: map[string]float64{}}}
 	g.stopping, g.beginStop = context.WithCancel(context.Background())
+	g.exiting, g.beginExit = context.WithCancel(context.Background())
 	return g
 }
 
@@ -268,6 +271,9 @@
 	g.options.Budget.CountRequest(x.service)
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
+	ctx, cancelWithCause := context.WithCancelCause(ctx)
+	defer cancelWithCause(nil)
+	defer context.AfterFunc(g.exiting, func() { cancelWithCause(errExiting) })()
 	x.run(ctx)
 }
 
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -8,13 +8,21 @@
 	"godwityoke.example/godwityoke/internal/schedule"
 )
 
-// errStopping is the cause with which the wait for a placement ends when this VM is about to exit.
-var errStopping = errors.New("this VM stops before the request could finish")
+var (
+	// errStopping is the cause with which the wait for a placement ends when this VM is about to exit.
+	errStopping = errors.New("this VM stops before the request could finish")
+	// errExiting is the cause with which the requests in progress end when this VM exits.
+	errExiting = errors.New("this VM exits")
+)
 
 // BeginStop reports that a planned stop has begun. Requests that wait for their first server are refused once the time
 // that Options.StopsIn returns is too short for them.
 func (g *Gateway) BeginStop() { g.beginStop() }
 
+// BeginExit ends the requests in progress: those that have not run are refused, those that may have run fail, and streams
+// that have begun are aborted.
+func (g *Gateway) BeginExit() { g.beginExit() }
+
 // requestPlacement waits for a placement. A request that has not run is refused while it waits if a planned stop leaves
 // too little time for it.
 func (x *exchange) requestPlacement(ctx context.Context, id schedule.JobID) (schedule.Placement, error) {
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -53,3 +53,38 @@
 	require.Equal(t, RefusedOverload, caller.refusal)
 	require.Equal(t, stoppingRetryAfter, caller.retryAfter, "refused at its deadline only")
 }
+
+// silentBackend answers no request. sent is closed when it gets the first one.
+type silentBackend struct{ sent chan struct{} }
+
+func (b *silentBackend) Send(ctx context.Context, _ *Attempt) (*Response, error) {
+	close(b.sent)
+	<-ctx.Done()
+	return nil, &AttemptError{Delivery: DeliveryUnknown, Err: ctx.Err()}
+}
+
+func TestRequestsInProgressAreAnsweredWhenTheVMExits(t *testing.T) {
+	table, f := testTable(), &fakes{}
+	serve := func(placer Placer, backend Backend, inProgress chan struct{}) *fakeCaller {
+		g := New(Options{
+			Table: func() *routes.Table { return table }, Placer: placer, Budget: f, Servers: f, Backend: backend, Memory: f,
+			StopsIn: func() (time.Duration, bool) { return 0, false },
+			Zone:    "a", Incarnation: 1, Logger: zerolog.Nop(), Metrics: observe.NewMetrics(),
+		})
+		caller, done := &fakeCaller{}, make(chan struct{})
+		go func() {
+			defer close(done)
+			g.Serve(context.Background(), &Request{ID: "r1", Host: "h", Path: "/unsafe/x", Key: "key", ArrivedAt: time.Now()}, caller)
+		}()
+		<-inProgress
+		g.BeginExit()
+		<-done
+		return caller
+	}
+	sent := &silentBackend{sent: make(chan struct{})}
+	require.Equal(t, FailedServer, serve(f, sent, sent.sent).failure, "it may have run")
+	waiting := &fullPlacer{waiting: make(chan struct{})}
+	unplaced := serve(waiting, f, waiting.waiting)
+	require.Equal(t, RefusedOverload, unplaced.refusal)
+	require.Equal(t, stoppingRetryAfter, unplaced.retryAfter)
+}
--- a/internal/site/callers.go
+++ b/internal/site/callers.go
@@ -140,18 +140,26 @@
 	}
 }
 
-// close closes the listener and all connections.
-func (s *callerServers) close() {
+// close closes the listener and the idle connections, and the others once they have
+// sent their current response or ctx is done.
+func (s *callerServers) close(ctx context.Context) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.closed = true
 	_ = s.listener.Close()
 	if s.active != nil {
 		_ = s.active.Close()
 	}
-	for _, server := range s.servers {
-		_ = server.Close()
+	servers := slices.Clone(s.servers)
+	s.mu.Unlock()
+	var closing sync.WaitGroup
+	for _, server := range servers {
+		closing.Go(func() {
+			if server.Shutdown(ctx) != nil {
+				_ = server.Close()
+			}
+		})
 	}
+	closing.Wait()
 }
 
 // handoffListener is a net.Listener that returns connections which were accepted
--- a/internal/site/callers_test.go
+++ b/internal/site/callers_test.go
@@ -34,12 +34,19 @@
 		servers.run(context.Background())
 	}()
 	t.Cleanup(func() {
-		servers.close()
+		closeAtOnce(servers)
 		<-done
 	})
 	return listener.Addr().String(), limits, servers
 }
 
+// closeAtOnce closes all connections, also those that are in use.
+func closeAtOnce(servers *callerServers) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	servers.close(ctx)
+}
+
 // rawCaller is a caller's connection with full control of what is sent.
 type rawCaller struct {
 	net.Conn
@@ -123,6 +130,29 @@
 	}
 }
 
+func TestResponseInProgressIsSentBeforeItsConnectionIsClosed(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	begun, ended := make(chan struct{}), make(chan struct{})
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(begun)
+		<-ended
+		w.WriteHeader(http.StatusBadGateway)
+	})
+	servers := newCallerServers(listener, handler, func() routes.Limits { return routes.Limits{} }, zerolog.Nop())
+	go servers.run(context.Background())
+	go func() {
+		<-begun
+		time.AfterFunc(50*time.Millisecond, func() { close(ended) })
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		servers.close(ctx)
+	}()
+	status, err := dialCallers(t, listener.Addr().String()).get(0)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadGateway, status)
+}
+
 func TestServersOfEarlierLimitsEndWithTheirConnections(t *testing.T) {
 	address, limits, servers := startCallers(t)
 	earlier := dialCallers(t, address)
@@ -156,7 +186,7 @@
 	panicking := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic("test") })
 	servers := newCallerServers(listener, panicking, func() routes.Limits { return routes.Limits{} }, logger)
 	go servers.run(context.Background())
-	t.Cleanup(servers.close)
+	t.Cleanup(func() { closeAtOnce(servers) })
 	_, err = dialCallers(t, listener.Addr().String()).get(0)
 	require.Error(t, err)
 	select {
--- a/internal/site/entry.go
+++ b/internal/site/entry.go
@@ -44,6 +44,9 @@
 	// stopMargin is how long before Settings.StopLimit the draining of a planned stop
 	// ends, so that the rest of the stop fits into the limit.
 	stopMargin = 400 * time.Millisecond
+	// lastAnswersTimeout bounds the sending of the answers to the requests that a stop
+	// ends. It is part of stopMargin.
+	lastAnswersTimeout = 200 * time.Millisecond
 	// idleBeforeExit is the time without a new request after which a stopping VM that has
 	// no request in flight exits before the stop limit.
 	idleBeforeExit = 700 * time.Millisecond
@@ -159,7 +162,10 @@
 	observe.Log(e.logger, observe.ProcessStopping).Int("in_progress", e.gateway.InFlight()).Send()
 	e.drain(time.Now(), server)
 	aborted := e.gateway.InFlight()
-	server.close()
+	e.gateway.BeginExit()
+	closing, cancelClosing := context.WithTimeout(background, lastAnswersTimeout)
+	server.close(closing)
+	cancelClosing()
 	_ = readinessServer.Close()
 	cancel()
 	e.running.Wait()
