schedule: excluded servers cost little and hold up no other request

- A request that excluded all servers and could not be placed set the shortest prefill time that fits on none, so that the requests behind it were not tried in any decision while it was queued.
Now only requests without exclusions set it.
- The excluded servers are marked once for each request instead of being searched for in a list for each server.

selectServers now takes the request; its test passes one without exclusions.

--- a/internal/schedule/decide.go
+++ b/internal/schedule/decide.go
@@ -144,6 +144,7 @@
 
 // place places a request if it fits now and reports whether it did.
 func (s *Scheduler) place(now time.Time, j *job) bool {
+	s.markExcluded(j)
 	if s.engines[j.request.Service] == nil {
 		return s.placePlain(now, j)
 	}
@@ -189,14 +190,14 @@
 	if ranked.minFailed > 0 && j.prefillTime >= ranked.minFailed && now.Before(j.nextCostlyAt) {
 		return false
 	}
-	candidates := s.candidates(ranked, j)
+	candidates := ranked.candidates
 	plan := planMemory(s.engines[j.request.Service].MemoryTokens, j.tokens)
 	maxPart := time.Duration(float64(j.request.TargetAt.Sub(j.queuedAt)) * maxPartFraction)
 	maxCount := min(len(candidates), maxHelpers+1, 1+plan.holders+int(j.prefillTime/minPartTime))
 	minCount := max(1+plan.holders, min(maxCount, int((j.prefillTime+maxPart-1)/max(maxPart, 1))))
 	var lateSelection selection
 	for count := minCount; count <= maxCount; count++ {
-		selected, found := s.selectServers(candidates, plan, count, j.prefillTime/time.Duration(count), 0)
+		selected, found := s.selectServers(j, candidates, plan, count, j.prefillTime/time.Duration(count), 0)
 		if !found || selected.readyAt.After(j.request.StartDeadline) {
 			continue
 		}
@@ -212,7 +213,8 @@
 		s.assign(now, j, costly)
 		return true
 	}
-	if lateSelection.first == nil && (ranked.minFailed == 0 || j.prefillTime < ranked.minFailed) {
+	// A request that excludes servers tells nothing about the others of the ranking.
+	if lateSelection.first == nil && len(j.request.Excluded) == 0 && (ranked.minFailed == 0 || j.prefillTime < ranked.minFailed) {
 		ranked.minFailed = j.prefillTime
 	}
 	if lateSelection.first == nil || now.Before(j.request.TargetAt.Add(-partTimeOf(j, lateSelection))) {
@@ -236,7 +238,7 @@
 	best := selection{}
 	for count := minCount; count <= maxCount; count++ {
 		partTime := j.prefillTime / time.Duration(count)
-		selected, found := s.selectServers(sortedByLoss(candidates, partTime), plan, count, partTime,
+		selected, found := s.selectServers(j, sortedByLoss(candidates, partTime), plan, count, partTime,
 			j.request.Weight*lateLossFraction*maxLossFraction)
 		if found && !selected.readyAt.After(j.request.TargetAt) && (best.first == nil || selected.loss < best.loss) {
 			best = selected
@@ -325,14 +327,14 @@
 	}
 }
 
-// candidates returns the ranked servers without those that the request excludes.
-func (s *Scheduler) candidates(r *ranking, j *job) []candidate {
-	if len(j.request.Excluded) == 0 {
-		return r.candidates
+// markExcluded marks the servers that the request excludes. A mark of another request is overwritten, so that the marks
+// hold until the next call.
+func (s *Scheduler) markExcluded(j *job) {
+	for _, id := range j.request.Excluded {
+		if srv := s.servers[id]; srv != nil {
+			srv.excludedBy = j
+		}
 	}
-	return slices.DeleteFunc(slices.Clone(r.candidates), func(c candidate) bool {
-		return slices.Contains(j.request.Excluded, c.server.ID)
-	})
 }
 
 // selection is a selection of servers for a request. first is nil in an empty one.
@@ -360,9 +362,10 @@
 
 // selectServers selects count servers with the capacity to prefill one part each.
 // The first server also needs a slot, and the servers that hold a part of the
-// request's memory need that much free memory. The loss of other requests is at
-// most budget. It returns false if there are not enough such servers.
-func (s *Scheduler) selectServers(candidates []candidate, plan memoryPlan, count int,
+// request's memory need that much free memory. Servers that markExcluded has marked
+// for the request are skipped. The loss of other requests is at most budget. It
+// returns false if there are not enough such servers.
+func (s *Scheduler) selectServers(j *job, candidates []candidate, plan memoryPlan, count int,
 	partTime time.Duration, budget float64) (selection, bool) {
 	result := selection{partTime: partTime}
 	holders := 0
@@ -370,7 +373,7 @@
 		c := &candidates[i]
 		srv := c.server
 		prefill := srv.scaled(partTime)
-		if prefill > c.maxPrefill || budget == 0 && prefill > c.maxHarmless {
+		if srv.excludedBy == j || prefill > c.maxPrefill || budget == 0 && prefill > c.maxHarmless {
 			continue
 		}
 		loss := 0.0
--- a/internal/schedule/memory_test.go
+++ b/internal/schedule/memory_test.go
@@ -42,7 +42,7 @@
 	}
 	plan := planMemory(232_000, 300_700)
 	require.Equal(t, 2, plan.holders)
-	selected, found := s.selectServers(candidates, plan, 5, 100*time.Millisecond, 0)
+	selected, found := s.selectServers(&job{}, candidates, plan, 5, 100*time.Millisecond, 0)
 	require.True(t, found)
 	require.Len(t, selected.helpers, 4)
 	reserved := 0
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -64,7 +64,8 @@
 	// Priority orders requests: lower values are placed first.
 	Priority int
 	// Excluded lists the ids of servers that must not get this request, because
-	// an attempt on them has failed.
+	// an attempt on them has failed or they have stated that they want no requests
+	// from its entry VM.
 	Excluded []string
 }
 
--- a/internal/schedule/server.go
+++ b/internal/schedule/server.go
@@ -88,6 +88,8 @@
 	// errorRate is the moving average, 0 to 1, of requests that the server answered
 	// with an error.
 	errorRate float64
+	// excludedBy is the last request for which markExcluded has marked the server.
+	excludedBy *job
 	// ejectedUntil is the end of the ejection.
 	ejectedUntil time.Time
 	// unreachable is set when the server was unreachable or stalled, until a first
@@ -385,15 +387,7 @@
 	return !srv.unreachable || len(srv.jobs) == 0 && len(srv.helping) == 0
 }
 
-// canRun reports whether the server may run the request of j.
+// canRun reports whether the server may run the request of j, for which markExcluded was called.
 func (srv *server) canRun(now time.Time, j *job) bool {
-	if !srv.isAvailable(now) || srv.Service != j.request.Service {
-		return false
-	}
-	for _, excluded := range j.request.Excluded {
-		if excluded == srv.ID {
-			return false
-		}
-	}
-	return true
+	return srv.isAvailable(now) && srv.Service == j.request.Service && srv.excludedBy != j
 }
