roster: a later state of an incarnation counts whatever its sequence

Within an incarnation the later state now counts, and all else is that of the higher sequence, so that announcements still show that the server is alive. Reports on a former incarnation stay without effect.

TestAnnouncementUnderWayDoesNotReadmitADrainingServer failed before: the report of the draining was refused.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -69,11 +69,14 @@
 // New returns an empty Roster.
 func New() *Roster { return &Roster{servers: map[string]Server{}} }
 
-// Apply stores an announcement unless it is stale. It tells whether the server is new or its incarnation, state,
-// service, address or slots changed.
+// Apply stores an announcement unless it is stale. Within an incarnation the latest state counts in the order of the
+// values of State, whatever the sequence: the server may have stated it to another VM than its announcements. Apply
+// tells whether the server is new or its incarnation, state, service, address or slots changed.
 func (r *Roster) Apply(announced Server) (changed bool) {
 	known, found := r.servers[announced.ID]
-	if found && !isNewer(&announced, &known) {
+	if found && known.StartedAt.Equal(announced.StartedAt) && known.State != StateGone && announced.State != StateGone {
+		announced = latest(known, announced)
+	} else if found && !isNewer(&announced, &known) {
 		return false
 	}
 	if found && known.StartedAt.Equal(announced.StartedAt) && known.State > announced.State {
@@ -87,6 +90,16 @@
 		known.Service != announced.Service || !known.StartedAt.Equal(announced.StartedAt) || known.Slots != announced.Slots
 }
 
+// latest merges two announcements of one incarnation: the later state, and all else of the one with the higher sequence.
+func latest(known, announced Server) Server {
+	merged := known
+	if announced.Sequence > known.Sequence {
+		merged = announced
+	}
+	merged.State = max(known.State, announced.State)
+	return merged
+}
+
 // isNewer tells whether announcement a of a server supersedes b: by incarnation, then by sequence. StateGone has no
 // sequence of its own and supersedes every other state of the incarnation.
 func isNewer(a, b *Server) bool {
@@ -132,6 +145,17 @@
 	return server, found
 }
 
+// Ready returns the servers of a service in StateReady, in no particular order.
+func (r *Roster) Ready(service string) []Server {
+	var ready []Server
+	for _, server := range r.servers {
+		if server.Service == service && server.State == StateReady {
+			ready = append(ready, server)
+		}
+	}
+	return ready
+}
+
 // All returns the servers sorted by id, including those that are gone.
 func (r *Roster) All() []Server {
 	return slices.SortedFunc(maps.Values(r.servers), func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -58,3 +58,18 @@
 	require.Empty(t, r.Evict(now.Add(goneRetention), time.Second))
 	require.Len(t, r.Evict(now.Add(goneRetention+time.Second), time.Second), 1)
 }
+
+// A server may state in an answer that it is draining before any of its announcements does.
+func TestAnnouncementUnderWayDoesNotReadmitADrainingServer(t *testing.T) {
+	r := New()
+	r.Apply(announced("i1", "a:1", 5, StateReady, 0))
+	require.True(t, r.Apply(announced("i1", "a:1", 4, StateDraining, 0)), "a report of an entry VM with an older sequence")
+	later := announced("i1", "a:1", 6, StateReady, 0)
+	later.LastSeen = later.LastSeen.Add(time.Second)
+	require.False(t, r.Apply(later))
+	server, _ := r.Find("i1")
+	require.Equal(t, StateDraining, server.State)
+	require.Equal(t, later.LastSeen, server.LastSeen, "the server is alive")
+	require.True(t, r.Apply(announced("i1", "a:1", 1, StateReady, time.Second)), "another incarnation is not draining")
+	require.False(t, r.Apply(announced("i1", "a:1", 5, StateDraining, 0)), "a report on the former incarnation")
+}
