gateway, hub: servers that state draining or a backoff get no new requests

What callers saw: an entry VM sent requests to servers that had stated in their answers (Server-Leaving) that they leave, until the announcement arrived through the control group, in a partition without end; and it sent the next request at once to a server that had rejected one with the time for which it wants none (Retry-After).

Cause: the client of backend servers read neither header; a VM knew about servers only what control VMs told it.

Now `serverstate` keeps what each incarnation of a server stated to this VM, bounded by the roster. The client records it from every answer: success, failure, rejection, the head of a stream, an answer to a memory order; an answer with 421 comes from another server and is left out. The gateway excludes these servers from placement requests, and turns a placement down right before the send, after memory was reserved too; this counts neither as an attempt nor against the retry budget. After a backoff a server gets one request, then twice as many in each 250 ms. While all ready servers of a service are blocked, requests are refused at once with the time until the first takes some again; a stream that has begun waits for it. Draining is reported over the link (EntryFrame.servers) and spread by the control VMs as a state of the roster. A backoff is sent to the scheduler only as the servers excluded for this VM.

The name of a memory reservation has the number of the placement instead of that of the attempt, since a turned down attempt isn't counted.

Tests seen failing without the mechanism (Table blocks nothing; the link doesn't apply the statement): VM without a scheduler, address used again, report to the control VM, two VMs of which one was told; placed but not sent, draining during a reservation, a stream that began before, exclusion, all servers blocked. The tests of serverstate and of the headers are new with their code.

--- /dev/null
+++ b/internal/gateway/blocked.go
@@ -0,0 +1,136 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/pause"
+	"godwityoke.example/godwityoke/internal/roster"
+	"godwityoke.example/godwityoke/internal/schedule"
+	"godwityoke.example/godwityoke/internal/serverstate"
+)
+
+const (
+	// maxExcludedServers limits the servers that a placement request excludes because of their statements. A placement
+	// on another blocked one is turned down.
+	maxExcludedServers = 256
+	// maxTurnedDown limits the placements of one request that are turned down.
+	maxTurnedDown = 16
+	// maxLoggedBlocks limits the servers that a log line lists.
+	maxLoggedBlocks = 8
+)
+
+// errPlacementTurnedDown is the cause of an attempt that was not sent because a server of its placement wants no requests
+// from this VM.
+var errPlacementTurnedDown = errors.New("the placement was turned down")
+
+// allBlocked tells whether all ready servers of the service want no requests from this VM and one of them takes requests
+// again at a known time. It returns the reason and the time until then; if that is after the deadline, a short time: the
+// statements concern this VM only, and a retry may reach another one.
+func (x *exchange) allBlocked(now time.Time) (reason string, retryAfter time.Duration, blocked bool) {
+	statements := x.gateway.options.Statements
+	if x.gateway.options.ReadyServers == nil || len(statements.Blocks(now, x.service)) == 0 {
+		return "", 0, false
+	}
+	until := time.Time{}
+	for _, server := range x.gateway.options.ReadyServers(x.service) {
+		block, blocked := statements.Check(now, server)
+		if !blocked {
+			return "", 0, false
+		}
+		if !block.Until.IsZero() && (until.IsZero() || block.Until.Before(until)) {
+			until = block.Until
+		}
+	}
+	if until.IsZero() {
+		return "", 0, false
+	}
+	retryAfter = until.Sub(now)
+	if until.After(x.deadline) {
+		retryAfter = overloadRetryAfter
+	}
+	return fmt.Sprintf("all servers of %s want no requests from this VM", x.service), retryAfter, true
+}
+
+// waitForServer waits while all servers are blocked, for a request that can't be refused any more. It returns false if it
+// must end now: it could be refused, or no server takes requests again before the caller has no use for the answer.
+func (x *exchange) waitForServer(ctx context.Context, wait time.Duration) bool {
+	mayHaveRun := x.headSent || x.possibleRuns > 0
+	if !mayHaveRun || time.Now().Add(wait).After(x.startDeadline()) {
+		return false
+	}
+	pause.For(ctx, wait)
+	return ctx.Err() == nil
+}
+
+// excludedServers returns the ids of the servers that must not get the request, and logs those that are blocked.
+func (x *exchange) excludedServers(now time.Time) []string {
+	blocks := x.gateway.options.Statements.Blocks(now, x.service)
+	if len(blocks) == 0 {
+		return x.excluded
+	}
+	x.logBlocks(now, blocks)
+	excluded := append([]string(nil), x.excluded...)
+	for _, block := range blocks[:min(len(blocks), maxExcludedServers)] {
+		excluded = append(excluded, block.Server)
+	}
+	return excluded
+}
+
+// turnDown tells whether the placement has a server that must get no request now. It counts the request for the server
+// that decodes the answer otherwise.
+func (x *exchange) turnDown(now time.Time, placement schedule.Placement) bool {
+	for _, helper := range placement.Helpers {
+		if server, known := x.gateway.options.Servers.Find(helper.Server); known && x.isBlocked(now, server, x.gateway.options.Statements.Check) {
+			return true
+		}
+	}
+	server, known := x.gateway.options.Servers.Find(placement.Server)
+	return known && x.isBlocked(now, server, x.gateway.options.Statements.Admit)
+}
+
+// turnDownReserved is turnDown for an attempt that turnDown has admitted and that has reserved memory since. A turned down
+// attempt counts neither as an attempt nor as a retry.
+func (x *exchange) turnDownReserved(now time.Time, attempt *Attempt, t *tickets) bool {
+	blocked := false
+	for _, item := range t.list {
+		blocked = blocked || x.isBlocked(now, item.server, x.checkAdmitted)
+	}
+	blocked = blocked || len(t.list) > 0 && x.isBlocked(now, attempt.Server, x.checkAdmitted)
+	if blocked {
+		x.attempts--
+		x.retryAllowed.Store(x.deliveries > 0)
+	}
+	return blocked
+}
+
+// checkAdmitted is Check for a request that is already counted in the ramp.
+func (x *exchange) checkAdmitted(now time.Time, server roster.Server) (serverstate.Block, bool) {
+	block, blocked := x.gateway.options.Statements.Check(now, server)
+	return block, blocked && block.Reason != serverstate.ReasonRamp
+}
+
+// isBlocked tells whether check finds that the server must get no request, and logs and counts it.
+func (x *exchange) isBlocked(now time.Time, server roster.Server, check func(time.Time, roster.Server) (serverstate.Block, bool)) bool {
+	block, blocked := check(now, server)
+	if !blocked {
+		return false
+	}
+	x.turnedDown++
+	observe.Log(x.gateway.options.Logger, observe.PlacementTurnedDown).Str("request", x.request.ID).Str("server", block.Server).
+		Str("reason", block.Reason.String()).Dur("age", now.Sub(block.StatedAt)).Send()
+	return true
+}
+
+// logBlocks logs which servers the request is not placed on and why.
+func (x *exchange) logBlocks(now time.Time, blocks []serverstate.Block) {
+	listed := make([]string, 0, maxLoggedBlocks)
+	for _, block := range blocks[:min(len(blocks), maxLoggedBlocks)] {
+		listed = append(listed, fmt.Sprintf("%s: %s, stated %v ago", block.Server, block.Reason, now.Sub(block.StatedAt).Round(time.Millisecond)))
+	}
+	observe.Log(x.gateway.options.Logger, observe.ServersPassedOver).Str("request", x.request.ID).Strs("servers", listed).
+		Int("count", len(blocks)).Send()
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -72,6 +72,8 @@
 	possibleRuns int
 	// excluded are the ids of the servers at which an attempt failed.
 	excluded []string
+	// turnedDown counts the placements that were not used because a server wants no requests from this VM.
+	turnedDown int
 	// headSent is set once the head of a stream was sent to the caller.
 	headSent bool
 	// lastEventID is the id of the last event that the caller has, 0 for none.
@@ -98,6 +100,10 @@
 // run sends the request until it is answered or must not be retried.
 func (x *exchange) run(ctx context.Context) {
 	for {
+		if reason, retryAfter, blocked := x.allBlocked(time.Now()); blocked && !x.waitForServer(ctx, retryAfter) {
+			x.failUnplaced(ctx, reason, retryAfter)
+			return
+		}
 		id := schedule.JobID{VM: x.gateway.options.Incarnation, Seq: x.gateway.lastSeq.Add(1)}
 		requestedAt := time.Now()
 		placement, err := x.gateway.options.Placer.Place(ctx, x.placementRequest(id))
@@ -110,6 +116,14 @@
 			x.failUnplaced(ctx, placement.Reason, placement.RetryAfter)
 			return
 		}
+		if x.turnDown(time.Now(), placement) {
+			x.gateway.options.Placer.Ended(id, schedule.OutcomeDone)
+			if x.turnedDown >= maxTurnedDown {
+				x.failUnplaced(ctx, errPlacementTurnedDown.Error(), overloadRetryAfter)
+				return
+			}
+			continue
+		}
 		if part, found := x.gateway.options.Evidence.Quarantined(time.Now(), x.request.Parts); found {
 			x.gateway.options.Placer.Ended(id, schedule.OutcomeDone)
 			x.refuseQuarantined(part)
@@ -129,6 +143,9 @@
 		if result.done {
 			return
 		}
+		if errors.Is(result.err, errPlacementTurnedDown) && x.turnedDown < maxTurnedDown {
+			continue
+		}
 		if ctx.Err() != nil || !x.canRetry(result.err) {
 			x.failAttempted(ctx, result.err)
 			return
@@ -154,7 +171,7 @@
 		ID: id, Service: x.service, Zone: x.gateway.options.Zone,
 		PromptTokens: x.request.PromptTokens, AnswerTokens: x.request.AnswerTokens,
 		TargetAt: x.request.ArrivedAt.Add(x.route.TargetLatency), StartDeadline: x.startDeadline(),
-		MaxGap: x.route.TargetGap, Weight: x.weight(), Priority: x.priority(), Excluded: x.excluded,
+		MaxGap: x.route.TargetGap, Weight: x.weight(), Priority: x.priority(), Excluded: x.excludedServers(now),
 	}
 	if x.headSent { // resumed streams take precedence, because their callers already have part of the answer
 		placementRequest.TargetAt = now.Add(x.route.TargetGap)
@@ -248,6 +265,10 @@
 		return attemptResult{err: err}
 	}
 	defer tickets.release()
+	if x.turnDownReserved(time.Now(), attempt, tickets) {
+		placer.Ended(id, schedule.OutcomeDone)
+		return attemptResult{err: &AttemptError{Delivery: DeliveryNotSent, Err: errPlacementTurnedDown}}
+	}
 	sentAt := time.Now()
 	sendCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"godwityoke.example/godwityoke/internal/roster"
 	"godwityoke.example/godwityoke/internal/routes"
 	"godwityoke.example/godwityoke/internal/schedule"
+	"godwityoke.example/godwityoke/internal/serverstate"
 )
 
 // Request is a decoded request of a caller.
@@ -180,8 +181,12 @@
 	Placer  Placer
 	Budget  Budget
 	Servers Servers
-	Backend Backend
-	Memory  Memory
+	// ReadyServers returns the servers of a service that accept requests by their announcements.
+	ReadyServers func(service string) []roster.Server
+	Backend      Backend
+	Memory       Memory
+	// Statements are what servers stated in their answers to this VM; nil for none.
+	Statements *serverstate.Table
 	// Evidence tells which parts of prompts crash backend servers; nil for evidence of this VM only.
 	Evidence *quarantine.Guard
 	// Zone is the availability zone of this VM.
@@ -208,6 +213,9 @@
 	if options.Evidence == nil {
 		options.Evidence = quarantine.NewGuard()
 	}
+	if options.Statements == nil {
+		options.Statements = serverstate.NewTable()
+	}
 	return &Gateway{options: options, startedAt: time.Now(), meanSizes: meanSizes{byRoute: map[string]float64{}}}
 }
 
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -70,7 +70,7 @@
 		}
 		entry := Helper{Address: server.Address}
 		if helper.ReserveTokens > 0 {
-			entry.Ticket = x.request.ID + "-" + strconv.Itoa(x.attempts) + "-" + strconv.Itoa(i)
+			entry.Ticket = x.request.ID + "-" + strconv.FormatUint(placement.ID.Seq, 10) + "-" + strconv.Itoa(i)
 			t.list = append(t.list, ticket{server: server, name: entry.Ticket, tokens: helper.ReserveTokens, unanswered: &atomic.Int64{}})
 		}
 		attempt.Helpers = append(attempt.Helpers, entry)
--- a/internal/hub/core.go
+++ b/internal/hub/core.go
@@ -130,7 +130,7 @@
 	c.sessions[s] = true
 	c.entryLastSeen[s.vm] = now
 	for _, server := range serversFromProto(m.frame.GetHello().GetServers(), now) {
-		c.applyAnnouncement(server, now, false)
+		c.applyReport(server, now)
 	}
 	frame := s.pending()
 	for _, server := range c.roster.All() {
@@ -197,6 +197,9 @@
 	}
 	c.entryLastSeen[m.session.vm] = now
 	c.evidence.Merge(now, evidenceFromProto(m.frame.GetEvidence(), now))
+	for _, server := range serversFromProto(m.frame.GetServers(), now) {
+		c.applyReport(server, now)
+	}
 	c.adopt(m.session, m.frame.GetRunning(), now)
 	for _, progress := range m.frame.GetProgress() {
 		id := schedule.JobID{VM: m.session.incarnation, Seq: progress.GetId()}
@@ -219,7 +222,8 @@
 // sent to the other control VMs, as a heartbeat of the server.
 func (c *core) applyAnnouncement(server roster.Server, now time.Time, local bool) {
 	if c.roster.Apply(server) {
-		c.propagateChange(server, now, local)
+		applied, _ := c.roster.Find(server.ID)
+		c.propagateChange(applied, now, local)
 		return
 	}
 	if known, found := c.roster.Find(server.ID); found && local {
@@ -228,6 +232,15 @@
 	}
 }
 
+// applyReport applies what an entry VM knows of a server. That it is draining goes to
+// the other control VMs, too, since only that entry VM may know it, from an answer.
+func (c *core) applyReport(server roster.Server, now time.Time) {
+	if c.roster.Apply(server) {
+		applied, _ := c.roster.Find(server.ID)
+		c.propagateChange(applied, now, applied.State == roster.StateDraining)
+	}
+}
+
 // propagateChange sends the new state of a server to the scheduler, all entry VMs
 // and, if the change was first seen here, to the other control VMs.
 func (c *core) propagateChange(server roster.Server, now time.Time, local bool) {
--- a/internal/hub/link.go
+++ b/internal/hub/link.go
@@ -19,6 +19,7 @@
 	"godwityoke.example/godwityoke/internal/roster"
 	"godwityoke.example/godwityoke/internal/routes"
 	"godwityoke.example/godwityoke/internal/schedule"
+	"godwityoke.example/godwityoke/internal/serverstate"
 	"godwityoke.example/godwityoke/internal/transport"
 )
 
@@ -103,6 +104,8 @@
 	inbox    chan linkMessage
 	done     chan struct{}
 	evidence *quarantine.Guard
+	// statements are what backend servers stated in their answers to this VM.
+	statements *serverstate.Table
 	// backoffs are the control VMs in backoff.
 	backoffs *backoffs
 
@@ -121,7 +124,7 @@
 	l := &Link{
 		options: options, inbox: make(chan linkMessage, linkInboxSize), done: make(chan struct{}),
 		servers: roster.New(), entryVMs: defaultEntryVMs, backoffs: newBackoffs(),
-		evidence: quarantine.NewGuard(),
+		evidence: quarantine.NewGuard(), statements: serverstate.NewTable(),
 	}
 	l.state = newLinkState(l)
 	return l
@@ -150,6 +153,32 @@
 	return l.servers.Find(id)
 }
 
+// ReadyServers returns the servers of a service that accept requests by their
+// announcements, whether they have been unresponsive since or not.
+func (l *Link) ReadyServers(service string) []roster.Server {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.servers.Ready(service)
+}
+
+// Statements returns what backend servers stated in their answers to this VM.
+func (l *Link) Statements() *serverstate.Table { return l.statements }
+
+// RecordStatement records what a backend server stated in an answer to this VM. The
+// other VMs are told when the server is draining.
+func (l *Link) RecordStatement(server roster.Server, statement serverstate.Statement) {
+	change := l.statements.Record(time.Now(), server, statement)
+	if change.Draining {
+		observe.Log(l.options.Logger, observe.ServerStatedDraining).Str("server", server.ID).Str("service", server.Service).
+			Str("address", server.Address).Send()
+		_ = l.send(context.Background(), serverStatedDraining{server: server})
+	}
+	if change.Backoff {
+		observe.Log(l.options.Logger, observe.ServerStatedBackoff).Str("server", server.ID).Str("service", server.Service).
+			Str("address", server.Address).Dur("backoff", statement.Backoff).Send()
+	}
+}
+
 // EntryVMCount returns the number of entry VMs that share the limits of the whole
 // system.
 func (l *Link) EntryVMCount() int {
--- a/internal/hub/linkstate.go
+++ b/internal/hub/linkstate.go
@@ -217,6 +217,18 @@
 	return s.frame
 }
 
+// serverStatedDraining reports that a backend server stated in an answer to this VM
+// that it is draining.
+type serverStatedDraining struct{ server roster.Server }
+
+func (m serverStatedDraining) handle(s *linkState, now time.Time) {
+	m.server.State = roster.StateDraining
+	s.applyServers([]roster.Server{m.server}, now)
+	if s.outbox != nil {
+		s.pending().Servers = append(s.pending().Servers, serverToProto(m.server, now))
+	}
+}
+
 // linkAttached reports a new stream to the control VM at address. The link's first
 // frame on the stream contains a Hello.
 type linkAttached struct {
@@ -411,7 +423,10 @@
 	defer s.link.mu.Unlock()
 	for _, server := range servers {
 		s.link.servers.Apply(server)
-		known, _ := s.link.servers.Find(server.ID)
+		known, found := s.link.servers.Find(server.ID)
+		if !found {
+			continue // the announcement is stale: another server was started later at its address
+		}
 		if known.State == roster.StateGone {
 			s.local.RemoveServer(server.ID)
 			s.link.options.OnServerGone(server.Address)
@@ -478,6 +493,7 @@
 	for _, server := range expired {
 		s.local.RemoveServer(server.ID)
 	}
+	s.link.statements.Sweep(now, s.link.Find)
 	if s.outbox != nil && now.Sub(s.sentAt) >= linkHeartbeatInterval {
 		s.pending()
 	}
--- a/internal/observe/events_gateway.go
+++ b/internal/observe/events_gateway.go
@@ -26,4 +26,14 @@
 		"The memory of a prompt on a prefill helper was released. The line gives how long it was reserved (held) and how many orders on it were not answered (unanswered). No action.")
 	MemoryOrderFailed = newEvent(3204, "memory_order_failed", zerolog.InfoLevel,
 		"Memory for a part of a prompt could not be reserved, renewed or released on a prefill helper. The line names the server and the reservation (ticket). The server frees the memory when the reservation expires. If one server causes many of these lines, check that server.")
+	ServerStatedDraining = newEvent(3220, "server_stated_draining", zerolog.InfoLevel,
+		"A backend server stated in an answer to this VM that it is draining. This VM sends it no new requests and tells the other VMs. No action.")
+	ServerStatedBackoff = newEvent(3221, "server_stated_backoff", zerolog.InfoLevel,
+		"A backend server rejected a request and stated how long it wants no requests from this VM (backoff). This VM sends it none until then, and few at first after that. If there are many, the servers of the service are overloaded.")
+	ServersPassedOver = newEvent(3222, "servers_passed_over", zerolog.InfoLevel,
+		"A placement was requested for a request without the servers that want no requests from this VM. The line lists the first of them, each with the reason and the age of its statement, and counts all of them (count). No action.")
+	PlacementTurnedDown = newEvent(3223, "placement_turned_down", zerolog.InfoLevel,
+		"A request was not sent to the server on which it was placed, because that server or a prefill helper wants no requests from this VM. The line gives the reason and the age of the server's statement; the request is placed again. No action.")
+	BackoffUnreadable = newEvent(3224, "backoff_unreadable", zerolog.WarnLevel,
+		"A backend server stated a backoff that is no number, negative or beyond an hour. The line gives the value as sent and the backoff that is used instead. Check the server.")
 )
--- a/internal/site/entry.go
+++ b/internal/site/entry.go
@@ -15,7 +15,9 @@
 	"godwityoke.example/godwityoke/internal/hub"
 	"godwityoke.example/godwityoke/internal/observe"
 	"godwityoke.example/godwityoke/internal/retrybudget"
+	"godwityoke.example/godwityoke/internal/roster"
 	"godwityoke.example/godwityoke/internal/routes"
+	"godwityoke.example/godwityoke/internal/serverstate"
 	"godwityoke.example/godwityoke/internal/tcp"
 	"godwityoke.example/godwityoke/internal/transport"
 )
@@ -54,9 +56,8 @@
 
 // EntryAdapter holds what the platform supplies to an entry VM.
 type EntryAdapter struct {
-	// NewBackendClient returns the client of backend servers, which uses one HTTP
-	// client for requests and another one for orders.
-	NewBackendClient func(requests, orders *h1.Client) BackendClient
+	// NewBackendClient returns the client of backend servers.
+	NewBackendClient func(BackendClientOptions) BackendClient
 	// EchoHeader is the request header that backend servers copy into the response.
 	EchoHeader string
 	// NewCallerHandler returns the handler of the callers' listener.
@@ -66,6 +67,16 @@
 	NewReadinessHandler func(ready func() bool) http.Handler
 }
 
+// BackendClientOptions configures the client of backend servers.
+type BackendClientOptions struct {
+	// Requests sends requests, Orders sends memory orders.
+	Requests *h1.Client
+	Orders   *h1.Client
+	// RecordStatement is called with what a server stated about itself in an answer, from any goroutine.
+	RecordStatement func(server roster.Server, statement serverstate.Statement)
+	Logger          zerolog.Logger
+}
+
 // BackendClient sends requests and orders to backend servers.
 type BackendClient interface {
 	gateway.Backend
@@ -115,13 +126,14 @@
 	defer pool.Close()
 	e.client = h1.NewClient(h1.Options{ConnectTimeout: connectTimeout, SourceIP: settings.Bind, MaxIdleTime: maxServerIdleTime, EchoHeader: adapter.EchoHeader})
 	e.orders = h1.NewClient(h1.Options{ConnectTimeout: connectTimeout, SourceIP: settings.Bind, MaxIdleTime: maxServerIdleTime})
-	backend := adapter.NewBackendClient(e.client, e.orders)
 	e.link = hub.NewLink(hub.LinkOptions{
 		VM: settings.VM, Zone: settings.Zone, Incarnation: incarnation, Seeds: seeds, Pool: pool, Decode: codec.DecodeRoutes,
 		UnresponsiveAfter: settings.unresponsiveAfter(), ExpireAfter: settings.expireAfter(), Logger: logger, OnServerGone: e.closeServerConnections,
 	})
+	backend := adapter.NewBackendClient(BackendClientOptions{Requests: e.client, Orders: e.orders, RecordStatement: e.link.RecordStatement, Logger: logger})
 	e.gateway = gateway.New(gateway.Options{
 		Table: e.link.Table, Placer: e.link, Budget: newServiceBudgets(settings, e.link.EntryVMCount), Servers: e.link,
+		ReadyServers: e.link.ReadyServers, Statements: e.link.Statements(),
 		Backend: backend, Memory: backend, Evidence: e.link.Evidence(), Zone: settings.Zone, Incarnation: incarnation, Logger: logger, Metrics: e.metrics,
 		StopsIn: e.stopsIn,
 	})
