soak, standin: servers state draining and a backoff, with a judge for each

The stand-ins of `platform/standin` state in every answer, also to orders, that a worker leaves, and a rejection may state a backoff. In the soak every draining worker states it; with an odd variant of `worker_leave` it announces nothing and serves for 6 s, so that its answers are all that an entry VM has. A worker that rejects all requests states 1.5 s.

New judges: DRAIN, by process of an entry VM, also under faults; BUDGET, for the requests in a backoff. TestJudgeReportsEachViolatedPromise shows each failing on records that break it.

--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -20,6 +20,10 @@
 	// maxDrainDelay is the maximum time after the acknowledgement of a worker's draining for which requests may still
 	// reach it.
 	maxDrainDelay = 2500 * time.Millisecond
+	// minBackoffDelay is the time after a rejection that states a backoff from which at most maxRequestsInBackoff requests
+	// may reach the worker from the entry VM until the end of the backoff.
+	minBackoffDelay      = 500 * time.Millisecond
+	maxRequestsInBackoff = 2
 	// maxCancelDelay is the maximum time for which work may continue after its client disconnected.
 	maxCancelDelay = 500 * time.Millisecond
 	// readSlack is the time from the sending of a request to the end of its connection beyond which the entry VM counts
@@ -67,6 +71,7 @@
 	j.checkConfiguration()
 	j.checkProbes()
 	j.checkDraining()
+	j.checkStatements()
 	for _, exit := range r.UnexpectedExits {
 		j.report("EXIT", "", "%s", exit)
 	}
@@ -354,6 +359,63 @@
 	}
 }
 
+// vmProcess identifies a process of an entry VM and a worker that it sends requests to.
+type vmProcess struct {
+	vm          string
+	incarnation int
+	worker      string
+}
+
+// checkStatements checks that an entry VM's process heeds what a worker states in its answers to it, in a partition, too.
+// A request that a client sent later than maxDrainDelay after the process had passed on an answer that stated draining
+// must not reach the worker. In a backoff at most maxRequestsInBackoff requests may, unless a fault of the VM overlaps it.
+func (j *judgement) checkStatements() {
+	drainingSince := map[vmProcess]time.Time{}
+	received := map[vmProcess][]*Attempt{}
+	for id, attempts := range j.Attempts {
+		q := j.Requests[id]
+		if q == nil {
+			continue
+		}
+		for _, a := range attempts {
+			p := vmProcess{q.VM, q.Incarnation, a.Server}
+			received[p] = append(received[p], a)
+			passedOn := a.Leaving && q.Done && q.Reply.Seal == sealOf(id, a.Server)
+			if since, known := drainingSince[p]; passedOn && (!known || q.Reply.EndedAt.Before(since)) {
+				drainingSince[p] = q.Reply.EndedAt
+			}
+		}
+	}
+	for p, attempts := range received {
+		since, isDraining := drainingSince[p]
+		for _, a := range attempts {
+			if sentAt := j.Requests[a.RequestID].StartedAt; isDraining && sentAt.After(since.Add(maxDrainDelay)) {
+				j.report("DRAIN", a.RequestID, "%s sent it to %s, which had stated %v before that it is draining", p.vm, p.worker, sentAt.Sub(since))
+			}
+			j.checkBackoff(p, a, attempts)
+		}
+	}
+}
+
+// checkBackoff checks the requests that reached a worker from one process in the backoff that its answer to stated gave.
+func (j *judgement) checkBackoff(p vmProcess, stated *Attempt, attempts []*Attempt) {
+	from, to := stated.ReceivedAt.Add(minBackoffDelay), stated.ReceivedAt.Add(stated.Backoff)
+	if !from.Before(to) || slices.ContainsFunc(j.Disturbances, func(d Disturbance) bool {
+		return d.Node == p.vm && d.From.Before(to) && d.To.After(stated.ReceivedAt)
+	}) {
+		return
+	}
+	count := 0
+	for _, a := range attempts {
+		if a.ReceivedAt.After(from) && a.ReceivedAt.Before(to) {
+			count++
+		}
+	}
+	if count > maxRequestsInBackoff {
+		j.report("BUDGET", stated.RequestID, "%s sent %d requests to %s in its backoff of %v", p.vm, count, p.worker, stated.Backoff)
+	}
+}
+
 // checkFinalState checks, after the end of the load, what must hold once all faults are over: workers have no memory
 // reserved, the last requests are served or refused for a while, and the newest acknowledged version is read back.
 func (j *judgement) checkFinalState() {
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -108,8 +108,19 @@
 			addProbe(r, "b", 1, servedStatus, baseTime.Add(2*time.Second))
 		}},
 		"sent to a drained worker": {"DRAIN", func(r *Records) { r.DrainingSince["w"] = baseTime.Add(-maxDrainDelay - time.Second) }},
-		"process ended":            {"EXIT", func(r *Records) { r.UnexpectedExits = append(r.UnexpectedExits, "entry-1") }},
-		"memory not released":      {"LEAK", func(r *Records) { r.LoadEndedAt, r.ReservedTokens["w"] = baseTime.Add(time.Second), 16 }},
+		"sent to a worker that had stated draining": {"DRAIN", func(r *Records) {
+			r.Attempts["plain"][0].Leaving = true
+			addProbe(r, "later", 2, servedStatus, r.Requests["plain"].Reply.EndedAt.Add(maxDrainDelay+time.Millisecond))
+			r.Disturbances = []Disturbance{{From: baseTime, To: now, Node: "entry-1"}}
+		}},
+		"sent in a backoff": {"BUDGET", func(r *Records) {
+			r.Attempts["plain"][0].Backoff = 2 * time.Second
+			for _, id := range []string{"a", "b", "c"} {
+				addProbe(r, id, 2, servedStatus, baseTime.Add(minBackoffDelay+time.Millisecond))
+			}
+		}},
+		"process ended":       {"EXIT", func(r *Records) { r.UnexpectedExits = append(r.UnexpectedExits, "entry-1") }},
+		"memory not released": {"LEAK", func(r *Records) { r.LoadEndedAt, r.ReservedTokens["w"] = baseTime.Add(time.Second), 16 }},
 		"nothing served at the end": {"RECOVER", func(r *Records) {
 			r.LoadEndedAt = baseTime.Add(time.Second)
 			r.Requests["plain"].Reply.Complete = false
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -53,7 +53,8 @@
 	Kind     Kind
 	// Target is the VM or worker concerned, empty if the step concerns no single one.
 	Target string
-	// Variant selects the delay of KindDelay and the fault of KindWorkerFault.
+	// Variant selects the delay of KindDelay, the fault of KindWorkerFault, and whether a worker announces that it drains
+	// (even) or states it only in its answers.
 	Variant int
 }
 
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -31,6 +31,10 @@
 	Server   string
 	Service  string
 	Rejected bool
+	// Leaving is set if the answer stated that the worker is draining. Backoff is the time for which a rejection stated
+	// that the worker wants no requests from the entry VM, 0 for none.
+	Leaving bool
+	Backoff time.Duration
 	// EndedAt is zero while the worker runs the request. Completed is set if the run was not cancelled.
 	EndedAt   time.Time
 	Completed bool
--- a/internal/soak/steps.go
+++ b/internal/soak/steps.go
@@ -134,7 +134,7 @@
 		worker.setFault(FaultNone)
 		return
 	case KindWorkerDrain:
-		worker.drain(ctx)
+		worker.drain(ctx, step.Variant%2 == 1)
 	default:
 		worker.crash()
 		pause.For(ctx, step.Duration)
--- a/internal/soak/worker.go
+++ b/internal/soak/worker.go
@@ -34,6 +34,11 @@
 	workerMemory = 100_000
 	// drainTime is the time for which a draining worker continues to serve after the acknowledgement.
 	drainTime = 3500 * time.Millisecond
+	// silentDrainTime is the time for which a worker serves that states only in its answers that it is draining. It is
+	// longer than maxDrainDelay, after which such a worker must get no request.
+	silentDrainTime = 6 * time.Second
+	// rejectBackoff is the time for which a worker with FaultRejectAll wants no requests from an entry VM.
+	rejectBackoff = 1500 * time.Millisecond
 	// controlTimeout bounds a call to a control VM.
 	controlTimeout = time.Second
 	// heartbeatRetryDivisor divides the heartbeat interval after a heartbeat that no control VM acknowledged.
@@ -54,7 +59,7 @@
 	FaultMalformed
 	// FaultUnsolicited sends an answer that belongs to no request after each answer to a plain request.
 	FaultUnsolicited
-	// FaultRejectAll rejects every request as if the worker were full.
+	// FaultRejectAll rejects every request as if the worker were full, and states rejectBackoff.
 	FaultRejectAll
 )
 
@@ -110,6 +115,8 @@
 	inFlight int
 	requests int
 	state    roster.State
+	// leaving is set while the answers state that the worker is draining.
+	leaving  bool
 	sequence uint64
 	tickets  map[string]ticket
 }
@@ -148,16 +155,27 @@
 	w.client.CloseIdleConnections()
 }
 
-// drain announces that the worker is draining, serves for another drainTime, deregisters and ends.
-func (w *worker) drain(ctx context.Context) {
+// IsLeaving implements standin.Worker.
+func (w *worker) IsLeaving() bool {
 	w.mu.Lock()
-	w.state = roster.StateDraining
+	defer w.mu.Unlock()
+	return w.leaving
+}
+
+// drain states in all answers that the worker is draining, serves for a while, deregisters and ends. Unless silent is
+// set, it also announces that the worker is draining, and serves for drainTime after the acknowledgement.
+func (w *worker) drain(ctx context.Context, silent bool) {
+	w.mu.Lock()
+	w.leaving = true
+	if !silent {
+		w.state = roster.StateDraining
+	}
 	w.mu.Unlock()
-	for ctx.Err() == nil && !w.sendHeartbeat(ctx) {
-		pause.For(ctx, w.options.interval/heartbeatRetryDivisor)
+	if silent {
+		pause.For(ctx, silentDrainTime)
+	} else {
+		w.announceDraining(ctx)
 	}
-	w.options.records.recordDraining(w.id)
-	pause.For(ctx, drainTime)
 	for _, address := range w.options.controlAddresses {
 		if standin.Deregister(ctx, w.client, address, w.id) == nil {
 			break
@@ -166,6 +184,15 @@
 	w.crash()
 }
 
+// announceDraining sends heartbeats until one is acknowledged, and waits for drainTime.
+func (w *worker) announceDraining(ctx context.Context) {
+	for ctx.Err() == nil && !w.sendHeartbeat(ctx) {
+		pause.For(ctx, w.options.interval/heartbeatRetryDivisor)
+	}
+	w.options.records.recordDraining(w.id)
+	pause.For(ctx, drainTime)
+}
+
 func (w *worker) setFault(fault Fault) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -243,16 +270,19 @@
 
 // Serve implements standin.Worker.
 func (w *worker) Serve(ctx context.Context, a standin.ReceivedRequest, answer *standin.Answer) {
-	attempt := &Attempt{ReceivedRequest: a, Server: w.id, Service: w.options.server.Service}
+	attempt := &Attempt{ReceivedRequest: a, Server: w.id, Service: w.options.server.Service, Leaving: w.IsLeaving()}
 	if a.ExpectedWorker != "" && a.ExpectedWorker != w.id {
 		w.options.records.recordAttempt(attempt, true)
 		answer.RejectMisdirected()
 		return
 	}
 	fault, admitted := w.admit()
+	if fault == FaultRejectAll {
+		attempt.Backoff = rejectBackoff
+	}
 	w.options.records.recordAttempt(attempt, !admitted)
 	if !admitted {
-		answer.RejectFull()
+		answer.RejectFull(attempt.Backoff)
 		return
 	}
 	completed := false
@@ -278,7 +308,10 @@
 func (w *worker) admit() (fault Fault, admitted bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.inFlight >= w.options.server.Slots+workerQueueSlots || w.fault == FaultRejectAll {
+	if w.fault == FaultRejectAll {
+		return FaultRejectAll, false
+	}
+	if w.inFlight >= w.options.server.Slots+workerQueueSlots {
 		return FaultNone, false
 	}
 	w.inFlight++
