--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,8 +6,10 @@
 
 import (
 	"context"
+	"fmt"
 	"hash/fnv"
 	"net/http"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -43,7 +45,7 @@
 	PromptTokens int
 	AnswerTokens int
 	// Parts are the parts of the prompt that other prompts may share.
-	Parts     []quarantine.Part
+	Parts     []quarantine.Subject
 	ArrivedAt time.Time
 }
 
@@ -59,7 +61,7 @@
 	// RefusedOverload means that no server could be found or that all attempts failed without the request having
 	// run.
 	RefusedOverload
-	// RefusedQuarantine means that the prompt has a part under which backend servers have crashed.
+	// RefusedQuarantine means that backend servers have crashed under the request or under a part of its prompt.
 	RefusedQuarantine
 )
 
@@ -86,7 +88,7 @@
 	BeginStream(status int, header http.Header) error
 	// WriteEvent sends one whole event of a stream, in its encoded form.
 	WriteEvent(raw []byte) error
-	// Abort breaks off a stream in such a way that the caller does not consider it complete.
+	// Abort breaks off a response in such a way that the caller does not consider it complete.
 	Abort()
 }
 
@@ -132,6 +134,8 @@
 	Body   Body
 	// Verified is set when the response carries the server's signature.
 	Verified bool
+	// IsStream is set when the response states that its body is a stream of events.
+	IsStream bool
 }
 
 // Backend sends requests to backend servers. Its errors are of type *AttemptError.
@@ -187,7 +191,7 @@
 	Memory       Memory
 	// Statements are what servers stated in their answers to this VM; nil for none.
 	Statements *serverstate.Table
-	// Evidence tells which parts of prompts crash backend servers; nil for evidence of this VM only.
+	// Evidence tells which requests and parts of prompts crash backend servers; nil for evidence of this VM only.
 	Evidence *quarantine.Guard
 	// Zone is the availability zone of this VM.
 	Zone string
@@ -227,6 +231,7 @@
 func (g *Gateway) Serve(ctx context.Context, request *Request, caller Caller) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
+	defer g.logPanic(request)
 	table := g.options.Table()
 	if table == nil {
 		wait := max(minNotReadyRetryAfter, typicalStartup-time.Since(g.startedAt))
@@ -251,8 +256,9 @@
 			return
 		}
 	}
-	if part, found := g.options.Evidence.Quarantined(time.Now(), request.Parts); found {
-		x.refuseQuarantined(part)
+	x.identity = quarantine.NewRequest(x.teamName(), request.Method, route.Host, request.Target, request.Body)
+	if subject, found := g.options.Evidence.Quarantined(time.Now(), x.identity, request.Parts); found {
+		x.refuseQuarantined(subject)
 		return
 	}
 	x.service = route.ChooseService(hashID(request.ID))
@@ -266,6 +272,15 @@
 	x.run(ctx)
 }
 
+// logPanic logs a panic of the calling goroutine and continues it.
+func (g *Gateway) logPanic(request *Request) {
+	if cause := recover(); cause != nil {
+		observe.Log(g.options.Logger, observe.RequestPanicked).Str("request", request.ID).Str("cause", fmt.Sprint(cause)).
+			Bytes("stack", debug.Stack()).Dur("held", time.Since(request.ArrivedAt)).Send()
+		panic(cause)
+	}
+}
+
 func (g *Gateway) refuse(request *Request, caller Caller, code RefusalCode, retryAfter time.Duration, reason string) {
 	observe.Log(g.options.Logger, observe.RequestRefused).Str("request", request.ID).Str("reason", reason).
 		Dur("retry_after", retryAfter).Dur("held", time.Since(request.ArrivedAt)).Send()
