--- a/internal/gateway/blocked.go
+++ b/internal/gateway/blocked.go
@@ -102,7 +102,7 @@
 	blocked = blocked || len(t.list) > 0 && x.isBlocked(now, attempt.Server, x.checkAdmitted)
 	if blocked {
 		x.attempts--
-		x.retryAllowed.Store(x.deliveries > 0)
+		x.retryCharged = x.deliveries > 0
 	}
 	return blocked
 }
--- a/internal/gateway/blocked_test.go
+++ b/internal/gateway/blocked_test.go
@@ -65,7 +65,7 @@
 			return []roster.Server{statedServer("s1"), statedServer("s2"), statedServer("s3"), statedServer("s4")}
 		},
 		StopsIn: func() (time.Duration, bool) { return 0, false },
-		Zone:    "a", Incarnation: 1, Logger: zerolog.New(&b.log), Metrics: observe.NewMetrics(),
+		Zone:    "a", Incarnation: 1, Logger: zerolog.New(zerolog.SyncWriter(&b.log)), Metrics: observe.NewMetrics(),
 	})
 	caller := &fakeCaller{}
 	g.Serve(context.Background(), &Request{ID: "r1", Host: "h", Path: "/" + kind + "/x", Key: "key", ArrivedAt: time.Now(), Timeout: timeout}, caller)
