--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -154,7 +154,7 @@
 			return nil
 		}
 		id := x.gateway.nextID()
-		placement, err := x.gateway.options.Placer.Place(ctx, x.placementRequest(id))
+		placement, err := x.requestPlacement(ctx, id)
 		if err != nil {
 			placement.Server, placement.Reason, placement.RetryAfter = "", err.Error(), overloadRetryAfter
 		}
--- a/internal/hub/statements_test.go
+++ b/internal/hub/statements_test.go
@@ -16,7 +16,7 @@
 
 func ordersServer(id string, sequence uint64, state roster.State, startedAt time.Time) roster.Server {
 	return roster.Server{
-		ID: id, Service: "orders", Address: "a:" + id, Zone: "a", Slots: 40, State: state, Sequence: sequence,
+		ID: id, Service: "orders", Address: "10.0.0." + id[1:] + ":80", Zone: "a", Slots: 40, State: state, Sequence: sequence,
 		StartedAt: startedAt, LastSeen: startedAt.Add(time.Minute),
 	}
 }
