gateway: test of the stall watch that finds a placement on a blocked server

Without the check in moveTo the attempt at the silent server is given up for a server that has stated that it is draining: the test failed with s1, s2 in place of s1, s3.

--- a/internal/gateway/blocked_test.go
+++ b/internal/gateway/blocked_test.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -59,6 +61,9 @@
 
 func (b *blockedTest) serve(kind string, timeout time.Duration) *fakeCaller {
 	table := testTable()
+	for i := range table.Routes {
+		table.Routes[i].Timeout = timeout
+	}
 	g := New(Options{
 		Table: tableOf(table), Placer: b, Budget: b, Servers: b, Backend: b, Memory: b, Statements: b.statements,
 		ReadyServers: func(string) []roster.Server {
@@ -200,3 +205,22 @@
 }
 
 func tableOf(table *routes.Table) func() *routes.Table { return func() *routes.Table { return table } }
+
+func TestSilentServerIsNotLeftForABlockedOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBlockedTest()
+		b.retriesLeft = 9
+		slow := &slowBody{parts: []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}, resumeAt: time.Now().Add(5 * time.Second)}
+		b.responses = append(b.responses, func(*Attempt) (*Response, error) {
+			return &Response{Status: 200, Header: http.Header{}, Body: slow, Verified: true, IsStream: true}, nil
+		}, respond(200, "id: 2\ndata: b\n\n", nil))
+		b.beforePlacement = func(earlier int) {
+			if earlier == 1 { // the placement that the search is about to get
+				b.state("s2", serverstate.Statement{Draining: true})
+			}
+		}
+		require.Equal(t, events, b.serve("stream", 10*time.Second).body)
+		require.Equal(t, []string{"s1", "s3"}, b.sentTo())
+		require.Equal(t, 8, b.retriesLeft, "a placement turned down must not be charged")
+	})
+}
