gateway, serverstate: the ramp after a short backoff is short, and requests wait for it

The ramp took 1.25 s whatever the backoff: after 0.2 s a server would have got 16 requests of a VM in 1.25 s, and where it is the only one, all others would have been refused for longer than it had asked for. A step now takes a fifth of the backoff, at most 250 ms. Where all servers are blocked and the next step of a ramp comes before a request's latency target, the request waits for it, since a retry would take longer; in a backoff it is refused at once as before.

TestRampIsNotLongerThanTheBackoff and TestRequestWaitsForTheNextStepOfARampWithinItsTarget are new with this.

--- a/internal/gateway/blocked.go
+++ b/internal/gateway/blocked.go
@@ -28,44 +28,53 @@
 var errPlacementTurnedDown = errors.New("the placement was turned down")
 
 // allBlocked tells whether all ready servers of the service want no requests from this VM and one of them takes requests
-// again at a known time. It returns the reason and the time until then; if that is after the deadline, a short time: the
-// statements concern this VM only, and a retry may reach another one.
-func (x *exchange) allBlocked(now time.Time) (reason string, retryAfter time.Duration, blocked bool) {
+// again at a known time. It returns the block of the first one that does.
+func (x *exchange) allBlocked(now time.Time) (first serverstate.Block, blocked bool) {
 	statements := x.gateway.options.Statements
 	if x.gateway.options.ReadyServers == nil || len(statements.Blocks(now, x.service)) == 0 {
-		return "", 0, false
+		return serverstate.Block{}, false
 	}
-	until := time.Time{}
 	for _, server := range x.gateway.options.ReadyServers(x.service) {
 		block, blocked := statements.Check(now, server)
 		if !blocked {
-			return "", 0, false
+			return serverstate.Block{}, false
 		}
-		if !block.Until.IsZero() && (until.IsZero() || block.Until.Before(until)) {
-			until = block.Until
+		if !block.Until.IsZero() && (first.Until.IsZero() || block.Until.Before(first.Until)) {
+			first = block
 		}
 	}
-	if until.IsZero() {
-		return "", 0, false
-	}
-	retryAfter = until.Sub(now)
-	if until.After(x.deadline) {
-		retryAfter = overloadRetryAfter
-	}
-	return fmt.Sprintf("all servers of %s want no requests from this VM", x.service), retryAfter, true
+	return first, !first.Until.IsZero()
 }
 
-// waitForServer waits while all servers are blocked, for a request that can't be refused any more. It returns false if it
-// must end now: it could be refused, or no server takes requests again before the caller has no use for the answer.
-func (x *exchange) waitForServer(ctx context.Context, wait time.Duration) bool {
-	mayHaveRun := x.headSent || x.possibleRuns > 0
-	if !mayHaveRun || time.Now().Add(wait).After(x.startDeadline()) {
+// waitForServer waits for the end of first, the result of allBlocked. It returns false if the request must end now: it may
+// be refused and the wait is no short one before its latency target, as in a ramp, or the caller has no use for an answer
+// that begins so late.
+func (x *exchange) waitForServer(ctx context.Context, first serverstate.Block) bool {
+	latest := x.startDeadline()
+	if !x.headSent && x.possibleRuns == 0 {
+		if first.Reason != serverstate.ReasonRamp {
+			return false
+		}
+		latest = x.request.ArrivedAt.Add(x.route.TargetLatency)
+	}
+	if first.Until.After(latest) {
 		return false
 	}
-	pause.For(ctx, wait)
+	pause.For(ctx, time.Until(first.Until))
 	return ctx.Err() == nil
 }
 
+// failBlocked ends a request while all servers are blocked. The caller is asked to retry when the first of them takes
+// requests again, or soon if that is after the deadline: the statements concern this VM only, and the retry may reach
+// another one.
+func (x *exchange) failBlocked(ctx context.Context, now time.Time, first serverstate.Block) {
+	retryAfter := first.Until.Sub(now)
+	if first.Until.After(x.deadline) {
+		retryAfter = overloadRetryAfter
+	}
+	x.failUnplaced(ctx, fmt.Sprintf("all servers of %s want no requests from this VM", x.service), retryAfter)
+}
+
 // excludedServers returns the ids of the servers that must not get the request, and logs those that are blocked.
 func (x *exchange) excludedServers(now time.Time) []string {
 	blocks := x.gateway.options.Statements.Blocks(now, x.service)
--- a/internal/gateway/blocked_test.go
+++ b/internal/gateway/blocked_test.go
@@ -32,7 +32,9 @@
 	helpers         []schedule.Helper
 	requests        []schedule.PlacementRequest
 	onReserve       func(server roster.Server)
-	log             bytes.Buffer
+	// onlyServer is the server of every placement, empty for the choice of fakes.
+	onlyServer string
+	log        bytes.Buffer
 }
 
 func newBlockedTest() *blockedTest {
@@ -46,6 +48,9 @@
 	b.requests = append(b.requests, request)
 	placement, err := b.fakes.Place(ctx, request)
 	placement.Helpers = b.helpers
+	if b.onlyServer != "" {
+		placement.Server = b.onlyServer
+	}
 	b.beforePlacement(len(b.requests) - 1)
 	return placement, err
 }
@@ -160,12 +165,30 @@
 	}
 }
 
+func TestRequestWaitsForTheNextStepOfARampWithinItsTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBlockedTest()
+		b.responses = append(b.responses, respond(200, "ok", nil))
+		for _, id := range []string{"s2", "s3", "s4"} {
+			b.state(id, serverstate.Statement{Draining: true})
+		}
+		b.state("s1", serverstate.Statement{Backoff: 500 * time.Millisecond})
+		time.Sleep(500 * time.Millisecond)
+		b.statements.Admit(time.Now(), statedServer("s1"))
+		startedAt := time.Now()
+		b.onlyServer = "s1"
+		require.Equal(t, "ok", b.serve("safe", time.Second).body)
+		require.Equal(t, 100*time.Millisecond, time.Since(startedAt), "a step takes a fifth of the backoff")
+		require.Equal(t, []string{"s1"}, b.sentTo())
+	})
+}
+
 func TestPlacementsOnBlockedServersEndInARefusal(t *testing.T) {
 	b := newBlockedTest()
 	b.beforePlacement = func(int) { b.state("s1", serverstate.Statement{Draining: true}) }
-	placer := &stubbornPlacer{b}
+	b.onlyServer = "s1"
 	g := New(Options{
-		Table: tableOf(testTable()), Placer: placer, Budget: b, Servers: b, Backend: b, Memory: b, Statements: b.statements,
+		Table: tableOf(testTable()), Placer: b, Budget: b, Servers: b, Backend: b, Memory: b, Statements: b.statements,
 		StopsIn: func() (time.Duration, bool) { return 0, false }, Logger: zerolog.Nop(), Metrics: observe.NewMetrics(),
 	})
 	caller := &fakeCaller{}
@@ -175,15 +198,6 @@
 	require.Len(t, b.outcomes, maxTurnedDown)
 }
 
-// stubbornPlacer places every request on s1.
-type stubbornPlacer struct{ *blockedTest }
-
-func (s *stubbornPlacer) Place(ctx context.Context, request schedule.PlacementRequest) (schedule.Placement, error) {
-	placement, err := s.blockedTest.Place(ctx, request)
-	placement.Server = "s1"
-	return placement, err
-}
-
 func TestExplainShowsWhichServerWasPassedOverAndWhy(t *testing.T) {
 	b := newBlockedTest()
 	b.responses = append(b.responses, respond(200, "ok", nil))
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -147,10 +147,12 @@
 func (x *exchange) place(ctx context.Context) *grant {
 	requestedAt := time.Now()
 	for {
-		reason, retryAfter, blocked := x.allBlocked(time.Now())
-		if blocked && !x.waitForServer(ctx, retryAfter) {
+		if first, blocked := x.allBlocked(time.Now()); blocked {
+			if x.waitForServer(ctx, first) {
+				continue
+			}
 			x.timing.placementWait += time.Since(requestedAt)
-			x.failUnplaced(ctx, reason, retryAfter)
+			x.failBlocked(ctx, time.Now(), first)
 			return nil
 		}
 		id := x.gateway.nextID()
--- a/internal/serverstate/serverstate.go
+++ b/internal/serverstate/serverstate.go
@@ -14,10 +14,11 @@
 )
 
 const (
-	// rampStep and rampSteps describe the ramp after a backoff: in its first step the server gets at most one request
-	// from this VM, and until the end of each further step at most twice as many as until the end of the step before.
-	rampStep  = 250 * time.Millisecond
-	rampSteps = 5
+	// maxRampStep and rampSteps describe the ramp after a backoff: in its first step the server gets at most one request
+	// from this VM, and until the end of each further step at most twice as many as until the end of the step before. A
+	// step takes a fraction 1/rampSteps of the backoff, so that the ramp is not longer than the backoff.
+	maxRampStep = 250 * time.Millisecond
+	rampSteps   = 5
 	// retention is how long an entry is kept after its server has left the roster. It is longer than an announcement
 	// may be delayed, so that a delayed one does not readmit the server.
 	retention = 60 * time.Second
@@ -180,7 +181,7 @@
 			e.lastInRoster = now
 		}
 		replaced := found && server.StartedAt.After(e.startedAt)
-		expired := e.drainingAt.IsZero() && !now.Before(e.backoffUntil.Add(rampSteps*rampStep))
+		expired := e.drainingAt.IsZero() && !now.Before(e.backoffUntil.Add(rampSteps*e.rampStep()))
 		if replaced || expired || now.Sub(e.lastInRoster) > retention {
 			delete(t.entries, id)
 		}
@@ -205,10 +206,15 @@
 	if e.backoffUntil.IsZero() {
 		return Block{}, false
 	}
-	step := int(now.Sub(e.backoffUntil) / rampStep)
+	step := int(now.Sub(e.backoffUntil) / e.rampStep())
 	if step >= rampSteps || e.rampSent < 1<<step {
 		return Block{}, false
 	}
-	nextStep := e.backoffUntil.Add(time.Duration(step+1) * rampStep)
+	nextStep := e.backoffUntil.Add(time.Duration(step+1) * e.rampStep())
 	return Block{Server: id, Reason: ReasonRamp, StatedAt: e.backoffAt, Until: nextStep}, true
 }
+
+// rampStep returns the duration of a step of the ramp. It is positive.
+func (e *entry) rampStep() time.Duration {
+	return min(max(e.backoffUntil.Sub(e.backoffAt)/rampSteps, 1), maxRampStep)
+}
--- a/internal/serverstate/serverstate_test.go
+++ b/internal/serverstate/serverstate_test.go
@@ -51,16 +51,16 @@
 
 func TestServerGetsRequestsGraduallyAfterItsBackoff(t *testing.T) {
 	table, s := NewTable(), server("i1", 0)
-	table.Record(now, s, Statement{Backoff: time.Second})
-	end := now.Add(time.Second)
+	table.Record(now, s, Statement{Backoff: time.Minute})
+	end := now.Add(time.Minute)
 	total, want := 0, 1
 	for step := range rampSteps {
-		at := end.Add(time.Duration(step) * rampStep)
+		at := end.Add(time.Duration(step) * maxRampStep)
 		for {
 			block, blocked := table.Admit(at, s)
 			if blocked {
 				require.Equal(t, ReasonRamp, block.Reason)
-				require.Equal(t, end.Add(time.Duration(step+1)*rampStep), block.Until)
+				require.Equal(t, end.Add(time.Duration(step+1)*maxRampStep), block.Until)
 				break
 			}
 			total++
@@ -68,7 +68,19 @@
 		require.Equal(t, want, total)
 		want *= 2
 	}
-	require.False(t, isBlocked(table, end.Add(rampSteps*rampStep), s))
+	require.False(t, isBlocked(table, end.Add(rampSteps*maxRampStep), s))
+}
+
+func TestRampIsNotLongerThanTheBackoff(t *testing.T) {
+	for _, backoff := range []time.Duration{1, 100 * time.Millisecond, time.Second} {
+		table, s := NewTable(), server("i1", 0)
+		table.Record(now, s, Statement{Backoff: backoff})
+		for range 1 << rampSteps {
+			table.Admit(now.Add(backoff), s)
+		}
+		require.True(t, isBlocked(table, now.Add(backoff), s))
+		require.False(t, isBlocked(table, now.Add(max(2*backoff, rampSteps+1)), s))
+	}
 }
 
 func TestBlocksListsTheServersOfOneService(t *testing.T) {
@@ -90,7 +102,7 @@
 	table.Record(now, rejecting, Statement{Backoff: time.Second})
 	known := map[string]roster.Server{"i1": s, "i2": rejecting}
 	find := func(id string) (roster.Server, bool) { found, ok := known[id]; return found, ok }
-	table.Sweep(now.Add(time.Second+rampSteps*rampStep), find)
+	table.Sweep(now.Add(time.Second+rampSteps*maxRampStep), find)
 	require.Equal(t, 1, table.Len(), "a backoff whose ramp has ended has no effect")
 	gone := now.Add(time.Minute)
 	table.Sweep(gone, find)
