site: callers are still accepted after a failed accept

One error of accept, such as too many open files, ended the loop that accepts callers for the rest of the process, while the readiness check went on. Connections of callers were then completed by the kernel and their requests got neither an answer nor a refusal. net/http repeats such an accept; callerServers, which accepts in its place, did not.

The loop now ends only with its listener.

TestCallersAreAcceptedAfterAFailedAccept failed before (the request timed out after 3 s).

--- a/internal/site/callers.go
+++ b/internal/site/callers.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"log"
 	"net"
 	"net/http"
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -15,6 +17,10 @@
 	"godwityoke.example/godwityoke/internal/routes"
 )
 
+// acceptRetryInterval is the time between two attempts to accept a connection while they
+// fail.
+const acceptRetryInterval = 50 * time.Millisecond
+
 // callerServers accepts the connections of callers. Each set of limits has its
 // own HTTP server, and a connection stays with the server that it was opened on:
 // new limits of headers and idle time apply to new connections only, and a change
@@ -65,9 +71,14 @@
 	defer s.running.Wait()
 	for ctx.Err() == nil {
 		conn, err := s.listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return // the listener is closed when the process stops
 		}
+		if err != nil { // such as too many open files
+			s.errorLog.Printf("accept a caller's connection: %v", err)
+			time.Sleep(acceptRetryInterval)
+			continue
+		}
 		if listener := s.activeListener(); listener == nil || !listener.handOff(conn) {
 			_ = conn.Close() // the process is stopping
 		}
--- a/internal/site/callers_test.go
+++ b/internal/site/callers_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -40,6 +41,37 @@
 	return listener.Addr().String(), limits, servers
 }
 
+// failingListener fails each Accept with an error of errs, as long as there is one.
+type failingListener struct {
+	net.Listener
+	errs chan error
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	select {
+	case err := <-l.errs:
+		return nil, err
+	default:
+		return l.Listener.Accept()
+	}
+}
+
+func TestCallersAreAcceptedAfterAFailedAccept(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	listener := &failingListener{Listener: inner, errs: make(chan error, 1)}
+	listener.errs <- &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	answering := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
+	servers := newCallerServers(listener, answering, func() routes.Limits { return routes.Limits{} }, zerolog.Nop())
+	go servers.run(context.Background())
+	t.Cleanup(servers.close)
+	caller := dialCallers(t, inner.Addr().String())
+	require.NoError(t, caller.SetDeadline(time.Now().Add(3*time.Second)))
+	status, err := caller.get(0)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+}
+
 // rawCaller is a caller's connection with full control of what is sent.
 type rawCaller struct {
 	net.Conn
