site: a stopping VM keeps a connection open after an unannounced response

A response whose head was sent before a planned stop, such as that of a stream, does not carry Connection: close. When it ended 2.5 s after the signal or later, net/http closed the connection at once, since its keep-alives were disabled. A caller that sent its next request there at that moment got neither an answer nor a refusal.

Keep-alives stay enabled now. The drain closes connections that have been idle for 0.7 s after a response, and ends when none is left that had a request. All responses that begin after the signal still announce the close (platform/ingress.go). A stop lasts up to 0.7 s longer, within its limit.

TestRequestAfterAStreamThatBeganBeforeAPlannedStopIsAnswered failed before (unexpected EOF). TestCloseIdleClosesIdleConnectionsOfAllLimits repeats closeIdle until no connection is left, because a connection becomes idle only after its response has arrived; its checks of the callers' ends are unchanged. A request that is sent in the moment in which such an idle connection is closed is still lost, as with any HTTP/1.1 server.

--- a/internal/site/callers.go
+++ b/internal/site/callers.go
@@ -40,9 +40,9 @@
 	servers []*callerServer
 	// busy holds the connections with a request whose response is not sent completely.
 	busy map[net.Conn]struct{}
-	// draining is true once every connection has to be closed after its current response.
-	draining bool
-	closed   bool
+	// idleSince holds the connections that are kept open after a response, with its end.
+	idleSince map[net.Conn]time.Time
+	closed    bool
 }
 
 // callerServer is the HTTP server of one set of limits. The mutex of callerServers
@@ -56,7 +56,8 @@
 
 func newCallerServers(listener net.Listener, handler http.Handler, limits func() routes.Limits, logger zerolog.Logger) *callerServers {
 	return &callerServers{
-		listener: listener, handler: handler, limits: limits, errorLog: log.New(errorLogWriter{logger}, "", 0), busy: map[net.Conn]struct{}{},
+		listener: listener, handler: handler, limits: limits, errorLog: log.New(errorLogWriter{logger}, "", 0),
+		busy: map[net.Conn]struct{}{}, idleSince: map[net.Conn]time.Time{},
 	}
 }
 
@@ -107,7 +108,6 @@
 		Handler: s.handler, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout, MaxHeaderBytes: limits.MaxHeaderBytes,
 		ErrorLog: s.errorLog, ConnState: func(conn net.Conn, state http.ConnState) { s.recordState(server, conn, state) },
 	}
-	server.SetKeepAlivesEnabled(!s.draining)
 	s.activeLimits, s.active = limits, newHandoffListener(s.listener.Addr())
 	s.servers = append(s.servers, server)
 	listener := s.active
@@ -121,11 +121,13 @@
 	return listener
 }
 
-// recordState counts the open connections of a server and keeps busy up to date.
+// recordState counts the open connections of a server and keeps busy and idleSince up
+// to date.
 func (s *callerServers) recordState(server *callerServer, conn net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.busy, conn)
+	delete(s.idleSince, conn)
 	switch state {
 	case http.StateNew:
 		server.conns++
@@ -135,17 +137,10 @@
 	case http.StateActive:
 		s.busy[conn] = struct{}{}
 	case http.StateIdle:
+		s.idleSince[conn] = time.Now()
 	}
 }
 
-// inProgress returns the number of requests whose header was read and whose response is
-// not sent completely.
-func (s *callerServers) inProgress() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.busy)
-}
-
 // dropUnused forgets a server that accepts no connections any more and has none
 // open. The caller holds mu.
 func (s *callerServers) dropUnused(server *callerServer) {
@@ -155,15 +150,22 @@
 	s.servers = slices.DeleteFunc(s.servers, func(other *callerServer) bool { return other == server })
 }
 
-// closeIdle closes idle connections at once and the others after their current
-// response.
-func (s *callerServers) closeIdle() {
+// closeIdle closes the connections that have been idle for at least minIdle after a
+// response. It returns the number of the other connections that have had a request. A
+// connection is not closed right after a response that did not announce it, because its
+// caller may send the next request at that moment.
+func (s *callerServers) closeIdle(now time.Time, minIdle time.Duration) (left int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.draining = true
-	for _, server := range s.servers {
-		server.SetKeepAlivesEnabled(false)
+	left = len(s.busy)
+	for conn, since := range s.idleSince {
+		if now.Sub(since) < minIdle {
+			left++
+			continue
+		}
+		_ = conn.Close()
 	}
+	return left
 }
 
 // close closes the listener and all connections.
--- a/internal/site/callers_test.go
+++ b/internal/site/callers_test.go
@@ -76,6 +76,8 @@
 type rawCaller struct {
 	net.Conn
 	reader *bufio.Reader
+	// body is the body of a response in progress.
+	body io.Reader
 }
 
 func dialCallers(t *testing.T, address string) *rawCaller {
@@ -147,7 +149,7 @@
 	callers = append(callers, dialCallers(t, address))
 	_, err = callers[1].get(0)
 	require.NoError(t, err)
-	servers.closeIdle()
+	require.Eventually(t, func() bool { return servers.closeIdle(time.Now(), 0) == 0 }, 3*time.Second, time.Millisecond)
 	for _, caller := range callers {
 		require.NoError(t, caller.SetReadDeadline(time.Now().Add(3*time.Second)))
 		_, err := caller.reader.ReadByte()
--- a/internal/site/drain_test.go
+++ b/internal/site/drain_test.go
@@ -57,3 +57,32 @@
 	require.NoError(t, err, "the connection was closed without an answer")
 	require.Equal(t, http.StatusOK, response.StatusCode)
 }
+
+func TestRequestAfterAStreamThatBeganBeforeAPlannedStopIsAnswered(t *testing.T) {
+	t.Parallel()
+	ends := make(chan struct{})
+	caller := startDrain(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "event")
+		if r.URL.Path == "/stream" {
+			_ = http.NewResponseController(w).Flush()
+			<-ends
+		}
+	}, func(caller *rawCaller) {
+		_, err := io.WriteString(caller, "GET /stream HTTP/1.1\r\nHost: a\r\n\r\n")
+		require.NoError(t, err)
+		response, err := http.ReadResponse(caller.reader, nil)
+		require.NoError(t, err)
+		require.False(t, response.Close)
+		_, err = io.ReadFull(response.Body, make([]byte, len("event")))
+		require.NoError(t, err)
+		caller.body = response.Body
+	})
+	time.Sleep(balancerWait + time.Second)
+	close(ends)
+	_, err := io.Copy(io.Discard, caller.body)
+	require.NoError(t, err)
+	time.Sleep(100 * time.Millisecond)
+	status, err := caller.get(0)
+	require.NoError(t, err, "the connection was closed after a response that had not announced it")
+	require.Equal(t, http.StatusOK, status)
+}
--- a/internal/site/entry.go
+++ b/internal/site/entry.go
@@ -44,8 +44,8 @@
 	// stopMargin is how long before Settings.StopLimit the draining of a planned stop
 	// ends, so that the rest of the stop fits into the limit.
 	stopMargin = 400 * time.Millisecond
-	// idleBeforeExit is the time without a new request after which a stopping VM that has
-	// no request in flight exits before the stop limit.
+	// idleBeforeExit is the time without a new request after which a stopping VM closes a
+	// connection, and after which it exits before the stop limit if no request is in progress.
 	idleBeforeExit = 700 * time.Millisecond
 	// balancerWait is how long the load balancer may still send requests to a VM
 	// after its readiness check fails.
@@ -209,7 +209,8 @@
 // drain blocks until no request has arrived for idleBeforeExit and none is in progress,
 // but at least for balancerWait and at most for the stop limit less stopMargin. After
 // balancerWait the load balancer sends no more requests to this VM; drain then closes
-// idle connections, so that no late request arrives on one of them.
+// connections that have been idle for idleBeforeExit, so that no late request arrives on
+// one of them.
 func (e *Entry) drain(startedAt time.Time, server *callerServers) {
 	limit := startedAt.Add(e.settings.StopLimit - stopMargin)
 	e.stopAt.Store(limit.UnixNano())
@@ -217,14 +218,15 @@
 	e.gateway.BeginStop()
 	ticker := time.NewTicker(drainCheckInterval)
 	defer ticker.Stop()
-	keepAlive := true
 	for now := range ticker.C {
-		if keepAlive && now.Sub(startedAt) > balancerWait {
-			keepAlive = false
-			server.closeIdle()
+		if now.After(limit) {
+			return
+		}
+		if now.Sub(startedAt) <= balancerWait {
+			continue
 		}
-		idle := now.Sub(time.Unix(0, e.lastRequest.Load())) > idleBeforeExit
-		if now.After(limit) || !keepAlive && idle && server.inProgress() == 0 {
+		left := server.closeIdle(now, idleBeforeExit)
+		if idle := now.Sub(time.Unix(0, e.lastRequest.Load())) > idleBeforeExit; idle && left == 0 {
 			return
 		}
 	}
