--- a/internal/site/callers_test.go
+++ b/internal/site/callers_test.go
@@ -35,7 +35,7 @@
 		servers.run(context.Background())
 	}()
 	t.Cleanup(func() {
-		servers.close()
+		closeAtOnce(servers)
 		<-done
 	})
 	return listener.Addr().String(), limits, servers
@@ -64,7 +64,7 @@
 	answering := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
 	servers := newCallerServers(listener, answering, func() routes.Limits { return routes.Limits{} }, zerolog.Nop())
 	go servers.run(context.Background())
-	t.Cleanup(servers.close)
+	t.Cleanup(func() { closeAtOnce(servers) })
 	caller := dialCallers(t, inner.Addr().String())
 	require.NoError(t, caller.SetDeadline(time.Now().Add(3*time.Second)))
 	status, err := caller.get(0)
@@ -72,6 +72,13 @@
 	require.Equal(t, http.StatusOK, status)
 }
 
+// closeAtOnce closes all connections, also those that are in use.
+func closeAtOnce(servers *callerServers) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	servers.close(ctx)
+}
+
 // rawCaller is a caller's connection with full control of what is sent.
 type rawCaller struct {
 	net.Conn
@@ -157,6 +164,29 @@
 	}
 }
 
+func TestResponseInProgressIsSentBeforeItsConnectionIsClosed(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	begun, ended := make(chan struct{}), make(chan struct{})
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(begun)
+		<-ended
+		w.WriteHeader(http.StatusBadGateway)
+	})
+	servers := newCallerServers(listener, handler, func() routes.Limits { return routes.Limits{} }, zerolog.Nop())
+	go servers.run(context.Background())
+	go func() {
+		<-begun
+		time.AfterFunc(50*time.Millisecond, func() { close(ended) })
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		servers.close(ctx)
+	}()
+	status, err := dialCallers(t, listener.Addr().String()).get(0)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadGateway, status)
+}
+
 func TestServersOfEarlierLimitsEndWithTheirConnections(t *testing.T) {
 	address, limits, servers := startCallers(t)
 	earlier := dialCallers(t, address)
@@ -190,7 +220,7 @@
 	panicking := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic("test") })
 	servers := newCallerServers(listener, panicking, func() routes.Limits { return routes.Limits{} }, logger)
 	go servers.run(context.Background())
-	t.Cleanup(servers.close)
+	t.Cleanup(func() { closeAtOnce(servers) })
 	_, err = dialCallers(t, listener.Addr().String()).get(0)
 	require.Error(t, err)
 	select {
--- a/internal/site/drain_test.go
+++ b/internal/site/drain_test.go
@@ -32,7 +32,7 @@
 	go func() {
 		defer close(stopped)
 		e.drain(time.Now(), servers)
-		servers.close()
+		closeAtOnce(servers)
 	}()
 	t.Cleanup(func() { <-stopped })
 	return caller
