--- a/internal/site/callers_test.go
+++ b/internal/site/callers_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -40,6 +41,37 @@
 	return listener.Addr().String(), limits, servers
 }
 
+// failingListener fails each Accept with an error of errs, as long as there is one.
+type failingListener struct {
+	net.Listener
+	errs chan error
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	select {
+	case err := <-l.errs:
+		return nil, err
+	default:
+		return l.Listener.Accept()
+	}
+}
+
+func TestCallersAreAcceptedAfterAFailedAccept(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	listener := &failingListener{Listener: inner, errs: make(chan error, 1)}
+	listener.errs <- &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	answering := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
+	servers := newCallerServers(listener, answering, func() routes.Limits { return routes.Limits{} }, zerolog.Nop())
+	go servers.run(context.Background())
+	t.Cleanup(func() { closeAtOnce(servers) })
+	caller := dialCallers(t, inner.Addr().String())
+	require.NoError(t, caller.SetDeadline(time.Now().Add(3*time.Second)))
+	status, err := caller.get(0)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+}
+
 // closeAtOnce closes all connections, also those that are in use.
 func closeAtOnce(servers *callerServers) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -51,6 +83,8 @@
 type rawCaller struct {
 	net.Conn
 	reader *bufio.Reader
+	// body is the body of a response in progress.
+	body io.Reader
 }
 
 func dialCallers(t *testing.T, address string) *rawCaller {
@@ -122,7 +156,7 @@
 	callers = append(callers, dialCallers(t, address))
 	_, err = callers[1].get(0)
 	require.NoError(t, err)
-	servers.closeIdle()
+	require.Eventually(t, func() bool { return servers.closeIdle(time.Now(), 0) == 0 }, 3*time.Second, time.Millisecond)
 	for _, caller := range callers {
 		require.NoError(t, caller.SetReadDeadline(time.Now().Add(3*time.Second)))
 		_, err := caller.reader.ReadByte()
--- a/internal/site/entry.go
+++ b/internal/site/entry.go
@@ -49,8 +49,8 @@
 	// lastAnswersTimeout bounds the sending of the answers to the requests that a stop
 	// ends. It is part of stopMargin.
 	lastAnswersTimeout = 200 * time.Millisecond
-	// idleBeforeExit is the time without a new request after which a stopping VM that has
-	// no request in flight exits before the stop limit.
+	// idleBeforeExit is the time without a new request after which a stopping VM closes a
+	// connection, and after which it exits before the stop limit if no request is in progress.
 	idleBeforeExit = 700 * time.Millisecond
 	// balancerWait is how long the load balancer may still send requests to a VM
 	// after its readiness check fails.
@@ -224,10 +224,11 @@
 	return time.Until(time.Unix(0, e.stopAt.Load())), true
 }
 
-// drain blocks until no request has arrived for idleBeforeExit and none is in flight,
+// drain blocks until no request has arrived for idleBeforeExit and none is in progress,
 // but at least for balancerWait and at most for the stop limit less stopMargin. After
 // balancerWait the load balancer sends no more requests to this VM; drain then closes
-// idle connections, so that no late request arrives on one of them.
+// connections that have been idle for idleBeforeExit, so that no late request arrives on
+// one of them.
 func (e *Entry) drain(startedAt time.Time, server *callerServers) {
 	limit := startedAt.Add(e.settings.StopLimit - stopMargin)
 	e.stopAt.Store(limit.UnixNano())
@@ -235,14 +236,15 @@
 	e.gateway.BeginStop()
 	ticker := time.NewTicker(drainCheckInterval)
 	defer ticker.Stop()
-	keepAlive := true
 	for now := range ticker.C {
-		if keepAlive && now.Sub(startedAt) > balancerWait {
-			keepAlive = false
-			server.closeIdle()
+		if now.After(limit) {
+			return
+		}
+		if now.Sub(startedAt) <= balancerWait {
+			continue
 		}
-		idle := now.Sub(time.Unix(0, e.lastRequest.Load())) > idleBeforeExit
-		if now.After(limit) || !keepAlive && idle && e.gateway.InFlight() == 0 {
+		left := server.closeIdle(now, idleBeforeExit)
+		if idle := now.Sub(time.Unix(0, e.lastRequest.Load())) > idleBeforeExit; idle && left == 0 {
 			return
 		}
 	}
