--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -15,9 +15,9 @@
 // that Options.StopsIn returns is too short for them.
 func (g *Gateway) BeginStop() { g.beginStop() }
 
-// requestPlacement waits for a placement. A request that has not run is refused while it waits if a planned stop leaves
+// awaitPlacement waits for a placement. A request that has not run is refused while it waits if a planned stop leaves
 // too little time for it.
-func (x *exchange) requestPlacement(ctx context.Context, id schedule.JobID) (schedule.Placement, error) {
+func (x *exchange) awaitPlacement(ctx context.Context, id schedule.JobID) (schedule.Placement, error) {
 	request := x.placementRequest(id)
 	if x.headSent || x.possibleRuns > 0 {
 		return x.gateway.options.Placer.Place(ctx, request)
