--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -23,6 +23,9 @@
 // that have begun are aborted.
 func (g *Gateway) BeginExit() { g.beginExit() }
 
+// Exiting returns a context that is done once BeginExit was called.
+func (g *Gateway) Exiting() context.Context { return g.exiting }
+
 // requestPlacement waits for a placement. A request that has not run is refused while it waits if a planned stop leaves
 // too little time for it.
 func (x *exchange) requestPlacement(ctx context.Context, id schedule.JobID) (schedule.Placement, error) {
