site: requests that arrive while the last responses are sent are served

While a stopping VM waits for its last responses, at most 0.2 s, a request on another open connection was read and its connection closed without an answer: http.Server drops each request that it reads after Shutdown has begun.

close now waits without Shutdown: it closes the connections that are idle, until no response is left to be sent or the time is over, and then closes the servers. The gateway refuses requests that arrive in that time.

TestRequestThatArrivesWhileLastResponsesAreSentIsAnswered failed before (unexpected EOF).

--- a/internal/site/callers.go
+++ b/internal/site/callers.go
@@ -21,6 +21,9 @@
 // fail.
 const acceptRetryInterval = 50 * time.Millisecond
 
+// closeCheckInterval is how often close checks whether all responses were sent.
+const closeCheckInterval = 5 * time.Millisecond
+
 // callerServers accepts the connections of callers. Each set of limits has its
 // own HTTP server, and a connection stays with the server that it was opened on:
 // new limits of headers and idle time apply to new connections only, and a change
@@ -169,7 +172,8 @@
 }
 
 // close closes the listener and the idle connections, and the others once they have
-// sent their current response or ctx is done.
+// sent their current response or ctx is done. Until then, requests that arrive on open
+// connections are still served.
 func (s *callerServers) close(ctx context.Context) {
 	s.mu.Lock()
 	s.closed = true
@@ -177,17 +181,18 @@
 	if s.active != nil {
 		_ = s.active.Close()
 	}
-	servers := slices.Clone(s.servers)
 	s.mu.Unlock()
-	var closing sync.WaitGroup
-	for _, server := range servers {
-		closing.Go(func() {
-			if server.Shutdown(ctx) != nil {
-				_ = server.Close()
-			}
-		})
+	for s.closeIdle(time.Now(), 0) > 0 && ctx.Err() == nil {
+		select {
+		case <-time.After(closeCheckInterval):
+		case <-ctx.Done():
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, server := range s.servers {
+		_ = server.Close()
 	}
-	closing.Wait()
 }
 
 // handoffListener is a net.Listener that returns connections which were accepted
--- a/internal/site/drain_test.go
+++ b/internal/site/drain_test.go
@@ -86,3 +86,35 @@
 	require.NoError(t, err, "the connection was closed after a response that had not announced it")
 	require.Equal(t, http.StatusOK, status)
 }
+
+func TestRequestThatArrivesWhileLastResponsesAreSentIsAnswered(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	begun, ended := make(chan struct{}), make(chan struct{})
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength > 0 {
+			close(begun)
+			<-ended
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	servers := newCallerServers(listener, handler, func() routes.Limits { return routes.Limits{} }, zerolog.Nop())
+	go servers.run(context.Background())
+	late, busy := dialCallers(t, listener.Addr().String()), dialCallers(t, listener.Addr().String())
+	_, err = io.WriteString(busy, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx")
+	require.NoError(t, err)
+	<-begun
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		servers.close(ctx)
+	}()
+	time.Sleep(100 * time.Millisecond)
+	status, err := late.get(0)
+	close(ended)
+	<-closed
+	require.NoError(t, err, "the connection was closed after the request was read")
+	require.Equal(t, http.StatusServiceUnavailable, status)
+}
