--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -68,6 +68,10 @@
 	possibleRuns int
 	// excluded are the ids of the servers at which an attempt failed.
 	excluded []string
+	// turnedDown counts the placements that were not used because a server wants no requests from this VM.
+	turnedDown int
+	// retryCharged is set when the next retry is already counted in the retry budget: that of an attempt turned down.
+	retryCharged bool
 	// headSent is set once the head of a stream was sent to the caller.
 	headSent bool
 	// lastEventID is the id of the last event that the caller has, 0 for none.
@@ -122,6 +126,9 @@
 		x.logPlacement(placement, granted.waited)
 		result := x.attempt(ctx, id, placement)
 		granted = result.moved
+		if !result.done && errors.Is(result.err, errPlacementTurnedDown) && x.turnedDown < maxTurnedDown {
+			continue
+		}
 		if result.done || x.isOver(ctx) || !x.canRetry(result.err) {
 			if granted != nil {
 				x.gateway.options.Placer.Ended(granted.id, schedule.OutcomeDone)
@@ -135,20 +142,41 @@
 	}
 }
 
-// place waits for a placement. It returns nil if none is granted; the request has then been ended.
+// place waits for a placement whose servers take the request. It returns nil if none is granted; the request has then
+// been ended.
 func (x *exchange) place(ctx context.Context) *grant {
-	id, requestedAt := x.gateway.nextID(), time.Now()
-	placement, err := x.requestPlacement(ctx, id)
-	waited := time.Since(requestedAt)
-	if err != nil {
-		placement.Server, placement.Reason, placement.RetryAfter = "", err.Error(), overloadRetryAfter
-	}
-	if placement.Server == "" {
-		x.timing.placementWait += waited
-		x.failUnplaced(ctx, placement.Reason, placement.RetryAfter)
-		return nil
+	requestedAt := time.Now()
+	for {
+		if first, blocked := x.allBlocked(time.Now()); blocked {
+			if x.waitForServer(ctx, first) {
+				continue
+			}
+			x.timing.placementWait += time.Since(requestedAt)
+			x.failBlocked(ctx, time.Now(), first)
+			return nil
+		}
+		id := x.gateway.nextID()
+		placement, err := x.requestPlacement(ctx, id)
+		if err != nil {
+			placement.Server, placement.Reason, placement.RetryAfter = "", err.Error(), overloadRetryAfter
+		}
+		if placement.Server != "" && x.turnDown(time.Now(), placement) {
+			x.gateway.options.Placer.Ended(id, schedule.OutcomeDone)
+			if x.turnedDown < maxTurnedDown {
+				continue
+			}
+			placement.Server, placement.Reason, placement.RetryAfter = "", errPlacementTurnedDown.Error(), overloadRetryAfter
+		}
+		waited := time.Since(requestedAt)
+		if placement.Server == "" {
+			x.timing.placementWait += waited
+			x.failUnplaced(ctx, placement.Reason, placement.RetryAfter)
+			return nil
+		}
+		charged := x.retryCharged
+		x.retryCharged = false
+		return &grant{id: id, placement: placement, waited: waited, charged: charged}
 	}
-	return &grant{id: id, placement: placement, waited: waited}
 }
 
 // isOver tells whether the request was cancelled or its deadline has passed. A read may fail at the deadline before ctx
@@ -181,7 +209,7 @@
 		ID: id, Service: x.service, Zone: x.gateway.options.Zone,
 		PromptTokens: x.request.PromptTokens, AnswerTokens: x.request.AnswerTokens,
 		TargetAt: x.request.ArrivedAt.Add(x.route.TargetLatency), StartDeadline: x.startDeadline(),
-		MaxGap: x.route.TargetGap, Weight: x.weight(), Priority: x.priority(), Excluded: x.excluded,
+		MaxGap: x.route.TargetGap, Weight: x.weight(), Priority: x.priority(), Excluded: x.excludedServers(now),
 	}
 	if x.headSent { // resumed streams take precedence, because their callers already have part of the answer
 		placementRequest.TargetAt = now.Add(x.route.TargetGap)
@@ -282,6 +310,10 @@
 		return attemptResult{err: err}
 	}
 	defer tickets.release()
+	if x.turnDownReserved(time.Now(), attempt, tickets) {
+		placer.Ended(id, schedule.OutcomeDone)
+		return attemptResult{err: &AttemptError{Delivery: DeliveryNotSent, Err: errPlacementTurnedDown}}
+	}
 	sentAt := time.Now()
 	sendCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -192,7 +192,8 @@
 }
 
 // moveTo gives up the attempt for another placement. It returns the reason if it does not: the wait has ended, this VM
-// does not know the server, the request would be refused by quarantine, or the retry budget is spent.
+// does not know the server, the request would be refused by quarantine, the placement is turned down, or the retry
+// budget is spent.
 func (w *stallWatch) moveTo(ctx context.Context, to *grant) (reason string) {
 	options := w.exchange.gateway.options
 	w.mu.Lock()
@@ -206,6 +207,9 @@
 	if _, found := options.Evidence.Quarantined(time.Now(), w.exchange.identity, w.exchange.request.Parts); found {
 		return "the request is quarantined"
 	}
+	if w.exchange.turnDown(time.Now(), to.placement) {
+		return errPlacementTurnedDown.Error()
+	}
 	if !options.Budget.TryRetry(w.exchange.service) {
 		return errRetryBudgetSpent.Error()
 	}
