--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -24,9 +24,9 @@
 	// of one whose response is sent as a whole.
 	typicalStreamTime = 5 * time.Second
 	typicalWholeTime  = time.Second
-	// stoppingRetryAfter is the retry delay announced by a stopping VM. It is short because the retry goes to
+	// StoppingRetryAfter is the retry delay announced by a stopping VM. It is short because the retry goes to
 	// another VM.
-	stoppingRetryAfter = 10 * time.Millisecond
+	StoppingRetryAfter = 10 * time.Millisecond
 	// overloadRetryAfter is the retry delay announced where the scheduler gave none: placement failed, the retry
 	// budget is spent, or all attempts failed without the request having run.
 	overloadRetryAfter = time.Second
@@ -255,7 +255,7 @@
 // have run fails; any other is refused, so that the caller may safely retry it after retryAfter.
 func (x *exchange) failUnplaced(ctx context.Context, reason string, retryAfter time.Duration) {
 	if errors.Is(context.Cause(ctx), errExiting) {
-		reason, retryAfter = errExiting.Error(), stoppingRetryAfter
+		reason, retryAfter = errExiting.Error(), StoppingRetryAfter
 	}
 	switch {
 	case x.headSent:
@@ -274,7 +274,7 @@
 func (x *exchange) failAttempted(ctx context.Context, err *AttemptError) {
 	reason, retryAfter := err.Error(), overloadRetryAfter
 	if cause := context.Cause(ctx); errors.Is(cause, errExiting) {
-		reason, retryAfter = fmt.Sprintf("%v: %v", cause, err), stoppingRetryAfter
+		reason, retryAfter = fmt.Sprintf("%v: %v", cause, err), StoppingRetryAfter
 	}
 	switch {
 	case x.headSent:
