schedule, hub, gateway: an unused placement is no success of its server

What callers could see: requests placed on a server that had just been found unreachable or failing. A placement that was released without a send (a stalled stream that went on, a turned down placement, a spent retry budget, quarantine, a cancelled wait) was reported as done, which readmits an ejected server and counts against its error rate as a success. Found on reading; the search for another server during a stall made such releases common. OutcomeUnused releases the slot and changes nothing else. TestUnusedPlacementDoesNotReadmitAnUnreachableServer failed before (failure streak 0); TestEventThatPrecedesTheGrantKeepsTheStream now names the outcome, which is stricter.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -110,12 +110,12 @@
 		id, placement := granted.id, granted.placement
 		x.timing.placementWait += granted.waited
 		if subject, found := x.gateway.options.Evidence.Quarantined(time.Now(), x.identity, x.request.Parts); found {
-			x.gateway.options.Placer.Ended(id, schedule.OutcomeDone)
+			x.gateway.options.Placer.Ended(id, schedule.OutcomeUnused)
 			x.refuseQuarantined(subject)
 			return
 		}
 		if x.deliveries > 0 && !granted.charged && !x.gateway.options.Budget.TryRetry(x.service) {
-			x.gateway.options.Placer.Ended(id, schedule.OutcomeDone)
+			x.gateway.options.Placer.Ended(id, schedule.OutcomeUnused)
 			x.failUnplaced(ctx, errRetryBudgetSpent.Error(), overloadRetryAfter)
 			return
 		}
@@ -131,7 +131,7 @@
 		}
 		if result.done || x.isOver(ctx) || !x.canRetry(result.err) {
 			if granted != nil {
-				x.gateway.options.Placer.Ended(granted.id, schedule.OutcomeDone)
+				x.gateway.options.Placer.Ended(granted.id, schedule.OutcomeUnused)
 			}
 			if !result.done {
 				x.failAttempted(ctx, result.err)
@@ -161,7 +161,7 @@
 			placement.Server, placement.Reason, placement.RetryAfter = "", err.Error(), overloadRetryAfter
 		}
 		if placement.Server != "" && x.turnDown(time.Now(), placement) {
-			x.gateway.options.Placer.Ended(id, schedule.OutcomeDone)
+			x.gateway.options.Placer.Ended(id, schedule.OutcomeUnused)
 			if x.turnedDown < maxTurnedDown {
 				continue
 			}
@@ -301,17 +301,17 @@
 	placer := x.gateway.options.Placer
 	attempt, err := x.newAttempt(placement)
 	if err != nil {
-		placer.Ended(id, schedule.OutcomeDone)
+		placer.Ended(id, schedule.OutcomeUnused)
 		return attemptResult{err: err}
 	}
 	tickets, err := x.reserve(ctx, attempt, placement)
 	if err != nil {
-		placer.Ended(id, schedule.OutcomeDone)
+		placer.Ended(id, schedule.OutcomeUnused)
 		return attemptResult{err: err}
 	}
 	defer tickets.release()
 	if x.turnDownReserved(time.Now(), attempt, tickets) {
-		placer.Ended(id, schedule.OutcomeDone)
+		placer.Ended(id, schedule.OutcomeUnused)
 		return attemptResult{err: &AttemptError{Delivery: DeliveryNotSent, Err: errPlacementTurnedDown}}
 	}
 	sentAt := time.Now()
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -174,7 +174,7 @@
 	if reason == "" {
 		return 0
 	}
-	placer.Ended(request.ID, schedule.OutcomeDone)
+	placer.Ended(request.ID, schedule.OutcomeUnused)
 	w.logRefused(reason, minSearchInterval)
 	return minSearchInterval
 }
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -119,7 +119,7 @@
 		synctest.Wait()
 		require.Equal(t, 9, f.retriesLeft, "no retry was made")
 		require.Equal(t, 2, f.placements)
-		require.Len(t, f.outcomes, f.placements, "the unused placement is released")
+		require.ElementsMatch(t, []schedule.Outcome{schedule.OutcomeDone, schedule.OutcomeUnused}, f.outcomes, "the unused placement is released")
 	})
 }
 
--- a/internal/hub/core.go
+++ b/internal/hub/core.go
@@ -411,7 +411,7 @@
 	for _, placement := range c.scheduler.Decide(now) {
 		s := byVM[placement.ID.VM]
 		if s == nil {
-			c.scheduler.Finish(now, placement.ID, schedule.OutcomeDone)
+			c.scheduler.Finish(now, placement.ID, schedule.OutcomeUnused)
 			continue
 		}
 		frame := s.pending()
--- a/internal/hub/link.go
+++ b/internal/hub/link.go
@@ -209,7 +209,7 @@
 	case placement := <-reply:
 		return placement, nil
 	case <-ctx.Done():
-		_ = l.send(context.WithoutCancel(ctx), requestFinished{id: request.ID, outcome: schedule.OutcomeDone})
+		_ = l.send(context.WithoutCancel(ctx), requestFinished{id: request.ID, outcome: schedule.OutcomeUnused})
 		return schedule.Placement{}, ctx.Err()
 	}
 }
--- a/internal/hub/linkstate.go
+++ b/internal/hub/linkstate.go
@@ -469,7 +469,7 @@
 			s.local.Adopt(now, q.request, placement, false)
 		}
 	} else if local && q.sent {
-		s.reportProgress(placement.ID, hubpb.ProgressKind_PROGRESS_ENDED)
+		s.reportProgress(placement.ID, hubpb.ProgressKind_PROGRESS_UNUSED)
 	}
 	placement.Local = local
 	q.reply <- placement
@@ -480,7 +480,7 @@
 // its report has already superseded the placement at the leader's scheduler.
 func (s *linkState) releaseUnused(placement schedule.Placement) {
 	if placement.Server != "" && s.running[placement.ID] == nil {
-		s.reportProgress(placement.ID, hubpb.ProgressKind_PROGRESS_ENDED)
+		s.reportProgress(placement.ID, hubpb.ProgressKind_PROGRESS_UNUSED)
 	}
 }
 
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -109,6 +109,9 @@
 	// OutcomeStalled means that the server was unresponsive or refused the
 	// connection.
 	OutcomeStalled
+	// OutcomeUnused means that nothing was sent to the server, so that nothing new is
+	// known of it.
+	OutcomeUnused
 )
 
 // Scheduler places the requests of all services. It is not safe for concurrent use.
@@ -372,6 +375,9 @@
 		return
 	}
 	s.release(j)
+	if outcome == OutcomeUnused {
+		return
+	}
 	if outcome == OutcomeUnreachable {
 		s.recordUnreachable(now, j)
 		return
--- a/internal/schedule/unreachable_test.go
+++ b/internal/schedule/unreachable_test.go
@@ -71,3 +71,17 @@
 	require.InDelta(t, 0.5, s.ReachableZoneFraction(), 0)
 	require.InDelta(t, 1, New().ReachableZoneFraction(), 0)
 }
+
+func TestUnusedPlacementDoesNotReadmitAnUnreachableServer(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	s := plainScheduler(now)
+	failUnreachable(s, now, 1, 1, "b1")
+	now = now.Add(minBackoff)
+	probe := plainRequest(now, 1, 2)
+	s.commit(now, &job{request: probe, queuedAt: now}, s.servers["b1"], nil)
+	s.Finish(now, probe.ID, OutcomeUnused)
+	require.Zero(t, s.Placed(), "the slot is released")
+	require.True(t, s.servers["b1"].unreachable)
+	require.NotZero(t, s.servers["b1"].failureStreak)
+	require.Equal(t, 1, s.unreachableStreaks[1])
+}
