gateway: a stream that lost its server is placed again after a refusal

A silent server is left only for a granted one, but the granted one may reject the request. The next placement was asked for once: where it was refused, the stream was aborted although its first server would have gone on 0.8 s later and 28 s were left. The same for streams whose connection broke. Class: giving up what one has before a replacement is certain.

A stream that has begun now asks again after 0.5 to 2 s, at the same interval as the search of the stall watch, until 0.6 s before its deadline. Other requests are refused or fail at once as before, since their callers may retry.

TestStreamThatLostItsServerIsPlacedAgainAfterARefusal failed before (aborted after 1.2 s).

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/pause"
 	"godwityoke.example/godwityoke/internal/quarantine"
 	"godwityoke.example/godwityoke/internal/routes"
 	"godwityoke.example/godwityoke/internal/schedule"
@@ -169,7 +170,10 @@
 		}
 		waited := time.Since(requestedAt)
 		if placement.Server == "" {
-			x.timing.placementWait += waited
+			if err == nil && x.waitToAskAgain(ctx, placement.RetryAfter) {
+				continue
+			}
+			x.timing.placementWait += time.Since(requestedAt)
 			x.failUnplaced(ctx, placement.Reason, placement.RetryAfter)
 			return nil
 		}
@@ -179,6 +183,17 @@
 	}
 }
 
+// waitToAskAgain waits before the next placement request of a stream that has begun and was refused a placement. It
+// returns false without a wait for another request, and if too little time would be left for the attempt.
+func (x *exchange) waitToAskAgain(ctx context.Context, retryAfter time.Duration) bool {
+	wait := min(max(retryAfter, minSearchInterval), maxSearchInterval)
+	if !x.headSent || time.Until(x.deadline) < wait+minStallTimeout/2 {
+		return false
+	}
+	pause.For(ctx, wait)
+	return ctx.Err() == nil
+}
+
 // isOver tells whether the request was cancelled or its deadline has passed. A read may fail at the deadline before ctx
 // is done.
 func (x *exchange) isOver(ctx context.Context) bool {
