--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -254,7 +254,7 @@
 		return
 	}
 	if left, stopping := g.options.StopsIn(); stopping && left < typicalTime(route) {
-		g.refuse(request, caller, RefusedNotReady, stoppingRetryAfter, errStopping.Error())
+		g.refuse(request, caller, RefusedNotReady, StoppingRetryAfter, errStopping.Error())
 		return
 	}
 	x := &exchange{
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -45,7 +45,7 @@
 	})()
 	placement, err := x.gateway.options.Placer.Place(ctx, request)
 	if err != nil && errors.Is(context.Cause(ctx), errStopping) {
-		return schedule.Placement{Reason: errStopping.Error(), RetryAfter: stoppingRetryAfter}, nil
+		return schedule.Placement{Reason: errStopping.Error(), RetryAfter: StoppingRetryAfter}, nil
 	}
 	return placement, err
 }
