quarantine: evidence that a VM learns of later does not outlive the others'

After the quarantine of a harmful request had ended, sound prompts that shared a part with requests beside its crashes would be refused at VMs that had attached since, for as long as such prompts came at least every ten minutes, unless one with the part was answered.

Cause: the retention of a suspect began when a VM merged a crash, not at the crash. A VM that attached five minutes after the crashes kept a part for five minutes longer than the request that explains its crashes is harmful. From then on nothing explained the part, it was quarantined, and each refused request renewed its retention.

Evidence: TestPartBesideARequestThatCrashedServersIsServedAfterItsQuarantine failed before ("Should be false" at the last line: the part was quarantined).

Why it works: the retention counts from the last crash, at whatever time a VM learns of it, so all VMs drop a part when the harmful request's quarantine ends.

Result: internal/quarantine green, with TestAllVMsAgreeOnTheSameEvidence at 1500 checks; tests on evidence, quarantine and crashes of internal/hub and internal/gateway green.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -122,7 +122,8 @@
 	// answeredAt is when this VM last saw an answer to a request with the outline before
 	// the first crash, zero if unknown.
 	answeredAt time.Time
-	// usedAt is when a crash was added, or the quarantine of a part last stopped a request.
+	// usedAt is the time of the last crash, also if this VM learned of it later, or when the quarantine of a part last
+	// stopped a request.
 	usedAt time.Time
 	// reportedSoundAt is the value of soundAt that was last reported.
 	reportedSoundAt time.Time
@@ -313,7 +314,7 @@
 		if len(e.Crashes) == 0 {
 			return // only evidence on suspects is kept
 		}
-		s = &suspect{subject: e.Subject, usedAt: now}
+		s = &suspect{subject: e.Subject, usedAt: slices.MaxFunc(e.Crashes, compareCrashes).At}
 		t.suspects[e.Subject] = s
 		if e.Subject.IsWholeRequest() {
 			s.outline = Outline(e.Crashes[0].Request)
@@ -337,7 +338,9 @@
 			t.changed[e.Subject] = true // the sender does not know of the answer
 		}
 		if now.Sub(crash.At) <= s.lifetime() && s.addCrash(crash) {
-			s.usedAt = now
+			if crash.At.After(s.usedAt) {
+				s.usedAt = crash.At
+			}
 			t.changed[e.Subject] = true
 		}
 	}
--- a/internal/quarantine/request_test.go
+++ b/internal/quarantine/request_test.go
@@ -187,6 +187,25 @@
 	require.Len(t, tracker.AllQuarantined(now), 1)
 }
 
+// The VM attaches long after the crashes; the quarantine of the harmful request ends before it has known them for as long.
+func TestPartBesideARequestThatCrashedServersIsServedAfterItsQuarantine(t *testing.T) {
+	control := NewTracker()
+	for n := range minCrashes + 1 {
+		now := start.Add(time.Duration(n) * time.Second)
+		crashUnder(control, now, n, request(0))
+		if n > 0 {
+			control.RecordCrash(now, run(n), request(n), []Subject{shared})
+		}
+	}
+	attached := NewTracker()
+	attached.Merge(start.Add(retention/2), control.All())
+	now := start.Add(minCrashes*time.Second + retention + time.Second)
+	attached.Expire(now)
+	require.False(t, isQuarantined(attached, now, request(0)))
+	_, found := quarantined(attached, now, shared)
+	require.False(t, found)
+}
+
 func TestTwoRequestsThatCrashTheSameServersAreBothQuarantined(t *testing.T) {
 	for alone := range minCrashes { // the servers that only the first has crashed before
 		tracker := NewTracker()
