quarantine: a control VM lists quarantined subjects without a search for each

Every two seconds, the goroutine of a control VM that also makes placements searched all suspects for each harmful one.

Cause: AllQuarantined called isExplained for each harmful suspect, which visits every suspect again. Only harmful ones can explain another.

Why it works: the harmful suspects are collected once and compared with each other.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -479,10 +479,16 @@
 
 // AllQuarantined returns the evidence on the quarantined subjects.
 func (t *Tracker) AllQuarantined(now time.Time) []Evidence {
+	var harmful []*suspect
+	for _, s := range t.suspects {
+		if s.isHarmful(now) {
+			harmful = append(harmful, s)
+		}
+	}
 	var subjects []Subject
-	for subject, s := range t.suspects {
-		if t.isQuarantined(now, s) {
-			subjects = append(subjects, subject)
+	for _, s := range harmful {
+		if !slices.ContainsFunc(harmful, func(other *suspect) bool { return other != s && other.explains(s, now) }) {
+			subjects = append(subjects, s.subject)
 		}
 	}
 	slices.Sort(subjects)
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -181,3 +181,24 @@
 		}
 	})
 }
+
+// BenchmarkAllQuarantined measures the list that a control VM makes while the tracker is nearly full.
+func BenchmarkAllQuarantined(b *testing.B) {
+	for _, harmful := range []int{10, 100, 1000} {
+		tracker := NewTracker()
+		for n := range maxSuspects * 7 / 8 {
+			tracker.RecordCrash(start, run(n%600), request(n), nil)
+		}
+		for n := range harmful {
+			for crash := range minCrashes {
+				tracker.RecordCrash(start.Add(time.Duration(crash)*time.Second), run(n+crash+1), request(n), nil)
+			}
+		}
+		now := start.Add(minCrashes * time.Second)
+		b.Run(fmt.Sprintf("%d harmful", harmful), func(b *testing.B) {
+			for b.Loop() {
+				tracker.AllQuarantined(now)
+			}
+		})
+	}
+}
