h1: the tests use a neutral header name

The names of the platform's headers stand in platform/ only; the client passes all headers on alike, so that the cases are the same.

--- a/internal/h1/client_test.go
+++ b/internal/h1/client_test.go
@@ -109,7 +109,7 @@
 	}
 }
 
-const refusal = "HTTP/1.1 503 Service Unavailable\r\n%Not-Executed: 1\r\nContent-Length: 2\r\n\r\nno"
+const refusal = "HTTP/1.1 503 Service Unavailable\r\n%Rejected: 1\r\nContent-Length: 2\r\n\r\nno"
 
 // The server writes an earlier refusal once more on a kept connection, when the next request has arrived.
 func TestRefusalOfAnEarlierRequestIsNotReturned(t *testing.T) {
@@ -122,12 +122,12 @@
 		"twice":                       earlier + earlier,
 		"after an interim response":   "HTTP/1.1 100 Continue\r\n\r\n" + earlier,
 		"before an interim response":  earlier + "HTTP/1.1 100 Continue\r\n\r\n",
-		"in chunks":                   "HTTP/1.1 503 No\r\nId: 1\r\nNot-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+		"in chunks":                   "HTTP/1.1 503 No\r\nId: 1\r\nRejected: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
 		"without a body":              "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n",
-		"400 without an id":           "HTTP/1.1 400 Bad Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+		"400 without an id":           "HTTP/1.1 400 Bad Request\r\nRejected: 1\r\nContent-Length: 0\r\n\r\n",
 		"404 without an id":           "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n",
 		"more often than is accepted": strings.Repeat(earlier, maxStrayResponses+1),
-		"and closes the connection":   strings.Replace(earlier, "Not-Executed", "Connection: close\r\nNot-Executed", 1),
+		"and closes the connection":   strings.Replace(earlier, "Rejected", "Connection: close\r\nRejected", 1),
 	} {
 		for _, bodyBytes := range []int{4, 4 * minConcurrentBodyBytes} {
 			t.Run(name+" "+strconv.Itoa(bodyBytes), func(t *testing.T) {
