--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -24,9 +24,9 @@
 	// of one whose response is sent as a whole.
 	typicalStreamTime = 5 * time.Second
 	typicalWholeTime  = time.Second
-	// stoppingRetryAfter is the retry delay announced by a stopping VM. It is short because the retry goes to
+	// StoppingRetryAfter is the retry delay announced by a stopping VM. It is short because the retry goes to
 	// another VM.
-	stoppingRetryAfter = 10 * time.Millisecond
+	StoppingRetryAfter = 10 * time.Millisecond
 	// overloadRetryAfter is the retry delay announced where the scheduler gave none: placement failed, the retry
 	// budget is spent, or all attempts failed without the request having run.
 	overloadRetryAfter = time.Second
@@ -110,12 +110,12 @@
 		id, placement := granted.id, granted.placement
 		x.timing.placementWait += granted.waited
 		if subject, found := x.gateway.options.Evidence.Quarantined(time.Now(), x.identity, x.request.Parts); found {
-			x.gateway.options.Placer.Ended(id, schedule.OutcomeDone)
+			x.gateway.options.Placer.Ended(id, schedule.OutcomeUnused)
 			x.refuseQuarantined(subject)
 			return
 		}
 		if x.deliveries > 0 && !granted.charged && !x.gateway.options.Budget.TryRetry(x.service) {
-			x.gateway.options.Placer.Ended(id, schedule.OutcomeDone)
+			x.gateway.options.Placer.Ended(id, schedule.OutcomeUnused)
 			x.failUnplaced(ctx, errRetryBudgetSpent.Error(), overloadRetryAfter)
 			return
 		}
@@ -131,7 +131,7 @@
 		}
 		if result.done || x.isOver(ctx) || !x.canRetry(result.err) {
 			if granted != nil {
-				x.gateway.options.Placer.Ended(granted.id, schedule.OutcomeDone)
+				x.gateway.options.Placer.Ended(granted.id, schedule.OutcomeUnused)
 			}
 			if !result.done {
 				x.failAttempted(ctx, result.err)
@@ -161,7 +161,7 @@
 			placement.Server, placement.Reason, placement.RetryAfter = "", err.Error(), overloadRetryAfter
 		}
 		if placement.Server != "" && x.turnDown(time.Now(), placement) {
-			x.gateway.options.Placer.Ended(id, schedule.OutcomeDone)
+			x.gateway.options.Placer.Ended(id, schedule.OutcomeUnused)
 			if x.turnedDown < maxTurnedDown {
 				continue
 			}
@@ -255,7 +255,7 @@
 // have run fails; any other is refused, so that the caller may safely retry it after retryAfter.
 func (x *exchange) failUnplaced(ctx context.Context, reason string, retryAfter time.Duration) {
 	if errors.Is(context.Cause(ctx), errExiting) {
-		reason, retryAfter = errExiting.Error(), stoppingRetryAfter
+		reason, retryAfter = errExiting.Error(), StoppingRetryAfter
 	}
 	switch {
 	case x.headSent:
@@ -274,7 +274,7 @@
 func (x *exchange) failAttempted(ctx context.Context, err *AttemptError) {
 	reason, retryAfter := err.Error(), overloadRetryAfter
 	if cause := context.Cause(ctx); errors.Is(cause, errExiting) {
-		reason, retryAfter = fmt.Sprintf("%v: %v", cause, err), stoppingRetryAfter
+		reason, retryAfter = fmt.Sprintf("%v: %v", cause, err), StoppingRetryAfter
 	}
 	switch {
 	case x.headSent:
@@ -301,17 +301,17 @@
 	placer := x.gateway.options.Placer
 	attempt, err := x.newAttempt(placement)
 	if err != nil {
-		placer.Ended(id, schedule.OutcomeDone)
+		placer.Ended(id, schedule.OutcomeUnused)
 		return attemptResult{err: err}
 	}
 	tickets, err := x.reserve(ctx, attempt, placement)
 	if err != nil {
-		placer.Ended(id, schedule.OutcomeDone)
+		placer.Ended(id, schedule.OutcomeUnused)
 		return attemptResult{err: err}
 	}
 	defer tickets.release()
 	if x.turnDownReserved(time.Now(), attempt, tickets) {
-		placer.Ended(id, schedule.OutcomeDone)
+		placer.Ended(id, schedule.OutcomeUnused)
 		return attemptResult{err: &AttemptError{Delivery: DeliveryNotSent, Err: errPlacementTurnedDown}}
 	}
 	sentAt := time.Now()
--- a/internal/site/callers.go
+++ b/internal/site/callers.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"log"
 	"net"
 	"net/http"
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -15,6 +17,13 @@
 	"godwityoke.example/godwityoke/internal/routes"
 )
 
+// acceptRetryInterval is the time between two attempts to accept a connection while they
+// fail.
+const acceptRetryInterval = 50 * time.Millisecond
+
+// closeCheckInterval is how often close checks whether all responses were sent.
+const closeCheckInterval = 5 * time.Millisecond
+
 // callerServers accepts the connections of callers. Each set of limits has its
 // own HTTP server, and a connection stays with the server that it was opened on:
 // new limits of headers and idle time apply to new connections only, and a change
@@ -32,9 +41,11 @@
 	// it and those of earlier limits that still have connections.
 	active  *handoffListener
 	servers []*callerServer
-	// draining is true once every connection has to be closed after its current response.
-	draining bool
-	closed   bool
+	// busy holds the connections with a request whose response is not sent completely.
+	busy map[net.Conn]struct{}
+	// idleSince holds the connections that are kept open after a response, with its end.
+	idleSince map[net.Conn]time.Time
+	closed    bool
 }
 
 // callerServer is the HTTP server of one set of limits. The mutex of callerServers
@@ -47,7 +58,10 @@
 }
 
 func newCallerServers(listener net.Listener, handler http.Handler, limits func() routes.Limits, logger zerolog.Logger) *callerServers {
-	return &callerServers{listener: listener, handler: handler, limits: limits, errorLog: log.New(errorLogWriter{logger}, "", 0)}
+	return &callerServers{
+		listener: listener, handler: handler, limits: limits, errorLog: log.New(errorLogWriter{logger}, "", 0),
+		busy: map[net.Conn]struct{}{}, idleSince: map[net.Conn]time.Time{},
+	}
 }
 
 // errorLogWriter logs each line of an http.Server's error log as an event.
@@ -65,9 +79,14 @@
 	defer s.running.Wait()
 	for ctx.Err() == nil {
 		conn, err := s.listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return // the listener is closed when the process stops
 		}
+		if err != nil { // such as too many open files
+			s.errorLog.Printf("accept a caller's connection: %v", err)
+			time.Sleep(acceptRetryInterval)
+			continue
+		}
 		if listener := s.activeListener(); listener == nil || !listener.handOff(conn) {
 			_ = conn.Close() // the process is stopping
 		}
@@ -90,9 +109,8 @@
 	server := &callerServer{accepting: true}
 	server.Server = &http.Server{
 		Handler: s.handler, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout, MaxHeaderBytes: limits.MaxHeaderBytes,
-		ErrorLog: s.errorLog, ConnState: func(_ net.Conn, state http.ConnState) { s.recordState(server, state) },
+		ErrorLog: s.errorLog, ConnState: func(conn net.Conn, state http.ConnState) { s.recordState(server, conn, state) },
 	}
-	server.SetKeepAlivesEnabled(!s.draining)
 	s.activeLimits, s.active = limits, newHandoffListener(s.listener.Addr())
 	s.servers = append(s.servers, server)
 	listener := s.active
@@ -106,17 +124,23 @@
 	return listener
 }
 
-// recordState counts the open connections of a server.
-func (s *callerServers) recordState(server *callerServer, state http.ConnState) {
+// recordState counts the open connections of a server and keeps busy and idleSince up
+// to date.
+func (s *callerServers) recordState(server *callerServer, conn net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	delete(s.busy, conn)
+	delete(s.idleSince, conn)
 	switch state {
 	case http.StateNew:
 		server.conns++
 	case http.StateClosed, http.StateHijacked:
 		server.conns--
 		s.dropUnused(server)
-	case http.StateActive, http.StateIdle:
+	case http.StateActive:
+		s.busy[conn] = struct{}{}
+	case http.StateIdle:
+		s.idleSince[conn] = time.Now()
 	}
 }
 
@@ -129,19 +153,27 @@
 	s.servers = slices.DeleteFunc(s.servers, func(other *callerServer) bool { return other == server })
 }
 
-// closeIdle closes idle connections at once and the others after their current
-// response.
-func (s *callerServers) closeIdle() {
+// closeIdle closes the connections that have been idle for at least minIdle after a
+// response. It returns the number of the other connections that have had a request. A
+// connection is not closed right after a response that did not announce it, because its
+// caller may send the next request at that moment.
+func (s *callerServers) closeIdle(now time.Time, minIdle time.Duration) (left int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.draining = true
-	for _, server := range s.servers {
-		server.SetKeepAlivesEnabled(false)
+	left = len(s.busy)
+	for conn, since := range s.idleSince {
+		if now.Sub(since) < minIdle {
+			left++
+			continue
+		}
+		_ = conn.Close()
 	}
+	return left
 }
 
 // close closes the listener and the idle connections, and the others once they have
-// sent their current response or ctx is done.
+// sent their current response or ctx is done. Until then, requests that arrive on open
+// connections are still served.
 func (s *callerServers) close(ctx context.Context) {
 	s.mu.Lock()
 	s.closed = true
@@ -149,17 +181,18 @@
 	if s.active != nil {
 		_ = s.active.Close()
 	}
-	servers := slices.Clone(s.servers)
 	s.mu.Unlock()
-	var closing sync.WaitGroup
-	for _, server := range servers {
-		closing.Go(func() {
-			if server.Shutdown(ctx) != nil {
-				_ = server.Close()
-			}
-		})
+	for s.closeIdle(time.Now(), 0) > 0 && ctx.Err() == nil {
+		select {
+		case <-time.After(closeCheckInterval):
+		case <-ctx.Done():
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, server := range s.servers {
+		_ = server.Close()
 	}
-	closing.Wait()
 }
 
 // handoffListener is a net.Listener that returns connections which were accepted
