soak: a rejecting worker states a backoff of 3 s

With 1.5 s the judge of BUDGET had one second to see a third request of one entry VM, and a build without the mechanism passed it.

--- a/internal/soak/worker.go
+++ b/internal/soak/worker.go
@@ -38,7 +38,7 @@
 	// longer than maxDrainDelay, after which such a worker must get no request.
 	silentDrainTime = 6 * time.Second
 	// rejectBackoff is the time for which a worker with FaultRejectAll wants no requests from an entry VM.
-	rejectBackoff = 1500 * time.Millisecond
+	rejectBackoff = 3 * time.Second
 	// controlTimeout bounds a call to a control VM.
 	controlTimeout = time.Second
 	// heartbeatRetryDivisor divides the heartbeat interval after a heartbeat that no control VM acknowledged.
