--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/pause"
 	"godwityoke.example/godwityoke/internal/quarantine"
 	"godwityoke.example/godwityoke/internal/routes"
 	"godwityoke.example/godwityoke/internal/schedule"
@@ -24,9 +25,9 @@
 	// of one whose response is sent as a whole.
 	typicalStreamTime = 5 * time.Second
 	typicalWholeTime  = time.Second
-	// stoppingRetryAfter is the retry delay announced by a stopping VM. It is short because the retry goes to
+	// StoppingRetryAfter is the retry delay announced by a stopping VM. It is short because the retry goes to
 	// another VM.
-	stoppingRetryAfter = 10 * time.Millisecond
+	StoppingRetryAfter = 10 * time.Millisecond
 	// overloadRetryAfter is the retry delay announced where the scheduler gave none: placement failed, the retry
 	// budget is spent, or all attempts failed without the request having run.
 	overloadRetryAfter = time.Second
@@ -110,12 +111,12 @@
 		id, placement := granted.id, granted.placement
 		x.timing.placementWait += granted.waited
 		if subject, found := x.gateway.options.Evidence.Quarantined(time.Now(), x.identity, x.request.Parts); found {
-			x.gateway.options.Placer.Ended(id, schedule.OutcomeDone)
+			x.gateway.options.Placer.Ended(id, schedule.OutcomeUnused)
 			x.refuseQuarantined(subject)
 			return
 		}
 		if x.deliveries > 0 && !granted.charged && !x.gateway.options.Budget.TryRetry(x.service) {
-			x.gateway.options.Placer.Ended(id, schedule.OutcomeDone)
+			x.gateway.options.Placer.Ended(id, schedule.OutcomeUnused)
 			x.failUnplaced(ctx, errRetryBudgetSpent.Error(), overloadRetryAfter)
 			return
 		}
@@ -131,7 +132,7 @@
 		}
 		if result.done || x.isOver(ctx) || !x.canRetry(result.err) {
 			if granted != nil {
-				x.gateway.options.Placer.Ended(granted.id, schedule.OutcomeDone)
+				x.gateway.options.Placer.Ended(granted.id, schedule.OutcomeUnused)
 			}
 			if !result.done {
 				x.failAttempted(ctx, result.err)
@@ -161,7 +162,7 @@
 			placement.Server, placement.Reason, placement.RetryAfter = "", err.Error(), overloadRetryAfter
 		}
 		if placement.Server != "" && x.turnDown(time.Now(), placement) {
-			x.gateway.options.Placer.Ended(id, schedule.OutcomeDone)
+			x.gateway.options.Placer.Ended(id, schedule.OutcomeUnused)
 			if x.turnedDown < maxTurnedDown {
 				continue
 			}
@@ -169,7 +170,10 @@
 		}
 		waited := time.Since(requestedAt)
 		if placement.Server == "" {
-			x.timing.placementWait += waited
+			if err == nil && x.waitToAskAgain(ctx, placement.RetryAfter) {
+				continue
+			}
+			x.timing.placementWait += time.Since(requestedAt)
 			x.failUnplaced(ctx, placement.Reason, placement.RetryAfter)
 			return nil
 		}
@@ -179,6 +183,17 @@
 	}
 }
 
+// waitToAskAgain waits before the next placement request of a stream that has begun and was refused a placement. It
+// returns false without a wait for another request, and if too little time would be left for the attempt.
+func (x *exchange) waitToAskAgain(ctx context.Context, retryAfter time.Duration) bool {
+	wait := min(max(retryAfter, minSearchInterval), maxSearchInterval)
+	if !x.headSent || time.Until(x.deadline) < wait+minStallTimeout/2 {
+		return false
+	}
+	pause.For(ctx, wait)
+	return ctx.Err() == nil
+}
+
 // isOver tells whether the request was cancelled or its deadline has passed. A read may fail at the deadline before ctx
 // is done.
 func (x *exchange) isOver(ctx context.Context) bool {
@@ -255,7 +270,7 @@
 // have run fails; any other is refused, so that the caller may safely retry it after retryAfter.
 func (x *exchange) failUnplaced(ctx context.Context, reason string, retryAfter time.Duration) {
 	if errors.Is(context.Cause(ctx), errExiting) {
-		reason, retryAfter = errExiting.Error(), stoppingRetryAfter
+		reason, retryAfter = errExiting.Error(), StoppingRetryAfter
 	}
 	switch {
 	case x.headSent:
@@ -274,7 +289,7 @@
 func (x *exchange) failAttempted(ctx context.Context, err *AttemptError) {
 	reason, retryAfter := err.Error(), overloadRetryAfter
 	if cause := context.Cause(ctx); errors.Is(cause, errExiting) {
-		reason, retryAfter = fmt.Sprintf("%v: %v", cause, err), stoppingRetryAfter
+		reason, retryAfter = fmt.Sprintf("%v: %v", cause, err), StoppingRetryAfter
 	}
 	switch {
 	case x.headSent:
@@ -301,17 +316,17 @@
 	placer := x.gateway.options.Placer
 	attempt, err := x.newAttempt(placement)
 	if err != nil {
-		placer.Ended(id, schedule.OutcomeDone)
+		placer.Ended(id, schedule.OutcomeUnused)
 		return attemptResult{err: err}
 	}
 	tickets, err := x.reserve(ctx, attempt, placement)
 	if err != nil {
-		placer.Ended(id, schedule.OutcomeDone)
+		placer.Ended(id, schedule.OutcomeUnused)
 		return attemptResult{err: err}
 	}
 	defer tickets.release()
 	if x.turnDownReserved(time.Now(), attempt, tickets) {
-		placer.Ended(id, schedule.OutcomeDone)
+		placer.Ended(id, schedule.OutcomeUnused)
 		return attemptResult{err: &AttemptError{Delivery: DeliveryNotSent, Err: errPlacementTurnedDown}}
 	}
 	sentAt := time.Now()
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -51,7 +51,7 @@
 	g.BeginStop()
 	<-done
 	require.Equal(t, RefusedOverload, caller.refusal)
-	require.Equal(t, stoppingRetryAfter, caller.retryAfter, "refused at its deadline only")
+	require.Equal(t, StoppingRetryAfter, caller.retryAfter, "refused at its deadline only")
 }
 
 // silentBackend answers no request. sent is closed when it gets the first one.
@@ -86,5 +86,5 @@
 	waiting := &fullPlacer{waiting: make(chan struct{})}
 	unplaced := serve(waiting, f, waiting.waiting)
 	require.Equal(t, RefusedOverload, unplaced.refusal)
-	require.Equal(t, stoppingRetryAfter, unplaced.retryAfter)
+	require.Equal(t, StoppingRetryAfter, unplaced.retryAfter)
 }
