schedule: searches with few excluded servers count for the next requests

Cause: since a request that excludes any server and fits nowhere no longer marked its size as one that fits nowhere, so that all following requests of that size were searched again. Requests whose server is silent exclude it, so that in a burst nearly all retries did this. Now only a request that excludes half of the candidates or more tells nothing about the next ones, which is what was for; its test is unchanged. TestFullServersAreSearchedOnceForRequestsWithExclusions failed before (0s).

--- a/internal/schedule/decide.go
+++ b/internal/schedule/decide.go
@@ -213,8 +213,9 @@
 		s.assign(now, j, costly)
 		return true
 	}
-	// A request that excludes servers tells nothing about the others of the ranking.
-	if lateSelection.first == nil && len(j.request.Excluded) == 0 && (ranked.minFailed == 0 || j.prefillTime < ranked.minFailed) {
+	// A request that excludes most servers tells nothing about the next requests.
+	excludesMost := 2*len(j.request.Excluded) >= len(candidates)
+	if lateSelection.first == nil && !excludesMost && (ranked.minFailed == 0 || j.prefillTime < ranked.minFailed) {
 		ranked.minFailed = j.prefillTime
 	}
 	if lateSelection.first == nil || now.Before(j.request.TargetAt.Add(-partTimeOf(j, lateSelection))) {
--- a/internal/schedule/excluded_test.go
+++ b/internal/schedule/excluded_test.go
@@ -21,6 +21,21 @@
 	require.Equal(t, second.ID, placements[0].ID)
 }
 
+func TestFullServersAreSearchedOnceForRequestsWithExclusions(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := smallFleet(now, 4)
+	for seq := range uint64(40) {
+		s.Enqueue(now, modelRequest(now, seq, 1000, time.Second))
+	}
+	s.Decide(now)
+	clear(s.rankings)
+	request := modelRequest(now, 100, 1000, time.Second)
+	request.Excluded = []string{"a"}
+	j := s.newJob(now, request)
+	require.False(t, s.place(now, j))
+	require.Equal(t, j.prefillTime, s.rank(j).minFailed, "the next requests are not searched again")
+}
+
 func TestExcludedServerIsNeitherFirstNorHelper(t *testing.T) {
 	now := time.Unix(1000, 0)
 	s := smallFleet(now, 4)
