hub: a control VM that is known later gets the evidence on crashes

What callers could see: a quarantine that comes seconds later, or not before a further crash, after a start of the control VMs. Evidence is sent to other control VMs once, when it changes; what entry VMs had reported before the VM knew its peers was lost to them, and only quarantined subjects are sent again. Found by TestQuarantineReachesAllEntryVMsAndSurvivesRestarts, which failed beside load: in its log lines the links attach 35 ms before the control VMs know their group. A peer that is started gets all evidence; it is merged as a set. TestControlVMThatIsKnownLaterGetsTheEvidence failed before (0 of 2 items).

--- a/internal/hub/broadcast.go
+++ b/internal/hub/broadcast.go
@@ -59,8 +59,9 @@
 }
 
 // setPeers starts and stops peers, so that they match the given addresses without
-// the address of this VM.
-func (b *broadcaster) setPeers(addresses []string) {
+// the address of this VM. It tells whether it has started one, which has nothing
+// queued yet.
+func (b *broadcaster) setPeers(addresses []string) (started bool) {
 	wanted := map[string]bool{}
 	for _, address := range addresses {
 		if address == b.options.Address {
@@ -69,6 +70,7 @@
 		wanted[address] = true
 		if b.peers[address] == nil {
 			b.peers[address] = startBroadcastPeer(b.options, address)
+			started = true
 		}
 	}
 	for address, peer := range b.peers {
@@ -77,6 +79,7 @@
 			delete(b.peers, address)
 		}
 	}
+	return started
 }
 
 func startBroadcastPeer(options *Options, address string) *broadcastPeer {
--- a/internal/hub/core.go
+++ b/internal/hub/core.go
@@ -371,7 +371,9 @@
 		leadership := group.Leadership()
 		leading, leader = leadership.IsLeader, leadership.LeaderName
 		term = leadership.Term
-		c.peers.setPeers(group.MemberAddresses())
+		if c.peers.setPeers(group.MemberAddresses()) {
+			c.peers.addEvidence(c.evidence.All())
+		}
 	}
 	if leading == c.isLeader && leader == c.leader && term == c.term {
 		return
--- a/internal/hub/evidence_test.go
+++ b/internal/hub/evidence_test.go
@@ -83,6 +83,21 @@
 	}
 }
 
+func TestControlVMThatIsKnownLaterGetsTheEvidence(t *testing.T) {
+	now, group := time.Now(), Group(nil)
+	c := newCore(&Options{Address: "self", Group: func() Group { return group }, Logger: zerolog.Nop(), Metrics: observe.NewMetrics()})
+	c.evidence.RecordCrash(now, quarantine.NewServerRun("server 1", time.Time{}), requestTo("/harmful"), harmfulParts)
+	c.spreadEvidence(c.evidence.TakeChanges(), now)
+	group = &fakeGroup{self: "self", members: []string{"self", "other"}}
+	c.updateLeadership(now)
+	t.Cleanup(func() { c.peers.setPeers(nil) })
+	peer := c.peers.peers["other"]
+	require.NotNil(t, peer)
+	peer.mu.Lock()
+	defer peer.mu.Unlock()
+	require.Len(t, peer.evidence, 2, "the request and the part")
+}
+
 // Each crash is seen by another entry VM, and the control VM changes between the second and the third.
 func TestQuarantineOfARequestReachesAllEntryVMsAcrossAChangeOfTheControlVM(t *testing.T) {
 	first, second := listen(t), listen(t)
