--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -166,6 +168,43 @@
 	return nil
 }
 
+// resetBody never sends anything. Its connection is reset as the attempt is given up.
+type resetBody struct{ givenUp chan struct{} }
+
+func (r resetBody) Read([]byte) (int, error) {
+	<-r.givenUp
+	return 0, syscall.ECONNRESET
+}
+
+func (r resetBody) SetReadDeadline(deadline time.Time) error {
+	if deadline.Before(time.Now()) {
+		close(r.givenUp)
+	}
+	return nil
+}
+
+func (resetBody) Close() error { return nil }
+
+func TestResetAsAnAttemptIsGivenUpCountsAsACrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakes{retriesLeft: 9, responses: []func(*Attempt) (*Response, error){
+			func(*Attempt) (*Response, error) {
+				body := resetBody{givenUp: make(chan struct{})}
+				return &Response{Status: 200, Header: http.Header{}, Body: body, Verified: true, IsStream: true}, nil
+			},
+			respond(200, events, nil),
+		}}
+		var log bytes.Buffer
+		caller := &fakeCaller{}
+		serveCaller(Options{
+			Table: longTable, Placer: f, Budget: f, Servers: f, Backend: f, Memory: f, Logger: zerolog.New(&log),
+			StopsIn: func() (time.Duration, bool) { return 0, false },
+		}, caller, "stream", "key", longTimeout)
+		require.Equal(t, events, caller.body)
+		require.Contains(t, log.String(), `"name":"connection_lost_before_answer"`)
+	})
+}
+
 // slowBudget allows a retry after a delay.
 type slowBudget struct{ *fakes }
 
