serverstate: the bound of a stated backoff stands with the backoff

platform/ held the bound of an hour on the backoff that a server may state; it translates and decides nothing.

--- a/internal/serverstate/serverstate.go
+++ b/internal/serverstate/serverstate.go
@@ -19,6 +19,8 @@
 	// step takes a fraction 1/rampSteps of the backoff, so that the ramp is not longer than the backoff.
 	maxRampStep = 250 * time.Millisecond
 	rampSteps   = 5
+	// MaxBackoff bounds the backoff that a server may state.
+	MaxBackoff = time.Hour
 	// retention is how long an entry is kept after its server has left the roster. It is longer than an announcement
 	// may be delayed, so that a delayed one does not readmit the server.
 	retention = 60 * time.Second
