soak: entry VMs that are cut off from all workers, and a judge of their callers

What callers saw: at entry VMs without a path to the backend servers hardly any request was served, while the other entry VMs served theirs (RECOVER). No fault of the soak cut an entry VM off from the backend servers alone.

The new fault cut_servers does that to one entry VM, all but one, or those of a zone: it holds back all bytes, resets open and new connections, or resets only new ones. The judge compares the first tries from 3 s after its beginning, refused connections included, with those at the other entry VMs. Such a VM stays in touch, so the cut suspends no other bound but those for what was in progress at its beginning and for what it holds back. Internal ports of entry VMs are forwarded while the VM listens there; otherwise a dial is refused.

--- a/internal/command/soak.go
+++ b/internal/command/soak.go
@@ -24,6 +24,7 @@
 	Models   int    `arg:"--models" default:"4" help:"number of stand-ins for model servers"`
 	Desks    int    `arg:"--desks" default:"2" help:"number of stand-ins for plain servers"`
 	Clients  int    `arg:"--clients" default:"16" help:"number of callers, each with one connection"`
+	Cuts     bool   `arg:"--cut-servers" help:"also cut some entry VMs off from all backend servers, twice a run"`
 	Folder   string `arg:"--out" default:"out/soak" help:"folder for the logs and records of failed runs"`
 	Keep     bool   `arg:"--keep" help:"also keep the files of runs without findings"`
 }
@@ -55,7 +56,7 @@
 			defer func() { slots <- block }()
 			report, err := soak.Run(ctx, soak.Options{
 				Binary: binary, Seed: a.Seed + uint64(i), Block: block, Folder: a.Folder, Keep: a.Keep,
-				Entries: a.Entries, Controls: a.Controls, Models: a.Models, Desks: a.Desks, Clients: a.Clients,
+				Entries: a.Entries, Controls: a.Controls, Models: a.Models, Desks: a.Desks, Clients: a.Clients, ServerCuts: a.Cuts,
 			})
 			mu.Lock()
 			defer mu.Unlock()
@@ -83,6 +84,9 @@
 func printReport(output Output, report *soak.Report) {
 	fmt.Fprintf(output.Out, "seed %d: %d requests, %d served, %d steps, %.0f s: %d findings\n",
 		report.Seed, report.Requests, report.Served, report.Steps, report.Duration.Seconds(), len(report.Findings))
+	for _, line := range report.ServerCuts {
+		fmt.Fprintf(output.Out, "  %s\n", line)
+	}
 	for _, finding := range report.Findings {
 		fmt.Fprintf(output.Out, "  %s\n", finding)
 	}
--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -128,7 +128,7 @@
 	}
 }
 
-// connect connects to a random ready VM and reports whether it succeeded.
+// connect connects to a random ready VM and reports whether it succeeded. It records a failure.
 func (c *client) connect() bool {
 	vm, public, ready := c.soak.readyVM(c.random)
 	if !ready {
@@ -136,6 +136,7 @@
 	}
 	conn, err := standin.Connect(public, connectTimeout)
 	if err != nil {
+		c.soak.records.locked(func(r *Records) { r.FailedConnects = append(r.FailedConnects, FailedConnect{At: time.Now(), VM: vm}) })
 		return false
 	}
 	c.conn, c.vm = conn, vm
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -32,6 +32,9 @@
 	internalPort  = 7340
 )
 
+// zones are the zones of a run. VMs and workers are assigned to them in turn.
+var zones = []string{"a", "b", "c"}
+
 // node is a VM. It runs one process at a time.
 type node struct {
 	boot   platform.Boot
@@ -53,7 +56,6 @@
 type fleet struct {
 	binary  string
 	octet   int
-	zones   []string
 	network *network
 	nodes   map[string]*node
 	// onExit is called with the VM's name and the cause when a process ends without being told to, or can't be
@@ -81,12 +83,12 @@
 	own, public := f.ip(subnetVM, number), f.ip(subnetVMPublic, number)
 	n := &node{folder: folder, boot: platform.Boot{Settings: baseSettings, Entry: !control, Control: control}}
 	settings := &n.boot.Settings
-	settings.VM, settings.Zone, settings.Address, settings.Bind = name, f.zones[number%len(f.zones)], public, own
+	settings.VM, settings.Zone, settings.Address, settings.Bind = name, zones[number%len(zones)], public, own
 	settings.FirstPort, settings.LastPort, settings.Seeds, settings.Bootstrap = internalPort, internalPort+10, seeds, true
 	f.network.setName(own, name)
-	ports := []int{callersPort, internalPort}
+	port := callersPort
 	if control {
-		ports[0] = controlPort
+		port = controlPort
 		settings.Control = address(own, controlPort)
 		settings.DataDir = filepath.Join(folder, name+".data")
 		if err := os.MkdirAll(settings.DataDir, 0o700); err != nil {
@@ -95,10 +97,13 @@
 	} else {
 		settings.Callers, settings.Readiness = address(own, callersPort), address(own, readinessPort)
 	}
-	for _, port := range ports {
-		if err := f.network.forward(address(public, port), address(own, port), name); err != nil {
-			return fmt.Errorf("forward to %s: %w", name, err)
-		}
+	if err := f.network.forward(address(public, port), address(own, port), name); err != nil {
+		return fmt.Errorf("forward to %s: %w", name, err)
+	}
+	if !control {
+		f.network.forwardWhileListening(address(public, internalPort), address(own, internalPort), name)
+	} else if err := f.network.forward(address(public, internalPort), address(own, internalPort), name); err != nil {
+		return fmt.Errorf("forward to %s: %w", name, err)
 	}
 	f.nodes[name] = n
 	return nil
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"fmt"
 	"io"
+	"slices"
 	"testing"
 	"time"
 
@@ -176,3 +178,156 @@
 	}
 	require.Len(t, kinds, 17, "all kinds of steps occur")
 }
+
+// A cut leaves at least one entry VM its workers, and ends early enough for callers to be served at the end.
+func TestServerCutsSpareAnEntryVM(t *testing.T) {
+	for _, s := range []topology{{entries: 3, controls: 3}, {entries: 5, controls: 3}, {entries: 2, controls: 1}} {
+		variants, sizes := map[int]bool{}, map[int]bool{}
+		for seed := range uint64(100) {
+			steps := addServerCuts(nil, seed, s)
+			require.Equal(t, steps, addServerCuts(nil, seed, s))
+			require.Len(t, steps, 2)
+			for _, step := range steps {
+				require.NotEmpty(t, step.Targets)
+				require.Less(t, len(step.Targets), s.entries)
+				require.Less(t, step.At+step.Duration, loadTime-recoveryTime)
+				variants[step.Variant], sizes[len(step.Targets)] = true, true
+			}
+		}
+		require.Len(t, variants, cutVariants)
+		require.True(t, sizes[1] && sizes[s.entries-1])
+	}
+}
+
+// addTries adds first tries of safe requests at a VM, of which some were served.
+func addTries(r *Records, vm string, at time.Time, served, total int) {
+	for i := range total {
+		id := fmt.Sprintf("%s-%d", vm, len(r.Requests))
+		q := &Request{Call: newCall(id, "/x/a", steadyKey, false, 0), Team: steadyTeam, VM: vm, StartedAt: at, Done: true}
+		q.Reply = standin.Reply{SentAt: at, Status: refusedStatus, RetryAfter: "1", Complete: true, EndedAt: at.Add(time.Second)}
+		if i < served {
+			q.Reply.Status, q.Reply.Seal, q.Reply.AnsweredID, q.Reply.Body = servedStatus, sealOf(id, "w"), id, plainAnswer(id, q.Call.Body)
+			r.Attempts[id] = []*Attempt{attemptOf(q, at)}
+		}
+		r.Requests[id] = q
+	}
+}
+
+func TestServerCutIsJudgedByFirstTriesAtBothKindsOfEntryVMs(t *testing.T) {
+	const length = 7 * time.Second
+	from, late := baseTime.Add(time.Minute), baseTime.Add(time.Minute+contactTime)
+	now := from.Add(time.Hour)
+	for name, c := range map[string]struct {
+		// Numbers of first tries at the VM that is cut off, entry-2, and at entry-3.
+		cutServed, cutTotal, otherServed, otherTotal int
+		at                                           time.Time
+		change                                       func(r *Records)
+		broken                                       bool
+	}{
+		"nobody is served there":                     {0, 40, 40, 40, late, nil, true},
+		"all are served there":                       {40, 40, 40, 40, late, nil, false},
+		"two thirds are served there":                {40, 60, 60, 60, late, nil, false},
+		"less than two thirds are served there":      {39, 60, 60, 60, late, nil, true},
+		"two thirds of the share of the others":      {20, 60, 30, 60, late, nil, false},
+		"less than two thirds of the others' share":  {19, 60, 30, 60, late, nil, true},
+		"10 and 1 in 50 of all fail there":           {0, 12, 88, 88, late, nil, false},
+		"more than 10 and 1 in 50 of all fail there": {0, 13, 87, 87, late, nil, true},
+		"10 of few fail there":                       {0, 10, 10, 10, late, nil, false},
+		"11 of few fail there":                       {0, 11, 11, 11, late, nil, true},
+		"11 of 50 fail there":                        {0, 11, 39, 39, late, nil, false},
+		"11 of 49 fail there":                        {0, 11, 38, 38, late, nil, true},
+		"nobody is served anywhere":                  {0, 40, 0, 40, late, nil, false},
+		"no tries at the others":                     {0, 40, 0, 0, late, nil, false},
+		"before the cut":                             {0, 40, 40, 40, from.Add(-time.Nanosecond), nil, false},
+		"before the time of contact has passed":      {0, 40, 40, 40, late.Add(-time.Nanosecond), nil, false},
+		"at the last moment of the cut":              {0, 40, 40, 40, from.Add(length - time.Nanosecond), nil, true},
+		"after the cut":                              {0, 40, 40, 40, from.Add(length), nil, false},
+		"connections are refused there": {0, 0, 40, 40, late, func(r *Records) {
+			for range 12 {
+				r.FailedConnects = append(r.FailedConnects, FailedConnect{At: late, VM: "entry-2"})
+			}
+		}, true},
+		"connections are refused at the others": {20, 40, 30, 30, late, func(r *Records) {
+			for range 10 {
+				r.FailedConnects = append(r.FailedConnects, FailedConnect{At: late, VM: "entry-3"})
+			}
+		}, false},
+		"another fault of the VM": {0, 40, 40, 40, late, func(r *Records) {
+			r.Disturbances = []Disturbance{{From: from, To: late, Node: "entry-2"}}
+		}, false},
+		"planned work at the VM": {0, 40, 40, 40, late, func(r *Records) {
+			r.Disturbances = []Disturbance{{From: from, To: late, Node: "entry-2", Planned: true}}
+		}, true},
+		"a fault of a worker": {0, 40, 40, 40, late, func(r *Records) {
+			r.Disturbances = []Disturbance{{From: from, To: late, Node: "worker-1"}}
+		}, true},
+		"probes of a version": {0, 40, 40, 40, late, func(r *Records) {
+			for _, q := range r.Requests {
+				q.ProbedVersion = 1
+			}
+		}, false},
+		"answers are cut short": {40, 40, 40, 40, late, func(r *Records) {
+			for _, q := range r.Requests {
+				q.Reply.Complete = q.VM != "entry-2"
+			}
+		}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRecorder().Records
+			r.ServerCuts = []*ServerCut{{From: from, To: from.Add(length), VMs: []string{"entry-2"}}}
+			addTries(&r, "entry-2", c.at, c.cutServed, c.cutTotal)
+			addTries(&r, "entry-3", c.at, c.otherServed, c.otherTotal)
+			if c.change != nil {
+				c.change(&r)
+			}
+			broken := slices.ContainsFunc(judge(&r, now), func(f Finding) bool { return f.Rule == "RECOVER" })
+			require.Equal(t, c.broken, broken, "%s", describeServerCuts(&r, now))
+		})
+	}
+}
+
+// The outcome of a request is known once its client's timeout has passed, and after the load.
+func TestServerCutIsJudgedOnTriesWithKnownOutcome(t *testing.T) {
+	late := baseTime.Add(contactTime)
+	r := newRecorder().Records
+	r.ServerCuts = []*ServerCut{{From: baseTime, To: baseTime.Add(time.Hour), VMs: []string{"entry-2"}}}
+	addTries(&r, "entry-2", late, 0, 40)
+	addTries(&r, "entry-3", late, 40, 40)
+	require.Empty(t, judge(&r, late.Add(callTimeout)))
+	require.Len(t, judge(&r, late.Add(callTimeout+time.Nanosecond)), 1)
+}
+
+// A cut suspends no bound except for what it breaks off at its beginning and, if bytes are held back, cancellations.
+func TestServerCutSuspendsBoundsOnlyForItsOwnEffects(t *testing.T) {
+	now := baseTime.Add(time.Minute)
+	ended := standin.Reply{SentAt: baseTime, Err: io.EOF, EndedAt: baseTime.Add(time.Second)}
+	timedOut := standin.Reply{SentAt: baseTime, TimedOut: true, Err: io.EOF, EndedAt: baseTime.Add(callTimeout)}
+	left := standin.Reply{SentAt: baseTime, Disconnected: true, Err: io.EOF, EndedAt: baseTime.Add(100 * time.Millisecond)}
+	for name, c := range map[string]struct {
+		id    string
+		reply standin.Reply
+		cut   ServerCut
+		rules []string
+	}{
+		"no end in time":                  {"plain", timedOut, ServerCut{From: baseTime, VMs: []string{"entry-1"}, Held: true}, []string{"HELD"}},
+		"broken off by the cut":           {"plain", ended, ServerCut{From: baseTime, VMs: []string{"entry-1"}}, nil},
+		"broken off later":                {"plain", ended, ServerCut{From: baseTime.Add(-contactTime), VMs: []string{"entry-1"}}, []string{"LOST"}},
+		"broken off at another VM":        {"plain", ended, ServerCut{From: baseTime, VMs: []string{"entry-2"}}, []string{"LOST"}},
+		"cancellation is held back":       {"stream", left, ServerCut{From: baseTime, VMs: []string{"entry-1"}, Held: true}, nil},
+		"cancellation is not held back":   {"stream", left, ServerCut{From: baseTime, VMs: []string{"entry-1"}}, []string{"GONE"}},
+		"cancellation through another VM": {"stream", left, ServerCut{From: baseTime, VMs: []string{"entry-2"}, Held: true}, []string{"GONE"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := healthyRecords()
+			r.Requests[c.id].Reply = c.reply
+			r.Attempts["stream"][0].SenderVM = "entry-1"
+			c.cut.To = now
+			r.ServerCuts = []*ServerCut{&c.cut}
+			var rules []string
+			for _, finding := range judge(r, now) {
+				rules = append(rules, finding.Rule)
+			}
+			require.Equal(t, c.rules, rules)
+		})
+	}
+}
--- a/internal/soak/network.go
+++ b/internal/soak/network.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -13,6 +14,8 @@
 	maxChunkBytes = 16 << 10
 	// dialTimeout is the timeout of the connection attempt to the target node.
 	dialTimeout = time.Second
+	// listenCheckInterval is the interval at which forwardWhileListening checks an address on which no node listens.
+	listenCheckInterval = 50 * time.Millisecond
 )
 
 // anyNode, as one end of a link, stands for all nodes.
@@ -31,6 +34,8 @@
 	changed *sync.Cond
 	// blocked holds, by link, the number of block calls without their unblock call.
 	blocked map[link]int
+	// refused holds, by link, the number of refuse calls without their accept call.
+	refused map[link]int
 	delays  map[link]time.Duration
 	relays  map[*relay]bool
 	closed  bool
@@ -50,7 +55,7 @@
 }
 
 func newNetwork() *network {
-	n := &network{names: map[string]string{}, blocked: map[link]int{}, delays: map[link]time.Duration{}, relays: map[*relay]bool{}}
+	n := &network{names: map[string]string{}, blocked: map[link]int{}, refused: map[link]int{}, delays: map[link]time.Duration{}, relays: map[*relay]bool{}}
 	n.changed = sync.NewCond(&n.mu)
 	return n
 }
@@ -71,21 +76,73 @@
 			if err != nil {
 				return // closed by network.close
 			}
-			n.running.Go(func() { n.relay(accepted.(*net.TCPConn), own, node) })
+			n.running.Go(func() { _ = n.relay(accepted.(*net.TCPConn), own, node) }) // the client sees the failure
 		}
 	})
 	return nil
 }
 
-func (n *network) relay(client *net.TCPConn, own, node string) {
+// forwardWhileListening is forward for an address on which node does not listen all the time. A connection is refused
+// once an earlier one has found that node does not listen.
+func (n *network) forwardWhileListening(public, own, node string) {
+	n.running.Go(func() {
+		for !n.isClosed() {
+			probe, err := net.DialTimeout("tcp", own, dialTimeout)
+			if err != nil {
+				time.Sleep(listenCheckInterval)
+				continue
+			}
+			_ = probe.Close()
+			n.forwardUntilRefused(public, own, node)
+		}
+	})
+}
+
+// forwardUntilRefused forwards connections until own refuses one or the network is closed.
+func (n *network) forwardUntilRefused(public, own, node string) {
+	listener, err := net.Listen("tcp", public)
+	if err != nil {
+		return
+	}
+	n.update(func() {
+		n.listeners = append(n.listeners, listener)
+		if n.closed {
+			_ = listener.Close()
+		}
+	})
+	for {
+		accepted, err := listener.Accept()
+		if err != nil {
+			return // closed below or by network.close
+		}
+		n.running.Go(func() {
+			if err := n.relay(accepted.(*net.TCPConn), own, node); errors.Is(err, syscall.ECONNREFUSED) {
+				_ = listener.Close()
+			}
+		})
+	}
+}
+
+func (n *network) isClosed() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.closed
+}
+
+// relay forwards one connection to own until its end. It returns an error if it can't connect to own, and resets client.
+func (n *network) relay(client *net.TCPConn, own, node string) error {
 	host, _, _ := net.SplitHostPort(client.RemoteAddr().String()) // always has a port
 	r := &relay{from: n.names[host], to: node, client: client}
+	if n.isRefused(link{r.from, node}) {
+		reset(client)
+		return nil
+	}
 	// The target node must see the IP address of the node that connects.
 	dialer := net.Dialer{Timeout: dialTimeout, LocalAddr: &net.TCPAddr{IP: client.RemoteAddr().(*net.TCPAddr).IP}}
 	dialed, err := dialer.Dial("tcp", own)
 	if err != nil {
 		reset(client)
-		return
+		return err
 	}
 	r.server = dialed.(*net.TCPConn)
 	n.mu.Lock()
@@ -103,6 +160,7 @@
 	n.mu.Lock()
 	delete(n.relays, r)
 	n.mu.Unlock()
+	return nil
 }
 
 // pump copies one direction of a relay until the connection ends or the relay is closed.
@@ -157,6 +215,17 @@
 
 func (n *network) unblock(l link) { n.update(func() { n.blocked[l]-- }) }
 
+// refuse resets new connections from the start of a link to its end until accept. Calls nest.
+func (n *network) refuse(l link) { n.update(func() { n.refused[l]++ }) }
+
+func (n *network) accept(l link) { n.update(func() { n.refused[l]-- }) }
+
+func (n *network) isRefused(l link) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.refused[l] > 0
+}
+
 // delay delays each forwarded chunk of a direction by duration; 0 removes the delay.
 func (n *network) delay(l link, duration time.Duration) { n.update(func() { n.delays[l] = duration }) }
 
@@ -170,14 +239,22 @@
 
 // forEachRelay calls do, with the lock held, for each relay from or to a node.
 func (n *network) forEachRelay(node string, do func(*relay)) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for r := range n.relays {
-		if r.from == node || r.to == node {
-			do(r)
+	n.update(func() {
+		for r := range n.relays {
+			if r.from == node || r.to == node {
+				do(r)
+			}
 		}
-	}
-	n.changed.Broadcast()
+	})
+}
+
+// resetLink resets the open connections from the start of a link to its end.
+func (n *network) resetLink(l link) {
+	n.forEachRelay(l.from, func(r *relay) {
+		if r.from == l.from && r.to == l.to {
+			n.closeRelayLocked(r)
+		}
+	})
 }
 
 // resetAll resets the open connections from and to a node.
@@ -209,11 +286,11 @@
 }
 
 func (n *network) close() {
-	for _, listener := range n.listeners {
-		_ = listener.Close()
-	}
 	n.update(func() {
 		n.closed = true
+		for _, listener := range n.listeners {
+			_ = listener.Close()
+		}
 		for r := range n.relays {
 			n.closeRelayLocked(r)
 		}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -23,6 +24,7 @@
 	KindDelay             Kind = "delay"
 	KindResetConnections  Kind = "reset"
 	KindStallConnections  Kind = "silence"
+	KindServerCut         Kind = "cut_servers"
 	KindWorkerCrash       Kind = "worker_crash"
 	KindWorkerFault       Kind = "worker_fault"
 	KindTerminate         Kind = "roll"
@@ -53,14 +55,28 @@
 	Kind     Kind
 	// Target is the VM or worker concerned, empty if the step concerns no single one.
 	Target string
-	// Variant selects the delay of KindDelay, the fault of KindWorkerFault, and whether a worker announces that it drains
-	// (even) or states it only in its answers.
+	// Targets are the entry VMs of KindServerCut.
+	Targets []string
+	// Variant selects the delay of KindDelay, the fault of KindWorkerFault, one of the cut* variants of KindServerCut, and
+	// whether a worker announces that it drains (even) or states it only in its answers.
 	Variant int
 }
 
+// Variants of KindServerCut.
+const (
+	// cutHold holds back the bytes of open and new connections to workers until the end of the cut.
+	cutHold = iota
+	// cutReset resets open and new connections to workers.
+	cutReset
+	// cutRefuse resets new connections to workers. Open ones live on.
+	cutRefuse
+	cutVariants
+)
+
 // String returns the step as a line of the report.
 func (s Step) String() string {
-	return fmt.Sprintf("%7.3fs %-14s %-10s for %5.2fs variant %d", s.At.Seconds(), s.Kind, s.Target, s.Duration.Seconds(), s.Variant)
+	target := s.Target + strings.Join(s.Targets, " ")
+	return fmt.Sprintf("%7.3fs %-14s %-10s for %5.2fs variant %d", s.At.Seconds(), s.Kind, target, s.Duration.Seconds(), s.Variant)
 }
 
 // topology holds the numbers of VMs and workers of a deployment.
@@ -73,6 +89,11 @@
 func (s topology) worker(i int) string  { return fmt.Sprintf("worker-%d", i+1) }
 func (s topology) workers() int         { return s.models + s.desks }
 
+// vmNumber returns the number of the VM with index i of all VMs, control VMs first. It selects addresses and zone.
+func vmNumber(i int) int { return 1 + i }
+
+func (s topology) entryZone(i int) string { return zones[vmNumber(s.controls+i)%len(zones)] }
+
 // Times of a plan. Faults begin in two bursts, each followed by a calm time. The time bounds that faults suspend are
 // checked in the calm times. Planned work begins before lastStepAt, in bursts and calm times alike.
 const (
@@ -80,6 +101,10 @@
 	calmTime   = 8 * time.Second
 	loadTime   = 2*burstTime + 2*calmTime
 	lastStepAt = loadTime - 4*time.Second
+	// serverCutTime is the time for which entry VMs are cut off from all workers, maxServerCutStart the maximum time from
+	// the start of a burst to the cut. A cut ends recoveryTime before the end of the load.
+	serverCutTime     = 7 * time.Second
+	maxServerCutStart = burstTime + calmTime - recoveryTime - serverCutTime
 )
 
 // makePlan draws the steps of a seed. The same seed and topology give the same plan. Every third seed has planned work
@@ -109,6 +134,42 @@
 	return steps
 }
 
+// addServerCuts adds to a plan a cut of some entry VMs from all workers in each burst.
+func addServerCuts(steps []Step, seed uint64, s topology) []Step {
+	random := rand.New(rand.NewPCG(seed, 1))
+	for burst := range 2 {
+		start := time.Duration(burst)*(burstTime+calmTime) + time.Duration(random.Int64N(int64(maxServerCutStart)))
+		steps = append(steps, Step{
+			At: start, Duration: serverCutTime, Kind: KindServerCut, Targets: drawCutEntries(random, s), Variant: random.IntN(cutVariants),
+		})
+	}
+	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	return steps
+}
+
+// drawCutEntries draws one entry VM, all but one, or those of a zone, but never all.
+func drawCutEntries(random *rand.Rand, s topology) []string {
+	chosen := random.IntN(s.entries)
+	scope := random.IntN(3)
+	isCut := func(i int) bool {
+		switch scope {
+		case 0:
+			return i == chosen
+		case 1:
+			return i != chosen
+		default:
+			return s.entryZone(i) == s.entryZone(chosen)
+		}
+	}
+	var names []string
+	for i := range s.entries {
+		if isCut(i) {
+			names = append(names, s.entry(i))
+		}
+	}
+	return names[:min(len(names), s.entries-1)]
+}
+
 func plannedStep(random *rand.Rand, s topology, at time.Duration) Step {
 	step := Step{At: at, Variant: random.IntN(4)}
 	switch draw := random.IntN(10); {
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -65,13 +65,30 @@
 	Planned bool
 }
 
+// FailedConnect is a connection attempt of a client that an entry VM refused or did not answer.
+type FailedConnect struct {
+	At time.Time
+	VM string
+}
+
+// ServerCut is a time span in which some entry VMs are cut off from all workers.
+type ServerCut struct {
+	From, To time.Time
+	VMs      []string
+	// Held is set if bytes are held back until the end of the cut.
+	Held bool
+}
+
 // Records are the observations of a run from outside the processes.
 type Records struct {
-	Requests     map[string]*Request
-	Attempts     map[string][]*Attempt
-	Changes      []*ConfigChange
-	Reads        []ConfigRead
-	Disturbances []Disturbance
+	Requests       map[string]*Request
+	FailedConnects []FailedConnect
+	Attempts       map[string][]*Attempt
+	Changes        []*ConfigChange
+	Reads          []ConfigRead
+	Disturbances   []Disturbance
+	// ServerCuts are no disturbances: an entry VM without workers stays in touch with its callers and the other VMs.
+	ServerCuts []*ServerCut
 	// DrainingSince holds, by worker id, the time when the announcement of draining was acknowledged.
 	DrainingSince map[string]time.Time
 	// UnexpectedExits describes the processes that ended without being told to, and the failed restarts and wipes.
@@ -135,3 +152,10 @@
 	})
 	return func() { r.locked(func(all *Records) { all.Disturbances[index].To = time.Now() }) }
 }
+
+// beginServerCut records that entry VMs are cut off from all workers from now on. The returned function records the end.
+func (r *recorder) beginServerCut(vms []string, held bool) (end func()) {
+	cut := &ServerCut{From: time.Now(), To: time.Now().Add(time.Hour), VMs: vms, Held: held}
+	r.locked(func(all *Records) { all.ServerCuts = append(all.ServerCuts, cut) })
+	return func() { r.locked(func(*Records) { cut.To = time.Now() }) }
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -5,6 +5,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -56,6 +57,11 @@
 	// model service and of the plain service.
 	Entries, Controls, Models, Desks int
 	Clients                          int
+	// ServerCuts adds cuts of entry VMs from all workers to the plan.
+	ServerCuts bool
+	// plan replaces the plan of the seed and load the time under load, if they are set.
+	plan []Step
+	load time.Duration
 }
 
 // Report is the result of a run.
@@ -64,9 +70,11 @@
 	Findings []Finding
 	Requests int
 	Served   int
-	Steps    int
-	Duration time.Duration
-	Folder   string
+	// ServerCuts describes, for each cut of entry VMs from all workers, the first tries that were judged.
+	ServerCuts []string
+	Steps      int
+	Duration   time.Duration
+	Folder     string
 }
 
 type soak struct {
@@ -123,7 +131,7 @@
 	if err := s.start(ctx, folder); err != nil {
 		return nil, err
 	}
-	plan := makePlan(options.Seed, s.topology)
+	plan := s.plan()
 	findings := s.runPlan(ctx, plan)
 	report := &Report{Seed: options.Seed, Findings: findings, Steps: len(plan), Duration: time.Since(runStart), Folder: folder}
 	s.records.locked(func(r *Records) {
@@ -133,6 +141,7 @@
 				report.Served++
 			}
 		}
+		report.ServerCuts = describeServerCuts(r, time.Now())
 	})
 	if ctx.Err() != nil {
 		return report, ctx.Err()
@@ -140,7 +149,18 @@
 	if len(findings) == 0 && !options.Keep {
 		return report, os.RemoveAll(folder)
 	}
-	return report, s.write(folder, plan, findings)
+	return report, s.write(report, plan)
+}
+
+func (s *soak) plan() []Step {
+	if s.options.plan != nil {
+		return s.options.plan
+	}
+	steps := makePlan(s.options.Seed, s.topology)
+	if s.options.ServerCuts {
+		steps = addServerCuts(steps, s.options.Seed, s.topology)
+	}
+	return steps
 }
 
 func newSoak(options Options) *soak {
@@ -149,7 +169,7 @@
 		topology: topology{entries: options.Entries, controls: options.Controls, models: options.Models, desks: options.Desks},
 	}
 	s.fleet = &fleet{
-		binary: options.Binary, octet: 10 + options.Block%addressBlocks, zones: []string{"a", "b", "c"}, network: s.network,
+		binary: options.Binary, octet: 10 + options.Block%addressBlocks, network: s.network,
 		nodes: map[string]*node{}, onExit: s.recordExit,
 	}
 	return s
@@ -165,7 +185,7 @@
 func (s *soak) start(ctx context.Context, folder string) error {
 	var seeds []string
 	for i := range s.topology.controls {
-		public := address(s.fleet.ip(subnetVMPublic, 1+i), controlPort)
+		public := address(s.fleet.ip(subnetVMPublic, vmNumber(i)), controlPort)
 		s.controlAddresses = append(s.controlAddresses, public)
 		if i < 3 {
 			seeds = append(seeds, public)
@@ -176,10 +196,10 @@
 		if !control {
 			name = s.topology.entry(i - s.topology.controls)
 		}
-		if err := s.fleet.addVM(name, 1+i, control, folder, seeds); err != nil {
+		if err := s.fleet.addVM(name, vmNumber(i), control, folder, seeds); err != nil {
 			return err
 		}
-		s.records.vmByIP[s.fleet.ip(subnetVM, 1+i)] = name
+		s.records.vmByIP[s.fleet.ip(subnetVM, vmNumber(i))] = name
 	}
 	for name := range s.fleet.nodes {
 		if err := s.fleet.start(name); err != nil {
@@ -233,7 +253,7 @@
 // runPlan runs the load and the steps of a plan and returns the findings. It stops the load at the first findings.
 func (s *soak) runPlan(ctx context.Context, plan []Step) []Finding {
 	s.started = time.Now()
-	load, stopLoad := context.WithTimeout(ctx, loadTime)
+	load, stopLoad := context.WithTimeout(ctx, cmp.Or(s.options.load, loadTime))
 	defer stopLoad()
 	background, stop := context.WithCancel(ctx)
 	var clients, tasks sync.WaitGroup
@@ -345,17 +365,24 @@
 	fmt.Fprintf(&s.timeline, "%s %7.3f %s\n", now.UTC().Format("15:04:05.000"), now.Sub(s.started).Seconds(), fmt.Sprintf(format, arguments...))
 }
 
-// write writes the findings, the plan and the time line to report.txt in folder.
-func (s *soak) write(folder string, plan []Step, findings []Finding) error {
+// write writes the findings, the plan and the time line to report.txt in the folder of the run.
+func (s *soak) write(report *Report, plan []Step) error {
 	var text strings.Builder
-	fmt.Fprintf(&text, "play again: godwityoke soak --seed %d --seeds 1 --entries %d --controls %d --models %d --desks %d --clients %d --keep\n\nfindings:\n",
-		s.options.Seed, s.options.Entries, s.options.Controls, s.options.Models, s.options.Desks, s.options.Clients)
+	flags := ""
+	if s.options.ServerCuts {
+		flags = " --cut-servers"
+	}
+	fmt.Fprintf(&text, "play again: godwityoke soak --seed %d --seeds 1 --entries %d --controls %d --models %d --desks %d --clients %d%s --keep\n\nfindings:\n",
+		s.options.Seed, s.options.Entries, s.options.Controls, s.options.Models, s.options.Desks, s.options.Clients, flags)
 	s.records.locked(func(r *Records) {
-		for _, finding := range findings {
+		for _, finding := range report.Findings {
 			fmt.Fprintln(&text, finding)
 			writeRequest(&text, r, finding.Request, s.started)
 		}
 	})
+	for _, line := range report.ServerCuts {
+		fmt.Fprintln(&text, line)
+	}
 	fmt.Fprintln(&text, "\nplan:")
 	for _, step := range plan {
 		fmt.Fprintln(&text, step)
@@ -363,7 +390,7 @@
 	s.mu.Lock()
 	fmt.Fprintf(&text, "\ntime line:\n%s", s.timeline.String())
 	s.mu.Unlock()
-	if err := os.WriteFile(filepath.Join(folder, "report.txt"), []byte(text.String()), 0o600); err != nil {
+	if err := os.WriteFile(filepath.Join(report.Folder, "report.txt"), []byte(text.String()), 0o600); err != nil {
 		return fmt.Errorf("write report: %w", err)
 	}
 	return nil
--- a/internal/soak/steps.go
+++ b/internal/soak/steps.go
@@ -19,7 +19,7 @@
 // applyStep carries out a step and returns when the step is over or ctx has ended.
 func (s *soak) applyStep(ctx context.Context, step Step) {
 	s.addToTimeline("begins: %s", step)
-	end := s.records.beginDisturbance(step.Target, plannedKinds[step.Kind])
+	end := s.beginRecord(step)
 	defer func() {
 		end()
 		s.addToTimeline("ends: %s", step)
@@ -45,6 +45,8 @@
 		}
 	case KindPartition, KindPartitionOutbound, KindPartitionInbound:
 		s.partition(ctx, step)
+	case KindServerCut:
+		s.cutServers(ctx, step)
 	case KindDelay:
 		linkDelay := maxLinkDelay / time.Duration(1+step.Variant)
 		s.network.delay(link{anyNode, step.Target}, linkDelay)
@@ -63,6 +65,39 @@
 	}
 }
 
+// beginRecord records the beginning of a step. The returned function records its end.
+func (s *soak) beginRecord(step Step) (end func()) {
+	if step.Kind == KindServerCut {
+		return s.records.beginServerCut(step.Targets, step.Variant == cutHold)
+	}
+	return s.records.beginDisturbance(step.Target, plannedKinds[step.Kind])
+}
+
+// cutServers cuts the targets off from all workers for the duration of the step.
+func (s *soak) cutServers(ctx context.Context, step Step) {
+	begin, end := s.network.refuse, s.network.accept
+	if step.Variant == cutHold {
+		begin, end = s.network.block, s.network.unblock
+	}
+	var links []link
+	for _, vm := range step.Targets {
+		for i := range s.topology.workers() {
+			worker := s.topology.worker(i)
+			links = append(links, link{vm, worker}, link{worker, vm})
+		}
+	}
+	for _, l := range links {
+		begin(l)
+		if step.Variant == cutReset {
+			s.network.resetLink(l)
+		}
+	}
+	pause.For(ctx, step.Duration)
+	for _, l := range links {
+		end(l)
+	}
+}
+
 // partition blocks the traffic from the target, to it, or both, for the duration of the step.
 func (s *soak) partition(ctx context.Context, step Step) {
 	var blocked []link
@@ -86,7 +121,7 @@
 	name := s.topology.worker(i)
 	own, public := address(s.fleet.ip(subnetWorker, 1+i), workerPort), address(s.fleet.ip(subnetWorkerPublic, 1+i), workerPort)
 	supervisor := &workerSupervisor{name: name, options: workerOptions{
-		server: roster.Server{Service: modelService, Zone: s.fleet.zones[i%len(s.fleet.zones)], Address: public, Slots: workerSlots},
+		server: roster.Server{Service: modelService, Zone: zones[i%len(zones)], Address: public, Slots: workerSlots},
 		listen: own, controlAddresses: s.controlAddresses, interval: baseSettings.AnnounceInterval, records: s.records,
 	}}
 	if i >= s.topology.models {
