hub: entry VMs learn each other's relay addresses

An entry VM that loses its paths to all backend servers can serve nobody, although other entry VMs reach them: no VM knows the address of another one. This commit distributes the addresses; nothing uses them yet.

An entry VM gives its relay address and whether it is cut off in its hello, and further changes of the latter in frames (Link.SetCutOff). Control VMs pass both on with the broadcasts, when they change and every 2 s, and send each entry VM the relays that it should try (Link.Relays): at most 16, chosen by a pure function that puts those that aren't cut off first, then the VM's own zone, and spreads the rest by rendezvous hash. A list is sent at attach and when it has changed. One that comes from a control VM which has just started adds to what the entry VM knows, until that VM has counted the entry VMs.

--- a/internal/hub/broadcast.go
+++ b/internal/hub/broadcast.go
@@ -36,6 +36,8 @@
 	sentAt time.Time
 	// entries lists the names of the entry VMs attached to this VM, as of sentAt.
 	entries []string
+	// relaysSentAt is when the relays of all attached entry VMs were last queued.
+	relaysSentAt time.Time
 }
 
 func newBroadcaster(options *Options) *broadcaster {
@@ -54,6 +56,8 @@
 	// servers holds the newest announcement of each server that is to be sent.
 	servers map[string]roster.Server
 	entries []string
+	// relays holds the newest relay of each entry VM that is to be sent.
+	relays map[string]Relay
 	// evidence holds the newest evidence on each part and request that is to be sent.
 	evidence map[quarantine.Subject]quarantine.Evidence
 }
@@ -84,7 +88,7 @@
 
 func startBroadcastPeer(options *Options, address string) *broadcastPeer {
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &broadcastPeer{address: address, options: options, cancel: cancel, wake: make(chan struct{}, 1), servers: map[string]roster.Server{}, evidence: map[quarantine.Subject]quarantine.Evidence{}}
+	p := &broadcastPeer{address: address, options: options, cancel: cancel, wake: make(chan struct{}, 1), servers: map[string]roster.Server{}, relays: map[string]Relay{}, evidence: map[quarantine.Subject]quarantine.Evidence{}}
 	go p.run(ctx)
 	return p
 }
@@ -112,8 +116,22 @@
 	}
 }
 
+// addRelay queues the relay of an entry VM for all peers; it is sent with the next flush.
+func (b *broadcaster) addRelay(relay Relay) {
+	b.urgent = true
+	b.queueRelay(relay)
+}
+
+func (b *broadcaster) queueRelay(relay Relay) {
+	for _, peer := range b.peers {
+		peer.mu.Lock()
+		peer.relays[relay.VM] = relay
+		peer.mu.Unlock()
+	}
+}
+
 // tick sends the queued announcements and the names of the attached entry VMs to
-// all peers every broadcastInterval.
+// all peers every broadcastInterval, with their relays every refreshInterval.
 func (b *broadcaster) tick(now time.Time, sessions map[*session]bool) {
 	if now.Sub(b.sentAt) < broadcastInterval {
 		return
@@ -123,6 +141,14 @@
 	for s := range sessions {
 		b.entries = append(b.entries, s.vm)
 	}
+	if now.Sub(b.relaysSentAt) >= refreshInterval {
+		b.relaysSentAt = now
+		for s := range sessions {
+			if s.relay.Address != "" {
+				b.queueRelay(s.relay)
+			}
+		}
+	}
 	for _, peer := range b.peers {
 		peer.mu.Lock()
 		peer.entries = append([]string(nil), b.entries...)
@@ -179,14 +205,17 @@
 
 func (p *broadcastPeer) send(ctx context.Context) error {
 	p.mu.Lock()
-	servers, entries, evidence := p.servers, p.entries, p.evidence
-	p.servers, p.entries, p.evidence = map[string]roster.Server{}, nil, map[quarantine.Subject]quarantine.Evidence{}
+	servers, entries, relays, evidence := p.servers, p.entries, p.relays, p.evidence
+	p.servers, p.entries, p.relays, p.evidence = map[string]roster.Server{}, nil, map[string]Relay{}, map[quarantine.Subject]quarantine.Evidence{}
 	p.mu.Unlock()
-	if len(servers) == 0 && len(entries) == 0 && len(evidence) == 0 {
+	if len(servers) == 0 && len(entries) == 0 && len(relays) == 0 && len(evidence) == 0 {
 		return nil
 	}
 	now := time.Now()
 	request := &hubpb.SpreadRequest{EntryVms: entries, Sender: p.options.Address}
+	for _, relay := range relays {
+		request.Relays = append(request.Relays, relayToProto(relay))
+	}
 	request.Evidence = evidenceToProto(slices.Collect(maps.Values(evidence)), now)
 	for _, server := range servers {
 		request.Servers = append(request.Servers, serverToProto(server, now))
@@ -204,7 +233,8 @@
 }
 
 // requeue queues announcements and evidence again after a failed call, except for
-// servers and subjects with newer ones in the queue. Evidence beyond maxQueuedEvidence is
+// servers and subjects with newer ones in the queue. All relays are queued every
+// refreshInterval anyway. Evidence beyond maxQueuedEvidence is
 // dropped: that on what is quarantined is sent again every refreshInterval.
 func (p *broadcastPeer) requeue(servers map[string]roster.Server, evidence map[quarantine.Subject]quarantine.Evidence) {
 	p.mu.Lock()
--- a/internal/hub/core.go
+++ b/internal/hub/core.go
@@ -19,7 +19,15 @@
 	incarnation uint64
 	// tableVersion is the version of the last route table that the entry VM got.
 	tableVersion uint64
-	outbox       chan *hubpb.HubFrame
+	// relay is how other entry VMs use this one as a relay.
+	relay Relay
+	// relaysVersion is the version of the relays that the entry VM was last sent, or that
+	// were the same for it, and relaysSent its selection of them. relaysCounted is set if
+	// the entry VMs were counted then (see view).
+	relaysVersion uint64
+	relaysSent    []Relay
+	relaysCounted bool
+	outbox        chan *hubpb.HubFrame
 	// drop ends the stream.
 	drop context.CancelFunc
 	// frame collects what the next flush sends, nil if there is nothing.
@@ -45,7 +53,9 @@
 	// entryLastSeen holds when each entry VM was last seen, attached to this
 	// control VM or to another one.
 	entryLastSeen map[string]time.Time
-	scheduler     *schedule.Scheduler
+	// relays holds the relays of the entry VMs in entryLastSeen.
+	relays    *relayList
+	scheduler *schedule.Scheduler
 	// isLeader is set while this VM leads the control group and places requests.
 	isLeader bool
 	// leader is the internal address of the leader, empty if it is unknown.
@@ -66,7 +76,7 @@
 
 func newCore(options *Options) *core {
 	return &core{
-		options: options, roster: roster.New(), sessions: map[*session]bool{}, entryLastSeen: map[string]time.Time{},
+		options: options, roster: roster.New(), sessions: map[*session]bool{}, entryLastSeen: map[string]time.Time{}, relays: newRelayList(),
 		scheduler: schedule.New(), peers: newBroadcaster(options), table: &hubpb.RouteTable{}, startedAt: time.Now(),
 		evidence: quarantine.NewTracker(),
 	}
@@ -85,6 +95,8 @@
 	local bool
 	// entries lists the entry VMs that are attached to the sending control VM.
 	entries []string
+	// relays are those of entry VMs that are attached to the sending control VM.
+	relays []Relay
 	// evidence is that of the sending control VM on crashes.
 	evidence []quarantine.Evidence
 	// reply is closed when the announcements are applied.
@@ -95,6 +107,10 @@
 	for _, entry := range m.entries {
 		c.entryLastSeen[entry] = now
 	}
+	for _, relay := range m.relays {
+		c.entryLastSeen[relay.VM] = now
+		c.relays.setRemote(relay)
+	}
 	for _, server := range m.servers {
 		c.applyAnnouncement(server, now, m.local)
 	}
@@ -128,6 +144,7 @@
 	c.supersede(s)
 	c.sessions[s] = true
 	c.entryLastSeen[s.vm] = now
+	c.setRelay(s, Relay{VM: s.vm, Zone: s.zone, Address: m.frame.GetHello().GetRelayAddress(), CutOff: m.frame.GetHello().GetCutOff()})
 	for _, server := range serversFromProto(m.frame.GetHello().GetServers(), now) {
 		c.applyReport(server, now)
 	}
@@ -180,6 +197,7 @@
 		return
 	}
 	delete(c.sessions, m.session)
+	c.relays.release(m.session)
 	c.scheduler.FinishAll(now, m.session.incarnation, nil)
 	observe.Log(c.options.Logger, observe.EntryDetached).Str("entry_vm", m.session.vm).Send()
 }
@@ -199,6 +217,11 @@
 	for _, server := range serversFromProto(m.frame.GetServers(), now) {
 		c.applyReport(server, now)
 	}
+	if m.frame.CutOff != nil {
+		relay := m.session.relay
+		relay.CutOff = m.frame.GetCutOff()
+		c.setRelay(m.session, relay)
+	}
 	c.adopt(m.session, m.frame.GetRunning(), now)
 	for _, progress := range m.frame.GetProgress() {
 		id := schedule.JobID{VM: m.session.incarnation, Seq: progress.GetId()}
@@ -312,6 +335,7 @@
 	for entry, lastSeen := range c.entryLastSeen {
 		if now.Sub(lastSeen) > entryExpiry {
 			delete(c.entryLastSeen, entry)
+			c.relays.expire(entry)
 		}
 	}
 	refresh := now.Sub(c.serversSentAt) >= refreshInterval
@@ -331,6 +355,7 @@
 			c.sendView(s, now)
 		}
 	}
+	c.sendRelays(now)
 	c.peers.tick(now, c.sessions)
 	c.reportLoad(now)
 }
@@ -385,9 +410,13 @@
 	}
 }
 
-// sendView sends the view of this control VM to an entry VM.
+// sendView sends the view of this control VM to an entry VM. Relays that wait in the
+// pending frame stay in it.
 func (c *core) sendView(s *session, now time.Time) {
-	s.pending().View, s.viewSentAt = c.view(now), now
+	view, waiting := c.view(now), s.pending().GetView()
+	view.Relays, view.HasRelays = waiting.GetRelays(), waiting.GetHasRelays()
+	s.pending().View, s.viewSentAt = view, now
+	c.addRelays(s)
 }
 
 // view returns this control VM's view of the system. The number of entry VMs is 0
--- a/internal/hub/hub_test.go
+++ b/internal/hub/hub_test.go
@@ -106,6 +106,13 @@
 		VM: vm, Zone: "a", Incarnation: incarnation, Seeds: seeds, Pool: pool, Decode: decodeTestTable,
 		UnresponsiveAfter: 5 * time.Second, ExpireAfter: 10 * time.Second, Logger: zerolog.Nop(), OnServerGone: func(string) {},
 	})
+	runLink(t, link, pool)
+	return link
+}
+
+// runLink runs a link until the test ends and then closes its pool.
+func runLink(t *testing.T, link *Link, pool *transport.Pool) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { link.Run(ctx) })
@@ -114,7 +121,6 @@
 		running.Wait()
 		pool.Close()
 	})
-	return link
 }
 
 func waitFor(t *testing.T, within time.Duration, what string, condition func() bool) {
--- a/internal/hub/link.go
+++ b/internal/hub/link.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -77,6 +78,9 @@
 	VM          string
 	Zone        string
 	Incarnation uint64
+	// RelayAddress is the "ip:port" at which this VM relays connections of other entry
+	// VMs, empty if it relays none.
+	RelayAddress string
 	// Seeds are the internal addresses of the control VMs that the link tries
 	// first. It later tries them in addition to those that a control VM reports.
 	Seeds []string
@@ -108,6 +112,8 @@
 	statements *serverstate.Table
 	// backoffs are the control VMs in backoff.
 	backoffs *backoffs
+	// cutOff is the last argument of SetCutOff.
+	cutOff atomic.Bool
 
 	// mu guards the fields below it, except state.
 	mu       sync.RWMutex
@@ -115,6 +121,7 @@
 	servers  *roster.Roster
 	entryVMs int
 	attached bool
+	relays   []Relay
 
 	state linkState
 }
@@ -187,6 +194,23 @@
 	return l.entryVMs
 }
 
+// Relays returns the entry VMs through which this VM may reach backend servers, in the
+// order in which it should try them. They are the last that a control VM reported, also
+// while the link is detached. The caller must not change the result.
+func (l *Link) Relays() []Relay {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.relays
+}
+
+// SetCutOff records whether this VM reaches (almost) no backend server. The other entry
+// VMs learn of changes through the control VMs.
+func (l *Link) SetCutOff(cutOff bool) {
+	if l.cutOff.Swap(cutOff) != cutOff {
+		_ = l.send(context.Background(), cutOffChanged{})
+	}
+}
+
 // IsReady reports whether the link has a route table.
 func (l *Link) IsReady() bool {
 	l.mu.RLock()
--- a/internal/hub/linkstate.go
+++ b/internal/hub/linkstate.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"godwityoke.example/godwityoke/internal/hub/hubpb"
 	"godwityoke.example/godwityoke/internal/observe"
 	"godwityoke.example/godwityoke/internal/quarantine"
@@ -55,6 +57,8 @@
 	// frame collects what the next flush sends, nil if there is nothing.
 	frame  *hubpb.EntryFrame
 	sentAt time.Time
+	// cutOffReported is the state that the attached control VM was last told of.
+	cutOffReported bool
 	// entryCounts are the recently reported numbers of entry VMs.
 	entryCounts []entryCount
 
@@ -229,6 +233,23 @@
 	}
 }
 
+// cutOffChanged reports a call of SetCutOff. The state is read when the message is
+// handled, so that concurrent calls can't be reported in the wrong order.
+type cutOffChanged struct{}
+
+func (m cutOffChanged) handle(s *linkState, _ time.Time) {
+	cutOff := s.link.cutOff.Load()
+	if s.outbox == nil || cutOff == s.cutOffReported {
+		return
+	}
+	s.cutOffReported = cutOff
+	if hello := s.pending().GetHello(); hello != nil {
+		hello.CutOff = cutOff
+		return
+	}
+	s.pending().CutOff = proto.Bool(cutOff)
+}
+
 // linkAttached reports a new stream to the control VM at address. The link's first
 // frame on the stream contains a Hello.
 type linkAttached struct {
@@ -245,6 +266,8 @@
 	}
 	hello := &hubpb.Hello{Vm: s.link.options.VM, Zone: s.link.options.Zone, Incarnation: s.link.options.Incarnation}
 	hello.TableVersion = s.link.tableVersion()
+	s.cutOffReported = s.link.cutOff.Load()
+	hello.RelayAddress, hello.CutOff = s.link.options.RelayAddress, s.cutOffReported
 	s.link.mu.RLock()
 	for _, server := range s.link.servers.All() {
 		hello.Servers = append(hello.Servers, serverToProto(server, now))
@@ -347,6 +370,9 @@
 	s.link.entryVMs = s.updateEntryVMCount(int(view.GetEntryVms()), now)
 	justAttached := !s.link.attached
 	s.link.attached = true
+	if view.GetHasRelays() {
+		s.link.relays = updateRelays(s.link.relays, relaysFromProto(view.GetRelays()), view.GetEntryVms() > 0, s.link.options.VM)
+	}
 	s.link.mu.Unlock()
 	if justAttached {
 		observe.Log(s.link.options.Logger, observe.LinkAttached).Str("control_vm", s.address).
