relay: an entry VM without a path to a server uses another entry VM's

Cause: the only path to a server was the VM's own connection. Each attempt ended with a refused or unanswered connection, three in a row refused the request, and the outcome "unreachable" or "stalled" took the server out for all VMs.

The relaying VM copies bytes, so deadline, cancellation, verification, retries and the at-most-once rule stay where they were; only the connection is another one. A failure over a path that others have, or on a relayed connection, is no longer reported to the scheduler or as evidence of a crash; one that several VMs confirm still is. A path counts as sound again once a server has answered on it: a connection alone proves nothing where a middlebox accepts it.

--- a/internal/gateway/error.go
+++ b/internal/gateway/error.go
@@ -25,6 +25,10 @@
 	Misdirected bool
 	// Unresponsive is set when the server refused the connection or sent nothing in time.
 	Unresponsive bool
+	// Confirmed is set when another VM could not reach the server either.
+	Confirmed bool
+	// Relayed is set when the attempt failed on a connection that another VM relays.
+	Relayed bool
 	// ServerError is set when the server responded with a 5xx status.
 	ServerError bool
 	// Err is the cause.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -11,6 +11,7 @@
 	"godwityoke.example/godwityoke/internal/observe"
 	"godwityoke.example/godwityoke/internal/pause"
 	"godwityoke.example/godwityoke/internal/quarantine"
+	"godwityoke.example/godwityoke/internal/roster"
 	"godwityoke.example/godwityoke/internal/routes"
 	"godwityoke.example/godwityoke/internal/schedule"
 )
@@ -95,6 +96,8 @@
 	moved *grant
 	// events is the number of events that the server sent.
 	events int
+	// relayed is set when another VM relayed the response.
+	relayed bool
 	// serverError is set when the final answer is a 5xx response of the server.
 	serverError bool
 }
@@ -332,7 +335,7 @@
 	sentAt := time.Now()
 	sendCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := x.watchStalls(ctx, placement.Server)
+	watch := x.watchStalls(ctx, attempt.Server)
 	watch.begin(x.eventDeadline(false), func() { cancel(errUnresponsive) })
 	response, sendErr := x.gateway.options.Backend.Send(sendCtx, attempt)
 	givenUp := watch.end()
@@ -348,9 +351,13 @@
 		result = x.relay(id, attempt, response, watch)
 		_ = response.Body.Close()
 	}
+	result.relayed = response != nil && response.Relayed || result.err != nil && result.err.Relayed
 	result.moved = watch.grant()
+	if result.err != nil && isConnectionLost(result.err) && ctx.Err() == nil {
+		go x.checkPath(context.WithoutCancel(ctx), attempt.Server)
+	}
 	x.recordCrash(ctx, attempt, result)
-	placer.Ended(id, x.placementOutcome(ctx, result))
+	placer.Ended(id, x.placementOutcome(ctx, attempt, result))
 	if result.err != nil {
 		if result.err.Delivery != DeliveryNotSent {
 			x.deliveries++
@@ -366,8 +373,9 @@
 }
 
 // placementOutcome returns what the scheduler is told about the attempt. An attempt that failed because the request
-// was cancelled or its deadline passed counts as done, since the server is not at fault.
-func (x *exchange) placementOutcome(ctx context.Context, result attemptResult) schedule.Outcome {
+// was cancelled or its deadline passed counts as done, since the server is not at fault. One that failed although the
+// server is most likely up says nothing about it.
+func (x *exchange) placementOutcome(ctx context.Context, attempt *Attempt, result attemptResult) schedule.Outcome {
 	switch {
 	case result.serverError, result.err != nil && result.err.ServerError:
 		return schedule.OutcomeServerError
@@ -375,6 +383,8 @@
 		return schedule.OutcomeDone
 	case result.err.Delivery == DeliveryRejected:
 		return schedule.OutcomeRejected
+	case x.isPathAtFault(attempt, result):
+		return schedule.OutcomeUnused
 	case result.err.Delivery == DeliveryNotSent && !result.err.Unresponsive:
 		return schedule.OutcomeUnreachable
 	case result.err.Unresponsive:
@@ -383,6 +393,19 @@
 	return schedule.OutcomeFailed
 }
 
+// isPathAtFault tells whether an attempt may have failed because of the path between this VM and the server, which concerns
+// no other VM.
+func (x *exchange) isPathAtFault(attempt *Attempt, result attemptResult) bool {
+	return !result.err.Confirmed && (result.relayed || x.gateway.options.Paths.IsBroken(attempt.Server.Address))
+}
+
+// checkPath finds out whether the path to a server is broken. A server that wants no requests from this VM is not asked.
+func (x *exchange) checkPath(ctx context.Context, server roster.Server) {
+	if _, blocked := x.gateway.options.Statements.Check(time.Now(), server); !blocked {
+		x.gateway.options.Paths.Check(ctx, server.Address)
+	}
+}
+
 func asAttemptError(err error) *AttemptError {
 	var attemptError *AttemptError
 	if errors.As(err, &attemptError) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -134,6 +134,8 @@
 	Body   Body
 	// Verified is set when the response carries the server's signature.
 	Verified bool
+	// Relayed is set when another VM relays the connection.
+	Relayed bool
 	// IsStream is set when the response states that its body is a stream of events.
 	IsStream bool
 }
@@ -180,6 +182,15 @@
 	Find(id string) (roster.Server, bool)
 }
 
+// Paths tells which backend servers this VM reaches directly.
+type Paths interface {
+	// IsBroken tells whether the server at address is most likely up although this VM does not reach it directly.
+	IsBroken(address string) bool
+	// Check finds out whether the path to the server at address is broken, which takes up to a second. It is for servers
+	// that are silent or have closed a connection without an answer.
+	Check(ctx context.Context, address string)
+}
+
 // Options configure a Gateway.
 type Options struct {
 	// Table returns the route table in force, nil before the first one is received.
@@ -191,6 +202,8 @@
 	ReadyServers func(service string) []roster.Server
 	Backend      Backend
 	Memory       Memory
+	// Paths tells which servers this VM reaches; nil if it reaches all that are up.
+	Paths Paths
 	// Statements are what servers stated in their answers to this VM; nil for none.
 	Statements *serverstate.Table
 	// Evidence tells which requests and parts of prompts crash backend servers; nil for evidence of this VM only.
@@ -219,6 +232,15 @@
 	beginExit context.CancelFunc
 }
 
+// soundPaths are the Paths of a VM that reaches all servers that are up.
+type soundPaths struct{}
+
+// IsBroken implements Paths.
+func (soundPaths) IsBroken(string) bool { return false }
+
+// Check implements Paths.
+func (soundPaths) Check(context.Context, string) {}
+
 // New returns a Gateway with the given options.
 func New(options Options) *Gateway {
 	if options.Evidence == nil {
@@ -227,6 +249,9 @@
 	if options.Statements == nil {
 		options.Statements = serverstate.NewTable()
 	}
+	if options.Paths == nil {
+		options.Paths = soundPaths{}
+	}
 	g := &Gateway{options: options, startedAt: time.Now(), meanSizes: meanSizes{byRoute: map[string]float64{}}}
 	g.stopping, g.beginStop = context.WithCancel(context.Background())
 	g.exiting, g.beginExit = context.WithCancel(context.Background())
--- a/internal/gateway/harmful.go
+++ b/internal/gateway/harmful.go
@@ -24,9 +24,13 @@
 )
 
 // recordCrash records a failed attempt as evidence against the request and the parts of its prompt if the server closed
-// or reset the connection before any server had answered. A timeout or an error response is no evidence.
+// or reset the connection before any server had answered. A timeout or an error response is no evidence, nor
+// is the end of a connection over a broken path or through another VM.
 func (x *exchange) recordCrash(ctx context.Context, attempt *Attempt, result attemptResult) {
 	lost := result.err != nil && result.err.Delivery == DeliveryUnknown && isConnectionLost(result.err)
+	if lost && x.isPathAtFault(attempt, result) {
+		return
+	}
 	if !lost || ctx.Err() != nil || result.events > maxEventsBeforeCrash || x.eventsSent >= minEventsOfSoundPrompt {
 		return
 	}
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/roster"
 	"godwityoke.example/godwityoke/internal/schedule"
 )
 
@@ -47,7 +48,7 @@
 	exchange *exchange
 	// ctx is the context of the request.
 	ctx    context.Context
-	server string
+	server roster.Server
 
 	mu    sync.Mutex
 	timer *time.Timer
@@ -64,7 +65,7 @@
 }
 
 // watchStalls returns the watch of an attempt at server, nil if the request must not be retried after it.
-func (x *exchange) watchStalls(ctx context.Context, server string) *stallWatch {
+func (x *exchange) watchStalls(ctx context.Context, server roster.Server) *stallWatch {
 	mayRetry := x.attempts < maxAttempts && !x.mayCrashServers && x.route.IsRetryable() && x.possibleRuns+1 < x.route.MaxAttempts
 	if !mayRetry {
 		return nil
@@ -136,6 +137,7 @@
 	w.cancelSearch = cancel
 	w.log(observe.BackendServerSilent).Send()
 	w.mu.Unlock()
+	go w.exchange.checkPath(context.WithoutCancel(ctx), w.server)
 	w.search(ctx)
 }
 
@@ -187,7 +189,7 @@
 		return request, false
 	}
 	request = w.exchange.placementRequest(w.exchange.gateway.nextID())
-	request.Excluded = append(append([]string(nil), request.Excluded...), w.server)
+	request.Excluded = append(append([]string(nil), request.Excluded...), w.server.ID)
 	return request, true
 }
 
@@ -222,7 +224,7 @@
 
 // log starts a log line on the current wait. The caller holds mu.
 func (w *stallWatch) log(event observe.Event) *zerolog.Event {
-	return observe.Log(w.exchange.gateway.options.Logger, event).Str("request", w.exchange.request.ID).Str("server", w.server).
+	return observe.Log(w.exchange.gateway.options.Logger, event).Str("request", w.exchange.request.ID).Str("server", w.server.ID).
 		Int("events", w.exchange.eventsSent).Dur("silent", time.Since(w.startedAt))
 }
 
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -18,6 +18,7 @@
 
 	"godwityoke.example/godwityoke/internal/observe"
 	"godwityoke.example/godwityoke/internal/quarantine"
+	"godwityoke.example/godwityoke/internal/roster"
 	"godwityoke.example/godwityoke/internal/routes"
 	"godwityoke.example/godwityoke/internal/schedule"
 )
@@ -253,7 +254,7 @@
 					service: "s", deadline: time.Now().Add(time.Second),
 					identity: quarantine.NewRequest("", "GET", "h", "/stream/x", nil),
 				}
-				watch := x.watchStalls(ctx, "s1")
+				watch := x.watchStalls(ctx, roster.Server{ID: "s1"})
 				given := make(chan struct{})
 				watch.begin(time.Now().Add(time.Duration(rand.IntN(200))*time.Microsecond), func() { close(given) })
 				time.Sleep(time.Duration(rand.IntN(200)) * time.Microsecond)
@@ -288,7 +289,7 @@
 func TestDeadlineOfARequestIsNoFailureOfItsServer(t *testing.T) {
 	x := &exchange{deadline: time.Now()}
 	result := attemptResult{err: &AttemptError{Delivery: DeliveryUnknown, Err: os.ErrDeadlineExceeded}}
-	require.Equal(t, schedule.OutcomeDone, x.placementOutcome(context.Background(), result))
+	require.Equal(t, schedule.OutcomeDone, x.placementOutcome(context.Background(), &Attempt{}, result))
 }
 
 func TestNoServerIsSearchedShortlyBeforeTheDeadline(t *testing.T) {
--- a/internal/h1/client.go
+++ b/internal/h1/client.go
@@ -43,6 +43,9 @@
 var (
 	// ErrNotSent means that no part of the request can have reached the server.
 	ErrNotSent = errors.New("the request was not sent")
+	// ErrRelayed means that the exchange failed on a connection that another VM relays, so that the failure may be one of
+	// that VM.
+	ErrRelayed = errors.New("on a relayed connection")
 	// ErrMalformed means that the server sent something that is not a response to the request.
 	ErrMalformed = errors.New("malformed response")
 )
@@ -55,6 +58,10 @@
 	SourceIP string
 	// MaxIdleTime is the idle time after which a connection is not reused. The server may announce a shorter one.
 	MaxIdleTime time.Duration
+	// Dial opens a connection to an "ip:port" whose server's VM may be unreachable for the given time before the kernel
+	// closes it, 0 for the default of package tcp. Nil stands for a direct connection. A connection with a method
+	// RelayedBy is used for one request only; the methods Answered and Failed of one are called after its first exchange.
+	Dial func(ctx context.Context, address string, unreachableAfter time.Duration) (net.Conn, error)
 	// EchoHeader is the name of a request header that the server repeats in its response, by which responses are
 	// matched to requests; empty for none. A request without it, or with the value of the last request on a kept
 	// connection, gets another connection.
@@ -96,6 +103,14 @@
 	Header http.Header
 	// Body returns io.EOF only when the response is complete. It must be closed.
 	Body *Body
+	// RelayedBy is the address of the VM that relayed the connection, empty for a direct connection.
+	RelayedBy string
+}
+
+// relayedConn is a connection that another VM relays.
+type relayedConn interface {
+	// RelayedBy returns the address of that VM.
+	RelayedBy() string
 }
 
 // conn is one connection to a server.
@@ -109,6 +124,8 @@
 	idleSince   time.Time
 	idleTimeout time.Duration
 	reused      bool
+	// relayedBy is the address of the VM that relays the connection, empty for a direct one.
+	relayedBy string
 	// lastEcho is the value of EchoHeader in the last request.
 	lastEcho string
 }
@@ -129,37 +146,36 @@
 	return n, err
 }
 
-// setUnreachableAfter sets the time after which the kernel closes the connection to an unreachable VM.
-func (c *conn) setUnreachableAfter(unreachableAfter time.Duration) error {
-	tcpConn, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return fmt.Errorf("the connection to %s is no TCP connection: %T", c.address, c.Conn)
-	}
-	return tcp.SetUnreachableAfter(tcpConn, unreachableAfter)
+// observedConn is a connection whose first exchange is reported.
+type observedConn interface {
+	// Answered is called when the head of the first response has arrived.
+	Answered()
+	// Failed is called when the first exchange has ended without a response.
+	Failed()
 }
 
 // Do sends a request to address, an "ip:port", and reads the head of the response. Cancelling ctx aborts the exchange,
-// including reads of the body. The caller must close the body. Errors wrap ErrNotSent, ErrMalformed, the error of ctx,
-// or the network error.
+// including reads of the body. The caller must close the body. Errors wrap ErrNotSent, ErrMalformed, ErrRelayed, the
+// error of ctx, or the network error.
 func (c *Client) Do(ctx context.Context, address string, request *Request) (*Response, error) {
 	connection, err := c.connect(ctx, address, request)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	if request.UnreachableAfter > 0 {
-		if err := connection.setUnreachableAfter(request.UnreachableAfter); err != nil {
-			_ = connection.Close()
-			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
-		}
-	}
 	stopCancel := context.AfterFunc(ctx, func() { _ = connection.SetDeadline(time.Unix(1, 0)) })
 	response, err := c.exchange(connection, request, stopCancel)
 	if err != nil {
 		stopCancel()
+		if observed, ok := connection.Conn.(observedConn); ok && !connection.reused {
+			observed.Failed()
+		}
 		_ = connection.Close()
 		if ctx.Err() != nil {
 			err = errors.Join(err, ctx.Err())
 		}
+		if connection.relayedBy != "" {
+			err = fmt.Errorf("%w by %s: %w", ErrRelayed, connection.relayedBy, err)
+		}
 		return nil, err
 	}
 	return response, nil
@@ -188,10 +204,13 @@
 	if err != nil {
 		return nil, err
 	}
+	if observed, ok := connection.Conn.(observedConn); ok && !connection.reused {
+		observed.Answered()
+	}
 	body.reader = response.Body
-	body.reusable = !response.Close && request.UnreachableAfter == 0 && (response.ContentLength >= 0 || len(response.TransferEncoding) > 0)
+	body.reusable = !response.Close && request.UnreachableAfter == 0 && connection.relayedBy == "" && (response.ContentLength >= 0 || len(response.TransferEncoding) > 0)
 	connection.idleTimeout = idleTimeout(response.Header, c.options.MaxIdleTime)
-	return &Response{Status: response.StatusCode, Header: response.Header, Body: body}, nil
+	return &Response{Status: response.StatusCode, Header: response.Header, Body: body, RelayedBy: connection.relayedBy}, nil
 }
 
 // readHead reads responses until one belongs to the request. On a reused connection it may be preceded by extra
@@ -283,12 +302,24 @@
 		}
 		_ = kept.Close()
 	}
-	opened, err := tcp.DialerFrom(c.options.SourceIP, c.options.ConnectTimeout).DialContext(ctx, "tcp", address)
+	opened, err := c.dial(ctx, address, request.UnreachableAfter)
 	if err != nil {
 		return nil, err
 	}
 	limited := &limitedReader{source: opened, limit: math.MaxInt}
-	return &conn{Conn: opened, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes), address: address, lastEcho: echo}, nil
+	connection := &conn{Conn: opened, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes), address: address, lastEcho: echo}
+	if relayed, ok := opened.(relayedConn); ok {
+		connection.relayedBy = relayed.RelayedBy()
+	}
+	return connection, nil
+}
+
+// dial opens a connection to address.
+func (c *Client) dial(ctx context.Context, address string, unreachableAfter time.Duration) (net.Conn, error) {
+	if c.options.Dial != nil {
+		return c.options.Dial(ctx, address, unreachableAfter)
+	}
+	return tcp.Dial(ctx, c.options.SourceIP, address, c.options.ConnectTimeout, unreachableAfter)
 }
 
 // takeIdle removes and returns the most recently used idle connection to address, or nil.
@@ -328,6 +359,19 @@
 	}
 }
 
+// CloseIdle closes all idle connections.
+func (c *Client) CloseIdle() {
+	c.mu.Lock()
+	all := c.idle
+	c.idle = map[string][]*conn{}
+	c.mu.Unlock()
+	for _, idle := range all {
+		for _, kept := range idle {
+			_ = kept.Close()
+		}
+	}
+}
+
 // CloseExpired closes the connections that have been idle for longer than their idle timeout.
 func (c *Client) CloseExpired(now time.Time) {
 	c.mu.Lock()
--- a/internal/hub/link.go
+++ b/internal/hub/link.go
@@ -160,6 +160,13 @@
 	return l.servers.Find(id)
 }
 
+// FindAddress returns the server at the address "ip:port" and whether one is known there that is not gone.
+func (l *Link) FindAddress(address string) (roster.Server, bool) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.servers.FindAddress(address)
+}
+
 // ReadyServers returns the servers of a service that accept requests by their
 // announcements, whether they have been unresponsive since or not.
 func (l *Link) ReadyServers(service string) []roster.Server {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -145,6 +145,16 @@
 	return server, found
 }
 
+// FindAddress returns the server at the address "ip:port" and whether one is known there that is not gone.
+func (r *Roster) FindAddress(address string) (Server, bool) {
+	for _, server := range r.servers {
+		if server.Address == address && server.State != StateGone {
+			return server, true
+		}
+	}
+	return Server{}, false
+}
+
 // Ready returns the servers of a service in StateReady, in no particular order.
 func (r *Roster) Ready(service string) []Server {
 	var ready []Server
--- a/internal/site/drain_test.go
+++ b/internal/site/drain_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"godwityoke.example/godwityoke/internal/gateway"
+	"godwityoke.example/godwityoke/internal/relay"
 	"godwityoke.example/godwityoke/internal/routes"
 )
 
@@ -21,7 +22,9 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	e := &Entry{settings: &Settings{StopLimit: 8 * time.Second}, logger: zerolog.Nop()}
+	e := &Entry{
+		settings: &Settings{StopLimit: 8 * time.Second}, logger: zerolog.Nop(), relay: relay.NewServer(relay.ServerOptions{}),
+	}
 	e.gateway = gateway.New(gateway.Options{StopsIn: e.stopsIn})
 	servers := newCallerServers(listener, handler, func() routes.Limits { return routes.Limits{} }, zerolog.Nop())
 	go servers.run(context.Background())
--- a/internal/site/entry.go
+++ b/internal/site/entry.go
@@ -14,6 +14,7 @@
 	"godwityoke.example/godwityoke/internal/h1"
 	"godwityoke.example/godwityoke/internal/hub"
 	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/relay"
 	"godwityoke.example/godwityoke/internal/retrybudget"
 	"godwityoke.example/godwityoke/internal/roster"
 	"godwityoke.example/godwityoke/internal/routes"
@@ -61,6 +62,9 @@
 type EntryAdapter struct {
 	// NewBackendClient returns the client of backend servers.
 	NewBackendClient func(BackendClientOptions) BackendClient
+	// Probe sends a request that takes no slot to the backend server at address on conn, and returns nil once it has
+	// answered.
+	Probe func(ctx context.Context, conn net.Conn, address string) error
 	// EchoHeader is the request header that backend servers copy into the response.
 	EchoHeader string
 	// NewCallerHandler returns the handler of the callers' listener.
@@ -75,8 +79,9 @@
 	// Requests sends requests, Orders sends memory orders.
 	Requests *h1.Client
 	Orders   *h1.Client
-	// RecordStatement is called with what a server stated about itself in an answer, from any goroutine.
-	RecordStatement func(server roster.Server, statement serverstate.Statement)
+	// RecordStatement is called with what a server stated about itself in an answer, from any goroutine. relayedBy is the
+	// address of the VM that relayed the answer, empty for none.
+	RecordStatement func(server roster.Server, statement serverstate.Statement, relayedBy string)
 	Logger          zerolog.Logger
 }
 
@@ -105,8 +110,11 @@
 	link     *hub.Link
 	gateway  *gateway.Gateway
 	// client sends requests to backend servers, orders sends memory orders.
-	client   *h1.Client
-	orders   *h1.Client
+	client *h1.Client
+	orders *h1.Client
+	// dialer opens the connections of client and orders, relay those that other entry VMs ask for.
+	dialer   *relay.Dialer
+	relay    *relay.Server
 	metrics  *observe.Metrics
 	stopping atomic.Bool
 	// stopAt is the deadline of a planned stop, in Unix nanoseconds.
@@ -128,15 +136,23 @@
 	incarnation := uint64(time.Now().UnixNano())
 	pool := transport.NewPool(transport.PoolOptions{Identity: transport.Identity{Cluster: clusterName, VM: settings.VM}, SourceIP: settings.Bind})
 	defer pool.Close()
-	e.client = h1.NewClient(h1.Options{ConnectTimeout: connectTimeout, SourceIP: settings.Bind, MaxIdleTime: maxServerIdleTime, EchoHeader: adapter.EchoHeader})
-	e.orders = h1.NewClient(h1.Options{ConnectTimeout: connectTimeout, SourceIP: settings.Bind, MaxIdleTime: maxServerIdleTime})
+	e.dialer = relay.NewDialer(relay.DialerOptions{
+		Zone: settings.Zone, SourceIP: settings.Bind, ConnectTimeout: connectTimeout, Peers: e.relayPeers,
+		Probe: adapter.Probe, OnPathBroken: e.closeDeadConnections, OnCutOff: func(cutOff bool) { e.link.SetCutOff(cutOff) }, Logger: logger,
+	})
+	e.client = h1.NewClient(h1.Options{Dial: e.dialer.Dial, MaxIdleTime: maxServerIdleTime, EchoHeader: adapter.EchoHeader})
+	e.orders = h1.NewClient(h1.Options{Dial: e.dialer.Dial, MaxIdleTime: maxServerIdleTime})
+	e.relay = relay.NewServer(relay.ServerOptions{
+		Connect: e.dialer.Direct, Admit: e.admitRelayed, RecordBackoff: e.recordRelayedBackoff, Logger: logger,
+	})
 	e.link = hub.NewLink(hub.LinkOptions{
 		VM: settings.VM, Zone: settings.Zone, Incarnation: incarnation, Seeds: seeds, Pool: pool, Decode: codec.DecodeRoutes,
 		UnresponsiveAfter: settings.unresponsiveAfter(), ExpireAfter: settings.expireAfter(), Logger: logger, OnServerGone: e.closeServerConnections,
+		RelayAddress: settings.InternalAddress(),
 	})
-	backend := adapter.NewBackendClient(BackendClientOptions{Requests: e.client, Orders: e.orders, RecordStatement: e.link.RecordStatement, Logger: logger})
+	backend := adapter.NewBackendClient(BackendClientOptions{Requests: e.client, Orders: e.orders, RecordStatement: e.recordStatement, Logger: logger})
 	e.gateway = gateway.New(gateway.Options{
-		Table: e.link.Table, Placer: e.link, Budget: newServiceBudgets(settings, e.link.EntryVMCount), Servers: e.link,
+		Table: e.link.Table, Placer: e.link, Budget: newServiceBudgets(settings, e.link.EntryVMCount), Servers: e.link, Paths: e.dialer,
 		ReadyServers: e.link.ReadyServers, Statements: e.link.Statements(),
 		Backend: backend, Memory: backend, Evidence: e.link.Evidence(), Zone: settings.Zone, Incarnation: incarnation, Logger: logger, Metrics: e.metrics,
 		StopsIn: e.stopsIn,
@@ -154,6 +170,12 @@
 		_ = callers.Close()
 		return err
 	}
+	relayListener, err := tcp.Listen(ctx, e.settings.internalBindAddress())
+	if err != nil {
+		_ = callers.Close()
+		_ = readiness.Close()
+		return err
+	}
 	handler := adapter.NewCallerHandler(CallerOptions{
 		Gateway: e.gateway, Limits: e.limits, BodyTimeout: bodyTimeout, IsStopping: e.stopping.Load, Logger: e.logger,
 	})
@@ -167,6 +189,8 @@
 	e.running.Go(func() { server.run(background) })
 	readinessServer := e.serve(readiness, adapter.NewReadinessHandler(func() bool { return !e.stopping.Load() && e.link.IsReady() }))
 	e.running.Go(func() { e.link.Run(background) })
+	e.running.Go(func() { e.dialer.Run(background) })
+	e.running.Go(func() { e.relay.Serve(relayListener) })
 	e.running.Go(func() { e.sweep(background) })
 	e.running.Go(func() { serveMetrics(background, e.settings.MetricsAddress(), e.metrics, e.logger) })
 	observe.Log(e.logger, observe.ProcessStarted).Str("callers", e.settings.Callers).Strs("seeds", e.settings.Seeds).Send()
@@ -179,6 +203,8 @@
 	server.close(closing)
 	cancelClosing()
 	_ = readinessServer.Close()
+	_ = relayListener.Close()
+	e.relay.Close()
 	cancel()
 	e.running.Wait()
 	observe.Log(e.logger, observe.ProcessStopped).Int("cut", aborted).Send()
@@ -224,8 +250,8 @@
 	return time.Until(time.Unix(0, e.stopAt.Load())), true
 }
 
-// drain blocks until no request has arrived for idleBeforeExit and none is in progress,
-// but at least for balancerWait and at most for the stop limit less stopMargin. After
+// drain blocks until no request has arrived for idleBeforeExit, none is in progress and no
+// connection of another VM is relayed, but at least for balancerWait and at most for the stop limit less stopMargin. After
 // balancerWait the load balancer sends no more requests to this VM; drain then closes
 // connections that have been idle for idleBeforeExit, so that no late request arrives on
 // one of them.
@@ -244,7 +270,7 @@
 			continue
 		}
 		left := server.closeIdle(now, idleBeforeExit)
-		if idle := now.Sub(time.Unix(0, e.lastRequest.Load())) > idleBeforeExit; idle && left == 0 {
+		if idle := now.Sub(time.Unix(0, e.lastRequest.Load())) > idleBeforeExit; idle && left == 0 && e.relay.Relayed() == 0 {
 			return
 		}
 	}
@@ -258,10 +284,12 @@
 func (e *Entry) closeServerConnections(address string) {
 	e.client.CloseIdleTo(address)
 	e.orders.CloseIdleTo(address)
+	e.dialer.Forget(address)
 }
 
 func (e *Entry) updateGauges() {
 	e.metrics.Gauge("godwityoke_requests_in_progress").Update(int64(e.gateway.InFlight()))
+	e.metrics.Gauge("godwityoke_relayed_connections").Update(int64(e.relay.Relayed()))
 	e.metrics.Gauge("godwityoke_entry_vms").Update(int64(e.link.EntryVMCount()))
 	if table := e.link.Table(); table != nil {
 		e.metrics.Gauge("godwityoke_routes_version").Update(int64(table.Version))
--- /dev/null
+++ b/internal/site/relay.go
@@ -0,0 +1,78 @@
+package site
+
+import (
+	"context"
+	"time"
+
+	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/relay"
+	"godwityoke.example/godwityoke/internal/roster"
+	"godwityoke.example/godwityoke/internal/serverstate"
+)
+
+// forwardTimeout bounds the time in which a relaying VM is told of a backoff.
+const forwardTimeout = 300 * time.Millisecond
+
+// relayPeers returns the entry VMs that relay connections for this one.
+func (e *Entry) relayPeers() []relay.Peer {
+	known := e.link.Relays()
+	peers := make([]relay.Peer, 0, len(known))
+	for _, peer := range known {
+		peers = append(peers, relay.Peer{VM: peer.VM, Zone: peer.Zone, Address: peer.Address, CutOff: peer.CutOff})
+	}
+	return peers
+}
+
+// closeDeadConnections closes the idle connections that are most likely dead after the direct path to the server at
+// address has timed out: those to that server, or all while this VM is cut off.
+func (e *Entry) closeDeadConnections(address string) {
+	if e.dialer.IsCutOff() {
+		e.client.CloseIdle()
+		e.orders.CloseIdle()
+		return
+	}
+	e.client.CloseIdleTo(address)
+	e.orders.CloseIdleTo(address)
+}
+
+// admitRelayed decides whether another VM's connection to the server at address may be relayed. What the server stated to
+// this VM holds, because the server sees a request of this VM.
+func (e *Entry) admitRelayed(address string) relay.Decision {
+	if e.stopping.Load() || e.dialer.IsCutOff() {
+		return relay.Unavailable
+	}
+	server, found := e.link.FindAddress(address)
+	if !found {
+		return relay.UnknownServer
+	}
+	if e.dialer.IsBroken(address) {
+		return relay.PathBroken
+	}
+	if _, blocked := e.link.Statements().Admit(time.Now(), server); blocked {
+		return relay.Blocked
+	}
+	return relay.Allowed
+}
+
+// recordRelayedBackoff records a backoff that a server stated in an answer that this VM relayed.
+func (e *Entry) recordRelayedBackoff(address string, backoff time.Duration) {
+	if server, found := e.link.FindAddress(address); found {
+		e.link.RecordStatement(server, serverstate.Statement{Backoff: min(backoff, serverstate.MaxBackoff)})
+	}
+}
+
+// recordStatement records what a server stated in an answer. A backoff concerns the VM that the server saw, so the one
+// that relayed the answer is told too.
+func (e *Entry) recordStatement(server roster.Server, statement serverstate.Statement, relayedBy string) {
+	e.link.RecordStatement(server, statement)
+	if relayedBy == "" || statement.Backoff <= 0 {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), forwardTimeout)
+		defer cancel()
+		if err := e.dialer.ForwardBackoff(ctx, relayedBy, server.Address, statement.Backoff); err != nil {
+			observe.Log(e.logger, observe.BackoffNotForwarded).Str("server", server.ID).Dur("backoff", statement.Backoff).Err(err).Send()
+		}
+	}()
+}
--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -50,6 +50,25 @@
 	return dialer
 }
 
+// Dial opens a connection to address, an "ip:port", with the options of this package. source and connectTimeout are those
+// of DialerFrom. The kernel closes the connection once the peer has been unreachable for unreachableAfter, as in
+// SetUnreachableAfter; 0 stands for the default of this package.
+func Dial(ctx context.Context, source, address string, connectTimeout, unreachableAfter time.Duration) (*net.TCPConn, error) {
+	opened, err := DialerFrom(source, connectTimeout).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	conn := opened.(*net.TCPConn)
+	if unreachableAfter <= 0 {
+		return conn, nil
+	}
+	if err := SetUnreachableAfter(conn, unreachableAfter); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
 // Listen opens a TCP listener that sets the options of this package on the accepted
 // connections.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
