schedule: VMs that are cut off take no sound server out for the others

Cause: one report of any VM that a server is unreachable, stalled or refuses connections took it out for all VMs. Reports of a VM were ignored only from its fifth unreachable server in a row on; refused connections and resets had no such limit, and one success, as over a connection that lives on, began the count again. Nothing asked whether the VM was at fault.

Now a failure is evidence of one VM against one server, with a backoff of the pair, and counts for all VMs only while the VM is credible. A VM is not when requests that it sent after its first failure fail on far more servers than they reach or still may reach, while another VM may reach the service. Then all that it has reported is withdrawn. A report of a VM that fails on several servers is withdrawn as soon as another VM has a success on the server. While no VM reaches a service, its servers stay out, as before.

Existing tests: TestPartitionedEntryVMEjectsNoServer set the counter that is gone. It now reports failures, and requires also that servers that the VM has taken out come back. TestUnusedPlacementDoesNotReadmitAnUnreachableServer looked at that counter, now at the evidence of the pair.

--- a/internal/schedule/decide.go
+++ b/internal/schedule/decide.go
@@ -145,6 +145,21 @@
 // place places a request if it fits now and reports whether it did.
 func (s *Scheduler) place(now time.Time, j *job) bool {
 	s.markExcluded(j)
+	j.barred = s.barServers(now, j)
+	if s.placeUnmarked(now, j) {
+		return true
+	}
+	if j.barred == 0 || !s.vms[j.request.ID.VM].suspect {
+		return false
+	}
+	// The servers that the VM reaches have no capacity.
+	s.unbarServers(j)
+	j.barred = 0
+	return s.placeUnmarked(now, j)
+}
+
+// placeUnmarked places a request on servers that are not marked for it.
+func (s *Scheduler) placeUnmarked(now time.Time, j *job) bool {
 	if s.engines[j.request.Service] == nil {
 		return s.placePlain(now, j)
 	}
@@ -214,7 +229,7 @@
 		return true
 	}
 	// A request that excludes most servers tells nothing about the next requests.
-	excludesMost := 2*len(j.request.Excluded) >= len(candidates)
+	excludesMost := 2*(len(j.request.Excluded)+j.barred) >= len(candidates)
 	if lateSelection.first == nil && !excludesMost && (ranked.minFailed == 0 || j.prefillTime < ranked.minFailed) {
 		ranked.minFailed = j.prefillTime
 	}
@@ -426,6 +441,12 @@
 // commit records a request on its servers and in their estimates.
 func (s *Scheduler) commit(now time.Time, j *job, first *server, helpers []Helper) {
 	s.placed[j.request.ID] = j
+	byVM := s.placedByVM[j.request.ID.VM]
+	if byVM == nil {
+		byVM = map[JobID]*job{}
+		s.placedByVM[j.request.ID.VM] = byVM
+	}
+	byVM[j.request.ID] = j
 	j.first, j.sentAt, j.firstTokens = first, now, j.tokens
 	first.jobs[j.request.ID] = j
 	if first.engine == nil {
--- a/internal/schedule/health.go
+++ b/internal/schedule/health.go
@@ -5,10 +5,6 @@
 )
 
 const (
-	// maxUnreachableStreak is the number of consecutive unreachable servers after
-	// which an entry VM is considered partitioned itself and its reports are
-	// ignored.
-	maxUnreachableStreak = 4
 	// errorSampleWeight is the weight of one request in a server's moving error
 	// rate.
 	errorSampleWeight = 0.12
@@ -65,7 +61,7 @@
 			continue
 		}
 		count++
-		if now.Before(other.ejectedUntil) {
+		if other.isOut(now) {
 			ejected++
 		}
 		if other != srv {
@@ -79,31 +75,40 @@
 	srv.errorRate = suspectErrorRate / 2
 }
 
-// recordUnreachable ejects a server whose VM could not be reached. When
-// minUnreachableInZone servers of a zone are unreachable, the zone is most likely
-// partitioned, and all its servers are ejected, unless the report comes from an
-// entry VM in that zone. Reports of an entry VM that has not reached any server
-// for maxUnreachableStreak requests are ignored, because that VM is most likely
-// partitioned itself.
-func (s *Scheduler) recordUnreachable(now time.Time, j *job) {
-	s.unreachableStreaks[j.request.ID.VM]++
-	if s.unreachableStreaks[j.request.ID.VM] > maxUnreachableStreak {
+// checkZone takes all servers of a zone out if the VMs of minUnreachableInZone of them
+// are unreachable: the zone is most likely partitioned, unless the report comes from an
+// entry VM in it.
+func (s *Scheduler) checkZone(now time.Time, zone, reporterZone string) {
+	if zone == reporterZone || s.unreachableInZones()[zone] < minUnreachableInZone {
 		return
 	}
-	j.first.recordOutcome(now, OutcomeUnreachable)
-	j.first.vmUnreachable = true
-	zone, unreachable := j.first.Zone, 0
 	for _, srv := range s.sortedServers {
-		if srv.Zone == zone && srv.vmUnreachable {
-			unreachable++
+		if srv.Zone == zone && !srv.vmUnreachable {
+			srv.recordFailure(now, OutcomeUnreachable)
+			srv.outByZone = true
 		}
 	}
-	if unreachable < minUnreachableInZone || zone == j.request.Zone {
-		return
+}
+
+// recheckZones brings back the servers of zones that are not considered partitioned any
+// more because evidence was withdrawn.
+func (s *Scheduler) recheckZones() {
+	unreachable := s.unreachableInZones()
+	for _, srv := range s.sortedServers {
+		if srv.outByZone && unreachable[srv.Zone] < minUnreachableInZone {
+			srv.outByZone = false
+			srv.resetFailures()
+		}
 	}
+}
+
+// unreachableInZones returns the number of servers with unreachable VMs in each zone.
+func (s *Scheduler) unreachableInZones() map[string]int {
+	unreachable := map[string]int{}
 	for _, srv := range s.sortedServers {
-		if srv.Zone == zone && !srv.vmUnreachable {
-			srv.recordOutcome(now, OutcomeUnreachable)
+		if srv.vmUnreachable {
+			unreachable[srv.Zone]++
 		}
 	}
+	return unreachable
 }
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -122,13 +122,23 @@
 	engines       map[string]*routes.Engine
 	queued        []*job
 	placed        map[JobID]*job
+	// placedByVM holds the placed requests of each entry VM, by incarnation.
+	placedByVM map[uint64]map[JobID]*job
 	// decided holds the results of the decision in progress.
 	decided []Placement
 	// placementRates holds the recent placement rate of each queue.
 	placementRates map[queueKey]*placementRate
-	// unreachableStreaks counts, for each entry VM, the consecutive requests
-	// whose server it could not reach.
-	unreachableStreaks map[uint64]int
+	// vms holds the evidence of entry VMs with failures, by incarnation.
+	vms map[uint64]*vmEvidence
+	// sequence numbers the successes and failures.
+	sequence uint64
+	// succeededAt holds the time of the last success of each entry VM, by incarnation.
+	succeededAt map[uint64]time.Time
+	// successes holds the last successes of each service.
+	successes          map[string]serviceSuccess
+	credibilityChanges []CredibilityChange
+	// sweptAt is when old evidence was last forgotten.
+	sweptAt time.Time
 	// now is the time of the decision in progress.
 	now time.Time
 	// rankings holds the ranked servers of the decision in progress.
@@ -144,7 +154,7 @@
 func New() *Scheduler {
 	return &Scheduler{
 		servers: map[string]*server{}, engines: map[string]*routes.Engine{},
-		placed: map[JobID]*job{}, fraction: 1, unreachableStreaks: map[uint64]int{},
+		placed: map[JobID]*job{}, placedByVM: map[uint64]map[JobID]*job{}, fraction: 1, vms: map[uint64]*vmEvidence{}, succeededAt: map[uint64]time.Time{}, successes: map[string]serviceSuccess{},
 		placementRates: map[queueKey]*placementRate{}, rankings: map[rankingKey]*ranking{},
 	}
 }
@@ -222,6 +232,9 @@
 	// nextCostlyAt is the earliest time of the next search for a placement that
 	// makes other requests late.
 	nextCostlyAt time.Time
+	// barred is the number of servers on which the entry VM is in backoff, in the decision
+	// in progress.
+	barred int
 	// expectedAt is the expected time of the first event, estimated at placement.
 	// No decision depends on it.
 	expectedAt time.Time
@@ -279,6 +292,7 @@
 		return
 	}
 	delete(s.servers, id)
+	s.forgetServer(removed)
 	for i, srv := range s.sortedServers {
 		if srv == removed {
 			s.sortedServers = append(s.sortedServers[:i], s.sortedServers[i+1:]...)
@@ -356,7 +370,7 @@
 	if j == nil || j.decoding {
 		return
 	}
-	delete(s.unreachableStreaks, id.VM)
+	s.recordSuccess(now, j)
 	j.late = j.late || now.After(j.request.TargetAt)
 	j.first.recordStart(now, j)
 	for _, helper := range j.helpers {
@@ -375,16 +389,20 @@
 		return
 	}
 	s.release(j)
-	if outcome == OutcomeUnused {
+	switch outcome {
+	case OutcomeUnused:
 		return
+	case OutcomeUnreachable, OutcomeStalled, OutcomeFailed:
+		s.recordFailure(now, j, outcome)
+	case OutcomeRejected:
+		j.first.ejectedUntil = now.Add(minBackoff / 2)
+		s.recordReached(now, j)
+	case OutcomeServerError:
+		s.recordReached(now, j)
+	default:
+		s.recordSuccess(now, j)
 	}
-	if outcome == OutcomeUnreachable {
-		s.recordUnreachable(now, j)
-		return
-	}
-	delete(s.unreachableStreaks, id.VM)
-	j.first.recordOutcome(now, outcome)
-	if outcome != OutcomeFailed {
+	if outcome != OutcomeFailed && outcome != OutcomeUnreachable {
 		s.updateErrorRate(now, j.first, outcome == OutcomeServerError)
 	}
 }
@@ -393,6 +411,9 @@
 func (s *Scheduler) release(j *job) {
 	id := j.request.ID
 	delete(s.placed, id)
+	if delete(s.placedByVM[id.VM], id); len(s.placedByVM[id.VM]) == 0 {
+		delete(s.placedByVM, id.VM)
+	}
 	delete(j.first.jobs, id)
 	j.first.dropParts(j)
 	for _, helper := range j.helpers {
@@ -402,10 +423,11 @@
 }
 
 // FinishAll finishes the placed requests of an entry VM that are not in running
-// and removes all its requests from the queue. vm is the entry VM's incarnation.
+// and removes all its requests from the queue. vm is the entry VM's incarnation. If
+// running is nil, the entry VM is gone, and its evidence on servers is forgotten.
 func (s *Scheduler) FinishAll(now time.Time, vm uint64, running map[JobID]bool) {
-	for id := range s.placed {
-		if id.VM == vm && !running[id] {
+	for id := range s.placedByVM[vm] {
+		if !running[id] {
 			s.Finish(now, id, OutcomeDone)
 		}
 	}
@@ -416,6 +438,9 @@
 		}
 	}
 	s.queued = kept
+	if running == nil {
+		s.forgetVM(vm)
+	}
 }
 
 // Queued returns the number of requests that wait for placement.
@@ -453,7 +478,7 @@
 	}
 	for _, srv := range s.sortedServers {
 		load.Slots += srv.Slots
-		if !srv.AcceptsNew || now.Before(srv.ejectedUntil) {
+		if !srv.AcceptsNew || srv.isOut(now) {
 			load.Unavailable++
 		}
 		load.MaxPassRemaining = max(load.MaxPassRemaining, srv.passEnd.Sub(now))
--- a/internal/schedule/server.go
+++ b/internal/schedule/server.go
@@ -83,14 +83,25 @@
 	// slowdown is the factor by which the server is slower than its engine model.
 	// It is always 1: nothing measures it yet.
 	slowdown float64
-	// failureStreak is the number of consecutive failures.
+	// failureStreak is the number of consecutive failures that count for all entry VMs, by
+	// nextFailureStreak.
 	failureStreak int
+	// accusers are the pairs of credible entry VMs that take the server out for all.
+	accusers map[*pair]bool
+	// downUntil is the end of the backoff after the last of these failures.
+	downUntil time.Time
+	// outByZone is set when the server is out because its zone is considered partitioned.
+	outByZone bool
+	// succeededAt and successSequence are the time and the number of the last success.
+	succeededAt     time.Time
+	successSequence uint64
 	// errorRate is the moving average, 0 to 1, of requests that the server answered
 	// with an error.
 	errorRate float64
-	// excludedBy is the last request for which markExcluded has marked the server.
+	// excludedBy is the last request for which markExcluded or barServers has marked the
+	// server.
 	excludedBy *job
-	// ejectedUntil is the end of the ejection.
+	// ejectedUntil is the end of the ejection after a rejection or because of errorRate.
 	ejectedUntil time.Time
 	// unreachable is set when the server was unreachable or stalled, until a first
 	// event arrives from it or a request ends with OutcomeDone.
@@ -225,7 +236,6 @@
 // end of a pass, so the pass ended one trip between zones (half of transitTime)
 // ago and the estimate is corrected accordingly.
 func (srv *server) recordStart(now time.Time, j *job) {
-	srv.failureStreak, srv.unreachable, srv.vmUnreachable = 0, false, false
 	if srv.engine == nil {
 		return
 	}
@@ -236,26 +246,54 @@
 	}
 }
 
-// recordOutcome updates the count of consecutive failures and ejects the server if
-// it rejected a request, was unreachable or stalled, or failed ejectAfterFailures
-// times in a row.
-func (srv *server) recordOutcome(now time.Time, outcome Outcome) {
-	switch outcome {
-	case OutcomeDone:
-		srv.failureStreak, srv.unreachable, srv.vmUnreachable = 0, false, false
-	case OutcomeRejected:
-		srv.ejectedUntil = now.Add(minBackoff / 2)
-	case OutcomeUnreachable, OutcomeStalled:
-		srv.unreachable = true
-		srv.failureStreak = max(srv.failureStreak+1, ejectAfterFailures)
-		srv.ejectedUntil = now.Add(min(minBackoff<<min(srv.failureStreak-ejectAfterFailures, 8), maxBackoff))
-	case OutcomeFailed:
-		srv.failureStreak++
-		if srv.failureStreak >= ejectAfterFailures {
-			backoff := min(minBackoff<<min(srv.failureStreak-ejectAfterFailures, 8), maxBackoff)
-			srv.ejectedUntil = now.Add(backoff)
+// recordFailure updates the count of consecutive failures and takes the server out if it
+// was unreachable or stalled, or failed ejectAfterFailures times in a row.
+func (srv *server) recordFailure(now time.Time, outcome Outcome) {
+	srv.failureStreak = nextFailureStreak(srv.failureStreak, outcome)
+	srv.unreachable = srv.unreachable || outcome != OutcomeFailed
+	if backoff := backoffAfter(srv.failureStreak); backoff > 0 {
+		srv.downUntil = now.Add(backoff)
+	}
+}
+
+// nextFailureStreak returns the count of consecutive failures after a further one. A
+// server that was unreachable or stalled counts as one that failed at least
+// ejectAfterFailures times.
+func nextFailureStreak(streak int, outcome Outcome) int {
+	if outcome == OutcomeFailed {
+		return streak + 1
+	}
+	return max(streak+1, ejectAfterFailures)
+}
+
+// backoffAfter returns the backoff after a number of consecutive failures.
+func backoffAfter(streak int) time.Duration {
+	if streak < ejectAfterFailures {
+		return 0
+	}
+	return min(minBackoff<<min(streak-ejectAfterFailures, 8), maxBackoff)
+}
+
+// resetFailures recomputes what the failures of entry VMs make of the server from those
+// that still count.
+func (srv *server) resetFailures() {
+	srv.failureStreak, srv.unreachable, srv.vmUnreachable = 0, false, false
+	for p := range srv.accusers {
+		srv.failureStreak += p.counted
+		srv.unreachable = srv.unreachable || p.unreachable
+		srv.vmUnreachable = srv.vmUnreachable || p.vmUnreachable
+	}
+	latest, backoff := time.Time{}, min(backoffAfter(srv.failureStreak), minBackoff)
+	for p := range srv.accusers {
+		for _, end := range []time.Time{p.until, p.failedAt.Add(backoff)} {
+			if end.After(latest) {
+				latest = end
+			}
 		}
 	}
+	if srv.downUntil.After(latest) {
+		srv.downUntil = latest
+	}
 }
 
 // plannedTokens returns the memory in tokens that placements use on this server.
@@ -379,16 +417,21 @@
 	}
 }
 
+// isOut reports whether the server is ejected or in backoff.
+func (srv *server) isOut(now time.Time) bool {
+	return now.Before(srv.ejectedUntil) || now.Before(srv.downUntil)
+}
+
 // isAvailable reports whether the server may get further requests. While the
 // unreachable flag is set, the server gets one request at a time.
 func (srv *server) isAvailable(now time.Time) bool {
-	if !srv.AcceptsNew || now.Before(srv.ejectedUntil) {
+	if !srv.AcceptsNew || srv.isOut(now) {
 		return false
 	}
 	return !srv.unreachable || len(srv.jobs) == 0 && len(srv.helping) == 0
 }
 
-// canRun reports whether the server may run the request of j, for which markExcluded was called.
+// canRun reports whether the server may run the request of j, for which markExcluded and barServers were called.
 func (srv *server) canRun(now time.Time, j *job) bool {
 	return srv.isAvailable(now) && srv.Service == j.request.Service && srv.excludedBy != j
 }
--- a/internal/schedule/unreachable_test.go
+++ b/internal/schedule/unreachable_test.go
@@ -50,15 +50,19 @@
 }
 
 // An entry VM that reaches no server is most likely partitioned itself, so its
-// reports must not eject servers.
+// reports must not eject servers, and those that it has ejected come back at once.
 func TestPartitionedEntryVMEjectsNoServer(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	s := plainScheduler(now)
-	s.unreachableStreaks[9] = maxUnreachableStreak
-	failUnreachable(s, now, 9, 1, "b1")
-	failUnreachable(s, now, 9, 2, "b2")
-	require.True(t, s.servers["b1"].isAvailable(now))
-	require.True(t, s.servers["b3"].isAvailable(now))
+	for seq, id := range []string{"b1", "b2", "a1", "b1", "b2"} {
+		failUnreachable(s, now, 9, uint64(seq), id)
+		require.Equal(t, seq >= minSuspectServers-1, s.servers["b1"].isAvailable(now), "after %d failures", seq+1)
+	}
+	for _, srv := range s.sortedServers {
+		require.True(t, srv.isAvailable(now), srv.ID)
+		require.Zero(t, srv.failureStreak, srv.ID)
+	}
+	require.InDelta(t, 1, s.ReachableZoneFraction(), 0)
 }
 
 func TestReachableZoneFractionDropsWithAPartitionedZone(t *testing.T) {
@@ -83,5 +87,6 @@
 	require.Zero(t, s.Placed(), "the slot is released")
 	require.True(t, s.servers["b1"].unreachable)
 	require.NotZero(t, s.servers["b1"].failureStreak)
-	require.Equal(t, 1, s.unreachableStreaks[1])
+	require.Equal(t, ejectAfterFailures, s.vms[1].pairs[s.servers["b1"]].failures)
+	require.Equal(t, 1, s.vms[1].counts[recentFailure])
 }
