gateway: a silent attempt is kept until its replacement has begun its response

What callers saw: streams broken off, with the rest of the answer missing, although their server was sound and only paused for 1.4 s. Whole requests ended as failed in the same way.

Cause: after 1.2 s without an event the attempt was given up as soon as a placement was granted. If the granted server could then not be reached, rejected the request, refused memory or failed, the retry budget or the third attempt was used up and nothing was left.

Failed before: TestPausedRequestGoesOnWhenItsReplacementFails ("Should be false" for all five failures of a replacement of a stream, a failure or the replacement's error for those of whole requests) and TestStreamThatGoesOnBeforeItsReplacementIsKept ("2.21s" is not less than "1.8s").

The stall watch now sends the request to the granted server while the silent attempt goes on, and gives that one up once the other response has begun and may be sent to the caller. If the silent server goes on first, the second attempt is cancelled; if the silent attempt breaks meanwhile, the second one takes its place. An attempt beside another one counts as an attempt, a retry and a possible run.

--- /dev/null
+++ b/internal/gateway/beside_test.go
@@ -0,0 +1,146 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/routes"
+	"godwityoke.example/godwityoke/internal/schedule"
+)
+
+// besideBackend answers the attempts at s1 with first and those at other servers with others.
+type besideBackend struct {
+	*fakes
+	first, others func(context.Context, *Attempt) (*Response, error)
+	mu            sync.Mutex
+	sent          []string
+}
+
+func (b *besideBackend) Send(ctx context.Context, attempt *Attempt) (*Response, error) {
+	b.mu.Lock()
+	b.sent = append(b.sent, attempt.Server.ID)
+	b.mu.Unlock()
+	if attempt.Server.ID == "s1" {
+		return b.first(ctx, attempt)
+	}
+	return b.others(ctx, attempt)
+}
+
+// after waits for delay before it calls send, unless ctx ends.
+func after(delay time.Duration, send func(*Attempt) (*Response, error)) func(context.Context, *Attempt) (*Response, error) {
+	return func(ctx context.Context, attempt *Attempt) (*Response, error) {
+		select {
+		case <-time.After(delay):
+			return send(attempt)
+		case <-ctx.Done():
+			return nil, &AttemptError{Delivery: DeliveryUnknown, Err: ctx.Err()}
+		}
+	}
+}
+
+func TestPausedRequestGoesOnWhenItsReplacementFails(t *testing.T) {
+	unsigned := func(*Attempt) (*Response, error) {
+		return &Response{Status: 200, Header: http.Header{}, Body: fakeBody{}, IsStream: true}, nil
+	}
+	pause := 3 * time.Second
+	for kind, first := range map[string]func(*Attempt) (*Response, error){
+		"stream": slowStream(pause),
+		"safe": func(attempt *Attempt) (*Response, error) {
+			time.Sleep(pause)
+			return respond(200, events, nil)(attempt)
+		},
+	} {
+		for name, others := range map[string]func(*Attempt) (*Response, error){
+			"rejected": failWith(DeliveryRejected), "not sent": failWith(DeliveryNotSent), "reset": failWith(DeliveryUnknown),
+			"server error": respond(500, "no", nil), "unsigned": unsigned,
+		} {
+			for _, retries := range []int{1, 9} {
+				t.Run(kind+" "+name, func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						f := &fakes{retriesLeft: retries}
+						caller := serveLong(f, &besideBackend{fakes: f, first: after(0, first), others: after(0, others)}, kind)
+						require.False(t, caller.aborted)
+						require.Zero(t, caller.failure)
+						require.Equal(t, events, caller.body)
+						synctest.Wait()
+						require.Len(t, f.outcomes, f.placements, "each placement must be ended")
+					})
+				})
+			}
+		}
+	}
+}
+
+func TestStreamThatGoesOnBeforeItsReplacementIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakes{retriesLeft: 9}
+		backend := &besideBackend{fakes: f, first: after(0, slowStream(1700*time.Millisecond)), others: after(time.Second, respond(200, events, nil))}
+		startedAt := time.Now()
+		caller := serveLong(f, backend, "stream")
+		require.Equal(t, events, caller.body)
+		require.Less(t, time.Since(startedAt), 1800*time.Millisecond)
+		synctest.Wait()
+		require.Equal(t, []schedule.Outcome{schedule.OutcomeDone, schedule.OutcomeDone}, f.outcomes, "no server is at fault")
+		require.Equal(t, 8, f.retriesLeft, "the retry reached a server")
+	})
+}
+
+func TestStreamThatBreaksGoesOnAtTheReplacementInProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakes{retriesLeft: 9}
+		broken := func(*Attempt) (*Response, error) {
+			body := &breakingBody{slowBody: slowBody{parts: []string{"id: 1\ndata: a\n\n", "x"}, resumeAt: time.Now().Add(1500 * time.Millisecond)}}
+			return &Response{Status: 200, Header: http.Header{}, Body: body, Verified: true, IsStream: true}, nil
+		}
+		backend := &besideBackend{fakes: f, first: after(0, broken), others: after(time.Second, respond(200, "id: 2\ndata: b\n\n", nil))}
+		caller := serveLong(f, backend, "stream")
+		require.False(t, caller.aborted)
+		require.Equal(t, events, caller.body)
+		require.Equal(t, []string{"s1", "s2"}, backend.sent, "the request is sent once more only")
+		require.Equal(t, 8, f.retriesLeft)
+		require.Len(t, f.outcomes, f.placements)
+	})
+}
+
+// breakingBody fails where slowBody would send its last part.
+type breakingBody struct{ slowBody }
+
+func (b *breakingBody) Read(p []byte) (int, error) {
+	last := len(b.parts) == 1
+	n, err := b.slowBody.Read(p)
+	if err == nil && last {
+		return 0, errReset
+	}
+	return n, err
+}
+
+func TestReplacementIsCancelledWhenTheCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakes{retriesLeft: 9}
+		ctx, leave := context.WithCancel(context.Background())
+		backend := &besideBackend{fakes: f, first: after(time.Hour, nil), others: after(time.Hour, nil)}
+		g := New(besideOptions(f, backend, longTable()))
+		time.AfterFunc(1500*time.Millisecond, leave)
+		startedAt := time.Now()
+		g.Serve(ctx, &Request{ID: "r1", Host: "h", Path: "/stream/x", Key: "key", ArrivedAt: time.Now(), Timeout: longTimeout}, &fakeCaller{})
+		require.Equal(t, 1500*time.Millisecond, time.Since(startedAt))
+		require.Equal(t, []string{"s1", "s2"}, backend.sent)
+		synctest.Wait()
+		require.Len(t, f.outcomes, f.placements)
+	})
+}
+
+func besideOptions(f *fakes, backend Backend, table *routes.Table) Options {
+	return Options{
+		Table: func() *routes.Table { return table }, Placer: f, Budget: f, Servers: f, Backend: backend, Memory: f,
+		StopsIn: func() (time.Duration, bool) { return 0, false }, Zone: "a", Incarnation: 1, Logger: zerolog.Nop(), Metrics: observe.NewMetrics(),
+	}
+}
--- a/internal/gateway/blocked.go
+++ b/internal/gateway/blocked.go
@@ -111,7 +111,6 @@
 	blocked = blocked || len(t.list) > 0 && x.isBlocked(now, attempt.Server, x.checkAdmitted)
 	if blocked {
 		x.attempts--
-		x.retryCharged = x.deliveries > 0
 	}
 	return blocked
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -91,7 +91,7 @@
 	// done is set when the caller has the final answer or disconnected while it was sent. Otherwise err is set.
 	done bool
 	err  *AttemptError
-	// moved is the placement for which the attempt was given up, nil if it was not.
+	// moved is the placement with the attempt that replaces this one, nil if there is none.
 	moved *grant
 	// events is the number of events that the server sent.
 	events int
@@ -108,41 +108,64 @@
 				return
 			}
 		}
-		id, placement := granted.id, granted.placement
-		x.timing.placementWait += granted.waited
-		if subject, found := x.gateway.options.Evidence.Quarantined(time.Now(), x.identity, x.request.Parts); found {
-			x.gateway.options.Placer.Ended(id, schedule.OutcomeUnused)
-			x.refuseQuarantined(subject)
-			return
-		}
-		if x.deliveries > 0 && !granted.charged && !x.gateway.options.Budget.TryRetry(x.service) {
-			x.gateway.options.Placer.Ended(id, schedule.OutcomeUnused)
-			x.failUnplaced(ctx, errRetryBudgetSpent.Error(), overloadRetryAfter)
+		if granted.open == nil && !x.admit(ctx, granted) {
+			x.release(granted)
 			return
 		}
-		x.attempts++
-		if placement.Local {
-			x.timing.localPlacements++
-		}
-		x.logPlacement(placement, granted.waited)
-		result := x.attempt(ctx, id, placement)
+		server := granted.placement.Server
+		result := x.attempt(ctx, granted)
 		granted = result.moved
 		if !result.done && errors.Is(result.err, errPlacementTurnedDown) && x.turnedDown < maxTurnedDown {
 			continue
 		}
-		if result.done || x.isOver(ctx) || !x.canRetry(result.err) {
+		if result.done || x.isOver(ctx) || x.mayCrashServers || granted == nil && !x.canRetry(result.err) {
 			if granted != nil {
-				x.gateway.options.Placer.Ended(granted.id, schedule.OutcomeUnused)
+				x.release(granted)
 			}
 			if !result.done {
 				x.failAttempted(ctx, result.err)
 			}
 			return
 		}
-		x.excluded = append(x.excluded, placement.Server)
+		x.excluded = append(x.excluded, server)
 	}
 }
 
+// admit tells whether an attempt may be sent to the granted server, and counts it. Otherwise it ends the request.
+func (x *exchange) admit(ctx context.Context, granted *grant) bool {
+	if subject, found := x.gateway.options.Evidence.Quarantined(time.Now(), x.identity, x.request.Parts); found {
+		x.refuseQuarantined(subject)
+		return false
+	}
+	if x.deliveries > 0 && !granted.charged {
+		if !x.gateway.options.Budget.TryRetry(x.service) {
+			x.failUnplaced(ctx, errRetryBudgetSpent.Error(), overloadRetryAfter)
+			return false
+		}
+		granted.charged = true
+	}
+	x.countAttempt(granted)
+	return true
+}
+
+// countAttempt counts and logs an attempt that is about to be sent to the granted server.
+func (x *exchange) countAttempt(granted *grant) {
+	x.attempts++
+	x.timing.placementWait += granted.waited
+	if granted.placement.Local {
+		x.timing.localPlacements++
+	}
+	x.logPlacement(granted.placement, granted.waited)
+}
+
+// release ends a placement that is not used, and its attempt if that was sent.
+func (x *exchange) release(granted *grant) {
+	if granted.open != nil {
+		granted.open.close()
+	}
+	x.gateway.options.Placer.Ended(granted.id, schedule.OutcomeUnused)
+}
+
 // place waits for a placement whose servers take the request. It returns nil if none is granted; the request has then
 // been ended.
 func (x *exchange) place(ctx context.Context) *grant {
@@ -311,60 +334,105 @@
 	return FailedServer
 }
 
-// attempt sends the request to one server and relays the response to the caller.
-func (x *exchange) attempt(ctx context.Context, id schedule.JobID, placement schedule.Placement) attemptResult {
-	placer := x.gateway.options.Placer
-	attempt, err := x.newAttempt(placement)
+// openAttempt is an attempt whose server is known and whose memory is reserved. The response is set once it has begun.
+type openAttempt struct {
+	*Attempt
+	tickets  *tickets
+	sentAt   time.Time
+	response *Response
+	// cancel ends the attempt, nil before it is sent.
+	cancel context.CancelCauseFunc
+}
+
+// open returns the attempt at the granted server. It reserves memory; nothing is sent to the server.
+func (x *exchange) open(ctx context.Context, granted *grant) (*openAttempt, *AttemptError) {
+	attempt, err := x.newAttempt(granted.placement)
 	if err != nil {
-		placer.Ended(id, schedule.OutcomeUnused)
-		return attemptResult{err: err}
+		return nil, err
 	}
-	tickets, err := x.reserve(ctx, attempt, placement)
+	tickets, err := x.reserve(ctx, attempt, granted.placement)
 	if err != nil {
-		placer.Ended(id, schedule.OutcomeUnused)
-		return attemptResult{err: err}
+		return nil, err
 	}
-	defer tickets.release()
+	open := &openAttempt{Attempt: attempt, tickets: tickets}
 	if x.turnDownReserved(time.Now(), attempt, tickets) {
-		placer.Ended(id, schedule.OutcomeUnused)
-		return attemptResult{err: &AttemptError{Delivery: DeliveryNotSent, Err: errPlacementTurnedDown}}
-	}
-	sentAt := time.Now()
-	sendCtx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	watch := x.watchStalls(ctx, placement.Server)
-	watch.begin(x.eventDeadline(false), func() { cancel(errUnresponsive) })
-	response, sendErr := x.gateway.options.Backend.Send(sendCtx, attempt)
-	givenUp := watch.end()
-	result := attemptResult{}
+		x.retryCharged = granted.charged
+		open.close()
+		return nil, &AttemptError{Delivery: DeliveryNotSent, Err: errPlacementTurnedDown}
+	}
+	return open, nil
+}
+
+// send sends the attempt and waits until its response begins. The response ends with ctx, which cancel must end.
+func (o *openAttempt) send(ctx context.Context, cancel context.CancelCauseFunc, backend Backend) *AttemptError {
+	o.sentAt, o.cancel = time.Now(), cancel
+	response, err := backend.Send(ctx, o.Attempt)
+	if err != nil {
+		return asAttemptError(err)
+	}
+	o.response = response
+	return nil
+}
+
+// close ends the attempt and releases what it holds.
+func (o *openAttempt) close() {
+	if o.response != nil {
+		_ = o.response.Body.Close()
+	}
+	if o.cancel != nil {
+		o.cancel(nil)
+	}
+	o.tickets.release()
+}
+
+// attempt sends the request to one server, unless that was done before, and relays the response to the caller.
+func (x *exchange) attempt(ctx context.Context, granted *grant) attemptResult {
+	open, givenUp, result := granted.open, false, attemptResult{}
+	watch := x.watchStalls(ctx, granted.placement.Server)
+	if open == nil {
+		opened, err := x.open(ctx, granted)
+		if err != nil {
+			x.gateway.options.Placer.Ended(granted.id, schedule.OutcomeUnused)
+			return attemptResult{err: err}
+		}
+		open = opened
+		sendCtx, cancel := context.WithCancelCause(ctx)
+		watch.begin(x.eventDeadline(false), func() { cancel(errUnresponsive) })
+		result.err = open.send(sendCtx, cancel, x.gateway.options.Backend)
+		givenUp = watch.end(result.err == nil)
+	}
+	defer open.close()
 	switch {
-	case sendErr != nil:
-		result.err = asAttemptError(sendErr)
+	case result.err != nil:
 		result.err.Unresponsive = result.err.Unresponsive || givenUp
 	case givenUp: // the response began while it was cancelled
 		result.err = &AttemptError{Delivery: DeliveryUnknown, Unresponsive: true, Err: errUnresponsive}
-		_ = response.Body.Close()
 	default:
-		result = x.relay(id, attempt, response, watch)
-		_ = response.Body.Close()
+		result = x.relay(granted.id, open.Attempt, open.response, watch)
 	}
 	result.moved = watch.grant()
-	x.recordCrash(ctx, attempt, result)
-	placer.Ended(id, x.placementOutcome(ctx, result))
-	if result.err != nil {
-		if result.err.Delivery != DeliveryNotSent {
-			x.deliveries++
-		}
-		if result.err.Delivery == DeliveryUnknown {
-			x.possibleRuns++
-		}
-		observe.Log(x.gateway.options.Logger, observe.ServerAttemptFailed).Str("request", x.request.ID).
-			Str("server", attempt.Server.ID).Str("address", attempt.Server.Address).Int("helpers", len(attempt.Helpers)).
-			Dur("after", time.Since(sentAt)).Int("events", x.eventsSent).Err(result.err).Send()
-	}
+	x.endAttempt(ctx, granted.id, open, result)
 	return result
 }
 
+// endAttempt reports and counts the result of an attempt that was sent.
+func (x *exchange) endAttempt(ctx context.Context, id schedule.JobID, open *openAttempt, result attemptResult) {
+	x.recordCrash(ctx, open.Attempt, result)
+	x.gateway.options.Placer.Ended(id, x.placementOutcome(ctx, result))
+	if result.err == nil {
+		return
+	}
+	if result.err.Delivery != DeliveryNotSent {
+		x.deliveries++
+	}
+	if result.err.Delivery == DeliveryUnknown {
+		x.possibleRuns++
+	}
+	observe.Log(x.gateway.options.Logger, observe.ServerAttemptFailed).Str("request", x.request.ID).
+		Str("server", open.Server.ID).Str("address", open.Server.Address).Int("helpers", len(open.Helpers)).
+		Dur("after", time.Since(open.sentAt)).Int("events", x.eventsSent).Err(result.err).Send()
+}
+
 // placementOutcome returns what the scheduler is told about the attempt. An attempt that failed because the request
 // was cancelled or its deadline passed counts as done, since the server is not at fault.
 func (x *exchange) placementOutcome(ctx context.Context, result attemptResult) schedule.Outcome {
@@ -408,26 +476,38 @@
 	return attempt, nil
 }
 
-// relay sends a response to the caller, as a stream of events or as a whole. A success response without the server's
-// signature is not sent and counts as a failed attempt, as does one that is no stream on a route of streams. Once part of
-// a stream was sent, only further events may follow, so that every other response counts as a failed attempt, too.
-func (x *exchange) relay(id schedule.JobID, attempt *Attempt, response *Response, watch *stallWatch) attemptResult {
-	success := response.Status >= http.StatusOK && response.Status < http.StatusMultipleChoices
+// responseError returns the error of a response that must not be sent to the caller: a success without the server's
+// signature, one that is no stream on a route of streams, and any other response than events once part of a stream was
+// sent.
+func (x *exchange) responseError(response *Response) *AttemptError {
+	success := isSuccess(response.Status)
 	switch {
 	case success && !response.Verified:
-		return attemptResult{err: &AttemptError{
-			Delivery: DeliveryUnknown, Err: errors.New("the response carries no signature"),
-		}}
+		return &AttemptError{Delivery: DeliveryUnknown, Err: errors.New("the response carries no signature")}
 	case success && x.route.Kind == routes.KindStream && !response.IsStream:
-		return attemptResult{err: &AttemptError{
+		return &AttemptError{
 			Delivery: DeliveryUnknown, Err: fmt.Errorf("the response with status %d is not a stream of events", response.Status),
-		}}
+		}
 	case x.headSent && !success:
-		return attemptResult{err: &AttemptError{
+		return &AttemptError{
 			Delivery: DeliveryUnknown, ServerError: response.Status >= http.StatusInternalServerError,
 			Err: fmt.Errorf("the server responded with status %d to a stream that has begun", response.Status),
-		}}
-	case success && x.route.Kind == routes.KindStream:
+		}
+	}
+	return nil
+}
+
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
+// relay sends a response to the caller, as a stream of events or as a whole.
+func (x *exchange) relay(id schedule.JobID, attempt *Attempt, response *Response, watch *stallWatch) attemptResult {
+	if err := x.responseError(response); err != nil {
+		return attemptResult{err: err}
+	}
+	success := isSuccess(response.Status)
+	if success && x.route.Kind == routes.KindStream {
 		return x.relayStream(id, attempt, response, watch)
 	}
 	return x.relayWhole(attempt, response, success)
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"net/http"
 	"sync"
 	"time"
 
@@ -25,6 +27,8 @@
 	errUnresponsive = errors.New("the server did not begin its response in time")
 	// errSilent means that an attempt was given up within a response, because its server was silent for too long.
 	errSilent = errors.New("the server was silent and another one was found")
+	// errNotNeeded is the cause with which an attempt beside a silent one is cancelled when that one goes on.
+	errNotNeeded = errors.New("the silent server went on")
 )
 
 // grant is a placement that was granted and is not ended yet.
@@ -35,14 +39,16 @@
 	waited time.Duration
 	// charged is set when the retry was counted in the retry budget.
 	charged bool
+	// open is the attempt whose response has begun, nil if none was sent.
+	open *openAttempt
 }
 
 // stallWatch watches one attempt for the silence of its server. When the server is silent for too long, the watch
-// searches another server while the attempt goes on. The attempt is given up only once another placement was granted
-// and the retry budget has allowed the retry, and nothing has arrived until then. A nil *stallWatch never gives up.
+// searches another server and sends it the request while the attempt goes on. The attempt is given up only once the
+// other server has begun its response, and nothing has arrived until then. A nil *stallWatch never gives up.
 //
 // The goroutine that reads the response calls begin and end; the search runs in the goroutine of the timer. mu orders
-// them: after end has returned, no search can give up the attempt or charge a retry any more.
+// them: after end has returned, no search changes the exchange, gives up the attempt or charges a retry any more.
 type stallWatch struct {
 	exchange *exchange
 	// ctx is the context of the request.
@@ -57,26 +63,35 @@
 	startedAt time.Time
 	// giveUp ends the current wait of the reading goroutine. It is called with mu held.
 	giveUp func()
+	// givenUp is set once giveUp was called.
+	givenUp bool
 	// cancelSearch ends the search in progress, nil if there is none.
 	cancelSearch context.CancelFunc
-	// moved is the placement for which the attempt was given up, nil before.
+	// opening is closed when the search has finished the attempt at another server, which owns the exchange until then. It
+	// is nil if there is none.
+	opening chan struct{}
+	// moved is the placement with the attempt that replaces this one, nil before.
 	moved *grant
 }
 
 // watchStalls returns the watch of an attempt at server, nil if the request must not be retried after it.
 func (x *exchange) watchStalls(ctx context.Context, server string) *stallWatch {
-	mayRetry := x.attempts < maxAttempts && !x.mayCrashServers && x.route.IsRetryable() && x.possibleRuns+1 < x.route.MaxAttempts
-	if !mayRetry {
+	if !x.mayTryBeside() {
 		return nil
 	}
 	return &stallWatch{exchange: x, ctx: ctx, server: server}
 }
 
+// mayTryBeside tells whether the request may be sent to another server beside the attempt in progress.
+func (x *exchange) mayTryBeside() bool {
+	return x.attempts < maxAttempts && !x.mayCrashServers && x.route.IsRetryable() && x.possibleRuns+1 < x.route.MaxAttempts
+}
+
 // begin starts a wait for the server that lasts until end. From deadline on, another server is searched, unless the
 // request is not resumable or too little time would be left for a retry. giveUp must make the calling goroutine's wait
 // return.
 func (w *stallWatch) begin(deadline time.Time, giveUp func()) {
-	if w == nil || !w.exchange.isResumable() || w.exchange.deadline.Sub(deadline) < minStallTimeout/2 {
+	if w == nil || !w.exchange.isResumable() || w.exchange.deadline.Sub(deadline) < minStallTimeout/2 || !w.exchange.mayTryBeside() {
 		return
 	}
 	w.mu.Lock()
@@ -89,8 +104,10 @@
 	w.timer.Reset(time.Until(deadline))
 }
 
-// end ends the current wait, if any, and its search. It tells whether the attempt has been given up.
-func (w *stallWatch) end() (givenUp bool) {
+// end ends the current wait, if any, and its search. If the server has not answered because the attempt failed, an
+// attempt that was sent to another server meanwhile goes on until its response begins. end tells whether the attempt has
+// been given up.
+func (w *stallWatch) end(answered bool) (givenUp bool) {
 	if w == nil {
 		return false
 	}
@@ -100,6 +117,14 @@
 	if w.timer != nil {
 		w.timer.Stop()
 	}
+	if opening := w.opening; opening != nil {
+		if answered {
+			w.cancelSearch()
+		}
+		w.mu.Unlock()
+		<-opening
+		w.mu.Lock()
+	}
 	if w.cancelSearch != nil {
 		w.cancelSearch()
 		w.cancelSearch = nil
@@ -107,10 +132,10 @@
 			w.log(observe.SilenceEnded).Send()
 		}
 	}
-	return w.moved != nil
+	return w.givenUp
 }
 
-// grant returns the placement for which the attempt was given up, nil if it was not. The caller must end it.
+// grant returns the placement with the attempt that replaces this one, nil if there is none. The caller must end it.
 func (w *stallWatch) grant() *grant {
 	if w == nil {
 		return nil
@@ -139,12 +164,13 @@
 	w.search(ctx)
 }
 
-// search requests placements until the attempt is given up for one, or until ctx is done because the wait has ended.
+// search requests placements until another server has begun its response, or until ctx is done because the wait has
+// ended.
 func (w *stallWatch) search(ctx context.Context) {
-	for ctx.Err() == nil {
+	for w.isAwaited(ctx) {
 		wait := budgetCheckInterval
 		if w.exchange.gateway.options.Budget.CanRetry(w.exchange.service) {
-			wait = w.requestPlacement(ctx)
+			wait = w.tryPlacement(ctx)
 		}
 		select {
 		case <-time.After(wait):
@@ -153,9 +179,15 @@
 	}
 }
 
-// requestPlacement requests one placement and gives up the attempt if it is granted. Otherwise it returns the time
-// until the next request.
-func (w *stallWatch) requestPlacement(ctx context.Context) (wait time.Duration) {
+// isAwaited tells whether the wait goes on and the request may be sent to another server.
+func (w *stallWatch) isAwaited(ctx context.Context) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return ctx.Err() == nil && !w.deadline.IsZero() && w.moved == nil && w.exchange.mayTryBeside()
+}
+
+// tryPlacement requests one placement and sends the request to its server. It returns the time until the next request.
+func (w *stallWatch) tryPlacement(ctx context.Context) (wait time.Duration) {
 	request, awaited := w.placementRequest(ctx)
 	if !awaited {
 		return 0
@@ -170,20 +202,20 @@
 		w.logRefused(placement.Reason, wait)
 		return wait
 	}
-	reason := w.moveTo(ctx, &grant{id: request.ID, placement: placement, waited: time.Since(requestedAt), charged: true})
-	if reason == "" {
-		return 0
+	granted := &grant{id: request.ID, placement: placement, waited: time.Since(requestedAt), charged: true}
+	if reason := w.beginAttempt(ctx, granted); reason != "" {
+		placer.Ended(request.ID, schedule.OutcomeUnused)
+		w.logRefused(reason, minSearchInterval)
+		return minSearchInterval
 	}
-	placer.Ended(request.ID, schedule.OutcomeUnused)
-	w.logRefused(reason, minSearchInterval)
-	return minSearchInterval
+	return w.attempt(ctx, granted)
 }
 
 // placementRequest returns the request for another server, and whether something is still awaited from this one.
 func (w *stallWatch) placementRequest(ctx context.Context) (request schedule.PlacementRequest, awaited bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || w.deadline.IsZero() {
 		return request, false
 	}
 	request = w.exchange.placementRequest(w.exchange.gateway.nextID())
@@ -191,35 +223,106 @@
 	return request, true
 }
 
-// moveTo gives up the attempt for another placement. It returns the reason if it does not: the wait has ended, this VM
-// does not know the server, the request would be refused by quarantine, the placement is turned down, or the retry
-// budget is spent.
-func (w *stallWatch) moveTo(ctx context.Context, to *grant) (reason string) {
-	options := w.exchange.gateway.options
+// beginAttempt charges and counts an attempt at the granted server. It returns the reason if there must be none: the wait
+// has ended, this VM does not know the server, the request would be refused by quarantine, the placement is turned down,
+// or the retry budget is spent.
+func (w *stallWatch) beginAttempt(ctx context.Context, granted *grant) (reason string) {
+	x, options := w.exchange, w.exchange.gateway.options
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := ctx.Err(); err != nil {
 		return err.Error()
 	}
-	if _, known := options.Servers.Find(to.placement.Server); !known {
-		return "server " + to.placement.Server + " is not known to this VM"
+	if w.deadline.IsZero() {
+		return "the attempt has ended"
+	}
+	if _, known := options.Servers.Find(granted.placement.Server); !known {
+		return "server " + granted.placement.Server + " is not known to this VM"
 	}
-	if _, found := options.Evidence.Quarantined(time.Now(), w.exchange.identity, w.exchange.request.Parts); found {
+	if _, found := options.Evidence.Quarantined(time.Now(), x.identity, x.request.Parts); found {
 		return "the request is quarantined"
 	}
-	if w.exchange.turnDown(time.Now(), to.placement) {
+	if x.turnDown(time.Now(), granted.placement) {
 		return errPlacementTurnedDown.Error()
 	}
-	if !options.Budget.TryRetry(w.exchange.service) {
+	if !x.retryCharged && !options.Budget.TryRetry(x.service) {
 		return errRetryBudgetSpent.Error()
 	}
-	w.moved = to
-	w.log(observe.RequestMoved).Str("to", to.placement.Server).Dur("waited", to.waited).Send()
-	w.cancelSearch()
-	w.giveUp()
+	x.retryCharged = false
+	x.countAttempt(granted)
+	w.opening = make(chan struct{})
 	return ""
 }
 
+// attempt sends the request to the granted server, and gives up the watched attempt once the response has begun. It
+// returns the time until the next placement request.
+func (w *stallWatch) attempt(ctx context.Context, granted *grant) (wait time.Duration) {
+	x := w.exchange
+	defer func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		close(w.opening)
+		w.opening = nil
+	}()
+	open, err := x.open(ctx, granted)
+	if err != nil {
+		x.gateway.options.Placer.Ended(granted.id, schedule.OutcomeUnused)
+		if !errors.Is(err, errPlacementTurnedDown) {
+			x.excluded = append(x.excluded, granted.placement.Server)
+		}
+		w.logRefused(err.Error(), minSearchInterval)
+		return minSearchInterval
+	}
+	sendCtx, cancel := context.WithCancelCause(w.ctx)
+	keep := context.AfterFunc(ctx, func() { cancel(errNotNeeded) })
+	err = open.send(sendCtx, cancel, x.gateway.options.Backend)
+	if err == nil {
+		err = x.replacementError(open.response)
+	}
+	if err == nil {
+		granted.open = open
+		if w.moveTo(granted, keep) {
+			return 0
+		}
+		err = &AttemptError{Delivery: DeliveryUnknown, Err: errNotNeeded}
+	}
+	open.close()
+	x.endAttempt(ctx, granted.id, open, attemptResult{err: err})
+	x.excluded = append(x.excluded, granted.placement.Server)
+	return 0
+}
+
+// replacementError returns the error of a response for which no attempt is given up: one that must not be sent to the
+// caller, or that is a failure of its server.
+func (x *exchange) replacementError(response *Response) *AttemptError {
+	if err := x.responseError(response); err != nil {
+		return err
+	}
+	if response.Status < http.StatusInternalServerError {
+		return nil
+	}
+	return &AttemptError{
+		Delivery: DeliveryUnknown, ServerError: true, Err: fmt.Errorf("the server responded with status %d", response.Status),
+	}
+}
+
+// moveTo gives up the watched attempt, unless it has failed by itself, for one whose response has begun. It returns false
+// if the wait has ended otherwise; keep tells whether it has not.
+func (w *stallWatch) moveTo(granted *grant, keep func() bool) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !keep() {
+		return false
+	}
+	w.moved = granted
+	w.log(observe.RequestMoved).Str("to", granted.placement.Server).Dur("waited", granted.waited).Send()
+	if !w.deadline.IsZero() {
+		w.givenUp = true
+		w.giveUp()
+	}
+	return true
+}
+
 // log starts a log line on the current wait. The caller holds mu.
 func (w *stallWatch) log(event observe.Event) *zerolog.Event {
 	return observe.Log(w.exchange.gateway.options.Logger, event).Str("request", w.exchange.request.ID).Str("server", w.server).
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -28,7 +28,7 @@
 	for {
 		watch.begin(x.eventDeadline(received > 0), giveUp)
 		event, err := reader.Next()
-		givenUp := watch.end() // the time that the caller needs to read an event does not count
+		givenUp := watch.end(err == nil || errors.Is(err, io.EOF)) // the time that the caller needs to read an event does not count
 		if event.HasID {
 			if event.ID < maxID {
 				err = fmt.Errorf("event %d follows event %d", event.ID, maxID)
--- a/internal/observe/events_gateway.go
+++ b/internal/observe/events_gateway.go
@@ -33,13 +33,13 @@
 	CallerServerError = newEvent(3223, "caller_server_error", zerolog.WarnLevel,
 		"The HTTP server for callers reported an error, such as a malformed header or a panic. The line gives it. If it follows a request_panicked line, it has the same cause.")
 	BackendServerSilent = newEvent(3224, "backend_server_silent", zerolog.InfoLevel,
-		"A backend server sent nothing within the stall timeout of a request that may be retried. Another server is searched while the attempt goes on. The line gives the time since the last event or the start of the attempt (silent) and the number of events sent to the caller. If one server causes many of these lines, check that server.")
+		"A backend server sent nothing within the stall timeout of a request that may be retried. The request is sent to another server while the attempt goes on. The line gives the time since the last event or the start of the attempt (silent) and the number of events sent to the caller. If one server causes many of these lines, check that server.")
 	MoveRefused = newEvent(3225, "move_refused", zerolog.InfoLevel,
 		"No other server was found for a request whose server is silent, so its attempt goes on. The line gives the reason and the time until the next placement request. If there are many, read the scheduler_load lines.")
 	SilenceEnded = newEvent(3226, "silence_ended", zerolog.InfoLevel,
-		"The wait for a silent server ended before another server was found: the server sent something, or the attempt or the request ended; then the next line of the request tells how. No action.")
+		"The wait for a silent server ended before another server had begun its response: the server sent something, or the attempt or the request ended; then the next line of the request tells how. No action.")
 	RequestMoved = newEvent(3227, "request_moved", zerolog.InfoLevel,
-		"An attempt whose server is silent was given up, because another server was found. The line gives that server (to) and the time in the queue (waited). The retry is counted in the retry budget. No action.")
+		"An attempt whose server is silent was given up, because another server (to) has begun its response. The line gives the time in the queue (waited). The retry is counted in the retry budget. No action.")
 	MemoryOrderFailed = newEvent(3204, "memory_order_failed", zerolog.InfoLevel,
 		"Memory for a part of a prompt could not be reserved, renewed or released on a prefill helper. The line names the server and the reservation (ticket). The server frees the memory when the reservation expires. If one server causes many of these lines, check that server.")
 	ServerStatedDraining = newEvent(3240, "server_stated_draining", zerolog.InfoLevel,
