gateway: a retry that reached no server stays charged for the next one

What callers saw: a stream whose server broke off or paused was aborted with "the retry budget is used up", although no retry of it had reached a server; whole requests failed likewise.

Cause: the budget was charged when an attempt began. Where many servers can not be reached at once, dial timeouts use up the budget.

Failed before: TestRetryThatReachedNoServerIsChargedOnce (stream: aborted, safe: no body) and TestReplacementThatReachedNoServerIsChargedOnce ("8s" is not less than "4s").

The charge of an attempt that certainly reached no server is kept for the next attempt of the same request, as it already was for placements that are turned down. The budget limits what arrives at servers, and nothing has arrived.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -71,7 +71,8 @@
 	excluded []string
 	// turnedDown counts the placements that were not used because a server wants no requests from this VM.
 	turnedDown int
-	// retryCharged is set when the next retry is already counted in the retry budget: that of an attempt turned down.
+	// retryCharged is set when the next retry is already counted in the retry budget: that of an attempt that reached no
+	// server.
 	retryCharged bool
 	// headSent is set once the head of a stream was sent to the caller.
 	headSent bool
@@ -112,9 +113,12 @@
 			x.release(granted)
 			return
 		}
-		server := granted.placement.Server
+		server, charged := granted.placement.Server, granted.charged
 		result := x.attempt(ctx, granted)
 		granted = result.moved
+		if result.err != nil && result.err.Delivery == DeliveryNotSent {
+			x.retryCharged = charged
+		}
 		if !result.done && errors.Is(result.err, errPlacementTurnedDown) && x.turnedDown < maxTurnedDown {
 			continue
 		}
@@ -356,7 +360,6 @@
 	}
 	open := &openAttempt{Attempt: attempt, tickets: tickets}
 	if x.turnDownReserved(time.Now(), attempt, tickets) {
-		x.retryCharged = granted.charged
 		open.close()
 		return nil, &AttemptError{Delivery: DeliveryNotSent, Err: errPlacementTurnedDown}
 	}
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -169,7 +169,7 @@
 func (w *stallWatch) search(ctx context.Context) {
 	for w.isAwaited(ctx) {
 		wait := budgetCheckInterval
-		if w.exchange.gateway.options.Budget.CanRetry(w.exchange.service) {
+		if w.mayRetry() {
 			wait = w.tryPlacement(ctx)
 		}
 		select {
@@ -186,6 +186,13 @@
 	return ctx.Err() == nil && !w.deadline.IsZero() && w.moved == nil && w.exchange.mayTryBeside()
 }
 
+// mayRetry tells whether a retry is charged already or the retry budget allows one.
+func (w *stallWatch) mayRetry() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.exchange.retryCharged || w.exchange.gateway.options.Budget.CanRetry(w.exchange.service)
+}
+
 // tryPlacement requests one placement and sends the request to its server. It returns the time until the next request.
 func (w *stallWatch) tryPlacement(ctx context.Context) (wait time.Duration) {
 	request, awaited := w.placementRequest(ctx)
@@ -270,6 +277,7 @@
 		if !errors.Is(err, errPlacementTurnedDown) {
 			x.excluded = append(x.excluded, granted.placement.Server)
 		}
+		x.retryCharged = true
 		w.logRefused(err.Error(), minSearchInterval)
 		return minSearchInterval
 	}
@@ -287,6 +295,7 @@
 		err = &AttemptError{Delivery: DeliveryUnknown, Err: errNotNeeded}
 	}
 	open.close()
+	x.retryCharged = err.Delivery == DeliveryNotSent
 	x.endAttempt(ctx, granted.id, open, attemptResult{err: err})
 	x.excluded = append(x.excluded, granted.placement.Server)
 	return 0
