gateway: a begun stream waits for the retry budget instead of being aborted

What callers saw: streams aborted with "the retry budget is used up" seconds before their deadline.

Cause: a begun stream that is refused a placement asks again until shortly before its deadline, but one that is refused a retry was aborted at once. The budget counts the retries of some seconds, so it allows one again soon.

TestBegunStreamWaitsForTheRetryBudget failed before (the caller's stream was aborted).

The stream now asks for the budget and for a place in turn, at the interval at which it asks for a place, until too little time is left for the attempt. Each retry is still charged before it is sent. TestBegunStreamEndsBeforeItsDeadlineWithoutARetry shows that the wait ends.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -109,9 +109,15 @@
 				return
 			}
 		}
-		if granted.open == nil && !x.admit(ctx, granted) {
-			x.release(granted)
-			return
+		if granted.open == nil {
+			admitted, ended := x.admit(ctx, granted)
+			if ended {
+				return
+			}
+			if !admitted {
+				granted = nil
+				continue
+			}
 		}
 		server, charged := granted.placement.Server, granted.charged
 		result := x.attempt(ctx, granted)
@@ -135,21 +141,38 @@
 	}
 }
 
-// admit tells whether an attempt may be sent to the granted server, and counts it. Otherwise it ends the request.
-func (x *exchange) admit(ctx context.Context, granted *grant) bool {
+// admit charges and counts an attempt that is to be sent to the granted server. If it must not be sent, admit releases the
+// placement; the request has then either ended or is to be placed again.
+func (x *exchange) admit(ctx context.Context, granted *grant) (admitted, ended bool) {
 	if subject, found := x.gateway.options.Evidence.Quarantined(time.Now(), x.identity, x.request.Parts); found {
+		x.release(granted)
 		x.refuseQuarantined(subject)
-		return false
+		return false, true
 	}
 	if x.deliveries > 0 && !granted.charged {
 		if !x.gateway.options.Budget.TryRetry(x.service) {
+			x.release(granted)
+			if x.waitForBudget(ctx) {
+				return false, false
+			}
 			x.failUnplaced(ctx, errRetryBudgetSpent.Error(), overloadRetryAfter)
-			return false
+			return false, true
 		}
 		granted.charged = true
 	}
 	x.countAttempt(granted)
-	return true
+	return true, false
+}
+
+// waitForBudget waits until the retry budget allows a retry of a stream that has begun. It returns false for another
+// request, and if too little time would be left for the attempt.
+func (x *exchange) waitForBudget(ctx context.Context) bool {
+	for x.waitToAskAgain(ctx, minSearchInterval) {
+		if x.gateway.options.Budget.CanRetry(x.service) {
+			return true
+		}
+	}
+	return false
 }
 
 // countAttempt counts and logs an attempt that is about to be sent to the granted server.
@@ -210,8 +233,8 @@
 	}
 }
 
-// waitToAskAgain waits before the next placement request of a stream that has begun and was refused a placement. It
-// returns false without a wait for another request, and if too little time would be left for the attempt.
+// waitToAskAgain waits before the next placement request of a stream that has begun and was refused a placement or a
+// retry. It returns false without a wait for another request, and if too little time would be left for the attempt.
 func (x *exchange) waitToAskAgain(ctx context.Context, retryAfter time.Duration) bool {
 	wait := min(max(retryAfter, minSearchInterval), maxSearchInterval)
 	if !x.headSent || time.Until(x.deadline) < wait+minStallTimeout/2 {
