gateway: attempts that reach no server do not end a begun stream

What callers saw: streams aborted with "not sent: dial tcp ...: i/o timeout" seconds before their deadline.

Cause: the limit of three attempts counts those that reached no server. A stream that broke off or was given up beside several unreachable servers had none left after two dial timeouts.

TestBegunStreamIsSentAgainUntilItReachesAServer failed before (the caller's stream was aborted).

A begun stream whose attempt reached no server is placed again, whatever the number of attempts.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -32,7 +32,7 @@
 	// budget is spent, or all attempts failed without the request having run.
 	overloadRetryAfter = time.Second
 	// maxAttempts limits the attempts of one request, including those that a server rejected without running the
-	// request.
+	// request. A stream that has begun may exceed it by attempts that reach no server.
 	maxAttempts = 3
 	// maxResponseBytes limits the body of a response that is not a stream.
 	maxResponseBytes = 8 << 20
@@ -252,10 +252,11 @@
 
 // canRetry tells whether the request may be sent to another server after the attempt that failed with err.
 func (x *exchange) canRetry(err *AttemptError) bool {
-	if x.attempts >= maxAttempts || x.mayCrashServers {
+	if x.mayCrashServers || !x.isResumable() {
 		return false
 	}
-	if !x.isResumable() {
+	// Each server that a begun stream does not reach is excluded, which bounds the attempts that are not sent.
+	if x.attempts >= maxAttempts && !(x.headSent && err.Delivery == DeliveryNotSent) {
 		return false
 	}
 	if err.Delivery != DeliveryUnknown {
--- a/internal/gateway/resume_test.go
+++ b/internal/gateway/resume_test.go
@@ -67,3 +67,16 @@
 		require.Len(t, f.outcomes, f.placements)
 	})
 }
+
+func TestBegunStreamIsSentAgainUntilItReachesAServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakes{retriesLeft: 1, responses: []func(*Attempt) (*Response, error){
+			respond(200, "id: 1\ndata: a\n\n", errReset), failWith(DeliveryNotSent), failWith(DeliveryNotSent), failWith(DeliveryNotSent),
+			respond(200, "id: 2\ndata: b\n\n", nil),
+		}}
+		caller := serveLong(f, f, "stream")
+		require.False(t, caller.aborted)
+		require.Equal(t, events, caller.body)
+		require.Len(t, f.outcomes, f.placements)
+	})
+}
