--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -33,7 +33,7 @@
 	// budget is spent, or all attempts failed without the request having run.
 	overloadRetryAfter = time.Second
 	// maxAttempts limits the attempts of one request, including those that a server rejected without running the
-	// request.
+	// request. A stream that has begun may exceed it by attempts that reach no server.
 	maxAttempts = 3
 	// maxResponseBytes limits the body of a response that is not a stream.
 	maxResponseBytes = 8 << 20
@@ -72,7 +72,8 @@
 	excluded []string
 	// turnedDown counts the placements that were not used because a server wants no requests from this VM.
 	turnedDown int
-	// retryCharged is set when the next retry is already counted in the retry budget: that of an attempt turned down.
+	// retryCharged is set when the next retry is already counted in the retry budget: that of an attempt that reached no
+	// server.
 	retryCharged bool
 	// headSent is set once the head of a stream was sent to the caller.
 	headSent bool
@@ -92,7 +93,7 @@
 	// done is set when the caller has the final answer or disconnected while it was sent. Otherwise err is set.
 	done bool
 	err  *AttemptError
-	// moved is the placement for which the attempt was given up, nil if it was not.
+	// moved is the placement with the attempt that replaces this one, nil if there is none.
 	moved *grant
 	// events is the number of events that the server sent.
 	events int
@@ -111,39 +112,88 @@
 				return
 			}
 		}
-		id, placement := granted.id, granted.placement
-		x.timing.placementWait += granted.waited
-		if subject, found := x.gateway.options.Evidence.Quarantined(time.Now(), x.identity, x.request.Parts); found {
-			x.gateway.options.Placer.Ended(id, schedule.OutcomeUnused)
-			x.refuseQuarantined(subject)
-			return
-		}
-		if x.deliveries > 0 && !granted.charged && !x.gateway.options.Budget.TryRetry(x.service) {
-			x.gateway.options.Placer.Ended(id, schedule.OutcomeUnused)
-			x.failUnplaced(ctx, errRetryBudgetSpent.Error(), overloadRetryAfter)
-			return
-		}
-		x.attempts++
-		if placement.Local {
-			x.timing.localPlacements++
+		if granted.open == nil {
+			admitted, ended := x.admit(ctx, granted)
+			if ended {
+				return
+			}
+			if !admitted {
+				granted = nil
+				continue
+			}
 		}
-		x.logPlacement(placement, granted.waited)
-		result := x.attempt(ctx, id, placement)
+		server, charged := granted.placement.Server, granted.charged
+		result := x.attempt(ctx, granted)
 		granted = result.moved
+		if result.err != nil && result.err.Delivery == DeliveryNotSent {
+			x.retryCharged = charged
+		}
 		if !result.done && errors.Is(result.err, errPlacementTurnedDown) && x.turnedDown < maxTurnedDown {
 			continue
 		}
-		if result.done || x.isOver(ctx) || !x.canRetry(result.err) {
+		if result.done || x.isOver(ctx) || x.mayCrashServers || granted == nil && !x.canRetry(result.err) {
 			if granted != nil {
-				x.gateway.options.Placer.Ended(granted.id, schedule.OutcomeUnused)
+				x.release(granted)
 			}
 			if !result.done {
 				x.failAttempted(ctx, result.err)
 			}
 			return
 		}
-		x.excluded = append(x.excluded, placement.Server)
+		x.excluded = append(x.excluded, server)
+	}
+}
+
+// admit charges and counts an attempt that is to be sent to the granted server. If it must not be sent, admit releases the
+// placement; the request has then either ended or is to be placed again.
+func (x *exchange) admit(ctx context.Context, granted *grant) (admitted, ended bool) {
+	if subject, found := x.gateway.options.Evidence.Quarantined(time.Now(), x.identity, x.request.Parts); found {
+		x.release(granted)
+		x.refuseQuarantined(subject)
+		return false, true
+	}
+	if x.deliveries > 0 && !granted.charged {
+		if !x.gateway.options.Budget.TryRetry(x.service) {
+			x.release(granted)
+			if x.waitForBudget(ctx) {
+				return false, false
+			}
+			x.failUnplaced(ctx, errRetryBudgetSpent.Error(), overloadRetryAfter)
+			return false, true
+		}
+		granted.charged = true
 	}
+	x.countAttempt(granted)
+	return true, false
+}
+
+// waitForBudget waits until the retry budget allows a retry of a stream that has begun. It returns false for another
+// request, and if too little time would be left for the attempt.
+func (x *exchange) waitForBudget(ctx context.Context) bool {
+	for x.waitToAskAgain(ctx, minSearchInterval) {
+		if x.gateway.options.Budget.CanRetry(x.service) {
+			return true
+		}
+	}
+	return false
+}
+
+// countAttempt counts and logs an attempt that is about to be sent to the granted server.
+func (x *exchange) countAttempt(granted *grant) {
+	x.attempts++
+	x.timing.placementWait += granted.waited
+	if granted.placement.Local {
+		x.timing.localPlacements++
+	}
+	x.logPlacement(granted.placement, granted.waited)
+}
+
+// release ends a placement that is not used, and its attempt if that was sent.
+func (x *exchange) release(granted *grant) {
+	if granted.open != nil {
+		granted.open.close()
+	}
+	x.gateway.options.Placer.Ended(granted.id, schedule.OutcomeUnused)
 }
 
 // place waits for a placement whose servers take the request. It returns nil if none is granted; the request has then
@@ -186,8 +236,8 @@
 	}
 }
 
-// waitToAskAgain waits before the next placement request of a stream that has begun and was refused a placement. It
-// returns false without a wait for another request, and if too little time would be left for the attempt.
+// waitToAskAgain waits before the next placement request of a stream that has begun and was refused a placement or a
+// retry. It returns false without a wait for another request, and if too little time would be left for the attempt.
 func (x *exchange) waitToAskAgain(ctx context.Context, retryAfter time.Duration) bool {
 	wait := min(max(retryAfter, minSearchInterval), maxSearchInterval)
 	if !x.headSent || time.Until(x.deadline) < wait+minStallTimeout/2 {
@@ -205,10 +255,11 @@
 
 // canRetry tells whether the request may be sent to another server after the attempt that failed with err.
 func (x *exchange) canRetry(err *AttemptError) bool {
-	if x.attempts >= maxAttempts || x.mayCrashServers {
+	if x.mayCrashServers || !x.isResumable() {
 		return false
 	}
-	if !x.isResumable() {
+	// Each server that a begun stream does not reach is excluded, which bounds the attempts that are not sent.
+	if x.attempts >= maxAttempts && !(x.headSent && err.Delivery == DeliveryNotSent) {
 		return false
 	}
 	if err.Delivery != DeliveryUnknown {
@@ -314,62 +365,109 @@
 	return FailedServer
 }
 
-// attempt sends the request to one server and relays the response to the caller.
-func (x *exchange) attempt(ctx context.Context, id schedule.JobID, placement schedule.Placement) attemptResult {
-	placer := x.gateway.options.Placer
-	attempt, err := x.newAttempt(placement)
+// openAttempt is an attempt whose server is known and whose memory is reserved. The response is set once it has begun.
+type openAttempt struct {
+	*Attempt
+	tickets  *tickets
+	sentAt   time.Time
+	response *Response
+	// cancel ends the attempt, nil before it is sent.
+	cancel context.CancelCauseFunc
+}
+
+// open returns the attempt at the granted server. It reserves memory; nothing is sent to the server.
+func (x *exchange) open(ctx context.Context, granted *grant) (*openAttempt, *AttemptError) {
+	attempt, err := x.newAttempt(granted.placement)
 	if err != nil {
-		placer.Ended(id, schedule.OutcomeUnused)
-		return attemptResult{err: err}
+		return nil, err
 	}
-	tickets, err := x.reserve(ctx, attempt, placement)
+	tickets, err := x.reserve(ctx, attempt, granted.placement)
 	if err != nil {
-		placer.Ended(id, schedule.OutcomeUnused)
-		return attemptResult{err: err}
+		return nil, err
 	}
-	defer tickets.release()
+	open := &openAttempt{Attempt: attempt, tickets: tickets}
 	if x.turnDownReserved(time.Now(), attempt, tickets) {
-		placer.Ended(id, schedule.OutcomeUnused)
-		return attemptResult{err: &AttemptError{Delivery: DeliveryNotSent, Err: errPlacementTurnedDown}}
-	}
-	sentAt := time.Now()
-	sendCtx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	watch := x.watchStalls(ctx, attempt.Server)
-	watch.begin(x.eventDeadline(false), func() { cancel(errUnresponsive) })
-	response, sendErr := x.gateway.options.Backend.Send(sendCtx, attempt)
-	givenUp := watch.end()
-	result := attemptResult{}
+		open.close()
+		return nil, &AttemptError{Delivery: DeliveryNotSent, Err: errPlacementTurnedDown}
+	}
+	return open, nil
+}
+
+// send sends the attempt and waits until its response begins. The response ends with ctx, which cancel must end.
+func (o *openAttempt) send(ctx context.Context, cancel context.CancelCauseFunc, backend Backend) *AttemptError {
+	o.sentAt, o.cancel = time.Now(), cancel
+	response, err := backend.Send(ctx, o.Attempt)
+	if err != nil {
+		return asAttemptError(err)
+	}
+	o.response = response
+	return nil
+}
+
+// close ends the attempt and releases what it holds.
+func (o *openAttempt) close() {
+	if o.response != nil {
+		_ = o.response.Body.Close()
+	}
+	if o.cancel != nil {
+		o.cancel(nil)
+	}
+	o.tickets.release()
+}
+
+// attempt sends the request to one server, unless that was done before, and relays the response to the caller.
+func (x *exchange) attempt(ctx context.Context, granted *grant) attemptResult {
+	open, givenUp, result := granted.open, false, attemptResult{}
+	isSent := open != nil
+	if !isSent {
+		opened, err := x.open(ctx, granted)
+		if err != nil {
+			x.gateway.options.Placer.Ended(granted.id, schedule.OutcomeUnused)
+			return attemptResult{err: err}
+		}
+		open = opened
+	}
+	defer open.close()
+	watch := x.watchStalls(ctx, open.Server)
+	if !isSent {
+		sendCtx, cancel := context.WithCancelCause(ctx)
+		watch.begin(x.eventDeadline(false), func() { cancel(errUnresponsive) })
+		result.err = open.send(sendCtx, cancel, x.gateway.options.Backend)
+		givenUp = watch.end(result.err == nil)
+	}
 	switch {
-	case sendErr != nil:
-		result.err = asAttemptError(sendErr)
+	case result.err != nil:
 		result.err.Unresponsive = result.err.Unresponsive || givenUp
 	case givenUp: // the response began while it was cancelled
 		result.err = &AttemptError{Delivery: DeliveryUnknown, Unresponsive: true, Err: errUnresponsive}
-		_ = response.Body.Close()
 	default:
-		result = x.relay(id, attempt, response, watch)
-		_ = response.Body.Close()
+		result = x.relay(granted.id, open.Attempt, open.response, watch)
 	}
-	result.relayed = response != nil && response.Relayed || result.err != nil && result.err.Relayed
 	result.moved = watch.grant()
+	x.endAttempt(ctx, granted.id, open, result)
+	return result
+}
+
+// endAttempt reports and counts the result of an attempt that was sent.
+func (x *exchange) endAttempt(ctx context.Context, id schedule.JobID, open *openAttempt, result attemptResult) {
+	result.relayed = open.response != nil && open.response.Relayed || result.err != nil && result.err.Relayed
 	if result.err != nil && isConnectionLost(result.err) && ctx.Err() == nil {
-		go x.checkPath(context.WithoutCancel(ctx), attempt.Server)
+		go x.checkPath(context.WithoutCancel(ctx), open.Server)
 	}
-	x.recordCrash(ctx, attempt, result)
-	placer.Ended(id, x.placementOutcome(ctx, attempt, result))
-	if result.err != nil {
-		if result.err.Delivery != DeliveryNotSent {
-			x.deliveries++
-		}
-		if result.err.Delivery == DeliveryUnknown {
-			x.possibleRuns++
-		}
-		observe.Log(x.gateway.options.Logger, observe.ServerAttemptFailed).Str("request", x.request.ID).
-			Str("server", attempt.Server.ID).Str("address", attempt.Server.Address).Int("helpers", len(attempt.Helpers)).
-			Dur("after", time.Since(sentAt)).Int("events", x.eventsSent).Err(result.err).Send()
+	x.recordCrash(ctx, open.Attempt, result)
+	x.gateway.options.Placer.Ended(id, x.placementOutcome(ctx, open.Attempt, result))
+	if result.err == nil {
+		return
 	}
-	return result
+	if result.err.Delivery != DeliveryNotSent {
+		x.deliveries++
+	}
+	if result.err.Delivery == DeliveryUnknown {
+		x.possibleRuns++
+	}
+	observe.Log(x.gateway.options.Logger, observe.ServerAttemptFailed).Str("request", x.request.ID).
+		Str("server", open.Server.ID).Str("address", open.Server.Address).Int("helpers", len(open.Helpers)).
+		Dur("after", time.Since(open.sentAt)).Int("events", x.eventsSent).Err(result.err).Send()
 }
 
 // placementOutcome returns what the scheduler is told about the attempt. An attempt that failed because the request
@@ -431,26 +529,38 @@
 	return attempt, nil
 }
 
-// relay sends a response to the caller, as a stream of events or as a whole. A success response without the server's
-// signature is not sent and counts as a failed attempt, as does one that is no stream on a route of streams. Once part of
-// a stream was sent, only further events may follow, so that every other response counts as a failed attempt, too.
-func (x *exchange) relay(id schedule.JobID, attempt *Attempt, response *Response, watch *stallWatch) attemptResult {
-	success := response.Status >= http.StatusOK && response.Status < http.StatusMultipleChoices
+// responseError returns the error of a response that must not be sent to the caller: a success without the server's
+// signature, one that is no stream on a route of streams, and any other response than events once part of a stream was
+// sent.
+func (x *exchange) responseError(response *Response) *AttemptError {
+	success := isSuccess(response.Status)
 	switch {
 	case success && !response.Verified:
-		return attemptResult{err: &AttemptError{
-			Delivery: DeliveryUnknown, Err: errors.New("the response carries no signature"),
-		}}
+		return &AttemptError{Delivery: DeliveryUnknown, Err: errors.New("the response carries no signature")}
 	case success && x.route.Kind == routes.KindStream && !response.IsStream:
-		return attemptResult{err: &AttemptError{
+		return &AttemptError{
 			Delivery: DeliveryUnknown, Err: fmt.Errorf("the response with status %d is not a stream of events", response.Status),
-		}}
+		}
 	case x.headSent && !success:
-		return attemptResult{err: &AttemptError{
+		return &AttemptError{
 			Delivery: DeliveryUnknown, ServerError: response.Status >= http.StatusInternalServerError,
 			Err: fmt.Errorf("the server responded with status %d to a stream that has begun", response.Status),
-		}}
-	case success && x.route.Kind == routes.KindStream:
+		}
+	}
+	return nil
+}
+
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
+// relay sends a response to the caller, as a stream of events or as a whole.
+func (x *exchange) relay(id schedule.JobID, attempt *Attempt, response *Response, watch *stallWatch) attemptResult {
+	if err := x.responseError(response); err != nil {
+		return attemptResult{err: err}
+	}
+	success := isSuccess(response.Status)
+	if success && x.route.Kind == routes.KindStream {
 		return x.relayStream(id, attempt, response, watch)
 	}
 	return x.relayWhole(attempt, response, success)
