schedule: requests under way are no sign that a dead service is reachable

Cause: a success that another VM reports after a VM's first failure shows that servers are reachable, but the request may have been sent long before that failure. Now only successes of requests that were sent since then count.

--- a/internal/schedule/evidence.go
+++ b/internal/schedule/evidence.go
@@ -57,10 +57,8 @@
 // vmEvidence is the evidence of one entry VM with failures.
 type vmEvidence struct {
 	pairs map[*server]*pair
-	// burstStart and burstSequence are the time and the number of the first of the recent
-	// failures.
-	burstStart    time.Time
-	burstSequence uint64
+	// burstStart is the time of the first of the recent failures.
+	burstStart time.Time
 	// recent holds the last outcome of the VM on each server in the current period and the
 	// one before it, for requests sent since burstStart, and the failures of others.
 	recent      [2]map[*server]recentOutcome
@@ -107,7 +105,7 @@
 func (s *Scheduler) recordSuccess(now time.Time, j *job) {
 	srv := j.first
 	s.sequence++
-	s.noteServiceSuccess(now, j.request)
+	s.noteServiceSuccess(now, j)
 	srv.succeededAt, srv.successSequence = now, s.sequence
 	srv.failureStreak, srv.unreachable, srv.vmUnreachable = 0, false, false
 	if srv.outByZone {
@@ -162,7 +160,7 @@
 	if backoff := backoffAfter(p.failures); backoff > 0 {
 		p.until = now.Add(backoff)
 	}
-	vm.noteFailure(now, s.sequence, srv, j.sentAt)
+	vm.noteFailure(now, srv, j.sentAt)
 	s.doubt(now, j.request, vm)
 	if len(vm.pairs) == 2 { // the first one may have been disproved while it was the only one
 		for _, other := range vm.pairs {
@@ -331,29 +329,40 @@
 	return false
 }
 
-// serviceSuccess is the number of the last success of a service, and that of the last one
-// of another entry VM.
+// serviceSuccess is when the last request that a service has answered was sent, and the
+// last one of another entry VM.
 type serviceSuccess struct {
 	vm          uint64
-	last, other uint64
+	last, other time.Time
 }
 
-func (s *Scheduler) noteServiceSuccess(now time.Time, request PlacementRequest) {
-	s.succeededAt[request.ID.VM] = now
-	success := s.successes[request.Service]
-	if success.vm != request.ID.VM {
-		success.vm, success.other = request.ID.VM, success.last
+func (s *Scheduler) noteServiceSuccess(now time.Time, j *job) {
+	id := j.request.ID.VM
+	s.succeededAt[id] = now
+	success := s.successes[j.request.Service]
+	switch {
+	case j.sentAt.After(success.last):
+		if id != success.vm {
+			success.vm, success.other = id, success.last
+		}
+		success.last = j.sentAt
+	case id != success.vm && j.sentAt.After(success.other):
+		success.other = j.sentAt
 	}
-	success.last = s.sequence
-	s.successes[request.Service] = success
+	s.successes[j.request.Service] = success
 }
 
 // othersMayReach tells whether other entry VMs may reach servers of the request's service:
-// one has done so since the recent failures of the request's VM began, or has no failures
-// itself, or there is none that could tell. If all VMs fail, the servers do.
+// one has done so with a request sent since the recent failures of the request's VM began,
+// or has no failures itself, or there is none that could tell. If all VMs fail, the servers
+// do.
 func (s *Scheduler) othersMayReach(now time.Time, request PlacementRequest, vm *vmEvidence) bool {
 	id, success := request.ID.VM, s.successes[request.Service]
-	if success.vm == id && success.other > vm.burstSequence || success.vm != id && success.last > vm.burstSequence || !s.hasOtherVMs(now, id) {
+	last := success.last
+	if success.vm == id {
+		last = success.other
+	}
+	if last.After(vm.burstStart) || !s.hasOtherVMs(now, id) {
 		return true
 	}
 	for other, succeededAt := range s.succeededAt {
@@ -381,11 +390,11 @@
 
 // noteFailure notes a failure of a request sent at sentAt. The first recent one begins a
 // burst.
-func (vm *vmEvidence) noteFailure(now time.Time, sequence uint64, srv *server, sentAt time.Time) {
+func (vm *vmEvidence) noteFailure(now time.Time, srv *server, sentAt time.Time) {
 	vm.expire(now)
 	outcome := recentFailure
 	if vm.counts[recentFailure]+vm.counts[earlyFailure] == 0 {
-		vm.burstStart, vm.burstSequence = now, sequence
+		vm.burstStart = now
 		clear(vm.recent[0])
 		clear(vm.recent[1])
 		vm.counts = [recentKinds]int{}
