gateway: a resumed stream whose connection ends after the head is not complete

Cause: a resumed response without events states that the caller has them all. A head without a length makes no such statement, since its body ends where the connection ends, whether the server was done or stopped.

Evidence: TestAnswerThatStopsInItsHeadIsNotPassedOnAsComplete cuts an answer at each byte of its head. Of the three heads, with FIN and with a reset, one cut failed before, that after the blank line of the head without a length:

--- FAIL: .../no_length/reset=false/86 (0.01s) cut_test.go:57: Expected error with "unexpected EOF" in chain but got nil. a truncated stream must not look complete

The client of backend servers reports that a body ends with its connection. Such a response without an event counts as a failed attempt, which is retried or ends the stream with an abort.

Also: TestResponseThatStopsAtAnyByteIsAnError of h1 cuts 13 answers at each byte, on new and on kept connections, closed and reset. It passed before: a response without the blank line of its head, or with a chunk or trailer that is cut, is an error.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -90,7 +90,7 @@
 
 // finishStream ends a request whose response ended properly; maxID is the highest event id in it, 0 for none. The attempt
 // counts as failed if the caller has not been sent any event, or has a later event than the response. A response without
-// events states that the caller has all of them.
+// events states that the caller has all of them, unless it is one that ended with its connection.
 func (x *exchange) finishStream(attempt *Attempt, response *Response, maxID uint64) attemptResult {
 	if !x.headSent {
 		return attemptResult{err: &AttemptError{
@@ -102,6 +102,11 @@
 			Delivery: DeliveryUnknown, Err: fmt.Errorf("the stream ended at event %d, the caller has event %d", maxID, x.lastEventID),
 		}}
 	}
+	if maxID == 0 && x.lastEventID > 0 && response.EndsWithConnection {
+		return attemptResult{err: &AttemptError{
+			Delivery: DeliveryUnknown, Err: fmt.Errorf("the connection ended without an event, the caller has event %d", x.lastEventID),
+		}}
+	}
 	x.recordSound(true)
 	x.possibleRuns++
 	x.recordAnswered(attempt, response.Status, true)
--- a/internal/h1/client.go
+++ b/internal/h1/client.go
@@ -96,6 +96,9 @@
 	Header http.Header
 	// Body returns io.EOF only when the response is complete. It must be closed.
 	Body *Body
+	// EndsWithConnection is set when the server announced no length, so that the body ends where the server closes the
+	// connection. Whether it had sent everything is then not known.
+	EndsWithConnection bool
 }
 
 // conn is one connection to a server.
@@ -189,9 +192,10 @@
 		return nil, err
 	}
 	body.reader = response.Body
-	body.reusable = !response.Close && request.UnreachableAfter == 0 && (response.ContentLength >= 0 || len(response.TransferEncoding) > 0)
+	endsWithConnection := response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	body.reusable = !response.Close && request.UnreachableAfter == 0 && !endsWithConnection
 	connection.idleTimeout = idleTimeout(response.Header, c.options.MaxIdleTime)
-	return &Response{Status: response.StatusCode, Header: response.Header, Body: body}, nil
+	return &Response{Status: response.StatusCode, Header: response.Header, Body: body, EndsWithConnection: endsWithConnection}, nil
 }
 
 // readHead reads responses until one belongs to the request. On a reused connection it may be preceded by extra
