gateway: a request that arrives late in a planned stop is taken only up to its deadline

Callers had a stream that was taken late in a planned stop broken off at its end (LOST for streams sent later than 3 s after the signal, with a grace of more than 8.4 s), and got a 502 for whole requests that were still running, also those that may not be repeated.

Cause: a stopping VM took a request while the typical time of its route was left, 5 s for a stream and 1 s for others, however long it may last.

Once the load balancer sends no more requests, few arrive, and their callers can send them to another VM at once. Those are taken only if their deadline is within the stop, and refused otherwise. Before that the typical time holds, and what outlasts it is answered at the end of the stop as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -203,8 +203,11 @@
 	Incarnation uint64
 	// StopsIn tells whether a planned stop of this VM is in progress, and returns the time left until it exits.
 	StopsIn func() (left time.Duration, stopping bool)
-	Logger  zerolog.Logger
-	Metrics *observe.Metrics
+	// LateInStop is the time from the beginning of a planned stop after which few requests arrive. Those are taken only
+	// if their deadline is within the stop.
+	LateInStop time.Duration
+	Logger     zerolog.Logger
+	Metrics    *observe.Metrics
 }
 
 // Gateway serves requests. It is safe for concurrent use.
@@ -214,9 +217,11 @@
 	lastSeq   atomic.Uint64
 	inFlight  atomic.Int64
 	meanSizes meanSizes
-	// stopping is done once a planned stop has begun, exiting once this VM exits.
+	// stopping is done once a planned stop has begun, exiting once this VM exits. stopBegan is when the stop began, nil
+	// before.
 	stopping  context.Context
 	beginStop context.CancelFunc
+	stopBegan atomic.Pointer[time.Time]
 	exiting   context.Context
 	beginExit context.CancelFunc
 }
@@ -255,12 +260,16 @@
 		g.refuse(request, caller, RefusedNoRoute, 0, "no route matches the host and path")
 		return
 	}
-	if left, stopping := g.options.StopsIn(); stopping && left < typicalTime(route) {
+	deadline := request.ArrivedAt.Add(route.Timeout)
+	if request.Timeout > 0 && request.Timeout < route.Timeout {
+		deadline = request.ArrivedAt.Add(request.Timeout)
+	}
+	if left, stopping := g.options.StopsIn(); stopping && left <= stopTime(route, time.Until(deadline), g.isLateInStop(time.Now())) {
 		g.refuse(request, caller, RefusedNotReady, StoppingRetryAfter, errStopping.Error())
 		return
 	}
 	x := &exchange{
-		gateway: g, request: request, caller: caller, table: table, route: route, lastEventID: request.ResumeAfter,
+		gateway: g, request: request, caller: caller, table: table, route: route, deadline: deadline, lastEventID: request.ResumeAfter,
 	}
 	if table.NeedsKey(route) {
 		if x.team = table.TeamOf(request.Key); x.team == nil {
@@ -274,10 +283,6 @@
 		return
 	}
 	x.service = route.ChooseService(hashID(request.ID))
-	x.deadline = request.ArrivedAt.Add(route.Timeout)
-	if request.Timeout > 0 && request.Timeout < route.Timeout {
-		x.deadline = request.ArrivedAt.Add(request.Timeout)
-	}
 	g.options.Budget.CountRequest(x.service)
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"godwityoke.example/godwityoke/internal/routes"
 	"godwityoke.example/godwityoke/internal/schedule"
 )
 
@@ -17,7 +18,26 @@
 
 // BeginStop reports that a planned stop has begun. Requests that wait for their first server are refused once the time
 // that Options.StopsIn returns is too short for them.
-func (g *Gateway) BeginStop() { g.beginStop() }
+func (g *Gateway) BeginStop() {
+	now := time.Now()
+	g.stopBegan.Store(&now)
+	g.beginStop()
+}
+
+// isLateInStop tells whether a planned stop began at least Options.LateInStop ago.
+func (g *Gateway) isLateInStop(now time.Time) bool {
+	began := g.stopBegan.Load()
+	return began != nil && now.Sub(*began) >= g.options.LateInStop
+}
+
+// stopTime returns the time that must be left of a planned stop for a request with the given time until its deadline to
+// be taken: its typical time at first, while refusals would meet many requests, and its deadline late in the stop.
+func stopTime(route *routes.Route, untilDeadline time.Duration, late bool) time.Duration {
+	if late {
+		return untilDeadline
+	}
+	return min(typicalTime(route), untilDeadline)
+}
 
 // BeginExit ends the requests in progress: those that have not run are refused, those that may have run fail, and streams
 // that have begun are aborted.
--- a/internal/site/entry.go
+++ b/internal/site/entry.go
@@ -139,7 +139,7 @@
 		Table: e.link.Table, Placer: e.link, Budget: newServiceBudgets(settings, e.link.EntryVMCount), Servers: e.link,
 		ReadyServers: e.link.ReadyServers, Statements: e.link.Statements(),
 		Backend: backend, Memory: backend, Evidence: e.link.Evidence(), Zone: settings.Zone, Incarnation: incarnation, Logger: logger, Metrics: e.metrics,
-		StopsIn: e.stopsIn,
+		StopsIn: e.stopsIn, LateInStop: balancerWait,
 	})
 	return e.run(ctx, adapter)
 }
