site: a connection is not closed once a part of its next request was read

A stopping VM closed an idle connection whose next request it had just read: the request was passed on to a server and its answer had no connection (LOST). It also closed connections on which the head of a request was arriving.

Cause: http.Server reports a connection as active only after the whole head was read. Until then the connection counted as idle, or as new, and was closed by the drain or at the end of the stop.

Evidence, on the code before:

--- FAIL: TestRequestThatIsReadWhileItsConnectionIsClosedIsNotServed (0.02s) callers_test.go:287: Not equal: expected: int(1), actual: int32(2) a request was served whose answer has no connection --- FAIL: .../TestRequestWhoseHeadHasBegunIsAnsweredWhenConnectionsAreClosed/kept_connection callers_test.go:333: unexpected EOF the connection was closed while a request arrived on it

The connections of callers now tell whether a byte of the next request was read. Whether to close is decided under the same lock: either nothing of the request was read, and nothing of it is served, or the connection stays open for its answer, at the end of a stop for as long as the last answers get.

--- a/internal/site/callers.go
+++ b/internal/site/callers.go
@@ -41,13 +41,73 @@
 	// it and those of earlier limits that still have connections.
 	active  *handoffListener
 	servers []*callerServer
+	// fresh holds the connections without a whole request yet.
+	fresh map[*callerConn]struct{}
 	// busy holds the connections with a request whose response is not sent completely.
-	busy map[net.Conn]struct{}
+	busy map[*callerConn]struct{}
 	// idleSince holds the connections that are kept open after a response, with its end.
-	idleSince map[net.Conn]time.Time
+	idleSince map[*callerConn]time.Time
 	closed    bool
 }
 
+// callerConn is a caller's connection. It tells whether a part of the next request was read, which http.Server reports
+// only once it has read the whole header.
+type callerConn struct {
+	net.Conn
+	mu sync.Mutex
+	// receiving is set once a part of the next request was read, abandoned once the connection was closed instead.
+	receiving, abandoned bool
+}
+
+// Read implements net.Conn. It returns nothing of a request that arrived after abandon.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 {
+		return 0, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.abandoned {
+		return 0, net.ErrClosed
+	}
+	c.receiving = true
+	return n, err
+}
+
+// CloseWrite lets http.Server end an early response, such as one to a header beyond the limit, without a reset.
+func (c *callerConn) CloseWrite() error {
+	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return conn.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
+// beginNext reports that what is read from now on belongs to the next request.
+func (c *callerConn) beginNext() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.receiving = false
+}
+
+// isReceiving tells whether a part of the next request was read.
+func (c *callerConn) isReceiving() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.receiving
+}
+
+// abandon closes the connection and returns true, unless a part of the next request was read.
+func (c *callerConn) abandon() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.receiving {
+		return false
+	}
+	c.abandoned = true
+	_ = c.Conn.Close()
+	return true
+}
+
 // callerServer is the HTTP server of one set of limits. The mutex of callerServers
 // guards its fields.
 type callerServer struct {
@@ -60,7 +120,7 @@
 func newCallerServers(listener net.Listener, handler http.Handler, limits func() routes.Limits, logger zerolog.Logger) *callerServers {
 	return &callerServers{
 		listener: listener, handler: handler, limits: limits, errorLog: log.New(errorLogWriter{logger}, "", 0),
-		busy: map[net.Conn]struct{}{}, idleSince: map[net.Conn]time.Time{},
+		fresh: map[*callerConn]struct{}{}, busy: map[*callerConn]struct{}{}, idleSince: map[*callerConn]time.Time{},
 	}
 }
 
@@ -87,7 +147,7 @@
 			time.Sleep(acceptRetryInterval)
 			continue
 		}
-		if listener := s.activeListener(); listener == nil || !listener.handOff(conn) {
+		if listener := s.activeListener(); listener == nil || !listener.handOff(&callerConn{Conn: conn}) {
 			_ = conn.Close() // the process is stopping
 		}
 	}
@@ -109,7 +169,7 @@
 	server := &callerServer{accepting: true}
 	server.Server = &http.Server{
 		Handler: s.handler, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout, MaxHeaderBytes: limits.MaxHeaderBytes,
-		ErrorLog: s.errorLog, ConnState: func(conn net.Conn, state http.ConnState) { s.recordState(server, conn, state) },
+		ErrorLog: s.errorLog, ConnState: func(conn net.Conn, state http.ConnState) { s.recordState(server, conn.(*callerConn), state) },
 	}
 	s.activeLimits, s.active = limits, newHandoffListener(s.listener.Addr())
 	s.servers = append(s.servers, server)
@@ -124,22 +184,25 @@
 	return listener
 }
 
-// recordState counts the open connections of a server and keeps busy and idleSince up
-// to date.
-func (s *callerServers) recordState(server *callerServer, conn net.Conn, state http.ConnState) {
+// recordState counts the open connections of a server and keeps fresh, busy and idleSince
+// up to date.
+func (s *callerServers) recordState(server *callerServer, conn *callerConn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	delete(s.fresh, conn)
 	delete(s.busy, conn)
 	delete(s.idleSince, conn)
 	switch state {
 	case http.StateNew:
 		server.conns++
+		s.fresh[conn] = struct{}{}
 	case http.StateClosed, http.StateHijacked:
 		server.conns--
 		s.dropUnused(server)
 	case http.StateActive:
 		s.busy[conn] = struct{}{}
 	case http.StateIdle:
+		conn.beginNext()
 		s.idleSince[conn] = time.Now()
 	}
 }
@@ -154,19 +217,22 @@
 }
 
 // closeIdle closes the connections that have been idle for at least minIdle after a
-// response. It returns the number of the other connections that have had a request. A
-// connection is not closed right after a response that did not announce it, because its
-// caller may send the next request at that moment.
+// response. It returns the number of the other connections that have had a request or on
+// which one arrives. A connection is not closed right after a response that did not announce
+// it, because its caller may send the next request at that moment.
 func (s *callerServers) closeIdle(now time.Time, minIdle time.Duration) (left int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	left = len(s.busy)
+	for conn := range s.fresh {
+		if conn.isReceiving() {
+			left++
+		}
+	}
 	for conn, since := range s.idleSince {
-		if now.Sub(since) < minIdle {
+		if now.Sub(since) < minIdle || !conn.abandon() {
 			left++
-			continue
 		}
-		_ = conn.Close()
 	}
 	return left
 }
--- a/internal/site/callers_test.go
+++ b/internal/site/callers_test.go
@@ -5,8 +5,10 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -235,3 +237,115 @@
 type writerFunc func(p []byte) (int, error)
 
 func (f writerFunc) Write(p []byte) (int, error) { return f(p) }
+
+// hookedListener calls afterRead after each read of its connections that got bytes, before the bytes are returned.
+type hookedListener struct {
+	net.Listener
+	afterRead func()
+}
+
+type hookedConn struct {
+	net.Conn
+	afterRead func()
+}
+
+func (l *hookedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return &hookedConn{conn, l.afterRead}, err
+}
+
+func (c *hookedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.afterRead()
+	}
+	return n, err
+}
+
+func TestRequestThatIsReadWhileItsConnectionIsClosedIsNotServed(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var served atomic.Int32
+	handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) })
+	var servers *callerServers
+	var closing atomic.Bool
+	listener := &hookedListener{inner, func() {
+		if closing.Load() {
+			servers.closeIdle(time.Now(), 0)
+		}
+	}}
+	servers = newCallerServers(listener, handler, func() routes.Limits { return routes.Limits{} }, zerolog.Nop())
+	go servers.run(context.Background())
+	t.Cleanup(func() { closeAtOnce(servers) })
+	caller := dialCallers(t, inner.Addr().String())
+	require.NoError(t, caller.SetDeadline(time.Now().Add(3*time.Second)))
+	_, err = caller.get(0)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return isIdle(servers) }, 3*time.Second, time.Millisecond)
+	closing.Store(true)
+	_, err = caller.get(0)
+	require.Error(t, err, "the connection was closed before the request was read")
+	time.Sleep(20 * time.Millisecond)
+	require.EqualValues(t, 1, served.Load(), "a request was served whose answer has no connection")
+}
+
+// isIdle tells whether a connection waits for its next request.
+func isIdle(servers *callerServers) bool {
+	servers.mu.Lock()
+	defer servers.mu.Unlock()
+	return len(servers.idleSince) > 0
+}
+
+func TestRequestWhoseHeadHasBegunIsAnsweredWhenConnectionsAreClosed(t *testing.T) {
+	for name, first := range map[string]bool{"new connection": true, "kept connection": false} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
+			servers := newCallerServers(listener, handler, func() routes.Limits { return routes.Limits{} }, zerolog.Nop())
+			go servers.run(context.Background())
+			caller := dialCallers(t, listener.Addr().String())
+			require.NoError(t, caller.SetDeadline(time.Now().Add(5*time.Second)))
+			if !first {
+				_, err := caller.get(0)
+				require.NoError(t, err)
+				require.Eventually(t, func() bool { return isIdle(servers) }, 3*time.Second, time.Millisecond)
+			}
+			_, err = io.WriteString(caller, "GET / HTTP/1.1\r\n")
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { return isReceiving(servers) }, 3*time.Second, time.Millisecond)
+			closed := make(chan struct{})
+			go func() {
+				defer close(closed)
+				ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+				defer cancel()
+				servers.close(ctx)
+			}()
+			time.Sleep(50 * time.Millisecond)
+			status, err := caller.rest()
+			require.NoError(t, err, "the connection was closed while a request arrived on it")
+			require.Equal(t, http.StatusOK, status)
+			<-closed
+		})
+	}
+}
+
+// isReceiving tells whether a part of a request was read.
+func isReceiving(servers *callerServers) bool {
+	servers.mu.Lock()
+	defer servers.mu.Unlock()
+	conns := slices.AppendSeq(slices.Collect(maps.Keys(servers.fresh)), maps.Keys(servers.idleSince))
+	return slices.ContainsFunc(conns, (*callerConn).isReceiving)
+}
+
+// rest sends the rest of a request whose request line was sent, and returns the status of the response.
+func (c *rawCaller) rest() (int, error) {
+	if _, err := io.WriteString(c, "Host: a\r\n\r\n"); err != nil {
+		return 0, err
+	}
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return 0, err
+	}
+	return response.StatusCode, response.Body.Close()
+}
