storage: what is read at opening is synced before it counts

A control VM whose sync had failed, or that was killed between a write and its sync, came back with the unsynced record, since the record was still readable. It then confirmed these entries to the leader, or took its vote as given, without a write. A power loss before its next sync lost what it had confirmed (LOST, CONFIG).

Cause: opening a folder synced only after it had cut off a torn record.

Evidence: TestStateThatIsReadAfterARefusedWriteSurvivesAPowerLoss refuses each call that changes the disk in turn, alone and with up to eight calls after it, restarts the member on its disk and then cuts its power.

--- a/internal/storage/journal.go
+++ b/internal/storage/journal.go
@@ -80,7 +80,8 @@
 	return nil
 }
 
-// openFile opens the journal for writing. If the file ends in a torn batch, it
+// openFile opens the journal for writing and syncs the batches that were read, which a
+// process that failed may have left unsynced. If the file ends in a torn batch, it
 // truncates the file to size bytes.
 func (j *Journal) openFile(size int64) error {
 	file, err := j.folder.Append(journalName)
@@ -92,9 +93,9 @@
 		if err := file.Truncate(size); err != nil {
 			return fmt.Errorf("truncate the journal: %w", err)
 		}
-		if err := file.Sync(); err != nil {
-			return fmt.Errorf("sync the journal: %w", err)
-		}
+	}
+	if err := file.Sync(); err != nil {
+		return fmt.Errorf("sync the journal: %w", err)
 	}
 	if err := j.folder.SyncDir(); err != nil {
 		return fmt.Errorf("sync the journal's folder: %w", err)
--- a/internal/storage/load.go
+++ b/internal/storage/load.go
@@ -25,9 +25,14 @@
 	errNotSingleRecord  = errors.New("the file is not one whole record")
 )
 
-// load reads the folder. On first use the identity is written last, so the
-// member of a folder without an identity has acknowledged nothing.
+// load reads the folder and syncs what it read, since a process that failed or was
+// killed may have left data that is readable but not synced. On first use the identity
+// is written last, so the member of a folder without an identity has acknowledged
+// nothing.
 func (s *Store) load() (*LoadedState, error) {
+	if err := s.fs.SyncDir(); err != nil {
+		return nil, err
+	}
 	names, err := s.fs.List()
 	if err != nil {
 		return nil, fmt.Errorf("data folder: %w", err)
--- a/internal/storage/replay.go
+++ b/internal/storage/replay.go
@@ -110,8 +110,8 @@
 	return append(entries[:entry.Index-first], entry), nil
 }
 
-// openLast opens the last segment for writing and truncates a torn record at its
-// end. A last segment whose header is torn holds no entries and is overwritten.
+// openLast opens the last segment for writing, truncates a torn record at its end and
+// syncs the rest. Earlier segments were synced before the last one was created. A last segment whose header is torn holds no entries and is overwritten.
 // If it is the only segment, the torn header is corruption instead: initialise
 // writes the identity after that header is synced, so the header was lost later.
 func (s *Store) openLast(loaded *LoadedState) error {
@@ -129,14 +129,13 @@
 		return err
 	}
 	s.file = file
-	if loaded.TornRecord == nil {
-		return nil
-	}
-	if err := file.Truncate(loaded.TornRecord.Offset); err != nil {
-		return fmt.Errorf("truncate torn record: %w", err)
+	if loaded.TornRecord != nil {
+		if err := file.Truncate(loaded.TornRecord.Offset); err != nil {
+			return fmt.Errorf("truncate torn record: %w", err)
+		}
 	}
 	if err := file.Sync(); err != nil {
-		return fmt.Errorf("sync after truncating a torn record: %w", err)
+		return fmt.Errorf("sync %s: %w", s.fs.Path(segmentName(last)), err)
 	}
 	return nil
 }
