--- a/internal/h1/client.go
+++ b/internal/h1/client.go
@@ -105,6 +105,9 @@
 	Body *Body
 	// RelayedBy is the address of the VM that relayed the connection, empty for a direct connection.
 	RelayedBy string
+	// EndsWithConnection is set when the server announced no length, so that the body ends where the server closes the
+	// connection. Whether it had sent everything is then not known.
+	EndsWithConnection bool
 }
 
 // relayedConn is a connection that another VM relays.
@@ -208,9 +211,13 @@
 		observed.Answered()
 	}
 	body.reader = response.Body
-	body.reusable = !response.Close && request.UnreachableAfter == 0 && connection.relayedBy == "" && (response.ContentLength >= 0 || len(response.TransferEncoding) > 0)
+	endsWithConnection := response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	body.reusable = !response.Close && request.UnreachableAfter == 0 && connection.relayedBy == "" && !endsWithConnection
 	connection.idleTimeout = idleTimeout(response.Header, c.options.MaxIdleTime)
-	return &Response{Status: response.StatusCode, Header: response.Header, Body: body, RelayedBy: connection.relayedBy}, nil
+	return &Response{
+		Status: response.StatusCode, Header: response.Header, Body: body, RelayedBy: connection.relayedBy,
+		EndsWithConnection: endsWithConnection,
+	}, nil
 }
 
 // readHead reads responses until one belongs to the request. On a reused connection it may be preceded by extra
