gateway: a renewal that failed is repeated before the reservation expires

Cause: a renewal is sent up to three times in 0.9 s, and the next one followed 1.2 s after the beginning of the failed one. Two that fell into one silence left no order in the last 0.2 to 0.5 s of the 3.5 s for which memory is reserved.

Evidence: TestReservationSurvivesTheSilenceOfItsHelper failed before ("silent from 1.1s on": the reservation had expired when it was renewed at 3.6 s).

A failed renewal is now repeated right after its last order, at the latest 0.9 s after its beginning, so orders follow each other until the reservation has expired.

--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -22,8 +22,8 @@
 	// after which the platform reports the memory of a finished request as leaked, so that reservations of a crashed
 	// VM expire before they are reported.
 	ticketHoldTime = 3500 * time.Millisecond
-	// ticketRenewInterval is the time between two renewals. Two of them may fail in a row before a reservation
-	// expires.
+	// ticketRenewInterval is the time between two renewals. One that fails is repeated until the reservation has
+	// expired.
 	ticketRenewInterval = 1200 * time.Millisecond
 	// holderUnreachableAfter is the time after which an attempt with reservations fails if the VM of its server is
 	// unreachable. The server's part ends with its VM, so the reservations are released within this time and that of
@@ -136,15 +136,20 @@
 
 // renew renews the reservations until ctx is cancelled.
 func (t *tickets) renew(ctx context.Context) {
-	ticker := time.NewTicker(ticketRenewInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(ticketRenewInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case startedAt := <-timer.C:
 			// orderAll logs a failure; the server breaks off the request when its reservation expires.
-			_ = t.orderAll(ctx, "renew", t.reserveOne)
+			err := t.orderAll(ctx, "renew", t.reserveOne)
+			interval := ticketRenewInterval
+			if err != nil && !errors.Is(err, ErrMemoryRefused) {
+				interval = maxOrderAttempts * orderTimeout
+			}
+			timer.Reset(time.Until(startedAt.Add(interval)))
 		}
 	}
 }
--- a/internal/gateway/tickets_test.go
+++ b/internal/gateway/tickets_test.go
@@ -89,3 +89,46 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// silentHelper answers no order from silentFrom to silentUntil, and counts the reservations that expired.
+type silentHelper struct {
+	*helperFakes
+	silentFrom, silentUntil time.Time
+	expired                 int
+}
+
+func (s *silentHelper) Reserve(ctx context.Context, server roster.Server, ticket string, tokens int, hold time.Duration) error {
+	now := time.Now()
+	if !now.Before(s.silentFrom) && now.Before(s.silentUntil) {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	s.mu.Lock()
+	if !s.reservedUntil.IsZero() && !now.Before(s.reservedUntil) {
+		s.expired++
+	}
+	s.mu.Unlock()
+	return s.helperFakes.Reserve(ctx, server, ticket, tokens, hold)
+}
+
+func TestReservationSurvivesTheSilenceOfItsHelper(t *testing.T) {
+	for begins := 100 * time.Millisecond; begins < 2*ticketRenewInterval; begins += 100 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			f := &fakes{responses: []func(*Attempt) (*Response, error){slowStream(8 * time.Second)}}
+			helper := &silentHelper{helperFakes: &helperFakes{fakes: f}, silentFrom: time.Now().Add(begins)}
+			helper.silentUntil = helper.silentFrom.Add(2 * time.Second)
+			done := make(chan *fakeCaller, 1)
+			go func() {
+				done <- serveOptions(Options{
+					Table: longTable, Placer: helper, Budget: f, Servers: f, Backend: f, Memory: helper,
+					StopsIn: func() (time.Duration, bool) { return 0, false },
+				}, "stream", "key", longTimeout)
+			}()
+			time.Sleep(7900 * time.Millisecond)
+			require.True(t, helper.isReserved(), "silent from %v on", begins)
+			require.Zero(t, helper.expired, "silent from %v on", begins)
+			require.Equal(t, events, (<-done).body)
+			time.Sleep(time.Minute)
+		})
+	}
+}
