--- a/internal/gateway/beside_test.go
+++ b/internal/gateway/beside_test.go
@@ -144,3 +144,16 @@
 		StopsIn: func() (time.Duration, bool) { return 0, false }, Zone: "a", Incarnation: 1, Logger: zerolog.Nop(), Metrics: observe.NewMetrics(),
 	}
 }
+
+func TestRequestThatMustNotRunTwiceWaitsForItsSilentServer(t *testing.T) {
+	for kind, body := range map[string]string{"unsafe": "ok", "once": events} {
+		t.Run(kind, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakes{retriesLeft: 9, responses: []func(*Attempt) (*Response, error){respond(200, body, nil)}}
+				caller := serveLong(f, &slowBackend{fakes: f, delay: 10 * time.Second}, kind)
+				require.Equal(t, body, caller.body)
+				require.Equal(t, 1, f.placements)
+			})
+		})
+	}
+}
--- a/internal/site/callers_test.go
+++ b/internal/site/callers_test.go
@@ -235,3 +235,38 @@
 type writerFunc func(p []byte) (int, error)
 
 func (f writerFunc) Write(p []byte) (int, error) { return f(p) }
+
+func TestChangedLimitsKeepARequestInProgress(t *testing.T) {
+	limits := &atomic.Pointer[routes.Limits]{}
+	limits.Store(&routes.Limits{MaxHeaderBytes: 4 << 10, HeaderTimeout: 100 * time.Millisecond, IdleTimeout: 100 * time.Millisecond})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	arrived, answer := make(chan struct{}, 1), make(chan struct{})
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Filler") != "" {
+			arrived <- struct{}{}
+			<-answer
+		}
+		if r.Context().Err() == nil {
+			_, _ = io.WriteString(w, "ok")
+		}
+	})
+	servers := newCallerServers(listener, handler, func() routes.Limits { return *limits.Load() }, zerolog.Nop())
+	go servers.run(context.Background())
+	t.Cleanup(func() { closeAtOnce(servers) })
+	caller, status := dialCallers(t, listener.Addr().String()), make(chan int, 1)
+	go func() {
+		got, _ := caller.get(1)
+		status <- got
+	}()
+	<-arrived
+	for i := range 5 {
+		limits.Store(&routes.Limits{MaxHeaderBytes: 4<<10 + i + 1, HeaderTimeout: 50 * time.Millisecond, IdleTimeout: 50 * time.Millisecond})
+		other := dialCallers(t, listener.Addr().String())
+		_, err := other.get(0)
+		require.NoError(t, err)
+		time.Sleep(100 * time.Millisecond) // longer than the idle and the header timeout
+	}
+	close(answer)
+	require.Equal(t, http.StatusOK, <-status)
+}
