--- a/internal/h1/silence_test.go
+++ b/internal/h1/silence_test.go
@@ -62,3 +62,26 @@
 		}
 	}
 }
+
+func TestClosingIdleConnectionsKeepsARequestInProgress(t *testing.T) {
+	arrived, answer := make(chan struct{}), make(chan struct{})
+	address, _ := scriptedServer(t, func(n int, _ *http.Request) string {
+		if n == 2 {
+			close(arrived)
+			<-answer
+		}
+		return "HTTP/1.1 200 OK\r\nId: " + string(rune('a'+n-1)) + "\r\nContent-Length: 4\r\n\r\nbody"
+	})
+	client := testClient()
+	_, err := exchange(t, client, address, request("a"))
+	require.NoError(t, err)
+	go func() {
+		<-arrived
+		client.CloseIdleTo(address)
+		client.CloseExpired(time.Now().Add(time.Hour))
+		close(answer)
+	}()
+	body, err := exchange(t, client, address, request("b"))
+	require.NoError(t, err)
+	require.Equal(t, "body", body)
+}
