gateway: a search whose wait has ended no longer reads the exchange

Found on reading. Between the check that the wait goes on and the one of the retry budget, the reading goroutine could take the exchange back and write the field that says whether a retry is charged. TestStallWatchMovesOrReleasesEachPlacement now writes that field, too; it passed with -race before as well, in 6 runs, so it does not show the fault.

--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -186,11 +186,12 @@
 	return ctx.Err() == nil && !w.deadline.IsZero() && w.moved == nil && w.exchange.mayTryBeside()
 }
 
-// mayRetry tells whether a retry is charged already or the retry budget allows one.
+// mayRetry tells whether the wait goes on and a retry is charged already or allowed by the retry budget.
 func (w *stallWatch) mayRetry() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.exchange.retryCharged || w.exchange.gateway.options.Budget.CanRetry(w.exchange.service)
+	x := w.exchange
+	return !w.deadline.IsZero() && (x.retryCharged || x.gateway.options.Budget.CanRetry(x.service))
 }
 
 // tryPlacement requests one placement and sends the request to its server. It returns the time until the next request.
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -260,6 +260,7 @@
 				time.Sleep(time.Duration(rand.IntN(200)) * time.Microsecond)
 				givenUp := watch.end(true)
 				x.eventsSent++ // owned by this goroutine again
+				x.retryCharged = false
 				mu.Lock()
 				if givenUp {
 					endedByMove++
