soak: cuts whose dials get no answer; tests take free address blocks

A proxied dial to a backend server always succeeded, so no run showed an entry VM whose dials time out, which is what a partition does. Two more variants of cut_servers drop the connection attempts of the VMs that are cut off by a socket filter on the proxy's listener: with the bytes of open connections held back, or with open ones living on.

TestRefusedLinkKeepsOpenConnectionsAndOtherLinks failed once in 3 runs under the race detector: the reset of a refused connection may arrive before the dial returns. It now requires a reset from the dial or the exchange.

Two test processes at the same time used the same loopback addresses ("address already in use", 3 of 5 runs of TestCutOffEntryVMsServeTheirCallers beside another one). Tests now take a block that no other test process holds.

--- a/internal/soak/network.go
+++ b/internal/soak/network.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -41,7 +42,9 @@
 	closed  bool
 
 	listeners []net.Listener
-	running   sync.WaitGroup
+	// listenersByNode holds the listeners that forward to a node. It is complete before dropDials is called.
+	listenersByNode map[string][]*net.TCPListener
+	running         sync.WaitGroup
 }
 
 // relay is a connection from one node to another through the network. It consists of the connection client, accepted
@@ -55,7 +58,8 @@
 }
 
 func newNetwork() *network {
-	n := &network{names: map[string]string{}, blocked: map[link]int{}, refused: map[link]int{}, delays: map[link]time.Duration{}, relays: map[*relay]bool{}}
+	n := &network{names: map[string]string{}, blocked: map[link]int{}, refused: map[link]int{}, delays: map[link]time.Duration{}, relays: map[*relay]bool{},
+		listenersByNode: map[string][]*net.TCPListener{}}
 	n.changed = sync.NewCond(&n.mu)
 	return n
 }
@@ -65,11 +69,14 @@
 
 // forward listens on the address public and forwards each accepted connection to own, the address on which node listens.
 func (n *network) forward(public, own, node string) error {
-	listener, err := net.Listen("tcp", public)
+	var config net.ListenConfig
+	config.SetMultipathTCP(false) // Linux attaches no filter to a multipath listener
+	listener, err := config.Listen(context.Background(), "tcp", public)
 	if err != nil {
 		return err
 	}
 	n.listeners = append(n.listeners, listener)
+	n.listenersByNode[node] = append(n.listenersByNode[node], listener.(*net.TCPListener))
 	n.running.Go(func() {
 		for {
 			accepted, err := listener.Accept()
@@ -220,6 +227,16 @@
 
 func (n *network) accept(l link) { n.update(func() { n.refused[l]-- }) }
 
+// dropDials drops the connection attempts to a node from the given IP addresses. It replaces the addresses of an earlier call.
+func (n *network) dropDials(node string, sources []net.IP) error {
+	for _, listener := range n.listenersByNode[node] {
+		if err := dropDialsFrom(listener, sources); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (n *network) isRefused(l link) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/soak/network_test.go
+++ b/internal/soak/network_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+
 	"syscall"
 	"testing"
 	"time"
@@ -47,25 +48,64 @@
 	n.setName("127.9.6.2", "a")
 	n.setName("127.9.6.3", "b")
 	require.NoError(t, n.forward(public, own, "w"))
-	connect := func(ip string) net.Conn {
+	// The reset of a refused connection may arrive before the dial returns.
+	connect := func(ip string) (net.Conn, error) {
 		dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}
 		conn, err := dialer.Dial("tcp", public)
-		require.NoError(t, err)
+		if err != nil {
+			return nil, err
+		}
 		t.Cleanup(func() { _ = conn.Close() })
-		return conn
+		return conn, exchange(conn)
 	}
-	a, b := connect("127.9.6.2"), connect("127.9.6.3")
-	require.NoError(t, exchange(a))
-	require.NoError(t, exchange(b))
+	a, err := connect("127.9.6.2")
+	require.NoError(t, err)
+	b, err := connect("127.9.6.3")
+	require.NoError(t, err)
 	n.refuse(link{"a", "w"})
 	require.NoError(t, exchange(a))
-	require.NoError(t, exchange(connect("127.9.6.3")))
-	require.Error(t, exchange(connect("127.9.6.2")))
+	_, err = connect("127.9.6.3")
+	require.NoError(t, err)
+	_, err = connect("127.9.6.2")
+	require.ErrorIs(t, err, syscall.ECONNRESET)
 	n.resetLink(link{"a", "w"})
 	require.Error(t, exchange(a))
 	require.NoError(t, exchange(b))
 	n.accept(link{"a", "w"})
-	require.NoError(t, exchange(connect("127.9.6.2")))
+	_, err = connect("127.9.6.2")
+	require.NoError(t, err)
+}
+
+func TestDroppedDialsGetNoAnswer(t *testing.T) {
+	const own, public = "127.9.10.1:7400", "127.9.11.1:7400"
+	defer echoServer(t, own)()
+	n := newNetwork()
+	defer n.close()
+	require.NoError(t, n.forward(public, own, "w"))
+	connect := func(ip string) (net.Conn, error) {
+		dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}, Timeout: 300 * time.Millisecond}
+		conn, err := dialer.Dial("tcp", public)
+		if err == nil {
+			t.Cleanup(func() { _ = conn.Close() })
+		}
+		return conn, err
+	}
+	open, err := connect("127.9.10.2")
+	require.NoError(t, err)
+	require.NoError(t, n.dropDials("w", []net.IP{net.ParseIP("127.9.10.2"), net.ParseIP("127.9.10.3")}))
+	for _, ip := range []string{"127.9.10.2", "127.9.10.3"} {
+		_, err := connect(ip)
+		var failure net.Error
+		require.ErrorAs(t, err, &failure)
+		require.True(t, failure.Timeout())
+	}
+	require.NoError(t, exchange(open))
+	other, err := connect("127.9.10.4")
+	require.NoError(t, err)
+	require.NoError(t, n.dropDials("w", nil))
+	require.NoError(t, exchange(other))
+	_, err = connect("127.9.10.2")
+	require.NoError(t, err)
 }
 
 func TestConnectionIsRefusedWhileNodeDoesNotListen(t *testing.T) {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -70,6 +70,10 @@
 	cutReset
 	// cutRefuse resets new connections to workers. Open ones live on.
 	cutRefuse
+	// cutDrop is cutHold, except that dials to workers get no answer.
+	cutDrop
+	// cutDropNew lets dials to workers get no answer. Open connections live on.
+	cutDropNew
 	cutVariants
 )
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -169,12 +169,15 @@
 		topology: topology{entries: options.Entries, controls: options.Controls, models: options.Models, desks: options.Desks},
 	}
 	s.fleet = &fleet{
-		binary: options.Binary, octet: 10 + options.Block%addressBlocks, network: s.network,
+		binary: options.Binary, octet: octet(options.Block), network: s.network,
 		nodes: map[string]*node{}, onExit: s.recordExit,
 	}
 	return s
 }
 
+// octet returns the second octet of the loopback addresses of a block.
+func octet(block int) int { return 10 + block%addressBlocks }
+
 // recordExit records a process that ended without being told to, or a node that could not be restarted or wiped.
 func (s *soak) recordExit(name, how string) {
 	s.records.locked(func(r *Records) { r.UnexpectedExits = append(r.UnexpectedExits, name+" ended by itself: "+how) })
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"net"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"testing"
@@ -9,6 +11,25 @@
 	"github.com/stretchr/testify/require"
 )
 
+// takeBlock returns a block of addresses that no other test process on the machine uses until the end of the test.
+func takeBlock(t *testing.T) int {
+	t.Helper()
+	const first = addressBlocks / 2 // the blocks below are for commands
+	for i := range addressBlocks - first {
+		block := first + (os.Getpid()+i)%(addressBlocks-first)
+		lock, err := net.Listen("tcp", address((&fleet{octet: octet(block)}).ip(subnetLock, 1), callersPort))
+		if err == nil {
+			t.Cleanup(func() { _ = lock.Close() })
+			return block
+		}
+	}
+	t.Fatal("no block of addresses is free")
+	return 0
+}
+
+// subnetLock is a subnet of an address block that no node uses.
+const subnetLock = 250
+
 // TestSeedsThatFailedOnce runs, on the real program, seeds that once revealed a fault of the platform.
 func TestSeedsThatFailedOnce(t *testing.T) {
 	if testing.Short() {
@@ -17,13 +38,13 @@
 	binary := filepath.Join(t.TempDir(), "godwityoke")
 	output, err := exec.Command("go", "build", "-o", binary, "../../cmd/godwityoke").CombinedOutput()
 	require.NoError(t, err, "%s", output)
-	for i, options := range []Options{
+	for _, options := range []Options{
 		{Seed: 104, Entries: 5, Controls: 5, Models: 6, Desks: 3, Clients: 60},
 		{Seed: 3, Entries: 3, Controls: 3, Models: 4, Desks: 2, Clients: 16},
 	} {
 		t.Run("", func(t *testing.T) {
 			t.Parallel()
-			options.Binary, options.Block, options.Folder = binary, 150+i, t.TempDir()
+			options.Binary, options.Block, options.Folder = binary, takeBlock(t), t.TempDir()
 			report, err := Run(t.Context(), options)
 			require.NoError(t, err)
 			require.Empty(t, report.Findings)
@@ -41,7 +62,7 @@
 	output, err := exec.Command("go", "build", "-o", binary, "../../cmd/godwityoke").CombinedOutput()
 	require.NoError(t, err, "%s", output)
 	const start = time.Second
-	for i, c := range []struct {
+	for _, c := range []struct {
 		name    string
 		variant int
 		vms     []string
@@ -49,11 +70,13 @@
 		{"bytes are held", cutHold, []string{"entry-1", "entry-2"}},
 		{"connections are reset", cutReset, []string{"entry-1"}},
 		{"only new connections are refused", cutRefuse, []string{"entry-2", "entry-3"}},
+		{"bytes are held and dials unanswered", cutDrop, []string{"entry-1", "entry-3"}},
+		{"only dials are unanswered", cutDropNew, []string{"entry-2", "entry-3"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			report, err := Run(t.Context(), Options{
-				Binary: binary, Seed: 1, Block: 160 + i, Folder: t.TempDir(),
+				Binary: binary, Seed: 1, Block: takeBlock(t), Folder: t.TempDir(),
 				Entries: 3, Controls: 3, Models: 6, Desks: 2, Clients: 48,
 				plan: []Step{{At: start, Duration: serverCutTime, Kind: KindServerCut, Targets: c.vms, Variant: c.variant}},
 				load: start + serverCutTime + recoveryTime + finalWindow,
--- a/internal/soak/steps.go
+++ b/internal/soak/steps.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -68,33 +69,51 @@
 // beginRecord records the beginning of a step. The returned function records its end.
 func (s *soak) beginRecord(step Step) (end func()) {
 	if step.Kind == KindServerCut {
-		return s.records.beginServerCut(step.Targets, step.Variant == cutHold)
+		return s.records.beginServerCut(step.Targets, holdsBytes(step.Variant))
 	}
 	return s.records.beginDisturbance(step.Target, plannedKinds[step.Kind])
 }
 
+// holdsBytes reports whether a variant of KindServerCut holds back the bytes of open connections.
+func holdsBytes(variant int) bool { return variant == cutHold || variant == cutDrop }
+
 // cutServers cuts the targets off from all workers for the duration of the step.
 func (s *soak) cutServers(ctx context.Context, step Step) {
-	begin, end := s.network.refuse, s.network.accept
-	if step.Variant == cutHold {
-		begin, end = s.network.block, s.network.unblock
-	}
 	var links []link
+	var sources []net.IP
 	for _, vm := range step.Targets {
+		sources = append(sources, net.ParseIP(s.fleet.nodes[vm].boot.Settings.Bind))
 		for i := range s.topology.workers() {
 			worker := s.topology.worker(i)
 			links = append(links, link{vm, worker}, link{worker, vm})
 		}
 	}
+	if step.Variant == cutDrop || step.Variant == cutDropNew {
+		s.dropDialsToWorkers(sources)
+		defer s.dropDialsToWorkers(nil)
+	}
 	for _, l := range links {
-		begin(l)
+		switch step.Variant {
+		case cutHold, cutDrop:
+			s.network.block(l)
+			defer s.network.unblock(l)
+		case cutReset, cutRefuse:
+			s.network.refuse(l)
+			defer s.network.accept(l)
+		}
 		if step.Variant == cutReset {
 			s.network.resetLink(l)
 		}
 	}
 	pause.For(ctx, step.Duration)
-	for _, l := range links {
-		end(l)
+}
+
+// dropDialsToWorkers drops the connection attempts to all workers from the given IP addresses, and from no others.
+func (s *soak) dropDialsToWorkers(sources []net.IP) {
+	for i := range s.topology.workers() {
+		if err := s.network.dropDials(s.topology.worker(i), sources); err != nil {
+			s.recordExit(s.topology.worker(i), err.Error())
+		}
 	}
 }
 
