--- a/internal/soak/network.go
+++ b/internal/soak/network.go
@@ -28,11 +28,10 @@
 // network is a TCP proxy between nodes that can block, delay, stall and reset their connections. It identifies a
 // connecting node by its source IP address.
 type network struct {
-	// names holds the names of nodes by the source IP address of their connections.
-	names map[string]string
-
 	mu      sync.Mutex
 	changed *sync.Cond
+	// names holds the names of nodes by the source IP address of their connections.
+	names map[string]string
 	// blocked holds, by link, the number of block calls without their unblock call.
 	blocked map[link]int
 	// refused holds, by link, the number of refuse calls without their accept call.
@@ -65,7 +64,13 @@
 }
 
 // setName sets the name of the node whose connections come from ip.
-func (n *network) setName(ip, node string) { n.names[ip] = node }
+func (n *network) setName(ip, node string) { n.update(func() { n.names[ip] = node }) }
+
+func (n *network) nameOf(ip string) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.names[ip]
+}
 
 // forward listens on the address public and forwards each accepted connection to own, the address on which node listens.
 func (n *network) forward(public, own, node string) error {
@@ -75,8 +80,10 @@
 	if err != nil {
 		return err
 	}
-	n.listeners = append(n.listeners, listener)
-	n.listenersByNode[node] = append(n.listenersByNode[node], listener.(*net.TCPListener))
+	n.update(func() {
+		n.listeners = append(n.listeners, listener)
+		n.listenersByNode[node] = append(n.listenersByNode[node], listener.(*net.TCPListener))
+	})
 	n.running.Go(func() {
 		for {
 			accepted, err := listener.Accept()
@@ -139,7 +146,7 @@
 // relay forwards one connection to own until its end. It returns an error if it can't connect to own, and resets client.
 func (n *network) relay(client *net.TCPConn, own, node string) error {
 	host, _, _ := net.SplitHostPort(client.RemoteAddr().String()) // always has a port
-	r := &relay{from: n.names[host], to: node, client: client}
+	r := &relay{from: n.nameOf(host), to: node, client: client}
 	if n.isRefused(link{r.from, node}) {
 		reset(client)
 		return nil
