--- a/internal/soak/network.go
+++ b/internal/soak/network.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -27,11 +28,10 @@
 // network is a TCP proxy between nodes that can block, delay, stall and reset their connections. It identifies a
 // connecting node by its source IP address.
 type network struct {
-	// names holds the names of nodes by the source IP address of their connections.
-	names map[string]string
-
 	mu      sync.Mutex
 	changed *sync.Cond
+	// names holds the names of nodes by the source IP address of their connections.
+	names map[string]string
 	// blocked holds, by link, the number of block calls without their unblock call.
 	blocked map[link]int
 	// refused holds, by link, the number of refuse calls without their accept call.
@@ -41,7 +41,9 @@
 	closed  bool
 
 	listeners []net.Listener
-	running   sync.WaitGroup
+	// listenersByNode holds the listeners that forward to a node. It is complete before dropDials is called.
+	listenersByNode map[string][]*net.TCPListener
+	running         sync.WaitGroup
 }
 
 // relay is a connection from one node to another through the network. It consists of the connection client, accepted
@@ -55,21 +57,33 @@
 }
 
 func newNetwork() *network {
-	n := &network{names: map[string]string{}, blocked: map[link]int{}, refused: map[link]int{}, delays: map[link]time.Duration{}, relays: map[*relay]bool{}}
+	n := &network{names: map[string]string{}, blocked: map[link]int{}, refused: map[link]int{}, delays: map[link]time.Duration{}, relays: map[*relay]bool{},
+		listenersByNode: map[string][]*net.TCPListener{}}
 	n.changed = sync.NewCond(&n.mu)
 	return n
 }
 
 // setName sets the name of the node whose connections come from ip.
-func (n *network) setName(ip, node string) { n.names[ip] = node }
+func (n *network) setName(ip, node string) { n.update(func() { n.names[ip] = node }) }
+
+func (n *network) nameOf(ip string) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.names[ip]
+}
 
 // forward listens on the address public and forwards each accepted connection to own, the address on which node listens.
 func (n *network) forward(public, own, node string) error {
-	listener, err := net.Listen("tcp", public)
+	var config net.ListenConfig
+	config.SetMultipathTCP(false) // Linux attaches no filter to a multipath listener
+	listener, err := config.Listen(context.Background(), "tcp", public)
 	if err != nil {
 		return err
 	}
-	n.listeners = append(n.listeners, listener)
+	n.update(func() {
+		n.listeners = append(n.listeners, listener)
+		n.listenersByNode[node] = append(n.listenersByNode[node], listener.(*net.TCPListener))
+	})
 	n.running.Go(func() {
 		for {
 			accepted, err := listener.Accept()
@@ -132,7 +146,7 @@
 // relay forwards one connection to own until its end. It returns an error if it can't connect to own, and resets client.
 func (n *network) relay(client *net.TCPConn, own, node string) error {
 	host, _, _ := net.SplitHostPort(client.RemoteAddr().String()) // always has a port
-	r := &relay{from: n.names[host], to: node, client: client}
+	r := &relay{from: n.nameOf(host), to: node, client: client}
 	if n.isRefused(link{r.from, node}) {
 		reset(client)
 		return nil
@@ -220,6 +234,16 @@
 
 func (n *network) accept(l link) { n.update(func() { n.refused[l]-- }) }
 
+// dropDials drops the connection attempts to a node from the given IP addresses. It replaces the addresses of an earlier call.
+func (n *network) dropDials(node string, sources []net.IP) error {
+	for _, listener := range n.listenersByNode[node] {
+		if err := dropDialsFrom(listener, sources); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (n *network) isRefused(l link) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
