hub: log when an entry VM's reports on servers stop counting

The scheduler withdraws the evidence of an entry VM that is most likely cut off from the backend servers without a trace in the logs. The leader now logs entry_credibility (2159) when that begins and when the VM is credible again, with the numbers of servers on which it fails and which it reaches. An entry VM logs it of itself while it places by itself.

--- a/internal/hub/core.go
+++ b/internal/hub/core.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"godwityoke.example/godwityoke/internal/bundle"
 	"godwityoke.example/godwityoke/internal/hub/hubpb"
 	"godwityoke.example/godwityoke/internal/observe"
@@ -448,9 +450,21 @@
 		frame := s.pending()
 		frame.Placements = append(frame.Placements, placementToProto(placement))
 	}
+	for _, change := range c.scheduler.TakeCredibilityChanges() {
+		if s := byVM[change.VM]; s != nil {
+			logCredibility(c.options.Logger, s.vm, change)
+		}
+	}
 	return c.scheduler.NextDecisionAt(now)
 }
 
+// logCredibility logs whether the reports of an entry VM on backend servers count for
+// other VMs.
+func logCredibility(logger zerolog.Logger, vm string, change schedule.CredibilityChange) {
+	observe.Log(logger, observe.EntryCredibility).Str("entry_vm", vm).Bool("credible", change.Credible).
+		Int("failing", change.Failing).Int("reached", change.Reached).Send()
+}
+
 // spreadEvidence queues evidence for all attached entry VMs and all other control VMs.
 func (c *core) spreadEvidence(evidence []quarantine.Evidence, now time.Time) {
 	if len(evidence) == 0 {
--- a/internal/hub/linkstate.go
+++ b/internal/hub/linkstate.go
@@ -136,6 +136,7 @@
 		for _, placement := range s.local.Decide(now) {
 			s.deliver(placement, now, true)
 		}
+		s.logCredibility()
 		if nextDecisionAt := s.local.NextDecisionAt(now); !nextDecisionAt.IsZero() {
 			wake.Reset(nextDecisionAt.Sub(now))
 		}
@@ -143,6 +144,16 @@
 	}
 }
 
+// logCredibility logs changes of what this VM's own scheduler makes of this VM's reports.
+// They say something new only while the leader's scheduler doesn't place the requests.
+func (s *linkState) logCredibility() {
+	for _, change := range s.local.TakeCredibilityChanges() {
+		if !s.schedulerAttached || s.schedulerSuspect {
+			logCredibility(s.link.options.Logger, s.link.options.VM, change)
+		}
+	}
+}
+
 // handleBatch handles the messages that are already in the inbox, at most maxBatch.
 func (s *linkState) handleBatch() {
 	for range maxBatch {
--- a/internal/observe/events_hub.go
+++ b/internal/observe/events_hub.go
@@ -25,6 +25,8 @@
 		"A part of prompts has crashed several backend servers. All entry VMs refuse requests with it. The line gives the part as in request_refused (subject), the number of crashes that are known, the number of parts and requests with evidence (suspects), and of those dropped for want of space (evicted). Find the prompts with the part and the defect of the server.")
 	RequestQuarantined = newEvent(2158, "request_quarantined", zerolog.WarnLevel,
 		"A request that comes again has crashed several backend servers. All entry VMs refuse requests of the same team with the same method, host, path and body. The fields are those of part_quarantined. Find the request by its identity in the connection_lost_before_answer lines, and the defect of the server; ten minutes after the last crash the request is let through again.")
+	EntryCredibility = newEvent(2159, "entry_credibility", zerolog.WarnLevel,
+		"An entry VM fails on most of the backend servers that it has used lately, while others reach them, so that its reports take no server out for other VMs any more; or they count again (credible). The line gives the numbers of servers on which it fails and which it reaches. An entry VM logs this of itself while it places requests by itself. If credible does not become true, check the network between that VM and the backend servers.")
 	QuorumMargin = newEvent(2156, "quorum_margin", zerolog.InfoLevel,
 		"The number of voters of the control group, or of those that the leader reaches, changed. margin is how many of the reachable voters may fail before the group stops accepting changes. If it stays at 0, bring back the control VMs that don't run, or replace them.")
 	LinkLost = newEvent(2148, "link_lost", zerolog.WarnLevel,
