schedule: requests of a VM that is gone are no successes of their servers

A backend server that was unreachable gets one request at a time until one succeeds. When the entry VM of that request detached or attached again, the request was counted as answered, and the server got requests of all VMs again, dead or not. That is one VM's trouble which costs the others: a VM that loses its path to the control VM often has lost others, too.

FinishAll now ends these requests with OutcomeUnused, which releases the slot and records nothing. TestRequestsOfAGoneVMTellNothingOfTheirServers failed before ("Should be true" on the server's unreachable flag).

--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -428,7 +428,7 @@
 func (s *Scheduler) FinishAll(now time.Time, vm uint64, running map[JobID]bool) {
 	for id := range s.placedByVM[vm] {
 		if !running[id] {
-			s.Finish(now, id, OutcomeDone)
+			s.Finish(now, id, OutcomeUnused)
 		}
 	}
 	kept := s.queued[:0]
--- a/internal/schedule/unreachable_test.go
+++ b/internal/schedule/unreachable_test.go
@@ -90,3 +90,19 @@
 	require.Equal(t, ejectAfterFailures, s.vms[1].pairs[s.servers["b1"]].failures)
 	require.Equal(t, 1, s.vms[1].counts[recentFailure])
 }
+
+// What became of the requests of an entry VM that is gone, or that has forgotten them, is not known.
+func TestRequestsOfAGoneVMTellNothingOfTheirServers(t *testing.T) {
+	for _, running := range []map[JobID]bool{nil, {}} {
+		now := time.Unix(1_000_000, 0)
+		s := plainScheduler(now)
+		failUnreachable(s, now, 1, 1, "b1")
+		now = now.Add(minBackoff)
+		probe := plainRequest(now, 2, 1)
+		s.commit(now, &job{request: probe, queuedAt: now}, s.servers["b1"], nil)
+		s.FinishAll(now, 2, running)
+		require.Zero(t, s.Placed())
+		require.True(t, s.servers["b1"].unreachable, "the server gets one request at a time until one succeeds")
+		require.NotZero(t, s.servers["b1"].failureStreak)
+	}
+}
