gateway, schedule: a request that ends without an answer is no success of its server

A request that was cancelled, or whose deadline passed, before the server answered was reported as done, which the scheduler takes for a success: a server that was unreachable got requests of all VMs again, and an entry VM whose connections hang would count as one that reaches its servers.

The outcome is now OutcomeCancelled (PROGRESS_CANCELLED), which releases the slot and says nothing of the server. First events are reported as before, so that a stream that is cancelled after one still counts as a success. A control VM of an older version takes the new kind for PROGRESS_ENDED, as it did before.

TestRequestWithoutAnAnswerDoesNotReadmitAnUnreachableServer is the test of unused placements, now also for this outcome. TestDeadlineOfARequestIsNoFailureOfItsServer and TestNoServerIsSearchedShortlyBeforeTheDeadline expected OutcomeDone and now expect OutcomeCancelled: that the deadline is no failure of the server is still required, of the gateway by the exact outcome and of the scheduler by the server's state.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -365,14 +365,15 @@
 	return result
 }
 
-// placementOutcome returns what the scheduler is told about the attempt. An attempt that failed because the request
-// was cancelled or its deadline passed counts as done, since the server is not at fault.
+// placementOutcome returns what the scheduler is told about the attempt.
 func (x *exchange) placementOutcome(ctx context.Context, result attemptResult) schedule.Outcome {
 	switch {
 	case result.serverError, result.err != nil && result.err.ServerError:
 		return schedule.OutcomeServerError
-	case result.err == nil, x.isOver(ctx):
+	case result.err == nil:
 		return schedule.OutcomeDone
+	case x.isOver(ctx):
+		return schedule.OutcomeCancelled
 	case result.err.Delivery == DeliveryRejected:
 		return schedule.OutcomeRejected
 	case result.err.Delivery == DeliveryNotSent && !result.err.Unresponsive:
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -288,7 +288,7 @@
 func TestDeadlineOfARequestIsNoFailureOfItsServer(t *testing.T) {
 	x := &exchange{deadline: time.Now()}
 	result := attemptResult{err: &AttemptError{Delivery: DeliveryUnknown, Err: os.ErrDeadlineExceeded}}
-	require.Equal(t, schedule.OutcomeDone, x.placementOutcome(context.Background(), result))
+	require.Equal(t, schedule.OutcomeCancelled, x.placementOutcome(context.Background(), result))
 }
 
 func TestNoServerIsSearchedShortlyBeforeTheDeadline(t *testing.T) {
@@ -297,7 +297,7 @@
 		table := longTable()
 		serveWith(f, f, table, "stream", "key", minStallTimeout+100*time.Millisecond)
 		require.Zero(t, f.retriesRequested)
-		require.Equal(t, []schedule.Outcome{schedule.OutcomeDone}, f.outcomes)
+		require.Equal(t, []schedule.Outcome{schedule.OutcomeCancelled}, f.outcomes)
 	})
 }
 
--- a/internal/hub/convert.go
+++ b/internal/hub/convert.go
@@ -144,7 +144,7 @@
 	schedule.OutcomeDone: hubpb.ProgressKind_PROGRESS_ENDED, schedule.OutcomeFailed: hubpb.ProgressKind_PROGRESS_FAILED,
 	schedule.OutcomeRejected: hubpb.ProgressKind_PROGRESS_REJECTED, schedule.OutcomeUnreachable: hubpb.ProgressKind_PROGRESS_UNREACHED,
 	schedule.OutcomeServerError: hubpb.ProgressKind_PROGRESS_ERRORED, schedule.OutcomeStalled: hubpb.ProgressKind_PROGRESS_STALLED,
-	schedule.OutcomeUnused: hubpb.ProgressKind_PROGRESS_UNUSED,
+	schedule.OutcomeUnused: hubpb.ProgressKind_PROGRESS_UNUSED, schedule.OutcomeCancelled: hubpb.ProgressKind_PROGRESS_CANCELLED,
 }
 
 // outcomeFromProto returns OutcomeDone for an unknown kind, which a VM with a newer
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -96,7 +96,7 @@
 
 // Outcomes of a placed request.
 const (
-	// OutcomeDone means that the request was answered or cancelled.
+	// OutcomeDone means that the request was answered.
 	OutcomeDone Outcome = iota + 1
 	// OutcomeFailed means that the server did not complete the request.
 	OutcomeFailed
@@ -112,6 +112,10 @@
 	// OutcomeUnused means that nothing was sent to the server, so that nothing new is
 	// known of it.
 	OutcomeUnused
+	// OutcomeCancelled means that the request was cancelled, or its deadline passed,
+	// before it was answered. That is no failure of the server, and no sign that it can be
+	// reached.
+	OutcomeCancelled
 )
 
 // Scheduler places the requests of all services. It is not safe for concurrent use.
@@ -390,7 +394,7 @@
 	}
 	s.release(j)
 	switch outcome {
-	case OutcomeUnused:
+	case OutcomeUnused, OutcomeCancelled:
 		return
 	case OutcomeUnreachable, OutcomeStalled, OutcomeFailed:
 		s.recordFailure(now, j, outcome)
--- a/internal/schedule/unreachable_test.go
+++ b/internal/schedule/unreachable_test.go
@@ -76,19 +76,22 @@
 	require.InDelta(t, 1, New().ReachableZoneFraction(), 0)
 }
 
-func TestUnusedPlacementDoesNotReadmitAnUnreachableServer(t *testing.T) {
-	now := time.Unix(1_000_000, 0)
-	s := plainScheduler(now)
-	failUnreachable(s, now, 1, 1, "b1")
-	now = now.Add(minBackoff)
-	probe := plainRequest(now, 1, 2)
-	s.commit(now, &job{request: probe, queuedAt: now}, s.servers["b1"], nil)
-	s.Finish(now, probe.ID, OutcomeUnused)
-	require.Zero(t, s.Placed(), "the slot is released")
-	require.True(t, s.servers["b1"].unreachable)
-	require.NotZero(t, s.servers["b1"].failureStreak)
-	require.Equal(t, ejectAfterFailures, s.vms[1].pairs[s.servers["b1"]].failures)
-	require.Equal(t, 1, s.vms[1].counts[recentFailure])
+func TestRequestWithoutAnAnswerDoesNotReadmitAnUnreachableServer(t *testing.T) {
+	for _, outcome := range []Outcome{OutcomeUnused, OutcomeCancelled} {
+		now := time.Unix(1_000_000, 0)
+		s := plainScheduler(now)
+		failUnreachable(s, now, 1, 1, "b1")
+		now = now.Add(minBackoff)
+		probe := plainRequest(now, 1, 2)
+		s.commit(now, &job{request: probe, queuedAt: now}, s.servers["b1"], nil)
+		s.Finish(now, probe.ID, outcome)
+		require.Zero(t, s.Placed(), "the slot is released")
+		require.True(t, s.servers["b1"].isAvailable(now), "it is no failure")
+		require.True(t, s.servers["b1"].unreachable)
+		require.NotZero(t, s.servers["b1"].failureStreak)
+		require.Equal(t, ejectAfterFailures, s.vms[1].pairs[s.servers["b1"]].failures)
+		require.Equal(t, 1, s.vms[1].counts[recentFailure])
+	}
 }
 
 // What became of the requests of an entry VM that is gone, or that has forgotten them, is not known.
