--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -470,15 +470,16 @@
 		Dur("after", time.Since(open.sentAt)).Int("events", x.eventsSent).Err(result.err).Send()
 }
 
-// placementOutcome returns what the scheduler is told about the attempt. An attempt that failed because the request
-// was cancelled or its deadline passed counts as done, since the server is not at fault. One that failed although the
-// server is most likely up says nothing about it.
+// placementOutcome returns what the scheduler is told about the attempt. One that failed although the server is most
+// likely up says nothing about it.
 func (x *exchange) placementOutcome(ctx context.Context, attempt *Attempt, result attemptResult) schedule.Outcome {
 	switch {
 	case result.serverError, result.err != nil && result.err.ServerError:
 		return schedule.OutcomeServerError
-	case result.err == nil, x.isOver(ctx):
+	case result.err == nil:
 		return schedule.OutcomeDone
+	case x.isOver(ctx):
+		return schedule.OutcomeCancelled
 	case result.err.Delivery == DeliveryRejected:
 		return schedule.OutcomeRejected
 	case x.isPathAtFault(attempt, result):
