--- a/internal/replica/memnet_test.go
+++ b/internal/replica/memnet_test.go
@@ -143,6 +143,10 @@
 // start starts a VM on its disk. The first three VMs form the group.
 func (n *memNetwork) start(t *testing.T, vm *memVM) {
 	t.Helper()
+	require.NoError(t, n.tryStart(vm))
+}
+
+func (n *memNetwork) tryStart(vm *memVM) error {
 	config := settings.Defaults()
 	config.Cluster = "test"
 	config.VM.Name = vm.name
@@ -155,12 +159,15 @@
 	}
 	machine := &hookedRecorder{}
 	replica, err := Start(Options{
-		Settings: &config, StateMachine: machine, Logger: zerolog.Nop(), folder: vm.disk, network: vm,
+		Settings: &config, StateMachine: machine, Logger: zerolog.Nop(), Folder: vm.disk, network: vm,
 	})
-	require.NoError(t, err)
+	if err != nil {
+		return err
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	vm.replica, vm.machine, vm.up, vm.unfreezeReply = replica, machine, true, nil
+	return nil
 }
 
 // kill stops a VM as by a power failure: writes that are not synced are lost.
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -40,8 +40,9 @@
 	// Pool holds the connections to the other control VMs. The replica does not close it.
 	Pool   *transport.Pool
 	Logger zerolog.Logger
-	// In tests, folder replaces the data folder and network the gRPC network.
-	folder  storage.FS
+	// Folder is the data folder, nil for that at Settings.DataDir.
+	Folder storage.FS
+	// In tests, network replaces the gRPC network.
 	network network
 }
 
@@ -56,15 +57,15 @@
 		return errors.New("replica: max_clock_drift_percent must be at least 0 and below 50")
 	case control.SnapshotEntries <= 0:
 		return errors.New("replica: snapshot_entries must be positive")
-	case o.folder == nil && o.Settings.DataDir == "":
+	case o.Folder == nil && o.Settings.DataDir == "":
 		return errors.New("replica: a control VM needs data_dir")
 	}
 	return nil
 }
 
 func (o *Options) openFolder() (storage.FS, error) {
-	if o.folder != nil {
-		return o.folder, nil
+	if o.Folder != nil {
+		return o.Folder, nil
 	}
 	folder, err := storage.OpenDir(o.Settings.DataDir)
 	if err != nil {
--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -21,6 +21,7 @@
 	"godwityoke.example/godwityoke/internal/replica"
 	"godwityoke.example/godwityoke/internal/routes"
 	productsettings "godwityoke.example/godwityoke/internal/settings"
+	"godwityoke.example/godwityoke/internal/storage"
 	"godwityoke.example/godwityoke/internal/tcp"
 	"godwityoke.example/godwityoke/internal/transport"
 )
@@ -76,6 +77,8 @@
 	metrics    *observe.Metrics
 	pool       *transport.Pool
 	server     *grpc.Server
+	// folder replaces the data folder in tests; nil otherwise.
+	folder storage.FS
 	// replica is the running member of the control group; nil while there is none.
 	replica atomic.Pointer[replica.Replica]
 	// forwarder is the gRPC Replica service of the running member.
@@ -203,7 +206,7 @@
 	if err != nil {
 		return err
 	}
-	member, err := replica.Start(replica.Options{Settings: options, StateMachine: c.registry, Pool: c.pool, Logger: c.logger})
+	member, err := replica.Start(replica.Options{Settings: options, StateMachine: c.registry, Pool: c.pool, Logger: c.logger, Folder: c.folder})
 	if err != nil {
 		return err
 	}
--- a/internal/site/control_test.go
+++ b/internal/site/control_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"godwityoke.example/godwityoke/internal/routes"
+	"godwityoke.example/godwityoke/internal/storage"
 )
 
 // versionCodec decodes a route table that consists of its version only.
@@ -54,6 +55,11 @@
 
 // start starts control VM n with the data in folder.
 func (g *controlGroup) start(n int, folder string, bootstrap bool) *controlVM {
+	return g.startOn(n, folder, nil, bootstrap)
+}
+
+// startOn starts control VM n with the data in disk, or in folder if disk is nil.
+func (g *controlGroup) startOn(n int, folder string, disk storage.FS, bootstrap bool) *controlVM {
 	settings := &Settings{
 		VM: "control-" + strconv.Itoa(n), Address: g.address(n), Control: net.JoinHostPort(g.address(n), "0"),
 		FirstPort: g.port, LastPort: g.port, Seeds: g.seeds, Bootstrap: bootstrap, DataDir: folder,
@@ -61,6 +67,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	vm := &controlVM{Control: newControl(settings, versionCodec{}, zerolog.Nop()), cancel: cancel, done: make(chan struct{})}
+	vm.folder = disk
 	go func() {
 		defer close(vm.done)
 		_ = vm.run(ctx, http.NotFoundHandler()) // a listener that can't be opened fails the test at its next step
