schedule: requests of VMs that are cut off wait behind those of the others

The requests of an entry VM that reaches no server are still placed, since it may reach some through others. Without such a path each attempt holds a slot until its dial times out, and the request comes again for the next server.

TestAttemptsOfCutOffEntryVMsDelayNoOtherVM.

--- a/internal/schedule/decide.go
+++ b/internal/schedule/decide.go
@@ -113,14 +113,21 @@
 	s.decided = append(s.decided, Placement{ID: j.request.ID, RetryAfter: after, Reason: reason})
 }
 
-// sortQueued orders the queued requests by priority. Within a priority, requests
-// past their latency target come last. Otherwise requests with a higher weight per
+// sortQueued orders the queued requests by priority. Within a priority, those of entry
+// VMs that are most likely cut off come last, because their attempts mostly hold slots in
+// vain. Of the others, requests past their latency target come last. Otherwise requests with a higher weight per
 // second of server time come first.
 func (s *Scheduler) sortQueued(now time.Time) {
 	slices.SortStableFunc(s.queued, func(a, b *job) int {
 		if order := cmp.Compare(a.request.Priority, b.request.Priority); order != 0 {
 			return order
 		}
+		if suspectA, suspectB := s.isSuspect(a), s.isSuspect(b); suspectA != suspectB {
+			if suspectA {
+				return 1
+			}
+			return -1
+		}
 		lateA, lateB := now.After(a.request.TargetAt), now.After(b.request.TargetAt)
 		if lateA != lateB {
 			if lateA {
--- a/internal/schedule/evidence.go
+++ b/internal/schedule/evidence.go
@@ -489,3 +489,9 @@
 	}
 	s.markExcluded(j)
 }
+
+// isSuspect reports whether the entry VM of the request is suspect.
+func (s *Scheduler) isSuspect(j *job) bool {
+	vm := s.vms[j.request.ID.VM]
+	return vm != nil && vm.suspect
+}
--- a/internal/schedule/evidence_test.go
+++ b/internal/schedule/evidence_test.go
@@ -245,6 +245,29 @@
 	}
 }
 
+// Attempts that time out hold slots, of which there are few here. They must not delay the requests of the other VMs.
+func TestAttemptsOfCutOffEntryVMsDelayNoOtherVM(t *testing.T) {
+	for _, cut := range []int{1, 3, 8} {
+		for seed := range uint64(3) {
+			f := newFleetSim(seed, 9, 17, 12)
+			for _, srv := range f.sortedServers {
+				f.SetServer(f.now, Server{ID: srv.ID, Service: "plain", Zone: srv.Zone, Slots: 2, AcceptsNew: true})
+			}
+			f.fails = func(vm int, _ string, at time.Duration) *failure {
+				if vm < cut && at >= 3*time.Second {
+					return &failures[0]
+				}
+				return nil
+			}
+			f.measure(4500*time.Millisecond, 13*time.Second)
+			answered, refused, wait := f.total(cut)
+			t.Logf("%d of 9 cut off, seed %d; other VMs: %d answered, %d refused, mean wait %v", cut, seed, answered, refused, wait)
+			require.Zero(t, refused)
+			require.Less(t, wait, 30*time.Millisecond)
+		}
+	}
+}
+
 // VMs that were cut off are served again as soon as their paths are back.
 func TestEntryVMsThatWereCutOffAreServedAgain(t *testing.T) {
 	forSeeds(t, func(t *testing.T, how failure, seed uint64) {
@@ -361,6 +384,25 @@
 	})
 }
 
+// A zone that one VM can't reach is used by the others.
+func TestOneVMWithoutPathsToAZoneLeavesItToOtherVMs(t *testing.T) {
+	forSeeds(t, func(t *testing.T, how failure, seed uint64) {
+		f := newFleetSim(seed, 9, 18, 6)
+		f.fails = func(vm int, server string, at time.Duration) *failure {
+			if vm == 0 && at >= 3*time.Second && server >= serverName(12) {
+				return &how
+			}
+			return nil
+		}
+		out := f.measure(3*time.Second, 13*time.Second)
+		answered, refused, wait := f.total(0)
+		t.Logf("out %.2f of 18 servers; %d answered, %d refused, mean wait %v", out, answered, refused, wait)
+		require.Less(t, out, 2.0)
+		require.Zero(t, refused)
+		require.Less(t, wait, 10*time.Millisecond)
+	})
+}
+
 // finishOn places a request of a VM on the server with id and finishes it.
 func finishOn(s *Scheduler, now time.Time, vm, seq uint64, id string, outcome Outcome) {
 	s.commit(now, &job{request: plainRequest(now, vm, seq), queuedAt: now}, s.servers[id], nil)
