hub: a test of resets on the way that quarantine a request

One entry VM whose connections are reset on the way to three servers, under one request that comes again for a second or more, makes all VMs refuse that request for ten minutes, although the servers go on announcing themselves under the same start.

TestResetsOnTheWayQuarantineNoRequest: "Should be false ... no server has crashed under the request".

--- a/internal/hub/evidence_test.go
+++ b/internal/hub/evidence_test.go
@@ -1,6 +1,8 @@
 package hub
 
 import (
+	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -10,6 +12,7 @@
 	"godwityoke.example/godwityoke/internal/hub/hubpb"
 	"godwityoke.example/godwityoke/internal/observe"
 	"godwityoke.example/godwityoke/internal/quarantine"
+	"godwityoke.example/godwityoke/internal/roster"
 )
 
 var harmfulParts = []quarantine.Subject{quarantine.NewPart("harmful")}
@@ -139,3 +142,37 @@
 	_, found := receiver.Quarantined(now, requestTo("/harmful"), nil)
 	require.True(t, found)
 }
+
+// Connections of one entry VM are reset on the way to three servers under one request that it sends again. The servers go
+// on announcing themselves under the same start, so that none of them has crashed, and another VM must send the request.
+func TestResetsOnTheWayQuarantineNoRequest(t *testing.T) {
+	listener := listen(t)
+	h := startHub(t, listener, listener.Addr().String(), listener.Addr().String())
+	links := []*Link{startLinkOf(t, "entry-1", 1, h.address), startLinkOf(t, "entry-2", 2, h.address)}
+	for _, link := range links {
+		require.Eventually(t, link.isAttached, 5*time.Second, 10*time.Millisecond)
+	}
+	startedAt := time.Now().Add(-time.Minute)
+	announce := func(sequence uint64) {
+		for i := range 3 {
+			require.NoError(t, h.Announce(context.Background(), roster.Server{
+				ID: fmt.Sprintf("s%d", i), Service: "plain", Address: fmt.Sprintf("127.0.0.1:%d", 1+i), Zone: "a", Slots: 2,
+				State: roster.StateReady, StartedAt: startedAt, Sequence: sequence, LastSeen: time.Now(),
+			}))
+		}
+	}
+	announce(1)
+	request := func() *quarantine.Request { return requestTo("again") }
+	for i := range 3 {
+		links[0].Evidence().Do(func(tracker *quarantine.Tracker) {
+			tracker.RecordCrash(time.Now(), quarantine.NewServerRun(fmt.Sprintf("s%d", i), startedAt), request(), nil)
+		})
+		time.Sleep(600 * time.Millisecond)
+	}
+	for sequence := range uint64(8) {
+		announce(2 + sequence)
+		time.Sleep(250 * time.Millisecond)
+	}
+	_, found := links[1].Evidence().Quarantined(time.Now(), request(), nil)
+	require.False(t, found, "no server has crashed under the request")
+}
