relay: unconfirmed failures of paths excuse no server

A VM that met three dead servers without an answer on a new connection in between counted as cut off, and so its paths to all servers as broken: attempts that failed were then neither reported to the scheduler nor kept as evidence of a crash.

TestFailuresOfDeadServersAreNotBlamedOnTheirPaths failed before ("Should be false"). A path now counts as broken only where another VM reaches the server, or two others that this VM does not reach. Failures that no VM contradicts still make a VM ask its peers first and relay nothing.

--- a/internal/relay/paths.go
+++ b/internal/relay/paths.go
@@ -172,31 +172,39 @@
 	delete(p.paths, address)
 }
 
-// Use records that a connection to a server is needed, and tells whether its direct path is broken, as IsBroken.
-func (p *Paths) Use(now time.Time, address string) (broken bool) {
+// Use records that a connection to a server is needed, and tells whether a peer should be asked for it first: the direct
+// path is broken, or this VM is most likely cut off.
+func (p *Paths) Use(now time.Time, address string) (peerFirst bool) {
 	p.mu.Lock()
-	p.path(address).usedAt = now
-	p.mu.Unlock()
-	return p.IsBroken(now, address)
+	defer p.mu.Unlock()
+	known := p.path(address)
+	known.usedAt = now
+	broken, failed := p.count(now)
+	return known.broken || broken >= minBrokenPaths || failed >= minFailedPaths
 }
 
-// IsBroken tells whether the server is most likely up although this VM does not reach it directly.
+// IsBroken tells whether the server is most likely up although this VM does not reach it directly: another VM reaches it,
+// or several other servers that this VM does not reach.
 func (p *Paths) IsBroken(now time.Time, address string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := p.paths[address]
-	return known != nil && known.broken || p.isCutOff(now)
+	broken, _ := p.count(now)
+	return known != nil && known.broken || broken >= minBrokenPaths
 }
 
-// IsCutOff tells whether this VM most likely reaches no server directly.
+// IsCutOff tells whether this VM most likely reaches no server directly. While no other VM reaches them either, the servers
+// may be at fault.
 func (p *Paths) IsCutOff(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.isCutOff(now)
+	broken, failed := p.count(now)
+	return broken >= minBrokenPaths || failed >= minFailedPaths
 }
 
-func (p *Paths) isCutOff(now time.Time) bool {
-	broken, failed := 0, 0
+// count returns the numbers of broken paths, and of those that are broken or have failed lately, that have not carried an
+// answer since any path has.
+func (p *Paths) count(now time.Time) (broken, failed int) {
 	for _, known := range p.paths {
 		if known.failedAt.IsZero() || known.failedAt.Before(p.directAt) {
 			continue
@@ -208,7 +216,7 @@
 			failed++
 		}
 	}
-	return broken >= minBrokenPaths || failed >= minFailedPaths
+	return broken, failed
 }
 
 // ProbeTargets returns the servers to which a direct connection should be tried now, those that were not tried for the
@@ -217,7 +225,8 @@
 func (p *Paths) ProbeTargets(now time.Time) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	cutOff := p.isCutOff(now)
+	broken, failed := p.count(now)
+	cutOff := broken >= minBrokenPaths || failed >= minFailedPaths
 	var targets []string
 	for address, known := range p.paths {
 		if now.Sub(known.usedAt) > retention {
--- a/internal/relay/paths_test.go
+++ b/internal/relay/paths_test.go
@@ -50,6 +50,17 @@
 	require.False(t, p.IsCutOff(start.Add(time.Second+failureWindow)), "old failures don't count")
 }
 
+func TestFailuresOfDeadServersAreNotBlamedOnTheirPaths(t *testing.T) {
+	p := NewPaths()
+	for i := range 2 * minFailedPaths {
+		address := fmt.Sprintf("dead%d:1", i)
+		p.DirectFailed(start, address)
+		p.ServerIsDown(address)
+		require.False(t, p.IsBroken(start, address))
+	}
+	require.True(t, p.IsCutOff(start), "a peer is asked first, until a server answers")
+}
+
 func TestProbesReachAllServersOfACutOffVM(t *testing.T) {
 	p := NewPaths()
 	const servers = 3 * maxProbes
