site: a step of the clock does not change when a planned stop ends for new requests

The deadline of a planned stop was kept as Unix time. After a step of the clock backwards, a stopping VM took requests up to its end and then cut them; after a step ahead it refused all. The deadline now keeps its reading of the monotonic clock, as the drain does.

Found by reading, beside the requests that arrive late in a stop.

--- a/internal/site/entry.go
+++ b/internal/site/entry.go
@@ -109,8 +109,8 @@
 	orders   *h1.Client
 	metrics  *observe.Metrics
 	stopping atomic.Bool
-	// stopAt is the deadline of a planned stop, in Unix nanoseconds.
-	stopAt atomic.Int64
+	// stopAt is the deadline of a planned stop, nil before it.
+	stopAt atomic.Pointer[time.Time]
 	// lastRequest is the arrival time of the latest request, in Unix nanoseconds.
 	lastRequest atomic.Int64
 	running     sync.WaitGroup
@@ -221,7 +221,7 @@
 	if !e.stopping.Load() {
 		return 0, false
 	}
-	return time.Until(time.Unix(0, e.stopAt.Load())), true
+	return time.Until(*e.stopAt.Load()), true
 }
 
 // drain blocks until no request has arrived for idleBeforeExit and none is in progress,
@@ -231,7 +231,7 @@
 // one of them.
 func (e *Entry) drain(startedAt time.Time, server *callerServers) {
 	limit := startedAt.Add(e.settings.StopLimit - stopMargin)
-	e.stopAt.Store(limit.UnixNano())
+	e.stopAt.Store(&limit)
 	e.stopping.Store(true)
 	e.gateway.BeginStop()
 	ticker := time.NewTicker(drainCheckInterval)
