relay: one failed connection makes the paths to other servers suspect

What callers saw: in the first seconds after an entry VM lost its paths to all servers, its requests went to kept connections that were dead, and streams were late by 1.2 s and more.

Cause: the VM found out server by server, as requests needed new connections.

TestOneFailedConnectionShowsThatAllServersAreCutOff failed before (it waited 5 s in vain).

--- a/internal/relay/dialer.go
+++ b/internal/relay/dialer.go
@@ -183,6 +183,7 @@
 			return
 		}
 		isAsked = true
+		go d.checkOthers(address)
 		go func() {
 			conn, err := d.dialPeers(relayCtx, address, unreachableAfter)
 			if err != nil {
@@ -441,6 +442,14 @@
 	}
 }
 
+// checkOthers checks the paths to other servers than the given one, so that a VM that is cut off from all servers finds
+// out before each of them has failed.
+func (d *Dialer) checkOthers(address string) {
+	for _, other := range d.paths.Suspects(time.Now(), address) {
+		go d.Check(context.Background(), other)
+	}
+}
+
 // probeDirect sends a probe to a server without a peer and records whether it answers.
 func (d *Dialer) probeDirect(ctx context.Context, address string) error {
 	conn, err := d.dialDirect(ctx, address, 0)
--- a/internal/relay/paths.go
+++ b/internal/relay/paths.go
@@ -30,6 +30,10 @@
 	// minPeerBackoff and maxPeerBackoff bound the time in which a VM that failed to relay is not asked again.
 	minPeerBackoff = time.Second
 	maxPeerBackoff = 8 * time.Second
+	// maxSuspects is the number of other paths that are checked when a connection fails or takes long, suspectInterval the
+	// minimum time between two such checks.
+	maxSuspects     = minBrokenPaths
+	suspectInterval = 500 * time.Millisecond
 	// retention is how long a path that is not used is kept.
 	retention = time.Minute
 )
@@ -75,6 +79,8 @@
 	paths map[string]*path
 	// directAt is when any server last answered on a new direct connection.
 	directAt time.Time
+	// suspectedAt is when Suspects last returned servers.
+	suspectedAt time.Time
 	// peers is keyed by Peer.Address.
 	peers map[string]*peerState
 }
@@ -219,6 +225,27 @@
 	return broken, failed
 }
 
+// Suspects returns servers whose paths should be checked because a connection to the given one has failed or takes long:
+// those that were used last. It returns none while the answer is known, and for a while after it has returned some.
+func (p *Paths) Suspects(now time.Time, address string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if broken, _ := p.count(now); broken >= minBrokenPaths || now.Sub(p.suspectedAt) < suspectInterval {
+		return nil
+	}
+	var suspects []string
+	for other, known := range p.paths {
+		if other != address && !known.broken {
+			suspects = append(suspects, other)
+		}
+	}
+	slices.SortFunc(suspects, func(a, b string) int {
+		return cmp.Or(p.paths[b].usedAt.Compare(p.paths[a].usedAt), cmp.Compare(a, b))
+	})
+	p.suspectedAt = now
+	return suspects[:min(len(suspects), maxSuspects)]
+}
+
 // ProbeTargets returns the servers to which a direct connection should be tried now, those that were not tried for the
 // longest time first: those with a broken path and, while this VM is cut off, all others as well. It drops what is known of
 // servers that were not used for a while.
--- a/internal/relay/paths_test.go
+++ b/internal/relay/paths_test.go
@@ -61,6 +61,20 @@
 	require.True(t, p.IsCutOff(start), "a peer is asked first, until a server answers")
 }
 
+func TestFailedPathMakesTheLastUsedOnesSuspect(t *testing.T) {
+	p := NewPaths()
+	for i := range 5 {
+		p.Use(start.Add(time.Duration(i)*time.Second), fmt.Sprintf("s%d:1", i))
+	}
+	now := start.Add(5 * time.Second)
+	require.Equal(t, []string{"s3:1", "s2:1"}, p.Suspects(now, "s4:1"))
+	require.Empty(t, p.Suspects(now.Add(suspectInterval-1), "s3:1"))
+	p.ReachedByPeer(now, "s3:1", "peer:1")
+	require.Equal(t, []string{"s2:1", "s1:1"}, p.Suspects(now.Add(suspectInterval), "s4:1"))
+	p.ReachedByPeer(now, "s2:1", "peer:1")
+	require.Empty(t, p.Suspects(now.Add(time.Minute), "s4:1"), "the VM is known to be cut off")
+}
+
 func TestProbesReachAllServersOfACutOffVM(t *testing.T) {
 	p := NewPaths()
 	const servers = 3 * maxProbes
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -217,6 +217,18 @@
 	}
 }
 
+func TestOneFailedConnectionShowsThatAllServersAreCutOff(t *testing.T) {
+	_, peer := startRelay(t, allow)
+	d := cutDialer(syscall.ECONNREFUSED, 0, peer)
+	for range 4 {
+		d.paths.Use(time.Now(), startBackend(t, echo))
+	}
+	conn, err := d.Dial(context.Background(), startBackend(t, echo), 0)
+	require.NoError(t, err)
+	require.NoError(t, conn.Close())
+	require.Eventually(t, d.IsCutOff, 5*time.Second, time.Millisecond)
+}
+
 func TestOnlyPeerThatReachesTheServerIsFound(t *testing.T) {
 	backend := startBackend(t, echo)
 	_, sound := startRelay(t, allow)
