--- a/internal/site/entry.go
+++ b/internal/site/entry.go
@@ -172,12 +172,7 @@
 	observe.Log(e.logger, observe.ProcessStarted).Str("callers", e.settings.Callers).Strs("seeds", e.settings.Seeds).Send()
 	<-ctx.Done()
 	observe.Log(e.logger, observe.ProcessStopping).Int("in_progress", e.gateway.InFlight()).Send()
-	e.drain(time.Now(), server)
-	aborted := e.gateway.InFlight()
-	e.gateway.BeginExit()
-	closing, cancelClosing := context.WithTimeout(background, lastAnswersTimeout)
-	server.close(closing)
-	cancelClosing()
+	aborted := e.stopCallers(server)
 	_ = readinessServer.Close()
 	cancel()
 	e.running.Wait()
@@ -185,6 +180,18 @@
 	return nil
 }
 
+// stopCallers drains the connections of callers, ends the requests that are left, whose
+// number it returns, and closes the connections.
+func (e *Entry) stopCallers(server *callerServers) (aborted int) {
+	e.drain(time.Now(), server)
+	aborted = e.gateway.InFlight()
+	e.gateway.BeginExit()
+	closing, cancel := context.WithTimeout(context.Background(), lastAnswersTimeout)
+	defer cancel()
+	server.close(closing)
+	return aborted
+}
+
 func (e *Entry) serve(listener net.Listener, handler http.Handler) *http.Server {
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
