relay: a server that states that it drains is believed by the relaying VM

A server that states in an answer that it is draining was not known to be so by the VM that relayed the answer until the control VMs had told it; by the users' rule, that VM must send it no more requests, also while it is cut off from them (DRAIN).

The VM with the request forwards the whole statement, before only a backoff. TestStatementIsForwardedToTheRelayingVM replaces the test of the backoff and covers both.

--- a/internal/observe/events_gateway.go
+++ b/internal/observe/events_gateway.go
@@ -54,8 +54,8 @@
 		"This entry VM began (cut_off true) or ceased to consider itself unable to reach backend servers directly. Meanwhile it opens connections to them through other entry VMs. If it lasts, check the network between this VM and the backend servers.")
 	RelayRefused = newEvent(3251, "relay_refused", zerolog.InfoLevel,
 		"Another entry VM (from) asked this one for a connection to the backend server at the address, and did not get it. The line gives the cause. No action, unless many lines name servers that run: check the network between this VM and them.")
-	BackoffNotForwarded = newEvent(3252, "backoff_not_forwarded", zerolog.InfoLevel,
-		"A backend server stated in an answer that another entry VM relayed that it wants no requests from that VM for a time, and that VM could not be told. It learns it from the next answer. No action.")
+	StatementNotForwarded = newEvent(3252, "statement_not_forwarded", zerolog.InfoLevel,
+		"A backend server stated in an answer that another entry VM relayed that it is draining, or wants no requests from that VM for a time, and that VM could not be told. It learns it from the next answer. No action.")
 	BackoffUnreadable = newEvent(3244, "backoff_unreadable", zerolog.WarnLevel,
 		"A backend server stated a backoff that is no number, negative or beyond an hour. The line gives the value as sent and the backoff that is used instead. Check the server.")
 )
--- a/internal/relay/dialer.go
+++ b/internal/relay/dialer.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/serverstate"
 	"godwityoke.example/godwityoke/internal/tcp"
 )
 
@@ -400,12 +401,13 @@
 	return conn, nil
 }
 
-// ForwardBackoff tells a relay that a server stated in an answer on a relayed connection that it wants no requests from the
-// relaying VM for the given time.
-func (d *Dialer) ForwardBackoff(ctx context.Context, peer, server string, backoff time.Duration) error {
-	conn, err := d.dialPeer(ctx, peer, openRequest{Server: server, BackoffMs: max(1, backoff.Milliseconds())}, 0)
+// ForwardStatement tells a relay what a server stated in an answer on a relayed connection: the server saw a request of the
+// relaying VM.
+func (d *Dialer) ForwardStatement(ctx context.Context, peer, server string, statement serverstate.Statement) error {
+	request := openRequest{Server: server, Draining: statement.Draining, BackoffMs: statement.Backoff.Milliseconds()}
+	conn, err := d.dialPeer(ctx, peer, request, 0)
 	if err != nil {
-		return fmt.Errorf("tell the VM at %s that server %s wants no requests for %v: %w", peer, server, backoff, err)
+		return fmt.Errorf("tell the VM at %s what server %s stated: %w", peer, server, err)
 	}
 	return conn.Close()
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"godwityoke.example/godwityoke/internal/serverstate"
 	"godwityoke.example/godwityoke/internal/tcp"
 )
 
@@ -53,7 +54,7 @@
 // startRelay starts a Server that decides with admit.
 func startRelay(t *testing.T, admit func(string) Decision) (*Server, Peer) {
 	t.Helper()
-	server := NewServer(ServerOptions{Connect: connect, Admit: admit, RecordBackoff: func(string, time.Duration) {}, Logger: zerolog.Nop()})
+	server := NewServer(ServerOptions{Connect: connect, Admit: admit, RecordStatement: func(string, serverstate.Statement) {}, Logger: zerolog.Nop()})
 	listener := listen(t)
 	go server.Serve(listener)
 	t.Cleanup(server.Close)
@@ -306,18 +307,23 @@
 	require.NoError(t, conn.Close())
 }
 
-func TestBackoffIsForwardedToTheRelayingVM(t *testing.T) {
-	recorded := make(chan time.Duration, 1)
+func TestStatementIsForwardedToTheRelayingVM(t *testing.T) {
+	recorded := make(chan serverstate.Statement, 1)
 	server := NewServer(ServerOptions{
-		Admit:         func(string) Decision { return Unavailable },
-		RecordBackoff: func(_ string, backoff time.Duration) { recorded <- backoff }, Logger: zerolog.Nop(),
+		Admit:           func(string) Decision { return Unavailable },
+		RecordStatement: func(_ string, statement serverstate.Statement) { recorded <- statement }, Logger: zerolog.Nop(),
 	})
 	listener := listen(t)
 	go server.Serve(listener)
 	defer server.Close()
-	err := cutDialer(nil, 0).ForwardBackoff(context.Background(), listener.Addr().String(), "127.0.0.1:1", 2*time.Second)
-	require.NoError(t, err)
-	require.Equal(t, 2*time.Second, <-recorded)
+	for sent, want := range map[serverstate.Statement]serverstate.Statement{
+		{Backoff: 2 * time.Second}:            {Backoff: 2 * time.Second},
+		{Draining: true}:                      {Draining: true},
+		{Backoff: 3 * serverstate.MaxBackoff}: {Backoff: serverstate.MaxBackoff},
+	} {
+		require.NoError(t, cutDialer(nil, 0).ForwardStatement(context.Background(), listener.Addr().String(), "127.0.0.1:1", sent))
+		require.Equal(t, want, <-recorded)
+	}
 }
 
 func TestCancelledDialLeavesNoConnection(t *testing.T) {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/serverstate"
 )
 
 const (
@@ -51,9 +53,9 @@
 	// Admit decides whether a connection to the server at address, an "ip:port", may be relayed, and counts the request
 	// that it is for.
 	Admit func(address string) Decision
-	// RecordBackoff records that the server at address wants no requests from this VM for the given time.
-	RecordBackoff func(address string, backoff time.Duration)
-	Logger        zerolog.Logger
+	// RecordStatement records what the server at address stated about itself in an answer that this VM relayed.
+	RecordStatement func(address string, statement serverstate.Statement)
+	Logger          zerolog.Logger
 }
 
 // Server relays connections of other entry VMs to backend servers.
@@ -138,8 +140,9 @@
 		observe.Log(s.options.Logger, observe.RelayRefused).Stringer("from", conn.RemoteAddr()).Err(err).Send()
 		return
 	}
-	if request.BackoffMs > 0 {
-		s.options.RecordBackoff(request.Server, time.Duration(request.BackoffMs)*time.Millisecond)
+	if request.Draining || request.BackoffMs > 0 {
+		backoff := min(time.Duration(min(request.BackoffMs, math.MaxInt32))*time.Millisecond, serverstate.MaxBackoff)
+		s.options.RecordStatement(request.Server, serverstate.Statement{Draining: request.Draining, Backoff: backoff})
 		_ = writeAnswer(conn, statusConnected) // the sender needs no answer
 		return
 	}
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -20,8 +20,11 @@
 type openRequest struct {
 	// Server is the "ip:port" of a backend server.
 	Server string `json:"server"`
-	// BackoffMs is positive in a message that opens no connection: the server stated in an answer on a relayed connection
-	// that it wants no requests from the relaying VM for so long.
+	// Draining and BackoffMs are set in a message that opens no connection. Draining means that the server stated in an
+	// answer on a relayed connection that it is draining.
+	Draining bool `json:"draining,omitempty"`
+	// BackoffMs is the time in milliseconds for which the server stated there that it wants no requests from the relaying
+	// VM, 0 for none.
 	BackoffMs int64 `json:"backoff_ms,omitempty"`
 	// UnreachableAfterMs is the time in milliseconds after which the connection is closed if the server's VM is
 	// unreachable, 0 for the default of package tcp.
--- a/internal/site/entry.go
+++ b/internal/site/entry.go
@@ -143,7 +143,7 @@
 	e.client = h1.NewClient(h1.Options{Dial: e.dialer.Dial, MaxIdleTime: maxServerIdleTime, EchoHeader: adapter.EchoHeader})
 	e.orders = h1.NewClient(h1.Options{Dial: e.dialer.Dial, MaxIdleTime: maxServerIdleTime})
 	e.relay = relay.NewServer(relay.ServerOptions{
-		Connect: e.dialer.Direct, Admit: e.admitRelayed, RecordBackoff: e.recordRelayedBackoff, Logger: logger,
+		Connect: e.dialer.Direct, Admit: e.admitRelayed, RecordStatement: e.recordRelayedStatement, Logger: logger,
 	})
 	e.link = hub.NewLink(hub.LinkOptions{
 		VM: settings.VM, Zone: settings.Zone, Incarnation: incarnation, Seeds: seeds, Pool: pool, Decode: codec.DecodeRoutes,
--- a/internal/site/relay.go
+++ b/internal/site/relay.go
@@ -10,7 +10,7 @@
 	"godwityoke.example/godwityoke/internal/serverstate"
 )
 
-// forwardTimeout bounds the time in which a relaying VM is told of a backoff.
+// forwardTimeout bounds the time in which a relaying VM is told of a statement.
 const forwardTimeout = 300 * time.Millisecond
 
 // relayPeers returns the entry VMs that relay connections for this one.
@@ -54,25 +54,26 @@
 	return relay.Allowed
 }
 
-// recordRelayedBackoff records a backoff that a server stated in an answer that this VM relayed.
-func (e *Entry) recordRelayedBackoff(address string, backoff time.Duration) {
+// recordRelayedStatement records what a server stated in an answer that this VM relayed.
+func (e *Entry) recordRelayedStatement(address string, statement serverstate.Statement) {
 	if server, found := e.link.FindAddress(address); found {
-		e.link.RecordStatement(server, serverstate.Statement{Backoff: min(backoff, serverstate.MaxBackoff)})
+		e.link.RecordStatement(server, statement)
 	}
 }
 
-// recordStatement records what a server stated in an answer. A backoff concerns the VM that the server saw, so the one
-// that relayed the answer is told too.
+// recordStatement records what a server stated in an answer. If another VM relayed it, that VM is told too, because the
+// server saw a request of that VM.
 func (e *Entry) recordStatement(server roster.Server, statement serverstate.Statement, relayedBy string) {
 	e.link.RecordStatement(server, statement)
-	if relayedBy == "" || statement.Backoff <= 0 {
+	if relayedBy == "" || statement == (serverstate.Statement{}) {
 		return
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), forwardTimeout)
 		defer cancel()
-		if err := e.dialer.ForwardBackoff(ctx, relayedBy, server.Address, statement.Backoff); err != nil {
-			observe.Log(e.logger, observe.BackoffNotForwarded).Str("server", server.ID).Dur("backoff", statement.Backoff).Err(err).Send()
+		if err := e.dialer.ForwardStatement(ctx, relayedBy, server.Address, statement); err != nil {
+			observe.Log(e.logger, observe.StatementNotForwarded).Str("server", server.ID).Bool("draining", statement.Draining).
+				Dur("backoff", statement.Backoff).Err(err).Send()
 		}
 	}()
 }
