--- a/internal/replica/room_test.go
+++ b/internal/replica/room_test.go
@@ -63,6 +63,7 @@
 		for _, leaderFirst := range []bool{true, false} {
 			for free := 0; free < 700; free += 1 + 12*(size-2) {
 				t.Run(fmt.Sprintf("%d voters/leader first %v/%d bytes", size, leaderFirst, free), func(t *testing.T) {
+					t.Parallel()
 					synctest.Test(t, func(t *testing.T) { fillDisksInTurn(t, size, leaderFirst, free) })
 				})
 			}
