--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -71,8 +71,7 @@
 	excluded []string
 	// turnedDown counts the placements that were not used because a server wants no requests from this VM.
 	turnedDown int
-	// retryCharged is set when the next retry is already counted in the retry budget: that of an attempt that reached no
-	// server.
+	// retryCharged is set when the next retry is already counted in the retry budget: that of an attempt turned down.
 	retryCharged bool
 	// headSent is set once the head of a stream was sent to the caller.
 	headSent bool
@@ -122,7 +121,7 @@
 		server, charged := granted.placement.Server, granted.charged
 		result := x.attempt(ctx, granted)
 		granted = result.moved
-		if result.err != nil && result.err.Delivery == DeliveryNotSent {
+		if result.err != nil && errors.Is(result.err, errPlacementTurnedDown) {
 			x.retryCharged = charged
 		}
 		if !result.done && errors.Is(result.err, errPlacementTurnedDown) && x.turnedDown < maxTurnedDown {
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -278,7 +278,7 @@
 		if !errors.Is(err, errPlacementTurnedDown) {
 			x.excluded = append(x.excluded, granted.placement.Server)
 		}
-		x.retryCharged = true
+		x.retryCharged = errors.Is(err, errPlacementTurnedDown)
 		w.logRefused(err.Error(), minSearchInterval)
 		return minSearchInterval
 	}
@@ -296,7 +296,6 @@
 		err = &AttemptError{Delivery: DeliveryUnknown, Err: errNotNeeded}
 	}
 	open.close()
-	x.retryCharged = err.Delivery == DeliveryNotSent
 	x.endAttempt(ctx, granted.id, open, attemptResult{err: err})
 	x.excluded = append(x.excluded, granted.placement.Server)
 	return 0
