gateway: a request that its replacement may have run is not refused

What callers would see: 503, which promises that the request has not run and never will, although its second server had begun the response.

Cause: an attempt beside a silent one counts as a possible run when it fails or when its response is relayed. If the request ends between its grant and the relay (its deadline passes, or the VM exits) and the first attempt did not reach its server, nothing has counted it.

Evidence: TestRequestIsNotRefusedOnceItsReplacementHasRun failed before ("Should be zero, but was 4", the code of a refusal for overload). Only requests that may be repeated get a second attempt, so no request that must run once was refused in this way.

Releasing an attempt whose response has begun now counts it as a possible run, so the request fails instead.

--- a/internal/gateway/beside_test.go
+++ b/internal/gateway/beside_test.go
@@ -157,3 +157,23 @@
 		})
 	}
 }
+
+func TestRequestIsNotRefusedOnceItsReplacementHasRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakes{retriesLeft: 9}
+		notSent := func(ctx context.Context, _ *Attempt) (*Response, error) {
+			<-ctx.Done()
+			time.Sleep(10 * time.Millisecond) // the attempt ends a little after it is cancelled
+			return nil, &AttemptError{Delivery: DeliveryNotSent, Err: ctx.Err()}
+		}
+		backend := &besideBackend{fakes: f, first: notSent, others: after(time.Second, respond(200, "ok", nil))}
+		caller := &fakeCaller{}
+		g := New(besideOptions(f, backend, longTable()))
+		time.AfterFunc(minStallTimeout+time.Second+5*time.Millisecond, g.BeginExit)
+		g.Serve(context.Background(), &Request{ID: "r1", Host: "h", Path: "/safe/x", Key: "key", ArrivedAt: time.Now(), Timeout: longTimeout}, caller)
+		require.Equal(t, []string{"s1", "s2"}, backend.sent)
+		require.Zero(t, caller.refusal, "s2 has run the request")
+		require.Equal(t, FailedServer, caller.failure)
+		require.Len(t, f.outcomes, f.placements)
+	})
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -188,10 +188,12 @@
 	x.logPlacement(granted.placement, granted.waited)
 }
 
-// release ends a placement that is not used, and its attempt if that was sent.
+// release ends a placement that is not used. An attempt whose response has begun is ended; its server may have run the
+// request.
 func (x *exchange) release(granted *grant) {
 	if granted.open != nil {
 		granted.open.close()
+		x.possibleRuns++
 	}
 	x.gateway.options.Placer.Ended(granted.id, schedule.OutcomeUnused)
 }
