relay: a VM that is cut off asks peers in backoff if there are no others

Cause: a VM in backoff was not asked even if there was no other, and each of several connections that failed at the same time doubled its backoff.

--- a/internal/relay/paths.go
+++ b/internal/relay/paths.go
@@ -276,17 +276,25 @@
 
 // Peers returns the VMs to ask for a connection to a server, in this order: the one that last reached it; those that did not
 // miss it recently; those of the own availability zone; those with the fewest connections for this VM. VMs that are cut
-// off or in backoff are left out. reached tells whether the first one has reached the server before.
+// off are left out, and those in backoff while there are others. reached tells whether the first one has reached the server before.
 func (p *Paths) Peers(now time.Time, zone, address string, all []Peer) (usable []Peer, reached bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := p.path(address)
+	var waiting []Peer
 	usable = make([]Peer, 0, len(all))
 	for _, peer := range all {
-		if state := p.peers[peer.Address]; !peer.CutOff && (state == nil || !now.Before(state.backoffUntil)) {
+		switch state := p.peers[peer.Address]; {
+		case peer.CutOff:
+		case state != nil && now.Before(state.backoffUntil):
+			waiting = append(waiting, peer)
+		default:
 			usable = append(usable, peer)
 		}
 	}
+	if len(usable) == 0 {
+		usable = waiting
+	}
 	rand.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
 	rank := func(peer Peer) int {
 		at, hasMissed := known.missedBy[peer.Address]
@@ -313,11 +321,15 @@
 	return 0
 }
 
-// PeerFailed records that a peer could not relay, for a reason other than the server.
+// PeerFailed records that a peer could not relay, for a reason other than the server. In the backoff that follows, further
+// failures change nothing.
 func (p *Paths) PeerFailed(now time.Time, address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	state := p.peer(address)
+	if now.Before(state.backoffUntil) {
+		return
+	}
 	state.backoffUntil = now.Add(min(minPeerBackoff<<min(state.failures, 8), maxPeerBackoff))
 	state.failures++
 }
