site, relay: a stopping VM relays requests that end before it does

Cause: a stopping VM refused to relay at once, whatever time it had left.

TestStoppingVMRelaysOnlyRequestsThatEndBeforeIt and TestRelayLearnsHowLongTheRequestMayLast did not compile before.

--- a/internal/relay/dialer.go
+++ b/internal/relay/dialer.go
@@ -377,6 +377,9 @@
 
 // dialPeer sends one request to a peer and returns the connection once it is connected to the server.
 func (d *Dialer) dialPeer(ctx context.Context, peer string, request openRequest, unreachableAfter time.Duration) (*net.TCPConn, error) {
+	if deadline, ok := ctx.Deadline(); ok {
+		request.RemainingMs = max(1, time.Until(deadline).Milliseconds())
+	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	conn, err := tcp.Dial(ctx, d.options.SourceIP, peer, peerTimeout, unreachableAfter)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -52,7 +52,7 @@
 }
 
 // startRelay starts a Server that decides with admit.
-func startRelay(t *testing.T, admit func(string) Decision) (*Server, Peer) {
+func startRelay(t *testing.T, admit func(string, time.Duration) Decision) (*Server, Peer) {
 	t.Helper()
 	server := NewServer(ServerOptions{Connect: connect, Admit: admit, RecordStatement: func(string, serverstate.Statement) {}, Logger: zerolog.Nop()})
 	listener := listen(t)
@@ -65,7 +65,7 @@
 	return tcp.Dial(ctx, "", address, time.Second, unreachableAfter)
 }
 
-func allow(string) Decision { return Allowed }
+func allow(string, time.Duration) Decision { return Allowed }
 
 // startBackend starts a backend server that handles each connection with handle.
 func startBackend(t *testing.T, handle func(conn *net.TCPConn)) string {
@@ -130,7 +130,7 @@
 func TestSoundPathUsesNoPeer(t *testing.T) {
 	backend := startBackend(t, echo)
 	var asked atomic.Int32
-	_, peer := startRelay(t, func(string) Decision { asked.Add(1); return Allowed })
+	_, peer := startRelay(t, func(string, time.Duration) Decision { asked.Add(1); return Allowed })
 	d := NewDialer(DialerOptions{ConnectTimeout: time.Second, Peers: func() []Peer { return []Peer{peer} }, Logger: zerolog.Nop()})
 	conn, err := d.Dial(context.Background(), backend, 0)
 	require.NoError(t, err)
@@ -168,7 +168,7 @@
 	for decision, want := range map[Decision]string{
 		UnknownServer: errUnknownServer.Error(), Blocked: errBlocked.Error(), PathBroken: errPathBroken.Error(), Unavailable: errUnavailable.Error(),
 	} {
-		_, peer := startRelay(t, func(address string) Decision {
+		_, peer := startRelay(t, func(address string, _ time.Duration) Decision {
 			require.Equal(t, backend, address)
 			return decision
 		})
@@ -179,9 +179,26 @@
 	}
 }
 
+func TestRelayLearnsHowLongTheRequestMayLast(t *testing.T) {
+	backend := startBackend(t, echo)
+	asked := make(chan time.Duration, 2)
+	_, peer := startRelay(t, func(_ string, remaining time.Duration) Decision {
+		asked <- remaining
+		return Unavailable
+	})
+	d := cutDialer(syscall.ECONNREFUSED, 0, peer)
+	_, _ = d.Dial(context.Background(), backend, 0)
+	require.Zero(t, <-asked)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Hour)
+	defer cancel()
+	_, err := cutDialer(syscall.ECONNREFUSED, 0, peer).Dial(ctx, backend, 0)
+	require.Error(t, err)
+	require.InDelta(t, time.Hour, <-asked, float64(time.Minute))
+}
+
 func TestSecondPeerIsAskedAfterTheFirstFailed(t *testing.T) {
 	backend := startBackend(t, echo)
-	_, stopping := startRelay(t, func(string) Decision { return Unavailable })
+	_, stopping := startRelay(t, func(string, time.Duration) Decision { return Unavailable })
 	_, sound := startRelay(t, allow)
 	d := cutDialer(syscall.ECONNREFUSED, 0, stopping, sound)
 	for range 10 {
@@ -311,7 +328,7 @@
 func TestStatementIsForwardedToTheRelayingVM(t *testing.T) {
 	recorded := make(chan serverstate.Statement, 1)
 	server := NewServer(ServerOptions{
-		Admit:           func(string) Decision { return Unavailable },
+		Admit:           func(string, time.Duration) Decision { return Unavailable },
 		RecordStatement: func(_ string, statement serverstate.Statement) { recorded <- statement }, Logger: zerolog.Nop(),
 	})
 	listener := listen(t)
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -51,8 +51,8 @@
 	// Connect opens a direct connection to the server at address, an "ip:port".
 	Connect func(ctx context.Context, address string, unreachableAfter time.Duration) (*net.TCPConn, error)
 	// Admit decides whether a connection to the server at address, an "ip:port", may be relayed, and counts the request
-	// that it is for.
-	Admit func(address string) Decision
+	// that it is for, which ends within remaining; 0 stands for no limit.
+	Admit func(address string, remaining time.Duration) Decision
 	// RecordStatement records what the server at address stated about itself in an answer that this VM relayed.
 	RecordStatement func(address string, statement serverstate.Statement)
 	Logger          zerolog.Logger
@@ -168,7 +168,7 @@
 	if s.relayed.Load() >= maxRelayed {
 		return nil, statusUnavailable, errUnavailable
 	}
-	switch s.options.Admit(request.Server) {
+	switch s.options.Admit(request.Server, time.Duration(min(request.RemainingMs, math.MaxInt32))*time.Millisecond) {
 	case Allowed:
 	case UnknownServer:
 		return nil, statusUnknownServer, errUnknownServer
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -26,6 +26,9 @@
 	// BackoffMs is the time in milliseconds for which the server stated there that it wants no requests from the relaying
 	// VM, 0 for none.
 	BackoffMs int64 `json:"backoff_ms,omitempty"`
+	// RemainingMs is the time in milliseconds until the request that the connection is for must have ended, 0 if there is
+	// no such time.
+	RemainingMs int64 `json:"remaining_ms,omitempty"`
 	// UnreachableAfterMs is the time in milliseconds after which the connection is closed if the server's VM is
 	// unreachable, 0 for the default of package tcp.
 	UnreachableAfterMs int64 `json:"unreachable_after_ms,omitempty"`
--- a/internal/site/relay.go
+++ b/internal/site/relay.go
@@ -36,9 +36,11 @@
 }
 
 // admitRelayed decides whether another VM's connection to the server at address may be relayed. What the server stated to
-// this VM holds, because the server sees a request of this VM.
-func (e *Entry) admitRelayed(address string) relay.Decision {
-	if e.stopping.Load() || e.dialer.IsCutOff() {
+// this VM holds, because the server sees a request of this VM. A stopping VM relays requests that end before it does, since
+// the VMs that reach the server may all be stopping.
+func (e *Entry) admitRelayed(address string, remaining time.Duration) relay.Decision {
+	left, stopping := e.stopsIn()
+	if e.dialer.IsCutOff() || stopping && (remaining <= 0 || remaining > left) {
 		return relay.Unavailable
 	}
 	server, found := e.link.FindAddress(address)
