gateway: attempts beside a silent one that reach no server do not end a begun stream

What callers saw or would see: a stream whose server paused and then broke off is aborted without a retry, although no other server was reached meanwhile.

Evidence: TestAttemptsBesideThatReachNoServerDoNotEndABegunStream failed before ("Should be false", sent to [s1 s2 s3]).

Attempts of a begun stream that reached no server are counted apart, whoever made them. Their servers stay excluded, which bounds them, and a search asks for no more than one such server per 500 ms after the third attempt. The retry stays charged once, as the test checks.

--- a/internal/gateway/beside_test.go
+++ b/internal/gateway/beside_test.go
@@ -177,3 +177,32 @@
 		require.Len(t, f.outcomes, f.placements)
 	})
 }
+
+// inTurn calls the next of the given functions for each attempt, the last one for all that follow.
+func inTurn(sends ...func(context.Context, *Attempt) (*Response, error)) func(context.Context, *Attempt) (*Response, error) {
+	var mu sync.Mutex
+	return func(ctx context.Context, attempt *Attempt) (*Response, error) {
+		mu.Lock()
+		send := sends[0]
+		sends = sends[min(1, len(sends)-1):]
+		mu.Unlock()
+		return send(ctx, attempt)
+	}
+}
+
+func TestAttemptsBesideThatReachNoServerDoNotEndABegunStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakes{retriesLeft: 1}
+		broken := func(*Attempt) (*Response, error) {
+			body := &breakingBody{slowBody: slowBody{parts: []string{"id: 1\ndata: a\n\n", "x"}, resumeAt: time.Now().Add(3 * time.Second)}}
+			return &Response{Status: 200, Header: http.Header{}, Body: body, Verified: true, IsStream: true}, nil
+		}
+		notSent := after(200*time.Millisecond, failWith(DeliveryNotSent))
+		backend := &besideBackend{fakes: f, first: after(0, broken), others: inTurn(notSent, notSent, notSent, after(0, respond(200, "id: 2\ndata: b\n\n", nil)))}
+		caller := serveLong(f, backend, "stream")
+		require.False(t, caller.aborted, "sent to %v", backend.sent)
+		require.Equal(t, events, caller.body)
+		require.Zero(t, f.retriesLeft, "only one retry reached a server")
+		require.Len(t, f.outcomes, f.placements)
+	})
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -63,6 +63,9 @@
 	deadline time.Time
 
 	attempts int
+	// unsent counts the attempts of a stream that has begun that reached no server. They use up none of maxAttempts: each
+	// such server is excluded, which bounds them.
+	unsent int
 	// deliveries counts the failed attempts that may have reached a server. Retries are charged to the retry budget
 	// only after the first of them.
 	deliveries int
@@ -127,6 +130,7 @@
 		granted = result.moved
 		if result.err != nil && result.err.Delivery == DeliveryNotSent {
 			x.retryCharged = charged
+			x.countUnsent(result.err)
 		}
 		if !result.done && errors.Is(result.err, errPlacementTurnedDown) && x.turnedDown < maxTurnedDown {
 			continue
@@ -260,8 +264,7 @@
 	if x.mayCrashServers || !x.isResumable() {
 		return false
 	}
-	// Each server that a begun stream does not reach is excluded, which bounds the attempts that are not sent.
-	if x.attempts >= maxAttempts && !(x.headSent && err.Delivery == DeliveryNotSent) {
+	if !x.hasAttemptsLeft() {
 		return false
 	}
 	if err.Delivery != DeliveryUnknown {
@@ -270,6 +273,17 @@
 	return x.route.IsRetryable() && x.possibleRuns < x.route.MaxAttempts
 }
 
+// countUnsent counts a failed attempt that reached no server, if that leaves the stream more attempts. A placement that was
+// turned down is not counted as an attempt.
+func (x *exchange) countUnsent(err *AttemptError) {
+	if x.headSent && err.Delivery == DeliveryNotSent && !errors.Is(err, errPlacementTurnedDown) {
+		x.unsent++
+	}
+}
+
+// hasAttemptsLeft tells whether another attempt is allowed by maxAttempts.
+func (x *exchange) hasAttemptsLeft() bool { return x.attempts-x.unsent < maxAttempts }
+
 // isResumable tells whether another server can go on with the request: nothing was sent to the caller yet, or the event
 // to resume after has an id.
 func (x *exchange) isResumable() bool { return !x.headSent || x.lastEventID > 0 }
@@ -583,7 +597,7 @@
 		return attemptResult{err: &AttemptError{Delivery: DeliveryUnknown, Err: fmt.Errorf("read the response: %w", err)}}
 	}
 	isServerError := response.Status >= http.StatusInternalServerError
-	mayRetry := x.route.IsRetryable() && x.possibleRuns+1 < x.route.MaxAttempts && x.attempts < maxAttempts
+	mayRetry := x.route.IsRetryable() && x.possibleRuns+1 < x.route.MaxAttempts && x.hasAttemptsLeft()
 	if isServerError && mayRetry {
 		return attemptResult{err: &AttemptError{
 			Delivery: DeliveryUnknown, ServerError: true,
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -85,7 +85,7 @@
 
 // mayTryBeside tells whether the request may be sent to another server beside the attempt in progress.
 func (x *exchange) mayTryBeside() bool {
-	return x.attempts < maxAttempts && !x.mayCrashServers && x.route.IsRetryable() && x.possibleRuns+1 < x.route.MaxAttempts
+	return x.hasAttemptsLeft() && !x.mayCrashServers && x.route.IsRetryable() && x.possibleRuns+1 < x.route.MaxAttempts
 }
 
 // begin starts a wait for the server that lasts until end. From deadline on, another server is searched, unless the
@@ -281,6 +281,7 @@
 			x.excluded = append(x.excluded, granted.placement.Server)
 		}
 		x.retryCharged = true
+		x.countUnsent(err)
 		w.logRefused(err.Error(), minSearchInterval)
 		return minSearchInterval
 	}
@@ -299,8 +300,12 @@
 	}
 	open.close()
 	x.retryCharged = err.Delivery == DeliveryNotSent
+	x.countUnsent(err)
 	x.endAttempt(ctx, granted.id, open, attemptResult{err: err})
 	x.excluded = append(x.excluded, granted.placement.Server)
+	if x.attempts >= maxAttempts { // only a begun stream goes on, at servers that refuse it at once
+		return minSearchInterval
+	}
 	return 0
 }
 
