--- a/internal/gateway/beside_test.go
+++ b/internal/gateway/beside_test.go
@@ -206,3 +206,25 @@
 		require.Len(t, f.outcomes, f.placements)
 	})
 }
+
+func TestRequestAtTwoSilentServersIsSentToAThird(t *testing.T) {
+	for _, kind := range []string{"safe", "stream"} {
+		t.Run(kind, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, table := &fakes{retriesLeft: 9}, longTable()
+				for i := range table.Routes {
+					table.Routes[i].MaxAttempts = 3
+				}
+				silent := after(time.Hour, nil)
+				backend := &besideBackend{fakes: f, first: silent, others: inTurn(silent, after(0, respond(200, events, nil)))}
+				startedAt := time.Now()
+				caller := serveWith(f, backend, table, kind, "key", longTimeout)
+				require.Equal(t, events, caller.body)
+				require.Less(t, time.Since(startedAt), 5*time.Second)
+				require.Equal(t, []string{"s1", "s2", "s3"}, backend.sent)
+				require.Equal(t, 7, f.retriesLeft)
+				require.Len(t, f.outcomes, f.placements)
+			})
+		})
+	}
+}
