--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -85,7 +85,7 @@
 
 // mayTryBeside tells whether the request may be sent to another server beside the attempt in progress.
 func (x *exchange) mayTryBeside() bool {
-	return x.attempts < maxAttempts && !x.mayCrashServers && x.route.IsRetryable() && x.possibleRuns+1 < x.route.MaxAttempts
+	return x.hasAttemptsLeft() && !x.mayCrashServers && x.route.IsRetryable() && x.possibleRuns+1 < x.route.MaxAttempts
 }
 
 // begin starts a wait for the server that lasts until end. From deadline on, another server is searched, unless the
@@ -281,6 +281,7 @@
 			x.excluded = append(x.excluded, granted.placement.Server)
 		}
 		x.retryCharged = errors.Is(err, errPlacementTurnedDown)
+		x.countUnsent(err)
 		w.logRefused(err.Error(), minSearchInterval)
 		return minSearchInterval
 	}
@@ -298,8 +299,12 @@
 		err = &AttemptError{Delivery: DeliveryUnknown, Err: errNotNeeded}
 	}
 	open.close()
+	x.countUnsent(err)
 	x.endAttempt(ctx, granted.id, open, attemptResult{err: err})
 	x.excluded = append(x.excluded, granted.placement.Server)
+	if x.attempts >= maxAttempts { // only a begun stream goes on, at servers that refuse it at once
+		return minSearchInterval
+	}
 	return 0
 }
 
