gateway: a request at two silent servers is sent to a third

What callers would see: a request waits for its deadline although a third server could answer.

Cause: since a silent attempt is kept until its replacement has begun its response, and the replacement itself was not watched.

An attempt beside a silent one is given up when its own first event is overdue, if the route allows another server and the first attempt still goes on, so that nothing is lost by it.

--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -287,8 +288,14 @@
 	}
 	sendCtx, cancel := context.WithCancelCause(w.ctx)
 	keep := context.AfterFunc(ctx, func() { cancel(errNotNeeded) })
+	hasBegun := w.limitWait(cancel)
 	err = open.send(sendCtx, cancel, x.gateway.options.Backend)
-	if err == nil {
+	switch isGivenUp := !hasBegun(); {
+	case isGivenUp && err == nil: // the response began while it was cancelled
+		err = &AttemptError{Delivery: DeliveryUnknown, Unresponsive: true, Err: errUnresponsive}
+	case isGivenUp:
+		err.Unresponsive = true
+	case err == nil:
 		err = x.replacementError(open.response)
 	}
 	if err == nil {
@@ -308,6 +315,28 @@
 	return 0
 }
 
+// limitWait gives an attempt beside the watched one up by cancel if it does not begin its response in time, a further
+// server may be tried, and the watched attempt still goes on. The returned function ends the limit; it returns false if the
+// attempt has been given up.
+func (w *stallWatch) limitWait(cancel context.CancelCauseFunc) (hasBegun func() bool) {
+	x := w.exchange
+	if !x.hasAttemptsLeft() || x.possibleRuns+2 >= x.route.MaxAttempts {
+		return func() bool { return true }
+	}
+	var isDecided atomic.Bool
+	timer := time.AfterFunc(time.Until(x.eventDeadline(x.headSent)), func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if !w.deadline.IsZero() && isDecided.CompareAndSwap(false, true) {
+			cancel(errUnresponsive)
+		}
+	})
+	return func() bool {
+		timer.Stop()
+		return isDecided.CompareAndSwap(false, true)
+	}
+}
+
 // replacementError returns the error of a response for which no attempt is given up: one that must not be sent to the
 // caller, or that is a failure of its server.
 func (x *exchange) replacementError(response *Response) *AttemptError {
