relay: a request that was cancelled is not passed on any more

Cause, inferred: a relaying VM that is held up finds the request and the end of the connection together, and passed the request on before it saw the end.

The relaying VM now looks whether the connection is closed before it passes bytes on. The VM with the request closes it only after the answer or to cancel.

TestRequestThatWasCancelledBeforeItWasReadIsNotPassedOn failed before ("Should be zero, but was 7").

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -313,6 +313,34 @@
 	require.Eventually(t, func() bool { return server.Relayed() == 0 }, 5*time.Second, 5*time.Millisecond)
 }
 
+func TestRequestThatWasCancelledBeforeItWasReadIsNotPassedOn(t *testing.T) {
+	got := make(chan int, 1)
+	backend := startBackend(t, func(conn *net.TCPConn) {
+		n, _ := io.Copy(io.Discard, conn)
+		got <- int(n)
+	})
+	cancelled := make(chan struct{})
+	server := NewServer(ServerOptions{
+		Connect: func(ctx context.Context, address string, unreachableAfter time.Duration) (*net.TCPConn, error) {
+			<-cancelled // as if this VM had been held up
+			return connect(context.WithoutCancel(ctx), address, unreachableAfter)
+		},
+		Admit: allow, Logger: zerolog.Nop(),
+	})
+	listener := listen(t)
+	go server.Serve(listener)
+	t.Cleanup(server.Close)
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	require.NoError(t, writeRequest(conn, openRequest{Server: backend}))
+	_, err = conn.Write([]byte("request"))
+	require.NoError(t, err)
+	require.NoError(t, conn.Close())
+	time.Sleep(20 * time.Millisecond) // until the end of the connection has arrived
+	close(cancelled)
+	require.Zero(t, <-got)
+}
+
 func TestClosedRelayResetsItsConnections(t *testing.T) {
 	backend := startBackend(t, func(conn *net.TCPConn) { _, _ = io.ReadAll(conn) })
 	server, peer := startRelay(t, allow)
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 
 	"godwityoke.example/godwityoke/internal/observe"
 	"godwityoke.example/godwityoke/internal/serverstate"
@@ -200,7 +201,7 @@
 	defer s.relayed.Add(-1)
 	var upstream sync.WaitGroup
 	upstream.Go(func() {
-		s.copy(server, conn) // ends when the other VM has closed its connection
+		s.copyRequest(server, conn) // ends when the other VM has closed its connection
 		_ = server.Close()
 	})
 	if readErr, writeErr := s.copy(conn, server); readErr == nil && writeErr == nil {
@@ -214,6 +215,38 @@
 	upstream.Wait()
 }
 
+// copyRequest copies the bytes of the other VM to the server until that VM closes its connection. It passes on nothing
+// once the connection is closed: that VM closes it only after the answer, or to cancel the request.
+func (s *Server) copyRequest(server, conn *net.TCPConn) {
+	buffer := s.buffers.Get().(*[copyBytes]byte)
+	defer s.buffers.Put(buffer)
+	for {
+		n, err := conn.Read(buffer[:])
+		if err != nil || isClosed(conn) {
+			return
+		}
+		if _, err := server.Write(buffer[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// isClosed tells whether the peer has closed the connection and all its bytes were read. It does not block.
+func isClosed(conn *net.TCPConn) bool {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := true
+	err = raw.Read(func(fd uintptr) bool {
+		var next [1]byte
+		n, _, peekErr := unix.Recvfrom(int(fd), next[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		closed = peekErr == nil && n == 0 || peekErr != nil && !errors.Is(peekErr, unix.EAGAIN)
+		return true
+	})
+	return closed || err != nil
+}
+
 // copy copies bytes until src ends or an error occurs. readErr is nil at the end of src.
 func (s *Server) copy(dst, src net.Conn) (readErr, writeErr error) {
 	buffer := s.buffers.Get().(*[copyBytes]byte)
