relay: a VM that reaches engines but not the plain services is not cut off

What callers saw: while five of six VMs did not reach the three servers of one service, half of its requests were refused although one VM reached them and all VMs reached the engines.

Cause: each new failure of a path counted as one after the last answer of any server. A VM that failed on one service again and again passed for one that reaches no server: it sent the requests of all services through its peers, and relayed nothing itself.

A path now counts from its first failure since it last worked, so that an answer of any server after that shows that the VM is not cut off.

--- a/internal/relay/paths.go
+++ b/internal/relay/paths.go
@@ -50,8 +50,10 @@
 
 // path is what is known of the direct path to one server.
 type path struct {
-	// failedAt is when the last direct connection failed, zero if none has since the last one that was opened.
-	failedAt time.Time
+	// failedAt is when the first direct connection failed since the last one that was opened, zero if none has.
+	// lastFailedAt is when the last one failed.
+	failedAt     time.Time
+	lastFailedAt time.Time
 	// broken is set while another VM reaches the server and this VM does not.
 	broken   bool
 	probedAt time.Time
@@ -121,7 +123,11 @@
 func (p *Paths) DirectFailed(now time.Time, address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.path(address).failedAt = now
+	known := p.path(address)
+	known.lastFailedAt = now
+	if known.failedAt.IsZero() {
+		known.failedAt = now
+	}
 }
 
 // ReachedByPeer records that another VM has reached the server while this VM could not. peer is the address of its relay.
@@ -218,7 +224,7 @@
 		if known.broken {
 			broken++
 		}
-		if known.broken || now.Sub(known.failedAt) < failureWindow {
+		if known.broken || now.Sub(known.lastFailedAt) < failureWindow {
 			failed++
 		}
 	}
--- a/internal/relay/paths_test.go
+++ b/internal/relay/paths_test.go
@@ -24,6 +24,26 @@
 	require.True(t, p.IsBroken(start.Add(time.Millisecond), "s0:1"), "its own path is still broken")
 }
 
+func TestVMThatDoesNotReachOneServiceIsNotCutOff(t *testing.T) {
+	p := NewPaths()
+	desks := []string{"desk1:1", "desk2:1", "desk3:1"}
+	for round := range 5 {
+		now := start.Add(time.Duration(round) * time.Second)
+		for _, desk := range desks {
+			p.DirectFailed(now, desk)
+			p.ReachedByPeer(now, desk, "peer:1")
+		}
+		p.DirectAnswered(now.Add(100*time.Millisecond), "engine:1")
+	}
+	now := start.Add(10 * time.Second)
+	p.DirectFailed(now, desks[0])
+	p.DirectFailed(now, desks[1])
+	p.DirectFailed(now, desks[2])
+	require.False(t, p.IsCutOff(now))
+	require.False(t, p.Use(now, "engine:1"))
+	require.True(t, p.Use(now, desks[0]))
+}
+
 func TestDeadServersDoNotCutOffAVM(t *testing.T) {
 	p := NewPaths()
 	p.DirectAnswered(start, "s0:1")
