hub: a control VM says why it ends the stream of an entry VM

What operators saw: "the stream ended" for every end by a control VM. The reason (replaced by another stream, full outbox, no frame, stopping, or an error of gRPC) is now in entry_detached and in the status of the stream, so that link_lost shows it. No logic is changed.

--- a/internal/hub/core.go
+++ b/internal/hub/core.go
@@ -30,8 +30,8 @@
 	relaysSent    []Relay
 	relaysCounted bool
 	outbox        chan *hubpb.HubFrame
-	// drop ends the stream.
-	drop context.CancelFunc
+	// drop ends the stream for a reason.
+	drop context.CancelCauseFunc
 	// frame collects what the next flush sends, nil if there is nothing.
 	frame  *hubpb.HubFrame
 	sentAt time.Time
@@ -178,7 +178,8 @@
 	for old := range c.sessions {
 		if old.incarnation == by.incarnation {
 			delete(c.sessions, old)
-			old.drop()
+			old.drop(errSuperseded)
+			observe.Log(c.options.Logger, observe.EntryDetached).Str("entry_vm", old.vm).Str("by", by.vm).Err(errSuperseded).Send()
 		}
 	}
 }
@@ -192,7 +193,11 @@
 }
 
 // entryDetached removes a session whose stream has ended and finishes its requests.
-type entryDetached struct{ session *session }
+type entryDetached struct {
+	session *session
+	// cause is why the stream ended.
+	cause error
+}
 
 func (m entryDetached) handle(c *core, now time.Time) {
 	if !c.sessions[m.session] {
@@ -201,7 +206,7 @@
 	delete(c.sessions, m.session)
 	c.relays.release(m.session)
 	c.scheduler.FinishAll(now, m.session.incarnation, nil)
-	observe.Log(c.options.Logger, observe.EntryDetached).Str("entry_vm", m.session.vm).Send()
+	observe.Log(c.options.Logger, observe.EntryDetached).Str("entry_vm", m.session.vm).Err(m.cause).Send()
 }
 
 // entryFrameReceived is a further frame of an attached entry VM.
@@ -508,7 +513,7 @@
 		case s.outbox <- s.frame:
 			s.frame, s.sentAt = nil, now
 		default:
-			s.drop()
+			s.drop(errOutboxFull)
 		}
 	}
 	c.peers.flush()
@@ -516,7 +521,7 @@
 
 func (c *core) close() {
 	for s := range c.sessions {
-		s.drop()
+		s.drop(errStopping)
 	}
 	c.peers.close()
 }
--- a/internal/hub/credibility_test.go
+++ b/internal/hub/credibility_test.go
@@ -29,8 +29,8 @@
 		c.applyAnnouncement(server, now, false)
 	}
 	sessions := []*session{
-		{vm: "entry-1", incarnation: 7, outbox: make(chan *hubpb.HubFrame, 1), drop: func() {}},
-		{vm: "entry-2", incarnation: 8, outbox: make(chan *hubpb.HubFrame, 1), drop: func() {}},
+		{vm: "entry-1", incarnation: 7, outbox: make(chan *hubpb.HubFrame, 1), drop: func(error) {}},
+		{vm: "entry-2", incarnation: 8, outbox: make(chan *hubpb.HubFrame, 1), drop: func(error) {}},
 	}
 	for _, s := range sessions {
 		entryAttached{session: s, frame: &hubpb.EntryFrame{Hello: &hubpb.Hello{}}}.handle(c, now)
--- a/internal/hub/evidence_test.go
+++ b/internal/hub/evidence_test.go
@@ -74,7 +74,7 @@
 func TestQuarantinedPartsAreSentAgain(t *testing.T) {
 	now := time.Now()
 	c := newCore(&Options{Group: func() Group { return nil }, Logger: zerolog.Nop(), Metrics: observe.NewMetrics()})
-	s := &session{vm: "entry-1", outbox: make(chan *hubpb.HubFrame, outboxFrames), drop: func() {}}
+	s := &session{vm: "entry-1", outbox: make(chan *hubpb.HubFrame, outboxFrames), drop: func(error) {}}
 	c.sessions[s] = true
 	for _, name := range []string{"server 1", "server 2", "server 3"} {
 		c.evidence.RecordCrash(now, quarantine.NewServerRun(name, time.Time{}), requestTo(name), harmfulParts)
--- a/internal/hub/server.go
+++ b/internal/hub/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"google.golang.org/grpc"
@@ -26,6 +27,14 @@
 	entryTimeout = 3 * time.Second
 )
 
+// Reasons for which a control VM ends the stream of an entry VM.
+var (
+	errSuperseded   = errors.New("the entry VM attached again")
+	errOutboxFull   = errors.New("the entry VM does not receive its frames fast enough")
+	errEntryTimeout = errors.New("no frame from the entry VM within the timeout")
+	errStopping     = errors.New("the control VM stops")
+)
+
 // PutRoutes implements the gRPC service. It succeeds on the leader only.
 func (h *Hub) PutRoutes(ctx context.Context, request *hubpb.PutRoutesRequest) (*hubpb.PutRoutesReply, error) {
 	group := h.options.Group()
@@ -121,8 +130,8 @@
 	if hello == nil {
 		return status.Error(codes.InvalidArgument, "the first frame must open the stream")
 	}
-	ctx, cancel := context.WithCancel(stream.Context())
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(stream.Context())
+	defer cancel(nil)
 	s := &session{
 		vm: hello.GetVm(), zone: hello.GetZone(), incarnation: hello.GetIncarnation(),
 		tableVersion: hello.GetTableVersion(), outbox: make(chan *hubpb.HubFrame, outboxFrames), drop: cancel,
@@ -130,8 +139,15 @@
 	if err := h.send(ctx, entryAttached{session: s, frame: first}); err != nil {
 		return err
 	}
-	defer func() { _ = h.send(context.WithoutCancel(ctx), entryDetached{session: s}) }()
 	go h.receive(ctx, cancel, stream, s)
+	err = h.sendFrames(ctx, stream, s)
+	_ = h.send(context.WithoutCancel(ctx), entryDetached{session: s, cause: err})
+	return status.Errorf(codes.Unavailable, "stream of entry VM %s ended: %v", s.vm, err)
+}
+
+// sendFrames sends the frames of a session until its stream or the hub ends, and
+// returns the reason.
+func (h *Hub) sendFrames(ctx context.Context, stream grpc.BidiStreamingServer[hubpb.EntryFrame, hubpb.HubFrame], s *session) error {
 	for {
 		select {
 		case frame := <-s.outbox:
@@ -139,26 +155,27 @@
 				return err
 			}
 		case <-ctx.Done():
-			return status.Error(codes.Unavailable, "the stream ended")
+			return context.Cause(ctx)
 		case <-h.done:
-			return status.Error(codes.Unavailable, "the VM stops")
+			return errStopping
 		}
 	}
 }
 
 // receive forwards the frames of one entry VM to the hub's goroutine until the
 // stream ends or no frame has arrived for entryTimeout.
-func (h *Hub) receive(ctx context.Context, cancel context.CancelFunc, stream grpc.BidiStreamingServer[hubpb.EntryFrame, hubpb.HubFrame], s *session) {
-	defer cancel()
-	idleTimer := time.AfterFunc(entryTimeout, cancel)
+func (h *Hub) receive(ctx context.Context, cancel context.CancelCauseFunc, stream grpc.BidiStreamingServer[hubpb.EntryFrame, hubpb.HubFrame], s *session) {
+	idleTimer := time.AfterFunc(entryTimeout, func() { cancel(errEntryTimeout) })
 	defer idleTimer.Stop()
 	for {
 		frame, err := stream.Recv()
 		if err != nil {
+			cancel(err)
 			return
 		}
 		idleTimer.Reset(entryTimeout)
-		if h.send(ctx, entryFrameReceived{session: s, frame: frame}) != nil {
+		if err := h.send(ctx, entryFrameReceived{session: s, frame: frame}); err != nil {
+			cancel(err)
 			return
 		}
 	}
--- a/internal/observe/events_hub.go
+++ b/internal/observe/events_hub.go
@@ -14,7 +14,7 @@
 	EntryAttached = newEvent(2143, "entry_attached", zerolog.InfoLevel,
 		"An entry VM connected to this control VM. No action.")
 	EntryDetached = newEvent(2144, "entry_detached", zerolog.InfoLevel,
-		"An entry VM disconnected from this control VM; the slots of its requests were released. If no entry_attached line follows, check that VM.")
+		"An entry VM disconnected from this control VM; the slots of its requests were released. The line gives the reason, and for a stream that a new one replaced the entry VM of that one (by). If no entry_attached line follows, check that VM.")
 	SchedulerChanged = newEvent(2145, "scheduler_changed", zerolog.InfoLevel,
 		"The leader of the control group, which places requests, changed or began a new term. The line tells whether it is this VM (here). No action.")
 	SpreadPeerChanged = newEvent(2146, "spread_peer_changed", zerolog.WarnLevel,
