hub: entry VMs that start at the same instant keep their streams

Cause: an entry VM took the time of its start in nanoseconds as incarnation, and the control VM identified streams and jobs by it alone. Two VMs with one value ended each other's streams for ever, and reported outcomes of each other's requests. Change: the control VM identifies a start by name and incarnation, so that VMs of older versions are kept apart, too; the incarnation is random, so that older control VMs keep newer entry VMs apart.

--- a/internal/hub/convert.go
+++ b/internal/hub/convert.go
@@ -109,7 +109,7 @@
 
 func requestFromProto(message *hubpb.Ask, s *session, now time.Time) schedule.PlacementRequest {
 	return schedule.PlacementRequest{
-		ID: schedule.JobID{VM: s.incarnation, Seq: message.GetId()}, Service: message.GetService(), Zone: s.zone,
+		ID: schedule.JobID{VM: s.id, Seq: message.GetId()}, Service: message.GetService(), Zone: s.zone,
 		PromptTokens: int(message.GetPromptTokens()), AnswerTokens: int(message.GetAnswerTokens()),
 		TargetAt:      now.Add(time.Duration(message.GetAimMs()) * time.Millisecond),
 		StartDeadline: now.Add(time.Duration(message.GetGiveUpMs()) * time.Millisecond),
--- a/internal/hub/core.go
+++ b/internal/hub/core.go
@@ -16,9 +16,10 @@
 
 // session is the stream of one attached entry VM.
 type session struct {
-	vm          string
-	zone        string
-	incarnation uint64
+	vm   string
+	zone string
+	// id identifies this start of the entry VM's process in the scheduler.
+	id uint64
 	// tableVersion is the version of the last route table that the entry VM got.
 	tableVersion uint64
 	// relay is how other entry VMs use this one as a relay.
@@ -39,6 +40,19 @@
 	viewSentAt time.Time
 }
 
+func newSession(hello *hubpb.Hello, drop context.CancelCauseFunc) *session {
+	return &session{
+		vm: hello.GetVm(), zone: hello.GetZone(), id: sessionID(hello.GetVm(), hello.GetIncarnation()),
+		tableVersion: hello.GetTableVersion(), outbox: make(chan *hubpb.HubFrame, outboxFrames), drop: drop,
+	}
+}
+
+// sessionID returns the number that identifies a start of an entry VM's process. The
+// incarnation alone does not: VMs of version 35f6b4c use the time of their start.
+func sessionID(vm string, incarnation uint64) uint64 {
+	return mix(hashName(vm) ^ mix(incarnation))
+}
+
 // pending returns the frame of the next flush and creates it if needed.
 func (s *session) pending() *hubpb.HubFrame {
 	if s.frame == nil {
@@ -163,9 +177,9 @@
 	running := m.frame.GetHello().GetRunning()
 	ids := make(map[schedule.JobID]bool, len(running))
 	for _, job := range running {
-		ids[schedule.JobID{VM: s.incarnation, Seq: job.GetAsk().GetId()}] = true
+		ids[schedule.JobID{VM: s.id, Seq: job.GetAsk().GetId()}] = true
 	}
-	c.scheduler.FinishAll(now, s.incarnation, ids)
+	c.scheduler.FinishAll(now, s.id, ids)
 	c.adopt(s, running, now)
 	c.sendView(s, now)
 	observe.Log(c.options.Logger, observe.EntryAttached).Str("entry_vm", s.vm).
@@ -176,7 +190,7 @@
 // VM has abandoned their streams, even if this VM has not noticed yet.
 func (c *core) supersede(by *session) {
 	for old := range c.sessions {
-		if old.incarnation == by.incarnation {
+		if old.id == by.id {
 			delete(c.sessions, old)
 			old.drop(errSuperseded)
 			observe.Log(c.options.Logger, observe.EntryDetached).Str("entry_vm", old.vm).Str("by", by.vm).Err(errSuperseded).Send()
@@ -188,7 +202,7 @@
 func (c *core) adopt(s *session, running []*hubpb.RunningJob, now time.Time) {
 	for _, job := range running {
 		request := requestFromProto(job.GetAsk(), s, now)
-		c.scheduler.Adopt(now, request, placementFromProto(job.GetPlacement(), s.incarnation), job.GetWriting())
+		c.scheduler.Adopt(now, request, placementFromProto(job.GetPlacement(), s.id), job.GetWriting())
 	}
 }
 
@@ -205,7 +219,7 @@
 	}
 	delete(c.sessions, m.session)
 	c.relays.release(m.session)
-	c.scheduler.FinishAll(now, m.session.incarnation, nil)
+	c.scheduler.FinishAll(now, m.session.id, nil)
 	observe.Log(c.options.Logger, observe.EntryDetached).Str("entry_vm", m.session.vm).Err(m.cause).Send()
 }
 
@@ -231,7 +245,7 @@
 	}
 	c.adopt(m.session, m.frame.GetRunning(), now)
 	for _, progress := range m.frame.GetProgress() {
-		id := schedule.JobID{VM: m.session.incarnation, Seq: progress.GetId()}
+		id := schedule.JobID{VM: m.session.id, Seq: progress.GetId()}
 		if progress.GetKind() == hubpb.ProgressKind_PROGRESS_STARTED {
 			c.scheduler.MarkStarted(now, id)
 			continue
@@ -444,7 +458,7 @@
 func (c *core) decide(now time.Time) time.Time {
 	byVM := map[uint64]*session{}
 	for s := range c.sessions {
-		byVM[s.incarnation] = s
+		byVM[s.id] = s
 	}
 	for _, placement := range c.scheduler.Decide(now) {
 		s := byVM[placement.ID.VM]
--- a/internal/hub/credibility_test.go
+++ b/internal/hub/credibility_test.go
@@ -29,8 +29,8 @@
 		c.applyAnnouncement(server, now, false)
 	}
 	sessions := []*session{
-		{vm: "entry-1", incarnation: 7, outbox: make(chan *hubpb.HubFrame, 1), drop: func(error) {}},
-		{vm: "entry-2", incarnation: 8, outbox: make(chan *hubpb.HubFrame, 1), drop: func(error) {}},
+		{vm: "entry-1", id: 7, outbox: make(chan *hubpb.HubFrame, 1), drop: func(error) {}},
+		{vm: "entry-2", id: 8, outbox: make(chan *hubpb.HubFrame, 1), drop: func(error) {}},
 	}
 	for _, s := range sessions {
 		entryAttached{session: s, frame: &hubpb.EntryFrame{Hello: &hubpb.Hello{}}}.handle(c, now)
@@ -39,7 +39,7 @@
 	report := func(s *session, kind hubpb.ProgressKind) {
 		for i := range 5 {
 			seq++
-			request := schedule.PlacementRequest{ID: schedule.JobID{VM: s.incarnation, Seq: seq}, Service: "orders", TargetAt: now.Add(time.Second), StartDeadline: now.Add(time.Second)}
+			request := schedule.PlacementRequest{ID: schedule.JobID{VM: s.id, Seq: seq}, Service: "orders", TargetAt: now.Add(time.Second), StartDeadline: now.Add(time.Second)}
 			placement := schedule.Placement{ID: request.ID, Server: fmt.Sprintf("s%d", i+1)}
 			entryFrameReceived{session: s, frame: &hubpb.EntryFrame{
 				Running:  []*hubpb.RunningJob{{Ask: requestToProto(request, now), Placement: placementToProto(placement)}},
--- a/internal/hub/linkstate_test.go
+++ b/internal/hub/linkstate_test.go
@@ -222,7 +222,7 @@
 	now := time.Unix(1000, 0)
 	c.scheduler.SetEngines(&routes.Table{})
 	c.scheduler.SetServer(now, schedule.Server{ID: "s1", Service: "orders", Slots: 1, AcceptsNew: true})
-	first := &session{vm: "entry-1", incarnation: 7, outbox: make(chan *hubpb.HubFrame, 1), drop: func(error) {}}
+	first := &session{vm: "entry-1", id: 7, outbox: make(chan *hubpb.HubFrame, 1), drop: func(error) {}}
 	entryAttached{session: first, frame: &hubpb.EntryFrame{Hello: &hubpb.Hello{}}}.handle(c, now)
 	entryFrameReceived{session: first, frame: &hubpb.EntryFrame{Asks: []*hubpb.Ask{
 		requestToProto(schedule.PlacementRequest{ID: schedule.JobID{VM: 7, Seq: 1}, Service: "orders", TargetAt: now.Add(time.Second), StartDeadline: now.Add(time.Second)}, now),
@@ -232,7 +232,7 @@
 
 	dropped := false
 	first.drop = func(error) { dropped = true }
-	second := &session{vm: "entry-1", incarnation: 7, outbox: make(chan *hubpb.HubFrame, 1), drop: func(error) {}}
+	second := &session{vm: "entry-1", id: 7, outbox: make(chan *hubpb.HubFrame, 1), drop: func(error) {}}
 	entryAttached{session: second, frame: &hubpb.EntryFrame{Hello: &hubpb.Hello{}}}.handle(c, now)
 	require.Zero(t, c.scheduler.Placed())
 	require.True(t, dropped)
--- a/internal/hub/relays_test.go
+++ b/internal/hub/relays_test.go
@@ -175,7 +175,7 @@
 // attach opens a session for a relay.
 func (c *relayCore) attach(relay Relay) *session {
 	c.incarnation++
-	s := &session{vm: relay.VM, zone: relay.Zone, incarnation: c.incarnation, outbox: make(chan *hubpb.HubFrame, 1), drop: func(error) {}}
+	s := &session{vm: relay.VM, zone: relay.Zone, id: c.incarnation, outbox: make(chan *hubpb.HubFrame, 1), drop: func(error) {}}
 	entryAttached{session: s, frame: &hubpb.EntryFrame{Hello: &hubpb.Hello{RelayAddress: relay.Address, CutOff: relay.CutOff}}}.handle(c.core, c.now)
 	return s
 }
--- a/internal/hub/server.go
+++ b/internal/hub/server.go
@@ -132,10 +132,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(stream.Context())
 	defer cancel(nil)
-	s := &session{
-		vm: hello.GetVm(), zone: hello.GetZone(), incarnation: hello.GetIncarnation(),
-		tableVersion: hello.GetTableVersion(), outbox: make(chan *hubpb.HubFrame, outboxFrames), drop: cancel,
-	}
+	s := newSession(hello, cancel)
 	if err := h.send(ctx, entryAttached{session: s, frame: first}); err != nil {
 		return err
 	}
--- a/internal/hub/statements_test.go
+++ b/internal/hub/statements_test.go
@@ -107,8 +107,8 @@
 	s1 := ordersServer("s1", 5, roster.StateReady, now.Add(-time.Hour))
 	s1.LastSeen = now
 	c.applyAnnouncement(s1, now, false)
-	told := &session{vm: "entry-1", incarnation: 7, outbox: make(chan *hubpb.HubFrame, 1), drop: func(error) {}}
-	untold := &session{vm: "entry-2", incarnation: 8, outbox: make(chan *hubpb.HubFrame, 1), drop: func(error) {}}
+	told := &session{vm: "entry-1", id: 7, outbox: make(chan *hubpb.HubFrame, 1), drop: func(error) {}}
+	untold := &session{vm: "entry-2", id: 8, outbox: make(chan *hubpb.HubFrame, 1), drop: func(error) {}}
 	for _, s := range []*session{told, untold} {
 		entryAttached{session: s, frame: &hubpb.EntryFrame{Hello: &hubpb.Hello{}}}.handle(c, now)
 	}
--- a/internal/site/entry.go
+++ b/internal/site/entry.go
@@ -133,7 +133,7 @@
 		return err
 	}
 	e := &Entry{settings: settings, logger: logger, metrics: observe.NewMetrics()}
-	incarnation := uint64(time.Now().UnixNano())
+	incarnation := newIncarnation(settings.VM, time.Now())
 	pool := transport.NewPool(transport.PoolOptions{Identity: transport.Identity{Cluster: clusterName, VM: settings.VM}, SourceIP: settings.Bind})
 	defer pool.Close()
 	e.dialer = relay.NewDialer(relay.DialerOptions{
