--- a/internal/command/emulate.go
+++ b/internal/command/emulate.go
@@ -13,6 +13,7 @@
 type EmulateArguments struct {
 	Scale       float64 `arg:"--scale" default:"1" help:"factor on the request rate of the standard load"`
 	Grown       bool    `arg:"--grown" help:"use the load and the servers of the larger fleet"`
+	Large       bool    `arg:"--large" help:"use the load and the servers of a fleet of hundreds of entry VMs"`
 	Alternating bool    `arg:"--alternating" help:"add alternating bursts of short and of long requests"`
 	Servers     int     `arg:"--servers" help:"number of model servers [default: that of the fleet]"`
 	Alone       int     `arg:"--alone" help:"number of entry VMs that each schedule on their own; 0 for a single scheduler [default: 0]"`
@@ -32,6 +33,9 @@
 	if a.Grown {
 		load, fleet = emulate.GrownLoad(a.Scale), emulate.GrownFleet()
 	}
+	if a.Large {
+		load, fleet = emulate.LargeLoad(a.Scale), emulate.LargeFleet()
+	}
 	if a.Alternating {
 		load = emulate.WithAlternatingBursts(load)
 	}
--- a/internal/emulate/emulate.go
+++ b/internal/emulate/emulate.go
@@ -136,8 +136,6 @@
 const (
 	// messageDelay is the time that a message takes from one component to the next.
 	messageDelay = 4 * time.Millisecond
-	// eventTokens is the number of answer tokens in an event.
-	eventTokens = 43
 	// largestQuantile is the 0.9 quantile of the standard normal distribution. Prompts beyond it are the largest tenth
 	// of their kind.
 	largestQuantile = 1.28
@@ -331,10 +329,11 @@
 func (e *emulation) addRequest(kind *RequestKind, now time.Time) {
 	e.nextID++
 	prompt := e.lognormal(kind.PromptTokens, kind.PromptSpread, kind.MaxPromptTokens)
+	eventTokens := e.fleet.Engine.StepsPerPass // a server sends one event of a stream in each pass
 	events := int(math.Ceil(e.lognormal(kind.Events, kind.EventSpread, kind.Events*2.5)))
 	// The credit is proportional to size, which is 1 for a request of mean size. An answer token counts as ten prompt
 	// tokens.
-	size := 0.3 + 0.7*(prompt+10*float64(events)*eventTokens)/(kind.PromptTokens+10*kind.Events*eventTokens)
+	size := 0.3 + 0.7*(prompt+10*float64(events*eventTokens))/(kind.PromptTokens+10*kind.Events*float64(eventTokens))
 	size = math.Min(size, 4)
 	j := &job{
 		kind: kind, arrivedAt: now, events: events, credit: kind.Weight * size, lateCredit: kind.LateWeight * size,
--- a/internal/emulate/standard.go
+++ b/internal/emulate/standard.go
@@ -48,6 +48,25 @@
 	return load
 }
 
+// LargeFleet returns a fleet of hundreds of entry VMs: 112 servers with 10 slots each and longer passes.
+func LargeFleet() Fleet {
+	fleet := StandardFleet()
+	fleet.Servers, fleet.Engine.Slots, fleet.Engine.StepsPerPass = 112, 10, 68
+	return fleet
+}
+
+// LargeLoad returns the mix of prompts for LargeFleet. scale is a factor on the rates.
+func LargeLoad(scale float64) Load {
+	load := GrownLoad(scale)
+	for i, rates := range []struct{ perSecond, events float64 }{{140, 22.6}, {11, 13.6}, {5.26, 11.3}} {
+		load.Kinds[i].PerSecond, load.Kinds[i].Events = rates.perSecond, rates.events
+	}
+	load.Kinds[0].TargetLatency = 400 * time.Millisecond
+	load.Kinds[1].Weight, load.Kinds[1].LateWeight = 2.9, 0.73
+	load.Kinds[2].PromptSpread, load.Kinds[2].Weight, load.Kinds[2].LateWeight = 0.55, 18, 4.5
+	return load
+}
+
 // WithAlternatingBursts returns load with three added bursts: the first and the last mostly of short requests, the
 // second mostly of long ones.
 func WithAlternatingBursts(load Load) Load {
