schedule: headrooms of unchanged servers are kept between decisions

What callers saw: at 1.7 times the rates of the large fleet the leader's decisions alone took most of a core, of which a control VM has a quarter; placements came late and the leader's heartbeats with them. Cause: each decision computed the headroom of all servers, and each search for a placement that makes others late sorted all servers by a loss that it computed in the comparison. Change: a server's headroom is computed again only when its requests or its pass have changed; the search sorts the few servers that are worth it, by losses computed once.

--- a/internal/schedule/decide.go
+++ b/internal/schedule/decide.go
@@ -113,32 +113,45 @@
 	s.decided = append(s.decided, Placement{ID: j.request.ID, RetryAfter: after, Reason: reason})
 }
 
+// queueOrder is what decides on the position of a queued request.
+type queueOrder struct {
+	suspect, late   bool
+	weightPerSecond float64
+}
+
 // sortQueued orders the queued requests by priority. Within a priority, those of entry
 // VMs that are most likely cut off come last, because their attempts mostly hold slots in
 // vain. Of the others, requests past their latency target come last. Otherwise requests with a higher weight per
 // second of server time come first.
 func (s *Scheduler) sortQueued(now time.Time) {
+	for _, j := range s.queued {
+		j.order = queueOrder{suspect: s.isSuspect(j), late: now.After(j.request.TargetAt), weightPerSecond: s.weightPerSecond(j)}
+	}
 	slices.SortStableFunc(s.queued, func(a, b *job) int {
 		if order := cmp.Compare(a.request.Priority, b.request.Priority); order != 0 {
 			return order
 		}
-		if suspectA, suspectB := s.isSuspect(a), s.isSuspect(b); suspectA != suspectB {
-			if suspectA {
-				return 1
-			}
-			return -1
+		if order := compareBool(a.order.suspect, b.order.suspect); order != 0 {
+			return order
 		}
-		lateA, lateB := now.After(a.request.TargetAt), now.After(b.request.TargetAt)
-		if lateA != lateB {
-			if lateA {
-				return 1
-			}
-			return -1
+		if order := compareBool(a.order.late, b.order.late); order != 0 {
+			return order
 		}
-		return cmp.Compare(s.weightPerSecond(b), s.weightPerSecond(a))
+		return cmp.Compare(b.order.weightPerSecond, a.order.weightPerSecond)
 	})
 }
 
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
 // weightPerSecond returns the weight of a request per second of server time.
 func (s *Scheduler) weightPerSecond(j *job) float64 {
 	engine := s.engines[j.request.Service]
@@ -259,10 +272,10 @@
 	}
 	j.nextCostlyAt = now.Add(costlyInterval)
 	best := selection{}
+	budget := j.request.Weight * lateLossFraction * maxLossFraction
 	for count := minCount; count <= maxCount; count++ {
 		partTime := j.prefillTime / time.Duration(count)
-		selected, found := s.selectServers(j, sortedByLoss(candidates, partTime), plan, count, partTime,
-			j.request.Weight*lateLossFraction*maxLossFraction)
+		selected, found := s.selectServers(j, s.affordable(candidates, partTime, budget), plan, count, partTime, budget)
 		if found && !selected.readyAt.After(j.request.TargetAt) && (best.first == nil || selected.loss < best.loss) {
 			best = selected
 		}
@@ -281,13 +294,15 @@
 	// cost is the estimated end of the server's next pass, plus rankPenalty for
 	// each position in the order and mixPenalty where it applies.
 	cost time.Time
+	// loss is the loss of other requests, set by affordable.
+	loss float64
 }
 
-// refreshHeadrooms updates the prefill capacity of every model engine.
+// refreshHeadrooms updates the prefill capacity of every model engine that has changed.
 func (s *Scheduler) refreshHeadrooms(now time.Time) {
 	for _, srv := range s.sortedServers {
 		if srv.engine != nil {
-			srv.headroom = srv.headroomAt(now, s.maxPass())
+			srv.refreshHeadroom(now, s.maxPass())
 		}
 	}
 }
@@ -373,14 +388,29 @@
 	loss float64
 }
 
-// sortedByLoss returns the candidates sorted by the loss of other requests if they
-// prefill a part of the given duration.
-func sortedByLoss(candidates []candidate, partTime time.Duration) []candidate {
-	ordered := slices.Clone(candidates)
-	slices.SortStableFunc(ordered, func(a, b candidate) int {
-		return cmp.Compare(a.lossOf(a.server.scaled(partTime)), b.lossOf(b.server.scaled(partTime)))
-	})
-	return ordered
+// affordable returns the candidates that may prefill a part of the given duration without
+// a loss of other requests over budget, sorted by that loss. The result is valid until the
+// next call.
+func (s *Scheduler) affordable(candidates []candidate, partTime time.Duration, budget float64) []candidate {
+	harmless, harmful := s.harmless[:0], s.harmful[:0]
+	for i := range candidates {
+		c := candidates[i]
+		prefill := c.server.scaled(partTime)
+		if prefill <= c.maxHarmless {
+			harmless = append(harmless, c)
+			continue
+		}
+		if prefill > c.maxPrefill {
+			continue
+		}
+		if c.loss = c.lossOf(prefill); c.loss <= budget {
+			harmful = append(harmful, c)
+		}
+	}
+	slices.SortStableFunc(harmful, func(a, b candidate) int { return cmp.Compare(a.loss, b.loss) })
+	harmless = append(harmless, harmful...)
+	s.harmless, s.harmful = harmless, harmful
+	return harmless
 }
 
 // selectServers selects count servers with the capacity to prefill one part each.
@@ -432,7 +462,7 @@
 // assign commits a request to the selected servers and adds the placement to the
 // results of Decide.
 func (s *Scheduler) assign(now time.Time, j *job, sel selection) {
-	j.late = now.After(j.request.TargetAt) || sel.readyAt.After(j.request.TargetAt)
+	j.late = now.After(j.request.TargetAt) || sel.readyAt.After(j.request.TargetAt) // not placed yet: no server knows it
 	if sel.loss > 0 {
 		sel.first.headroom.markLate(sel.first.scaled(sel.partTime))
 		for _, helper := range sel.helpers {
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -147,6 +147,8 @@
 	now time.Time
 	// rankings holds the ranked servers of the decision in progress.
 	rankings map[rankingKey]*ranking
+	// harmless and harmful are the buffers of affordable.
+	harmless, harmful []candidate
 	// fraction is the fraction of each server's slots that this scheduler may use.
 	// seed selects the model engines on which the share is rounded up.
 	fraction float64
@@ -175,7 +177,7 @@
 	}
 	s.fraction, s.seed = fraction, seed
 	for _, srv := range s.sortedServers {
-		srv.slotShare = s.slotShareOf(&srv.Server)
+		srv.slotShare, srv.stale = s.slotShareOf(&srv.Server), true
 	}
 }
 
@@ -239,11 +241,29 @@
 	// barred is the number of servers on which the entry VM is in backoff, in the decision
 	// in progress.
 	barred int
+	// order holds what sortQueued compares, as of the decision in progress.
+	order queueOrder
 	// expectedAt is the expected time of the first event, estimated at placement.
 	// No decision depends on it.
 	expectedAt time.Time
 }
 
+// setLate records that the request can no longer be on time.
+func (j *job) setLate() {
+	if !j.late {
+		j.late = true
+		j.markServersStale()
+	}
+}
+
+// markServersStale makes the servers of a placed request compute their headroom again.
+func (j *job) markServersStale() {
+	j.first.stale = true
+	for _, helper := range j.helpers {
+		helper.stale = true
+	}
+}
+
 // SetEngines replaces the engine models of all services by those of the table.
 // A service without an engine model is a plain service.
 func (s *Scheduler) SetEngines(table *routes.Table) {
@@ -255,7 +275,7 @@
 	}
 	for _, srv := range s.sortedServers {
 		srv.engine = s.engines[srv.Service]
-		srv.slotShare = s.slotShareOf(&srv.Server)
+		srv.slotShare, srv.stale = s.slotShareOf(&srv.Server), true
 	}
 }
 
@@ -269,7 +289,7 @@
 	}
 	srv.Server = updated
 	srv.engine = s.engines[updated.Service]
-	srv.slotShare = s.slotShareOf(&updated)
+	srv.slotShare, srv.stale = s.slotShareOf(&updated), true
 	srv.advanceTo(now)
 }
 
@@ -376,6 +396,7 @@
 	}
 	s.recordSuccess(now, j)
 	j.late = j.late || now.After(j.request.TargetAt)
+	j.markServersStale()
 	j.first.recordStart(now, j)
 	for _, helper := range j.helpers {
 		helper.dropParts(j)
@@ -414,6 +435,7 @@
 // release removes a placed request from its servers.
 func (s *Scheduler) release(j *job) {
 	id := j.request.ID
+	j.markServersStale()
 	delete(s.placed, id)
 	if delete(s.placedByVM[id.VM], id); len(s.placedByVM[id.VM]) == 0 {
 		delete(s.placedByVM, id.VM)
--- a/internal/schedule/server.go
+++ b/internal/schedule/server.go
@@ -66,8 +66,10 @@
 	// helping holds the requests for which this server is a prefill helper.
 	helping map[JobID]*helperJob
 
-	// headroom is the capacity for further prefill, as of the decision in progress.
+	// headroom is the capacity for further prefill, as of the decision in progress. It is
+	// computed again when stale is set, and always once the current pass has (almost) ended.
 	headroom headroom
+	stale    bool
 	// passEnd is the estimated end of the pass in progress, zero if the server is
 	// idle. While the server waits for a prompt in transit, it is the time of
 	// arrival.
@@ -167,7 +169,9 @@
 // endPass counts the parts of the current pass as prefilled. Long ones of requests
 // without a first event become unconfirmed.
 func (srv *server) endPass() {
+	srv.stale = true
 	for _, p := range srv.currentParts {
+		p.job.first.stale = true
 		if p.job.unfinishedParts > 0 {
 			p.job.unfinishedParts--
 		}
@@ -181,6 +185,7 @@
 // startPass begins the next pass at the given time with the parts that have
 // arrived by then.
 func (srv *server) startPass(start time.Time) {
+	srv.stale = true
 	kept := srv.nextParts[:0]
 	nextArrival := time.Time{}
 	for _, p := range srv.nextParts {
@@ -217,6 +222,7 @@
 
 // dropParts removes the parts of a request from the estimate.
 func (srv *server) dropParts(j *job) {
+	srv.stale = true
 	srv.nextParts = withoutJob(srv.nextParts, j)
 	srv.currentParts = withoutJob(srv.currentParts, j)
 	srv.unconfirmedParts = withoutJob(srv.unconfirmedParts, j)
@@ -386,6 +392,14 @@
 	return h
 }
 
+// refreshHeadroom computes the headroom again if it may have changed.
+func (srv *server) refreshHeadroom(now time.Time, maxPass time.Duration) {
+	if srv.stale || !srv.passEnd.After(now.Add(transitTime)) {
+		srv.headroom = srv.headroomAt(now, maxPass)
+		srv.stale = false
+	}
+}
+
 func containsJob(parts []promptPart, j *job) bool {
 	for i := range parts {
 		if parts[i].job == j {
@@ -412,7 +426,7 @@
 func (h *headroom) markLate(prefill time.Duration) {
 	for i := range h.lateRisks {
 		if h.lateRisks[i].limit < prefill {
-			h.lateRisks[i].job.late = true
+			h.lateRisks[i].job.setLate()
 		}
 	}
 }
