--- a/internal/schedule/decide.go
+++ b/internal/schedule/decide.go
@@ -47,17 +47,24 @@
 	// minRetryAfter and maxRetryAfter bound the RetryAfter of a refused request.
 	minRetryAfter = 300 * time.Millisecond
 	maxRetryAfter = 4 * time.Second
-	// decisionInterval is the interval between decisions while requests are queued.
-	decisionInterval = 5 * time.Millisecond
+	// decisionInterval is the interval between decisions while requests are queued, and
+	// minDecisionInterval the minimum interval, however often requests change.
+	decisionInterval    = 5 * time.Millisecond
+	minDecisionInterval = 2 * time.Millisecond
 )
 
 // Decide places the queued requests that fit now and refuses those that can no
-// longer be served in time. It returns the placements and refusals.
+// longer be served in time. It returns the placements and refusals. It does nothing within
+// minDecisionInterval of a decision that left requests in the queue.
 func (s *Scheduler) Decide(now time.Time) []Placement {
 	s.decided = nil
+	if s.leftQueued && now.Sub(s.decidedAt) < minDecisionInterval {
+		return nil
+	}
 	for _, srv := range s.sortedServers {
 		srv.advanceTo(now)
 	}
+	s.decidedAt, s.leftQueued = now, false
 	if len(s.queued) == 0 {
 		s.updateRates(now, nil)
 		return nil
@@ -80,7 +87,7 @@
 		case timeLeft <= 0:
 			s.refuse(j, q.retryAfter(now), "waited too long")
 		case s.place(now, j):
-			q.rate.addPlacement(now)
+			q.addPlacement(now)
 		case q.waitExceeds(now, timeLeft):
 			s.refuse(j, q.retryAfter(now), "the queue is too long")
 		default:
@@ -88,7 +95,7 @@
 			kept = append(kept, j)
 		}
 	}
-	s.queued = kept
+	s.queued, s.leftQueued = kept, len(kept) > 0
 	s.updateRates(now, queues)
 	return s.decided
 }
@@ -105,7 +112,10 @@
 	if len(s.queued) == 0 {
 		return time.Time{}
 	}
-	return now.Add(decisionInterval)
+	if !now.After(s.decidedAt) {
+		return now.Add(decisionInterval)
+	}
+	return s.decidedAt.Add(minDecisionInterval) // requests have changed since
 }
 
 // refuse adds a refusal to the results of Decide.
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -58,12 +58,23 @@
 	// ahead is the number of requests that remain queued ahead of that request.
 	ahead int
 	rate  *placementRate
+	// perSecond is the placement rate, 0 if it must be computed again.
+	perSecond float64
+}
+
+// addPlacement counts a placement of a request of the queue.
+func (q *queue) addPlacement(now time.Time) {
+	q.rate.addPlacement(now)
+	q.perSecond = 0
 }
 
 // expectedWait returns the expected time until a further request of the queue is
 // placed.
 func (q *queue) expectedWait(now time.Time) time.Duration {
-	return time.Duration(float64(q.ahead+1) / q.rate.perSecond(now) * float64(time.Second))
+	if q.perSecond == 0 {
+		q.perSecond = q.rate.perSecond(now)
+	}
+	return time.Duration(float64(q.ahead+1) / q.perSecond * float64(time.Second))
 }
 
 // waitExceeds reports whether a further request with the given time left is
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -143,6 +143,10 @@
 	credibilityChanges []CredibilityChange
 	// sweptAt is when old evidence was last forgotten.
 	sweptAt time.Time
+	// decidedAt is the time of the last decision. leftQueued is set if it left requests in
+	// the queue.
+	decidedAt  time.Time
+	leftQueued bool
 	// now is the time of the decision in progress.
 	now time.Time
 	// rankings holds the ranked servers of the decision in progress.
