hub: entry VMs stay at the control VM of their zone, which forwards to the leader

Cause: every entry VM wanted its stream at the leader, so each change of the leader moved all of them with their whole state; that work cost the next leader its lease. Change: an entry VM attaches to a control VM of its zone and stays there. Control VMs pass placement requests and reports on to the leader in batches over one stream each, and keep the placed requests, so that a new leader learns of them from five streams. While no leader answers within 110 ms, a control VM places the requests of its entry VMs on its share; a leader that has lost its lease goes on placing until another one is known. A control VM that has just started refuses entry VMs for up to 2 s, and sends those of other zones to their own control VM before it sends them any state. Each attempt to attach follows the last one after a random delay. VMs of older versions are served as before: the leader's version is known from what control VMs send each other. Evidence: forward_test.go.

--- a/internal/hub/broadcast.go
+++ b/internal/hub/broadcast.go
@@ -56,6 +56,9 @@
 	// servers holds the newest announcement of each server that is to be sent.
 	servers map[string]roster.Server
 	entries []string
+	// due is set when the peer must be told that this VM is there, even if there is
+	// nothing else to send, and knowsLeader whether it knows the leader.
+	due, knowsLeader bool
 	// relays holds the newest relay of each entry VM that is to be sent.
 	relays map[string]Relay
 	// evidence holds the newest evidence on each part and request that is to be sent.
@@ -132,7 +135,7 @@
 
 // tick sends the queued announcements and the names of the attached entry VMs to
 // all peers every broadcastInterval, with their relays every refreshInterval.
-func (b *broadcaster) tick(now time.Time, sessions map[*session]bool) {
+func (b *broadcaster) tick(now time.Time, sessions map[*session]bool, knowsLeader bool) {
 	if now.Sub(b.sentAt) < broadcastInterval {
 		return
 	}
@@ -152,6 +155,7 @@
 	for _, peer := range b.peers {
 		peer.mu.Lock()
 		peer.entries = append([]string(nil), b.entries...)
+		peer.due, peer.knowsLeader = true, knowsLeader
 		peer.mu.Unlock()
 		peer.notify()
 	}
@@ -206,13 +210,15 @@
 func (p *broadcastPeer) send(ctx context.Context) error {
 	p.mu.Lock()
 	servers, entries, relays, evidence := p.servers, p.entries, p.relays, p.evidence
+	due, knowsLeader := p.due, p.knowsLeader
+	p.due = false
 	p.servers, p.entries, p.relays, p.evidence = map[string]roster.Server{}, nil, map[string]Relay{}, map[quarantine.Subject]quarantine.Evidence{}
 	p.mu.Unlock()
-	if len(servers) == 0 && len(entries) == 0 && len(relays) == 0 && len(evidence) == 0 {
+	if len(servers) == 0 && len(entries) == 0 && len(relays) == 0 && len(evidence) == 0 && !due {
 		return nil
 	}
 	now := time.Now()
-	request := &hubpb.SpreadRequest{EntryVms: entries, Sender: p.options.Address}
+	request := &hubpb.SpreadRequest{EntryVms: entries, Sender: p.options.Address, SenderZone: p.options.Zone, Forwards: true, KnowsLeader: knowsLeader}
 	for _, relay := range relays {
 		request.Relays = append(request.Relays, relayToProto(relay))
 	}
--- /dev/null
+++ b/internal/hub/controls.go
@@ -0,0 +1,102 @@
+package hub
+
+import (
+	"time"
+
+	"godwityoke.example/godwityoke/internal/hub/hubpb"
+)
+
+const (
+	// controlExpiry is the time without a message after which another control VM counts as
+	// gone. Five messages are due in this time (see broadcastInterval).
+	controlExpiry = time.Second
+	// settleTime is the time from the first known leader until entry VMs are admitted: in it
+	// the control VMs get to know each other, so that entry VMs are sent to the right one.
+	settleTime = time.Second
+	// maxSettleTime is the maximum time from the start of a control VM until it admits entry
+	// VMs, whether it knows a leader or not.
+	maxSettleTime = 2 * time.Second
+)
+
+// controlVM is what a control VM knows of another one.
+type controlVM struct {
+	zone string
+	// forwards is set if it serves Forward streams.
+	forwards bool
+	// knowsLeader is set if it knows the leader.
+	knowsLeader bool
+	seenAt      time.Time
+}
+
+// expireControls forgets control VMs that were not heard of for controlExpiry.
+func (c *core) expireControls(now time.Time) {
+	for address, control := range c.controls {
+		if now.Sub(control.seenAt) >= controlExpiry {
+			delete(c.controls, address)
+		}
+	}
+}
+
+// knownLeader returns the internal address of the leader. While there is none, it is the
+// control VM that goes on placing requests if that responds, otherwise it is empty.
+func (c *core) knownLeader() string {
+	switch {
+	case c.leader != "":
+		return c.leader
+	case c.schedulesAll && len(c.controls) > 0:
+		return c.options.Address
+	case c.isForwarding():
+		return c.upstream.address
+	}
+	return ""
+}
+
+// admit decides whether an entry VM may attach. Others are sent to the control VM that is
+// preferred for them, or refused while this VM has just started.
+func (c *core) admit(s *session, hello *hubpb.Hello, now time.Time) bool {
+	if !hello.GetAcceptsForwarding() || hello.GetRedirected() {
+		return true
+	}
+	if c.isSettling(now) {
+		s.drop(errStarting)
+		return false
+	}
+	if preferred := c.preferredFor(s); preferred != "" {
+		s.outbox <- &hubpb.HubFrame{Redirect: preferred}
+		return false
+	}
+	return true
+}
+
+// isSettling reports whether this VM has just started and may not know the others yet.
+func (c *core) isSettling(now time.Time) bool {
+	if now.Sub(c.startedAt) >= maxSettleTime {
+		return false
+	}
+	return c.leaderSeenAt.IsZero() || now.Sub(c.leaderSeenAt) < settleTime
+}
+
+// preferredFor returns the control VM that an entry VM should rather be attached to, empty
+// for none: one in its zone that knows the leader, selected by rendezvous hashing, which spreads the entry VMs of
+// a zone over its control VMs evenly.
+func (c *core) preferredFor(s *session) string {
+	seed := mix(hashName(s.vm))
+	best, weight := "", uint64(0)
+	consider := func(address, zone string) {
+		if w := mix(seed ^ hashName(address)); zone == s.zone && (best == "" || w > weight) {
+			best, weight = address, w
+		}
+	}
+	if c.leader != "" {
+		consider(c.options.Address, c.options.Zone)
+	}
+	for address, control := range c.controls {
+		if control.forwards && control.knowsLeader {
+			consider(address, control.zone)
+		}
+	}
+	if best == c.options.Address {
+		return ""
+	}
+	return best
+}
--- a/internal/hub/convert.go
+++ b/internal/hub/convert.go
@@ -1,6 +1,7 @@
 package hub
 
 import (
+	"cmp"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -107,9 +108,9 @@
 	}
 }
 
-func requestFromProto(message *hubpb.Ask, s *session, now time.Time) schedule.PlacementRequest {
+func requestFromProto(message *hubpb.Ask, vm uint64, zone string, now time.Time) schedule.PlacementRequest {
 	return schedule.PlacementRequest{
-		ID: schedule.JobID{VM: s.id, Seq: message.GetId()}, Service: message.GetService(), Zone: s.zone,
+		ID: schedule.JobID{VM: vm, Seq: message.GetId()}, Service: message.GetService(), Zone: zone,
 		PromptTokens: int(message.GetPromptTokens()), AnswerTokens: int(message.GetAnswerTokens()),
 		TargetAt:      now.Add(time.Duration(message.GetAimMs()) * time.Millisecond),
 		StartDeadline: now.Add(time.Duration(message.GetGiveUpMs()) * time.Millisecond),
@@ -119,7 +120,7 @@
 }
 
 func placementToProto(placement schedule.Placement) *hubpb.Placement {
-	message := &hubpb.Placement{Id: placement.ID.Seq, Server: placement.Server, RetryAfterMs: uint32(placement.RetryAfter.Milliseconds())}
+	message := &hubpb.Placement{Id: placement.ID.Seq, Server: placement.Server, RetryAfterMs: uint32(placement.RetryAfter.Milliseconds()), Reason: placement.Reason}
 	for _, helper := range placement.Helpers {
 		message.Helpers = append(message.Helpers, &hubpb.Helper{Server: helper.Server, ReserveTokens: uint32(helper.ReserveTokens)})
 	}
@@ -132,7 +133,7 @@
 		RetryAfter: time.Duration(message.GetRetryAfterMs()) * time.Millisecond,
 	}
 	if placement.Server == "" {
-		placement.Reason = "refused by the scheduler"
+		placement.Reason = cmp.Or(message.GetReason(), "refused by the scheduler")
 	}
 	for _, helper := range message.GetHelpers() {
 		placement.Helpers = append(placement.Helpers, schedule.Helper{Server: helper.GetServer(), ReserveTokens: int(helper.GetReserveTokens())})
--- a/internal/hub/core.go
+++ b/internal/hub/core.go
@@ -84,6 +84,22 @@
 	// serversSentAt is when all servers were last sent to the entry VMs.
 	serversSentAt time.Time
 	startedAt     time.Time
+	// post queues a message for Run.
+	post func(context.Context, message) error
+	// schedulesAll is set while this VM's scheduler places the requests of all entry VMs:
+	// while it leads, and then until another leader is known.
+	schedulesAll bool
+	// waiting holds the placement requests of attached entry VMs without an answer.
+	waiting map[schedule.JobID]*waitingRequest
+	// upstream is the stream to the leader, nil while there is none.
+	upstream *upstream
+	// forwarders holds the streams of other control VMs, remotes their entry VMs by session.
+	forwarders map[*forwarder]bool
+	remotes    map[uint64]*remoteVM
+	// controls holds the other control VMs, by internal address, that were heard of lately.
+	controls map[string]controlVM
+	// leaderSeenAt is when this VM first knew a leader since its start, zero before.
+	leaderSeenAt time.Time
 	// evidence is passed on between VMs; this VM itself stops no request.
 	evidence *quarantine.Tracker
 	// quarantined holds what was logged as quarantined.
@@ -94,7 +110,8 @@
 	return &core{
 		options: options, roster: roster.New(), sessions: map[*session]bool{}, entryLastSeen: map[string]time.Time{}, relays: newRelayList(),
 		scheduler: schedule.New(), peers: newBroadcaster(options), table: &hubpb.RouteTable{}, startedAt: time.Now(),
-		evidence: quarantine.NewTracker(),
+		evidence: quarantine.NewTracker(), waiting: map[schedule.JobID]*waitingRequest{}, forwarders: map[*forwarder]bool{},
+		remotes: map[uint64]*remoteVM{}, controls: map[string]controlVM{},
 	}
 }
 
@@ -115,11 +132,18 @@
 	relays []Relay
 	// evidence is that of the sending control VM on crashes.
 	evidence []quarantine.Evidence
+	// sender is the internal address of the sending control VM, empty for a server.
+	sender  string
+	control controlVM
 	// reply is closed when the announcements are applied.
 	reply chan struct{}
 }
 
 func (m serversAnnounced) handle(c *core, now time.Time) {
+	if m.sender != "" {
+		m.control.seenAt = now
+		c.controls[m.sender] = m.control
+	}
 	for _, entry := range m.entries {
 		c.entryLastSeen[entry] = now
 	}
@@ -157,6 +181,9 @@
 
 func (m entryAttached) handle(c *core, now time.Time) {
 	s := m.session
+	if !c.admit(s, m.frame.GetHello(), now) {
+		return
+	}
 	c.supersede(s)
 	c.sessions[s] = true
 	c.entryLastSeen[s.vm] = now
@@ -175,12 +202,10 @@
 	c.evidence.Merge(now, evidenceFromProto(m.frame.GetHello().GetEvidence(), now))
 	frame.Evidence = evidenceToProto(c.evidence.All(), now)
 	running := m.frame.GetHello().GetRunning()
-	ids := make(map[schedule.JobID]bool, len(running))
-	for _, job := range running {
-		ids[schedule.JobID{VM: s.id, Seq: job.GetAsk().GetId()}] = true
-	}
-	c.scheduler.FinishAll(now, s.id, ids)
-	c.adopt(s, running, now)
+	c.forgetWaiting(s.id)
+	c.scheduler.FinishAll(now, s.id, runningIDs(s.id, running))
+	c.adopt(s.id, s.zone, running, now)
+	c.forwardRunning(s, now)
 	c.sendView(s, now)
 	observe.Log(c.options.Logger, observe.EntryAttached).Str("entry_vm", s.vm).
 		Uint64("table_version", s.tableVersion).Int("running", len(m.frame.GetHello().GetRunning())).Send()
@@ -198,11 +223,34 @@
 	}
 }
 
-// adopt records requests that another scheduler placed.
-func (c *core) adopt(s *session, running []*hubpb.RunningJob, now time.Time) {
+// adopt records requests of an entry VM that another scheduler placed.
+func (c *core) adopt(vm uint64, zone string, running []*hubpb.RunningJob, now time.Time) {
 	for _, job := range running {
-		request := requestFromProto(job.GetAsk(), s, now)
-		c.scheduler.Adopt(now, request, placementFromProto(job.GetPlacement(), s.id), job.GetWriting())
+		request := requestFromProto(job.GetAsk(), vm, zone, now)
+		delete(c.waiting, request.ID)
+		c.scheduler.Adopt(now, request, placementFromProto(job.GetPlacement(), vm), job.GetWriting())
+	}
+}
+
+// applyProgress records what an entry VM reports of its requests.
+func (c *core) applyProgress(vm uint64, reports []*hubpb.Progress, now time.Time) {
+	for _, progress := range reports {
+		id := schedule.JobID{VM: vm, Seq: progress.GetId()}
+		if progress.GetKind() == hubpb.ProgressKind_PROGRESS_STARTED {
+			c.scheduler.MarkStarted(now, id)
+			continue
+		}
+		delete(c.waiting, id)
+		c.scheduler.Finish(now, id, outcomeFromProto(progress.GetKind()))
+	}
+}
+
+// forgetWaiting forgets the placement requests of an entry VM without an answer.
+func (c *core) forgetWaiting(vm uint64) {
+	for id := range c.waiting {
+		if id.VM == vm {
+			delete(c.waiting, id)
+		}
 	}
 }
 
@@ -219,7 +267,9 @@
 	}
 	delete(c.sessions, m.session)
 	c.relays.release(m.session)
+	c.forgetWaiting(m.session.id)
 	c.scheduler.FinishAll(now, m.session.id, nil)
+	c.forwardGone(m.session)
 	observe.Log(c.options.Logger, observe.EntryDetached).Str("entry_vm", m.session.vm).Err(m.cause).Send()
 }
 
@@ -243,20 +293,22 @@
 		relay.CutOff = m.frame.GetCutOff()
 		c.setRelay(m.session, relay)
 	}
-	c.adopt(m.session, m.frame.GetRunning(), now)
+	c.adopt(m.session.id, m.session.zone, m.frame.GetRunning(), now)
+	c.forwardPlaced(m.session, m.frame.GetRunning()...)
+	c.applyProgress(m.session.id, m.frame.GetProgress(), now)
 	for _, progress := range m.frame.GetProgress() {
-		id := schedule.JobID{VM: m.session.id, Seq: progress.GetId()}
-		if progress.GetKind() == hubpb.ProgressKind_PROGRESS_STARTED {
-			c.scheduler.MarkStarted(now, id)
-			continue
-		}
-		c.scheduler.Finish(now, id, outcomeFromProto(progress.GetKind()))
+		c.forwardProgress(m.session, schedule.JobID{VM: m.session.id, Seq: progress.GetId()}, progress.GetKind())
 	}
 	if len(m.frame.GetAsks()) > 0 {
 		m.session.pending() // even an empty frame shows the entry VM that the scheduler responds
 	}
-	for _, request := range m.frame.GetAsks() {
-		c.scheduler.Enqueue(now, requestFromProto(request, m.session, now))
+	for _, ask := range m.frame.GetAsks() {
+		request := requestFromProto(ask, m.session.id, m.session.zone, now)
+		if c.waiting[request.ID] == nil && !c.scheduler.IsPlaced(request.ID) {
+			w := &waitingRequest{request: request}
+			c.waiting[request.ID] = w
+			c.submit(now, w, m.session)
+		}
 	}
 }
 
@@ -377,7 +429,11 @@
 		}
 	}
 	c.sendRelays(now)
-	c.peers.tick(now, c.sessions)
+	c.peers.tick(now, c.sessions, c.leader != "")
+	c.expireControls(now)
+	c.expireRemotes(now)
+	c.followLeader(now)
+	c.checkUpstream(now)
 	c.reportLoad(now)
 }
 
@@ -393,7 +449,7 @@
 	c.options.Metrics.Gauge("godwityoke_scheduler_placed").Update(int64(load.Placed))
 	c.options.Metrics.Gauge("godwityoke_scheduler_slots").Update(int64(load.Slots))
 	c.options.Metrics.Gauge("godwityoke_scheduler_servers_out").Update(int64(load.Unavailable))
-	observe.Log(c.options.Logger, observe.SchedulerLoad).Int("entry_vms", len(c.sessions)).Int("servers", load.Servers).
+	observe.Log(c.options.Logger, observe.SchedulerLoad).Int("entry_vms", len(c.sessions)+len(c.remotes)).Int("servers", load.Servers).
 		Int("out", load.Unavailable).Int("waiting", load.Queued).Int("late_waiting", load.QueuedLate).Int("placed", load.Placed).
 		Int("slots", load.Slots).Dur("longest_pass", load.MaxPassRemaining).Float64("slowest_pace", load.MaxSlowdown).Send()
 }
@@ -425,6 +481,10 @@
 		return
 	}
 	c.isLeader, c.leader, c.term = leading, leader, term
+	if leader != "" && c.leaderSeenAt.IsZero() {
+		c.leaderSeenAt = now
+	}
+	c.followLeader(now)
 	observe.Log(c.options.Logger, observe.SchedulerChanged).Bool("here", leading).Str("leader", leader).Send()
 	for s := range c.sessions {
 		c.sendView(s, now)
@@ -435,6 +495,7 @@
 // pending frame stay in it.
 func (c *core) sendView(s *session, now time.Time) {
 	view, waiting := c.view(now), s.pending().GetView()
+	view.Preferred = c.preferredFor(s)
 	view.Relays, view.HasRelays = waiting.GetRelays(), waiting.GetHasRelays()
 	s.pending().View, s.viewSentAt = view, now
 	c.addRelays(s)
@@ -443,7 +504,7 @@
 // view returns this control VM's view of the system. The number of entry VMs is 0
 // (unknown) until entryCountDelay has passed since the start.
 func (c *core) view(now time.Time) *hubpb.View {
-	view := &hubpb.View{Leader: c.leader, Term: c.term, Schedules: c.isLeader}
+	view := &hubpb.View{Leader: c.knownLeader(), Term: c.term, Schedules: c.isLeader, Forwards: c.canForward()}
 	if now.Sub(c.startedAt) >= entryCountDelay {
 		view.EntryVms = uint32(max(1, len(c.entryLastSeen)))
 	}
@@ -456,27 +517,49 @@
 // decide places queued requests and returns when it must be called again, zero if
 // none is queued. Placements of detached entry VMs are released at once.
 func (c *core) decide(now time.Time) time.Time {
-	byVM := map[uint64]*session{}
-	for s := range c.sessions {
-		byVM[s.id] = s
-	}
-	for _, placement := range c.scheduler.Decide(now) {
-		s := byVM[placement.ID.VM]
-		if s == nil {
-			c.scheduler.Finish(now, placement.ID, schedule.OutcomeUnused)
+	placements := c.scheduler.Decide(now)
+	changes := c.scheduler.TakeCredibilityChanges()
+	if len(placements)+len(changes) == 0 {
+		return c.scheduler.NextDecisionAt(now)
+	}
+	byVM := c.sessionsByID()
+	for _, placement := range placements {
+		if s := byVM[placement.ID.VM]; s != nil {
+			c.deliver(s, placement, now)
 			continue
 		}
-		frame := s.pending()
-		frame.Placements = append(frame.Placements, placementToProto(placement))
+		if remote := c.remotes[placement.ID.VM]; remote != nil && remote.lostAt.IsZero() {
+			remote.forwarder.place(placement)
+			continue
+		}
+		c.scheduler.Finish(now, placement.ID, schedule.OutcomeUnused)
 	}
-	for _, change := range c.scheduler.TakeCredibilityChanges() {
+	for _, change := range changes {
 		if s := byVM[change.VM]; s != nil {
 			logCredibility(c.options.Logger, s.vm, change)
+		} else if remote := c.remotes[change.VM]; remote != nil {
+			logCredibility(c.options.Logger, remote.name, change)
 		}
 	}
 	return c.scheduler.NextDecisionAt(now)
 }
 
+// deliver passes a placement by this VM's scheduler on to an attached entry VM. The leader
+// is told if it does not place the requests of all entry VMs.
+func (c *core) deliver(s *session, placement schedule.Placement, now time.Time) {
+	message := placementToProto(placement)
+	s.pending().Placements = append(s.pending().Placements, message)
+	w := c.waiting[placement.ID]
+	delete(c.waiting, placement.ID)
+	switch {
+	case c.schedulesAll || w == nil:
+	case placement.Server != "":
+		c.forwardPlaced(s, &hubpb.RunningJob{Ask: requestToProto(w.request, now), Placement: message})
+	case w.sent:
+		c.forwardProgress(s, placement.ID, hubpb.ProgressKind_PROGRESS_UNUSED)
+	}
+}
+
 // logCredibility logs whether the reports of an entry VM on backend servers count for
 // other VMs.
 func logCredibility(logger zerolog.Logger, vm string, change schedule.CredibilityChange) {
@@ -530,6 +613,10 @@
 			s.drop(errOutboxFull)
 		}
 	}
+	c.upstream.flush(now)
+	for f := range c.forwarders {
+		f.flush(now)
+	}
 	c.peers.flush()
 }
 
@@ -537,5 +624,9 @@
 	for s := range c.sessions {
 		s.drop(errStopping)
 	}
+	c.closeUpstream()
+	for f := range c.forwarders {
+		f.drop(errStopping)
+	}
 	c.peers.close()
 }
--- /dev/null
+++ b/internal/hub/forward_test.go
@@ -0,0 +1,237 @@
+package hub
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwityoke.example/godwityoke/internal/schedule"
+)
+
+// testGroup is a set of hubs whose leader a test can change.
+type testGroup struct {
+	hubs    []*testHub
+	counter *eventCounter
+}
+
+// startGroup starts hubs in the given zones; the first one leads.
+func startGroup(t *testing.T, zones ...string) *testGroup {
+	t.Helper()
+	g := &testGroup{counter: newEventCounter("entry_attached", "link_lost")}
+	listeners := make([]net.Listener, 0, len(zones))
+	addresses := make([]string, 0, len(zones))
+	for range zones {
+		listener := listen(t)
+		listeners = append(listeners, listener)
+		addresses = append(addresses, listener.Addr().String())
+	}
+	for i, listener := range listeners {
+		g.hubs = append(g.hubs, startHubIn(t, listener, zones[i], g.counter.logger(), addresses[0], addresses...))
+	}
+	for _, h := range g.hubs {
+		waitFor(t, 3*time.Second, "the other control VMs", func() bool {
+			known := 0
+			h.inspect(t, func(c *core) { known = len(c.controls) })
+			return known == len(zones)-1
+		})
+	}
+	return g
+}
+
+func (g *testGroup) addresses() []string {
+	addresses := make([]string, 0, len(g.hubs))
+	for _, h := range g.hubs {
+		addresses = append(addresses, h.address)
+	}
+	return addresses
+}
+
+// setLeader makes all hubs see this leader, "" for none.
+func (g *testGroup) setLeader(address string) {
+	for _, h := range g.hubs {
+		h.group.mu.Lock()
+		h.group.leader = address
+		h.group.term++
+		h.group.mu.Unlock()
+	}
+}
+
+func (g *testGroup) startLinks(t *testing.T, count int, zones ...string) []*Link {
+	t.Helper()
+	links := make([]*Link, count)
+	for i := range links {
+		links[i] = startLinkIn(t, fmt.Sprintf("entry-%d", i), zones[i%len(zones)], uint64(i+1), g.addresses()...)
+	}
+	waitFor(t, 10*time.Second, "all attached", func() bool {
+		for _, link := range links {
+			if !link.isAttached() {
+				return false
+			}
+		}
+		return true
+	})
+	return links
+}
+
+func placeOne(t *testing.T, link *Link, seq uint64) schedule.Placement {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	request := testRequest(seq)
+	request.ID.VM = link.options.Incarnation
+	placement, err := link.Place(ctx, request)
+	require.NoError(t, err)
+	return placement
+}
+
+// A change of the leader moved every entry VM to the new one.
+func TestChangeOfTheLeaderMovesNoEntryVM(t *testing.T) {
+	g := startGroup(t, "a", "b", "c")
+	announceServer(t, g.hubs[0])
+	links := g.startLinks(t, 30, "a", "b", "c")
+	attached := g.counter.count("entry_attached")
+	require.Equal(t, len(links), attached, "attachments")
+	for i := range 4 {
+		g.setLeader(g.hubs[i%3].address)
+		time.Sleep(500 * time.Millisecond)
+	}
+	require.Equal(t, attached, g.counter.count("entry_attached"), "attachments")
+}
+
+// Entry VMs are spread over the control VMs of their zones, whatever seed they try first.
+func TestEntryVMsAttachInTheirZone(t *testing.T) {
+	g := startGroup(t, "a", "b", "b")
+	links := g.startLinks(t, 40, "a", "b")
+	inZoneB := map[string]int{}
+	for i, link := range links {
+		address := link.attachedTo()
+		if i%2 == 0 {
+			require.Equal(t, g.hubs[0].address, address, "entry-%d", i)
+			continue
+		}
+		require.NotEqual(t, g.hubs[0].address, address, "entry-%d", i)
+		inZoneB[address]++
+	}
+	for address, count := range inZoneB {
+		require.LessOrEqual(t, count, 15, "of 20 entry VMs at %s", address)
+	}
+}
+
+func TestLeaderPlacesForwardedRequestsWithinSlots(t *testing.T) {
+	g := startGroup(t, "a", "b")
+	announceServer(t, g.hubs[0]) // two slots
+	links := g.startLinks(t, 2, "a", "b")
+	for _, link := range links {
+		waitFor(t, 3*time.Second, "server", func() bool { _, found := link.Find("s1"); return found })
+	}
+	waitForForwarding(t, g.hubs[1])
+	for i, link := range links {
+		placement := placeOne(t, link, 1)
+		require.Equal(t, "s1", placement.Server, "entry-%d", i)
+		require.False(t, placement.Local)
+	}
+	third := make(chan schedule.Placement, 1)
+	go func() { third <- placeOne(t, links[1], 2) }()
+	select {
+	case <-third:
+		t.Fatal("a third request was placed on two slots")
+	case <-time.After(300 * time.Millisecond):
+	}
+	links[0].Ended(schedule.JobID{VM: 1, Seq: 1}, schedule.OutcomeDone)
+	require.Equal(t, "s1", (<-third).Server)
+}
+
+// A new leader learns of the running requests of all entry VMs, so that it doesn't use their
+// slots again.
+func TestNewLeaderKnowsTheRunningRequests(t *testing.T) {
+	g := startGroup(t, "a", "b", "c")
+	announceServer(t, g.hubs[0]) // two slots
+	links := g.startLinks(t, 3, "a", "b", "c")
+	for _, h := range g.hubs[1:] {
+		waitForForwarding(t, h)
+	}
+	for _, link := range links {
+		waitFor(t, 3*time.Second, "server", func() bool { _, found := link.Find("s1"); return found })
+	}
+	require.Equal(t, "s1", placeOne(t, links[0], 1).Server)
+	require.Equal(t, "s1", placeOne(t, links[1], 1).Server)
+	g.setLeader(g.hubs[2].address)
+	for _, h := range g.hubs[:2] {
+		waitForForwarding(t, h)
+	}
+	third := make(chan schedule.Placement, 1)
+	go func() { third <- placeOne(t, links[2], 1) }()
+	select {
+	case <-third:
+		t.Fatal("a third request was placed on two slots")
+	case <-time.After(300 * time.Millisecond):
+	}
+	links[1].Ended(schedule.JobID{VM: 2, Seq: 1}, schedule.OutcomeDone)
+	require.Equal(t, "s1", (<-third).Server)
+}
+
+// Without a leader each entry VM placed requests on its own small share of the servers.
+func TestControlVMsPlaceRequestsWhileThereIsNoLeader(t *testing.T) {
+	g := startGroup(t, "a", "b")
+	announceServer(t, g.hubs[0])
+	links := g.startLinks(t, 2, "a", "b")
+	for _, link := range links {
+		waitFor(t, 3*time.Second, "server", func() bool { _, found := link.Find("s1"); return found })
+	}
+	waitForForwarding(t, g.hubs[1])
+	g.setLeader("")
+	time.Sleep(300 * time.Millisecond)
+	for i, link := range links {
+		start := time.Now()
+		placement := placeOne(t, link, 1)
+		require.Equal(t, "s1", placement.Server, "entry-%d", i)
+		require.False(t, placement.Local, "entry-%d", i)
+		require.Less(t, time.Since(start), schedulerTimeout)
+	}
+}
+
+// A control VM that opens a stream to a VM that does not lead is told so and goes on.
+func TestForwardingToAVMThatDoesNotLeadIsRefused(t *testing.T) {
+	g := startGroup(t, "a", "b")
+	waitForForwarding(t, g.hubs[1])
+	g.hubs[0].group.mu.Lock()
+	g.hubs[0].group.leader = g.hubs[1].address // only the former leader knows
+	g.hubs[0].group.mu.Unlock()
+	announceServer(t, g.hubs[0])
+	link := g.startLinks(t, 1, "b")[0]
+	waitFor(t, 3*time.Second, "server", func() bool { _, found := link.Find("s1"); return found })
+	placement := placeOne(t, link, 1)
+	require.Equal(t, "s1", placement.Server)
+	require.False(t, placement.Local)
+}
+
+// inspect runs f on the hub's goroutine.
+type inspect struct {
+	f    func(*core)
+	done chan struct{}
+}
+
+func (m inspect) handle(c *core, _ time.Time) {
+	m.f(c)
+	close(m.done)
+}
+
+func (h *testHub) inspect(t *testing.T, f func(*core)) {
+	t.Helper()
+	m := inspect{f: f, done: make(chan struct{})}
+	require.NoError(t, h.send(context.Background(), m))
+	<-m.done
+}
+
+func waitForForwarding(t *testing.T, h *testHub) {
+	t.Helper()
+	waitFor(t, 3*time.Second, "forwarding", func() bool {
+		forwarding := false
+		h.inspect(t, func(c *core) { forwarding = c.isForwarding() && c.upstream.address == c.leader })
+		return forwarding
+	})
+}
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -66,8 +66,9 @@
 
 // Options configure a Hub.
 type Options struct {
-	// Address is the internal address of this VM.
+	// Address is the internal address of this VM, Zone its availability zone.
 	Address  string
+	Zone     string
 	Registry *registry.Registry
 	// Group returns the running member of the control group, nil while there is
 	// none.
@@ -112,6 +113,7 @@
 func New(options Options) *Hub {
 	h := &Hub{options: options, inbox: make(chan message, inboxSize), done: make(chan struct{})}
 	h.core = newCore(&h.options)
+	h.core.post = h.send
 	return h
 }
 
--- a/internal/hub/link.go
+++ b/internal/hub/link.go
@@ -30,9 +30,17 @@
 	linkTimeout = 1300 * time.Millisecond
 	// linkHeartbeatInterval is the maximum time between two frames to a control VM.
 	linkHeartbeatInterval = time.Second
-	// attachRetryDelay is the delay before the next attempt to attach. There is
-	// none when the link switches to the leader.
-	attachRetryDelay = 100 * time.Millisecond
+	// attachRetryDelay is the mean delay before the next attempt to attach after a failed
+	// one. It doubles with each further failure, up to maxAttachRetryDelay.
+	attachRetryDelay    = 100 * time.Millisecond
+	maxAttachRetryDelay = 800 * time.Millisecond
+	// moveDelay is the mean delay before the link attaches to the control VM to which
+	// another one has sent it, or to the leader.
+	moveDelay = 10 * time.Millisecond
+	// minPreferredWait and maxPreferredWait bound the random time for which the attached
+	// control VM must prefer another one for this VM before the link moves.
+	minPreferredWait = time.Second
+	maxPreferredWait = 5 * time.Second
 	// firstFrameTimeout is the timeout of the first frame. It covers the connection
 	// setup, a round trip and the response time of a busy control VM.
 	firstFrameTimeout = 500 * time.Millisecond
@@ -121,7 +129,9 @@
 	servers  *roster.Roster
 	entryVMs int
 	attached bool
-	relays   []Relay
+	// control is the internal address of the attached control VM.
+	control string
+	relays  []Relay
 
 	state linkState
 }
@@ -272,25 +282,44 @@
 	l.state.run(ctx)
 }
 
-// attachLoop attaches to one control VM after another until ctx is done.
+// redirectError is the end of a stream after which the link attaches to address.
+type redirectError struct{ address string }
+
+func (e *redirectError) Error() string { return "sent to control VM " + e.address }
+
+// attachLoop attaches to one control VM after another until ctx is done. No attempt
+// follows another one without a random delay, so that many entry VMs don't come together.
 func (l *Link) attachLoop(ctx context.Context) {
 	backoffs := l.backoffs
+	retryDelay := attachRetryDelay
+	redirect := ""
 	for ctx.Err() == nil {
-		address := l.nextAddress(backoffs, time.Now())
-		up, err := l.attach(ctx, address)
+		address, redirected := redirect, redirect != ""
+		if !redirected {
+			address = l.nextAddress(backoffs, time.Now())
+		}
+		up, err := l.attach(ctx, address, redirected)
 		if ctx.Err() != nil {
 			return
 		}
 		if up {
 			observe.Log(l.options.Logger, observe.LinkLost).Str("control_vm", address).Err(err).Send()
 			backoffs.clear(address)
+			retryDelay = attachRetryDelay
 		}
-		if errors.Is(err, errOtherLeader) {
-			continue
+		var toOther *redirectError
+		redirect = ""
+		delay := moveDelay
+		switch {
+		case errors.As(err, &toOther):
+			redirect = toOther.address
+		case errors.Is(err, errOtherLeader):
+		default:
+			backoffs.add(address, time.Now())
+			delay, retryDelay = retryDelay, min(2*retryDelay, maxAttachRetryDelay)
 		}
-		backoffs.add(address, time.Now())
 		select {
-		case <-time.After(attachRetryDelay):
+		case <-time.After(jittered(delay)):
 		case <-ctx.Done():
 		}
 	}
@@ -302,6 +331,14 @@
 	return l.attached
 }
 
+// attachedTo returns the internal address of the control VM of the current stream, empty
+// while the link is detached.
+func (l *Link) attachedTo() string {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.control
+}
+
 // nextAddress returns the control VM to attach to: the leader if it is known and
 // not in backoff, otherwise the control VM with the shortest last backoff, whether
 // that is over or not. No backoff counts as the shortest. Ties are broken by the
@@ -325,7 +362,8 @@
 
 // attach runs one stream to its end and reports whether it was ever up, that is,
 // whether a frame arrived. err is the cause of the end.
-func (l *Link) attach(ctx context.Context, address string) (up bool, err error) {
+// redirected tells whether a control VM has sent this VM to address.
+func (l *Link) attach(ctx context.Context, address string, redirected bool) (up bool, err error) {
 	conn, err := l.options.Pool.Conn(address)
 	if err != nil {
 		return false, err
@@ -339,7 +377,7 @@
 		return false, l.closeIfUnresponsive(address, conn, ctx, err)
 	}
 	outbox := make(chan *hubpb.EntryFrame, outboxFrames)
-	if err := l.send(ctx, linkAttached{address: address, outbox: outbox, cancel: cancel}); err != nil {
+	if err := l.send(ctx, linkAttached{address: address, outbox: outbox, cancel: cancel, redirected: redirected}); err != nil {
 		return false, err
 	}
 	defer func() { _ = l.send(context.WithoutCancel(ctx), linkDetached{outbox: outbox}) }()
@@ -349,6 +387,9 @@
 		if err != nil {
 			return up, l.closeIfUnresponsive(address, conn, ctx, err)
 		}
+		if to := frame.GetRedirect(); to != "" {
+			return up, &redirectError{address: to}
+		}
 		up = true
 		idleTimer.Reset(linkTimeout)
 		if err := l.send(ctx, hubFrameReceived{address: address, outbox: outbox, frame: frame}); err != nil {
--- a/internal/hub/linkstate.go
+++ b/internal/hub/linkstate.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -57,6 +58,10 @@
 	// frame collects what the next flush sends, nil if there is nothing.
 	frame  *hubpb.EntryFrame
 	sentAt time.Time
+	// preferred is the control VM to which the attached one last sent this VM, empty for
+	// none, and preferredUntil the time at which the link follows.
+	preferred      string
+	preferredUntil time.Time
 	// cutOffReported is the state that the attached control VM was last told of.
 	cutOffReported bool
 	// entryCounts are the recently reported numbers of entry VMs.
@@ -70,6 +75,9 @@
 	term   uint64
 	// controlVMs holds the internal addresses of the control VMs.
 	controlVMs []string
+	// forwards is set if the control VM that was last attached keeps this VM attached
+	// whoever leads.
+	forwards bool
 }
 
 // entryCount is a number of entry VMs that a control VM reported.
@@ -107,10 +115,13 @@
 }
 
 // knownControlVMs returns the internal addresses of the leader, empty if it is
-// unknown, and of the control VMs. It is safe for concurrent use.
+// unknown or need not be followed, and of the control VMs. It is safe for concurrent use.
 func (s *linkState) knownControlVMs() (leader string, controlVMs []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.forwards {
+		return "", slices.Clone(s.controlVMs)
+	}
 	return s.leader, slices.Clone(s.controlVMs)
 }
 
@@ -267,6 +278,8 @@
 	address string
 	outbox  chan *hubpb.EntryFrame
 	cancel  context.CancelCauseFunc
+	// redirected is set if a control VM has sent this VM to address.
+	redirected bool
 }
 
 func (m linkAttached) handle(s *linkState, now time.Time) {
@@ -277,6 +290,7 @@
 	}
 	hello := &hubpb.Hello{Vm: s.link.options.VM, Zone: s.link.options.Zone, Incarnation: s.link.options.Incarnation}
 	hello.TableVersion = s.link.tableVersion()
+	hello.AcceptsForwarding, hello.Redirected = true, m.redirected
 	s.cutOffReported = s.link.cutOff.Load()
 	hello.RelayAddress, hello.CutOff = s.link.options.RelayAddress, s.cutOffReported
 	s.link.mu.RLock()
@@ -310,7 +324,7 @@
 	}
 	s.mu.Unlock()
 	s.link.mu.Lock()
-	s.link.attached = false
+	s.link.attached, s.link.control = false, ""
 	s.link.mu.Unlock()
 	s.requeueLocally(now)
 }
@@ -376,11 +390,12 @@
 	if len(view.GetControl()) > 0 {
 		s.controlVMs = view.GetControl()
 	}
+	s.forwards = view.GetForwards()
 	s.mu.Unlock()
 	s.link.mu.Lock()
 	s.link.entryVMs = s.updateEntryVMCount(int(view.GetEntryVms()), now)
 	justAttached := !s.link.attached
-	s.link.attached = true
+	s.link.attached, s.link.control = true, s.address
 	if view.GetHasRelays() {
 		s.link.relays = updateRelays(s.link.relays, relaysFromProto(view.GetRelays()), view.GetEntryVms() > 0, s.link.options.VM)
 	}
@@ -390,22 +405,36 @@
 			Bool("schedules", view.GetSchedules()).Str("leader", view.GetLeader()).Uint32("entry_vms", view.GetEntryVms()).
 			Uint64("table_version", s.link.tableVersion()).Send()
 	}
-	if s.schedulerAttached && !view.GetSchedules() {
+	places := view.GetSchedules() || view.GetForwards()
+	if s.schedulerAttached && !places {
 		s.schedulerAttached = false
 		s.requeueLocally(now)
 	}
-	if !s.schedulerAttached && view.GetSchedules() {
+	if !s.schedulerAttached && places {
 		s.lastFrameAt = now
 		s.schedulerAttached = true
 		s.requeueRemotely(now)
 	}
 	s.leaveIfIsolated(view.GetLeader(), now)
+	s.followPreferred(view.GetPreferred(), now)
 	otherLeads := leader != "" && leader != s.address && !s.link.backoffs.isActive(leader, now)
-	if otherLeads && now.Sub(s.attachedAt) >= leaderSwitchDelay {
+	if otherLeads && !view.GetForwards() && now.Sub(s.attachedAt) >= leaderSwitchDelay {
 		s.cancel(errOtherLeader)
 	}
 }
 
+// followPreferred moves the link to the control VM that the attached one names, once it has
+// named the same one for a random time. That spreads the moves of many entry VMs.
+func (s *linkState) followPreferred(preferred string, now time.Time) {
+	if preferred != s.preferred {
+		s.preferred, s.preferredUntil = preferred, now.Add(minPreferredWait+rand.N(maxPreferredWait-minPreferredWait))
+	}
+	if preferred != "" && !s.link.backoffs.isActive(preferred, now) && !now.Before(s.preferredUntil) {
+		s.preferred = ""
+		s.cancel(&redirectError{address: preferred})
+	}
+}
+
 // updateEntryVMCount returns the largest number of entry VMs reported within
 // entryCountWindow, or the last result if there was none. A count of 0 means that
 // the control VM reported no number.
--- a/internal/hub/server.go
+++ b/internal/hub/server.go
@@ -33,6 +33,8 @@
 	errOutboxFull   = errors.New("the entry VM does not receive its frames fast enough")
 	errEntryTimeout = errors.New("no frame from the entry VM within the timeout")
 	errStopping     = errors.New("the control VM stops")
+	errStarting     = errors.New("the control VM has just started and knows no leader yet")
+	errRedirected   = errors.New("the entry VM is sent to another control VM")
 )
 
 // PutRoutes implements the gRPC service. It succeeds on the leader only.
@@ -109,7 +111,8 @@
 func (h *Hub) Spread(ctx context.Context, request *hubpb.SpreadRequest) (*hubpb.SpreadReply, error) {
 	now := time.Now()
 	reply := make(chan struct{})
-	m := serversAnnounced{servers: serversFromProto(request.GetServers(), now), reply: reply, entries: request.GetEntryVms(), relays: relaysFromProto(request.GetRelays()), evidence: evidenceFromProto(request.GetEvidence(), now)}
+	m := serversAnnounced{servers: serversFromProto(request.GetServers(), now), reply: reply, entries: request.GetEntryVms(), relays: relaysFromProto(request.GetRelays()), evidence: evidenceFromProto(request.GetEvidence(), now),
+		sender: request.GetSender(), control: controlVM{zone: request.GetSenderZone(), forwards: request.GetForwards(), knowsLeader: request.GetKnowsLeader()}}
 	if err := h.send(ctx, m); err != nil {
 		return nil, err
 	}
@@ -151,6 +154,9 @@
 			if err := stream.Send(frame); err != nil {
 				return err
 			}
+			if frame.GetRedirect() != "" {
+				return errRedirected
+			}
 		case <-ctx.Done():
 			return context.Cause(ctx)
 		case <-h.done:
--- a/internal/observe/events_hub.go
+++ b/internal/observe/events_hub.go
@@ -2,7 +2,7 @@
 
 import "github.com/rs/zerolog"
 
-// Events 2140 to 2159: the connections between entry VMs and control VMs on a
+// Events 2140 to 2169: the connections between entry VMs and control VMs on a
 // platform with a route table, and the scheduler on the leader.
 var (
 	RoutesApplied = newEvent(2140, "routes_applied", zerolog.InfoLevel,
@@ -45,4 +45,10 @@
 		"The control VM that places requests did not answer in time, so this entry VM places requests by itself until the control VM answers again. If it repeats, check the processor load and the network of that VM.")
 	SchedulerLoad = newEvent(2154, "scheduler_load", zerolog.InfoLevel,
 		"The load of the scheduler, logged once a second by the leader while requests are queued or placed. Fields: queued requests (waiting), those of them past their target latency (late_waiting), placed requests, unavailable servers (out) and the longest remaining pass of a server. If waiting stays high, add backend servers.")
+	ForwarderAttached = newEvent(2160, "forwarder_attached", zerolog.InfoLevel,
+		"Another control VM opened a stream to this VM, which places the requests of its entry VMs. The line gives the number of its entry VMs (entry_vms). No action.")
+	ForwarderDetached = newEvent(2161, "forwarder_detached", zerolog.InfoLevel,
+		"The stream of another control VM ended; the slots of its entry VMs' requests are released a second later unless it comes back. If no forwarder_attached line follows, here or on the next leader, check that VM.")
+	ForwardingEnded = newEvent(2162, "forwarding_ended", zerolog.WarnLevel,
+		"The stream of this control VM to the leader ended. Until the next one, this VM places the requests of its entry VMs on its share of the servers. If the line repeats, check the leader and the network.")
 )
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -386,6 +386,7 @@
 	for i, j := range s.queued {
 		if j.request.ID == id {
 			s.queued = append(s.queued[:i], s.queued[i+1:]...)
+			s.leftQueued = s.leftQueued && len(s.queued) > 0
 			return true
 		}
 	}
@@ -468,11 +469,38 @@
 		}
 	}
 	s.queued = kept
+	s.leftQueued = s.leftQueued && len(s.queued) > 0
 	if running == nil {
 		s.forgetVM(vm)
 	}
 }
 
+// PlacedRequest is a placed request that has not finished.
+type PlacedRequest struct {
+	Request   PlacementRequest
+	Placement Placement
+	// Decoding is set once the first event has arrived.
+	Decoding bool
+}
+
+// PlacedBy returns the placed requests of an entry VM, in no particular order. vm is its incarnation.
+func (s *Scheduler) PlacedBy(vm uint64) []PlacedRequest {
+	placed := make([]PlacedRequest, 0, len(s.placedByVM[vm]))
+	for id, j := range s.placedByVM[vm] {
+		placement := Placement{ID: id, Server: j.first.ID}
+		for _, helper := range j.helpers {
+			if h := helper.helping[id]; h != nil {
+				placement.Helpers = append(placement.Helpers, Helper{Server: helper.ID, ReserveTokens: h.tokens})
+			}
+		}
+		placed = append(placed, PlacedRequest{Request: j.request, Placement: placement, Decoding: j.decoding})
+	}
+	return placed
+}
+
+// IsPlaced reports whether a request is placed and has not finished.
+func (s *Scheduler) IsPlaced(id JobID) bool { return s.placed[id] != nil }
+
 // Queued returns the number of requests that wait for placement.
 func (s *Scheduler) Queued() int { return len(s.queued) }
 
