--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -40,7 +40,9 @@
 	boot   platform.Boot
 	folder string
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// binary is the program of the next process.
+	binary  string
 	command *exec.Cmd
 	// starts is the number of processes started, which is the incarnation of the latest one.
 	starts int
@@ -54,6 +56,7 @@
 
 // fleet runs the program under test as one process per VM.
 type fleet struct {
+	// binary is the first program of each VM.
 	binary  string
 	octet   int
 	network *network
@@ -81,7 +84,7 @@
 // addVM prepares the settings of a VM and forwards its public addresses through the network. It starts no process.
 func (f *fleet) addVM(name string, number int, control bool, folder string, seeds []string) error {
 	own, public := f.ip(subnetVM, number), f.ip(subnetVMPublic, number)
-	n := &node{folder: folder, boot: platform.Boot{Settings: baseSettings, Entry: !control, Control: control}}
+	n := &node{folder: folder, binary: f.binary, boot: platform.Boot{Settings: baseSettings, Entry: !control, Control: control}}
 	settings := &n.boot.Settings
 	settings.VM, settings.Zone, settings.Address, settings.Bind = name, zones[number%len(zones)], public, own
 	settings.FirstPort, settings.LastPort, settings.Seeds, settings.Bootstrap = internalPort, internalPort+10, seeds, true
@@ -135,7 +138,7 @@
 	if err != nil {
 		return fmt.Errorf("open a log file: %w", err)
 	}
-	command := exec.Command(f.binary, "platform", "serve", "--boot", path, "--bind", n.boot.Settings.Bind)
+	command := exec.Command(n.binary, "platform", "serve", "--boot", path, "--bind", n.boot.Settings.Bind)
 	command.Stdout, command.Stderr = output, output
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
@@ -182,6 +185,15 @@
 	_ = n.command.Process.Signal(signal) // the process may have ended already
 }
 
+// replace stops the process of a VM, which binary replaces.
+func (f *fleet) replace(name, binary string) {
+	n := f.nodes[name]
+	n.mu.Lock()
+	n.binary = binary
+	n.mu.Unlock()
+	f.signal(name, syscall.SIGTERM)
+}
+
 // wipe kills the process of a VM and deletes its data folder. The next process starts without bootstrapping a group,
 // as on a replaced disk.
 func (f *fleet) wipe(name string) error {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -28,6 +28,7 @@
 	KindWorkerCrash       Kind = "worker_crash"
 	KindWorkerFault       Kind = "worker_fault"
 	KindTerminate         Kind = "roll"
+	KindReplaceVersion    Kind = "replace"
 	KindHangupSignal      Kind = "hang_up"
 	KindWorkerDrain       Kind = "worker_leave"
 	KindConfigChange      Kind = "config"
@@ -42,7 +43,7 @@
 )
 
 var plannedKinds = map[Kind]bool{
-	KindTerminate: true, KindHangupSignal: true, KindWorkerDrain: true, KindConfigChange: true, KindConfigRace: true,
+	KindTerminate: true, KindReplaceVersion: true, KindHangupSignal: true, KindWorkerDrain: true, KindConfigChange: true, KindConfigRace: true,
 }
 
 // Step is a fault or planned work.
@@ -57,7 +58,7 @@
 	Target string
 	// Targets are the entry VMs of KindServerCut.
 	Targets []string
-	// Variant selects the delay of KindDelay, the fault of KindWorkerFault, one of the cut* variants of KindServerCut, and
+	// Variant selects the version of KindReplaceVersion (0 for Options.Binary, 1 for Options.Previous), the delay of KindDelay, the fault of KindWorkerFault, one of the cut* variants of KindServerCut, and
 	// whether a worker announces that it drains (even) or states it only in its answers.
 	Variant int
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -46,7 +46,9 @@
 type Options struct {
 	// Binary is the path of the program.
 	Binary string
-	Seed   uint64
+	// Previous is the path of the program that the VMs run at first, empty for Binary.
+	Previous string
+	Seed     uint64
 	// Block is the block of loopback addresses, from 0 to 199. Concurrent runs on one machine need different blocks.
 	Block int
 	// Folder is the parent of the run's folder, which holds logs, disks and the report. The run's folder is removed
@@ -169,7 +171,7 @@
 		topology: topology{entries: options.Entries, controls: options.Controls, models: options.Models, desks: options.Desks},
 	}
 	s.fleet = &fleet{
-		binary: options.Binary, octet: octet(options.Block), network: s.network,
+		binary: cmp.Or(options.Previous, options.Binary), octet: octet(options.Block), network: s.network,
 		nodes: map[string]*node{}, onExit: s.recordExit,
 	}
 	return s
--- a/internal/soak/steps.go
+++ b/internal/soak/steps.go
@@ -32,6 +32,9 @@
 		if step.Kind == KindTerminate {
 			pause.For(ctx, baseSettings.StopLimit)
 		}
+	case KindReplaceVersion:
+		s.fleet.replace(step.Target, [...]string{s.options.Binary, s.options.Previous}[step.Variant])
+		pause.For(ctx, baseSettings.StopLimit)
 	case KindKillControlVMs:
 		for i := range s.topology.controls {
 			s.fleet.signal(s.topology.control(i), syscall.SIGKILL)
