--- a/internal/hub/convert.go
+++ b/internal/hub/convert.go
@@ -12,14 +12,20 @@
 	"godwityoke.example/godwityoke/internal/schedule"
 )
 
+var statesToProto = map[roster.State]hubpb.ServerState{
+	roster.StateReady: hubpb.ServerState_SERVER_READY, roster.StateDraining: hubpb.ServerState_SERVER_DRAINING,
+	roster.StateGone: hubpb.ServerState_SERVER_GONE,
+}
+
+var statesFromProto = map[hubpb.ServerState]roster.State{
+	hubpb.ServerState_SERVER_READY: roster.StateReady, hubpb.ServerState_SERVER_DRAINING: roster.StateDraining,
+	hubpb.ServerState_SERVER_GONE: roster.StateGone,
+}
+
 func serverToProto(server roster.Server, now time.Time) *hubpb.Announcement {
-	state := map[roster.State]hubpb.ServerState{
-		roster.StateReady: hubpb.ServerState_SERVER_READY, roster.StateDraining: hubpb.ServerState_SERVER_DRAINING,
-		roster.StateGone: hubpb.ServerState_SERVER_GONE,
-	}[server.State]
 	message := &hubpb.Announcement{
 		Id: server.ID, Service: server.Service, Address: server.Address, Zone: server.Zone,
-		Slots: uint32(server.Slots), State: state, Sequence: server.Sequence,
+		Slots: uint32(server.Slots), State: statesToProto[server.State], Sequence: server.Sequence,
 		AgeMs: uint32(max(0, now.Sub(server.LastSeen).Milliseconds())),
 	}
 	if !server.StartedAt.IsZero() {
@@ -35,10 +41,7 @@
 func serversFromProto(messages []*hubpb.Announcement, now time.Time) []roster.Server {
 	servers := make([]roster.Server, 0, len(messages))
 	for _, message := range messages {
-		state := map[hubpb.ServerState]roster.State{
-			hubpb.ServerState_SERVER_READY: roster.StateReady, hubpb.ServerState_SERVER_DRAINING: roster.StateDraining,
-			hubpb.ServerState_SERVER_GONE: roster.StateGone,
-		}[message.GetState()]
+		state := statesFromProto[message.GetState()]
 		if state == 0 {
 			continue
 		}
--- a/internal/hub/core.go
+++ b/internal/hub/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -81,6 +82,9 @@
 	// table is the route table in force, with version 0 before the first one.
 	table *hubpb.RouteTable
 	peers *broadcaster
+	// serverList holds the announcements of all servers as of serverListAt, nil after a change.
+	serverList   []*hubpb.Announcement
+	serverListAt time.Time
 	// serversSentAt is when all servers were last sent to the entry VMs.
 	serversSentAt time.Time
 	startedAt     time.Time
@@ -188,13 +192,11 @@
 	c.sessions[s] = true
 	c.entryLastSeen[s.vm] = now
 	c.setRelay(s, Relay{VM: s.vm, Zone: s.zone, Address: m.frame.GetHello().GetRelayAddress(), CutOff: m.frame.GetHello().GetCutOff()})
-	for _, server := range serversFromProto(m.frame.GetHello().GetServers(), now) {
+	for _, server := range serversFromProto(c.unknownServers(m.frame.GetHello().GetServers()), now) {
 		c.applyReport(server, now)
 	}
 	frame := s.pending()
-	for _, server := range c.roster.All() {
-		frame.Servers = append(frame.Servers, serverToProto(server, now))
-	}
+	frame.Servers = c.allServers(now)
 	if c.table.GetVersion() > s.tableVersion {
 		frame.Table = c.table
 		s.tableVersion = c.table.GetVersion()
@@ -211,6 +213,32 @@
 		Uint64("table_version", s.tableVersion).Int("running", len(m.frame.GetHello().GetRunning())).Send()
 }
 
+// unknownServers returns those of an entry VM's announcements that may tell something new.
+func (c *core) unknownServers(messages []*hubpb.Announcement) []*hubpb.Announcement {
+	unknown := messages[:0:0]
+	for _, message := range messages {
+		known, found := c.roster.Find(message.GetId())
+		if !found || known.StartedAt.IsZero() || known.StartedAt.UnixMilli() != message.GetBornMs() ||
+			known.Sequence < message.GetSequence() || statesToProto[known.State] < message.GetState() {
+			unknown = append(unknown, message)
+		}
+	}
+	return unknown
+}
+
+// allServers returns the announcements of all servers. The result is shared by the frames of
+// a few entry VMs and must not be changed.
+func (c *core) allServers(now time.Time) []*hubpb.Announcement {
+	if c.serverList == nil || now.Sub(c.serverListAt) >= tickInterval {
+		all := c.roster.All()
+		c.serverList, c.serverListAt = make([]*hubpb.Announcement, 0, len(all)), now
+		for _, server := range all {
+			c.serverList = append(c.serverList, serverToProto(server, now))
+		}
+	}
+	return slices.Clip(c.serverList)
+}
+
 // supersede ends the older sessions of an entry VM that attaches again. The entry
 // VM has abandoned their streams, even if this VM has not noticed yet.
 func (c *core) supersede(by *session) {
@@ -339,6 +367,7 @@
 // propagateChange sends the new state of a server to the scheduler, all entry VMs
 // and, if the change was first seen here, to the other control VMs.
 func (c *core) propagateChange(server roster.Server, now time.Time, local bool) {
+	c.serverList = nil
 	observe.Log(c.options.Logger, observe.ServerChanged).Str("server", server.ID).Str("service", server.Service).
 		Str("address", server.Address).Str("state", server.State.String()).Uint64("sequence", server.Sequence).
 		Dur("age", now.Sub(server.LastSeen)).Send()
@@ -399,7 +428,9 @@
 // out of scheduling, expires servers and entry VMs, and queues periodic frames.
 func (c *core) tick(now time.Time) {
 	c.updateLeadership(now)
-	c.roster.Evict(now, c.options.ExpireAfter)
+	if len(c.roster.Evict(now, c.options.ExpireAfter)) > 0 {
+		c.serverList = nil
+	}
 	for _, server := range c.roster.All() {
 		if now.Sub(server.LastSeen) >= c.options.UnresponsiveAfter {
 			c.setServer(server, now)
@@ -457,9 +488,9 @@
 // sendServers sends all servers that are not gone to an entry VM.
 func (c *core) sendServers(s *session, now time.Time) {
 	frame := s.pending()
-	for _, server := range c.roster.All() {
-		if server.State != roster.StateGone {
-			frame.Servers = append(frame.Servers, serverToProto(server, now))
+	for _, server := range c.allServers(now) {
+		if server.GetState() != hubpb.ServerState_SERVER_GONE {
+			frame.Servers = append(frame.Servers, server)
 		}
 	}
 }
--- a/internal/hub/relays.go
+++ b/internal/hub/relays.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"hash/fnv"
-	"maps"
 	"slices"
 	"time"
 
@@ -38,7 +37,7 @@
 	owners map[string]*session
 	// version increases with each change of relays.
 	version uint64
-	// sorted holds the relays by name, nil after a change.
+	// sorted holds the relays by name.
 	sorted []hashedRelay
 }
 
@@ -54,7 +53,13 @@
 	}
 	if l.relays[relay.VM] != relay {
 		l.relays[relay.VM] = relay
-		l.version, l.sorted = l.version+1, nil
+		l.version++
+		hashed := hashedRelay{Relay: relay, hash: hashName(relay.VM)}
+		if index, found := l.index(relay.VM); found {
+			l.sorted[index] = hashed
+		} else {
+			l.sorted = slices.Insert(l.sorted, index, hashed)
+		}
 	}
 }
 
@@ -83,31 +88,27 @@
 func (l *relayList) remove(vm string) {
 	if _, found := l.relays[vm]; found {
 		delete(l.relays, vm)
-		l.version, l.sorted = l.version+1, nil
+		l.version++
+		if index, found := l.index(vm); found {
+			l.sorted = slices.Delete(l.sorted, index, index+1)
+		}
 	}
 }
 
-func (l *relayList) all() []hashedRelay {
-	if l.sorted == nil {
-		l.sorted = hashRelays(slices.SortedFunc(maps.Values(l.relays), func(a, b Relay) int { return cmp.Compare(a.VM, b.VM) }))
-	}
-	return l.sorted
+// index returns the index in sorted at which the relay of an entry VM is or belongs.
+func (l *relayList) index(vm string) (index int, found bool) {
+	return slices.BinarySearchFunc(l.sorted, vm, func(relay hashedRelay, vm string) int { return cmp.Compare(relay.VM, vm) })
 }
 
+// all returns the relays by name. The result is valid until the next change.
+func (l *relayList) all() []hashedRelay { return l.sorted }
+
 // hashedRelay is a relay with the hash of its entry VM's name.
 type hashedRelay struct {
 	Relay
 	hash uint64
 }
 
-func hashRelays(relays []Relay) []hashedRelay {
-	hashed := make([]hashedRelay, len(relays))
-	for i, relay := range relays {
-		hashed[i] = hashedRelay{Relay: relay, hash: hashName(relay.VM)}
-	}
-	return hashed
-}
-
 func hashName(name string) uint64 {
 	hash := fnv.New64a()
 	_, _ = hash.Write([]byte(name)) // never fails
--- a/internal/hub/relays_test.go
+++ b/internal/hub/relays_test.go
@@ -304,3 +304,11 @@
 		}
 	}
 }
+
+func hashRelays(relays []Relay) []hashedRelay {
+	hashed := make([]hashedRelay, len(relays))
+	for i, relay := range relays {
+		hashed[i] = hashedRelay{Relay: relay, hash: hashName(relay.VM)}
+	}
+	return hashed
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -64,10 +64,29 @@
 // Roster holds the servers by id. It is not safe for concurrent use.
 type Roster struct {
 	servers map[string]Server
+	// live holds the id of the server at each address that is not gone. There is at most
+	// one, see resolveAddress.
+	live map[string]string
 }
 
 // New returns an empty Roster.
-func New() *Roster { return &Roster{servers: map[string]Server{}} }
+func New() *Roster { return &Roster{servers: map[string]Server{}, live: map[string]string{}} }
+
+// store records a server in place of the entry with its id.
+func (r *Roster) store(server Server) {
+	r.remove(server.ID)
+	r.servers[server.ID] = server
+	if server.State != StateGone {
+		r.live[server.Address] = server.ID
+	}
+}
+
+func (r *Roster) remove(id string) {
+	if known, found := r.servers[id]; found && r.live[known.Address] == id {
+		delete(r.live, known.Address)
+	}
+	delete(r.servers, id)
+}
 
 // Apply stores an announcement unless it is stale. Within an incarnation the latest state counts in the order of the
 // values of State, whatever the sequence: the server may have stated it to another VM than its announcements. Apply
@@ -85,7 +104,7 @@
 	if announced.State != StateGone && r.resolveAddress(&announced) {
 		return false
 	}
-	r.servers[announced.ID] = announced
+	r.store(announced)
 	return !found || known.State != announced.State || known.Address != announced.Address ||
 		known.Service != announced.Service || !known.StartedAt.Equal(announced.StartedAt) || known.Slots != announced.Slots
 }
@@ -109,20 +128,19 @@
 	return a.Sequence > b.Sequence || a.State == StateGone && b.State != StateGone
 }
 
-// resolveAddress marks all other servers at the announced address as gone, unless one of them was started later than
-// the announced server; then it returns true and the announcement is stale.
+// resolveAddress marks another server at the announced address as gone, unless it was started later than the announced
+// server; then it returns true and the announcement is stale.
 func (r *Roster) resolveAddress(announced *Server) bool {
-	for id, other := range r.servers {
-		if id == announced.ID || other.Address != announced.Address || other.State == StateGone {
-			continue
-		}
-		if other.StartedAt.After(announced.StartedAt) {
-			return true
-		}
-		other.State = StateGone
-		other.LastSeen = announced.LastSeen
-		r.servers[id] = other
+	id, found := r.live[announced.Address]
+	if !found || id == announced.ID {
+		return false
+	}
+	other := r.servers[id]
+	if other.StartedAt.After(announced.StartedAt) {
+		return true
 	}
+	other.State, other.LastSeen = StateGone, announced.LastSeen
+	r.store(other)
 	return false
 }
 
@@ -135,7 +153,7 @@
 	}
 	server.State = StateGone
 	server.LastSeen = now
-	r.servers[id] = server
+	r.store(server)
 	return server, true
 }
 
@@ -147,12 +165,8 @@
 
 // FindAddress returns the server at the address "ip:port" and whether one is known there that is not gone.
 func (r *Roster) FindAddress(address string) (Server, bool) {
-	for _, server := range r.servers {
-		if server.Address == address && server.State != StateGone {
-			return server, true
-		}
-	}
-	return Server{}, false
+	id, found := r.live[address]
+	return r.servers[id], found
 }
 
 // Ready returns the servers of a service in StateReady, in no particular order.
@@ -181,7 +195,7 @@
 			maxAge = goneRetention
 		}
 		if now.Sub(server.LastSeen) > maxAge {
-			delete(r.servers, id)
+			r.remove(id)
 			evicted = append(evicted, server)
 		}
 	}
