--- a/internal/command/emulate.go
+++ b/internal/command/emulate.go
@@ -15,6 +15,7 @@
 	Grown       bool    `arg:"--grown" help:"use the load and the servers of the larger fleet"`
 	Large       bool    `arg:"--large" help:"use the load and the servers of a fleet of hundreds of entry VMs"`
 	Alternating bool    `arg:"--alternating" help:"add alternating bursts of short and of long requests"`
+	Slow        bool    `arg:"--slow" help:"make a sixth of the servers slow for some seconds"`
 	Servers     int     `arg:"--servers" help:"number of model servers [default: that of the fleet]"`
 	Alone       int     `arg:"--alone" help:"number of entry VMs that each schedule on their own; 0 for a single scheduler [default: 0]"`
 	Seeds       int     `arg:"--seeds" default:"6" help:"number of simulations, with seeds from 0; their results are added up"`
@@ -39,6 +40,9 @@
 	if a.Alternating {
 		load = emulate.WithAlternatingBursts(load)
 	}
+	if a.Slow {
+		fleet = emulate.WithSlowServers(fleet)
+	}
 	fleet.IndependentEntryVMs = a.Alone
 	if a.Servers > 0 {
 		fleet.Servers = a.Servers
--- a/internal/emulate/emulate.go
+++ b/internal/emulate/emulate.go
@@ -69,6 +69,16 @@
 	// IndependentEntryVMs is the number of entry VMs that each place their requests with a scheduler of their own, which
 	// does not know the requests of the other entry VMs. 0 means one scheduler for all requests.
 	IndependentEntryVMs int
+	// Slow makes some servers slower for a while.
+	Slow Slowdown
+}
+
+// Slowdown makes the passes of each Every-th server Factor times as long between From and To,
+// both measured since the start of the run. An Every of 0 slows none.
+type Slowdown struct {
+	Every    int
+	Factor   float64
+	From, To time.Duration
 }
 
 // Tally counts the outcomes and credit of a kind of request.
@@ -198,6 +208,8 @@
 	decoding []*job
 	// busy is set while a pass runs.
 	busy bool
+	// slow is set if the server is one of those that Fleet.Slow slows.
+	slow bool
 }
 
 // timer calls callback at the simulated time dueAt. Timers of the same time run in the order of seq.
@@ -264,7 +276,7 @@
 	}
 	for i := range fleet.Servers {
 		id := string(rune('a'+i/26)) + string(rune('a'+i%26))
-		e.servers[id] = &server{id: id, engine: &fleet.Engine}
+		e.servers[id] = &server{id: id, engine: &fleet.Engine, slow: fleet.Slow.Every > 0 && i%fleet.Slow.Every == 0}
 		for _, d := range e.dispatchers {
 			d.SetServer(e.start, schedule.Server{ID: id, Service: "model", Slots: fleet.Engine.Slots, AcceptsNew: true})
 		}
--- a/internal/emulate/pass.go
+++ b/internal/emulate/pass.go
@@ -48,6 +48,9 @@
 	if len(decoding) == 0 {
 		duration += time.Duration(engine.StepsPerPass) * engine.StepTime / 4
 	}
+	if elapsed := now.Sub(e.start); s.slow && elapsed >= e.fleet.Slow.From && elapsed < e.fleet.Slow.To {
+		duration = time.Duration(float64(duration) * e.fleet.Slow.Factor)
+	}
 	e.runAt(now.Add(duration), func(now time.Time) { e.endPass(now, s, decoding, done) })
 }
 
--- a/internal/emulate/standard.go
+++ b/internal/emulate/standard.go
@@ -78,3 +78,9 @@
 	}
 	return load
 }
+
+// WithSlowServers returns fleet with a sixth of the servers five times slower for some seconds.
+func WithSlowServers(fleet Fleet) Fleet {
+	fleet.Slow = Slowdown{Every: 6, Factor: 5, From: 8 * time.Second, To: 14500 * time.Millisecond}
+	return fleet
+}
