--- a/internal/hub/link.go
+++ b/internal/hub/link.go
@@ -31,7 +31,8 @@
 	// linkHeartbeatInterval is the maximum time between two frames to a control VM.
 	linkHeartbeatInterval = time.Second
 	// attachRetryDelay is the mean delay before the next attempt to attach after a failed
-	// one. It doubles with each further failure, up to maxAttachRetryDelay.
+	// one. It doubles with each further attempt that is refused, up to maxAttachRetryDelay.
+	// An attempt that is not answered takes firstFrameTimeout itself.
 	attachRetryDelay    = 100 * time.Millisecond
 	maxAttachRetryDelay = 800 * time.Millisecond
 	// moveDelay is the mean delay before the link attaches to the control VM to which
@@ -298,6 +299,7 @@
 		if !redirected {
 			address = l.nextAddress(backoffs, time.Now())
 		}
+		startedAt := time.Now()
 		up, err := l.attach(ctx, address, redirected)
 		if ctx.Err() != nil {
 			return
@@ -316,6 +318,9 @@
 		case errors.Is(err, errOtherLeader):
 		default:
 			backoffs.add(address, time.Now())
+			if time.Since(startedAt) >= firstFrameTimeout {
+				retryDelay = attachRetryDelay
+			}
 			delay, retryDelay = retryDelay, min(2*retryDelay, maxAttachRetryDelay)
 		}
 		select {
