hub: entry VMs are refused only while a new group is being formed

Cause: a control VM refused entry VMs after each start until it had known a leader for a second. After a restart entry VMs have lost their route table and wait for it. Change: it refuses them only at the first start of the whole system, when there is no table.

--- a/internal/hub/controls.go
+++ b/internal/hub/controls.go
@@ -10,11 +10,12 @@
 	// controlExpiry is the time without a message after which another control VM counts as
 	// gone. Five messages are due in this time (see broadcastInterval).
 	controlExpiry = time.Second
-	// settleTime is the time from the first known leader until entry VMs are admitted: in it
-	// the control VMs get to know each other, so that entry VMs are sent to the right one.
+	// settleTime is the time from the first known leader of a new group until entry VMs are
+	// admitted: in it the control VMs get to know each other, so that entry VMs are sent to
+	// the right one.
 	settleTime = time.Second
-	// maxSettleTime is the maximum time from the start of a control VM until it admits entry
-	// VMs, whether it knows a leader or not.
+	// maxSettleTime is the maximum time from the start of a control VM of a new group until it
+	// admits entry VMs, whether it knows a leader or not.
 	maxSettleTime = 2 * time.Second
 )
 
@@ -52,7 +53,7 @@
 }
 
 // admit decides whether an entry VM may attach. Others are sent to the control VM that is
-// preferred for them, or refused while this VM has just started.
+// preferred for them, or refused while the group is being formed.
 func (c *core) admit(s *session, hello *hubpb.Hello, now time.Time) bool {
 	if !hello.GetAcceptsForwarding() || hello.GetRedirected() {
 		return true
@@ -68,9 +69,10 @@
 	return true
 }
 
-// isSettling reports whether this VM has just started and may not know the others yet.
+// isSettling reports whether the group is just being formed: there is no route table yet, and
+// this VM may not know the other control VMs.
 func (c *core) isSettling(now time.Time) bool {
-	if now.Sub(c.startedAt) >= maxSettleTime {
+	if !c.options.Bootstrap || now.Sub(c.startedAt) >= maxSettleTime {
 		return false
 	}
 	return c.leaderSeenAt.IsZero() || now.Sub(c.leaderSeenAt) < settleTime
--- a/internal/hub/forward_test.go
+++ b/internal/hub/forward_test.go
@@ -235,3 +235,16 @@
 		return forwarding
 	})
 }
+
+// After a restart of all control VMs, entry VMs need the route table at once.
+func TestRestartedControlVMAdmitsEntryVMsWithoutALeader(t *testing.T) {
+	for _, bootstrap := range []bool{false, true} {
+		c := newFleetCore(t, 1)
+		c.options.Bootstrap, c.leader, c.leaderSeenAt = bootstrap, "", time.Time{}
+		now := c.startedAt.Add(100 * time.Millisecond)
+		attachAll(c, 1, now)
+		require.Equal(t, !bootstrap, len(c.sessions) == 1)
+		attachAll(c, 1, c.startedAt.Add(maxSettleTime))
+		require.Len(t, c.sessions, 1)
+	}
+}
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -67,9 +67,11 @@
 // Options configure a Hub.
 type Options struct {
 	// Address is the internal address of this VM, Zone its availability zone.
-	Address  string
-	Zone     string
-	Registry *registry.Registry
+	Address string
+	Zone    string
+	// Bootstrap is set if the whole system starts for the first time.
+	Bootstrap bool
+	Registry  *registry.Registry
 	// Group returns the running member of the control group, nil while there is
 	// none.
 	Group func() Group
--- a/internal/hub/server.go
+++ b/internal/hub/server.go
@@ -33,7 +33,7 @@
 	errOutboxFull   = errors.New("the entry VM does not receive its frames fast enough")
 	errEntryTimeout = errors.New("no frame from the entry VM within the timeout")
 	errStopping     = errors.New("the control VM stops")
-	errStarting     = errors.New("the control VM has just started and knows no leader yet")
+	errStarting     = errors.New("the control group is being formed")
 	errRedirected   = errors.New("the entry VM is sent to another control VM")
 )
 
