membudget: answers without end leave memory and service to others

What operators saw: a faulty worker sent bytes without end, in a head or a body; the machine that had called it kept them all and ran out of memory. Cause: one answer was bounded (64 KiB of head, 8 MiB of body), the process was not. Answers to orders and probes are bounded, too.

--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"io"
 	"strconv"
+
+	"godwityoke.example/godwityoke/internal/membudget"
 )
 
 // MaxEventBytes is the maximum size of an event, including the blank line that ends it.
@@ -29,21 +31,23 @@
 // Reader splits a stream into events.
 type Reader struct {
 	source *bufio.Reader
-	// buffer holds the lines of the current event.
-	buffer []byte
+	// buffer holds the lines of the current event, whose capacity account counts.
+	buffer  []byte
+	account *membudget.Account
 }
 
-// NewReader returns a Reader of the events in source. It buffers source unless source is a *bufio.Reader.
-func NewReader(source io.Reader) *Reader {
+// NewReader returns a Reader of the events in source, which keeps the current event in memory of the account. It buffers
+// source unless source is a *bufio.Reader.
+func NewReader(source io.Reader, account *membudget.Account) *Reader {
 	buffered, ok := source.(*bufio.Reader)
 	if !ok {
 		buffered = bufio.NewReader(source)
 	}
-	return &Reader{source: buffered}
+	return &Reader{source: buffered, account: account}
 }
 
 // Next returns the next whole event. It returns io.EOF at the end of the stream, io.ErrUnexpectedEOF if the stream ends
-// within an event, ErrTooLarge, an error for an id that is not a number, or the error of the source.
+// within an event, ErrTooLarge, an error for an id that is not a number, membudget.ErrExhausted, or the error of the source.
 func (r *Reader) Next() (Event, error) {
 	r.buffer = r.buffer[:0]
 	event := Event{}
@@ -71,10 +75,13 @@
 func (r *Reader) readLine() error {
 	for {
 		part, err := r.source.ReadSlice('\n')
-		r.buffer = append(r.buffer, part...)
-		if len(r.buffer) > MaxEventBytes {
+		if len(r.buffer)+len(part) > MaxEventBytes {
 			return ErrTooLarge
 		}
+		if err := r.grow(len(r.buffer) + len(part)); err != nil {
+			return err
+		}
+		r.buffer = append(r.buffer, part...)
 		switch {
 		case err == nil:
 			return nil
@@ -86,3 +93,16 @@
 		}
 	}
 }
+
+// grow makes room for an event of size bytes.
+func (r *Reader) grow(size int) error {
+	if size <= cap(r.buffer) {
+		return nil
+	}
+	capacity := min(max(size, 2*cap(r.buffer)), MaxEventBytes)
+	if err := r.account.Grow(int64(capacity - cap(r.buffer))); err != nil {
+		return err
+	}
+	r.buffer = append(make([]byte, 0, capacity), r.buffer...)
+	return nil
+}
--- a/internal/eventstream/eventstream_test.go
+++ b/internal/eventstream/eventstream_test.go
@@ -11,7 +11,7 @@
 
 func TestTruncatedEventIsNotReturned(t *testing.T) {
 	stream := "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\n\nid: 3\ndata: cut"
-	reader := NewReader(strings.NewReader(stream))
+	reader := NewReader(strings.NewReader(stream), nil)
 	var raw string
 	var ids []uint64
 	for {
@@ -30,7 +30,7 @@
 }
 
 func TestStreamEndBetweenEventsIsEOF(t *testing.T) {
-	reader := NewReader(strings.NewReader("id: 1\n\n"))
+	reader := NewReader(strings.NewReader("id: 1\n\n"), nil)
 	_, err := reader.Next()
 	require.NoError(t, err)
 	_, err = reader.Next()
@@ -38,15 +38,15 @@
 }
 
 func TestMalformedAndTooLargeEventsAreErrors(t *testing.T) {
-	_, err := NewReader(strings.NewReader("id: x\n\n")).Next()
+	_, err := NewReader(strings.NewReader("id: x\n\n"), nil).Next()
 	require.ErrorContains(t, err, "event id")
-	_, err = NewReader(strings.NewReader("data: " + strings.Repeat("x", MaxEventBytes+10))).Next()
+	_, err = NewReader(strings.NewReader("data: "+strings.Repeat("x", MaxEventBytes+10)), nil).Next()
 	require.ErrorIs(t, err, ErrTooLarge)
 }
 
 func TestReadErrorOfTheSourceIsReturned(t *testing.T) {
 	broken := errors.New("reset")
-	_, err := NewReader(io.MultiReader(strings.NewReader("id: 1\n"), failingReader{broken})).Next()
+	_, err := NewReader(io.MultiReader(strings.NewReader("id: 1\n"), failingReader{broken}), nil).Next()
 	require.ErrorIs(t, err, broken)
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -4,10 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
+	"godwityoke.example/godwityoke/internal/membudget"
 	"godwityoke.example/godwityoke/internal/pause"
 	"godwityoke.example/godwityoke/internal/quarantine"
 	"godwityoke.example/godwityoke/internal/routes"
@@ -408,10 +408,9 @@
 	if err := response.Body.SetReadDeadline(x.deadline); err != nil {
 		return attemptResult{err: &AttemptError{Delivery: DeliveryUnknown, Err: err}}
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = errors.New("the response body is too large")
-	}
+	account := x.gateway.options.Buffers.Account(attempt.Server.Address)
+	defer account.Release()
+	body, err := membudget.ReadAll(response.Body, maxResponseBytes, account)
 	if err != nil {
 		return attemptResult{err: &AttemptError{Delivery: DeliveryUnknown, Err: fmt.Errorf("read the response: %w", err)}}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 
 	"github.com/rs/zerolog"
 
+	"godwityoke.example/godwityoke/internal/membudget"
 	"godwityoke.example/godwityoke/internal/observe"
 	"godwityoke.example/godwityoke/internal/quarantine"
 	"godwityoke.example/godwityoke/internal/roster"
@@ -204,6 +205,8 @@
 	ReadyServers func(service string) []roster.Server
 	Backend      Backend
 	Memory       Memory
+	// Buffers bounds the bytes of answers that are kept; nil for no bound.
+	Buffers *membudget.Budget
 	// Paths tells which servers this VM reaches; nil if it reaches all that are up.
 	Paths Paths
 	// Statements are what servers stated in their answers to this VM; nil for none.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -17,7 +17,9 @@
 // relayStream sends the events of a response to the caller as they arrive, whole events only. It skips events up to
 // lastEventID, which the caller has from an earlier attempt, and events without an id before the first new one.
 func (x *exchange) relayStream(id schedule.JobID, attempt *Attempt, response *Response, watch *stallWatch) attemptResult {
-	reader := eventstream.NewReader(response.Body)
+	account := x.gateway.options.Buffers.Account(attempt.Server.Address)
+	defer account.Release()
+	reader := eventstream.NewReader(response.Body, account)
 	received, bytesWithoutID, maxID := 0, 0, uint64(0)
 	if err := response.Body.SetReadDeadline(x.deadline); err != nil {
 		return attemptResult{err: &AttemptError{Delivery: DeliveryUnknown, Err: err}}
--- a/internal/h1/body.go
+++ b/internal/h1/body.go
@@ -45,6 +45,7 @@
 	if !b.canReuse() {
 		return b.conn.Close()
 	}
+	b.conn.account.Release()
 	b.client.putIdle(b.conn)
 	return nil
 }
--- a/internal/h1/client.go
+++ b/internal/h1/client.go
@@ -18,6 +18,7 @@
 	"sync"
 	"time"
 
+	"godwityoke.example/godwityoke/internal/membudget"
 	"godwityoke.example/godwityoke/internal/tcp"
 )
 
@@ -36,6 +37,9 @@
 	readBufferBytes = 4 << 10
 	// maxHeadBytes limits the status line and the header of a response, including any read-ahead of its body.
 	maxHeadBytes = 64 << 10
+	// uncountedHeadBytes is the part of a head that does not count in Options.Buffers: it
+	// stays in the connection's read buffer.
+	uncountedHeadBytes = 4 << 10
 	// maxStrayBodyBytes limits the body of a response that is skipped.
 	maxStrayBodyBytes = 1 << 20
 )
@@ -66,6 +70,8 @@
 	// matched to requests; empty for none. A request without it, or with the value of the last request on a kept
 	// connection, gets another connection.
 	EchoHeader string
+	// Buffers bounds the bytes of the heads of all responses; nil for no bound.
+	Buffers *membudget.Budget
 }
 
 // Client sends requests and keeps idle connections to servers. It is safe for concurrent use.
@@ -129,14 +135,24 @@
 	reused      bool
 	// relayedBy is the address of the VM that relays the connection, empty for a direct one.
 	relayedBy string
+	// account counts the bytes of the last head.
+	account *membudget.Account
 	// lastEcho is the value of EchoHeader in the last request.
 	lastEcho string
 }
 
-// limitedReader returns ErrMalformed once it has read limit bytes.
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.account.Release()
+	return c.Conn.Close()
+}
+
+// limitedReader returns ErrMalformed once it has read limit bytes, and the error of account
+// once that can't hold what was read beyond uncountedHeadBytes.
 type limitedReader struct {
-	source io.Reader
-	limit  int
+	source  io.Reader
+	limit   int
+	account *membudget.Account
 }
 
 // Read implements io.Reader.
@@ -146,6 +162,11 @@
 	}
 	n, err := l.source.Read(p[:min(len(p), l.limit)])
 	l.limit -= n
+	if l.account != nil && l.limit < maxHeadBytes-uncountedHeadBytes {
+		if err := l.account.Grow(int64(n)); err != nil {
+			return 0, fmt.Errorf("%w: %w", ErrMalformed, err)
+		}
+	}
 	return n, err
 }
 
@@ -225,9 +246,10 @@
 func (c *Client) readHead(connection *conn, request *Request) (*http.Response, error) {
 	matching := &http.Request{Method: request.Method}
 	for range maxStrayResponses + 1 {
-		connection.limited.limit = maxHeadBytes
+		connection.account.Release()
+		connection.limited.limit, connection.limited.account = maxHeadBytes, connection.account
 		response, err := http.ReadResponse(connection.reader, matching)
-		connection.limited.limit = math.MaxInt
+		connection.limited.limit, connection.limited.account = math.MaxInt, nil
 		if err != nil {
 			var netErr net.Error
 			if errors.As(err, &netErr) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
@@ -314,7 +336,10 @@
 		return nil, err
 	}
 	limited := &limitedReader{source: opened, limit: math.MaxInt}
-	connection := &conn{Conn: opened, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes), address: address, lastEcho: echo}
+	connection := &conn{
+		Conn: opened, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes), address: address, lastEcho: echo,
+		account: c.options.Buffers.Account(address),
+	}
 	if relayed, ok := opened.(relayedConn); ok {
 		connection.relayedBy = relayed.RelayedBy()
 	}
--- a/internal/site/entry.go
+++ b/internal/site/entry.go
@@ -13,6 +13,7 @@
 	"godwityoke.example/godwityoke/internal/gateway"
 	"godwityoke.example/godwityoke/internal/h1"
 	"godwityoke.example/godwityoke/internal/hub"
+	"godwityoke.example/godwityoke/internal/membudget"
 	"godwityoke.example/godwityoke/internal/observe"
 	"godwityoke.example/godwityoke/internal/relay"
 	"godwityoke.example/godwityoke/internal/retrybudget"
@@ -36,6 +37,9 @@
 	maxBodyBytes   = 4 << 20
 	// bodyTimeout bounds the reading of a request body.
 	bodyTimeout = 10 * time.Second
+	// bufferedMemoryDivisor is the ratio of the memory of a process to the part of it that
+	// buffers for callers and backend servers may use.
+	bufferedMemoryDivisor = 8
 	// connectTimeout bounds the opening of a connection to a backend server: 20
 	// times the round-trip time to another availability zone. TCP retransmits a lost
 	// SYN only after 1 s; an attempt on another server has an answer before that.
@@ -98,6 +102,8 @@
 	Limits func() routes.Limits
 	// BodyTimeout bounds the reading of a request body.
 	BodyTimeout time.Duration
+	// Buffers bounds the bytes of requests that are kept; nil for no bound.
+	Buffers *membudget.Budget
 	// IsStopping reports whether a connection is to be closed after its response.
 	IsStopping func() bool
 	Logger     zerolog.Logger
@@ -113,9 +119,11 @@
 	client *h1.Client
 	orders *h1.Client
 	// dialer opens the connections of client and orders, relay those that other entry VMs ask for.
-	dialer   *relay.Dialer
-	relay    *relay.Server
-	metrics  *observe.Metrics
+	dialer  *relay.Dialer
+	relay   *relay.Server
+	metrics *observe.Metrics
+	// buffers bounds the bytes that are kept for callers and backend servers; nil for no bound.
+	buffers  *membudget.Budget
 	stopping atomic.Bool
 	// stopAt is the deadline of a planned stop, nil before it.
 	stopAt atomic.Pointer[time.Time]
@@ -132,7 +140,7 @@
 	if err != nil {
 		return err
 	}
-	e := &Entry{settings: settings, logger: logger, metrics: observe.NewMetrics()}
+	e := &Entry{settings: settings, logger: logger, metrics: observe.NewMetrics(), buffers: newBuffers(settings)}
 	incarnation := newIncarnation(settings.VM, time.Now())
 	pool := transport.NewPool(transport.PoolOptions{Identity: transport.Identity{Cluster: clusterName, VM: settings.VM}, SourceIP: settings.Bind})
 	defer pool.Close()
@@ -140,8 +148,8 @@
 		Zone: settings.Zone, SourceIP: settings.Bind, ConnectTimeout: connectTimeout, Peers: e.relayPeers,
 		Probe: adapter.Probe, OnPathBroken: e.closeDeadConnections, OnCutOff: func(cutOff bool) { e.link.SetCutOff(cutOff) }, Logger: logger,
 	})
-	e.client = h1.NewClient(h1.Options{Dial: e.dialer.Dial, MaxIdleTime: maxServerIdleTime, EchoHeader: adapter.EchoHeader})
-	e.orders = h1.NewClient(h1.Options{Dial: e.dialer.Dial, MaxIdleTime: maxServerIdleTime})
+	e.client = h1.NewClient(h1.Options{Dial: e.dialer.Dial, MaxIdleTime: maxServerIdleTime, EchoHeader: adapter.EchoHeader, Buffers: e.buffers})
+	e.orders = h1.NewClient(h1.Options{Dial: e.dialer.Dial, MaxIdleTime: maxServerIdleTime, Buffers: e.buffers})
 	e.relay = relay.NewServer(relay.ServerOptions{
 		Connect: e.dialer.Direct, Admit: e.admitRelayed, RecordStatement: e.recordRelayedStatement, Logger: logger,
 	})
@@ -154,12 +162,21 @@
 	e.gateway = gateway.New(gateway.Options{
 		Table: e.link.Table, Placer: e.link, Budget: newServiceBudgets(settings, e.link.EntryVMCount), Servers: e.link, Paths: e.dialer,
 		ReadyServers: e.link.ReadyServers, Statements: e.link.Statements(),
-		Backend: backend, Memory: backend, Evidence: e.link.Evidence(), Zone: settings.Zone, Incarnation: incarnation, Logger: logger, Metrics: e.metrics,
+		Backend: backend, Memory: backend, Buffers: e.buffers, Evidence: e.link.Evidence(), Zone: settings.Zone, Incarnation: incarnation, Logger: logger, Metrics: e.metrics,
 		StopsIn: e.stopsIn, LateInStop: balancerWait,
 	})
 	return e.run(ctx, adapter)
 }
 
+// newBuffers returns the budget for the buffers of a process, nil if its memory is not
+// limited.
+func newBuffers(settings *Settings) *membudget.Budget {
+	if settings.MemoryBytes <= 0 {
+		return nil
+	}
+	return membudget.New(settings.MemoryBytes / bufferedMemoryDivisor)
+}
+
 func (e *Entry) run(ctx context.Context, adapter EntryAdapter) error {
 	callers, err := tcp.Listen(ctx, e.settings.Callers)
 	if err != nil {
@@ -177,7 +194,7 @@
 		return err
 	}
 	handler := adapter.NewCallerHandler(CallerOptions{
-		Gateway: e.gateway, Limits: e.limits, BodyTimeout: bodyTimeout, IsStopping: e.stopping.Load, Logger: e.logger,
+		Gateway: e.gateway, Limits: e.limits, BodyTimeout: bodyTimeout, Buffers: e.buffers, IsStopping: e.stopping.Load, Logger: e.logger,
 	})
 	recorded := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.lastRequest.Store(time.Now().UnixNano())
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -218,6 +219,27 @@
 	return n.starts
 }
 
+// peakMemory returns the peak resident memory in bytes of the latest process of each VM. It
+// leaves out processes that have ended.
+func (f *fleet) peakMemory() map[string]int64 {
+	peaks := map[string]int64{}
+	for name, n := range f.nodes {
+		n.mu.Lock()
+		status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.command.Process.Pid))
+		n.mu.Unlock()
+		if err != nil {
+			continue // the process has just ended
+		}
+		for line := range strings.Lines(string(status)) {
+			kilobytes, found := strings.CutPrefix(line, "VmHWM:")
+			if value, err := strconv.ParseInt(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(kilobytes), "kB")), 10, 64); found && err == nil {
+				peaks[name] = value << 10
+			}
+		}
+	}
+	return peaks
+}
+
 // close kills all processes and waits for their end.
 func (f *fleet) close() {
 	for _, n := range f.nodes {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -27,6 +27,7 @@
 	KindServerCut         Kind = "cut_servers"
 	KindWorkerCrash       Kind = "worker_crash"
 	KindWorkerFault       Kind = "worker_fault"
+	KindEndlessAnswers    Kind = "endless"
 	KindTerminate         Kind = "roll"
 	KindReplaceVersion    Kind = "replace"
 	KindHangupSignal      Kind = "hang_up"
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -74,9 +74,11 @@
 	Served   int
 	// ServerCuts describes, for each cut of entry VMs from all workers, the first tries that were judged.
 	ServerCuts []string
-	Steps      int
-	Duration   time.Duration
-	Folder     string
+	// PeakMemoryBytes holds the peak resident memory of each VM's latest process.
+	PeakMemoryBytes map[string]int64
+	Steps           int
+	Duration        time.Duration
+	Folder          string
 }
 
 type soak struct {
@@ -135,7 +137,7 @@
 	}
 	plan := s.plan()
 	findings := s.runPlan(ctx, plan)
-	report := &Report{Seed: options.Seed, Findings: findings, Steps: len(plan), Duration: time.Since(runStart), Folder: folder}
+	report := &Report{Seed: options.Seed, Findings: findings, Steps: len(plan), Duration: time.Since(runStart), Folder: folder, PeakMemoryBytes: s.fleet.peakMemory()}
 	s.records.locked(func(r *Records) {
 		for _, q := range r.Requests {
 			report.Requests++
--- a/internal/soak/steps.go
+++ b/internal/soak/steps.go
@@ -62,7 +62,7 @@
 		s.network.resetAll(step.Target)
 	case KindStallConnections:
 		s.network.stallAll(step.Target)
-	case KindWorkerCrash, KindWorkerFault, KindWorkerDrain:
+	case KindWorkerCrash, KindWorkerFault, KindEndlessAnswers, KindWorkerDrain:
 		s.disturbWorker(ctx, step)
 	case KindConfigChange, KindConfigRace:
 		s.changeConfig(ctx, step.Kind == KindConfigRace)
@@ -185,8 +185,12 @@
 		supervisor.mu.Unlock()
 	}()
 	switch step.Kind {
-	case KindWorkerFault:
-		worker.setFault(FaultTruncate + Fault(step.Variant%int(FaultRejectAll)))
+	case KindWorkerFault, KindEndlessAnswers:
+		fault := FaultEndless
+		if step.Kind == KindWorkerFault {
+			fault = FaultTruncate + Fault(step.Variant%int(FaultRejectAll))
+		}
+		worker.setFault(fault)
 		pause.For(ctx, step.Duration)
 		worker.setFault(FaultNone)
 		return
--- a/internal/soak/worker.go
+++ b/internal/soak/worker.go
@@ -48,7 +48,7 @@
 // Fault is a misbehaviour of a worker.
 type Fault int
 
-// Faults of a worker. A plan draws any but FaultNone.
+// Faults of a worker. A plan draws any but FaultNone and FaultEndless.
 const (
 	FaultNone Fault = iota
 	// FaultTruncate cuts off every second answer in the middle.
@@ -61,6 +61,8 @@
 	FaultUnsolicited
 	// FaultRejectAll rejects every request as if the worker were full, and states rejectBackoff.
 	FaultRejectAll
+	// FaultEndless sends heads and bodies without an end. No plan draws it.
+	FaultEndless
 )
 
 // streamBodyPrefix begins the body of a request that is answered with a stream.
@@ -295,6 +297,8 @@
 	case fault == FaultServerError:
 		answer.Fail()
 		completed = true
+	case fault == FaultEndless:
+		_ = answer.WriteEndless(len(a.RequestID)%2 == 0 || a.RequestID[len(a.RequestID)-1]%2 == 0) // ends when the receiver closes
 	case fault == FaultMalformed:
 		_ = answer.WriteMalformed() // the sender may have disconnected
 	case strings.HasPrefix(a.Body, streamBodyPrefix):
