--- a/internal/schedule/decide.go
+++ b/internal/schedule/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -85,11 +86,11 @@
 		timeLeft := j.request.StartDeadline.Add(-j.minTotalTime()).Sub(now)
 		switch {
 		case timeLeft <= 0:
-			s.refuse(j, q.retryAfter(now), "waited too long")
+			s.refuse(now, j, q, "waited too long")
 		case s.place(now, j):
 			q.addPlacement(now)
 		case q.waitExceeds(now, timeLeft):
-			s.refuse(j, q.retryAfter(now), "the queue is too long")
+			s.refuse(now, j, q, "the queue is too long")
 		default:
 			q.ahead++
 			kept = append(kept, j)
@@ -119,8 +120,23 @@
 }
 
 // refuse adds a refusal to the results of Decide.
-func (s *Scheduler) refuse(j *job, after time.Duration, reason string) {
-	s.decided = append(s.decided, Placement{ID: j.request.ID, RetryAfter: after, Reason: reason})
+func (s *Scheduler) refuse(now time.Time, j *job, q *queue, reason string) {
+	s.decided = append(s.decided, Placement{ID: j.request.ID, RetryAfter: q.retryAfter(now), Reason: s.describeRefusal(now, j, q, reason)})
+}
+
+// describeRefusal returns the reason with what it was decided by, for the log.
+func (s *Scheduler) describeRefusal(now time.Time, j *job, q *queue, reason string) string {
+	servers, available, placed, slots := 0, 0, 0, 0
+	for _, srv := range s.sortedServers {
+		if srv.Service == j.request.Service {
+			servers, placed, slots = servers+1, placed+len(srv.jobs), slots+srv.slotShare
+			if srv.isAvailable(now) {
+				available++
+			}
+		}
+	}
+	return fmt.Sprintf("%s: queued for %d ms, %d ahead of its size, expected wait %d ms by the placements of the last %d ms, %d of %d slots taken, %d of %d servers available",
+		reason, now.Sub(j.queuedAt).Milliseconds(), q.ahead, q.expectedWait(now).Milliseconds(), q.key.rateWindow().Milliseconds(), placed, slots, available, servers)
 }
 
 // queueOrder is what decides on the position of a queued request.
--- a/internal/schedule/refusal_test.go
+++ b/internal/schedule/refusal_test.go
@@ -99,3 +99,22 @@
 	}
 	require.Positive(t, s.Queued())
 }
+
+// A refusal said nothing of what it was decided by.
+func TestRefusalTellsQueueEstimateAndCapacity(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := New()
+	s.SetServer(now, Server{ID: "s1", Service: "plain", Slots: 1, AcceptsNew: true})
+	for seq := range uint64(3) {
+		s.Enqueue(now, PlacementRequest{ID: JobID{VM: 1, Seq: seq}, Service: "plain", TargetAt: now.Add(time.Second), StartDeadline: now.Add(time.Second)})
+	}
+	require.Len(t, s.Decide(now), 1)
+	now = now.Add(2 * time.Second)
+	refused := s.Decide(now)
+	require.Len(t, refused, 2)
+	for _, placement := range refused {
+		require.Regexp(t, "^waited too long: queued for 2000 ms, 0 ahead of its size, expected wait [0-9]+ ms by the placements of the last 1000 ms, "+
+			"1 of 1 slots taken, 1 of 1 servers available$", placement.Reason)
+		require.Positive(t, placement.RetryAfter)
+	}
+}
