hub: entry VMs leave control VMs that are cut off together with a former leader

What callers could see: in a split of the control group, route tables older than the bound. Found on reading: a control VM that went on forwarding to a former leader named it as the leader, so that its entry VMs stayed in the half that accepts nothing. It names none now, and requests are still placed; the time after which entry VMs leave is random between 0.9 and 1.8 s, so that a long election does not move all of them at once. An entry VM that moves away from the leader keeps its placed requests there, whichever message comes first, and one that comes back before the next frame is not reported as gone. Evidence: TestControlVMWithoutALeaderSaysSoWhileItForwards, TestMoveAwayFromTheLeaderKeepsThePlacedRequests and TestEntryVMThatComesBackAtOnceIsNotReportedGone, which fail without the change.

--- a/internal/hub/controls.go
+++ b/internal/hub/controls.go
@@ -38,20 +38,6 @@
 	}
 }
 
-// knownLeader returns the internal address of the leader. While there is none, it is the
-// control VM that goes on placing requests if that responds, otherwise it is empty.
-func (c *core) knownLeader() string {
-	switch {
-	case c.leader != "":
-		return c.leader
-	case c.schedulesAll && len(c.controls) > 0:
-		return c.options.Address
-	case c.isForwarding():
-		return c.upstream.address
-	}
-	return ""
-}
-
 // admit decides whether an entry VM may attach. Others are sent to the control VM that is
 // preferred for them, or refused while the group is being formed.
 func (c *core) admit(s *session, hello *hubpb.Hello, now time.Time) bool {
--- a/internal/hub/core.go
+++ b/internal/hub/core.go
@@ -296,7 +296,9 @@
 	delete(c.sessions, m.session)
 	c.relays.release(m.session)
 	c.forgetWaiting(m.session.id)
-	c.scheduler.FinishAll(now, m.session.id, nil)
+	if c.remotes[m.session.id] == nil { // otherwise it has attached to another control VM, which has reported its requests
+		c.scheduler.FinishAll(now, m.session.id, nil)
+	}
 	c.forwardGone(m.session)
 	observe.Log(c.options.Logger, observe.EntryDetached).Str("entry_vm", m.session.vm).Err(m.cause).Send()
 }
@@ -535,7 +537,7 @@
 // view returns this control VM's view of the system. The number of entry VMs is 0
 // (unknown) until entryCountDelay has passed since the start.
 func (c *core) view(now time.Time) *hubpb.View {
-	view := &hubpb.View{Leader: c.knownLeader(), Term: c.term, Schedules: c.isLeader, Forwards: c.canForward()}
+	view := &hubpb.View{Leader: c.leader, Term: c.term, Schedules: c.isLeader, Forwards: c.canForward()}
 	if now.Sub(c.startedAt) >= entryCountDelay {
 		view.EntryVms = uint32(max(1, len(c.entryLastSeen)))
 	}
--- a/internal/hub/forward.go
+++ b/internal/hub/forward.go
@@ -193,7 +193,7 @@
 		return
 	}
 	part := c.upstream.pendingVM(c.options.Address, s)
-	part.Complete, part.Running = true, nil
+	part.Gone, part.Complete, part.Running = false, true, nil
 	for _, running := range c.scheduler.PlacedBy(s.id) {
 		part.Running = append(part.Running, &hubpb.RunningJob{
 			Ask: requestToProto(running.Request, now), Placement: placementToProto(running.Placement), Writing: running.Decoding,
--- a/internal/hub/forward_test.go
+++ b/internal/hub/forward_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"godwityoke.example/godwityoke/internal/hub/hubpb"
 	"godwityoke.example/godwityoke/internal/schedule"
 )
 
@@ -248,3 +249,77 @@
 		require.Len(t, c.sessions, 1)
 	}
 }
+
+// Control VMs that are cut off together with a former leader still have requests placed, but
+// entry VMs must leave them, as they miss new route tables.
+func TestControlVMWithoutALeaderSaysSoWhileItForwards(t *testing.T) {
+	g := startGroup(t, "a", "b")
+	waitForForwarding(t, g.hubs[1])
+	g.setLeader("")
+	time.Sleep(4 * tickInterval)
+	for _, h := range g.hubs {
+		h.inspect(t, func(c *core) {
+			require.Empty(t, c.view(time.Now()).GetLeader())
+			require.True(t, c.schedulesAll || c.isForwarding())
+		})
+	}
+}
+
+// forwarded applies a frame of another control VM to the core of the leader.
+func forwarded(c *core, f *forwarder, now time.Time, parts ...*hubpb.ForwardedVM) {
+	c.forwarders[f] = true
+	forwardedReceived{forwarder: f, frame: &hubpb.ForwardFrame{Vms: parts}}.handle(c, now)
+}
+
+func runningJob(now time.Time, seq uint64, server string) *hubpb.RunningJob {
+	request := testRequest(seq)
+	return &hubpb.RunningJob{Ask: requestToProto(request, now), Placement: &hubpb.Placement{Id: seq, Server: server}}
+}
+
+// An entry VM that moves from the leader to another control VM is reported there before the
+// leader notices the end of its stream.
+func TestMoveAwayFromTheLeaderKeepsThePlacedRequests(t *testing.T) {
+	c, now := newFleetCore(t, 1), time.Now()
+	hello := &hubpb.Hello{Vm: "entry-1", Zone: "a", Incarnation: 1, Running: []*hubpb.RunningJob{runningJob(now, 1, "s0")}}
+	s := newSession(hello, func(error) {})
+	entryAttached{session: s, frame: &hubpb.EntryFrame{Hello: hello}}.handle(c, now)
+	require.Equal(t, 1, c.scheduler.Placed())
+	f := &forwarder{sender: "other", outbox: make(chan *hubpb.ForwardReply, 1), drop: func(error) {}}
+	forwarded(c, f, now, &hubpb.ForwardedVM{Session: s.id, Vm: "entry-1", Zone: "a", Complete: true, Running: hello.Running})
+	entryDetached{session: s}.handle(c, now)
+	require.Equal(t, 1, c.scheduler.Placed())
+	forwarded(c, f, now, &hubpb.ForwardedVM{Session: s.id, Gone: true})
+	require.Zero(t, c.scheduler.Placed())
+}
+
+// The leader keeps the requests of a control VM whose stream has ended for a while.
+func TestRequestsOfALostForwarderAreKeptForAWhile(t *testing.T) {
+	c, now := newFleetCore(t, 1), time.Now()
+	f := &forwarder{sender: "other", outbox: make(chan *hubpb.ForwardReply, 1), drop: func(error) {}}
+	forwarded(c, f, now, &hubpb.ForwardedVM{Session: 5, Vm: "entry-1", Zone: "a", Complete: true, Running: []*hubpb.RunningJob{runningJob(now, 1, "s0")}})
+	forwarderDetached{forwarder: f}.handle(c, now)
+	c.expireRemotes(now.Add(forwarderGrace - time.Millisecond))
+	require.Equal(t, 1, c.scheduler.Placed())
+	c.expireRemotes(now.Add(forwarderGrace))
+	require.Zero(t, c.scheduler.Placed())
+	require.Empty(t, c.remotes)
+}
+
+// An entry VM that leaves and comes back before the next frame is not gone.
+func TestEntryVMThatComesBackAtOnceIsNotReportedGone(t *testing.T) {
+	c, now := newFleetCore(t, 1), time.Now()
+	c.schedulesAll = false
+	c.upstream = &upstream{address: "leader", stop: func() {}, outbox: make(chan *hubpb.ForwardFrame, 1)}
+	hello := &hubpb.Hello{Vm: "entry-1", Zone: "a", Incarnation: 1}
+	attach := func() *session {
+		s := newSession(hello, func(error) {})
+		entryAttached{session: s, frame: &hubpb.EntryFrame{Hello: hello}}.handle(c, now)
+		return s
+	}
+	s := attach()
+	entryDetached{session: s}.handle(c, now)
+	require.True(t, c.upstream.vms[s.id].GetGone())
+	attach()
+	require.False(t, c.upstream.vms[s.id].GetGone())
+	require.True(t, c.upstream.vms[s.id].GetComplete())
+}
--- a/internal/hub/link.go
+++ b/internal/hub/link.go
@@ -54,8 +54,9 @@
 	// route table and the servers. The delay also limits the rate of switches while
 	// control VMs disagree about the leader.
 	leaderSwitchDelay = 300 * time.Millisecond
-	// minIsolatedWait is how long an entry VM stays attached to a control VM that
-	// knows no leader. It is a little longer than an election.
+	// minIsolatedWait is how long an entry VM at least stays attached to a control VM that
+	// knows no leader, and half of how long it does at most before the first switch. It is a
+	// little longer than an election.
 	minIsolatedWait = 900 * time.Millisecond
 	// maxIsolatedWait is the upper bound of that time, which doubles with each
 	// switch until a leader is known.
--- a/internal/hub/linkstate.go
+++ b/internal/hub/linkstate.go
@@ -465,11 +465,11 @@
 
 // leaveIfIsolated ends the stream to a control VM that has known no leader for
 // isolatedWait: that VM may be partitioned from the others and then gets no
-// updates. The wait doubles with each switch, up to maxIsolatedWait, until a
-// leader is known.
+// updates. The wait is random, so that not all entry VMs move in an election that takes
+// long, and doubles with each switch, up to maxIsolatedWait, until a leader is known.
 func (s *linkState) leaveIfIsolated(leader string, now time.Time) {
 	if leader != "" {
-		s.leaderSeenAt, s.isolatedWait = now, minIsolatedWait
+		s.leaderSeenAt, s.isolatedWait = now, minIsolatedWait+rand.N(minIsolatedWait)
 		return
 	}
 	if s.leaderSeenAt.Before(s.attachedAt) {
