--- a/internal/hub/forward.go
+++ b/internal/hub/forward.go
@@ -369,11 +369,3 @@
 	default:
 	}
 }
-
-func (c *core) sessionsByID() map[uint64]*session {
-	byID := make(map[uint64]*session, len(c.sessions))
-	for s := range c.sessions {
-		byID[s.id] = s
-	}
-	return byID
-}
--- a/internal/hub/forwarded.go
+++ b/internal/hub/forwarded.go
@@ -119,7 +119,7 @@
 	c.forwarders[m.forwarder] = true
 	observe.Log(c.options.Logger, observe.ForwarderAttached).Str("control_vm", m.forwarder.sender).Int("entry_vms", len(m.frame.GetVms())).Send()
 	m.forwarder.pending()
-	forwardedReceived(m).handle(c, now)
+	forwardedReceived{forwarder: m.forwarder, frame: m.frame}.handle(c, now)
 }
 
 // forwarderDetached removes a stream that has ended.
@@ -216,15 +216,6 @@
 	}
 }
 
-// runningIDs returns the ids of the requests of an entry VM. It is never nil.
-func runningIDs(vm uint64, running []*hubpb.RunningJob) map[schedule.JobID]bool {
-	ids := make(map[schedule.JobID]bool, len(running))
-	for _, job := range running {
-		ids[schedule.JobID{VM: vm, Seq: job.GetAsk().GetId()}] = true
-	}
-	return ids
-}
-
 // place queues a placement for an entry VM of the forwarder.
 func (f *forwarder) place(placement schedule.Placement) {
 	reply := f.pending()
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -2,9 +2,10 @@
 //
 // Every control VM runs a Hub. It collects the announcements of backend servers,
 // exchanges them with the other control VMs, and sends route tables and servers
-// to the entry VMs attached to it. On the leader of the control group it also
-// places the requests of these entry VMs. Every entry VM runs a Link, which
-// attaches to one control VM at a time.
+// to the entry VMs attached to it. The hub on the leader of the control group
+// places the requests of all entry VMs; the other hubs forward those of the entry
+// VMs attached to them. Every entry VM runs a Link, which attaches to one control
+// VM of its zone.
 //
 // Package schedule decides on placements, package registry holds the replicated
 // route table, and package replica elects the leader.
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -23,8 +23,8 @@
 
 // JobID identifies a request across all entry VMs.
 type JobID struct {
-	// VM is the incarnation of the entry VM. Seq is the number that the entry VM
-	// gave the request.
+	// VM identifies the start of the entry VM's process. Seq is the number that the
+	// entry VM gave the request.
 	VM  uint64
 	Seq uint64
 }
