--- a/internal/hub/forwarded.go
+++ b/internal/hub/forwarded.go
@@ -119,7 +119,7 @@
 	c.forwarders[m.forwarder] = true
 	observe.Log(c.options.Logger, observe.ForwarderAttached).Str("control_vm", m.forwarder.sender).Int("entry_vms", len(m.frame.GetVms())).Send()
 	m.forwarder.pending()
-	forwardedReceived{forwarder: m.forwarder, frame: m.frame}.handle(c, now)
+	forwardedReceived(m).handle(c, now)
 }
 
 // forwarderDetached removes a stream that has ended.
