--- a/internal/hub/controls.go
+++ b/internal/hub/controls.go
@@ -29,7 +29,7 @@
 	seenAt      time.Time
 }
 
-// expireControls forgets control VMs that were not heard of for controlExpiry.
+// expireControls forgets control VMs from which no message came for controlExpiry.
 func (c *core) expireControls(now time.Time) {
 	for address, control := range c.controls {
 		if now.Sub(control.seenAt) >= controlExpiry {
--- a/internal/hub/core.go
+++ b/internal/hub/core.go
@@ -53,7 +53,7 @@
 	// forwarders holds the streams of other control VMs, remotes their entry VMs by session.
 	forwarders map[*forwarder]bool
 	remotes    map[uint64]*remoteVM
-	// controls holds the other control VMs, by internal address, that were heard of lately.
+	// controls holds the other control VMs that sent a message lately, by internal address.
 	controls map[string]controlVM
 	// leaderSeenAt is when this VM first knew a leader since its start, zero before.
 	leaderSeenAt time.Time
--- a/internal/hub/forward.go
+++ b/internal/hub/forward.go
@@ -242,8 +242,8 @@
 	}
 }
 
-// deliverForwarded passes a placement by the leader on. The slot of one that nobody waits
-// for is released, unless this VM has placed the request itself and reported that.
+// deliverForwarded passes a placement by the leader on. The slot of one whose request no longer
+// waits is released, unless this VM has placed the request itself and reported that.
 func (c *core) deliverForwarded(s *session, id uint64, message *hubpb.Placement, now time.Time) {
 	placement := placementFromProto(message, id)
 	w := c.waiting[placement.ID]
--- a/internal/hub/forwarded.go
+++ b/internal/hub/forwarded.go
@@ -60,26 +60,11 @@
 		return err
 	}
 	go h.receiveForwarded(ctx, cancel, stream, f)
-	err = h.sendReplies(ctx, stream, f)
+	err = sendQueued(ctx, h.done, f.outbox, stream.Send)
 	_ = h.send(context.WithoutCancel(ctx), forwarderDetached{forwarder: f, cause: err})
 	return status.Errorf(codes.Unavailable, "stream of control VM %s ended: %v", f.sender, err)
 }
 
-func (h *Hub) sendReplies(ctx context.Context, stream grpc.BidiStreamingServer[hubpb.ForwardFrame, hubpb.ForwardReply], f *forwarder) error {
-	for {
-		select {
-		case reply := <-f.outbox:
-			if err := stream.Send(reply); err != nil {
-				return err
-			}
-		case <-ctx.Done():
-			return context.Cause(ctx)
-		case <-h.done:
-			return errStopping
-		}
-	}
-}
-
 // receiveForwarded passes the frames of one control VM to the hub's goroutine until the
 // stream ends or no frame has arrived for entryTimeout.
 func (h *Hub) receiveForwarded(ctx context.Context, cancel context.CancelCauseFunc, stream grpc.BidiStreamingServer[hubpb.ForwardFrame, hubpb.ForwardReply], f *forwarder) {
--- a/internal/hub/server.go
+++ b/internal/hub/server.go
@@ -145,21 +145,32 @@
 	return status.Errorf(codes.Unavailable, "stream of entry VM %s ended: %v", s.vm, err)
 }
 
-// sendFrames sends the frames of a session until its stream or the hub ends, and
-// returns the reason.
+// sendFrames sends the frames of a session until its stream or the hub ends, or the entry VM
+// is sent to another control VM. It returns the reason.
 func (h *Hub) sendFrames(ctx context.Context, stream grpc.BidiStreamingServer[hubpb.EntryFrame, hubpb.HubFrame], s *session) error {
+	return sendQueued(ctx, h.done, s.outbox, func(frame *hubpb.HubFrame) error {
+		if err := stream.Send(frame); err != nil {
+			return err
+		}
+		if frame.GetRedirect() != "" {
+			return errRedirected
+		}
+		return nil
+	})
+}
+
+// sendQueued calls send with each message in outbox until that fails, ctx ends or stopping is
+// closed, and returns the reason.
+func sendQueued[M any](ctx context.Context, stopping <-chan struct{}, outbox <-chan M, send func(M) error) error {
 	for {
 		select {
-		case frame := <-s.outbox:
-			if err := stream.Send(frame); err != nil {
+		case message := <-outbox:
+			if err := send(message); err != nil {
 				return err
 			}
-			if frame.GetRedirect() != "" {
-				return errRedirected
-			}
 		case <-ctx.Done():
 			return context.Cause(ctx)
-		case <-h.done:
+		case <-stopping:
 			return errStopping
 		}
 	}
