--- a/internal/schedule/server.go
+++ b/internal/schedule/server.go
@@ -344,8 +344,10 @@
 	maxHarmless time.Duration
 	// maxPrefill is the upper bound of the prefill, whatever requests become late.
 	maxPrefill time.Duration
-	// readyAt is the estimated end of the next pass without further prefill.
-	readyAt time.Time
+	// readyAt is the estimated end of the next pass without further prefill, as of
+	// computedAt.
+	readyAt    time.Time
+	computedAt time.Time
 	// maxGap is the smallest maximum gap of the streams in the next pass.
 	maxGap time.Duration
 	// freeTokens is the memory in tokens that placements may still use.
@@ -361,7 +363,7 @@
 		nextPassStart = srv.passEnd
 	}
 	decode, queued := srv.decodeTime(), srv.scaled(totalDuration(srv.nextParts))
-	h := headroom{server: srv, maxGap: srv.smallestMaxGap(), lateRisks: srv.headroom.lateRisks[:0]}
+	h := headroom{server: srv, computedAt: now, maxGap: srv.smallestMaxGap(), lateRisks: srv.headroom.lateRisks[:0]}
 	h.freeTokens = int(memoryFraction*float64(srv.engine.MemoryTokens)) - srv.plannedTokens()
 	h.readyAt = nextPassStart.Add(decode + queued)
 	usedTime := decode + queued + srv.scaled(totalDuration(srv.currentParts)+totalDuration(srv.unconfirmedParts))
@@ -394,10 +396,23 @@
 
 // refreshHeadroom computes the headroom again if it may have changed.
 func (srv *server) refreshHeadroom(now time.Time, maxPass time.Duration) {
-	if srv.stale || !srv.passEnd.After(now.Add(transitTime)) {
-		srv.headroom = srv.headroomAt(now, maxPass)
-		srv.stale = false
+	switch {
+	case srv.stale:
+	case srv.passEnd.After(now.Add(transitTime)):
+		return
+	case srv.isIdle():
+		srv.headroom.readyAt = srv.headroom.readyAt.Add(now.Sub(srv.headroom.computedAt))
+		srv.headroom.computedAt = now
+		return
 	}
+	srv.headroom = srv.headroomAt(now, maxPass)
+	srv.stale = false
+}
+
+// isIdle reports whether the server has no requests at all, so that its headroom depends on
+// the time only.
+func (srv *server) isIdle() bool {
+	return srv.passEnd.IsZero() && len(srv.jobs)+len(srv.helping)+len(srv.nextParts)+len(srv.unconfirmedParts) == 0
 }
 
 func containsJob(parts []promptPart, j *job) bool {
