--- a/review/_standin/client.go
+++ b/review/_standin/client.go
@@ -20,6 +20,11 @@
 // send sends one request on a connection of its own and reads the answer. The status is 0
 // without a whole answer.
 func send(front *machine, id, host, path, body string, deadline time.Duration) answer {
+	return sendWithKey(front, id, host, path, body, "", deadline)
+}
+
+// sendWithKey is send with an API key, empty for none.
+func sendWithKey(front *machine, id, host, path, body, key string, deadline time.Duration) answer {
 	conn, err := net.DialTimeout("tcp", join(front.ip, portFront), time.Second)
 	if err != nil {
 		return answer{}
@@ -27,8 +32,12 @@
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(deadline))
 	var head strings.Builder
-	fmt.Fprintf(&head, "POST %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
-		path, host, id, deadline.Milliseconds(), len(body), body)
+	fmt.Fprintf(&head, "POST %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nContent-Length: %d\r\n",
+		path, host, id, deadline.Milliseconds(), len(body))
+	if key != "" {
+		fmt.Fprintf(&head, "Credential: %s\r\n", key)
+	}
+	head.WriteString("\r\n" + body)
 	if _, err := io.WriteString(conn, head.String()); err != nil {
 		return answer{}
 	}
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -26,6 +26,7 @@
 	r := &record{file: file, started: time.Now()}
 	cases := map[string]func(*record, bool) (int, error){
 		"malformed-heartbeats": malformedHeartbeats, "left-worker-returns": leftWorkerReturns,
+		"last-tenant": lastTenant,
 	}
 	run := cases[os.Args[1]]
 	if run == nil {
