--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -26,7 +26,7 @@
 	r := &record{file: file, started: time.Now()}
 	cases := map[string]func(*record, bool) (int, error){
 		"malformed-heartbeats": malformedHeartbeats, "left-worker-returns": leftWorkerReturns,
-		"last-tenant": lastTenant,
+		"last-tenant": lastTenant, "reset-connections": resetConnections,
 	}
 	run := cases[os.Args[1]]
 	if run == nil {
--- a/review/_standin/worker.go
+++ b/review/_standin/worker.go
@@ -41,6 +41,15 @@
 
 // startWorker starts a worker that answers after the given time.
 func startWorker(f *fleet, id, service string, number int, work time.Duration) (*worker, error) {
+	w, err := newWorker(f, id, service, number, work)
+	if err == nil {
+		go w.beat()
+	}
+	return w, err
+}
+
+// newWorker is startWorker without heartbeats.
+func newWorker(f *fleet, id, service string, number int, work time.Duration) (*worker, error) {
 	listener, err := net.Listen("tcp", net.JoinHostPort(f.ip(3, number), "0"))
 	if err != nil {
 		return nil, err
@@ -79,7 +88,6 @@
 			_, _ = fmt.Fprintf(rw, "%s served by %s", request, w.id)
 		}))
 	}()
-	go w.beat()
 	return w, nil
 }
 
