--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,4 +1,5 @@
 #!/usr/bin/env bash
-# Runs the case; see claim.txt. Exit codes: 0 the rule held, 1 it was broken, 2 the case could not run.
+# Runs the case; see claim.txt. With TROUBLE=0 it does the same without the disruption.
+# Exit codes: 0 the rule held, 1 it was broken, 2 the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review-standin reset-connections review/4/record.txt
+exec target/review-standin reset-connections review/4/record.txt "TROUBLE=${TROUBLE:-1}"
--- a/review/_standin/fleet.go
+++ b/review/_standin/fleet.go
@@ -76,6 +76,7 @@
 		listener, err := net.Listen("tcp", join(f.ip(1, 1), portInternal))
 		if err == nil {
 			_ = listener.Close()
+			running.Store(f)
 			return f, nil
 		}
 	}
@@ -190,6 +191,16 @@
 	}
 }
 
+// interrupt kills the processes without waiting for them, and removes the files of the fleet.
+func (f *fleet) interrupt() {
+	for _, m := range f.machines {
+		if command := m.command; command != nil && command.Process != nil {
+			_ = command.Process.Kill() // it may have ended already
+		}
+	}
+	_ = os.RemoveAll(f.folder)
+}
+
 // machinesOf returns the machines of a role.
 func (f *fleet) machinesOf(role string) []*machine {
 	var found []*machine
