hub: entry VMs leave a control VM that is cut off, for one that knows the leader

Cause: backoffs of control VMs never expired and were compared by their last duration, whether over or not. The control VM just left had the shortest one, since its stream had been up, and was chosen again at once.

Backoffs now expire, and an entry VM whose control VM knows no leader for longer than an election takes asks others for it (FindLeader) and moves to one that knows it. It stays while none does.

--- a/internal/hub/hub_test.go
+++ b/internal/hub/hub_test.go
@@ -51,6 +51,12 @@
 
 func (g *fakeGroup) MemberAddresses() []string { return g.members }
 
+func (g *fakeGroup) setLeader(leader string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.leader = leader
+}
+
 // testHub is a hub that listens on the loopback interface.
 type testHub struct {
 	*Hub
@@ -173,6 +179,55 @@
 	waitFor(t, 6*time.Second, "the table of the leader", func() bool { return version(link) == 5 })
 }
 
+// An entry VM stayed at a control VM that is cut off from the others for as long as the cut
+// lasted, since its attempts to attach to the others had failed while those were starting.
+func TestEntryVMLeavesIsolatedControlVMWhateverFailedBefore(t *testing.T) {
+	const contactLimit = 3 * time.Second // within it the entry VM counts as connected to the others
+	isolated, leading := listen(t), listen(t)
+	both := []string{isolated.Addr().String(), leading.Addr().String()}
+	partitioned := startHub(t, isolated, both[0], both...)
+	link := startLink(t, partitioned.address)
+	waitFor(t, 3*time.Second, "attached", link.isAttached)
+	leader := startHub(t, leading, both[1], both[1]) // sends nothing to the isolated one
+	require.NoError(t, leader.PutTable(context.Background(), 5, []byte("12345")))
+	for range 3 {
+		link.backoffs.add(leader.address, time.Now())
+	}
+	partitioned.group.setLeader("")
+	waitFor(t, contactLimit, "the table of the leader", func() bool { return version(link) == 5 })
+}
+
+// While no control VM knows a leader, leaving the attached one gains nothing and loses its
+// placements.
+func TestEntryVMStaysWhileNoControlVMKnowsALeader(t *testing.T) {
+	first, second := listen(t), listen(t)
+	both := []string{first.Addr().String(), second.Addr().String()}
+	attached := startHub(t, first, both[0], both...)
+	link := startLink(t, attached.address)
+	waitFor(t, 3*time.Second, "attached", link.isAttached)
+	other := startHub(t, second, "", both...)
+	attached.group.setLeader("")
+	require.Never(t, func() bool { return link.attachedTo() != attached.address }, 3*time.Second, 20*time.Millisecond)
+	other.group.setLeader(other.address)
+	waitFor(t, 3*time.Second, "attached to the control VM that knows the leader", func() bool { return link.attachedTo() == other.address })
+}
+
+// A failure of long ago outweighed one of just now, so that entry VMs went back to the control
+// VM that they had just left.
+func TestBackoffsAreForgotten(t *testing.T) {
+	b, now := newBackoffs(), time.Unix(1000, 0)
+	for range 3 {
+		b.add("old", now) // 1 s, 2 s, 4 s
+	}
+	b.add("new", now.Add(5*time.Second))
+	require.Negative(t, b.compare("old", "new", now.Add(5500*time.Millisecond)), "the other one is in backoff")
+	require.Positive(t, b.compare("old", "new", now.Add(6500*time.Millisecond)), "both are over, the longer one comes last")
+	require.Zero(t, b.compare("old", "new", now.Add(8*time.Second)), "both are forgotten")
+	b.add("old", now.Add(8*time.Second))
+	require.True(t, b.isActive("old", now.Add(8*time.Second+minBackoff/2)))
+	require.False(t, b.isActive("old", now.Add(8*time.Second+minBackoff)))
+}
+
 // A connection to a control VM that is down may open and never answer. An entry VM
 // must not spend seconds on each such VM before it finds a working one.
 func TestEntryVMFindsTheWorkingControlVM(t *testing.T) {
--- a/internal/hub/link.go
+++ b/internal/hub/link.go
@@ -1,7 +1,6 @@
 package hub
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -54,13 +53,6 @@
 	// route table and the servers. The delay also limits the rate of switches while
 	// control VMs disagree about the leader.
 	leaderSwitchDelay = 300 * time.Millisecond
-	// minIsolatedWait is how long an entry VM at least stays attached to a control VM that
-	// knows no leader, and half of how long it does at most before the first switch. It is a
-	// little longer than an election.
-	minIsolatedWait = 900 * time.Millisecond
-	// maxIsolatedWait is the upper bound of that time, which doubles with each
-	// switch until a leader is known.
-	maxIsolatedWait = 4 * time.Second
 	// schedulerTimeout is how long an entry VM waits for a frame from the control
 	// VM after a placement request before it places requests itself. It is ten
 	// times the round trip between availability zones.
@@ -78,9 +70,8 @@
 )
 
 var (
-	errLinkTimeout   = errors.New("no frame from the control VM within the timeout")
-	errNoKnownLeader = errors.New("the control VM knows no leader")
-	errOtherLeader   = errors.New("another control VM leads")
+	errLinkTimeout = errors.New("no frame from the control VM within the timeout")
+	errOtherLeader = errors.New("another control VM leads")
 )
 
 // LinkOptions configure a Link.
@@ -285,9 +276,18 @@
 }
 
 // redirectError is the end of a stream after which the link attaches to address.
-type redirectError struct{ address string }
+type redirectError struct {
+	address string
+	// isolated is set if the control VM of the stream knows no leader, and the one at address does.
+	isolated bool
+}
 
-func (e *redirectError) Error() string { return "sent to control VM " + e.address }
+func (e *redirectError) Error() string {
+	if e.isolated {
+		return "the control VM knows no leader, but control VM " + e.address + " does"
+	}
+	return "sent to control VM " + e.address
+}
 
 // attachLoop attaches to one control VM after another until ctx is done. No attempt
 // follows another one without a random delay, so that many entry VMs don't come together.
@@ -316,6 +316,9 @@
 		switch {
 		case errors.As(err, &toOther):
 			redirect = toOther.address
+			if toOther.isolated {
+				backoffs.add(address, time.Now())
+			}
 		case errors.Is(err, errOtherLeader):
 		default:
 			backoffs.add(address, time.Now())
@@ -346,9 +349,8 @@
 }
 
 // nextAddress returns the control VM to attach to: the leader if it is known and
-// not in backoff, otherwise the control VM with the shortest last backoff, whether
-// that is over or not. No backoff counts as the shortest. Ties are broken by the
-// end of the backoff, then at random.
+// not in backoff, otherwise one that is not in backoff, the one with the shortest last
+// backoff first, otherwise the one whose backoff ends first. Ties are broken at random.
 func (l *Link) nextAddress(backoffs *backoffs, now time.Time) string {
 	leader, controlVMs := l.state.knownControlVMs()
 	if leader != "" && !backoffs.isActive(leader, now) {
@@ -358,12 +360,7 @@
 	slices.Sort(all)
 	all = slices.Compact(all)
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	return slices.MinFunc(all, func(a, b string) int {
-		if order := cmp.Compare(backoffs.lastDuration(a), backoffs.lastDuration(b)); order != 0 {
-			return order
-		}
-		return backoffs.activeUntil(a).Compare(backoffs.activeUntil(b))
-	})
+	return slices.MinFunc(all, func(a, b string) int { return backoffs.compare(a, b, now) })
 }
 
 // attach runs one stream to its end and reports whether it was ever up, that is,
--- a/internal/hub/linkstate.go
+++ b/internal/hub/linkstate.go
@@ -43,11 +43,8 @@
 	// address is the control VM of the current or the last stream.
 	address    string
 	attachedAt time.Time
-	// leaderSeenAt is when the attached control VM last knew a leader.
-	leaderSeenAt time.Time
-	// isolatedWait is how long the link stays with a control VM that knows no
-	// leader.
-	isolatedWait time.Duration
+	// search looks for another control VM while the attached one knows no leader.
+	search leaderSearch
 	// schedulerAttached is set while the attached control VM places requests.
 	schedulerAttached bool
 	// schedulerSuspect is set while the scheduler is considered unresponsive,
@@ -109,7 +106,7 @@
 
 func newLinkState(link *Link) linkState {
 	return linkState{
-		link: link, local: schedule.New(), isolatedWait: minIsolatedWait,
+		link: link, local: schedule.New(),
 		queued: map[schedule.JobID]*queuedRequest{}, running: map[schedule.JobID]*runningRequest{},
 	}
 }
@@ -285,6 +282,7 @@
 func (m linkAttached) handle(s *linkState, now time.Time) {
 	s.outbox, s.cancel, s.address, s.schedulerAttached = m.outbox, m.cancel, m.address, false
 	s.attachedAt, s.schedulerSuspect = now, false
+	s.search.dueAt = time.Time{}
 	for _, q := range s.queued {
 		q.sent = false
 	}
@@ -379,8 +377,8 @@
 	}
 }
 
-// applyView applies the view of the attached control VM. It ends the stream if that
-// VM has known no leader for a while or another VM leads.
+// applyView applies the view of the attached control VM. It ends the stream if that VM does
+// not forward requests and another one leads.
 func (s *linkState) applyView(view *hubpb.View, now time.Time) {
 	s.mu.Lock()
 	if view.GetTerm() >= s.term {
@@ -415,7 +413,7 @@
 		s.schedulerAttached = true
 		s.requeueRemotely(now)
 	}
-	s.leaveIfIsolated(view.GetLeader(), now)
+	s.updateLeaderSearch(view.GetLeader(), now)
 	s.followPreferred(view.GetPreferred(), now)
 	otherLeads := leader != "" && leader != s.address && !s.link.backoffs.isActive(leader, now)
 	if otherLeads && !view.GetForwards() && now.Sub(s.attachedAt) >= leaderSwitchDelay {
@@ -463,25 +461,6 @@
 	s.local.SetShare(1/(float64(s.link.EntryVMCount())*s.local.ReachableZoneFraction()), s.link.options.Incarnation)
 }
 
-// leaveIfIsolated ends the stream to a control VM that has known no leader for
-// isolatedWait: that VM may be partitioned from the others and then gets no
-// updates. The wait is random, so that not all entry VMs move in an election that takes
-// long, and doubles with each switch, up to maxIsolatedWait, until a leader is known.
-func (s *linkState) leaveIfIsolated(leader string, now time.Time) {
-	if leader != "" {
-		s.leaderSeenAt, s.isolatedWait = now, minIsolatedWait+rand.N(minIsolatedWait)
-		return
-	}
-	if s.leaderSeenAt.Before(s.attachedAt) {
-		s.leaderSeenAt = s.attachedAt
-	}
-	if now.Sub(s.leaderSeenAt) < s.isolatedWait {
-		return
-	}
-	s.isolatedWait = min(2*s.isolatedWait, maxIsolatedWait)
-	s.cancel(errNoKnownLeader)
-}
-
 // applyServers applies received announcements to the known servers and to this
 // VM's own scheduler.
 func (s *linkState) applyServers(servers []roster.Server, now time.Time) {
@@ -569,6 +548,7 @@
 	s.link.evidence.Do(func(t *quarantine.Tracker) { t.Expire(now) })
 	s.updateShare()
 	s.checkScheduler(now)
+	s.searchLeader(now)
 }
 
 // checkScheduler switches to this VM's own scheduler if a placement request waits
--- a/internal/hub/linkstate_test.go
+++ b/internal/hub/linkstate_test.go
@@ -164,7 +164,6 @@
 	link := NewLink(b.link.options)
 	require.Equal(t, defaultEntryVMs, link.EntryVMCount())
 	b = &linkStateTest{linkState: &link.state, t: t, now: b.now}
-	b.leaderSeenAt = b.now
 	b.receive(&hubpb.HubFrame{View: &hubpb.View{Term: 1}})
 	require.Equal(t, defaultEntryVMs, link.EntryVMCount())
 }
--- a/internal/hub/server.go
+++ b/internal/hub/server.go
@@ -122,6 +122,16 @@
 	return &hubpb.SpreadReply{}, nil
 }
 
+// FindLeader implements the gRPC service. It answers also while the hub's goroutine is busy.
+func (h *Hub) FindLeader(context.Context, *hubpb.FindLeaderRequest) (*hubpb.FindLeaderReply, error) {
+	group := h.options.Group()
+	if group == nil {
+		return &hubpb.FindLeaderReply{}, nil
+	}
+	leadership := group.Leadership()
+	return &hubpb.FindLeaderReply{Leader: leadership.LeaderName, Term: leadership.Term}, nil
+}
+
 // Attach implements the gRPC service. It serves the stream of one entry VM until
 // the stream or the hub ends.
 func (h *Hub) Attach(stream grpc.BidiStreamingServer[hubpb.EntryFrame, hubpb.HubFrame]) error {
