hub, registry: departures of servers are acknowledged once a majority has them on disk

Cause: control VMs kept departures (draining, gone) in memory only. Besides, a deregistration before any heartbeat was forgotten, one of an earlier incarnation took the next one out of use, and a draining server that was silent for some seconds was forgotten and could come back as ready.

The command RecordDepartures stores them in the replicated log for 60 s; control VMs apply them to their roster at their start.

--- a/internal/hub/core.go
+++ b/internal/hub/core.go
@@ -35,6 +35,8 @@
 	// table is the route table in force, with version 0 before the first one.
 	table *hubpb.RouteTable
 	peers *broadcaster
+	// departuresRevision is that of the departures of the registry that were last applied.
+	departuresRevision uint64
 	// serverList holds the announcements of all servers as of serverListAt, nil after a change.
 	serverList   []*hubpb.Announcement
 	serverListAt time.Time
@@ -117,15 +119,33 @@
 
 // serverDeregistered marks a backend server as gone.
 type serverDeregistered struct {
-	id    string
-	reply chan struct{}
+	id        string
+	startedAt time.Time
+	// reply gets the entry of the server, see roster.Roster.MarkGone. It has a capacity of one.
+	reply chan roster.Server
 }
 
 func (m serverDeregistered) handle(c *core, now time.Time) {
-	if server, found := c.roster.MarkGone(m.id, now); found {
+	server, changed := c.roster.MarkGone(m.id, m.startedAt, now)
+	if changed {
 		c.propagateChange(server, now, true)
 	}
-	close(m.reply)
+	m.reply <- server
+}
+
+// applyDepartures applies the departures in the registry, which outlive a restart.
+func (c *core) applyDepartures(now time.Time) {
+	revision, departures := c.options.Registry.Departures()
+	if revision == c.departuresRevision {
+		return
+	}
+	c.departuresRevision = revision
+	for _, departure := range departures {
+		server := serverFromDeparture(departure)
+		if now.Sub(server.LastSeen) <= roster.GoneRetention && server.Check(now) == nil {
+			c.applyAnnouncement(server, now, false)
+		}
+	}
 }
 
 // allServers returns the announcements of all servers. The result is shared by the frames of
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -133,6 +133,7 @@
 	defer wake.Stop()
 	changed := h.options.Registry.Changed()
 	h.core.applyTable(time.Now())
+	h.core.applyDepartures(time.Now())
 	for {
 		select {
 		case <-ctx.Done():
@@ -144,6 +145,7 @@
 		case <-changed:
 			changed = h.options.Registry.Changed()
 			h.core.applyTable(time.Now())
+			h.core.applyDepartures(time.Now())
 		case <-ticker.C:
 			h.core.tick(time.Now())
 		case <-wake.C:
@@ -183,7 +185,8 @@
 
 // Announce handles an announcement that a backend server sent to this VM. It
 // returns when the announcement is applied and queued for the entry VMs and the
-// other control VMs. The error for an invalid announcement wraps roster.ErrInvalid.
+// other control VMs, and, if the server drains, when that is on the disks of a majority of
+// the control group. The error for an invalid announcement wraps roster.ErrInvalid.
 func (h *Hub) Announce(ctx context.Context, server roster.Server) error {
 	if err := server.Check(time.Now()); err != nil {
 		return err
@@ -192,18 +195,37 @@
 	if err := h.send(ctx, serversAnnounced{servers: []roster.Server{server}, local: true, reply: reply}); err != nil {
 		return err
 	}
-	return await(ctx, reply)
+	if err := await(ctx, reply); err != nil || server.State == roster.StateReady {
+		return err
+	}
+	return h.recordDeparture(ctx, server)
 }
 
-// Deregister marks the backend server with id as gone. It returns when the change
-// is applied and queued for the entry VMs and the other control VMs. An unknown
-// id is no error.
-func (h *Hub) Deregister(ctx context.Context, id string) error {
-	reply := make(chan struct{})
-	if err := h.send(ctx, serverDeregistered{id: id, reply: reply}); err != nil {
+// Deregister marks the incarnation of the backend server with id that was started at
+// startedAt as gone, zero for the known one. It returns when the change is applied, queued for
+// the entry VMs and the other control VMs, and on the disks of a majority of the control
+// group. A server that is unknown or was started again is no error. The error for an invalid
+// id or start wraps roster.ErrInvalid.
+func (h *Hub) Deregister(ctx context.Context, id string, startedAt time.Time) error {
+	gone := roster.Server{ID: id, StartedAt: startedAt, State: roster.StateGone}
+	if err := gone.Check(time.Now()); err != nil {
 		return err
 	}
-	return await(ctx, reply)
+	reply := make(chan roster.Server, 1)
+	if err := h.send(ctx, serverDeregistered{id: id, startedAt: startedAt, reply: reply}); err != nil {
+		return err
+	}
+	select {
+	case server := <-reply:
+		if server.ID == "" {
+			return nil
+		}
+		return h.recordDeparture(ctx, server)
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-h.done:
+		return context.Canceled
+	}
 }
 
 // await returns when reply is closed, or the error of ctx if that is done first.
--- a/internal/hub/hub_test.go
+++ b/internal/hub/hub_test.go
@@ -71,9 +71,14 @@
 
 // startHubIn starts a hub in the given zone.
 func startHubIn(t *testing.T, listener net.Listener, zone string, logger zerolog.Logger, leader string, members ...string) *testHub {
+	t.Helper()
+	return startHubWith(t, listener, zone, logger, registry.New(), leader, members...)
+}
+
+// startHubWith starts a hub with the given replicated state.
+func startHubWith(t *testing.T, listener net.Listener, zone string, logger zerolog.Logger, state *registry.Registry, leader string, members ...string) *testHub {
 	t.Helper()
 	address := listener.Addr().String()
-	state := registry.New()
 	group := &fakeGroup{registry: state, leader: leader, self: address, members: members}
 	pool := transport.NewPool(transport.PoolOptions{})
 	server := transport.NewServer(transport.ServerOptions{})
--- a/internal/registry/command.go
+++ b/internal/registry/command.go
@@ -83,6 +83,8 @@
 		return validateNames(kind.RemoveControlVm.GetName())
 	case *registrypb.Command_PutRoutes:
 		return validateRoutes(kind.PutRoutes.GetTable())
+	case *registrypb.Command_RecordDepartures:
+		return validateDepartures(kind.RecordDepartures.GetDepartures())
 	}
 	return fmt.Errorf("%w: its kind is unknown", ErrInvalidCommand)
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -1,6 +1,6 @@
 // Package registry is the replicated state machine of the control group. Its
-// state is the accepted bundles, the roll, the control VMs, the ledger epochs and
-// the route table. It implements replica.StateMachine: the result of a command
+// state is the accepted bundles, the roll, the control VMs, the ledger epochs, the
+// route table and the backend servers that have left. It implements replica.StateMachine: the result of a command
 // depends on the state and the command alone, so that all members reach the same
 // state. Replication, the check of signatures and the distribution of bundles are
 // the responsibility of other packages.
@@ -80,6 +80,8 @@
 
 		ControlVmsRevision: s.vmsRevision,
 		Routes:             s.routes,
+		Departures:         s.departures,
+		DeparturesRevision: s.departuresRevision,
 	}
 	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
 	if err != nil {
@@ -108,6 +110,8 @@
 	restored.epochs = snapshot.GetEpochs()
 	restored.vmsRevision = snapshot.GetControlVmsRevision()
 	restored.routes = snapshot.GetRoutes()
+	restored.departures = snapshot.GetDepartures()
+	restored.departuresRevision = snapshot.GetDeparturesRevision()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.state = restored
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -11,6 +12,7 @@
 	"godwityoke.example/godwityoke/internal/bundle"
 	"godwityoke.example/godwityoke/internal/registry"
 	"godwityoke.example/godwityoke/internal/registry/registrypb"
+	"godwityoke.example/godwityoke/internal/roster"
 )
 
 func submitCommand(id string, expected uint64, content string) *registrypb.Command {
@@ -116,6 +118,47 @@
 	assert.Equal(t, registry.CodeAccepted, apply(t, r, submitCommand("id4000", 4000, "4000")).Code)
 }
 
+func departureCommand(at time.Time, id string, bornMs int64, gone bool) *registrypb.Command {
+	departure := &registrypb.Departure{Id: id, BornMs: bornMs, Gone: gone}
+	return &registrypb.Command{Kind: &registrypb.Command_RecordDepartures{
+		RecordDepartures: &registrypb.RecordDepartures{Departures: []*registrypb.Departure{departure}, UnixMs: at.UnixMilli()},
+	}}
+}
+
+// A departure of an earlier incarnation or an earlier state must not replace a later one, and
+// the registry must not grow with each server that ever left.
+func TestDeparturesAreOrderedAndBounded(t *testing.T) {
+	r, now := registry.New(), time.Unix(1000, 0)
+	has := func(id string, bornMs int64, gone bool) bool {
+		return r.HasDeparture(&registrypb.Departure{Id: id, BornMs: bornMs, Gone: gone})
+	}
+	apply(t, r, departureCommand(now, "s1", 20, false))
+	require.True(t, has("s1", 20, false))
+	require.False(t, has("s1", 20, true))
+	apply(t, r, departureCommand(now, "s1", 20, true))
+	apply(t, r, departureCommand(now, "s1", 20, false))
+	apply(t, r, departureCommand(now, "s1", 10, true))
+	require.True(t, has("s1", 20, true))
+	require.False(t, has("s1", 21, false))
+	_, departures := r.Departures()
+	require.Len(t, departures, 1)
+
+	snapshot, err := r.Snapshot()
+	require.NoError(t, err)
+	restored := registry.New()
+	require.NoError(t, restored.Restore(snapshot))
+	require.True(t, restored.HasDeparture(departures[0]))
+
+	apply(t, r, departureCommand(now.Add(roster.GoneRetention+time.Second), "s2", 30, true))
+	require.False(t, has("s1", 20, true), "dropped after the retention")
+	for i := range 5000 {
+		apply(t, r, departureCommand(now.Add(roster.GoneRetention+time.Second), fmt.Sprint("t", i), 30, true))
+	}
+	_, departures = r.Departures()
+	require.Len(t, departures, 4096)
+	require.Equal(t, "t4999", departures[4095].GetId())
+}
+
 // TestVersionAndSubmissionHaveOneResult runs random conflicting submissions, resends
 // and restores. Each version must keep one digest, and each submission one result.
 func TestVersionAndSubmissionHaveOneResult(t *testing.T) {
@@ -169,7 +212,7 @@
 }
 
 func FuzzApply(f *testing.F) {
-	for _, command := range []*registrypb.Command{submitCommand("a", 0, "one"), rollCommand("r", 1)} {
+	for _, command := range []*registrypb.Command{submitCommand("a", 0, "one"), rollCommand("r", 1), departureCommand(time.Unix(1, 0), "s", 1, true)} {
 		encoded, err := registry.Encode(command)
 		if err != nil {
 			f.Fatal(err)
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -44,6 +44,11 @@
 	// routes is the route table with the highest version, nil if there is none
 	// yet.
 	routes *registrypb.RouteTable
+	// departures are the backend servers that drain or have left, ordered by time, oldest
+	// first. There is one for each id.
+	departures []*registrypb.Departure
+	// departuresRevision grows with each change of departures.
+	departuresRevision uint64
 }
 
 func newState() *state {
@@ -70,6 +75,8 @@
 		return s.removeControlVM(kind.RemoveControlVm.GetName())
 	case *registrypb.Command_PutRoutes:
 		return s.putRoutes(kind.PutRoutes.GetTable())
+	case *registrypb.Command_RecordDepartures:
+		return s.recordDepartures(kind.RecordDepartures)
 	}
 	return Result{Code: CodeRefused}
 }
--- a/internal/roster/check.go
+++ b/internal/roster/check.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// maxNameBytes limits the id, the service and the zone of a server.
-	maxNameBytes = 256
+	// MaxNameBytes limits the id, the service and the zone of a server.
+	MaxNameBytes = 256
 	// maxSlots limits the slots of a server.
 	maxSlots = 1 << 16
 	// maxStartAhead limits how far the announced start of a server may lie in the future, by the clock of this VM. It
@@ -27,13 +27,16 @@
 // announcements in messages that hold valid UTF-8 only and have a maximum size, the id is sent in a header, and the
 // numbers enter the calculations of the scheduler.
 func (s *Server) Check(now time.Time) error {
-	if s.ID == "" || len(s.ID) > maxNameBytes || !isVisibleASCII(s.ID) {
+	if s.ID == "" || len(s.ID) > MaxNameBytes || !isVisibleASCII(s.ID) {
 		return fmt.Errorf("%w: id %s", ErrInvalid, quoted(s.ID))
 	}
-	if s.Service == "" || len(s.Service) > maxNameBytes || !utf8.ValidString(s.Service) {
+	if s.State == StateGone && s.Address == "" {
+		return s.checkTimes(now) // all that is known of the server is that it has left
+	}
+	if s.Service == "" || len(s.Service) > MaxNameBytes || !utf8.ValidString(s.Service) {
 		return fmt.Errorf("%w: service %s", ErrInvalid, quoted(s.Service))
 	}
-	if len(s.Zone) > maxNameBytes || !utf8.ValidString(s.Zone) {
+	if len(s.Zone) > MaxNameBytes || !utf8.ValidString(s.Zone) {
 		return fmt.Errorf("%w: zone %s", ErrInvalid, quoted(s.Zone))
 	}
 	address, err := netip.ParseAddrPort(s.Address)
@@ -46,6 +49,10 @@
 	if s.Slots <= 0 || s.Slots > maxSlots {
 		return fmt.Errorf("%w: %d slots", ErrInvalid, s.Slots)
 	}
+	return s.checkTimes(now)
+}
+
+func (s *Server) checkTimes(now time.Time) error {
 	if s.StartedAt.After(now.Add(maxStartAhead)) {
 		return fmt.Errorf("%w: started at %d ms", ErrInvalid, s.StartedAt.UnixMilli())
 	}
@@ -64,10 +71,10 @@
 	return true
 }
 
-// quoted returns text in quotes, cut to maxNameBytes, for errors.
+// quoted returns text in quotes, cut to MaxNameBytes, for errors.
 func quoted(text string) string {
-	if len(text) > maxNameBytes {
-		return fmt.Sprintf("%q... of %d bytes", text[:maxNameBytes], len(text))
+	if len(text) > MaxNameBytes {
+		return fmt.Sprintf("%q... of %d bytes", text[:MaxNameBytes], len(text))
 	}
 	return fmt.Sprintf("%q", text)
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -57,9 +57,9 @@
 	ColdUntil time.Time
 }
 
-// goneRetention is how long a server that is gone is kept. It is longer than an announcement may be delayed, so that a
+// GoneRetention is how long a server that is gone is kept. It is longer than an announcement may be delayed, so that a
 // delayed one does not bring the server back.
-const goneRetention = 60 * time.Second
+const GoneRetention = 60 * time.Second
 
 // Roster holds the servers by id. It is not safe for concurrent use.
 type Roster struct {
@@ -107,6 +107,9 @@
 	if announced.State != StateGone && r.resolveAddress(&announced) {
 		return false
 	}
+	if found && announced.State == StateGone && announced.Address == "" {
+		announced.Address, announced.Service = known.Address, known.Service
+	}
 	r.store(announced)
 	return !found || known.State != announced.State || known.Address != announced.Address ||
 		known.Service != announced.Service || !known.StartedAt.Equal(announced.StartedAt) || known.Slots != announced.Slots
@@ -168,15 +171,21 @@
 	}
 }
 
-// MarkGone marks the server with the given id as gone and returns its entry. It returns false if the server is unknown
-// or gone already.
-func (r *Roster) MarkGone(id string, now time.Time) (Server, bool) {
+// MarkGone marks the incarnation of a server that was started at startedAt as gone, zero for the known one. It returns
+// the entry of the server, and tells whether that has changed. A server that is not known yet gets an entry, so that a
+// delayed announcement does not bring it back. The entry is zero if there is nothing to mark: the server was started
+// again since, or nothing is known of its incarnation.
+func (r *Roster) MarkGone(id string, startedAt, now time.Time) (server Server, changed bool) {
 	server, found := r.servers[id]
-	if !found || server.State == StateGone {
+	switch {
+	case startedAt.IsZero() && !found, found && startedAt.Before(server.StartedAt) && !startedAt.IsZero():
 		return Server{}, false
+	case !found || startedAt.After(server.StartedAt):
+		server.ID, server.StartedAt = id, startedAt
+	case server.State == StateGone:
+		return server, false
 	}
-	server.State = StateGone
-	server.LastSeen = now
+	server.State, server.LastSeen = StateGone, now
 	r.store(server)
 	return server, true
 }
@@ -210,17 +219,23 @@
 }
 
 // Evict removes and returns the servers that were not seen for longer than unresponsiveFor, and those that have been
-// gone for longer than goneRetention.
+// gone for longer than GoneRetention. Draining servers of the former stay as gone, since a delayed announcement from
+// before would bring them back as ready.
 func (r *Roster) Evict(now time.Time, unresponsiveFor time.Duration) []Server {
 	var evicted []Server
 	for id, server := range r.servers {
 		maxAge := unresponsiveFor
 		if server.State == StateGone {
-			maxAge = goneRetention
+			maxAge = GoneRetention
+		}
+		if now.Sub(server.LastSeen) <= maxAge {
+			continue
 		}
-		if now.Sub(server.LastSeen) > maxAge {
-			r.remove(id)
-			evicted = append(evicted, server)
+		r.remove(id)
+		evicted = append(evicted, server)
+		if server.State == StateDraining {
+			server.State, server.LastSeen = StateGone, now
+			r.store(server)
 		}
 	}
 	return evicted
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -50,13 +50,13 @@
 	r := New()
 	r.Apply(announced("i1", "a:1", 5, StateReady, 0))
 	now := startedAt.Add(time.Hour)
-	_, found := r.MarkGone("i1", now)
+	_, found := r.MarkGone("i1", time.Time{}, now)
 	require.True(t, found)
-	_, again := r.MarkGone("i1", now)
+	_, again := r.MarkGone("i1", time.Time{}, now)
 	require.False(t, again)
 	require.False(t, r.Apply(announced("i1", "a:1", 9, StateReady, 0)))
-	require.Empty(t, r.Evict(now.Add(goneRetention), time.Second))
-	require.Len(t, r.Evict(now.Add(goneRetention+time.Second), time.Second), 1)
+	require.Empty(t, r.Evict(now.Add(GoneRetention), time.Second))
+	require.Len(t, r.Evict(now.Add(GoneRetention+time.Second), time.Second), 1)
 }
 
 // A server may state in an answer that it is draining before any of its announcements does.
@@ -91,3 +91,39 @@
 	require.True(t, live)
 	require.Equal(t, "s2", found.ID)
 }
+
+// A deregistration of an earlier incarnation, or one of before any announcement, was taken for
+// one of the known incarnation, or had no effect.
+func TestDeregistrationConcernsOneIncarnation(t *testing.T) {
+	r, now := New(), startedAt.Add(time.Hour)
+	r.Apply(announced("i1", "a:1", 5, StateReady, time.Second))
+	_, changed := r.MarkGone("i1", startedAt, now)
+	require.False(t, changed, "an earlier incarnation")
+	known, _ := r.Find("i1")
+	require.Equal(t, StateReady, known.State)
+	_, changed = r.MarkGone("i1", startedAt.Add(time.Minute), now)
+	require.True(t, changed, "a later incarnation")
+	require.False(t, r.Apply(announced("i1", "a:1", 9, StateReady, time.Second)))
+	require.False(t, r.Apply(announced("i1", "a:1", 9, StateReady, time.Minute)))
+	require.True(t, r.Apply(announced("i1", "a:1", 1, StateReady, 2*time.Minute)))
+
+	_, changed = r.MarkGone("i2", startedAt, now)
+	require.True(t, changed, "an unknown server")
+	require.False(t, r.Apply(announced("i2", "a:2", 1, StateReady, 0)))
+	_, changed = r.MarkGone("i3", time.Time{}, now)
+	require.False(t, changed, "nothing is known of the server")
+}
+
+// A draining server that was silent for long was forgotten, so that a delayed announcement of
+// before brought it back as ready.
+func TestSilentDrainingServerDoesNotComeBack(t *testing.T) {
+	r := New()
+	r.Apply(announced("i1", "a:1", 7, StateDraining, 0))
+	now := startedAt.Add(time.Hour + 2*time.Second)
+	require.Len(t, r.Evict(now, time.Second), 1)
+	require.False(t, r.Apply(announced("i1", "a:1", 6, StateReady, 0)))
+	require.Empty(t, r.Ready("s"))
+	require.Len(t, r.Evict(now.Add(GoneRetention+time.Second), time.Second), 1)
+	_, found := r.Find("i1")
+	require.False(t, found)
+}
