roster: a deregistration without a start is remembered, too

A worker of a deployment that sends no start could come back by a delayed heartbeat after it had deregistered at a VM that did not know it yet.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -173,12 +173,11 @@
 
 // MarkGone marks the incarnation of a server that was started at startedAt as gone, zero for the known one. It returns
 // the entry of the server, and tells whether that has changed. A server that is not known yet gets an entry, so that a
-// delayed announcement does not bring it back. The entry is zero if there is nothing to mark: the server was started
-// again since, or nothing is known of its incarnation.
+// delayed announcement does not bring it back. The entry is zero if the server was started again since.
 func (r *Roster) MarkGone(id string, startedAt, now time.Time) (server Server, changed bool) {
 	server, found := r.servers[id]
 	switch {
-	case startedAt.IsZero() && !found, found && startedAt.Before(server.StartedAt) && !startedAt.IsZero():
+	case found && startedAt.Before(server.StartedAt) && !startedAt.IsZero():
 		return Server{}, false
 	case !found || startedAt.After(server.StartedAt):
 		server.ID, server.StartedAt = id, startedAt
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -111,7 +111,10 @@
 	require.True(t, changed, "an unknown server")
 	require.False(t, r.Apply(announced("i2", "a:2", 1, StateReady, 0)))
 	_, changed = r.MarkGone("i3", time.Time{}, now)
-	require.False(t, changed, "nothing is known of the server")
+	require.True(t, changed, "an unknown server that gives no start")
+	withoutStart := announced("i3", "a:3", 1, StateReady, 0)
+	withoutStart.StartedAt = time.Time{}
+	require.False(t, r.Apply(withoutStart))
 }
 
 // A draining server that was silent for long was forgotten, so that a delayed announcement of
