roster, hub: announcements of unknown services take no server out of use

Cause: a server announced later displaced the one at its address whatever its service, and the displaced one's own heartbeats were ignored. The same held for the id of a live server, and for announcements from other control VMs and entry VMs.

The roster knows the services of the route table; announcements of others take neither id nor address from a server in use, from any source, and are logged (announcement_conflict). Displaced servers are reported to entry VMs as gone.

--- a/internal/hub/core.go
+++ b/internal/hub/core.go
@@ -6,12 +6,14 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"godwityoke.example/godwityoke/internal/bundle"
 	"godwityoke.example/godwityoke/internal/hub/hubpb"
 	"godwityoke.example/godwityoke/internal/observe"
 	"godwityoke.example/godwityoke/internal/quarantine"
 	"godwityoke.example/godwityoke/internal/roster"
+	"godwityoke.example/godwityoke/internal/routes"
 	"godwityoke.example/godwityoke/internal/schedule"
 )
 
@@ -35,6 +37,10 @@
 	// table is the route table in force, with version 0 before the first one.
 	table *hubpb.RouteTable
 	peers *broadcaster
+	// namedVersion is the version of the table whose services the roster counts as named, 0
+	// for none.
+	namedVersion uint64
+	refusalLines *rate.Limiter
 	// departuresRevision is that of the departures of the registry that were last applied.
 	departuresRevision uint64
 	// serverList holds the announcements of all servers as of serverListAt, nil after a change.
@@ -66,12 +72,30 @@
 }
 
 func newCore(options *Options) *core {
-	return &core{
+	c := &core{
 		options: options, roster: roster.New(), sessions: map[*session]bool{}, entryLastSeen: map[string]time.Time{}, relays: newRelayList(),
 		scheduler: schedule.New(), peers: newBroadcaster(options), table: &hubpb.RouteTable{}, startedAt: time.Now(),
 		evidence: quarantine.NewTracker(), waiting: map[schedule.JobID]*waitingRequest{}, forwarders: map[*forwarder]bool{},
 		remotes: map[uint64]*remoteVM{}, controls: map[string]controlVM{},
+		refusalLines: rate.NewLimiter(refusalLinesPerSecond, refusalLinesBurst),
 	}
+	c.roster.SetServices(map[string]bool{}) // until a table is known
+	return c
+}
+
+// Lines about refused announcements are limited to refusalLinesPerSecond, with bursts of
+// refusalLinesBurst.
+const (
+	refusalLinesPerSecond = 1
+	refusalLinesBurst     = 5
+)
+
+func serviceNames(table *routes.Table) map[string]bool {
+	names := make(map[string]bool, len(table.Services))
+	for i := range table.Services {
+		names[table.Services[i].Name] = true
+	}
+	return names
 }
 
 // message is an event that the goroutine in Run applies to the core.
@@ -165,7 +189,7 @@
 // entry VMs. An unchanged announcement that a server sent to this VM is only
 // sent to the other control VMs, as a heartbeat of the server.
 func (c *core) applyAnnouncement(server roster.Server, now time.Time, local bool) {
-	if c.roster.Apply(server) {
+	if c.applyToRoster(server, now) {
 		applied, _ := c.roster.Find(server.ID)
 		c.propagateChange(applied, now, local)
 		return
@@ -179,12 +203,24 @@
 // applyReport applies what an entry VM knows of a server. That it is draining goes to
 // the other control VMs, too, since only that entry VM may know it, from an answer.
 func (c *core) applyReport(server roster.Server, now time.Time) {
-	if c.roster.Apply(server) {
+	if c.applyToRoster(server, now) {
 		applied, _ := c.roster.Find(server.ID)
 		c.propagateChange(applied, now, applied.State == roster.StateDraining)
 	}
 }
 
+// applyToRoster applies an announcement from any source to the roster, and logs one that is
+// refused.
+func (c *core) applyToRoster(server roster.Server, now time.Time) (changed bool) {
+	changed = c.roster.Apply(server)
+	if refusal := c.roster.TakeRefusal(); refusal != nil && c.refusalLines.AllowN(now, 1) {
+		observe.Log(c.options.Logger, observe.AnnouncementConflict).Str("server", refusal.Announced.ID).Str("service", refusal.Announced.Service).
+			Str("address", refusal.Announced.Address).Str("known", refusal.Known.ID).Str("known_service", refusal.Known.Service).
+			Uint64("table_version", c.namedVersion).Send()
+	}
+	return changed
+}
+
 // propagateChange sends the new state of a server to the scheduler, all entry VMs
 // and, if the change was first seen here, to the other control VMs.
 func (c *core) propagateChange(server roster.Server, now time.Time, local bool) {
@@ -192,17 +228,18 @@
 	observe.Log(c.options.Logger, observe.ServerChanged).Str("server", server.ID).Str("service", server.Service).
 		Str("address", server.Address).Str("state", server.State.String()).Uint64("sequence", server.Sequence).
 		Dur("age", now.Sub(server.LastSeen)).Send()
-	for _, displaced := range c.roster.TakeDisplaced() {
-		c.setServer(displaced, now)
+	changes := append(c.roster.TakeDisplaced(), server)
+	messages := make([]*hubpb.Announcement, 0, len(changes))
+	for _, change := range changes {
+		c.setServer(change, now)
+		messages = append(messages, serverToProto(change, now))
+		if local {
+			c.peers.add(change, true)
+		}
 	}
-	c.setServer(server, now)
-	message := serverToProto(server, now)
 	for s := range c.sessions {
 		frame := s.pending()
-		frame.Servers = append(frame.Servers, message)
-	}
-	if local {
-		c.peers.add(server, true)
+		frame.Servers = append(frame.Servers, messages...)
 	}
 }
 
@@ -236,6 +273,8 @@
 	}
 	c.table = &hubpb.RouteTable{Version: newest.Version, Content: newest.Compressed}
 	c.scheduler.SetEngines(table)
+	c.roster.SetServices(serviceNames(table))
+	c.namedVersion = table.Version
 	for s := range c.sessions {
 		s.pending().Table = c.table
 		s.tableVersion = newest.Version
--- a/internal/hub/link.go
+++ b/internal/hub/link.go
@@ -447,6 +447,7 @@
 	}
 	l.mu.Lock()
 	l.table = table
+	l.servers.SetServices(serviceNames(table))
 	l.mu.Unlock()
 	l.state.local.SetEngines(table)
 	observe.Log(l.options.Logger, observe.RoutesApplied).Uint64("version", table.Version).Int("routes", len(table.Routes)).Send()
--- a/internal/observe/events_hub.go
+++ b/internal/observe/events_hub.go
@@ -51,4 +51,6 @@
 		"The stream of another control VM ended; the slots of its entry VMs' requests are released a second later unless it comes back. If no forwarder_attached line follows, here or on the next leader, check that VM.")
 	ForwardingEnded = newEvent(2162, "forwarding_ended", zerolog.WarnLevel,
 		"The stream of this control VM to the leader ended. Until the next one, this VM places the requests of its entry VMs on its share of the servers. If the line repeats, check the leader and the network.")
+	AnnouncementConflict = newEvent(2163, "announcement_conflict", zerolog.WarnLevel,
+		"An announcement was left out, because it names a service that the route table does not, for the id or the address of a server in use. The line names both (server, service; known, known_service) and the version of the table (table_version). These lines are rate limited. Find who sends the announcements; if the service is to be used, add it to the route table.")
 )
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -70,11 +70,36 @@
 	// displaced holds the ids of servers that Apply has marked as gone because another one
 	// was announced at their address, since the last TakeDisplaced.
 	displaced []string
+	// services holds the services that the route table names, nil if every service counts as named.
+	services map[string]bool
+	// refusal is the last announcement that Apply has refused, nil after TakeRefusal.
+	refusal *Refusal
+}
+
+// Refusal is an announcement that names a service which the route table doesn't, for the id or the address of a server
+// that is in use. Such an announcement may come from another sender than the server.
+type Refusal struct {
+	Announced Server
+	// Known is the server in use.
+	Known Server
 }
 
 // New returns an empty Roster.
 func New() *Roster { return &Roster{servers: map[string]Server{}, live: map[string]string{}} }
 
+// SetServices sets the services that the route table names. Announcements with other services take no id and no address
+// from a server. Before the first call every service counts as named.
+func (r *Roster) SetServices(names map[string]bool) { r.services = names }
+
+func (r *Roster) isNamed(service string) bool { return r.services == nil || r.services[service] }
+
+// TakeRefusal returns the last announcement that Apply has refused since the last call, nil if there is none.
+func (r *Roster) TakeRefusal() *Refusal {
+	refusal := r.refusal
+	r.refusal = nil
+	return refusal
+}
+
 // store records a server in place of the entry with its id.
 func (r *Roster) store(server Server) {
 	r.remove(server.ID)
@@ -96,6 +121,15 @@
 // tells whether the server is new or its incarnation, state, service, address or slots changed.
 func (r *Roster) Apply(announced Server) (changed bool) {
 	known, found := r.servers[announced.ID]
+	inUse := found && known.State != StateGone && announced.State != StateGone
+	if inUse && r.isNamed(known.Service) && !r.isNamed(announced.Service) {
+		r.refusal = &Refusal{Announced: announced, Known: known}
+		return false
+	}
+	if inUse && !r.isNamed(known.Service) && r.isNamed(announced.Service) {
+		r.remove(known.ID)
+		found = false
+	}
 	if found && known.StartedAt.Equal(announced.StartedAt) && known.State != StateGone && announced.State != StateGone {
 		announced = latest(known, announced)
 	} else if found && !isNewer(&announced, &known) {
@@ -134,15 +168,20 @@
 	return a.Sequence > b.Sequence || a.State == StateGone && b.State != StateGone
 }
 
-// resolveAddress marks another server at the announced address as gone, unless it was started later than the announced
-// server; then it returns true and the announcement is stale.
+// resolveAddress marks another server at the announced address as gone. It returns true if the announcement is stale,
+// because the other one was started later, or refused, because its service is not named. A server whose service is not
+// named has no claim to its address.
 func (r *Roster) resolveAddress(announced *Server) bool {
 	id, found := r.live[announced.Address]
 	if !found || id == announced.ID {
 		return false
 	}
 	other := r.servers[id]
-	if other.StartedAt.After(announced.StartedAt) {
+	if !r.isNamed(announced.Service) {
+		r.refusal = &Refusal{Announced: *announced, Known: other}
+		return true
+	}
+	if r.isNamed(other.Service) && other.StartedAt.After(announced.StartedAt) {
 		return true
 	}
 	other.State, other.LastSeen = StateGone, announced.LastSeen
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -130,3 +130,51 @@
 	_, found := r.Find("i1")
 	require.False(t, found)
 }
+
+// A heartbeat with a service that no route table names took the live server at its address, or
+// with its id, out of use for a minute.
+func TestAnnouncementOfAnUnnamedServiceTakesNoServerOutOfUse(t *testing.T) {
+	for name, foreign := range map[string]Server{
+		"at its address":             announced("x", "a:1", 1, StateReady, time.Hour),
+		"with its id":                announced("i1", "a:9", 1, StateReady, time.Hour),
+		"with its id and start":      announced("i1", "a:1", 1_000_000, StateReady, 0),
+		"draining, with its id":      announced("i1", "a:1", 1, StateDraining, time.Hour),
+		"draining, at its address":   announced("x", "a:1", 1, StateDraining, time.Hour),
+		"at its address, no start":   {ID: "x", Address: "a:1", Slots: 4, State: StateReady, Sequence: 9, LastSeen: startedAt},
+		"with its id, without start": {ID: "i1", Address: "a:1", Slots: 4, State: StateReady, Sequence: 9, LastSeen: startedAt},
+	} {
+		foreign.Service = "not named"
+		t.Run(name, func(t *testing.T) {
+			r := New()
+			r.SetServices(map[string]bool{"s": true})
+			require.True(t, r.Apply(announced("i1", "a:1", 5, StateReady, 0)))
+			require.False(t, r.Apply(foreign))
+			require.Equal(t, foreign.ID, r.TakeRefusal().Announced.ID)
+			require.Nil(t, r.TakeRefusal())
+			require.Len(t, r.Ready("s"), 1)
+			require.False(t, r.Apply(announced("i1", "a:1", 6, StateReady, 0)), "its next heartbeat")
+			server, found := r.FindAddress("a:1")
+			require.True(t, found)
+			require.Equal(t, uint64(6), server.Sequence)
+		})
+		t.Run(name+", known first", func(t *testing.T) {
+			r := New()
+			r.SetServices(map[string]bool{"s": true})
+			require.True(t, r.Apply(foreign))
+			require.True(t, r.Apply(announced("i1", "a:1", 5, StateReady, 0)))
+			require.Len(t, r.Ready("s"), 1)
+		})
+	}
+}
+
+// Before a route table is known, no announcement may take another server's address: which one
+// counts is not known yet.
+func TestAddressIsKeptUntilServicesAreKnown(t *testing.T) {
+	r := New()
+	r.SetServices(map[string]bool{})
+	require.True(t, r.Apply(announced("i1", "a:1", 5, StateReady, 0)))
+	require.False(t, r.Apply(announced("x", "a:1", 1, StateReady, time.Hour)))
+	r.SetServices(map[string]bool{"s": true})
+	require.True(t, r.Apply(announced("x", "a:1", 2, StateReady, time.Hour)))
+	require.Len(t, r.Ready("s"), 1)
+}
