gateway, quarantine: a reset connection to a live server is no crash

Cause: every connection that ended before an answer counted as a crash of the server; the probe of the path, which shows whether the server is there, was not used for it, and nothing took the evidence back.

A lost connection is a crash only if the server answers no probe on a new connection; a retry waits at most 60 ms for that, and losses at one server share a probe. A crash is taken back when the same run of the server announces itself 1.5 s or more later.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -113,9 +113,8 @@
 func (x *exchange) endAttempt(ctx context.Context, id schedule.JobID, open *openAttempt, result attemptResult) {
 	result.relayed = open.response != nil && open.response.Relayed || result.err != nil && result.err.Relayed
 	if result.err != nil && isConnectionLost(result.err) && ctx.Err() == nil {
-		go x.checkPath(context.WithoutCancel(ctx), open.Server)
+		x.checkLostConnection(ctx, open.Attempt, result)
 	}
-	x.recordCrash(ctx, open.Attempt, result)
 	x.gateway.options.Placer.Ended(id, x.placementOutcome(ctx, open.Attempt, result))
 	if result.err == nil {
 		return
@@ -159,11 +158,13 @@
 	return !result.err.Confirmed && (result.relayed || x.gateway.options.Paths.IsBroken(attempt.Server.Address))
 }
 
-// checkPath finds out whether the path to a server is broken. A server that wants no requests from this VM is not asked.
-func (x *exchange) checkPath(ctx context.Context, server roster.Server) {
-	if _, blocked := x.gateway.options.Statements.Check(time.Now(), server); !blocked {
-		x.gateway.options.Paths.Check(ctx, server.Address)
+// checkPath finds out whether the path to a server is broken, and tells whether the server has answered on a new
+// connection. A server that wants no requests from this VM is not asked.
+func (x *exchange) checkPath(ctx context.Context, server roster.Server) (answered bool) {
+	if _, blocked := x.gateway.options.Statements.Check(time.Now(), server); blocked {
+		return false
 	}
+	return x.gateway.options.Paths.Check(ctx, server.Address)
 }
 
 func asAttemptError(err error) *AttemptError {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -190,8 +190,9 @@
 	// IsBroken tells whether the server at address is most likely up although this VM does not reach it directly.
 	IsBroken(address string) bool
 	// Check finds out whether the path to the server at address is broken, which takes up to a second. It is for servers
-	// that are silent or have closed a connection without an answer.
-	Check(ctx context.Context, address string)
+	// that are silent or have closed a connection without an answer. It tells whether the server has answered on a new
+	// connection, so that its process is there.
+	Check(ctx context.Context, address string) (answered bool)
 }
 
 // Options configure a Gateway.
@@ -249,7 +250,7 @@
 func (soundPaths) IsBroken(string) bool { return false }
 
 // Check implements Paths.
-func (soundPaths) Check(context.Context, string) {}
+func (soundPaths) Check(context.Context, string) bool { return false }
 
 // New returns a Gateway with the given options.
 func New(options Options) *Gateway {
--- a/internal/gateway/harmful.go
+++ b/internal/gateway/harmful.go
@@ -19,35 +19,77 @@
 	maxEventsBeforeCrash = 1
 	// minEventsOfSoundPrompt is the number of events of an attempt that show that its request does not crash servers.
 	minEventsOfSoundPrompt = maxEventsBeforeCrash + 2
+	// crashCheckTimeout bounds the time for which a retry waits until it is known whether the server still answers. It
+	// covers the opening of a connection to another availability zone and a round trip on it.
+	crashCheckTimeout = 60 * time.Millisecond
 	// quarantineRetryAfter is the retry delay announced for a quarantined request.
 	quarantineRetryAfter = 5 * time.Minute
 )
 
-// recordCrash records a failed attempt as evidence against the request and the parts of its prompt if the server closed
-// or reset the connection before any server had answered. A timeout or an error response is no evidence, nor
-// is the end of a connection over a broken path or through another VM.
-func (x *exchange) recordCrash(ctx context.Context, attempt *Attempt, result attemptResult) {
-	lost := result.err != nil && result.err.Delivery == DeliveryUnknown && isConnectionLost(result.err)
-	if lost && x.isPathAtFault(attempt, result) {
-		return
+// checkLostConnection finds out why the connection of an attempt has ended: a server that answers on a new one, or through
+// another VM, has not crashed. It waits at most crashCheckTimeout, so that a retry is not delayed for long; what turns out
+// later is recorded for other requests.
+func (x *exchange) checkLostConnection(ctx context.Context, attempt *Attempt, result attemptResult) {
+	mayBeCrash := x.mayBeCrash(attempt, result)
+	if mayBeCrash {
+		x.identity.Subject() // outside of the lock of the evidence: it reads the whole body
 	}
-	if !lost || ctx.Err() != nil || result.events > maxEventsBeforeCrash || x.eventsSent >= minEventsOfSoundPrompt {
-		return
+	suspected := make(chan bool, 1)
+	go func() {
+		answered := x.checkPath(context.WithoutCancel(ctx), attempt.Server)
+		suspected <- mayBeCrash && x.judgeLostConnection(attempt, result, answered)
+	}()
+	select {
+	case x.mayCrashServers = <-suspected:
+	case <-time.After(crashCheckTimeout):
+		// The server may be the second one that crashes under the request.
+		x.mayCrashServers = mayBeCrash && x.crashedServers() > 0
 	}
-	x.identity.Subject() // outside of the lock: it reads the whole body
+}
+
+// judgeLostConnection records a crash unless the server is still there, which answered or the path to it shows. It tells
+// whether the request is suspected.
+func (x *exchange) judgeLostConnection(attempt *Attempt, result attemptResult, answered bool) (suspected bool) {
+	if !answered && !x.isPathAtFault(attempt, result) {
+		return x.recordCrash(attempt, result)
+	}
+	observe.Log(x.gateway.options.Logger, observe.ConnectionLostBeforeAnswer).Str("request", x.request.ID).
+		Str("server", attempt.Server.ID).Int("events", result.events).Bool("server_up", true).Err(result.err).Send()
+	return false
+}
+
+// crashedServers returns the number of servers that crashed under the request or a part of its prompt.
+func (x *exchange) crashedServers() (crashed int) {
+	x.gateway.options.Evidence.Do(func(t *quarantine.Tracker) {
+		crashed = t.CrashedServers(time.Now(), x.identity, x.request.Parts)
+	})
+	return crashed
+}
+
+// mayBeCrash tells whether an attempt whose connection has ended may have failed because the server crashed under it. A
+// timeout or an error response is no evidence, nor is the end of a connection over a broken path or through another VM.
+func (x *exchange) mayBeCrash(attempt *Attempt, result attemptResult) bool {
+	return result.err.Delivery == DeliveryUnknown && !x.isPathAtFault(attempt, result) &&
+		result.events <= maxEventsBeforeCrash && x.eventsSent < minEventsOfSoundPrompt
+}
+
+// recordCrash records a failed attempt as evidence against the request and the parts of its prompt. It tells whether they
+// are suspected. It is safe for concurrent use.
+func (x *exchange) recordCrash(attempt *Attempt, result attemptResult) (suspected bool) {
 	run := quarantine.NewServerRun(attempt.Server.ID, attempt.Server.StartedAt)
 	var crashed, suspects, evicted int
 	x.gateway.options.Evidence.Do(func(t *quarantine.Tracker) {
 		now := time.Now()
 		t.RecordCrash(now, run, x.identity, x.request.Parts)
-		x.mayCrashServers = t.Suspected(now, x.identity, x.request.Parts)
+		suspected = t.Suspected(now, x.identity, x.request.Parts)
 		crashed = t.CrashedServers(now, x.identity, x.request.Parts)
 		suspects, evicted = t.Stats()
 	})
 	observe.Log(x.gateway.options.Logger, observe.ConnectionLostBeforeAnswer).Str("request", x.request.ID).
 		Stringer("identity", x.identity.Subject()).Str("server", attempt.Server.ID).Str("run", fmt.Sprintf("%016x", uint64(run))).
 		Int("events", result.events).Int("parts", len(x.request.Parts)).Int("crashed", crashed).
-		Bool("suspected", x.mayCrashServers).Int("suspects", suspects).Int("evicted", evicted).Err(result.err).Send()
+		Bool("suspected", suspected).Int("suspects", suspects).Int("evicted", evicted).Err(result.err).Send()
+	return suspected
 }
 
 // recordSound records that a server has answered the request, and its prompt if success is set.
--- a/internal/gateway/harmful_test.go
+++ b/internal/gateway/harmful_test.go
@@ -255,3 +255,69 @@
 	require.Len(t, f.attempts, 2)
 	evidence.Do(func(tracker *quarantine.Tracker) { require.Empty(t, tracker.All()) })
 }
+
+// answeringPaths are the Paths of a VM to which all servers answer on a new connection.
+type answeringPaths struct{ soundPaths }
+
+func (answeringPaths) Check(context.Context, string) bool { return true }
+
+// Connections that were reset on the way counted as crashes of the servers, so that all VMs refused
+// the request for ten minutes.
+func TestRequestWhoseConnectionsAreResetToLiveServersIsNotRefused(t *testing.T) {
+	for _, kind := range []string{"stream", "once", "safe", "unsafe"} {
+		t.Run(kind, func(t *testing.T) {
+			backend := &crashingRequests{fakes: &fakes{retriesLeft: 100}}
+			backend.crash = func(*Attempt) (*Response, error) {
+				return nil, &AttemptError{Delivery: DeliveryUnknown, Err: fmt.Errorf("read the response: %w", syscall.ECONNRESET)}
+			}
+			isReset := true
+			backend.harmful = func(*Attempt) bool { return isReset }
+			g := backend.gateway()
+			g.options.Paths = answeringPaths{}
+			serve := func(n int) *fakeCaller {
+				caller := &fakeCaller{}
+				g.Serve(context.Background(), &Request{
+					ID: fmt.Sprintf("r%d", n), Method: http.MethodPost, Host: "h", Path: "/" + kind + "/x", Target: "/" + kind + "/x",
+					Body: []byte("again"), Key: "key", ArrivedAt: time.Now(), Timeout: time.Second, Parts: []quarantine.Subject{quarantine.NewPart("shared")},
+				}, caller)
+				return caller
+			}
+			for n := range 2 * quarantineCrashes {
+				require.NotEqual(t, RefusedQuarantine, serve(n).refusal, "request %d", n)
+			}
+			isReset = false
+			require.Equal(t, http.StatusOK, serve(100).status)
+		})
+	}
+}
+
+// slowPaths are the Paths of a VM whose checks take longer than a retry waits.
+type slowPaths struct{ soundPaths }
+
+func (slowPaths) Check(context.Context, string) bool {
+	time.Sleep(4 * crashCheckTimeout)
+	return false
+}
+
+// A retry must not wait until a server that is silent has failed the check.
+func TestRetryDoesNotWaitForACheckThatIsNotAnswered(t *testing.T) {
+	backend := &crashingRequests{fakes: &fakes{retriesLeft: 100}}
+	backend.crash = func(*Attempt) (*Response, error) {
+		return nil, &AttemptError{Delivery: DeliveryUnknown, Err: fmt.Errorf("read the response: %w", syscall.ECONNRESET)}
+	}
+	backend.harmful = func(*Attempt) bool { return backend.crashes == 0 }
+	g := backend.gateway()
+	g.options.Paths = slowPaths{}
+	caller, startedAt := &fakeCaller{}, time.Now()
+	g.Serve(context.Background(), &Request{
+		ID: "r1", Method: http.MethodPost, Host: "h", Path: "/safe/x", Target: "/safe/x", Key: "key", ArrivedAt: startedAt, Timeout: time.Second,
+	}, caller)
+	require.Equal(t, http.StatusOK, caller.status)
+	require.Less(t, time.Since(startedAt), 3*crashCheckTimeout)
+	identity := quarantine.NewRequest("team", http.MethodPost, "h", "/safe/x", nil)
+	require.Never(t, func() bool {
+		found := false
+		g.options.Evidence.Do(func(t *quarantine.Tracker) { found = t.CrashedServers(time.Now(), identity, nil) > 1 })
+		return found
+	}, 6*crashCheckTimeout, crashCheckTimeout, "one crash is recorded once")
+}
--- a/internal/hub/convert.go
+++ b/internal/hub/convert.go
@@ -161,3 +161,17 @@
 	}
 	return schedule.OutcomeDone
 }
+
+// recordAnnouncements tells the evidence on crashes which servers have announced themselves.
+func recordAnnouncements(evidence *quarantine.Tracker, servers []roster.Server) {
+	if len(servers) == 0 {
+		return
+	}
+	announced := make(map[quarantine.ServerRun]time.Time, len(servers))
+	for i := range servers {
+		if server := &servers[i]; server.State != roster.StateGone {
+			announced[quarantine.NewServerRun(server.ID, server.StartedAt)] = server.LastSeen
+		}
+	}
+	evidence.RecordAnnouncements(announced)
+}
--- a/internal/hub/core.go
+++ b/internal/hub/core.go
@@ -138,6 +138,7 @@
 		c.applyAnnouncement(server, now, m.local)
 	}
 	c.evidence.Merge(now, m.evidence)
+	recordAnnouncements(c.evidence, m.servers)
 	close(m.reply)
 }
 
--- a/internal/hub/linkstate.go
+++ b/internal/hub/linkstate.go
@@ -464,6 +464,7 @@
 // applyServers applies received announcements to the known servers and to this
 // VM's own scheduler.
 func (s *linkState) applyServers(servers []roster.Server, now time.Time) {
+	s.link.evidence.Do(func(t *quarantine.Tracker) { recordAnnouncements(t, servers) })
 	s.link.mu.Lock()
 	defer s.link.mu.Unlock()
 	for _, server := range servers {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -44,6 +44,9 @@
 	// after the last crash; then its evidence is kept for another retention, and one more
 	// crash renews the quarantine.
 	retention = 10 * time.Minute
+	// announcementDelay is the time after a crash from which an announcement of the server shows
+	// that it has not crashed. Earlier ones may have been on their way.
+	announcementDelay = 1500 * time.Millisecond
 	// maxSuspects bounds the subjects with evidence, maxCrashesPerSubject the crashes that
 	// are kept for each.
 	maxSuspects          = 4096
@@ -81,8 +84,10 @@
 // started again is another one.
 type ServerRun uint64
 
-// NewServerRun returns the run of the server id that began at startedAt, zero if unknown.
+// NewServerRun returns the run of the server id that began at startedAt, zero if unknown. VMs
+// tell each other the start in milliseconds.
 func NewServerRun(id string, startedAt time.Time) ServerRun {
+	startedAt = startedAt.Truncate(time.Millisecond)
 	return ServerRun(hash(id + startedAt.UTC().Format(time.RFC3339Nano)))
 }
 
@@ -120,6 +125,8 @@
 	// sound holds when parts were last answered, answered the same of outlines.
 	sound    answers[Subject]
 	answered answers[Outline]
+	// announced holds when each run of a server last announced itself.
+	announced map[ServerRun]time.Time
 	// evicted counts the suspects that were dropped to stay within maxSuspects.
 	evicted int
 }
@@ -128,6 +135,7 @@
 func NewTracker() *Tracker {
 	return &Tracker{
 		suspects: map[Subject]*suspect{}, outlines: map[Outline]int{}, changed: map[Subject]bool{},
+		announced: map[ServerRun]time.Time{},
 	}
 }
 
@@ -212,7 +220,7 @@
 		if !s.counts(crash) && e.SoundAt.Before(s.soundAt) {
 			t.changed[e.Subject] = true // the sender does not know of the answer
 		}
-		if now.Sub(crash.At) <= s.lifetime() && s.addCrash(crash) {
+		if now.Sub(crash.At) <= s.lifetime() && !t.isRefuted(crash) && s.addCrash(crash) {
 			if crash.At.After(s.usedAt) {
 				s.usedAt = crash.At
 			}
@@ -221,6 +229,30 @@
 	}
 }
 
+// RecordAnnouncements records when runs of servers last announced themselves. A run that does
+// so after a crash has not crashed: its connection was lost for another reason. Each VM learns
+// of announcements by itself, so that this is not part of the evidence.
+func (t *Tracker) RecordAnnouncements(announced map[ServerRun]time.Time) {
+	for run, at := range announced {
+		if at.After(t.announced[run]) {
+			t.announced[run] = at
+		}
+	}
+	for _, s := range t.suspects {
+		before := len(s.crashes)
+		s.crashes = slices.DeleteFunc(s.crashes, t.isRefuted)
+		if len(s.crashes) == 0 && before > 0 {
+			t.drop(s)
+		}
+	}
+}
+
+// isRefuted reports whether the server has announced itself since the crash.
+func (t *Tracker) isRefuted(crash Crash) bool {
+	at, found := t.announced[crash.Server]
+	return found && at.Sub(crash.At) >= announcementDelay
+}
+
 // limitSuspects drops an eighth of the suspects if there are too many: first those with the
 // fewest crashed servers, and of these the least recently used.
 func (t *Tracker) limitSuspects() {
@@ -310,6 +342,7 @@
 // Expire drops the suspects that were not used within their lifetime, and whole requests
 // whose answer has outweighed all crashes.
 func (t *Tracker) Expire(now time.Time) {
+	maps.DeleteFunc(t.announced, func(_ ServerRun, at time.Time) bool { return now.Sub(at) > 2*retention })
 	for _, s := range t.suspects {
 		isCleared := s.subject.IsWholeRequest() && len(s.crashes) == 0 && now.Sub(s.soundAt) > answeredFor
 		if isCleared || now.Sub(s.usedAt) > s.lifetime() {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -202,3 +202,38 @@
 		})
 	}
 }
+
+// Evidence on crashes of servers that go on announcing themselves made all VMs refuse a sound
+// request. An announcement that was on its way when the server crashed must not count, nor must
+// evidence of another VM bring the crash back.
+func TestServerThatAnnouncesItselfHasNotCrashed(t *testing.T) {
+	tracker, now := NewTracker(), start
+	for n := range minCrashes {
+		now = now.Add(minCrashSpan)
+		tracker.RecordCrash(now, run(n), request(0), []Subject{harmful})
+	}
+	evidence := tracker.All()
+	isRefused := func() bool {
+		_, found := tracker.Quarantined(now, request(0), nil)
+		return found
+	}
+	announce := func(at time.Time) { tracker.RecordAnnouncements(map[ServerRun]time.Time{run(minCrashes - 1): at}) }
+	require.True(t, isRefused())
+	announce(now.Add(announcementDelay - time.Millisecond))
+	require.True(t, isRefused(), "the announcement may have been delayed")
+	announce(now.Add(announcementDelay))
+	require.False(t, isRefused())
+	announce(now)
+	tracker.Merge(now.Add(announcementDelay), evidence)
+	require.False(t, isRefused(), "evidence of a VM that has not seen the announcement")
+	tracker.RecordCrash(now.Add(announcementDelay+time.Second), run(minCrashes-1), request(0), nil)
+	require.True(t, isRefused(), "the server has crashed since")
+	for n := range minCrashes {
+		tracker.RecordAnnouncements(map[ServerRun]time.Time{run(n): now.Add(time.Minute)})
+	}
+	suspects, _ := tracker.Stats()
+	require.Zero(t, suspects)
+	require.Empty(t, tracker.outlines)
+	tracker.Expire(now.Add(time.Minute + 2*retention + time.Second))
+	require.Empty(t, tracker.announced)
+}
--- a/internal/relay/dialer.go
+++ b/internal/relay/dialer.go
@@ -59,11 +59,15 @@
 	paths   *Paths
 	// direct opens a direct connection.
 	direct func(ctx context.Context, address string, unreachableAfter time.Duration) (*net.TCPConn, error)
+
+	// mu guards checks, which holds the last check of each server.
+	mu     sync.Mutex
+	checks map[string]*check
 }
 
 // NewDialer returns a Dialer that considers all servers reachable.
 func NewDialer(options DialerOptions) *Dialer {
-	d := &Dialer{options: options, paths: NewPaths()}
+	d := &Dialer{options: options, paths: NewPaths(), checks: map[string]*check{}}
 	d.direct = func(ctx context.Context, address string, unreachableAfter time.Duration) (*net.TCPConn, error) {
 		return tcp.Dial(ctx, options.SourceIP, address, options.ConnectTimeout, unreachableAfter)
 	}
--- a/internal/relay/probe.go
+++ b/internal/relay/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"sync"
 	"time"
@@ -14,17 +15,67 @@
 	probeTimeout = 250 * time.Millisecond
 	// probeInterval is the time between two rounds of probes.
 	probeInterval = 500 * time.Millisecond
+	// checkValidity is how long the result of a check holds for further ones of the same server: a server that ends breaks
+	// off all its requests at the same time.
+	checkValidity = 100 * time.Millisecond
 )
 
-// Check finds out whether the direct path to a server is broken. It is for servers that have been silent on an open
-// connection, or have closed one without an answer.
-func (d *Dialer) Check(ctx context.Context, address string) {
-	now := time.Now()
-	if d.paths.IsBroken(now, address) || !d.paths.BeginResolve(now, address) {
-		return
+// check is a check of the direct path to one server.
+type check struct {
+	// done is closed at the end, after the other fields are set.
+	done     chan struct{}
+	answered bool
+	endedAt  time.Time
+}
+
+// Check finds out whether the direct path to a server is broken, and tells whether the server has answered on a new direct
+// connection. It is for servers that have been silent on an open connection, or have closed one without an answer. Calls
+// for the same server share one probe.
+func (d *Dialer) Check(ctx context.Context, address string) (answered bool) {
+	if d.paths.IsBroken(time.Now(), address) {
+		return false
+	}
+	d.mu.Lock()
+	current := d.checks[address]
+	if current == nil || current.isOutdated(time.Now()) {
+		current = &check{done: make(chan struct{})}
+		d.checks[address] = current
+		d.mu.Unlock()
+		d.run(context.WithoutCancel(ctx), current, address)
+		return current.answered
+	}
+	d.mu.Unlock()
+	select {
+	case <-current.done:
+		return current.answered
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// isOutdated tells whether the check has ended too long ago.
+func (c *check) isOutdated(now time.Time) bool {
+	select {
+	case <-c.done:
+		return now.Sub(c.endedAt) >= checkValidity
+	default:
+		return false
 	}
+}
+
+// run probes a server for a check. If the server does not answer, it goes on to find out whether a peer reaches it.
+func (d *Dialer) run(ctx context.Context, c *check, address string) {
 	err := d.probeDirect(ctx, address)
-	if err == nil || ctx.Err() != nil {
+	if err != nil {
+		d.searchPeer(ctx, address, err)
+	}
+	c.answered, c.endedAt = err == nil, time.Now()
+	close(c.done)
+}
+
+// searchPeer finds out whether a peer reaches the server that did not answer this VM because of directErr.
+func (d *Dialer) searchPeer(ctx context.Context, address string, directErr error) {
+	if !d.paths.BeginResolve(time.Now(), address) {
 		return
 	}
 	d.paths.DirectFailed(time.Now(), address)
@@ -35,10 +86,17 @@
 	}
 	defer func() { _ = conn.Close() }()
 	if d.probe(ctx, conn, address) == nil {
-		d.recordOnlyPeerReaches(address, conn.peer, err)
+		d.recordOnlyPeerReaches(address, conn.peer, directErr)
 	}
 }
 
+// forgetChecks drops the results that don't hold any more.
+func (d *Dialer) forgetChecks(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	maps.DeleteFunc(d.checks, func(_ string, c *check) bool { return c.isOutdated(now) })
+}
+
 // checkOthers checks the paths to other servers than the given one, so that a VM that is cut off from all servers finds
 // out before each of them has failed.
 func (d *Dialer) checkOthers(address string) {
@@ -81,6 +139,7 @@
 		case <-ticker.C:
 		}
 		d.probeBroken(ctx)
+		d.forgetChecks(time.Now())
 		d.paths.KeepPeers(d.options.Peers())
 		if cutOff := d.IsCutOff(); cutOff != wasCutOff {
 			wasCutOff = cutOff
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -5,12 +5,14 @@
 	"errors"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"godwityoke.example/godwityoke/internal/serverstate"
@@ -402,3 +404,27 @@
 		}
 	})
 }
+
+// A server that ends breaks off all its requests at once. They must share one probe, and learn
+// whether the server answers; a later check must not get an old result.
+func TestChecksOfOneServerShareAProbe(t *testing.T) {
+	var probes atomic.Int32
+	backend := startBackend(t, echo)
+	d := cutDialer(nil, 0)
+	d.direct = func(ctx context.Context, _ string, unreachableAfter time.Duration) (*net.TCPConn, error) {
+		probes.Add(1)
+		time.Sleep(20 * time.Millisecond)
+		return connect(ctx, backend, unreachableAfter)
+	}
+	var running sync.WaitGroup
+	for range 20 {
+		running.Go(func() { assert.True(t, d.Check(context.Background(), backend)) })
+	}
+	running.Wait()
+	require.EqualValues(t, 1, probes.Load())
+	time.Sleep(checkValidity)
+	d.direct = func(context.Context, string, time.Duration) (*net.TCPConn, error) { return nil, syscall.ECONNREFUSED }
+	require.False(t, d.Check(context.Background(), backend), "the server has ended since")
+	d.forgetChecks(time.Now().Add(checkValidity))
+	require.Empty(t, d.checks)
+}
