hub: a control VM hands out no route table that it hasn't read through the leader

The hub gave entry VMs whatever the registry held.

A control VM reads the newest table through the leader once after its start, and hands out none before. Calls to the leader have timeouts of their own. Log lines tell version, term, age and whether the table is confirmed.

--- a/internal/hub/core.go
+++ b/internal/hub/core.go
@@ -34,12 +34,15 @@
 	leader         string
 	term           uint64
 	loadReportedAt time.Time
-	// table is the route table in force, with version 0 before the first one.
-	table *hubpb.RouteTable
+	// table is the route table in force since tableSince, which entry VMs get, with version 0
+	// before the first one.
+	table      *hubpb.RouteTable
+	tableSince time.Time
+	// newest is the newest route table that this VM knows. It may be outdated until
+	// tableConfirmed is set.
+	newest         *hubpb.RouteTable
+	tableConfirmed bool
 	peers *broadcaster
-	// namedVersion is the version of the table whose services the roster counts as named, 0
-	// for none.
-	namedVersion uint64
 	refusalLines *rate.Limiter
 	// departuresRevision is that of the departures of the registry that were last applied.
 	departuresRevision uint64
@@ -74,7 +77,7 @@
 func newCore(options *Options) *core {
 	c := &core{
 		options: options, roster: roster.New(), sessions: map[*session]bool{}, entryLastSeen: map[string]time.Time{}, relays: newRelayList(),
-		scheduler: schedule.New(), peers: newBroadcaster(options), table: &hubpb.RouteTable{}, startedAt: time.Now(),
+		scheduler: schedule.New(), peers: newBroadcaster(options), table: &hubpb.RouteTable{}, newest: &hubpb.RouteTable{}, startedAt: time.Now(),
 		evidence: quarantine.NewTracker(), waiting: map[schedule.JobID]*waitingRequest{}, forwarders: map[*forwarder]bool{},
 		remotes: map[uint64]*remoteVM{}, controls: map[string]controlVM{},
 		refusalLines: rate.NewLimiter(refusalLinesPerSecond, refusalLinesBurst),
@@ -217,7 +220,7 @@
 	if refusal := c.roster.TakeRefusal(); refusal != nil && c.refusalLines.AllowN(now, 1) {
 		observe.Log(c.options.Logger, observe.AnnouncementConflict).Str("server", refusal.Announced.ID).Str("service", refusal.Announced.Service).
 			Str("address", refusal.Announced.Address).Str("known", refusal.Known.ID).Str("known_service", refusal.Known.Service).
-			Uint64("table_version", c.namedVersion).Send()
+			Uint64("table_version", c.newest.GetVersion()).Send()
 	}
 	return changed
 }
@@ -256,33 +259,57 @@
 	})
 }
 
-// applyTable puts the newest route table of the registry in force.
+// applyTable uses the newest route table of the registry.
 func (c *core) applyTable(now time.Time) {
 	newest := c.options.Registry.Routes()
-	if newest.Version <= c.table.GetVersion() {
+	c.useTable(&hubpb.RouteTable{Version: newest.Version, Content: newest.Compressed}, now)
+}
+
+// useTable uses a route table for the decisions of this VM if it is newer than the current one,
+// and puts it in force.
+func (c *core) useTable(newest *hubpb.RouteTable, now time.Time) {
+	if newest.GetVersion() <= c.newest.GetVersion() {
 		return
 	}
-	content, err := bundle.Decompress(newest.Compressed, nil)
-	if err != nil {
-		observe.Log(c.options.Logger, observe.RoutesUnreadable).Uint64("version", newest.Version).Err(err).Send()
-		return
+	content, err := bundle.Decompress(newest.GetContent(), nil)
+	var table *routes.Table
+	if err == nil {
+		table, err = c.options.Decode(content)
 	}
-	table, err := c.options.Decode(content)
 	if err != nil {
-		observe.Log(c.options.Logger, observe.RoutesUnreadable).Uint64("version", newest.Version).Err(err).Send()
+		observe.Log(c.options.Logger, observe.RoutesUnreadable).Uint64("version", newest.GetVersion()).Err(err).Send()
 		return
 	}
-	c.table = &hubpb.RouteTable{Version: newest.Version, Content: newest.Compressed}
+	c.newest = newest
 	c.scheduler.SetEngines(table)
 	c.roster.SetServices(serviceNames(table))
-	c.namedVersion = table.Version
+	observe.Log(c.options.Logger, observe.RoutesApplied).Uint64("version", newest.GetVersion()).Int("routes", len(table.Routes)).
+		Strs("ignored", table.Ignored).Uint64("term", c.term).Bool("confirmed", c.tableConfirmed).Send()
+	c.spreadTable(now)
+}
+
+// spreadTable sends the newest route table to the entry VMs, unless it may be outdated.
+func (c *core) spreadTable(now time.Time) {
+	if !c.tableConfirmed || c.newest.GetVersion() <= c.table.GetVersion() {
+		return
+	}
+	c.table, c.tableSince = c.newest, now
 	for s := range c.sessions {
 		s.pending().Table = c.table
-		s.tableVersion = newest.Version
+		s.tableVersion = c.table.GetVersion()
 	}
-	observe.Log(c.options.Logger, observe.RoutesApplied).Uint64("version", newest.Version).Int("routes", len(table.Routes)).
-		Strs("ignored", table.Ignored).Send()
-	_ = now
+}
+
+// tableConfirmed is the newest route table as the leader has read it since the start of this VM.
+// Before that, the registry may hold a snapshot from before other VMs accepted newer tables.
+type tableConfirmed struct{ table *hubpb.RouteTable }
+
+func (m tableConfirmed) handle(c *core, now time.Time) {
+	observe.Log(c.options.Logger, observe.TableConfirmed).Uint64("version", m.table.GetVersion()).
+		Uint64("own_version", c.newest.GetVersion()).Uint64("term", c.term).Dur("after", now.Sub(c.startedAt)).Send()
+	c.tableConfirmed = true
+	c.useTable(m.table, now)
+	c.spreadTable(now)
 }
 
 // tick does the periodic work: it follows the leader, takes unresponsive servers
--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -43,6 +43,9 @@
 	// refreshInterval is the interval at which entry VMs get all servers, so that
 	// they see which ones still announce themselves without a change.
 	refreshInterval = 2 * time.Second
+	// confirmInterval is the least time between two attempts of a control VM that has started
+	// to read the newest route table through the leader.
+	confirmInterval = 100 * time.Millisecond
 	// reportInterval is the interval at which the leader logs the scheduler's load.
 	reportInterval = time.Second
 	// entryCountDelay is the time from the start of a control VM until it reports
@@ -131,6 +134,9 @@
 	defer ticker.Stop()
 	wake := time.NewTimer(time.Hour)
 	defer wake.Stop()
+	confirming, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go h.confirmTable(confirming)
 	changed := h.options.Registry.Changed()
 	h.core.applyTable(time.Now())
 	h.core.applyDepartures(time.Now())
@@ -259,6 +265,8 @@
 	}
 	request := &hubpb.PutRoutesRequest{Table: &hubpb.RouteTable{Version: version, Content: compressed}}
 	group := h.options.Group()
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
 	if group != nil && group.Leadership().IsLeader {
 		_, err = h.PutRoutes(ctx, request)
 		return err
@@ -274,24 +282,49 @@
 // GetTable returns the document of the newest route table, read through the
 // leader.
 func (h *Hub) GetTable(ctx context.Context) (content []byte, err error) {
-	group := h.options.Group()
-	var reply *hubpb.GetRoutesReply
-	if group != nil && group.Leadership().IsLeader {
-		reply, err = h.GetRoutes(ctx, &hubpb.GetRoutesRequest{})
-	} else {
-		client, leaderErr := h.leaderClient()
-		if leaderErr != nil {
-			return nil, leaderErr
-		}
-		reply, err = client.GetRoutes(ctx, &hubpb.GetRoutesRequest{})
-	}
+	table, err := h.readTable(ctx)
 	if err != nil {
 		return nil, err
 	}
-	if reply.GetTable().GetVersion() == 0 {
+	if table.GetVersion() == 0 {
 		return nil, errNoTable
 	}
-	return bundle.Decompress(reply.GetTable().GetContent(), nil)
+	return bundle.Decompress(table.GetContent(), nil)
+}
+
+// readTable returns the newest route table, read through the leader. Its version is 0 if there
+// is none yet.
+func (h *Hub) readTable(ctx context.Context) (*hubpb.RouteTable, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	if group := h.options.Group(); group != nil && group.Leadership().IsLeader {
+		reply, err := h.GetRoutes(ctx, &hubpb.GetRoutesRequest{})
+		return reply.GetTable(), err
+	}
+	client, err := h.leaderClient()
+	if err != nil {
+		return nil, err
+	}
+	reply, err := client.GetRoutes(ctx, &hubpb.GetRoutesRequest{})
+	return reply.GetTable(), err
+}
+
+// confirmTable reads the newest route table through the leader, until that has succeeded once or
+// ctx ends, and passes it to the hub's goroutine.
+func (h *Hub) confirmTable(ctx context.Context) {
+	ticker := time.NewTicker(confirmInterval)
+	defer ticker.Stop()
+	for {
+		if table, err := h.readTable(ctx); err == nil {
+			_ = h.send(ctx, tableConfirmed{table: table})
+			return
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 var errNoTable = errors.New("no route table was accepted yet")
--- a/internal/hub/link.go
+++ b/internal/hub/link.go
@@ -450,5 +450,10 @@
 	l.servers.SetServices(serviceNames(table))
 	l.mu.Unlock()
 	l.state.local.SetEngines(table)
-	observe.Log(l.options.Logger, observe.RoutesApplied).Uint64("version", table.Version).Int("routes", len(table.Routes)).Send()
+	previous := uint64(0)
+	if current != nil {
+		previous = current.Version
+	}
+	observe.Log(l.options.Logger, observe.RoutesApplied).Uint64("version", table.Version).Int("routes", len(table.Routes)).
+		Uint64("previous", previous).Str("control_vm", l.state.address).Uint64("term", l.state.knownTerm()).Send()
 }
--- a/internal/hub/linkstate.go
+++ b/internal/hub/linkstate.go
@@ -122,6 +122,13 @@
 	return s.leader, slices.Clone(s.controlVMs)
 }
 
+// knownTerm returns the highest term seen.
+func (s *linkState) knownTerm() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.term
+}
+
 // run handles messages and periodic work until ctx is done.
 func (s *linkState) run(ctx context.Context) {
 	defer close(s.link.done)
--- a/internal/hub/session.go
+++ b/internal/hub/session.go
@@ -91,7 +91,8 @@
 	c.forwardRunning(s, now)
 	c.sendView(s, now)
 	observe.Log(c.options.Logger, observe.EntryAttached).Str("entry_vm", s.vm).
-		Uint64("table_version", s.tableVersion).Int("running", len(m.frame.GetHello().GetRunning())).Send()
+		Uint64("table_version", s.tableVersion).Bool("table_confirmed", c.tableConfirmed).Dur("table_age", now.Sub(c.tableSince)).
+		Uint64("term", c.term).Int("running", len(m.frame.GetHello().GetRunning())).Send()
 }
 
 // unknownServers returns those of an entry VM's announcements that may tell something new.
--- a/internal/observe/events_hub.go
+++ b/internal/observe/events_hub.go
@@ -6,13 +6,13 @@
 // platform with a route table, and the scheduler on the leader.
 var (
 	RoutesApplied = newEvent(2140, "routes_applied", zerolog.InfoLevel,
-		"A new route table took effect on this VM. The line gives its version, and in ignored what was left out because its values cannot be used. No action, unless something was left out: correct the table then.")
+		"A new route table took effect on this VM. The line gives its version, the term in which this VM learned of it, and in ignored what was left out because its values cannot be used; on a control VM whether it is confirmed to be the newest (confirmed, see table_confirmed), without which entry VMs do not get it; on an entry VM the previous version and the control VM that sent it (control_vm). No action, unless something was left out: correct the table then.")
 	RoutesUnreadable = newEvent(2141, "routes_unreadable", zerolog.ErrorLevel,
 		"This VM could not read an accepted route table, so the previous one stays in force. Check that this VM runs the same program version as the others, and report the line.")
 	ServerChanged = newEvent(2142, "server_changed", zerolog.InfoLevel,
 		"A backend server joined, started to drain or left. The line gives its new state and the sequence number and age of its last announcement. No action.")
 	EntryAttached = newEvent(2143, "entry_attached", zerolog.InfoLevel,
-		"An entry VM connected to this control VM. No action.")
+		"An entry VM connected to this control VM. The line gives the version of the route table that it has now (table_version), whether this VM has confirmed its own to be the newest (table_confirmed), how long that has been in force here (table_age), and the term. No action.")
 	EntryDetached = newEvent(2144, "entry_detached", zerolog.InfoLevel,
 		"An entry VM disconnected from this control VM; the slots of its requests were released. The line gives the reason, and for a stream that a new one replaced the entry VM of that one (by). If no entry_attached line follows, check that VM.")
 	SchedulerChanged = newEvent(2145, "scheduler_changed", zerolog.InfoLevel,
@@ -53,4 +53,6 @@
 		"The stream of this control VM to the leader ended. Until the next one, this VM places the requests of its entry VMs on its share of the servers. If the line repeats, check the leader and the network.")
 	AnnouncementConflict = newEvent(2163, "announcement_conflict", zerolog.WarnLevel,
 		"An announcement was left out, because it names a service that the route table does not, for the id or the address of a server in use. The line names both (server, service; known, known_service) and the version of the table (table_version). These lines are rate limited. Find who sends the announcements; if the service is to be used, add it to the route table.")
+	TableConfirmed = newEvent(2164, "table_confirmed", zerolog.InfoLevel,
+		"This control VM has read the newest route table through the leader for the first time since its start (after), and hands out route tables from now on. The line gives the version of that table, the one that this VM knew before from its disk (own_version), and the term. No action.")
 )
