gateway: a stream that ends at its deadline does not count as complete

Streams ended as complete before their last piece (users' runs with real processes, ORDER).

Suspected cause: a server stops at the deadline that it was sent, which is that of the entry VM rounded down to milliseconds.

A stream, or an answer without a length, that ends within 25 ms of the deadline is broken off instead.

The users' record was not replayed.

--- /dev/null
+++ b/internal/gateway/deadline_test.go
@@ -0,0 +1,68 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// endingAt is a body that ends a while before a time.
+type endingAt struct {
+	io.Reader
+	end time.Time
+}
+
+func (b *endingAt) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		time.Sleep(time.Until(b.end))
+	}
+	return n, err
+}
+
+// A server ends its response at the deadline that it was sent, in front of the deadline of the entry VM by less than a
+// millisecond. Such a stream was passed on as complete.
+func TestStreamThatEndsAtItsDeadlineIsNotComplete(t *testing.T) {
+	const timeout = 400 * time.Millisecond
+	for _, kind := range []string{"stream", "once"} {
+		for name, c := range map[string]struct {
+			before   time.Duration
+			complete bool
+		}{
+			"just before the deadline": {before: time.Millisecond},
+			"long before":              {before: timeout / 2, complete: true},
+		} {
+			t.Run(kind+", "+name, func(t *testing.T) {
+				f := &fakes{responses: []func(*Attempt) (*Response, error){func(a *Attempt) (*Response, error) {
+					body := &endingAt{Reader: strings.NewReader(events), end: time.Now().Add(a.Remaining - c.before)}
+					return &Response{Status: http.StatusOK, Header: http.Header{}, Body: fakeBody{body}, Verified: true, IsStream: true}, nil
+				}}}
+				caller := serveWith(f, f, testTable(), kind, "key", timeout)
+				require.Equal(t, events, caller.body)
+				require.Equal(t, c.complete, !caller.aborted)
+			})
+		}
+	}
+}
+
+// A response without a length that ends at the deadline may have been cut by it.
+func TestResponseWithoutALengthThatEndsAtItsDeadlineIsNotComplete(t *testing.T) {
+	const timeout = 200 * time.Millisecond
+	for name, endsWithConnection := range map[string]bool{"without a length": true, "with a length": false} {
+		t.Run(name, func(t *testing.T) {
+			f := &fakes{responses: []func(*Attempt) (*Response, error){func(a *Attempt) (*Response, error) {
+				body := &endingAt{Reader: strings.NewReader("the begi"), end: time.Now().Add(a.Remaining - time.Millisecond)}
+				return &Response{
+					Status: http.StatusOK, Header: http.Header{}, Body: fakeBody{body}, Verified: true, EndsWithConnection: endsWithConnection,
+				}, nil
+			}}}
+			caller := serveWith(f, f, testTable(), "unsafe", "key", timeout)
+			require.Equal(t, endsWithConnection, caller.body == "", "body %q", caller.body)
+		})
+	}
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -414,6 +414,11 @@
 	if err != nil {
 		return attemptResult{err: &AttemptError{Delivery: DeliveryUnknown, Err: fmt.Errorf("read the response: %w", err)}}
 	}
+	if response.EndsWithConnection && x.isAtDeadline(time.Now()) {
+		return attemptResult{err: &AttemptError{
+			Delivery: DeliveryUnknown, Err: errors.New("the response ended with its connection at the deadline, so that it may be incomplete"),
+		}}
+	}
 	isServerError := response.Status >= http.StatusInternalServerError
 	mayRetry := x.route.IsRetryable() && x.possibleRuns+1 < x.route.MaxAttempts && x.hasAttemptsLeft()
 	if isServerError && mayRetry {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -11,6 +11,10 @@
 	"godwityoke.example/godwityoke/internal/schedule"
 )
 
+// deadlineMargin is the time before the deadline of a request from which the end of a response does not show that it is
+// complete: servers stop at the deadline that they were sent, which is rounded down to milliseconds, by clocks of their own.
+const deadlineMargin = 25 * time.Millisecond
+
 // maxBytesWithoutID limits consecutive events without an id, such as comments. The events of an answer have ids.
 const maxBytesWithoutID = 64 << 10
 
@@ -104,6 +108,11 @@
 			Delivery: DeliveryUnknown, Err: fmt.Errorf("the stream ended at event %d, the caller has event %d", maxID, x.lastEventID),
 		}}
 	}
+	if x.isAtDeadline(time.Now()) {
+		x.logBroken(fmt.Sprintf("the stream of server %s ended after event %d at the deadline, so that it may be incomplete", attempt.Server.ID, x.lastEventID))
+		x.caller.Abort()
+		return attemptResult{done: true}
+	}
 	if maxID == 0 && x.lastEventID > 0 && response.EndsWithConnection {
 		return attemptResult{err: &AttemptError{
 			Delivery: DeliveryUnknown, Err: fmt.Errorf("the connection ended without an event, the caller has event %d", x.lastEventID),
@@ -115,6 +124,11 @@
 	return attemptResult{done: true}
 }
 
+// isAtDeadline tells whether a response that ends at now may have been ended by the deadline of the request.
+func (x *exchange) isAtDeadline(now time.Time) bool {
+	return !now.Before(x.deadline.Add(-deadlineMargin))
+}
+
 // eventDeadline returns the time by which the server must send its next event, or its first one if started is false.
 // The timeout of the first event counts from the arrival of the request, but leaves the server at least
 // minStallTimeout. The deadline of the request is the upper bound.
--- a/internal/hub/core.go
+++ b/internal/hub/core.go
@@ -42,8 +42,8 @@
 	// tableConfirmed is set.
 	newest         *hubpb.RouteTable
 	tableConfirmed bool
-	peers *broadcaster
-	refusalLines *rate.Limiter
+	peers          *broadcaster
+	refusalLines   *rate.Limiter
 	// departuresRevision is that of the departures of the registry that were last applied.
 	departuresRevision uint64
 	// serverList holds the announcements of all servers as of serverListAt, nil after a change.
