h1, relay: a reset that the writer of the request sees does not complete the response

Cause: the kernel reports a reset to one call on the socket only. While a large request was still written, that was the write, and the reader took the end of the data for the end of an answer without a length. A relay passed such an end on as a proper one. A kept connection compared only the id of its last request, so that a second answer to an earlier one could be taken for that of a request sent again.

Such an answer is complete only if the request was written without an error; a relay resets the connection; a connection carries each id once, and at most 256 requests.

--- a/internal/h1/body.go
+++ b/internal/h1/body.go
@@ -2,10 +2,15 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"time"
 )
 
+// lateWriteTimeout is how long a request may still be written after the server has ended a response that ends with its
+// connection.
+const lateWriteTimeout = 50 * time.Millisecond
+
 // Body is the body of a response. Read returns io.EOF only when the response is complete. It is not safe for concurrent
 // use.
 type Body struct {
@@ -18,6 +23,8 @@
 	written chan error
 	// reusable is set when the server keeps the connection open and the response tells where its body ends.
 	reusable bool
+	// endsWithConnection is set when the body ends where the server closes the connection.
+	endsWithConnection bool
 	// complete is set when the response was read to its end.
 	complete bool
 	closed   bool
@@ -26,12 +33,30 @@
 // Read implements io.Reader.
 func (b *Body) Read(p []byte) (int, error) {
 	n, err := b.reader.Read(p)
-	if errors.Is(err, io.EOF) {
-		b.complete = true
+	if !errors.Is(err, io.EOF) || b.complete {
+		return n, err
+	}
+	if b.endsWithConnection {
+		if writeErr := b.awaitWritten(); writeErr != nil {
+			return n, fmt.Errorf("the connection ended while the request was sent: %w", writeErr)
+		}
 	}
+	b.complete = true
 	return n, err
 }
 
+// awaitWritten waits until sending the request has ended, and returns its error. After the server has closed the
+// connection, that takes at most lateWriteTimeout. A reset is reported to one call on the socket only: if that is the
+// write, reads return io.EOF as at a proper end.
+func (b *Body) awaitWritten() error {
+	if err := b.conn.SetWriteDeadline(time.Now().Add(lateWriteTimeout)); err != nil {
+		return err
+	}
+	err := <-b.written
+	b.written <- err
+	return err
+}
+
 // SetReadDeadline sets the deadline of all following reads.
 func (b *Body) SetReadDeadline(at time.Time) error { return b.conn.SetReadDeadline(at) }
 
--- a/internal/h1/client.go
+++ b/internal/h1/client.go
@@ -26,6 +26,8 @@
 	// maxStrayResponses limits the responses that are skipped before the one to the request: responses to earlier
 	// requests on a reused connection, and informational (1xx) ones.
 	maxStrayResponses = 2
+	// maxRequestsPerConn limits the requests on one connection, whose ids it keeps.
+	maxRequestsPerConn = 256
 	// maxIdlePerHost limits the idle connections to one address.
 	maxIdlePerHost = 16
 	// minConcurrentBodyBytes is the size from which a body is written concurrently with reading the response, because
@@ -67,7 +69,7 @@
 	// RelayedBy is used for one request only; the methods Answered and Failed of one are called after its first exchange.
 	Dial func(ctx context.Context, address string, unreachableAfter time.Duration) (net.Conn, error)
 	// EchoHeader is the name of a request header that the server repeats in its response, by which responses are
-	// matched to requests; empty for none. A request without it, or with the value of the last request on a kept
+	// matched to requests; empty for none. A request without it, or with the value of an earlier request on a kept
 	// connection, gets another connection.
 	EchoHeader string
 	// Buffers bounds the bytes of the heads of all responses; nil for no bound.
@@ -137,8 +139,14 @@
 	relayedBy string
 	// account counts the bytes of the last head.
 	account *membudget.Account
-	// lastEcho is the value of EchoHeader in the last request.
-	lastEcho string
+	// echoes holds the values of EchoHeader in all requests.
+	echoes map[string]struct{}
+}
+
+// mayCarry tells whether the response to a request with this value of EchoHeader can be told from those to earlier ones.
+func (c *conn) mayCarry(echo string) bool {
+	_, used := c.echoes[echo]
+	return echo == "" || !used && len(c.echoes) < maxRequestsPerConn
 }
 
 // Close implements net.Conn.
@@ -232,15 +240,20 @@
 		observed.Answered()
 	}
 	body.reader = response.Body
-	endsWithConnection := response.ContentLength < 0 && len(response.TransferEncoding) == 0
-	body.reusable = !response.Close && request.UnreachableAfter == 0 && connection.relayedBy == "" && !endsWithConnection
+	body.endsWithConnection = endsWithConnection(response)
+	body.reusable = !response.Close && request.UnreachableAfter == 0 && connection.relayedBy == "" && !body.endsWithConnection
 	connection.idleTimeout = idleTimeout(response.Header, c.options.MaxIdleTime)
 	return &Response{
 		Status: response.StatusCode, Header: response.Header, Body: body, RelayedBy: connection.relayedBy,
-		EndsWithConnection: endsWithConnection,
+		EndsWithConnection: body.endsWithConnection,
 	}, nil
 }
 
+// endsWithConnection tells whether only the end of the connection shows where the body ends.
+func endsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // readHead reads responses until one belongs to the request. On a reused connection it may be preceded by extra
 // responses to earlier requests, which are discarded.
 func (c *Client) readHead(connection *conn, request *Request) (*http.Response, error) {
@@ -266,6 +279,9 @@
 		if c.options.EchoHeader == "" || response.Header.Get(c.options.EchoHeader) == request.Header.Get(c.options.EchoHeader) {
 			return response, nil
 		}
+		if endsWithConnection(response) {
+			break // its end would be that of the response to the request
+		}
 		skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBodyBytes+1))
 		if err != nil || response.Close || skipped > maxStrayBodyBytes {
 			break
@@ -324,9 +340,9 @@
 		if kept == nil {
 			break
 		}
-		isDistinct := echo == "" || kept.lastEcho != echo
-		if isDistinct && time.Since(kept.idleSince) < kept.idleTimeout && kept.isIdle() {
-			kept.reused, kept.lastEcho = true, echo
+		if kept.mayCarry(echo) && time.Since(kept.idleSince) < kept.idleTimeout && kept.isIdle() {
+			kept.reused = true
+			kept.echoes[echo] = struct{}{}
 			return kept, nil
 		}
 		_ = kept.Close()
@@ -337,7 +353,7 @@
 	}
 	limited := &limitedReader{source: opened, limit: math.MaxInt}
 	connection := &conn{
-		Conn: opened, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes), address: address, lastEcho: echo,
+		Conn: opened, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes), address: address, echoes: map[string]struct{}{echo: {}},
 		account: c.options.Buffers.Account(address),
 	}
 	if relayed, ok := opened.(relayedConn); ok {
--- a/internal/h1/client_test.go
+++ b/internal/h1/client_test.go
@@ -169,6 +169,41 @@
 	require.EqualValues(t, 2, connections.Load())
 }
 
+// A request that is sent again must not get a late second response to its first sending, also if other requests have used
+// the connection since.
+func TestConnectionIsNotReusedForARequestThatItHasCarried(t *testing.T) {
+	address, connections := scriptedServer(t, func(_ int, r *http.Request) string { return responseTo(r.Header.Get("Id")) })
+	c := testClient()
+	for _, id := range []string{"1", "2", "3", "1"} {
+		_, err := exchange(t, c, address, request(id))
+		require.NoError(t, err)
+	}
+	require.EqualValues(t, 2, connections.Load())
+	for n := range 2 * maxRequestsPerConn {
+		_, err := exchange(t, c, address, request(strconv.Itoa(10+n)))
+		require.NoError(t, err)
+	}
+	require.EqualValues(t, 4, connections.Load(), "the ids of a connection are bounded")
+}
+
+// The wait for the end of an earlier response without a length lasted until the deadline of the request.
+func TestStrayResponseWithoutALengthEndsTheRequest(t *testing.T) {
+	address, _ := scriptedServer(t, func(n int, r *http.Request) string {
+		if n == 2 {
+			return "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nok"
+		}
+		return responseTo(r.Header.Get("Id"))
+	})
+	c := testClient()
+	_, err := exchange(t, c, address, request("1"))
+	require.NoError(t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_, err = c.Do(ctx, address, request("2"))
+	require.ErrorIs(t, err, ErrMalformed)
+	require.NoError(t, ctx.Err())
+}
+
 // The response to a request cannot be told from the one to an earlier request with the same id, or if it has none.
 func TestConnectionIsNotReusedForARequestWithoutAnIDOfItsOwn(t *testing.T) {
 	for name, ids := range map[string][2]string{"same id": {"1", "1"}, "no id": {"1", ""}} {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -428,3 +428,27 @@
 	d.forgetChecks(time.Now().Add(checkValidity))
 	require.Empty(t, d.checks)
 }
+
+// A server resets its connection while the request is still written to it. The relay saw the reset in its write, took the
+// end of the answer for a proper one, and passed it on as such.
+func TestResetWhileTheRequestIsWrittenIsPassedOn(t *testing.T) {
+	backend := startBackend(t, func(conn *net.TCPConn) {
+		_, _ = io.ReadFull(conn, make([]byte, 32<<10))
+		_, _ = conn.Write([]byte("the begi"))
+		_ = conn.SetLinger(0)
+	})
+	_, peer := startRelay(t, allow)
+	d := cutDialer(syscall.ECONNREFUSED, 0, peer)
+	for range 300 {
+		conn, err := d.Dial(context.Background(), backend, 0)
+		require.NoError(t, err)
+		written := make(chan error, 1)
+		go func() {
+			_, err := conn.Write(make([]byte, 512<<10))
+			written <- err
+		}()
+		_, err = io.ReadAll(conn)
+		require.Error(t, errors.Join(err, <-written), "an incomplete answer must not look complete") // one of both gets the reset
+		require.NoError(t, conn.Close())
+	}
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -19,6 +19,8 @@
 )
 
 const (
+	// lateWriteTimeout is how long a request may still be written after the server has ended its bytes.
+	lateWriteTimeout = 50 * time.Millisecond
 	// requestTimeout bounds the reading of an openRequest and the writing of its answer.
 	requestTimeout = time.Second
 	// serverTimeout limits the time for connecting to a server. It is shorter than peerTimeout, so that the answer arrives
@@ -200,11 +202,16 @@
 	s.relayed.Add(1)
 	defer s.relayed.Add(-1)
 	var upstream sync.WaitGroup
+	request := &requestWriter{server: server}
 	upstream.Go(func() {
-		s.copyRequest(server, conn) // ends when the other VM has closed its connection
+		s.copyRequest(request, conn) // ends when the other VM has closed its connection
 		_ = server.Close()
 	})
-	if readErr, writeErr := s.copy(conn, server); readErr == nil && writeErr == nil {
+	readErr, writeErr := s.copy(conn, server)
+	if readErr == nil {
+		readErr = request.failure()
+	}
+	if readErr == nil && writeErr == nil {
 		_ = conn.CloseWrite()
 		_ = conn.SetReadDeadline(time.Now().Add(requestTimeout))
 	} else if readErr != nil {
@@ -215,9 +222,36 @@
 	upstream.Wait()
 }
 
+// requestWriter writes a request to a server, and remembers whether that failed: a reset by the server is reported to one
+// call on the socket only, and if that is a write, reads return io.EOF as at a proper end.
+type requestWriter struct {
+	server *net.TCPConn
+	mu     sync.Mutex
+	err    error
+}
+
+// Write implements io.Writer.
+func (w *requestWriter) Write(p []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n, err := w.server.Write(p)
+	w.err = err
+	return n, err
+}
+
+// failure ends a write in progress, and returns the error of the last one.
+func (w *requestWriter) failure() error {
+	if err := w.server.SetWriteDeadline(time.Now().Add(lateWriteTimeout)); err != nil {
+		return err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.err
+}
+
 // copyRequest copies the bytes of the other VM to the server until that VM closes its connection. It passes on nothing
 // once the connection is closed: that VM closes it only after the answer, or to cancel the request.
-func (s *Server) copyRequest(server, conn *net.TCPConn) {
+func (s *Server) copyRequest(server io.Writer, conn *net.TCPConn) {
 	buffer := s.buffers.Get().(*[copyBytes]byte)
 	defer s.buffers.Put(buffer)
 	for {
