gateway, soak: responses that end at the deadline are broken off at the deadline, not before

The margin is 2 ms, which covers the rounding of the deadline to milliseconds and the same for a timer, and the response is broken off at the deadline.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -12,8 +12,9 @@
 )
 
 // deadlineMargin is the time before the deadline of a request from which the end of a response does not show that it is
-// complete: servers stop at the deadline that they were sent, which is rounded down to milliseconds, by clocks of their own.
-const deadlineMargin = 25 * time.Millisecond
+// complete: servers stop at the deadline that they were sent, which is rounded down to milliseconds. A timer may be as much
+// out.
+const deadlineMargin = 2 * time.Millisecond
 
 // maxBytesWithoutID limits consecutive events without an id, such as comments. The events of an answer have ids.
 const maxBytesWithoutID = 64 << 10
@@ -109,6 +110,7 @@
 		}}
 	}
 	if x.isAtDeadline(time.Now()) {
+		time.Sleep(time.Until(x.deadline)) // a response must not be broken off before
 		x.logBroken(fmt.Sprintf("the stream of server %s ended after event %d at the deadline, so that it may be incomplete", attempt.Server.ID, x.lastEventID))
 		x.caller.Abort()
 		return attemptResult{done: true}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -41,6 +41,7 @@
 	for _, options := range []Options{
 		{Seed: 104, Entries: 5, Controls: 5, Models: 6, Desks: 3, Clients: 60},
 		{Seed: 3, Entries: 3, Controls: 3, Models: 4, Desks: 2, Clients: 16},
+		{Seed: 8001, Entries: 3, Controls: 3, Models: 4, Desks: 2, Clients: 60}, // streams that their servers end at the deadline
 	} {
 		t.Run("", func(t *testing.T) {
 			t.Parallel()
--- a/internal/soak/worker.go
+++ b/internal/soak/worker.go
@@ -349,6 +349,11 @@
 }
 
 func (w *worker) serveStream(ctx context.Context, a standin.ReceivedRequest, answer *standin.Answer, fault Fault) bool {
+	if a.Remaining > 0 { // at the deadline it stops, and its response ends as a complete one does
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, a.ReceivedAt.Add(a.Remaining))
+		defer cancel()
+	}
 	pause.For(ctx, prefillTimePerToken*time.Duration(a.PromptTokens/(1+a.HelperCount)))
 	for id := a.ResumeAfter + 1; id <= eventsPerStream; id++ {
 		if ctx.Err() != nil {
