--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -121,32 +121,55 @@
 // tells whether the server is new or its incarnation, state, service, address or slots changed.
 func (r *Roster) Apply(announced Server) (changed bool) {
 	known, found := r.servers[announced.ID]
-	inUse := found && known.State != StateGone && announced.State != StateGone
-	if inUse && r.isNamed(known.Service) && !r.isNamed(announced.Service) {
-		r.refusal = &Refusal{Announced: announced, Known: known}
-		return false
-	}
-	if inUse && !r.isNamed(known.Service) && r.isNamed(announced.Service) {
+	if found && !r.isSameClaim(&announced, &known) {
+		if !r.isNamed(announced.Service) {
+			r.refusal = &Refusal{Announced: announced, Known: known}
+			return false
+		}
 		r.remove(known.ID)
 		found = false
 	}
-	if found && known.StartedAt.Equal(announced.StartedAt) && known.State != StateGone && announced.State != StateGone {
-		announced = latest(known, announced)
-	} else if found && !isNewer(&announced, &known) {
-		return false
-	}
-	if found && known.StartedAt.Equal(announced.StartedAt) && known.State > announced.State {
-		return false
+	if found {
+		merged, isLater := merge(known, announced)
+		if !isLater {
+			return false
+		}
+		announced = merged
 	}
 	if announced.State != StateGone && r.resolveAddress(&announced) {
 		return false
 	}
-	if found && announced.State == StateGone && announced.Address == "" {
+	r.store(announced)
+	return !found || isChange(&known, &announced)
+}
+
+// isSameClaim tells whether an announcement has the same claim to its id as the known server: the service of both is
+// named, or of neither, or one of them is gone.
+func (r *Roster) isSameClaim(announced, known *Server) bool {
+	inUse := known.State != StateGone && announced.State != StateGone
+	return !inUse || r.isNamed(known.Service) == r.isNamed(announced.Service)
+}
+
+// merge returns what is to be stored after an announcement of a known server, and false if the announcement is stale.
+func merge(known, announced Server) (merged Server, isLater bool) {
+	sameRun := known.StartedAt.Equal(announced.StartedAt)
+	if sameRun && known.State != StateGone && announced.State != StateGone {
+		announced = latest(known, announced)
+	} else if !isNewer(&announced, &known) {
+		return Server{}, false
+	}
+	if sameRun && known.State > announced.State {
+		return Server{}, false
+	}
+	if announced.State == StateGone && announced.Address == "" {
 		announced.Address, announced.Service = known.Address, known.Service
 	}
-	r.store(announced)
-	return !found || known.State != announced.State || known.Address != announced.Address ||
-		known.Service != announced.Service || !known.StartedAt.Equal(announced.StartedAt) || known.Slots != announced.Slots
+	return announced, true
+}
+
+// isChange tells whether two entries of a server differ in more than when they were announced.
+func isChange(a, b *Server) bool {
+	return a.State != b.State || a.Address != b.Address || a.Service != b.Service || !a.StartedAt.Equal(b.StartedAt) || a.Slots != b.Slots
 }
 
 // latest merges two announcements of one incarnation: the later state, and all else of the one with the higher sequence.
