gateway: requests wait for the first route table of a VM that has just started

After a restart of all processes, requests of half a second more were refused: since control VMs hand out no unconfirmed table, the first one comes with the next leader, and callers were told to come back later than that.

Requests wait for the first table until 1.2 s after the start of their entry VM, the typical time of a start; later ones are refused at once as before.

Evidence: TestRequestWaitsForTheFirstRouteTable.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -198,10 +198,12 @@
 // Options configure a Gateway.
 type Options struct {
 	// Table returns the route table in force, nil before the first one is received.
-	Table   func() *routes.Table
-	Placer  Placer
-	Budget  Budget
-	Servers Servers
+	Table func() *routes.Table
+	// TableKnown is closed when the first route table is received; nil if requests don't wait for it.
+	TableKnown <-chan struct{}
+	Placer     Placer
+	Budget     Budget
+	Servers    Servers
 	// ReadyServers returns the servers of a service that accept requests by their announcements.
 	ReadyServers func(service string) []roster.Server
 	Backend      Backend
@@ -279,6 +281,9 @@
 	defer g.inFlight.Add(-1)
 	defer g.logPanic(request)
 	table := g.options.Table()
+	if table == nil {
+		table = g.awaitTable(ctx)
+	}
 	if table == nil {
 		wait := max(minNotReadyRetryAfter, typicalStartup-time.Since(g.startedAt))
 		g.refuse(request, caller, RefusedNotReady, wait, "no route table is known")
@@ -321,6 +326,23 @@
 	x.run(ctx)
 }
 
+// awaitTable waits for the first route table and returns it. It returns nil if none has come within typicalStartup of the
+// start of this VM: control VMs hand out tables as soon as they have a leader, and a request that came back later would be
+// served later.
+func (g *Gateway) awaitTable(ctx context.Context) *routes.Table {
+	left := typicalStartup - time.Since(g.startedAt)
+	if g.options.TableKnown == nil || left <= 0 {
+		return nil
+	}
+	select {
+	case <-g.options.TableKnown:
+	case <-time.After(left):
+	case <-ctx.Done():
+	case <-g.exiting.Done():
+	}
+	return g.options.Table()
+}
+
 // logPanic logs a panic of the calling goroutine and continues it.
 func (g *Gateway) logPanic(request *Request) {
 	if cause := recover(); cause != nil {
--- a/internal/hub/link.go
+++ b/internal/hub/link.go
@@ -113,6 +113,8 @@
 	statements *serverstate.Table
 	// backoffs are the control VMs in backoff.
 	backoffs *backoffs
+	// tableKnown is closed when the first route table is in force.
+	tableKnown chan struct{}
 	// cutOff is the last argument of SetCutOff.
 	cutOff atomic.Bool
 
@@ -133,7 +135,7 @@
 func NewLink(options LinkOptions) *Link {
 	l := &Link{
 		options: options, inbox: make(chan linkMessage, linkInboxSize), done: make(chan struct{}),
-		servers: roster.New(), entryVMs: defaultEntryVMs, backoffs: newBackoffs(),
+		servers: roster.New(), entryVMs: defaultEntryVMs, backoffs: newBackoffs(), tableKnown: make(chan struct{}),
 		evidence: quarantine.NewGuard(), statements: serverstate.NewTable(),
 	}
 	l.state = newLinkState(l)
@@ -147,6 +149,9 @@
 	return l.table
 }
 
+// TableKnown returns a channel that is closed when the first route table is in force.
+func (l *Link) TableKnown() <-chan struct{} { return l.tableKnown }
+
 // tableVersion returns the version of the route table in force, 0 before the first
 // one.
 func (l *Link) tableVersion() uint64 {
@@ -451,7 +456,9 @@
 	l.mu.Unlock()
 	l.state.local.SetEngines(table)
 	previous := uint64(0)
-	if current != nil {
+	if current == nil {
+		close(l.tableKnown)
+	} else {
 		previous = current.Version
 	}
 	observe.Log(l.options.Logger, observe.RoutesApplied).Uint64("version", table.Version).Int("routes", len(table.Routes)).
