gateway: streams that have begun are resumed without a wait for the check of their server

A stream whose server crashed waited up to 60 ms for the check of the lost connection before it was resumed elsewhere, although its request was no suspect, which made the pause longer than callers accept.

Only requests that may be suspects wait.

--- a/internal/gateway/harmful.go
+++ b/internal/gateway/harmful.go
@@ -30,20 +30,19 @@
 // another VM, has not crashed. It waits at most crashCheckTimeout, so that a retry is not delayed for long; what turns out
 // later is recorded for other requests.
 func (x *exchange) checkLostConnection(ctx context.Context, attempt *Attempt, result attemptResult) {
-	mayBeCrash := x.mayBeCrash(attempt, result)
-	if mayBeCrash {
-		x.identity.Subject() // outside of the lock of the evidence: it reads the whole body
+	ctx = context.WithoutCancel(ctx)
+	if !x.mayBeCrash(attempt, result) {
+		go x.checkPath(ctx, attempt.Server)
+		return
 	}
+	x.identity.Subject() // outside of the lock of the evidence: it reads the whole body
 	suspected := make(chan bool, 1)
-	go func() {
-		answered := x.checkPath(context.WithoutCancel(ctx), attempt.Server)
-		suspected <- mayBeCrash && x.judgeLostConnection(attempt, result, answered)
-	}()
+	go func() { suspected <- x.judgeLostConnection(attempt, result, x.checkPath(ctx, attempt.Server)) }()
 	select {
 	case x.mayCrashServers = <-suspected:
 	case <-time.After(crashCheckTimeout):
 		// The server may be the second one that crashes under the request.
-		x.mayCrashServers = mayBeCrash && x.crashedServers() > 0
+		x.mayCrashServers = x.crashedServers() > 0
 	}
 }
 
--- a/internal/gateway/harmful_test.go
+++ b/internal/gateway/harmful_test.go
@@ -321,3 +321,19 @@
 		return found
 	}, 6*crashCheckTimeout, crashCheckTimeout, "one crash is recorded once")
 }
+
+// A stream that has begun waited for the check of its server before it was resumed elsewhere, although its request was no
+// suspect: the pause became longer than callers accept.
+func TestBegunStreamIsResumedWithoutAWaitForTheCheck(t *testing.T) {
+	const begun = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
+	f := &fakes{retriesLeft: 9, responses: []func(*Attempt) (*Response, error){
+		respond(http.StatusOK, begun, io.ErrUnexpectedEOF), respond(http.StatusOK, "id: 4\ndata: d\n\n", nil),
+	}}
+	startedAt := time.Now()
+	caller := serveOptions(Options{
+		Table: tableOf(testTable()), Placer: f, Budget: f, Servers: f, Backend: f, Memory: f, Paths: slowPaths{},
+		StopsIn: func() (time.Duration, bool) { return 0, false },
+	}, "stream", "key", time.Second)
+	require.Equal(t, begun+"id: 4\ndata: d\n\n", caller.body)
+	require.Less(t, time.Since(startedAt), crashCheckTimeout)
+}
