--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -92,8 +92,8 @@
 	require.Equal(t, "s2", found.ID)
 }
 
-// A deregistration of an earlier incarnation, or one of before any announcement, was taken for
-// one of the known incarnation, or had no effect.
+// A deregistration of an earlier incarnation marked the known one as gone, and one that came before
+// any announcement had no effect.
 func TestDeregistrationConcernsOneIncarnation(t *testing.T) {
 	r, now := New(), startedAt.Add(time.Hour)
 	r.Apply(announced("i1", "a:1", 5, StateReady, time.Second))
