gateway: the last line of a request tells how its response ended

request_answered, request_answered_late and request_broken gain the object end: framing, last event, time left, time since the last event and between events, state of the server, lost reservations. server_attempt_failed tells the time of the attempt and that of the check of its server apart (after, checked), the time left and the server's state. Without them the hypotheses of the incident on streams that end before their last event can't be told apart. No decision changes; the field EndsWithConnection of gateway.Response becomes Framing.

TestLastLineOfAStreamTellsHowItsResponseEnded could not pass before: there was no such field.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -29,8 +29,10 @@
 // openAttempt is an attempt whose server is known and whose memory is reserved. The response is set once it has begun.
 type openAttempt struct {
 	*Attempt
-	tickets  *tickets
-	sentAt   time.Time
+	tickets *tickets
+	sentAt  time.Time
+	// endedAt is when the attempt has failed or its response has ended.
+	endedAt  time.Time
 	response *Response
 	// cancel ends the attempt, nil before it is sent.
 	cancel context.CancelCauseFunc
@@ -102,7 +104,7 @@
 	case givenUp: // the response began while it was cancelled
 		result.err = &AttemptError{Delivery: DeliveryUnknown, Unresponsive: true, Err: errUnresponsive}
 	default:
-		result = x.relay(granted.id, open.Attempt, open.response, watch)
+		result = x.relay(granted.id, open, watch)
 	}
 	result.moved = watch.grant()
 	x.endAttempt(ctx, granted.id, open, result)
@@ -111,6 +113,7 @@
 
 // endAttempt reports and counts the result of an attempt that was sent.
 func (x *exchange) endAttempt(ctx context.Context, id schedule.JobID, open *openAttempt, result attemptResult) {
+	open.endedAt = time.Now()
 	result.relayed = open.response != nil && open.response.Relayed || result.err != nil && result.err.Relayed
 	if result.err != nil && isConnectionLost(result.err) && ctx.Err() == nil {
 		x.checkLostConnection(ctx, open.Attempt, result)
@@ -127,7 +130,9 @@
 	}
 	observe.Log(x.gateway.options.Logger, observe.ServerAttemptFailed).Str("request", x.request.ID).
 		Str("server", open.Server.ID).Str("address", open.Server.Address).Int("helpers", len(open.Helpers)).
-		Dur("after", time.Since(open.sentAt)).Int("events", x.eventsSent).Err(result.err).Send()
+		Dur("after", open.endedAt.Sub(open.sentAt)).Dur("checked", time.Since(open.endedAt)).Dur("left", time.Until(x.deadline)).
+		Int("events", x.eventsSent).Int("received", result.events).Bool("relayed", result.relayed).
+		Stringer("server_state", x.serverCondition(open.Server, time.Now())).Err(result.err).Send()
 }
 
 // placementOutcome returns what the scheduler is told about the attempt. One that failed although the server is most
--- a/internal/gateway/deadline_test.go
+++ b/internal/gateway/deadline_test.go
@@ -53,16 +53,16 @@
 // A response without a length that ends at the deadline may have been cut by it.
 func TestResponseWithoutALengthThatEndsAtItsDeadlineIsNotComplete(t *testing.T) {
 	const timeout = 200 * time.Millisecond
-	for name, endsWithConnection := range map[string]bool{"without a length": true, "with a length": false} {
+	for name, framing := range map[string]Framing{"without a length": FramedByConnection, "with a length": FramedByLength} {
 		t.Run(name, func(t *testing.T) {
 			f := &fakes{responses: []func(*Attempt) (*Response, error){func(a *Attempt) (*Response, error) {
 				body := &endingAt{Reader: strings.NewReader("the begi"), end: time.Now().Add(a.Remaining - time.Millisecond)}
 				return &Response{
-					Status: http.StatusOK, Header: http.Header{}, Body: fakeBody{body}, Verified: true, EndsWithConnection: endsWithConnection,
+					Status: http.StatusOK, Header: http.Header{}, Body: fakeBody{body}, Verified: true, Framing: framing,
 				}, nil
 			}}}
 			caller := serveWith(f, f, testTable(), "unsafe", "key", timeout)
-			require.Equal(t, endsWithConnection, caller.body == "", "body %q", caller.body)
+			require.Equal(t, framing == FramedByConnection, caller.body == "", "body %q", caller.body)
 		})
 	}
 }
--- a/internal/gateway/ended_test.go
+++ b/internal/gateway/ended_test.go
@@ -67,3 +67,19 @@
 	require.Contains(t, out.String(), `"name":"request_panicked"`)
 	require.Contains(t, out.String(), `"request":"r1"`)
 }
+
+func TestLastLineOfAStreamTellsHowItsResponseEnded(t *testing.T) {
+	answer := func(framing Framing) func(*Attempt) (*Response, error) {
+		return func(attempt *Attempt) (*Response, error) {
+			response, err := respond(200, events, nil)(attempt)
+			response.Framing = framing
+			return response, err
+		}
+	}
+	for _, framing := range []Framing{FramedByChunks, FramedByLength} {
+		lines := serveLogged(&fakes{responses: []func(*Attempt) (*Response, error){answer(framing)}}, "stream", &fakeCaller{})
+		require.Contains(t, lines, `"name":"request_answered"`)
+		require.Contains(t, lines, `"end":{"framing":"`+framing.String()+`","relayed":false,"last_event":2,"events":2,"left":`)
+		require.Contains(t, lines, `"server_state":"ready","lost_holders":0}`)
+	}
+}
--- /dev/null
+++ b/internal/gateway/ending.go
@@ -0,0 +1,138 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"godwityoke.example/godwityoke/internal/roster"
+)
+
+// Framing is how a response shows where its body ends.
+type Framing uint8
+
+// Values of Framing.
+const (
+	// FramedByChunks is the zero value: the body ends with its last chunk.
+	FramedByChunks Framing = iota
+	FramedByLength
+	// FramedByConnection means that the body ends where the server closes the connection.
+	FramedByConnection
+)
+
+// String returns the name of the framing for logs.
+func (f Framing) String() string {
+	switch f {
+	case FramedByLength:
+		return "length"
+	case FramedByConnection:
+		return "connection"
+	}
+	return "chunks"
+}
+
+// serverCondition is what this VM knows of the server of an attempt, by its announcements and its answers.
+type serverCondition uint8
+
+// Values of serverCondition.
+const (
+	serverReady serverCondition = iota
+	serverDraining
+	// serverGone means that the server has deregistered, was replaced or is not known any more.
+	serverGone
+)
+
+// String returns the name of the condition for logs.
+func (c serverCondition) String() string {
+	switch c {
+	case serverDraining:
+		return "draining"
+	case serverGone:
+		return "gone"
+	}
+	return "ready"
+}
+
+// responseEnd is what is known when a server has ended the response to a request.
+type responseEnd struct {
+	framing Framing
+	relayed bool
+	// events is the number of events of the response, lastEventID the id of the last event that the caller has, 0 for
+	// none.
+	events      int
+	lastEventID uint64
+	// left is the time until the deadline of the request.
+	left time.Duration
+	pace pace
+	// sinceEvent is the time since the last event of the response, or since the request was sent.
+	sinceEvent time.Duration
+	server     serverCondition
+	// lostHolders is the number of servers whose memory the request needs that are gone or hold its reservation no more.
+	lostHolders int
+}
+
+// observeEnd returns what is known of a response that has ended now.
+func (x *exchange) observeEnd(open *openAttempt, pace pace, now time.Time) *responseEnd {
+	return &responseEnd{
+		framing: open.response.Framing, relayed: open.response.Relayed, events: pace.events, lastEventID: x.lastEventID,
+		left: x.deadline.Sub(now), pace: pace, sinceEvent: now.Sub(pace.lastAt), server: x.serverCondition(open.Server, now),
+		lostHolders: x.lostHolders(open.tickets, now),
+	}
+}
+
+// serverCondition returns the condition of one incarnation of a server.
+func (x *exchange) serverCondition(server roster.Server, now time.Time) serverCondition {
+	known, found := x.gateway.options.Servers.Find(server.ID)
+	if !found || known.State == roster.StateGone || !known.StartedAt.Equal(server.StartedAt) {
+		return serverGone
+	}
+	if block, blocked := x.gateway.options.Statements.Check(now, server); known.State == roster.StateDraining || blocked && block.Until.IsZero() {
+		return serverDraining
+	}
+	return serverReady
+}
+
+// lostHolders counts the reservations whose server is gone or which have expired there.
+func (x *exchange) lostHolders(held *tickets, now time.Time) int {
+	lost := 0
+	for _, item := range held.list {
+		if x.serverCondition(item.server, now) == serverGone || now.Sub(time.Unix(0, item.reservedAt.Load())) > ticketHoldTime {
+			lost++
+		}
+	}
+	return lost
+}
+
+// MarshalZerologObject implements zerolog.LogObjectMarshaler.
+func (e responseEnd) MarshalZerologObject(line *zerolog.Event) {
+	line.Stringer("framing", e.framing).Bool("relayed", e.relayed).Uint64("last_event", e.lastEventID).Int("events", e.events).
+		Dur("left", e.left).Dur("since_event", e.sinceEvent).Dur("event_gap", e.pace.expectedGap()).
+		Stringer("server_state", e.server).Int("lost_holders", e.lostHolders)
+}
+
+// pace measures the time between the events of one response.
+type pace struct {
+	events          int
+	firstAt, lastAt time.Time
+	lastGap         time.Duration
+}
+
+// record counts an event that has arrived at now.
+func (p *pace) record(now time.Time) {
+	if p.events == 0 {
+		p.firstAt = now
+	} else {
+		p.lastGap = now.Sub(p.lastAt)
+	}
+	p.events++
+	p.lastAt = now
+}
+
+// expectedGap returns the time in which the next event could be expected: the mean of the gaps or the last one, whichever is
+// longer. It is 0 before the second event.
+func (p *pace) expectedGap() time.Duration {
+	if p.events < 2 {
+		return 0
+	}
+	return max(p.lastGap, p.lastAt.Sub(p.firstAt)/time.Duration(p.events-1))
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -86,6 +86,8 @@
 	// it.
 	mayCrashServers bool
 	timing          timing
+	// lastEnd is what was known when the last response ended, nil if none has ended by its server's doing.
+	lastEnd *responseEnd
 }
 
 // run sends the request until it is answered or must not be retried.
@@ -391,20 +393,22 @@
 }
 
 // relay sends a response to the caller, as a stream of events or as a whole.
-func (x *exchange) relay(id schedule.JobID, attempt *Attempt, response *Response, watch *stallWatch) attemptResult {
+func (x *exchange) relay(id schedule.JobID, open *openAttempt, watch *stallWatch) attemptResult {
+	response := open.response
 	if err := x.responseError(response); err != nil {
 		return attemptResult{err: err}
 	}
 	success := isSuccess(response.Status)
 	if success && x.route.Kind == routes.KindStream {
-		return x.relayStream(id, attempt, response, watch)
+		return x.relayStream(id, open, watch)
 	}
-	return x.relayWhole(attempt, response, success)
+	return x.relayWhole(open, success)
 }
 
 // relayWhole reads the whole body of a response and sends the response to the caller. A 5xx response is not sent but
 // returned as an error while the request may be retried.
-func (x *exchange) relayWhole(attempt *Attempt, response *Response, success bool) attemptResult {
+func (x *exchange) relayWhole(open *openAttempt, success bool) attemptResult {
+	attempt, response := open.Attempt, open.response
 	if err := response.Body.SetReadDeadline(x.deadline); err != nil {
 		return attemptResult{err: &AttemptError{Delivery: DeliveryUnknown, Err: err}}
 	}
@@ -414,11 +418,12 @@
 	if err != nil {
 		return attemptResult{err: &AttemptError{Delivery: DeliveryUnknown, Err: fmt.Errorf("read the response: %w", err)}}
 	}
-	if response.EndsWithConnection && x.isAtDeadline(time.Now()) {
+	if response.Framing == FramedByConnection && x.isAtDeadline(time.Now()) {
 		return attemptResult{err: &AttemptError{
 			Delivery: DeliveryUnknown, Err: errors.New("the response ended with its connection at the deadline, so that it may be incomplete"),
 		}}
 	}
+	x.lastEnd = x.observeEnd(open, pace{lastAt: open.sentAt}, time.Now())
 	isServerError := response.Status >= http.StatusInternalServerError
 	mayRetry := x.route.IsRetryable() && x.possibleRuns+1 < x.route.MaxAttempts && x.hasAttemptsLeft()
 	if isServerError && mayRetry {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -139,8 +139,8 @@
 	Relayed bool
 	// IsStream is set when the response states that its body is a stream of events.
 	IsStream bool
-	// EndsWithConnection is set when only the end of the connection shows where the body ends.
-	EndsWithConnection bool
+	// Framing is how the response shows where its body ends.
+	Framing Framing
 }
 
 // Backend sends requests to backend servers. Its errors are of type *AttemptError.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -21,7 +21,8 @@
 
 // relayStream sends the events of a response to the caller as they arrive, whole events only. It skips events up to
 // lastEventID, which the caller has from an earlier attempt, and events without an id before the first new one.
-func (x *exchange) relayStream(id schedule.JobID, attempt *Attempt, response *Response, watch *stallWatch) attemptResult {
+func (x *exchange) relayStream(id schedule.JobID, open *openAttempt, watch *stallWatch) attemptResult {
+	attempt, response, pace := open.Attempt, open.response, pace{lastAt: open.sentAt}
 	account := x.gateway.options.Buffers.Account(attempt.Server.Address)
 	defer account.Release()
 	reader := eventstream.NewReader(response.Body, account)
@@ -45,7 +46,7 @@
 			err = fmt.Errorf("events without an id: %w", eventstream.ErrTooLarge)
 		}
 		if errors.Is(err, io.EOF) {
-			return x.finishStream(attempt, response, maxID)
+			return x.finishStream(open, pace, maxID)
 		}
 		if err != nil {
 			if givenUp && errors.Is(err, os.ErrDeadlineExceeded) {
@@ -56,6 +57,7 @@
 			}}
 		}
 		received++
+		pace.record(time.Now())
 		switch received {
 		case 1:
 			x.gateway.options.Placer.Started(id)
@@ -98,7 +100,9 @@
 // finishStream ends a request whose response ended properly; maxID is the highest event id in it, 0 for none. The attempt
 // counts as failed if the caller has not been sent any event, or has a later event than the response. A response without
 // events states that the caller has all of them, unless it is one that ended with its connection.
-func (x *exchange) finishStream(attempt *Attempt, response *Response, maxID uint64) attemptResult {
+func (x *exchange) finishStream(open *openAttempt, pace pace, maxID uint64) attemptResult {
+	attempt, response := open.Attempt, open.response
+	x.lastEnd = x.observeEnd(open, pace, time.Now())
 	if !x.headSent {
 		return attemptResult{err: &AttemptError{
 			Delivery: DeliveryUnknown, Err: errors.New("the stream ended without an event"),
@@ -115,7 +119,7 @@
 		x.caller.Abort()
 		return attemptResult{done: true}
 	}
-	if maxID == 0 && x.lastEventID > 0 && response.EndsWithConnection {
+	if maxID == 0 && x.lastEventID > 0 && response.Framing == FramedByConnection {
 		return attemptResult{err: &AttemptError{
 			Delivery: DeliveryUnknown, Err: fmt.Errorf("the connection ended without an event, the caller has event %d", x.lastEventID),
 		}}
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -45,6 +45,9 @@
 	tokens int
 	// unanswered counts the orders that the server did not answer in time.
 	unanswered *atomic.Int64
+	// reservedAt is when the last order to reserve or renew that the server has carried out was sent, in nanoseconds of
+	// Unix time, 0 for never.
+	reservedAt *atomic.Int64
 }
 
 // tickets are the memory reservations of one attempt. They are renewed in the background until release.
@@ -71,7 +74,7 @@
 		entry := Helper{Address: server.Address}
 		if helper.ReserveTokens > 0 {
 			entry.Ticket = x.request.ID + "-" + strconv.FormatUint(placement.ID.Seq, 10) + "-" + strconv.Itoa(i)
-			t.list = append(t.list, ticket{server: server, name: entry.Ticket, tokens: helper.ReserveTokens, unanswered: &atomic.Int64{}})
+			t.list = append(t.list, ticket{server: server, name: entry.Ticket, tokens: helper.ReserveTokens, unanswered: &atomic.Int64{}, reservedAt: &atomic.Int64{}})
 		}
 		attempt.Helpers = append(attempt.Helpers, entry)
 	}
@@ -95,7 +98,12 @@
 }
 
 func (t *tickets) reserveOne(ctx context.Context, item ticket) error {
-	return t.memory.Reserve(ctx, item.server, item.name, item.tokens, ticketHoldTime)
+	sentAt := time.Now()
+	err := t.memory.Reserve(ctx, item.server, item.name, item.tokens, ticketHoldTime)
+	if err == nil {
+		item.reservedAt.Store(sentAt.UnixNano())
+	}
+	return err
 }
 
 func (t *tickets) releaseOne(ctx context.Context, item ticket) error {
--- a/internal/h1/client.go
+++ b/internal/h1/client.go
@@ -113,6 +113,8 @@
 	Body *Body
 	// RelayedBy is the address of the VM that relayed the connection, empty for a direct connection.
 	RelayedBy string
+	// HasLength is set when the server announced the length of the body.
+	HasLength bool
 	// EndsWithConnection is set when the server announced no length, so that the body ends where the server closes the
 	// connection. Whether it had sent everything is then not known.
 	EndsWithConnection bool
@@ -245,7 +247,7 @@
 	connection.idleTimeout = idleTimeout(response.Header, c.options.MaxIdleTime)
 	return &Response{
 		Status: response.StatusCode, Header: response.Header, Body: body, RelayedBy: connection.relayedBy,
-		EndsWithConnection: body.endsWithConnection,
+		HasLength: response.ContentLength >= 0, EndsWithConnection: body.endsWithConnection,
 	}, nil
 }
 
--- a/internal/observe/events_gateway.go
+++ b/internal/observe/events_gateway.go
@@ -9,11 +9,11 @@
 	RequestPlaced = newEvent(3205, "request_placed", zerolog.InfoLevel,
 		"A request was placed on a backend server by the scheduler, or by this VM itself (local). The line gives the time in the queue (waited) and the version of the route table. No action.")
 	RequestBroken = newEvent(3201, "request_broken", zerolog.WarnLevel,
-		"A request failed after a server may have run it, or its response broke off. The line gives the cause. Read the server_attempt_failed lines with the same request id.")
+		"A request failed after a server may have run it, or its response broke off. The line gives the cause. The field end is that of request_answered, and present if a server has ended its response. Read the server_attempt_failed lines with the same request id.")
 	ServerAttemptFailed = newEvent(3202, "server_attempt_failed", zerolog.WarnLevel,
-		"An attempt to run a request on a backend server failed. The error tells whether the server may have run it. If one server causes many of these lines, check that server.")
+		"An attempt to run a request on a backend server failed. The error tells whether the server may have run it. The line gives the time until the attempt failed (after) and the time that a check of its server took then (checked), the events of the attempt (received) and of the whole response (events), the time left until the deadline, and the state of the server. If one server causes many of these lines, check that server.")
 	RequestAnswered = newEvent(3203, "request_answered", zerolog.InfoLevel,
-		"The response of a request was sent to the caller within the targets of its route. No action.")
+		"The response of a request was sent to the caller within the targets of its route. end tells what was known when the server ended its response: how the response showed its end (framing), the id of the last event, the time left until the deadline, the time since the last event and the expected time between two (event_gap), the state of the server, and how many reservations on prefill helpers were lost by then (lost_holders). No action.")
 	RequestAnsweredLate = newEvent(3206, "request_answered_late", zerolog.WarnLevel,
 		"The response of a request was sent to the caller, but it missed the targets of its route: it exceeded the target latency or the target gap between events, needed a retry, or is a server error. The fields are those of request_answered: compare first with aim, longest with pause_aim, and waited for the time in the queue. If there are many, read the scheduler_load lines.")
 	RequestPlacedAgain = newEvent(3207, "request_placed_again", zerolog.WarnLevel,
