gateway: failing tests of answers that are passed on as complete too early

Seven tests, one for each ground on which the end of a response is taken as a proof that it is complete: see docs/incidents/2026-12-streams-ended-before-their-last-event.md.

--- /dev/null
+++ b/internal/gateway/ending_test.go
@@ -0,0 +1,291 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwityoke.example/godwityoke/internal/roster"
+	"godwityoke.example/godwityoke/internal/routes"
+	"godwityoke.example/godwityoke/internal/schedule"
+)
+
+// endings are fakes whose servers may leave, be gone or not answer a probe.
+type endings struct {
+	*fakes
+	states map[string]roster.State
+	// silent servers don't answer a probe.
+	silent map[string]bool
+	// probes counts the probes.
+	probes int
+	// helper is reserved memory on for each placement, unless it is empty.
+	helper string
+	// reserveErr is the error of each order to reserve memory after the first.
+	reserveErr error
+	reserved   int
+}
+
+func (e *endings) Find(id string) (roster.Server, bool) {
+	return roster.Server{ID: id, Address: id, State: max(e.states[id], roster.StateReady)}, true
+}
+func (e *endings) IsBroken(string) bool { return false }
+func (e *endings) Check(_ context.Context, address string) bool {
+	e.probes++
+	return !e.silent[address]
+}
+func (e *endings) Place(ctx context.Context, request schedule.PlacementRequest) (schedule.Placement, error) {
+	placement, err := e.fakes.Place(ctx, request)
+	if e.helper != "" {
+		placement.Helpers = []schedule.Helper{{Server: e.helper, ReserveTokens: 1}}
+	}
+	return placement, err
+}
+func (e *endings) Reserve(context.Context, roster.Server, string, int, time.Duration) error {
+	e.reserved++
+	if e.reserved > 1 {
+		return e.reserveErr
+	}
+	return nil
+}
+
+func (e *endings) serve(kind string, timeout time.Duration) *fakeCaller {
+	table := longTable()
+	return serveOptions(Options{
+		Table: func() *routes.Table { return table }, Placer: e, Budget: e, Servers: e, Backend: e, Memory: e, Paths: e,
+		StopsIn: func() (time.Duration, bool) { return 0, false },
+	}, kind, "key", timeout)
+}
+
+// steadyBody sends events of the given ids at equal intervals and ends properly a while after the last one.
+type steadyBody struct {
+	from, to  int
+	gap       time.Duration
+	endsAfter time.Duration
+}
+
+func (b *steadyBody) Read(p []byte) (int, error) {
+	if b.from > b.to {
+		time.Sleep(b.endsAfter)
+		return 0, io.EOF
+	}
+	time.Sleep(b.gap)
+	b.from++
+	return strings.NewReader(eventWithID(b.from - 1)).Read(p)
+}
+
+func eventWithID(id int) string { return fmt.Sprintf("id: %d\ndata: x\n\n", id) }
+
+func eventsWithIDs(from, to int) string {
+	var text strings.Builder
+	for id := from; id <= to; id++ {
+		text.WriteString(eventWithID(id))
+	}
+	return text.String()
+}
+
+func steady(framing Framing, body steadyBody) func(*Attempt) (*Response, error) {
+	return func(*Attempt) (*Response, error) {
+		return &Response{Status: http.StatusOK, Header: http.Header{}, Body: fakeBody{&body}, Verified: true, IsStream: true, Framing: framing}, nil
+	}
+}
+
+func TestStreamThatEndsOneStepBeforeItsDeadlineIsNotComplete(t *testing.T) {
+	const gap = 50 * time.Millisecond
+	for _, kind := range []string{"stream", "once"} {
+		for left, complete := range map[time.Duration]bool{
+			time.Millisecond: false, gap / 2: false, gap - time.Millisecond: false, 10 * gap: true, 100 * gap: true,
+		} {
+			t.Run(fmt.Sprintf("%s, %v left", kind, left), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					e := &endings{fakes: &fakes{retriesLeft: 9, responses: []func(*Attempt) (*Response, error){
+						steady(FramedByChunks, steadyBody{from: 1, to: 20, gap: gap}),
+					}}}
+					startedAt, timeout := time.Now(), 20*gap+left
+					caller := e.serve(kind, timeout)
+					require.Equal(t, eventsWithIDs(1, 20), caller.body)
+					require.Equal(t, complete, !caller.aborted)
+					require.Equal(t, complete, time.Since(startedAt) < timeout, "a stream is not broken off before its deadline")
+					require.Len(t, e.attempts, 1)
+					require.Equal(t, []schedule.Outcome{schedule.OutcomeDone}, e.outcomes, "the server is not at fault")
+				})
+			})
+		}
+	}
+}
+
+func TestStreamThatEndsWithTheConnectionOfADeadServerIsNotComplete(t *testing.T) {
+	for kind, want := range map[string]string{"stream": eventsWithIDs(1, 5), "once": eventsWithIDs(1, 3)} {
+		t.Run(kind, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := &endings{silent: map[string]bool{"s1": true}, fakes: &fakes{retriesLeft: 9, responses: []func(*Attempt) (*Response, error){
+					steady(FramedByConnection, steadyBody{from: 1, to: 3, gap: time.Millisecond}),
+					steady(FramedByChunks, steadyBody{from: 4, to: 5, gap: time.Millisecond}),
+				}}}
+				caller := e.serve(kind, longTimeout)
+				require.Equal(t, want, caller.body)
+				require.Equal(t, kind == "once", caller.aborted, "a truncated stream must not look complete")
+				require.Positive(t, e.probes)
+			})
+		})
+	}
+}
+
+// A live server closes the connection within a stream; another one shows whether that was the end of the stream.
+func TestStreamThatEndsWithItsConnectionIsConfirmedByAnotherServer(t *testing.T) {
+	for name, c := range map[string]struct {
+		second      func(*Attempt) (*Response, error)
+		retriesLeft int
+		want        int
+		complete    bool
+	}{
+		"the second server goes on":       {steady(FramedByChunks, steadyBody{from: 4, to: 5}), 9, 5, true},
+		"the second server has no more":   {steady(FramedByLength, steadyBody{from: 4, to: 3}), 9, 3, true},
+		"the second one breaks off, too":  {respond(200, eventWithID(4), errReset), 9, 4, false},
+		"the retry budget is used up":     {nil, 0, 3, false},
+		"the second ends with its socket": {steady(FramedByConnection, steadyBody{from: 4, to: 5}), 9, 5, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := &endings{fakes: &fakes{retriesLeft: c.retriesLeft, responses: []func(*Attempt) (*Response, error){
+					steady(FramedByConnection, steadyBody{from: 1, to: 3}), c.second,
+				}}}
+				caller := e.serve("stream", longTimeout)
+				require.Equal(t, eventsWithIDs(1, c.want), caller.body)
+				require.Equal(t, c.complete, !caller.aborted)
+				require.Len(t, e.outcomes, e.placements)
+			})
+		})
+	}
+}
+
+func TestResponseWithoutEventsDoesNotCompleteABrokenStream(t *testing.T) {
+	for _, framing := range []Framing{FramedByChunks, FramedByLength, FramedByConnection} {
+		for name, second := range map[string]string{"nothing": "", "a comment": ": note\n\n"} {
+			t.Run(framing.String()+", "+name, func(t *testing.T) {
+				e := &endings{fakes: &fakes{retriesLeft: 9, responses: []func(*Attempt) (*Response, error){
+					respond(200, events, errReset), func(a *Attempt) (*Response, error) {
+						response, err := respond(200, second, nil)(a)
+						response.Framing = framing
+						return response, err
+					},
+				}}}
+				caller := e.serve("stream", time.Second)
+				require.Equal(t, events, caller.body)
+				require.True(t, caller.aborted, "a truncated stream must not look complete")
+			})
+		}
+	}
+}
+
+func TestStreamThatHasLostItsReservedMemoryIsNotComplete(t *testing.T) {
+	const gap = 100 * time.Millisecond
+	for name, c := range map[string]struct {
+		state      roster.State
+		reserveErr error
+		lost       bool
+	}{
+		"the helper is gone":          {state: roster.StateGone, lost: true},
+		"the reservation has expired": {reserveErr: ErrMemoryRefused, lost: true},
+		"the helper drains":           {state: roster.StateDraining},
+		"the reservation is held":     {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := &endings{helper: "h", reserveErr: c.reserveErr, states: map[string]roster.State{}, fakes: &fakes{retriesLeft: 9}}
+				e.responses = []func(*Attempt) (*Response, error){
+					steady(FramedByChunks, steadyBody{from: 1, to: 40, gap: gap}),
+					func(a *Attempt) (*Response, error) {
+						e.reserveErr = nil
+						return steady(FramedByChunks, steadyBody{from: 41, to: 45, gap: gap})(a)
+					},
+				}
+				time.AfterFunc(10*gap, func() { e.states["h"] = c.state })
+				caller := e.serve("stream", longTimeout)
+				require.False(t, caller.aborted)
+				want := 40
+				if c.lost {
+					want = 45
+				}
+				require.Equal(t, eventsWithIDs(1, want), caller.body)
+				time.Sleep(time.Minute) // the reservations are released
+			})
+		})
+	}
+}
+
+func TestStreamOfALeavingServerThatHasEndedIsNotComplete(t *testing.T) {
+	for name, c := range map[string]struct {
+		state    roster.State
+		silent   bool
+		complete bool
+	}{
+		"ready":                      {state: roster.StateReady, complete: true},
+		"ready, dead afterwards":     {state: roster.StateReady, silent: true, complete: true},
+		"draining":                   {state: roster.StateDraining, complete: true},
+		"draining, dead afterwards":  {state: roster.StateDraining, silent: true},
+		"deregistered":               {state: roster.StateGone, complete: true},
+		"deregistered and has ended": {state: roster.StateGone, silent: true},
+	} {
+		for _, kind := range []string{"stream", "once"} {
+			t.Run(kind+", "+name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					e := &endings{states: map[string]roster.State{}, silent: map[string]bool{"s1": c.silent}, fakes: &fakes{retriesLeft: 9}}
+					e.responses = []func(*Attempt) (*Response, error){
+						func(a *Attempt) (*Response, error) {
+							e.states["s1"] = c.state
+							return steady(FramedByChunks, steadyBody{from: 1, to: 3})(a)
+						},
+						steady(FramedByChunks, steadyBody{from: 4, to: 5}),
+					}
+					caller := e.serve(kind, longTimeout)
+					want := 3
+					if !c.complete && kind == "stream" {
+						want = 5
+					}
+					require.Equal(t, eventsWithIDs(1, want), caller.body)
+					require.Equal(t, !c.complete && kind == "once", caller.aborted)
+				})
+			})
+		}
+	}
+}
+
+func TestResponseWithoutALengthOfADeadServerIsNotComplete(t *testing.T) {
+	for name, c := range map[string]struct{ silent, relayed, complete bool }{
+		"the server answers":                        {complete: true},
+		"the server is dead":                        {silent: true},
+		"another VM relayed it, the server answers": {relayed: true},
+	} {
+		for _, kind := range []string{"safe", "unsafe"} {
+			t.Run(kind+", "+name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					e := &endings{silent: map[string]bool{"s1": c.silent}, fakes: &fakes{retriesLeft: 9}}
+					e.responses = []func(*Attempt) (*Response, error){
+						func(a *Attempt) (*Response, error) {
+							response, err := respond(200, "the begi", nil)(a)
+							response.Framing, response.Relayed = FramedByConnection, c.relayed
+							return response, err
+						},
+						respond(200, "the whole", nil),
+					}
+					caller := e.serve(kind, longTimeout)
+					switch {
+					case c.complete:
+						require.Equal(t, "the begi", caller.body)
+					case kind == "safe":
+						require.Equal(t, "the whole", caller.body)
+					default:
+						require.Equal(t, FailedServer, caller.failure)
+					}
+				})
+			})
+		}
+	}
+}
