gateway: a stream that ends one step before its deadline does not count as complete

A server that works in steps stops when its next step would end after the deadline that it was sent, up to a whole step early, and ends the response as a complete one.

The time in which the end of a stream proves nothing is now twice the time in which the next event could be expected from this response, at most the route's target gap, and that gap if the response had a single event. The request still is broken off at its deadline, not before; its slot and reservations are released at once, and the server is not blamed.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -141,7 +141,7 @@
 	switch {
 	case result.serverError, result.err != nil && result.err.ServerError:
 		return schedule.OutcomeServerError
-	case result.err == nil:
+	case result.err == nil, result.err.ServerSound:
 		return schedule.OutcomeDone
 	case x.isOver(ctx):
 		return schedule.OutcomeCancelled
--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -8,6 +8,16 @@
 	"godwityoke.example/godwityoke/internal/roster"
 )
 
+const (
+	// minDeadlineMargin is the time before the deadline of a request from which the end of a response does not show that it
+	// is complete: servers stop at the deadline that they were sent, which is rounded down to milliseconds. A timer may be
+	// as much out.
+	minDeadlineMargin = 2 * time.Millisecond
+	// deadlineMarginGaps is the same time as a multiple of the expected time between two events of a stream: a server that
+	// works in steps stops when its next step would end after the deadline, and steps vary.
+	deadlineMarginGaps = 2
+)
+
 // Framing is how a response shows where its body ends.
 type Framing uint8
 
@@ -103,6 +113,16 @@
 	return lost
 }
 
+// isAtDeadline tells whether the server may have ended the stream because the next event would have come after the
+// deadline. An event is expected within targetGap, 0 for any time.
+func (e *responseEnd) isAtDeadline(targetGap time.Duration) bool {
+	margin := deadlineMarginGaps * e.pace.expectedGap()
+	if e.pace.events < 2 || targetGap > 0 && margin > targetGap {
+		margin = targetGap
+	}
+	return e.left <= max(margin, minDeadlineMargin)
+}
+
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
 func (e responseEnd) MarshalZerologObject(line *zerolog.Event) {
 	line.Stringer("framing", e.framing).Bool("relayed", e.relayed).Uint64("last_event", e.lastEventID).Int("events", e.events).
--- a/internal/gateway/error.go
+++ b/internal/gateway/error.go
@@ -29,6 +29,11 @@
 	Confirmed bool
 	// Relayed is set when the attempt failed on a connection that another VM relays.
 	Relayed bool
+	// ServerSound is set when the server has ended its response properly and most likely is not at fault, although the
+	// response may be incomplete.
+	ServerSound bool
+	// AtDeadline is set when the server may have ended its response because of the deadline of the request.
+	AtDeadline bool
 	// ServerError is set when the server responded with a 5xx status.
 	ServerError bool
 	// Err is the cause.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -250,7 +250,7 @@
 	if x.mayCrashServers || !x.isResumable() {
 		return false
 	}
-	if !x.hasAttemptsLeft() {
+	if !x.hasAttemptsLeft() || err.AtDeadline && time.Until(x.deadline) < minStallTimeout/2 {
 		return false
 	}
 	if err.Delivery != DeliveryUnknown {
@@ -349,6 +349,9 @@
 	}
 	switch {
 	case x.headSent:
+		if err.AtDeadline { // the response must not be broken off before
+			pause.For(ctx, time.Until(x.deadline))
+		}
 		x.logBroken(reason)
 		x.caller.Abort()
 	case x.possibleRuns > 0:
@@ -418,7 +421,7 @@
 	if err != nil {
 		return attemptResult{err: &AttemptError{Delivery: DeliveryUnknown, Err: fmt.Errorf("read the response: %w", err)}}
 	}
-	if response.Framing == FramedByConnection && x.isAtDeadline(time.Now()) {
+	if response.Framing == FramedByConnection && time.Until(x.deadline) <= minDeadlineMargin {
 		return attemptResult{err: &AttemptError{
 			Delivery: DeliveryUnknown, Err: errors.New("the response ended with its connection at the deadline, so that it may be incomplete"),
 		}}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -11,11 +11,6 @@
 	"godwityoke.example/godwityoke/internal/schedule"
 )
 
-// deadlineMargin is the time before the deadline of a request from which the end of a response does not show that it is
-// complete: servers stop at the deadline that they were sent, which is rounded down to milliseconds. A timer may be as much
-// out.
-const deadlineMargin = 2 * time.Millisecond
-
 // maxBytesWithoutID limits consecutive events without an id, such as comments. The events of an answer have ids.
 const maxBytesWithoutID = 64 << 10
 
@@ -113,11 +108,11 @@
 			Delivery: DeliveryUnknown, Err: fmt.Errorf("the stream ended at event %d, the caller has event %d", maxID, x.lastEventID),
 		}}
 	}
-	if x.isAtDeadline(time.Now()) {
-		time.Sleep(time.Until(x.deadline)) // a response must not be broken off before
-		x.logBroken(fmt.Sprintf("the stream of server %s ended after event %d at the deadline, so that it may be incomplete", attempt.Server.ID, x.lastEventID))
-		x.caller.Abort()
-		return attemptResult{done: true}
+	if end := x.lastEnd; end.isAtDeadline(x.route.TargetGap) {
+		return attemptResult{events: pace.events, err: &AttemptError{
+			Delivery: DeliveryUnknown, ServerSound: true, AtDeadline: true,
+			Err: fmt.Errorf("the stream ended after event %d, %v before the deadline, so that it may be incomplete", x.lastEventID, end.left.Round(time.Millisecond)),
+		}}
 	}
 	if maxID == 0 && x.lastEventID > 0 && response.Framing == FramedByConnection {
 		return attemptResult{err: &AttemptError{
@@ -130,11 +125,6 @@
 	return attemptResult{done: true}
 }
 
-// isAtDeadline tells whether a response that ends at now may have been ended by the deadline of the request.
-func (x *exchange) isAtDeadline(now time.Time) bool {
-	return !now.Before(x.deadline.Add(-deadlineMargin))
-}
-
 // eventDeadline returns the time by which the server must send its next event, or its first one if started is false.
 // The timeout of the first event counts from the arrival of the request, but leaves the server at least
 // minStallTimeout. The deadline of the request is the upper bound.
