gateway: the end of a connection alone does not complete a response

The kernel closes the connections of a process that ends in order, on the server's VM and on one that relays, so such an end looks the same whether the server had finished or died within the response. It was taken as a proof.

Now the server is probed on a new connection, for at most 0.5 s, and a response counts as complete only if its process is still there; one that another VM relayed does not, since that VM may have ended. Two servers that end after the same event confirm each other. Streams that may not be resumed, and whole answers, of a live server are passed on, as the platform's rules ask.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -104,7 +104,7 @@
 	case givenUp: // the response began while it was cancelled
 		result.err = &AttemptError{Delivery: DeliveryUnknown, Unresponsive: true, Err: errUnresponsive}
 	default:
-		result = x.relay(granted.id, open, watch)
+		result = x.relay(ctx, granted.id, open, watch)
 	}
 	result.moved = watch.grant()
 	x.endAttempt(ctx, granted.id, open, result)
--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -16,6 +17,8 @@
 	// deadlineMarginGaps is the same time as a multiple of the expected time between two events of a stream: a server that
 	// works in steps stops when its next step would end after the deadline, and steps vary.
 	deadlineMarginGaps = 2
+	// endProbeTimeout limits the time for which the end of a response is held back until its server has answered a probe.
+	endProbeTimeout = 500 * time.Millisecond
 )
 
 // Framing is how a response shows where its body ends.
@@ -63,6 +66,28 @@
 	return "ready"
 }
 
+// probeResult is what a probe of a server has shown.
+type probeResult uint8
+
+// Values of probeResult.
+const (
+	// notProbed also stands for a probe that shows nothing: this VM does not reach the server itself.
+	notProbed probeResult = iota
+	probeAnswered
+	probeSilent
+)
+
+// String returns the result for logs.
+func (r probeResult) String() string {
+	switch r {
+	case probeAnswered:
+		return "answered"
+	case probeSilent:
+		return "not answered"
+	}
+	return "none"
+}
+
 // responseEnd is what is known when a server has ended the response to a request.
 type responseEnd struct {
 	framing Framing
@@ -77,6 +102,8 @@
 	// sinceEvent is the time since the last event of the response, or since the request was sent.
 	sinceEvent time.Duration
 	server     serverCondition
+	// probe is what a probe of the server has shown after the end of the response.
+	probe probeResult
 	// lostHolders is the number of servers whose memory the request needs that are gone or hold its reservation no more.
 	lostHolders int
 }
@@ -123,11 +150,78 @@
 	return e.left <= max(margin, minDeadlineMargin)
 }
 
+// needsProbe tells whether it matters for the end of the response whether the server's process is still there.
+func (e *responseEnd) needsProbe() bool { return e.framing == FramedByConnection && !e.relayed }
+
+// isCutWithoutTrace tells whether the response would have ended in the same way if its server, or the VM that relayed it,
+// had stopped within it: the kernel closes the connections of a process that ends.
+func (e *responseEnd) isCutWithoutTrace() bool {
+	return e.framing == FramedByConnection && e.probe != probeAnswered
+}
+
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
 func (e responseEnd) MarshalZerologObject(line *zerolog.Event) {
 	line.Stringer("framing", e.framing).Bool("relayed", e.relayed).Uint64("last_event", e.lastEventID).Int("events", e.events).
 		Dur("left", e.left).Dur("since_event", e.sinceEvent).Dur("event_gap", e.pace.expectedGap()).
-		Stringer("server_state", e.server).Int("lost_holders", e.lostHolders)
+		Stringer("server_state", e.server).Stringer("probe", e.probe).Int("lost_holders", e.lostHolders)
+}
+
+// probeEnded finds out whether the server's process is still there, where that matters for the end of the last response.
+func (x *exchange) probeEnded(ctx context.Context, server roster.Server) {
+	if !x.lastEnd.needsProbe() || x.gateway.options.Paths.IsBroken(server.Address) {
+		return
+	}
+	answered := make(chan bool, 1)
+	go func() { answered <- x.gateway.options.Paths.Check(context.WithoutCancel(ctx), server.Address) }()
+	select {
+	case isUp := <-answered:
+		x.lastEnd.probe = probeSilent
+		if isUp {
+			x.lastEnd.probe = probeAnswered
+		}
+	case <-time.After(endProbeTimeout):
+	case <-ctx.Done():
+	}
+}
+
+// doubt returns why the end of the last response does not show that the stream is complete, empty if it does. Two servers
+// that have ended the stream after the same event confirm each other.
+func (x *exchange) doubt() string {
+	end := x.lastEnd
+	switch {
+	case end.isCutWithoutTrace():
+		return "it ended with its connection; probe of the server: " + end.probe.String()
+	case x.doubtful != nil:
+		return ""
+	case end.framing == FramedByConnection && !x.gateway.closings.isTrusted(x.service, x.mayBeConfirmed()):
+		return "it ended with its connection"
+	}
+	return ""
+}
+
+// mayBeConfirmed tells whether another server could show whether the stream is complete.
+func (x *exchange) mayBeConfirmed() bool { return x.route.IsRetryable() && x.lastEventID > 0 }
+
+// recordDoubt remembers the end of the last response, which leaves the stream in doubt, if its server has made it.
+func (x *exchange) recordDoubt() {
+	if !x.lastEnd.isCutWithoutTrace() {
+		x.doubtful = x.lastEnd
+	}
+}
+
+// recordContinued records that the caller was sent an event after a response that had ended.
+func (x *exchange) recordContinued() {
+	if x.doubtful != nil && x.doubtful.framing == FramedByConnection {
+		x.gateway.closings.record(x.service, false)
+	}
+	x.doubtful = nil
+}
+
+// recordConfirmed records that another server has no more events either.
+func (x *exchange) recordConfirmed() {
+	if x.doubtful != nil && x.doubtful.framing == FramedByConnection {
+		x.gateway.closings.record(x.service, true)
+	}
 }
 
 // pace measures the time between the events of one response.
--- a/internal/gateway/ending_test.go
+++ b/internal/gateway/ending_test.go
@@ -149,11 +149,12 @@
 		"the second server has no more":   {steady(FramedByLength, steadyBody{from: 4, to: 3}), 9, 3, true},
 		"the second one breaks off, too":  {respond(200, eventWithID(4), errReset), 9, 4, false},
 		"the retry budget is used up":     {nil, 0, 3, false},
+		"the second server is dead, too":  {steady(FramedByConnection, steadyBody{from: 4, to: 3}), 9, 3, false},
 		"the second ends with its socket": {steady(FramedByConnection, steadyBody{from: 4, to: 5}), 9, 5, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				e := &endings{fakes: &fakes{retriesLeft: c.retriesLeft, responses: []func(*Attempt) (*Response, error){
+				e := &endings{silent: map[string]bool{"s2": true}, fakes: &fakes{retriesLeft: c.retriesLeft, responses: []func(*Attempt) (*Response, error){
 					steady(FramedByConnection, steadyBody{from: 1, to: 3}), c.second,
 				}}}
 				caller := e.serve("stream", longTimeout)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -88,6 +88,9 @@
 	timing          timing
 	// lastEnd is what was known when the last response ended, nil if none has ended by its server's doing.
 	lastEnd *responseEnd
+	// doubtful is the end of an earlier response that did not show that the stream is complete, nil if there is none after
+	// the last event that the caller has.
+	doubtful *responseEnd
 }
 
 // run sends the request until it is answered or must not be retried.
@@ -396,21 +399,21 @@
 }
 
 // relay sends a response to the caller, as a stream of events or as a whole.
-func (x *exchange) relay(id schedule.JobID, open *openAttempt, watch *stallWatch) attemptResult {
+func (x *exchange) relay(ctx context.Context, id schedule.JobID, open *openAttempt, watch *stallWatch) attemptResult {
 	response := open.response
 	if err := x.responseError(response); err != nil {
 		return attemptResult{err: err}
 	}
 	success := isSuccess(response.Status)
 	if success && x.route.Kind == routes.KindStream {
-		return x.relayStream(id, open, watch)
+		return x.relayStream(ctx, id, open, watch)
 	}
-	return x.relayWhole(open, success)
+	return x.relayWhole(ctx, open, success)
 }
 
 // relayWhole reads the whole body of a response and sends the response to the caller. A 5xx response is not sent but
 // returned as an error while the request may be retried.
-func (x *exchange) relayWhole(open *openAttempt, success bool) attemptResult {
+func (x *exchange) relayWhole(ctx context.Context, open *openAttempt, success bool) attemptResult {
 	attempt, response := open.Attempt, open.response
 	if err := response.Body.SetReadDeadline(x.deadline); err != nil {
 		return attemptResult{err: &AttemptError{Delivery: DeliveryUnknown, Err: err}}
@@ -427,6 +430,11 @@
 		}}
 	}
 	x.lastEnd = x.observeEnd(open, pace{lastAt: open.sentAt}, time.Now())
+	if x.probeEnded(ctx, open.Server); x.lastEnd.isCutWithoutTrace() {
+		return attemptResult{err: &AttemptError{
+			Delivery: DeliveryUnknown, Err: fmt.Errorf("the response of %d bytes ended with its connection and may be incomplete: probe of the server: %v", len(body), x.lastEnd.probe),
+		}}
+	}
 	isServerError := response.Status >= http.StatusInternalServerError
 	mayRetry := x.route.IsRetryable() && x.possibleRuns+1 < x.route.MaxAttempts && x.hasAttemptsLeft()
 	if isServerError && mayRetry {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -236,6 +236,7 @@
 	lastSeq   atomic.Uint64
 	inFlight  atomic.Int64
 	meanSizes meanSizes
+	closings  closings
 	// stopping is done once a planned stop has begun, exiting once this VM exits. stopBegan is when the stop began, nil
 	// before.
 	stopping  context.Context
@@ -265,7 +266,7 @@
 	if options.Paths == nil {
 		options.Paths = soundPaths{}
 	}
-	g := &Gateway{options: options, startedAt: time.Now(), meanSizes: meanSizes{byRoute: map[string]float64{}}}
+	g := &Gateway{options: options, startedAt: time.Now(), meanSizes: meanSizes{byRoute: map[string]float64{}}, closings: newClosings()}
 	g.stopping, g.beginStop = context.WithCancel(context.Background())
 	g.exiting, g.beginExit = context.WithCancel(context.Background())
 	return g
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -16,7 +17,7 @@
 
 // relayStream sends the events of a response to the caller as they arrive, whole events only. It skips events up to
 // lastEventID, which the caller has from an earlier attempt, and events without an id before the first new one.
-func (x *exchange) relayStream(id schedule.JobID, open *openAttempt, watch *stallWatch) attemptResult {
+func (x *exchange) relayStream(ctx context.Context, id schedule.JobID, open *openAttempt, watch *stallWatch) attemptResult {
 	attempt, response, pace := open.Attempt, open.response, pace{lastAt: open.sentAt}
 	account := x.gateway.options.Buffers.Account(attempt.Server.Address)
 	defer account.Release()
@@ -41,7 +42,7 @@
 			err = fmt.Errorf("events without an id: %w", eventstream.ErrTooLarge)
 		}
 		if errors.Is(err, io.EOF) {
-			return x.finishStream(open, pace, maxID)
+			return x.finishStream(ctx, open, pace, maxID)
 		}
 		if err != nil {
 			if givenUp && errors.Is(err, os.ErrDeadlineExceeded) {
@@ -87,16 +88,16 @@
 	if event.HasID {
 		x.lastEventID = event.ID
 	}
+	x.recordContinued()
 	x.eventsSent++
 	x.timing.recordEvent(time.Now(), x.request.ArrivedAt)
 	return nil
 }
 
 // finishStream ends a request whose response ended properly; maxID is the highest event id in it, 0 for none. The attempt
-// counts as failed if the caller has not been sent any event, or has a later event than the response. A response without
-// events states that the caller has all of them, unless it is one that ended with its connection.
-func (x *exchange) finishStream(open *openAttempt, pace pace, maxID uint64) attemptResult {
-	attempt, response := open.Attempt, open.response
+// counts as failed if the caller has not been sent any event, has a later event than the response, or if the end of the
+// response does not show that it is complete.
+func (x *exchange) finishStream(ctx context.Context, open *openAttempt, pace pace, maxID uint64) attemptResult {
 	x.lastEnd = x.observeEnd(open, pace, time.Now())
 	if !x.headSent {
 		return attemptResult{err: &AttemptError{
@@ -114,14 +115,23 @@
 			Err: fmt.Errorf("the stream ended after event %d, %v before the deadline, so that it may be incomplete", x.lastEventID, end.left.Round(time.Millisecond)),
 		}}
 	}
-	if maxID == 0 && x.lastEventID > 0 && response.Framing == FramedByConnection {
+	if maxID == 0 && x.lastEventID > 0 && open.response.Framing == FramedByConnection {
 		return attemptResult{err: &AttemptError{
 			Delivery: DeliveryUnknown, Err: fmt.Errorf("the connection ended without an event, the caller has event %d", x.lastEventID),
 		}}
 	}
+	x.probeEnded(ctx, open.Server)
+	if doubt := x.doubt(); doubt != "" {
+		x.recordDoubt()
+		return attemptResult{events: pace.events, err: &AttemptError{
+			Delivery: DeliveryUnknown, ServerSound: x.lastEnd.probe != probeSilent,
+			Err: fmt.Errorf("the stream ended after event %d and may be incomplete: %s", x.lastEventID, doubt),
+		}}
+	}
+	x.recordConfirmed()
 	x.recordSound(true)
 	x.possibleRuns++
-	x.recordAnswered(attempt, response.Status, true)
+	x.recordAnswered(open.Attempt, open.response.Status, true)
 	return attemptResult{done: true}
 }
 
