gateway: a resumed response without events does not complete a broken stream

Callers saw a truncated stream as complete (ORDER): its server died, and the one that was to go on sent a head and no event. That was taken as its statement that the caller has all events. A server that is itself about to stop, or at its deadline, sends the same, and a connection that breaks within a stream seldom does so right after its last event.

Such a response is now a failed attempt, unless another server has ended the stream properly after the same event; without a further attempt the stream is broken off. The caller may resume it.

Two cases of TestResumedStreamIsCompleteOnlyAfterTheLastEventSent stated the old rule (no event, note only) and now ask for the opposite; TestSecondServerWithoutMoreEventsCompletesAStream adds what does complete such a stream.

--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -96,6 +96,8 @@
 	// none.
 	events      int
 	lastEventID uint64
+	// resumedNothing is set when the response was to go on after lastEventID and had no event with an id.
+	resumedNothing bool
 	// left is the time until the deadline of the request.
 	left time.Duration
 	pace pace
@@ -193,6 +195,8 @@
 		return "it ended with its connection; probe of the server: " + end.probe.String()
 	case x.doubtful != nil:
 		return ""
+	case end.resumedNothing:
+		return "the server went on with no event"
 	case end.framing == FramedByConnection && !x.gateway.closings.isTrusted(x.service, x.mayBeConfirmed()):
 		return "it ended with its connection"
 	}
--- a/internal/gateway/ending_test.go
+++ b/internal/gateway/ending_test.go
@@ -290,3 +290,32 @@
 		}
 	}
 }
+
+func TestSecondServerWithoutMoreEventsCompletesAStream(t *testing.T) {
+	empty := func(from int) func(*Attempt) (*Response, error) {
+		return steady(FramedByChunks, steadyBody{from: from, to: from - 1})
+	}
+	for name, c := range map[string]struct {
+		responses []func(*Attempt) (*Response, error)
+		complete  bool
+	}{
+		"broken off, then two servers without an event": {[]func(*Attempt) (*Response, error){respond(200, events, errReset), empty(3), empty(3)}, true},
+		"broken off twice, then one without an event":   {[]func(*Attempt) (*Response, error){respond(200, events, errReset), respond(200, eventWithID(3), errReset), empty(4)}, false},
+		"one without an event, then one with events": {[]func(*Attempt) (*Response, error){
+			respond(200, events, errReset), empty(3), steady(FramedByChunks, steadyBody{from: 3, to: 4}),
+		}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				table := longTable()
+				for i := range table.Routes {
+					table.Routes[i].MaxAttempts = 3
+				}
+				f := &fakes{retriesLeft: 9, responses: c.responses}
+				caller := serveWith(f, f, table, "stream", "key", longTimeout)
+				require.Equal(t, c.complete, !caller.aborted)
+				require.Len(t, f.attempts, 3)
+			})
+		})
+	}
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -299,8 +299,8 @@
 		second, want string
 		complete     bool
 	}{
-		"no event":                    {"", "", true},
-		"note only":                   {": note\n\n", "", true},
+		"no event":                    {"", "", false},
+		"note only":                   {": note\n\n", "", false},
 		"earlier events":              {"id: 1\ndata: a\n\n", "", false},
 		"last event again":            {"id: 2\ndata: b\n\n", "", true},
 		"later event":                 {"id: 3\ndata: c\n\n", "id: 3\ndata: c\n\n", true},
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -99,6 +99,7 @@
 // response does not show that it is complete.
 func (x *exchange) finishStream(ctx context.Context, open *openAttempt, pace pace, maxID uint64) attemptResult {
 	x.lastEnd = x.observeEnd(open, pace, time.Now())
+	x.lastEnd.resumedNothing = maxID == 0 && x.lastEventID > 0
 	if !x.headSent {
 		return attemptResult{err: &AttemptError{
 			Delivery: DeliveryUnknown, Err: errors.New("the stream ended without an event"),
@@ -115,11 +116,6 @@
 			Err: fmt.Errorf("the stream ended after event %d, %v before the deadline, so that it may be incomplete", x.lastEventID, end.left.Round(time.Millisecond)),
 		}}
 	}
-	if maxID == 0 && x.lastEventID > 0 && open.response.Framing == FramedByConnection {
-		return attemptResult{err: &AttemptError{
-			Delivery: DeliveryUnknown, Err: fmt.Errorf("the connection ended without an event, the caller has event %d", x.lastEventID),
-		}}
-	}
 	x.probeEnded(ctx, open.Server)
 	if doubt := x.doubt(); doubt != "" {
 		x.recordDoubt()
