--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -106,7 +107,7 @@
 	server     serverCondition
 	// probe is what a probe of the server has shown after the end of the response.
 	probe probeResult
-	// lostHolders is the number of servers whose memory the request needs that are gone or hold its reservation no more.
+	// lostHolders is the number of prefill helpers that have lost the memory which the request needs.
 	lostHolders int
 }
 
@@ -131,11 +132,11 @@
 	return serverReady
 }
 
-// lostHolders counts the reservations whose server is gone or which have expired there.
+// lostHolders counts the reservations whose server is gone or has refused to renew them.
 func (x *exchange) lostHolders(held *tickets, now time.Time) int {
 	lost := 0
 	for _, item := range held.list {
-		if x.serverCondition(item.server, now) == serverGone || now.Sub(time.Unix(0, item.reservedAt.Load())) > ticketHoldTime {
+		if item.isLost.Load() || x.serverCondition(item.server, now) == serverGone {
 			lost++
 		}
 	}
@@ -193,6 +194,8 @@
 	switch {
 	case end.isCutWithoutTrace():
 		return "it ended with its connection; probe of the server: " + end.probe.String()
+	case end.lostHolders > 0:
+		return fmt.Sprintf("%d prefill helpers had lost its memory", end.lostHolders)
 	case x.doubtful != nil:
 		return ""
 	case end.resumedNothing:
@@ -208,7 +211,7 @@
 
 // recordDoubt remembers the end of the last response, which leaves the stream in doubt, if its server has made it.
 func (x *exchange) recordDoubt() {
-	if !x.lastEnd.isCutWithoutTrace() {
+	if !x.lastEnd.isCutWithoutTrace() && x.lastEnd.lostHolders == 0 {
 		x.doubtful = x.lastEnd
 	}
 }
--- a/internal/gateway/ending_test.go
+++ b/internal/gateway/ending_test.go
@@ -25,11 +25,11 @@
 	silent map[string]bool
 	// probes counts the probes.
 	probes int
-	// helper is reserved memory on for each placement, unless it is empty.
-	helper string
-	// reserveErr is the error of each order to reserve memory after the first.
-	reserveErr error
-	reserved   int
+	// withHelper adds to each placement a prefill helper of its own, "h-" and the server.
+	withHelper bool
+	// renewErr is the error of each order to renew a reservation on a helper.
+	renewErr map[string]error
+	reserved map[string]bool
 }
 
 func (e *endings) Find(id string) (roster.Server, bool) {
@@ -42,16 +42,16 @@
 }
 func (e *endings) Place(ctx context.Context, request schedule.PlacementRequest) (schedule.Placement, error) {
 	placement, err := e.fakes.Place(ctx, request)
-	if e.helper != "" {
-		placement.Helpers = []schedule.Helper{{Server: e.helper, ReserveTokens: 1}}
+	if e.withHelper {
+		placement.Helpers = []schedule.Helper{{Server: "h-" + placement.Server, ReserveTokens: 1}}
 	}
 	return placement, err
 }
-func (e *endings) Reserve(context.Context, roster.Server, string, int, time.Duration) error {
-	e.reserved++
-	if e.reserved > 1 {
-		return e.reserveErr
+func (e *endings) Reserve(_ context.Context, helper roster.Server, _ string, _ int, _ time.Duration) error {
+	if e.reserved[helper.ID] {
+		return e.renewErr[helper.ID]
 	}
+	e.reserved[helper.ID] = true
 	return nil
 }
 
@@ -188,26 +188,27 @@
 func TestStreamThatHasLostItsReservedMemoryIsNotComplete(t *testing.T) {
 	const gap = 100 * time.Millisecond
 	for name, c := range map[string]struct {
-		state      roster.State
-		reserveErr error
-		lost       bool
+		state    roster.State
+		renewErr error
+		lost     bool
 	}{
-		"the helper is gone":          {state: roster.StateGone, lost: true},
-		"the reservation has expired": {reserveErr: ErrMemoryRefused, lost: true},
-		"the helper drains":           {state: roster.StateDraining},
-		"the reservation is held":     {},
+		"the helper is gone":        {state: roster.StateGone, lost: true},
+		"the renewal is refused":    {renewErr: ErrMemoryRefused, lost: true},
+		"renewals are not answered": {renewErr: context.DeadlineExceeded},
+		"the helper drains":         {state: roster.StateDraining},
+		"the reservation is held":   {},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				e := &endings{helper: "h", reserveErr: c.reserveErr, states: map[string]roster.State{}, fakes: &fakes{retriesLeft: 9}}
+				e := &endings{
+					withHelper: true, renewErr: map[string]error{"h-s1": c.renewErr}, reserved: map[string]bool{}, states: map[string]roster.State{},
+					fakes: &fakes{retriesLeft: 9},
+				}
 				e.responses = []func(*Attempt) (*Response, error){
 					steady(FramedByChunks, steadyBody{from: 1, to: 40, gap: gap}),
-					func(a *Attempt) (*Response, error) {
-						e.reserveErr = nil
-						return steady(FramedByChunks, steadyBody{from: 41, to: 45, gap: gap})(a)
-					},
+					steady(FramedByChunks, steadyBody{from: 41, to: 45, gap: gap}),
 				}
-				time.AfterFunc(10*gap, func() { e.states["h"] = c.state })
+				time.AfterFunc(10*gap, func() { e.states["h-s1"] = c.state })
 				caller := e.serve("stream", longTimeout)
 				require.False(t, caller.aborted)
 				want := 40
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -45,9 +45,9 @@
 	tokens int
 	// unanswered counts the orders that the server did not answer in time.
 	unanswered *atomic.Int64
-	// reservedAt is when the last order to reserve or renew that the server has carried out was sent, in nanoseconds of
-	// Unix time, 0 for never.
-	reservedAt *atomic.Int64
+	// isLost is set while the server's last answer to an order to reserve or renew was a refusal. One that is not answered may
+	// have been carried out.
+	isLost *atomic.Bool
 }
 
 // tickets are the memory reservations of one attempt. They are renewed in the background until release.
@@ -74,7 +74,7 @@
 		entry := Helper{Address: server.Address}
 		if helper.ReserveTokens > 0 {
 			entry.Ticket = x.request.ID + "-" + strconv.FormatUint(placement.ID.Seq, 10) + "-" + strconv.Itoa(i)
-			t.list = append(t.list, ticket{server: server, name: entry.Ticket, tokens: helper.ReserveTokens, unanswered: &atomic.Int64{}, reservedAt: &atomic.Int64{}})
+			t.list = append(t.list, ticket{server: server, name: entry.Ticket, tokens: helper.ReserveTokens, unanswered: &atomic.Int64{}, isLost: &atomic.Bool{}})
 		}
 		attempt.Helpers = append(attempt.Helpers, entry)
 	}
@@ -98,10 +98,9 @@
 }
 
 func (t *tickets) reserveOne(ctx context.Context, item ticket) error {
-	sentAt := time.Now()
 	err := t.memory.Reserve(ctx, item.server, item.name, item.tokens, ticketHoldTime)
-	if err == nil {
-		item.reservedAt.Store(sentAt.UnixNano())
+	if refused := errors.Is(err, ErrMemoryRefused); refused || err == nil {
+		item.isLost.Store(refused)
 	}
 	return err
 }
