gateway: a stream of a leaving server that has ended does not count as complete

A server that drains or has deregistered exits after a time, whether its streams have ended or not.

When a stream ends whose server is draining or gone, the server is probed, as after the end of a connection. If its process has ended, the stream is resumed or broken off. The reasons that speak against an end are now one pure function (contradiction).

--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -154,7 +154,9 @@
 }
 
 // needsProbe tells whether it matters for the end of the response whether the server's process is still there.
-func (e *responseEnd) needsProbe() bool { return e.framing == FramedByConnection && !e.relayed }
+func (e *responseEnd) needsProbe() bool {
+	return !e.relayed && (e.framing == FramedByConnection || e.server != serverReady)
+}
 
 // isCutWithoutTrace tells whether the response would have ended in the same way if its server, or the VM that relayed it,
 // had stopped within it: the kernel closes the connections of a process that ends.
@@ -187,15 +189,27 @@
 	}
 }
 
+// contradiction returns what speaks against the server having ended the stream because it was complete, empty for nothing.
+func (e *responseEnd) contradiction() string {
+	switch {
+	case e.isCutWithoutTrace():
+		return "it ended with its connection; probe of the server: " + e.probe.String()
+	case e.server != serverReady && e.probe == probeSilent:
+		return fmt.Sprintf("the server was %v and has ended", e.server)
+	case e.lostHolders > 0:
+		return fmt.Sprintf("%d prefill helpers had lost its memory", e.lostHolders)
+	}
+	return ""
+}
+
 // doubt returns why the end of the last response does not show that the stream is complete, empty if it does. Two servers
 // that have ended the stream after the same event confirm each other.
 func (x *exchange) doubt() string {
 	end := x.lastEnd
+	if contradiction := end.contradiction(); contradiction != "" {
+		return contradiction
+	}
 	switch {
-	case end.isCutWithoutTrace():
-		return "it ended with its connection; probe of the server: " + end.probe.String()
-	case end.lostHolders > 0:
-		return fmt.Sprintf("%d prefill helpers had lost its memory", end.lostHolders)
 	case x.doubtful != nil:
 		return ""
 	case end.resumedNothing:
@@ -209,9 +223,9 @@
 // mayBeConfirmed tells whether another server could show whether the stream is complete.
 func (x *exchange) mayBeConfirmed() bool { return x.route.IsRetryable() && x.lastEventID > 0 }
 
-// recordDoubt remembers the end of the last response, which leaves the stream in doubt, if its server has made it.
+// recordDoubt remembers the end of the last response, which leaves the stream in doubt, unless something speaks against it.
 func (x *exchange) recordDoubt() {
-	if !x.lastEnd.isCutWithoutTrace() && x.lastEnd.lostHolders == 0 {
+	if x.lastEnd.contradiction() == "" {
 		x.doubtful = x.lastEnd
 	}
 }
