gateway: a leaving server that doesn't answer a probe in time counts as ended

The probe after the end of a stream showed nothing if it took longer than 0.5 s, so that a stream of a draining server whose VM had gone without closing its connections counted as complete. A probe shows nothing only where this VM doesn't reach the server itself.

No test waits for a probe: the change was found on reading, before any release.

--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -176,17 +176,20 @@
 	if !x.lastEnd.needsProbe() || x.gateway.options.Paths.IsBroken(server.Address) {
 		return
 	}
-	answered := make(chan bool, 1)
-	go func() { answered <- x.gateway.options.Paths.Check(context.WithoutCancel(ctx), server.Address) }()
+	checked := make(chan bool, 1)
+	go func() { checked <- x.gateway.options.Paths.Check(context.WithoutCancel(ctx), server.Address) }()
+	answered := false
 	select {
-	case isUp := <-answered:
-		x.lastEnd.probe = probeSilent
-		if isUp {
-			x.lastEnd.probe = probeAnswered
-		}
+	case answered = <-checked:
 	case <-time.After(endProbeTimeout):
 	case <-ctx.Done():
 	}
+	switch {
+	case answered:
+		x.lastEnd.probe = probeAnswered
+	case !x.gateway.options.Paths.IsBroken(server.Address):
+		x.lastEnd.probe = probeSilent
+	}
 }
 
 // contradiction returns what speaks against the server having ended the stream because it was complete, empty for nothing.
