gateway: a caller that resumes after the last event gets the end of its stream

A caller whose stream was broken off after its last event, which happens more often now that an end in doubt is not passed on, asks for what follows. The servers have nothing, and the request failed with "the stream ended without an event" on each of them.

Two servers that end the stream without an event now complete it, as for a stream that was broken off within one request.

Evidence: TestResumedRequestWithoutMoreEventsIsCompletedByTwoServers failed in 1 of 3 cases and passes.

--- a/internal/gateway/ending_test.go
+++ b/internal/gateway/ending_test.go
@@ -10,8 +10,10 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"godwityoke.example/godwityoke/internal/observe"
 	"godwityoke.example/godwityoke/internal/roster"
 	"godwityoke.example/godwityoke/internal/routes"
 	"godwityoke.example/godwityoke/internal/schedule"
@@ -320,3 +322,32 @@
 		})
 	}
 }
+
+// A caller whose stream was broken off after its last event resumes it.
+func TestResumedRequestWithoutMoreEventsIsCompletedByTwoServers(t *testing.T) {
+	empty := steady(FramedByLength, steadyBody{from: 1, to: 0})
+	for name, c := range map[string]struct {
+		second   func(*Attempt) (*Response, error)
+		complete bool
+		body     string
+	}{
+		"the second server has none either": {empty, true, ""},
+		"the second server goes on":         {steady(FramedByChunks, steadyBody{from: 3, to: 4}), true, eventsWithIDs(3, 4)},
+		"the second server fails":           {failWith(DeliveryUnknown), false, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := &endings{fakes: &fakes{retriesLeft: 9, responses: []func(*Attempt) (*Response, error){empty, c.second}}}
+				table, caller := longTable(), &fakeCaller{}
+				New(Options{
+					Table: func() *routes.Table { return table }, Placer: e, Budget: e, Servers: e, Backend: e, Memory: e, Paths: e,
+					StopsIn: func() (time.Duration, bool) { return 0, false }, Logger: zerolog.Nop(), Metrics: observe.NewMetrics(),
+				}).Serve(context.Background(), &Request{ID: "r1", Host: "h", Path: "/stream/x", Key: "key", ArrivedAt: time.Now(), ResumeAfter: 2}, caller)
+				require.Equal(t, c.complete, caller.failure == 0)
+				require.Equal(t, c.complete, caller.streamsBegun == 1)
+				require.False(t, caller.aborted)
+				require.Equal(t, c.body, caller.body)
+			})
+		})
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -73,14 +73,21 @@
 	}
 }
 
+// beginStream sends the head of the response to the caller if that was not done yet. An error means that the caller has
+// disconnected.
+func (x *exchange) beginStream(response *Response) error {
+	if x.headSent {
+		return nil
+	}
+	x.headSent = true
+	return x.caller.BeginStream(response.Status, response.Header)
+}
+
 // forwardEvent sends an event to the caller, preceded by the head of the response if that was not sent yet. An error
 // means that the caller has disconnected.
 func (x *exchange) forwardEvent(response *Response, event eventstream.Event) error {
-	if !x.headSent {
-		if err := x.caller.BeginStream(response.Status, response.Header); err != nil {
-			return err
-		}
-		x.headSent = true
+	if err := x.beginStream(response); err != nil {
+		return err
 	}
 	if err := x.caller.WriteEvent(event.Raw); err != nil {
 		return err
@@ -95,12 +102,12 @@
 }
 
 // finishStream ends a request whose response ended properly; maxID is the highest event id in it, 0 for none. The attempt
-// counts as failed if the caller has not been sent any event, has a later event than the response, or if the end of the
-// response does not show that it is complete.
+// counts as failed if the caller has no event, has a later one than the response, or if the end of the response does not
+// show that it is complete.
 func (x *exchange) finishStream(ctx context.Context, open *openAttempt, pace pace, maxID uint64) attemptResult {
 	x.lastEnd = x.observeEnd(open, pace, time.Now())
 	x.lastEnd.resumedNothing = maxID == 0 && x.lastEventID > 0
-	if !x.headSent {
+	if !x.headSent && !x.lastEnd.resumedNothing {
 		return attemptResult{err: &AttemptError{
 			Delivery: DeliveryUnknown, Err: errors.New("the stream ended without an event"),
 		}}
@@ -127,6 +134,11 @@
 	x.recordConfirmed()
 	x.recordSound(true)
 	x.possibleRuns++
+	if err := x.beginStream(open.response); err != nil { // only a caller that has all events has no head yet
+		x.logAbandoned(open.Attempt, err)
+		x.caller.Abort()
+		return attemptResult{done: true}
+	}
 	x.recordAnswered(open.Attempt, open.response.Status, true)
 	return attemptResult{done: true}
 }
