gateway, h1: a stream whose server dies right after its end does not count as complete

A server that crashes may end its open responses properly, with the last chunk, before the kernel closes their connections: its handlers return.

The end of a stream is held back for 5 ms at most to see whether the server closes the connection, which it has not announced. If it does, the server is probed, as after the end of a connection that framed the response; one that doesn't answer has stopped, and the stream is resumed or broken off. A live server that closes its connections costs one probe. On a connection that another VM relays that VM may have stopped instead, so such a stream is resumed too.

--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -18,6 +18,9 @@
 	// deadlineMarginGaps is the same time as a multiple of the expected time between two events of a stream: a server that
 	// works in steps stops when its next step would end after the deadline, and steps vary.
 	deadlineMarginGaps = 2
+	// closeWait is the time for which the end of a stream is held back to see whether the server closes its connection: a
+	// process that stops closes it right after its responses.
+	closeWait = 5 * time.Millisecond
 	// endProbeTimeout limits the time for which the end of a response is held back until its server has answered a probe.
 	endProbeTimeout = 500 * time.Millisecond
 )
@@ -105,6 +108,8 @@
 	// sinceEvent is the time since the last event of the response, or since the request was sent.
 	sinceEvent time.Duration
 	server     serverCondition
+	// closed is set when the server has closed the connection right after the response, without having announced it.
+	closed bool
 	// probe is what a probe of the server has shown after the end of the response.
 	probe probeResult
 	// lostHolders is the number of prefill helpers that have lost the memory which the request needs.
@@ -155,7 +160,7 @@
 
 // needsProbe tells whether it matters for the end of the response whether the server's process is still there.
 func (e *responseEnd) needsProbe() bool {
-	return !e.relayed && (e.framing == FramedByConnection || e.server != serverReady)
+	return !e.relayed && (e.framing == FramedByConnection || e.closed || e.server != serverReady)
 }
 
 // isCutWithoutTrace tells whether the response would have ended in the same way if its server, or the VM that relayed it,
@@ -168,7 +173,7 @@
 func (e responseEnd) MarshalZerologObject(line *zerolog.Event) {
 	line.Stringer("framing", e.framing).Bool("relayed", e.relayed).Uint64("last_event", e.lastEventID).Int("events", e.events).
 		Dur("left", e.left).Dur("since_event", e.sinceEvent).Dur("event_gap", e.pace.expectedGap()).
-		Stringer("server_state", e.server).Stringer("probe", e.probe).Int("lost_holders", e.lostHolders)
+		Stringer("server_state", e.server).Bool("closed", e.closed).Stringer("probe", e.probe).Int("lost_holders", e.lostHolders)
 }
 
 // probeEnded finds out whether the server's process is still there, where that matters for the end of the last response.
@@ -197,6 +202,8 @@
 	switch {
 	case e.isCutWithoutTrace():
 		return "it ended with its connection; probe of the server: " + e.probe.String()
+	case e.closed && e.probe != probeAnswered:
+		return "the connection was closed after it; probe of the server: " + e.probe.String()
 	case e.server != serverReady && e.probe == probeSilent:
 		return fmt.Sprintf("the server was %v and has ended", e.server)
 	case e.lostHolders > 0:
--- a/internal/gateway/ending_test.go
+++ b/internal/gateway/ending_test.go
@@ -65,6 +65,41 @@
 	}, kind, "key", timeout)
 }
 
+// closedBody is a body after which the server closes the connection.
+type closedBody struct{ fakeBody }
+
+func (closedBody) ClosedByServer(time.Duration) bool { return true }
+
+// A server that dies may still end its responses before its connections.
+func TestStreamWhoseServerClosesTheConnectionAndIsDeadIsNotComplete(t *testing.T) {
+	for name, c := range map[string]struct{ silent, relayed, complete bool }{
+		"the server answers": {complete: true},
+		"the server is dead": {silent: true},
+		"another VM relayed": {relayed: true},
+	} {
+		for _, kind := range []string{"stream", "once"} {
+			t.Run(kind+", "+name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					e := &endings{silent: map[string]bool{"s1": c.silent}, fakes: &fakes{retriesLeft: 9, responses: []func(*Attempt) (*Response, error){
+						func(*Attempt) (*Response, error) {
+							body := closedBody{fakeBody{&steadyBody{from: 1, to: 3}}}
+							return &Response{Status: http.StatusOK, Header: http.Header{}, Body: body, Verified: true, IsStream: true, Relayed: c.relayed}, nil
+						},
+						steady(FramedByChunks, steadyBody{from: 4, to: 5}),
+					}}}
+					caller := e.serve(kind, longTimeout)
+					want := 3
+					if !c.complete && kind == "stream" {
+						want = 5
+					}
+					require.Equal(t, eventsWithIDs(1, want), caller.body)
+					require.Equal(t, !c.complete && kind == "once", caller.aborted)
+				})
+			})
+		}
+	}
+}
+
 // steadyBody sends events of the given ids at equal intervals and ends properly a while after the last one.
 type steadyBody struct {
 	from, to  int
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -124,6 +124,9 @@
 	Read(p []byte) (int, error)
 	// SetReadDeadline sets the deadline of all following reads.
 	SetReadDeadline(deadline time.Time) error
+	// ClosedByServer tells, once the response is complete, whether the server closes the connection within wait without
+	// having announced that.
+	ClosedByServer(wait time.Duration) bool
 	// Close ends the response. If it is not complete, the server cancels the request.
 	Close() error
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -132,8 +132,9 @@
 	io.Reader
 }
 
-func (fakeBody) SetReadDeadline(time.Time) error { return nil }
-func (fakeBody) Close() error                    { return nil }
+func (fakeBody) SetReadDeadline(time.Time) error   { return nil }
+func (fakeBody) ClosedByServer(time.Duration) bool { return false }
+func (fakeBody) Close() error                      { return nil }
 
 // respond returns a send function for fakes.responses. The response ends properly after body if readErr is nil;
 // otherwise reading it fails with readErr after body.
@@ -476,6 +477,7 @@
 	deadline time.Time
 }
 
+func (s *slowBody) ClosedByServer(time.Duration) bool { return false }
 func (s *slowBody) SetReadDeadline(deadline time.Time) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gateway/late_test.go
+++ b/internal/gateway/late_test.go
@@ -43,8 +43,9 @@
 		return 0, b.ctx.Err()
 	}
 }
-func (b *endlessBody) SetReadDeadline(time.Time) error { return nil }
-func (b *endlessBody) Close() error                    { return nil }
+func (b *endlessBody) SetReadDeadline(time.Time) error   { return nil }
+func (b *endlessBody) ClosedByServer(time.Duration) bool { return false }
+func (b *endlessBody) Close() error                      { return nil }
 
 // Requests are sent at each 100 ms of a stop. What arrives while the load balancer still sends may outlast the stop.
 func TestRequestThatArrivesLateInAPlannedStopIsNotCutAtItsEnd(t *testing.T) {
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -153,6 +153,7 @@
 	setClosed bool
 }
 
+func (c *closingBody) ClosedByServer(time.Duration) bool { return false }
 func (c *closingBody) SetReadDeadline(deadline time.Time) error {
 	c.mu.Lock()
 	c.setClosed = c.setClosed || c.closed
@@ -175,6 +176,7 @@
 	return 0, syscall.ECONNRESET
 }
 
+func (r resetBody) ClosedByServer(time.Duration) bool { return false }
 func (r resetBody) SetReadDeadline(deadline time.Time) error {
 	if deadline.Before(time.Now()) {
 		close(r.givenUp)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -123,6 +123,7 @@
 			Err: fmt.Errorf("the stream ended after event %d, %v before the deadline, so that it may be incomplete", x.lastEventID, end.left.Round(time.Millisecond)),
 		}}
 	}
+	x.lastEnd.closed = open.response.Body.ClosedByServer(closeWait)
 	x.probeEnded(ctx, open.Server)
 	if doubt := x.doubt(); doubt != "" {
 		x.recordDoubt()
--- a/internal/h1/body.go
+++ b/internal/h1/body.go
@@ -25,6 +25,8 @@
 	reusable bool
 	// endsWithConnection is set when the body ends where the server closes the connection.
 	endsWithConnection bool
+	// announcedClose is set when the response says that the server closes the connection after it.
+	announcedClose bool
 	// complete is set when the response was read to its end.
 	complete bool
 	closed   bool
@@ -60,6 +62,16 @@
 // SetReadDeadline sets the deadline of all following reads.
 func (b *Body) SetReadDeadline(at time.Time) error { return b.conn.SetReadDeadline(at) }
 
+// ClosedByServer tells whether the server closes or resets the connection of a complete response within wait, although it has
+// announced neither that nor a response that ends with its connection.
+func (b *Body) ClosedByServer(wait time.Duration) bool {
+	if !b.complete || b.announcedClose || b.conn.reader.Buffered() > 0 || b.conn.SetReadDeadline(time.Now().Add(wait)) != nil {
+		return false
+	}
+	_, err := b.conn.reader.Peek(1)
+	return err != nil && !IsTimeout(err)
+}
+
 // Close returns the connection to the pool if it can be reused. Otherwise it closes the connection; if the response is
 // not complete, the server then cancels the request.
 func (b *Body) Close() error {
--- a/internal/h1/client.go
+++ b/internal/h1/client.go
@@ -243,6 +243,7 @@
 	}
 	body.reader = response.Body
 	body.endsWithConnection = endsWithConnection(response)
+	body.announcedClose = response.Close || body.endsWithConnection
 	body.reusable = !response.Close && request.UnreachableAfter == 0 && connection.relayedBy == "" && !body.endsWithConnection
 	connection.idleTimeout = idleTimeout(response.Header, c.options.MaxIdleTime)
 	return &Response{
--- a/internal/site/late_test.go
+++ b/internal/site/late_test.go
@@ -79,8 +79,9 @@
 		return 0, b.ctx.Err()
 	}
 }
-func (b *serverBody) SetReadDeadline(time.Time) error { return nil }
-func (b *serverBody) Close() error                    { return nil }
+func (b *serverBody) SetReadDeadline(time.Time) error   { return nil }
+func (b *serverBody) ClosedByServer(time.Duration) bool { return false }
+func (b *serverBody) Close() error                      { return nil }
 
 // responseCaller is a gateway.Caller on an HTTP response.
 type responseCaller struct {
