gateway: a stream that can't end by its deadline is refused, not started

The latest start of a stream now leaves the time that nearly all streams of its route take from their first event to their end: the mean less two mean deviations of the complete ones, which is little or nothing where lengths vary much. A request that can't start by then is refused at once, and may be tried elsewhere.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -308,8 +308,8 @@
 }
 
 // startDeadline returns the time after which the first event of a stream, or the whole answer otherwise, is of no use
-// to the caller. A stream that is to be resumed has half the usual time, counted from now, until its next event. The
-// deadline of the request is the upper bound.
+// to the caller: a stream must still end by the deadline of the request. A stream that is to be resumed has half the usual
+// time, counted from now, until its next event. The deadline of the request is the upper bound.
 func (x *exchange) startDeadline() time.Time {
 	if x.route.Kind != routes.KindStream {
 		return x.deadline
@@ -319,8 +319,12 @@
 	if x.headSent {
 		latestStart = time.Now().Add(timeout / 2)
 	}
-	if latestStart.After(x.deadline) {
-		return x.deadline
+	latestEnd := x.deadline
+	if !x.headSent {
+		latestEnd = latestEnd.Add(-x.gateway.streamTimes.least(x.route.Name))
+	}
+	if latestStart.After(latestEnd) {
+		return latestEnd
 	}
 	return latestStart
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -240,6 +240,8 @@
 	inFlight  atomic.Int64
 	meanSizes meanSizes
 	closings  closings
+	// streamTimes is what complete streams have taken so far.
+	streamTimes streamTimes
 	// stopping is done once a planned stop has begun, exiting once this VM exits. stopBegan is when the stop began, nil
 	// before.
 	stopping  context.Context
@@ -269,7 +271,7 @@
 	if options.Paths == nil {
 		options.Paths = soundPaths{}
 	}
-	g := &Gateway{options: options, startedAt: time.Now(), meanSizes: meanSizes{byRoute: map[string]float64{}}, closings: newClosings()}
+	g := &Gateway{options: options, startedAt: time.Now(), meanSizes: meanSizes{byRoute: map[string]float64{}}, closings: newClosings(), streamTimes: newStreamTimes()}
 	g.stopping, g.beginStop = context.WithCancel(context.Background())
 	g.exiting, g.beginExit = context.WithCancel(context.Background())
 	return g
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -112,6 +112,9 @@
 	if x.eventsSent > 0 {
 		x.gateway.options.Metrics.Observe(observe.TimeToFirstToken, x.teamName(), x.class(), x.timing.timeToFirstEvent)
 	}
+	if x.eventsSent > 0 && x.attempts == 1 && x.request.ResumeAfter == 0 {
+		x.gateway.streamTimes.record(x.route.Name, x.timing.lastEventAt.Sub(x.request.ArrivedAt)-x.timing.timeToFirstEvent)
+	}
 	x.gateway.options.Metrics.Observe(observe.QueueTime, x.teamName(), x.class(), x.timing.placementWait)
 	x.gateway.options.Metrics.Observe(observe.RequestDuration, x.teamName(), x.class(), time.Since(x.request.ArrivedAt))
 	event := observe.RequestAnswered
