relay: the answer to an earlier probe does not show that a server is still there

A stream without a length or chunks that ended with its connection was passed on as complete although its server had just died, when another request had had the server probed up to 100 ms before, or while such a probe was in progress. In the same way a server that had crashed under a request did not count as crashed.

Cause: Dialer.Check returned the result of the last check for 100 ms, also that the server had answered. A server that has failed a probe may stay failed for that time; an answer says nothing of what comes after it.

A result now counts as an answer only if its probe was sent after the call of Check; otherwise the server is probed again. Requests that end at the same time still share one probe, and a failed probe still holds for 100 ms.

Evidence: both cases of TestAnswerToAnEarlierProbeDoesNotShowThatAServerIsStillThere failed before and pass, 10 of 10 runs with -race; TestChecksOfOneServerShareAProbe is unchanged. Not measured: how many more probes that makes.

--- a/internal/relay/probe.go
+++ b/internal/relay/probe.go
@@ -15,8 +15,8 @@
 	probeTimeout = 250 * time.Millisecond
 	// probeInterval is the time between two rounds of probes.
 	probeInterval = 500 * time.Millisecond
-	// checkValidity is how long the result of a check holds for further ones of the same server: a server that ends breaks
-	// off all its requests at the same time.
+	// checkValidity is how long it holds for further checks of the same server that it has not answered: a server that ends
+	// breaks off all its requests at the same time.
 	checkValidity = 100 * time.Millisecond
 )
 
@@ -25,30 +25,46 @@
 	// done is closed at the end, after the other fields are set.
 	done     chan struct{}
 	answered bool
-	endedAt  time.Time
+	// sentAt is when the probe was sent, zero if there was no connection.
+	sentAt  time.Time
+	endedAt time.Time
 }
 
 // Check finds out whether the direct path to a server is broken, and tells whether the server has answered on a new direct
 // connection. It is for servers that have been silent on an open connection, or have closed one without an answer. Calls
-// for the same server share one probe.
+// for the same server share one probe, except that the answer to a probe that was sent before a call does not show that the
+// server is there at the time of the call.
 func (d *Dialer) Check(ctx context.Context, address string) (answered bool) {
-	if d.paths.IsBroken(time.Now(), address) {
-		return false
-	}
-	d.mu.Lock()
-	current := d.checks[address]
-	if current == nil || current.isOutdated(time.Now()) {
-		current = &check{done: make(chan struct{})}
-		d.checks[address] = current
+	calledAt := time.Now()
+	for !d.paths.IsBroken(time.Now(), address) {
+		d.mu.Lock()
+		current := d.checks[address]
+		if current == nil || current.isOutdated(time.Now()) || current.isAnsweredBefore(calledAt) {
+			current = &check{done: make(chan struct{})}
+			d.checks[address] = current
+			d.mu.Unlock()
+			d.run(context.WithoutCancel(ctx), current, address)
+			return current.answered
+		}
 		d.mu.Unlock()
-		d.run(context.WithoutCancel(ctx), current, address)
-		return current.answered
+		select {
+		case <-current.done:
+		case <-ctx.Done():
+			return false
+		}
+		if !current.isAnsweredBefore(calledAt) {
+			return current.answered
+		}
 	}
-	d.mu.Unlock()
+	return false
+}
+
+// isAnsweredBefore tells whether the check has ended with the answer to a probe that was sent before the given time.
+func (c *check) isAnsweredBefore(at time.Time) bool {
 	select {
-	case <-current.done:
-		return current.answered
-	case <-ctx.Done():
+	case <-c.done:
+		return c.answered && c.sentAt.Before(at)
+	default:
 		return false
 	}
 }
@@ -65,11 +81,11 @@
 
 // run probes a server for a check. If the server does not answer, it goes on to find out whether a peer reaches it.
 func (d *Dialer) run(ctx context.Context, c *check, address string) {
-	err := d.probeDirect(ctx, address)
+	sentAt, err := d.probeDirect(ctx, address)
 	if err != nil {
 		d.searchPeer(ctx, address, err)
 	}
-	c.answered, c.endedAt = err == nil, time.Now()
+	c.answered, c.sentAt, c.endedAt = err == nil, sentAt, time.Now()
 	close(c.done)
 }
 
@@ -105,18 +121,19 @@
 	}
 }
 
-// probeDirect sends a probe to a server without a peer and records whether it answers.
-func (d *Dialer) probeDirect(ctx context.Context, address string) error {
+// probeDirect sends a probe to a server without a peer and records whether it answers. It returns when it was sent.
+func (d *Dialer) probeDirect(ctx context.Context, address string) (sentAt time.Time, err error) {
 	conn, err := d.dialDirect(ctx, address, 0)
 	if err != nil {
-		return err
+		return time.Time{}, err
 	}
 	defer func() { _ = conn.Close() }()
+	sentAt = time.Now()
 	if err := d.probe(ctx, conn, address); err != nil {
-		return err
+		return sentAt, err
 	}
 	conn.Answered()
-	return nil
+	return sentAt, nil
 }
 
 // probe sends a probe on a connection and waits at most probeTimeout for the answer.
@@ -153,7 +170,7 @@
 func (d *Dialer) probeBroken(ctx context.Context) {
 	var probes sync.WaitGroup
 	for _, address := range d.paths.ProbeTargets(time.Now()) {
-		probes.Go(func() { _ = d.probeDirect(ctx, address) }) // a failure changes nothing
+		probes.Go(func() { _, _ = d.probeDirect(ctx, address) }) // a failure changes nothing
 	}
 	probes.Wait()
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -452,3 +452,40 @@
 		require.NoError(t, conn.Close())
 	}
 }
+
+func TestAnswerToAnEarlierProbeDoesNotShowThatAServerIsStillThere(t *testing.T) {
+	backend := startBackend(t, echo)
+	d := cutDialer(nil, 0)
+	var hasEnded atomic.Bool
+	d.direct = func(ctx context.Context, _ string, unreachableAfter time.Duration) (*net.TCPConn, error) {
+		if hasEnded.Load() {
+			return nil, syscall.ECONNREFUSED
+		}
+		return connect(ctx, backend, unreachableAfter)
+	}
+	t.Run("the probe is over", func(t *testing.T) {
+		require.True(t, d.Check(context.Background(), backend))
+		hasEnded.Store(true)
+		require.False(t, d.Check(context.Background(), backend))
+	})
+	t.Run("the probe is in progress", func(t *testing.T) {
+		hasEnded.Store(false)
+		d.forgetChecks(time.Now().Add(checkValidity))
+		hasAnswered, proceed := make(chan struct{}), make(chan struct{})
+		d.options.Probe = func(ctx context.Context, conn net.Conn, address string) error {
+			err := probeEcho(ctx, conn, address)
+			close(hasAnswered)
+			<-proceed
+			return err
+		}
+		earlier, later := make(chan bool, 1), make(chan bool, 1)
+		go func() { earlier <- d.Check(context.Background(), backend) }()
+		<-hasAnswered
+		hasEnded.Store(true)
+		go func() { later <- d.Check(context.Background(), backend) }()
+		time.Sleep(20 * time.Millisecond) // until the second check waits
+		close(proceed)
+		require.True(t, <-earlier)
+		require.False(t, <-later)
+	})
+}
