relay: a relay that is killed resets its connections

The kernel closes the connections of a killed process in order. An answer without a length or chunks that a VM relayed when it was killed ended properly for the other VM, as if the server had completed it. The gateway doesn't pass such an end on as complete, because it doesn't trust any relayed connection to show the end of an answer; the relay itself could not tell the two apart.

Relayed connections are now set to be reset when they are closed (SO_LINGER of 0), until the server has ended its bytes. Then the default is restored, so that all bytes are sent before the end.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -1,10 +1,15 @@
 package relay
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
+	"os"
+	"os/exec"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -489,3 +494,68 @@
 		require.False(t, <-later)
 	})
 }
+
+// relayProcessEnv is set in a process of this test binary that only relays connections.
+const relayProcessEnv = "RELAY_PROCESS"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(relayProcessEnv) == "" {
+		os.Exit(m.Run())
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	fmt.Println(listener.Addr())
+	NewServer(ServerOptions{Connect: connect, Admit: allow, Logger: zerolog.Nop()}).Serve(listener)
+}
+
+// startRelayProcess starts a relay in a process of its own.
+func startRelayProcess(t *testing.T) (*os.Process, Peer) {
+	t.Helper()
+	command := exec.Command(os.Args[0])
+	command.Env = append(os.Environ(), relayProcessEnv+"=1")
+	output, err := command.StdoutPipe()
+	require.NoError(t, err)
+	require.NoError(t, command.Start())
+	t.Cleanup(func() {
+		_ = command.Process.Kill()
+		_ = command.Wait()
+	})
+	address, err := bufio.NewReader(output).ReadString('\n')
+	require.NoError(t, err)
+	return command.Process, Peer{VM: "peer", Address: strings.TrimSpace(address)}
+}
+
+func TestAnswerOfAKilledRelayDoesNotLookComplete(t *testing.T) {
+	const begun = "first event"
+	backend := startBackend(t, func(conn *net.TCPConn) {
+		_, _ = io.WriteString(conn, begun)
+		_, _ = io.ReadAll(conn)
+	})
+	process, peer := startRelayProcess(t)
+	conn, err := cutDialer(syscall.ECONNREFUSED, 0, peer).Dial(context.Background(), backend, 0)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.ReadFull(conn, make([]byte, len(begun)))
+	require.NoError(t, err)
+	require.NoError(t, process.Kill())
+	rest, err := io.ReadAll(conn)
+	require.ErrorIs(t, err, syscall.ECONNRESET, "read %q", rest)
+}
+
+func TestEndOfALongAnswerIsPassedOnToASlowReader(t *testing.T) {
+	const size = 8 << 20
+	backend := startBackend(t, func(conn *net.TCPConn) { _, _ = conn.Write(make([]byte, size)) })
+	server, peer := startRelay(t, allow)
+	conn, err := cutDialer(syscall.ECONNREFUSED, 0, peer).Dial(context.Background(), backend, 0)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	time.Sleep(50 * time.Millisecond) // the end has reached the relay before the reader
+	read, err := io.Copy(io.Discard, conn)
+	require.NoError(t, err)
+	require.EqualValues(t, size, read)
+	require.NoError(t, conn.Close())
+	require.Eventually(t, func() bool { return server.Relayed() == 0 }, 5*time.Second, 5*time.Millisecond)
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -196,11 +196,14 @@
 }
 
 // relay copies bytes in both directions until one side is closed. The end of the server's bytes is passed on as such; a
-// connection that the server resets is reset towards the caller's VM too, so that an incomplete answer does not look
-// complete.
+// connection that the server resets is reset towards the caller's VM too, and so are all if this process is killed, so that
+// an incomplete answer does not look complete.
 func (s *Server) relay(conn, server *net.TCPConn) {
 	s.relayed.Add(1)
 	defer s.relayed.Add(-1)
+	if err := conn.SetLinger(0); err != nil { // the kernel resets the connection unless its end is announced first
+		return
+	}
 	var upstream sync.WaitGroup
 	request := &requestWriter{server: server}
 	upstream.Go(func() {
@@ -212,6 +215,7 @@
 		readErr = request.failure()
 	}
 	if readErr == nil && writeErr == nil {
+		_ = conn.SetLinger(-1) // the end is sent after all bytes
 		_ = conn.CloseWrite()
 		_ = conn.SetReadDeadline(time.Now().Add(requestTimeout))
 	} else if readErr != nil {
