h1: a response to a HEAD request does not end with its connection

A HEAD request was answered 502 although its server had answered it, if the answer had no length and came from another VM's relay or from a server that didn't answer a probe in time. Other answers without a length to HEAD requests were held back for a probe, and their connections were not kept.

Cause: an answer without a length or chunks counted as one that ends with its connection, so that its end was in doubt. The answer to a HEAD request has no body, which could be cut.

--- a/internal/h1/client.go
+++ b/internal/h1/client.go
@@ -251,9 +251,10 @@
 	}, nil
 }
 
-// endsWithConnection tells whether only the end of the connection shows where the body ends.
+// endsWithConnection tells whether only the end of the connection shows where the body ends. A response to a HEAD request has
+// no body.
 func endsWithConnection(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
 }
 
 // readHead reads responses until one belongs to the request. On a reused connection it may be preceded by extra
--- a/internal/h1/client_test.go
+++ b/internal/h1/client_test.go
@@ -371,3 +371,20 @@
 		})
 	}
 }
+
+func TestResponseToAHeadRequestDoesNotEndWithItsConnection(t *testing.T) {
+	address, connections := scriptedServer(t, func(_ int, r *http.Request) string {
+		return "HTTP/1.1 200 OK\r\nId: " + r.Header.Get("Id") + "\r\n\r\n"
+	})
+	c := testClient()
+	for _, id := range []string{"1", "2"} {
+		head := &Request{Method: http.MethodHead, Target: "/", Host: "h", Header: http.Header{"Id": {id}}}
+		response, err := c.Do(context.Background(), address, head)
+		require.NoError(t, err)
+		require.False(t, response.EndsWithConnection, "it has no body")
+		_, err = io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+	}
+	require.EqualValues(t, 1, connections.Load())
+}
