--- a/internal/site/callers.go
+++ b/internal/site/callers.go
@@ -108,6 +108,39 @@
 	return true
 }
 
+// SetLinger sets the behaviour of Close; see net.TCPConn.
+func (c *callerConn) SetLinger(seconds int) error { return setLinger(c.Conn, seconds) }
+
+// setLinger sets the behaviour of Close of a TCP connection.
+func setLinger(conn net.Conn, seconds int) error {
+	if conn, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		return conn.SetLinger(seconds)
+	}
+	return errors.ErrUnsupported
+}
+
+// callerConnKey is the key of a caller's connection in the contexts of its requests.
+type callerConnKey struct{}
+
+// ConnContext is the http.Server.ConnContext of servers for callers.
+func ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, callerConnKey{}, conn)
+}
+
+// SetResetOnClose determines whether the caller's connection of the request with this context is reset when it is closed, also
+// by the end of this process. It is for a body that ends with the connection: until it is complete, its end must not look like
+// a proper one.
+func SetResetOnClose(ctx context.Context, reset bool) error {
+	conn, ok := ctx.Value(callerConnKey{}).(net.Conn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	if reset {
+		return setLinger(conn, 0)
+	}
+	return setLinger(conn, -1)
+}
+
 // callerServer is the HTTP server of one set of limits. The mutex of callerServers
 // guards its fields.
 type callerServer struct {
@@ -169,7 +202,7 @@
 	server := &callerServer{accepting: true}
 	server.Server = &http.Server{
 		Handler: s.handler, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout, MaxHeaderBytes: limits.MaxHeaderBytes,
-		ErrorLog: s.errorLog, ConnState: func(conn net.Conn, state http.ConnState) { s.recordState(server, conn.(*callerConn), state) },
+		ErrorLog: s.errorLog, ConnContext: ConnContext, ConnState: func(conn net.Conn, state http.ConnState) { s.recordState(server, conn.(*callerConn), state) },
 	}
 	s.activeLimits, s.active = limits, newHandoffListener(s.listener.Addr())
 	s.servers = append(s.servers, server)
--- a/internal/site/callers_test.go
+++ b/internal/site/callers_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"godwityoke.example/godwityoke/internal/routes"
@@ -384,3 +385,29 @@
 	close(answer)
 	require.Equal(t, http.StatusOK, <-status)
 }
+
+func TestBodyThatEndsWithTheConnectionIsResetWhenTheVMExits(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	exited := make(chan struct{})
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		assert.NoError(t, SetResetOnClose(r.Context(), true))
+		_, _ = io.WriteString(w, "begun")
+		assert.NoError(t, http.NewResponseController(w).Flush())
+		<-exited
+	})
+	servers := newCallerServers(listener, handler, func() routes.Limits { return routes.Limits{} }, zerolog.Nop())
+	go servers.run(context.Background())
+	caller := dialCallers(t, listener.Addr().String())
+	require.NoError(t, caller.SetDeadline(time.Now().Add(3*time.Second)))
+	_, err = io.WriteString(caller, "GET / HTTP/1.0\r\n\r\n")
+	require.NoError(t, err)
+	response, err := http.ReadResponse(caller.reader, nil)
+	require.NoError(t, err)
+	_, err = io.ReadFull(response.Body, make([]byte, len("begun")))
+	require.NoError(t, err)
+	closeAtOnce(servers)
+	close(exited)
+	_, err = io.ReadAll(response.Body)
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+}
