verify: the answer of a plain service to a HEAD request counts as complete

Callers of an operation with the method HEAD got 502: the answer states the length and the digest of the body that a GET would have, and was refused as cut because it has no body.

The end of its head completes such an answer. It is passed on without a length, which was 0 otherwise; the length that the service states is not passed on.

Evidence: TestAnswerToAHeadRequestIsComplete and, through the pipeline, TestAnswerToAHeadRequestIsPassedOn failed before and pass.

--- a/internal/filter/reply/reply.go
+++ b/internal/filter/reply/reply.go
@@ -95,10 +95,13 @@
 	return request.CodeOutcomeUnknown
 }
 
-// writeResponse sends a response whose body is complete.
+// writeResponse sends a response whose body is complete. That to a HEAD request has no
+// length, which would be that of the answer to a GET.
 func (f *Filter) writeResponse(call *filter.Call, status int, body []byte) error {
 	header := call.Writer.Header()
-	header.Set("Content-Length", fmt.Sprint(len(body)))
+	if call.Kind.ForEngine() || call.HTTP.Method != http.MethodHead {
+		header.Set("Content-Length", fmt.Sprint(len(body)))
+	}
 	header.Set(request.OutcomeHeader, string(call.Reply.Outcome))
 	call.Reply.Started = true
 	extendWriteDeadline(call)
--- a/internal/filter/verify/service.go
+++ b/internal/filter/verify/service.go
@@ -59,8 +59,12 @@
 }
 
 // readAnswer returns the complete body of response, of at most maxBytes bytes. A body
-// that ends with the connection, without a length or chunks, must have a digest.
+// that ends with the connection, without a length or chunks, must have a digest. An
+// answer to a HEAD request has no body; its length and digest are those of a GET.
 func readAnswer(response *http.Response, maxBytes int64) ([]byte, error) {
+	if response.Request != nil && response.Request.Method == http.MethodHead {
+		return nil, nil
+	}
 	digest := response.Header.Get(backendapi.HeaderBodyDigest)
 	chunked := slices.Contains(response.TransferEncoding, "chunked")
 	if response.ContentLength < 0 && digest == "" && !chunked {
--- a/internal/filter/verify/verify_test.go
+++ b/internal/filter/verify/verify_test.go
@@ -53,6 +53,17 @@
 	}
 }
 
+func TestAnswerToAHeadRequestIsComplete(t *testing.T) {
+	for name, length := range map[string]int64{"length of the body of a GET": 8, "no length": -1} {
+		response := &http.Response{
+			Header: http.Header{}, ContentLength: length, Body: http.NoBody, Request: &http.Request{Method: http.MethodHead},
+		}
+		body, err := readAnswer(response, 100)
+		require.NoError(t, err, name)
+		require.Empty(t, body, name)
+	}
+}
+
 // TestOnlyTheNextChunkIsAccepted checks one chunk against an attempt that has two
 // verified tokens and may have four. Repeated, skipped or foreign chunks must be
 // refused, and so must an end mark with a wrong count.
--- a/internal/pipeline/callers_test.go
+++ b/internal/pipeline/callers_test.go
@@ -315,3 +315,14 @@
 		})
 	})
 }
+
+func TestAnswerToAHeadRequestIsPassedOn(t *testing.T) {
+	withSystem(t, 1, func(s *system) {
+		response, err := s.client.Do(s.newRequest(http.MethodHead, bookPath+"/7", "body"))
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		require.Equal(t, string(request.Completed), response.Header.Get(request.OutcomeHeader))
+		require.Empty(t, response.Header.Get("Content-Length"), "the length of the body of a GET is not known")
+	})
+}
--- a/internal/pipeline/system_test.go
+++ b/internal/pipeline/system_test.go
@@ -77,6 +77,10 @@
 	loaded, findings, err := bundle.Load("../../examples/bundle.json")
 	require.NoError(t, err)
 	require.Empty(t, findings)
+	booking := &loaded.Services[0]
+	booking.Operations = append(booking.Operations, bundle.Operation{
+		Name: "look", Method: http.MethodHead, Path: "/voyages/*", Idempotent: true, TimeLimit: booking.Operations[1].TimeLimit,
+	})
 	holder := bundle.NewHolder()
 	holder.Advance(&bundle.AcceptedBundle{Version: 1, Bundle: loaded})
 	s.serveCallers(background, holder)
