gateway, relay: what an end of a response shows is judged by better evidence

- Any process at a server's address, and an answer from before the end, counted as "the server is still there".
A probe is now sent after the end, on a connection of its own, and an answer of another process (start time in the report, or another start known under the id) shows that the server has ended.
A refused connection, an answer, and neither are told apart; a connection that is reset is tried again.
These probes say nothing of paths: probes of servers that had left made a VM believe that it was cut off.
- A leaving server counts as ended only if it has closed the connection, within 100 ms, and refuses a probe; before, one that drains without a listener lost its complete streams, and one that exits some milliseconds after its handlers passed.
- The margin before the deadline isn't capped by the target gap any more (slow servers), and comments don't shorten it.
A stream that ends after a silence of twice its gaps, 250 ms at least, is in doubt: a server that waits for a dead one cuts off its work after a while.
- The last event alone, sent again, doesn't complete a stream; all events do.
- Whole answers with a length or chunks aren't probed.
- A stream in doubt doesn't wait for the retry budget: its caller may resume it.
- An event with id 0 is passed on. server_attempt_failed has the object end.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -22,6 +22,8 @@
 	events int
 	// relayed is set when another VM relayed the response.
 	relayed bool
+	// end is what was known when the server ended the response, nil if it did not.
+	end *responseEnd
 	// serverError is set when the final answer is a 5xx response of the server.
 	serverError bool
 }
@@ -128,7 +130,7 @@
 	if result.err.Delivery == DeliveryUnknown {
 		x.possibleRuns++
 	}
-	observe.Log(x.gateway.options.Logger, observe.ServerAttemptFailed).Str("request", x.request.ID).
+	withEnd(observe.Log(x.gateway.options.Logger, observe.ServerAttemptFailed), result.end).Str("request", x.request.ID).
 		Str("server", open.Server.ID).Str("address", open.Server.Address).Int("helpers", len(open.Helpers)).
 		Dur("after", open.endedAt.Sub(open.sentAt)).Dur("checked", time.Since(open.endedAt)).Dur("left", time.Until(x.deadline)).
 		Int("events", x.eventsSent).Int("received", result.events).Bool("relayed", result.relayed).
--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"godwityoke.example/godwityoke/internal/roster"
+	"godwityoke.example/godwityoke/internal/serverstate"
 )
 
 const (
@@ -15,12 +16,17 @@
 	// is complete: servers stop at the deadline that they were sent, which is rounded down to milliseconds. A timer may be
 	// as much out.
 	minDeadlineMargin = 2 * time.Millisecond
-	// deadlineMarginGaps is the same time as a multiple of the expected time between two events of a stream: a server that
-	// works in steps stops when its next step would end after the deadline, and steps vary.
-	deadlineMarginGaps = 2
+	// gapMargin times the expected time between two events of a stream is the same time for a stream, since a server that works in
+	// steps stops when its next step would end after the deadline; steps vary. A longer silence before the end of a stream
+	// leaves the stream in doubt.
+	gapMargin = 2
+	// minSilence is the least time of such a silence.
+	minSilence = 250 * time.Millisecond
 	// closeWait is the time for which the end of a stream is held back to see whether the server closes its connection: a
 	// process that stops closes it right after its responses.
 	closeWait = 5 * time.Millisecond
+	// leavingCloseWait is the same time for a server that is leaving, which may end a while after its handlers.
+	leavingCloseWait = 100 * time.Millisecond
 	// endProbeTimeout limits the time for which the end of a response is held back until its server has answered a probe.
 	endProbeTimeout = 500 * time.Millisecond
 )
@@ -55,8 +61,12 @@
 const (
 	serverReady serverCondition = iota
 	serverDraining
-	// serverGone means that the server has deregistered, was replaced or is not known any more.
+	// serverGone means that the server has deregistered.
 	serverGone
+	// serverReplaced means that another process is known under the server's id.
+	serverReplaced
+	// serverUnknown means that this VM has had no announcement of the server for a while.
+	serverUnknown
 )
 
 // String returns the name of the condition for logs.
@@ -66,32 +76,14 @@
 		return "draining"
 	case serverGone:
 		return "gone"
+	case serverReplaced:
+		return "replaced"
+	case serverUnknown:
+		return "unknown"
 	}
 	return "ready"
 }
 
-// probeResult is what a probe of a server has shown.
-type probeResult uint8
-
-// Values of probeResult.
-const (
-	// notProbed also stands for a probe that shows nothing: this VM does not reach the server itself.
-	notProbed probeResult = iota
-	probeAnswered
-	probeSilent
-)
-
-// String returns the result for logs.
-func (r probeResult) String() string {
-	switch r {
-	case probeAnswered:
-		return "answered"
-	case probeSilent:
-		return "not answered"
-	}
-	return "none"
-}
-
 // responseEnd is what is known when a server has ended the response to a request.
 type responseEnd struct {
 	framing Framing
@@ -104,23 +96,29 @@
 	resumedNothing bool
 	// left is the time until the deadline of the request.
 	left time.Duration
-	pace pace
+	// gap is the time in which the next event could be expected.
+	gap time.Duration
 	// sinceEvent is the time since the last event of the response, or since the request was sent.
 	sinceEvent time.Duration
 	server     serverCondition
 	// closed is set when the server has closed the connection right after the response, without having announced it.
 	closed bool
 	// probe is what a probe of the server has shown after the end of the response.
-	probe probeResult
+	probe serverstate.ProbeResult
 	// lostHolders is the number of prefill helpers that have lost the memory which the request needs.
 	lostHolders int
 }
 
-// observeEnd returns what is known of a response that has ended now.
+// observeEnd returns what is known of a response that has ended now. Of a response with a single event the next one was due
+// within the target gap of the route.
 func (x *exchange) observeEnd(open *openAttempt, pace pace, now time.Time) *responseEnd {
+	gap := pace.expectedGap()
+	if pace.events < 2 {
+		gap = x.route.TargetGap / gapMargin
+	}
 	return &responseEnd{
 		framing: open.response.Framing, relayed: open.response.Relayed, events: pace.events, lastEventID: x.lastEventID,
-		left: x.deadline.Sub(now), pace: pace, sinceEvent: now.Sub(pace.lastAt), server: x.serverCondition(open.Server, now),
+		left: x.deadline.Sub(now), gap: gap, sinceEvent: now.Sub(pace.lastAt), server: x.serverCondition(open.Server, now),
 		lostHolders: x.lostHolders(open.tickets, now),
 	}
 }
@@ -128,7 +126,12 @@
 // serverCondition returns the condition of one incarnation of a server.
 func (x *exchange) serverCondition(server roster.Server, now time.Time) serverCondition {
 	known, found := x.gateway.options.Servers.Find(server.ID)
-	if !found || known.State == roster.StateGone || !known.StartedAt.Equal(server.StartedAt) {
+	switch {
+	case !found:
+		return serverUnknown
+	case !known.StartedAt.Equal(server.StartedAt):
+		return serverReplaced
+	case known.State == roster.StateGone:
 		return serverGone
 	}
 	if block, blocked := x.gateway.options.Statements.Check(now, server); known.State == roster.StateDraining || blocked && block.Until.IsZero() {
@@ -137,64 +140,86 @@
 	return serverReady
 }
 
-// lostHolders counts the reservations whose server is gone or has refused to renew them.
+// lostHolders counts the reservations that their servers have lost. A server that goes on renewing one still holds it,
+// whatever the announcements say; one that does not answer may have carried the order out.
 func (x *exchange) lostHolders(held *tickets, now time.Time) int {
 	lost := 0
 	for _, item := range held.list {
-		if item.isLost.Load() || x.serverCondition(item.server, now) == serverGone {
+		switch item.renewal() {
+		case renewalRefused:
 			lost++
+		case renewalUnanswered:
+			if condition := x.serverCondition(item.server, now); condition == serverGone || condition == serverReplaced {
+				lost++
+			}
 		}
 	}
 	return lost
 }
 
 // isAtDeadline tells whether the server may have ended the stream because the next event would have come after the
-// deadline. An event is expected within targetGap, 0 for any time.
-func (e *responseEnd) isAtDeadline(targetGap time.Duration) bool {
-	margin := deadlineMarginGaps * e.pace.expectedGap()
-	if e.pace.events < 2 || targetGap > 0 && margin > targetGap {
-		margin = targetGap
-	}
-	return e.left <= max(margin, minDeadlineMargin)
+// deadline.
+func (e *responseEnd) isAtDeadline() bool {
+	return e.left <= max(gapMargin*e.gap, minDeadlineMargin)
+}
+
+// isAfterSilence tells whether the server was silent for longer than between its events before it ended the stream. A server
+// that waits for another one ends its work after a while.
+func (e *responseEnd) isAfterSilence() bool {
+	return e.events > 0 && e.sinceEvent > max(gapMargin*e.gap, minSilence)
 }
 
 // needsProbe tells whether it matters for the end of the response whether the server's process is still there.
 func (e *responseEnd) needsProbe() bool {
-	return !e.relayed && (e.framing == FramedByConnection || e.closed || e.server != serverReady)
+	return !e.relayed && (e.framing == FramedByConnection || e.closed)
 }
 
 // isCutWithoutTrace tells whether the response would have ended in the same way if its server, or the VM that relayed it,
 // had stopped within it: the kernel closes the connections of a process that ends.
 func (e *responseEnd) isCutWithoutTrace() bool {
-	return e.framing == FramedByConnection && e.probe != probeAnswered
+	return e.framing == FramedByConnection && e.probe != serverstate.ProbeAnswered
 }
 
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
 func (e responseEnd) MarshalZerologObject(line *zerolog.Event) {
 	line.Stringer("framing", e.framing).Bool("relayed", e.relayed).Uint64("last_event", e.lastEventID).Int("events", e.events).
-		Dur("left", e.left).Dur("since_event", e.sinceEvent).Dur("event_gap", e.pace.expectedGap()).
+		Dur("left", e.left).Dur("since_event", e.sinceEvent).Dur("event_gap", e.gap).
 		Stringer("server_state", e.server).Bool("closed", e.closed).Stringer("probe", e.probe).Int("lost_holders", e.lostHolders)
 }
 
-// probeEnded finds out whether the server's process is still there, where that matters for the end of the last response.
+// awaitClose finds out whether the server closes the connection of a complete response that it has not announced to close.
+func (x *exchange) awaitClose(body Body) {
+	wait := closeWait
+	if x.lastEnd.server != serverReady {
+		wait = leavingCloseWait
+	}
+	x.lastEnd.closed = body.ClosedByServer(wait)
+}
+
+// probeEnded finds out whether the server's process is still there, where that matters for the end of the last response. An
+// answer of another process at its address shows that it is not.
 func (x *exchange) probeEnded(ctx context.Context, server roster.Server) {
 	if !x.lastEnd.needsProbe() || x.gateway.options.Paths.IsBroken(server.Address) {
 		return
 	}
-	checked := make(chan bool, 1)
-	go func() { checked <- x.gateway.options.Paths.Check(context.WithoutCancel(ctx), server.Address) }()
-	answered := false
+	probed := make(chan serverstate.Presence, 1)
+	ctx, cancel := context.WithTimeout(ctx, endProbeTimeout)
+	go func() {
+		defer cancel()
+		probed <- x.gateway.options.Paths.Probe(ctx, server.Address)
+	}()
+	var presence serverstate.Presence
 	select {
-	case answered = <-checked:
-	case <-time.After(endProbeTimeout):
+	case presence = <-probed:
 	case <-ctx.Done():
 	}
-	switch {
-	case answered:
-		x.lastEnd.probe = probeAnswered
-	case !x.gateway.options.Paths.IsBroken(server.Address):
-		x.lastEnd.probe = probeSilent
+	x.lastEnd.server = x.serverCondition(server, time.Now())
+	isOther := x.lastEnd.server == serverReplaced ||
+		!presence.StartedAt.IsZero() && !server.StartedAt.IsZero() && !presence.StartedAt.Equal(server.StartedAt)
+	if presence.Result == serverstate.ProbeAnswered && isOther {
+		presence.Result = serverstate.ProbeRefused
 	}
+	x.lastEnd.probe = presence.Result
 }
 
 // contradiction returns what speaks against the server having ended the stream because it was complete, empty for nothing.
@@ -202,10 +227,10 @@
 	switch {
 	case e.isCutWithoutTrace():
 		return "it ended with its connection; probe of the server: " + e.probe.String()
-	case e.closed && e.probe != probeAnswered:
+	case e.closed && e.probe != serverstate.ProbeAnswered:
 		return "the connection was closed after it; probe of the server: " + e.probe.String()
-	case e.server != serverReady && e.probe == probeSilent:
-		return fmt.Sprintf("the server was %v and has ended", e.server)
+	case e.server == serverReplaced:
+		return "another process is known under the server's id"
 	case e.lostHolders > 0:
 		return fmt.Sprintf("%d prefill helpers had lost its memory", e.lostHolders)
 	}
@@ -224,14 +249,18 @@
 		return ""
 	case end.resumedNothing:
 		return "the server went on with no event"
-	case end.framing == FramedByConnection && !x.gateway.closings.isTrusted(x.service, x.mayBeConfirmed()):
+	case end.isAfterSilence():
+		return fmt.Sprintf("the server had been silent for %v", end.sinceEvent.Round(time.Millisecond))
+	case end.framing == FramedByConnection && !x.gateway.closings.isTrusted(time.Now(), x.service, x.mayBeConfirmed()):
 		return "it ended with its connection"
 	}
 	return ""
 }
 
 // mayBeConfirmed tells whether another server could show whether the stream is complete.
-func (x *exchange) mayBeConfirmed() bool { return x.route.IsRetryable() && x.lastEventID > 0 }
+func (x *exchange) mayBeConfirmed() bool {
+	return x.route.IsRetryable() && x.lastEventID > 0 && x.hasAttemptsLeft() && x.possibleRuns+1 < x.route.MaxAttempts
+}
 
 // recordDoubt remembers the end of the last response, which leaves the stream in doubt, unless something speaks against it.
 func (x *exchange) recordDoubt() {
@@ -243,7 +272,7 @@
 // recordContinued records that the caller was sent an event after a response that had ended.
 func (x *exchange) recordContinued() {
 	if x.doubtful != nil && x.doubtful.framing == FramedByConnection {
-		x.gateway.closings.record(x.service, false)
+		x.gateway.closings.record(time.Now(), x.service, false)
 	}
 	x.doubtful = nil
 }
@@ -251,7 +280,7 @@
 // recordConfirmed records that another server has no more events either.
 func (x *exchange) recordConfirmed() {
 	if x.doubtful != nil && x.doubtful.framing == FramedByConnection {
-		x.gateway.closings.record(x.service, true)
+		x.gateway.closings.record(time.Now(), x.service, true)
 	}
 }
 
--- a/internal/gateway/error.go
+++ b/internal/gateway/error.go
@@ -32,6 +32,8 @@
 	// ServerSound is set when the server has ended its response properly and most likely is not at fault, although the
 	// response may be incomplete.
 	ServerSound bool
+	// InDoubt is set when the server has ended its response properly and nothing but the end speaks for its being complete.
+	InDoubt bool
 	// AtDeadline is set when the server may have ended its response because of the deadline of the request.
 	AtDeadline bool
 	// ServerError is set when the server responded with a 5xx status.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -86,8 +86,10 @@
 	// it.
 	mayCrashServers bool
 	timing          timing
-	// lastEnd is what was known when the last response ended, nil if none has ended by its server's doing.
+	// lastEnd is what was known when the server of the last attempt ended its response, nil if it did not.
 	lastEnd *responseEnd
+	// inDoubt is set when the last response was ended by its server and may be complete.
+	inDoubt bool
 	// doubtful is the end of an earlier response that did not show that the stream is complete, nil if there is none after
 	// the last event that the caller has.
 	doubtful *responseEnd
@@ -117,6 +119,7 @@
 		granted = result.moved
 		if result.err != nil {
 			x.countUnsent(result.err)
+			x.inDoubt = result.err.InDoubt
 		}
 		if result.err != nil && errors.Is(result.err, errPlacementTurnedDown) {
 			x.retryCharged = charged
@@ -161,8 +164,11 @@
 }
 
 // waitForBudget waits until the retry budget allows a retry of a stream that has begun. It returns false for another
-// request, and if too little time would be left for the attempt.
+// request, for a stream that has ended and is in doubt, and if too little time would be left for the attempt.
 func (x *exchange) waitForBudget(ctx context.Context) bool {
+	if x.inDoubt {
+		return false
+	}
 	for x.waitToAskAgain(ctx, minSearchInterval) {
 		if x.gateway.options.Budget.CanRetry(x.service) {
 			return true
@@ -405,6 +411,7 @@
 // relay sends a response to the caller, as a stream of events or as a whole.
 func (x *exchange) relay(ctx context.Context, id schedule.JobID, open *openAttempt, watch *stallWatch) attemptResult {
 	response := open.response
+	x.lastEnd = nil
 	if err := x.responseError(response); err != nil {
 		return attemptResult{err: err}
 	}
@@ -434,8 +441,8 @@
 		}}
 	}
 	x.lastEnd = x.observeEnd(open, pace{lastAt: open.sentAt}, time.Now())
-	if x.probeEnded(ctx, open.Server); x.lastEnd.isCutWithoutTrace() {
-		return attemptResult{err: &AttemptError{
+	if x.probeEnded(ctx, open.Server); x.lastEnd.isCutWithoutTrace() { // one with a length or chunks is not probed
+		return attemptResult{end: x.lastEnd, err: &AttemptError{
 			Delivery: DeliveryUnknown, Err: fmt.Errorf("the response of %d bytes ended with its connection and may be incomplete: probe of the server: %v", len(body), x.lastEnd.probe),
 		}}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -196,6 +196,8 @@
 	// that are silent or have closed a connection without an answer. It tells whether the server has answered on a new
 	// connection, so that its process is there.
 	Check(ctx context.Context, address string) (answered bool)
+	// Probe finds out by a new connection whether the process of a server that has ended a response is still there.
+	Probe(ctx context.Context, address string) serverstate.Presence
 }
 
 // Options configure a Gateway.
@@ -260,6 +262,9 @@
 // Check implements Paths.
 func (soundPaths) Check(context.Context, string) bool { return false }
 
+// Probe implements Paths.
+func (soundPaths) Probe(context.Context, string) serverstate.Presence { return serverstate.Presence{} }
+
 // New returns a Gateway with the given options.
 func New(options Options) *Gateway {
 	if options.Evidence == nil {
--- a/internal/gateway/harmful_test.go
+++ b/internal/gateway/harmful_test.go
@@ -18,6 +18,7 @@
 	"godwityoke.example/godwityoke/internal/quarantine"
 	"godwityoke.example/godwityoke/internal/roster"
 	"godwityoke.example/godwityoke/internal/routes"
+	"godwityoke.example/godwityoke/internal/serverstate"
 )
 
 // crashingServers is a Backend whose servers crash when they begin an answer to a prompt with the part.
@@ -259,6 +260,9 @@
 // answeringPaths are the Paths of a VM to which all servers answer on a new connection.
 type answeringPaths struct{ soundPaths }
 
+func (answeringPaths) Probe(context.Context, string) serverstate.Presence {
+	return serverstate.Presence{}
+}
 func (answeringPaths) Check(context.Context, string) bool { return true }
 
 // Connections that were reset on the way counted as crashes of the servers, so that all VMs refused
@@ -294,6 +298,7 @@
 // slowPaths are the Paths of a VM whose checks take longer than a retry waits.
 type slowPaths struct{ soundPaths }
 
+func (slowPaths) Probe(context.Context, string) serverstate.Presence { return serverstate.Presence{} }
 func (slowPaths) Check(context.Context, string) bool {
 	time.Sleep(4 * crashCheckTimeout)
 	return false
--- a/internal/gateway/paths_test.go
+++ b/internal/gateway/paths_test.go
@@ -12,6 +12,7 @@
 
 	"godwityoke.example/godwityoke/internal/quarantine"
 	"godwityoke.example/godwityoke/internal/schedule"
+	"godwityoke.example/godwityoke/internal/serverstate"
 )
 
 // brokenPaths are the Paths of a VM that reaches no server directly.
@@ -91,6 +92,9 @@
 	checked chan string
 }
 
+func (checkedPaths) Probe(context.Context, string) serverstate.Presence {
+	return serverstate.Presence{}
+}
 func (c checkedPaths) Check(_ context.Context, address string) bool {
 	c.checked <- address
 	return false
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -74,17 +74,17 @@
 // logBroken logs and counts a request that failed after it may have run or after part of a stream was sent.
 func (x *exchange) logBroken(cause string) {
 	x.countOutcome(outcomeBroken)
-	x.withEnd(observe.Log(x.gateway.options.Logger, observe.RequestBroken)).Str("request", x.request.ID).Str("route", x.route.Name).
+	withEnd(observe.Log(x.gateway.options.Logger, observe.RequestBroken), x.lastEnd).Str("request", x.request.ID).Str("route", x.route.Name).
 		Int("sends", x.attempts).Int("runs", x.possibleRuns).Int("events", x.eventsSent).Str("cause", cause).
 		Dur("held", time.Since(x.request.ArrivedAt)).Dur("left", time.Until(x.deadline)).Send()
 }
 
-// withEnd adds to a log line what was known when the last response ended.
-func (x *exchange) withEnd(line *zerolog.Event) *zerolog.Event {
-	if x.lastEnd == nil {
+// withEnd adds to a log line what was known when a response ended, unless end is nil.
+func withEnd(line *zerolog.Event, end *responseEnd) *zerolog.Event {
+	if end == nil {
 		return line
 	}
-	return line.Object("end", x.lastEnd)
+	return line.Object("end", end)
 }
 
 // logAbandoned logs and counts a request whose caller disconnected while the response was sent. err is the write error.
@@ -121,7 +121,7 @@
 	if x.isLate(success) {
 		event = observe.RequestAnsweredLate
 	}
-	x.withEnd(observe.Log(x.gateway.options.Logger, event)).Str("request", x.request.ID).Str("route", x.route.Name).
+	withEnd(observe.Log(x.gateway.options.Logger, event), x.lastEnd).Str("request", x.request.ID).Str("route", x.route.Name).
 		Str("server", attempt.Server.ID).Int("status", status).Bool("success", success).Int("sends", x.attempts).
 		Int("helpers", len(attempt.Helpers)).Int("prompt", x.request.PromptTokens).Int("events", x.eventsSent).
 		Dur("aim", x.route.TargetLatency).Dur("pause_aim", x.route.TargetGap).Dur("waited", x.timing.placementWait).
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -10,6 +10,7 @@
 
 	"godwityoke.example/godwityoke/internal/eventstream"
 	"godwityoke.example/godwityoke/internal/schedule"
+	"godwityoke.example/godwityoke/internal/serverstate"
 )
 
 // maxBytesWithoutID limits consecutive events without an id, such as comments. The events of an answer have ids.
@@ -53,14 +54,16 @@
 			}}
 		}
 		received++
-		pace.record(time.Now())
+		if event.HasID || maxID == 0 { // comments between events are no events
+			pace.record(time.Now())
+		}
 		switch received {
 		case 1:
 			x.gateway.options.Placer.Started(id)
 		case minEventsOfSoundPrompt:
 			x.recordSound(true)
 		}
-		if event.HasID && event.ID > x.lastEventID || !event.HasID && maxID >= x.lastEventID {
+		if event.HasID && (event.ID > x.lastEventID || event.ID == 0 && x.eventsSent == 0) || !event.HasID && maxID >= x.lastEventID {
 			if err := x.forwardEvent(response, event); err != nil {
 				x.logAbandoned(attempt, err)
 				x.caller.Abort()
@@ -105,9 +108,10 @@
 // counts as failed if the caller has no event, has a later one than the response, or if the end of the response does not
 // show that it is complete.
 func (x *exchange) finishStream(ctx context.Context, open *openAttempt, pace pace, maxID uint64) attemptResult {
+	resumedAfter := open.ResumeAfter
 	x.lastEnd = x.observeEnd(open, pace, time.Now())
-	x.lastEnd.resumedNothing = maxID == 0 && x.lastEventID > 0
-	if !x.headSent && !x.lastEnd.resumedNothing {
+	x.lastEnd.resumedNothing = x.lastEventID > 0 && (maxID == 0 || maxID == x.lastEventID && pace.events == 1 && x.lastEventID == resumedAfter)
+	if !x.headSent && x.lastEventID == 0 {
 		return attemptResult{err: &AttemptError{
 			Delivery: DeliveryUnknown, Err: errors.New("the stream ended without an event"),
 		}}
@@ -117,18 +121,18 @@
 			Delivery: DeliveryUnknown, Err: fmt.Errorf("the stream ended at event %d, the caller has event %d", maxID, x.lastEventID),
 		}}
 	}
-	if end := x.lastEnd; end.isAtDeadline(x.route.TargetGap) {
-		return attemptResult{events: pace.events, err: &AttemptError{
+	if end := x.lastEnd; end.isAtDeadline() {
+		return attemptResult{events: pace.events, end: x.lastEnd, err: &AttemptError{
 			Delivery: DeliveryUnknown, ServerSound: true, AtDeadline: true,
 			Err: fmt.Errorf("the stream ended after event %d, %v before the deadline, so that it may be incomplete", x.lastEventID, end.left.Round(time.Millisecond)),
 		}}
 	}
-	x.lastEnd.closed = open.response.Body.ClosedByServer(closeWait)
+	x.awaitClose(open.response.Body)
 	x.probeEnded(ctx, open.Server)
 	if doubt := x.doubt(); doubt != "" {
 		x.recordDoubt()
-		return attemptResult{events: pace.events, err: &AttemptError{
-			Delivery: DeliveryUnknown, ServerSound: x.lastEnd.probe != probeSilent,
+		return attemptResult{events: pace.events, end: x.lastEnd, err: &AttemptError{
+			Delivery: DeliveryUnknown, ServerSound: x.lastEnd.probe != serverstate.ProbeRefused, InDoubt: true,
 			Err: fmt.Errorf("the stream ended after event %d and may be incomplete: %s", x.lastEventID, doubt),
 		}}
 	}
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -45,11 +46,22 @@
 	tokens int
 	// unanswered counts the orders that the server did not answer in time.
 	unanswered *atomic.Int64
-	// isLost is set while the server's last answer to an order to reserve or renew was a refusal. One that is not answered may
-	// have been carried out.
-	isLost *atomic.Bool
+	// lastRenewal is the result of the last order to reserve or renew.
+	lastRenewal *atomic.Uint32
 }
 
+// Results of an order to reserve or renew.
+const (
+	renewalAnswered = iota
+	// renewalUnanswered also stands for an order that is not known to have reached the server.
+	renewalUnanswered
+	// renewalRefused means that the server refused the order, or that no process listens at its address.
+	renewalRefused
+)
+
+// renewal returns the result of the last order to reserve or renew.
+func (t ticket) renewal() uint32 { return t.lastRenewal.Load() }
+
 // tickets are the memory reservations of one attempt. They are renewed in the background until release.
 type tickets struct {
 	memory       Memory
@@ -74,7 +86,7 @@
 		entry := Helper{Address: server.Address}
 		if helper.ReserveTokens > 0 {
 			entry.Ticket = x.request.ID + "-" + strconv.FormatUint(placement.ID.Seq, 10) + "-" + strconv.Itoa(i)
-			t.list = append(t.list, ticket{server: server, name: entry.Ticket, tokens: helper.ReserveTokens, unanswered: &atomic.Int64{}, isLost: &atomic.Bool{}})
+			t.list = append(t.list, ticket{server: server, name: entry.Ticket, tokens: helper.ReserveTokens, unanswered: &atomic.Int64{}, lastRenewal: &atomic.Uint32{}})
 		}
 		attempt.Helpers = append(attempt.Helpers, entry)
 	}
@@ -99,8 +111,13 @@
 
 func (t *tickets) reserveOne(ctx context.Context, item ticket) error {
 	err := t.memory.Reserve(ctx, item.server, item.name, item.tokens, ticketHoldTime)
-	if refused := errors.Is(err, ErrMemoryRefused); refused || err == nil {
-		item.isLost.Store(refused)
+	switch {
+	case err == nil:
+		item.lastRenewal.Store(renewalAnswered)
+	case errors.Is(err, ErrMemoryRefused), errors.Is(err, syscall.ECONNREFUSED):
+		item.lastRenewal.Store(renewalRefused)
+	default:
+		item.lastRenewal.Store(renewalUnanswered)
 	}
 	return err
 }
--- a/internal/relay/dialer.go
+++ b/internal/relay/dialer.go
@@ -41,9 +41,9 @@
 	ConnectTimeout time.Duration
 	// Peers returns the other entry VMs that relay connections.
 	Peers func() []Peer
-	// Probe sends a request to the server at address on the connection and returns nil once it has answered, whatever
-	// the answer is.
-	Probe func(ctx context.Context, conn net.Conn, address string) error
+	// Probe sends a request to the server at address on the connection and returns once it has answered, whatever the answer
+	// is, with the start time of its process if the answer states it.
+	Probe func(ctx context.Context, conn net.Conn, address string) (startedAt time.Time, err error)
 	// OnPathBroken is called when new connections to a server time out on the direct path only, so that those that are
 	// open are most likely dead.
 	OnPathBroken func(address string)
--- a/internal/relay/probe.go
+++ b/internal/relay/probe.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"net"
+	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/pause"
+	"godwityoke.example/godwityoke/internal/serverstate"
 )
 
 const (
@@ -15,6 +20,8 @@
 	probeTimeout = 250 * time.Millisecond
 	// probeInterval is the time between two rounds of probes.
 	probeInterval = 500 * time.Millisecond
+	// resetProbeDelay is the time after which a probe whose connection was reset is sent again.
+	resetProbeDelay = 20 * time.Millisecond
 	// checkValidity is how long it holds for further checks of the same server that it has not answered: a server that ends
 	// breaks off all its requests at the same time.
 	checkValidity = 100 * time.Millisecond
@@ -101,7 +108,7 @@
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	if d.probe(ctx, conn, address) == nil {
+	if _, err := d.probe(ctx, conn, address); err == nil {
 		d.recordOnlyPeerReaches(address, conn.peer, directErr)
 	}
 }
@@ -129,7 +136,7 @@
 	}
 	defer func() { _ = conn.Close() }()
 	sentAt = time.Now()
-	if err := d.probe(ctx, conn, address); err != nil {
+	if _, err := d.probe(ctx, conn, address); err != nil {
 		return sentAt, err
 	}
 	conn.Answered()
@@ -137,13 +144,46 @@
 }
 
 // probe sends a probe on a connection and waits at most probeTimeout for the answer.
-func (d *Dialer) probe(ctx context.Context, conn net.Conn, address string) error {
+func (d *Dialer) probe(ctx context.Context, conn net.Conn, address string) (startedAt time.Time, err error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	defer context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })()
 	return d.options.Probe(ctx, conn, address)
 }
 
+// Probe tells whether the process of a server that has ended a response is still there. It makes a new direct connection,
+// and says nothing of the path to the server.
+func (d *Dialer) Probe(ctx context.Context, address string) serverstate.Presence {
+	presence, wasReset := d.probeOnce(ctx, address)
+	if wasReset { // by a server that has too many connections, or one that is ending
+		pause.For(ctx, resetProbeDelay)
+		if presence, wasReset = d.probeOnce(ctx, address); wasReset {
+			presence.Result = serverstate.ProbeAnswered
+		}
+	}
+	return presence
+}
+
+// probeOnce sends one probe. wasReset is set if the connection was opened and then ended without an answer.
+func (d *Dialer) probeOnce(ctx context.Context, address string) (presence serverstate.Presence, wasReset bool) {
+	conn, err := d.direct(ctx, address, 0)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		presence.Result = serverstate.ProbeRefused
+	}
+	if err != nil {
+		return presence, false
+	}
+	defer func() { _ = conn.Close() }()
+	presence.StartedAt, err = d.probe(ctx, conn, address)
+	switch {
+	case err == nil:
+		presence.Result = serverstate.ProbeAnswered
+	case !errors.Is(err, os.ErrDeadlineExceeded):
+		wasReset = true
+	}
+	return presence, wasReset
+}
+
 // Run tries the direct paths that are broken again until ctx is done.
 func (d *Dialer) Run(ctx context.Context) {
 	ticker := time.NewTicker(probeInterval)
--- a/internal/site/entry.go
+++ b/internal/site/entry.go
@@ -66,9 +66,9 @@
 type EntryAdapter struct {
 	// NewBackendClient returns the client of backend servers.
 	NewBackendClient func(BackendClientOptions) BackendClient
-	// Probe sends a request that takes no slot to the backend server at address on conn, and returns nil once it has
-	// answered.
-	Probe func(ctx context.Context, conn net.Conn, address string) error
+	// Probe sends a request that takes no slot to the backend server at address on conn, and returns once it has answered,
+	// with the start time that it stated, zero for none.
+	Probe func(ctx context.Context, conn net.Conn, address string) (startedAt time.Time, err error)
 	// EchoHeader is the request header that backend servers copy into the response.
 	EchoHeader string
 	// NewCallerHandler returns the handler of the callers' listener.
