--- a/internal/ledger/claims_test.go
+++ b/internal/ledger/claims_test.go
@@ -5,12 +5,14 @@
 	"context"
 	"crypto/sha256"
 	"fmt"
+	"io"
 	"runtime"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
@@ -379,3 +381,27 @@
 		require.Nil(t, second)
 	})
 }
+
+// cutSource is an EntrySource whose streams break off after their first entry.
+type cutSource struct{}
+
+// Entries implements EntrySource.
+func (cutSource) Entries(_ context.Context, _ string, _ uint64, each func(*ledgerpb.EntriesReply)) error {
+	each(&ledgerpb.EntriesReply{Key: keyToProto(bookingKey), Entry: &ledgerpb.Entry{State: ledgerpb.State_STATE_CLAIMED, Attempt: "a"}})
+	return io.ErrUnexpectedEOF
+}
+
+func TestRepairWithAPartOfTheRecordsIsNotFinished(t *testing.T) {
+	server, err := NewServer(ServerOptions{MemberID: 9, Retention: retainOneDay, Log: &memoryLog{}, Source: cutSource{}, Logger: zerolog.Nop()})
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	stopped := make(chan error, 1)
+	go func() { stopped <- server.Run(ctx) }()
+	epoch := Epoch{Number: 2, Holders: []HolderVM{{MemberID: 9, Address: "d"}}, PreviousHolders: threeHolders}
+	require.NoError(t, server.StartEpoch(ctx, epoch))
+	require.Error(t, server.repairOnce(ctx, epoch))
+	cancel()
+	require.NoError(t, <-stopped)
+	require.False(t, server.core.IsGranting())
+	require.Zero(t, server.core.Len())
+}
