hub: a control VM whose log lags reads the newest route table through the leader

Callers got 401 for valid keys while the disk of a control VM was stalled: its entry VMs kept the route table of before the stall, and none of the versions that were acknowledged since.

Cause: a member of the control group applies only what its own disk has synced, but answers heartbeats and knows the leader all the while. Entry VMs leave a control VM that knows no leader; whether it is behind was compared nowhere. With a full disk the member restarts each half second and knows the leader for a moment each time, which ends the entry VMs' search.

The leader now names the version that it has in force in each reply on the streams of the other control VMs, at once after a change. A control VM whose log doesn't bring it within 300 ms reads the table through the leader, which a quorum confirms. A leader of an earlier version names none, and nothing changes.

--- a/internal/hub/core.go
+++ b/internal/hub/core.go
@@ -42,6 +42,7 @@
 	// tableConfirmed is set.
 	newest         *hubpb.RouteTable
 	tableConfirmed bool
+	tableLag       tableLag
 	peers          *broadcaster
 	refusalLines   *rate.Limiter
 	// departuresRevision is that of the departures of the registry that were last applied.
@@ -298,6 +299,9 @@
 		s.pending().Table = c.table
 		s.tableVersion = c.table.GetVersion()
 	}
+	for f := range c.forwarders {
+		f.pending() // names the version
+	}
 }
 
 // tableConfirmed is the newest route table as the leader has read it since the start of this VM.
@@ -353,6 +357,7 @@
 	c.expireRemotes(now)
 	c.followLeader(now)
 	c.checkUpstream(now)
+	c.checkTableLag(now)
 	c.reportLoad(now)
 }
 
@@ -534,7 +539,7 @@
 	}
 	c.upstream.flush(now)
 	for f := range c.forwarders {
-		f.flush(now)
+		f.flush(now, c.table.GetVersion())
 	}
 	c.peers.flush()
 }
--- a/internal/hub/forward.go
+++ b/internal/hub/forward.go
@@ -35,6 +35,8 @@
 	suspect     bool
 	lastReplyAt time.Time
 	sentAt      time.Time
+	// tableVersion is that of the route table that the leader has in force, as it last said.
+	tableVersion uint64
 	// frame collects what the next flush sends, nil if there is nothing. vms holds its
 	// parts by session.
 	frame *hubpb.ForwardFrame
@@ -228,7 +230,7 @@
 	if c.upstream != u || u.outbox != m.outbox {
 		return
 	}
-	u.lastReplyAt = now
+	u.lastReplyAt, u.tableVersion = now, m.reply.GetTableVersion()
 	resumed := !u.answered || u.suspect
 	u.answered, u.suspect = true, false
 	byID := c.sessionsByID()
--- a/internal/hub/forwarded.go
+++ b/internal/hub/forwarded.go
@@ -221,14 +221,16 @@
 	return f.reply
 }
 
-// flush sends the collected reply, or an empty one after viewInterval without any.
-func (f *forwarder) flush(now time.Time) {
+// flush sends the collected reply, or an empty one after viewInterval without any. It names the
+// version of the route table that this VM has in force.
+func (f *forwarder) flush(now time.Time, tableVersion uint64) {
 	if now.Sub(f.sentAt) >= viewInterval {
 		f.pending()
 	}
 	if f.reply == nil {
 		return
 	}
+	f.reply.TableVersion = tableVersion
 	select {
 	case f.outbox <- f.reply:
 		f.reply, f.vms, f.sentAt = nil, nil, now
--- a/internal/observe/events_hub.go
+++ b/internal/observe/events_hub.go
@@ -55,4 +55,6 @@
 		"An announcement was left out, because it names a service that the route table does not, for the id or the address of a server in use. The line names both (server, service; known, known_service) and the version of the table (table_version). These lines are rate limited. Find who sends the announcements; if the service is to be used, add it to the route table.")
 	TableConfirmed = newEvent(2164, "table_confirmed", zerolog.InfoLevel,
 		"This control VM has read the newest route table through the leader for the first time since its start (after), and hands out route tables from now on. The line gives the version of that table, the one that this VM knew before from its disk (own_version), and the term. No action.")
+	TableFetched = newEvent(2165, "table_fetched", zerolog.WarnLevel,
+		"The replicated log did not bring a route table to this control VM that the leader has in force, so this VM read the newest one through the leader (leader), or failed to (error). The line gives the version read, the one that this VM had (own_version), since when it has been waiting (behind) and the term. If it repeats, check the disk of this VM and the network to the leader.")
 )
