soak: series of planned work, and servers that end cut answers as complete ones

Callers saw streams that ended as complete before their last event, and no run of the soak could show it: its servers cut answers off by aborting them, or properly at the deadline only.

The summary counts for each way the answers that were cut off and those that were passed on as complete.

--- a/internal/command/soak.go
+++ b/internal/command/soak.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -25,6 +26,9 @@
 	Desks    int    `arg:"--desks" default:"2" help:"number of stand-ins for plain servers"`
 	Clients  int    `arg:"--clients" default:"16" help:"number of callers, each with one connection"`
 	Cuts     bool   `arg:"--cut-servers" help:"also cut some entry VMs off from all backend servers, twice a run"`
+	Series   bool   `arg:"--series" help:"also signals, restarts and changes in quick succession, and backend servers that end their answers in other ways"`
+	AtEnd    bool   `arg:"--judge-at-end" help:"go on after a violation and check at the end of each run"`
+	Program  string `arg:"--program" help:"the program to test, this one by default"`
 	Folder   string `arg:"--out" default:"out/soak" help:"folder for the logs and records of failed runs"`
 	Keep     bool   `arg:"--keep" help:"also keep the files of runs without findings"`
 }
@@ -35,6 +39,9 @@
 		fmt.Fprintln(output.Err, err)
 		return ExitFailure
 	}
+	if a.Program != "" {
+		binary = a.Program
+	}
 	if a.Seed == 0 {
 		a.Seed = uint64(time.Now().Unix())
 	}
@@ -57,6 +64,7 @@
 			report, err := soak.Run(ctx, soak.Options{
 				Binary: binary, Seed: a.Seed + uint64(i), Block: block, Folder: a.Folder, Keep: a.Keep,
 				Entries: a.Entries, Controls: a.Controls, Models: a.Models, Desks: a.Desks, Clients: a.Clients, ServerCuts: a.Cuts,
+				Series: a.Series, JudgeAtEnd: a.AtEnd,
 			})
 			mu.Lock()
 			defer mu.Unlock()
@@ -84,7 +92,7 @@
 func printReport(output Output, report *soak.Report) {
 	fmt.Fprintf(output.Out, "seed %d: %d requests, %d served, %d steps, %.0f s: %d findings\n",
 		report.Seed, report.Requests, report.Served, report.Steps, report.Duration.Seconds(), len(report.Findings))
-	for _, line := range report.ServerCuts {
+	for _, line := range slices.Concat(report.ServerCuts, report.Endings) {
 		fmt.Fprintf(output.Out, "  %s\n", line)
 	}
 	for _, finding := range report.Findings {
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -193,10 +193,7 @@
 	if !sealed || reply.AnsweredID != id {
 		j.report("MIXED", id, "seal %q, id %q", reply.Seal, reply.AnsweredID)
 	}
-	want := plainAnswer(id, q.Call.Body)
-	if strings.HasPrefix(q.Call.Body, streamBodyPrefix) {
-		want = streamAnswer(id)
-	}
+	want := wholeAnswer(q)
 	switch {
 	case reply.Complete && reply.Body != want:
 		j.report("MIXED", id, "%d bytes instead of %d look complete", len(reply.Body), len(want))
@@ -205,6 +202,14 @@
 	}
 }
 
+// wholeAnswer returns the complete answer to a request.
+func wholeAnswer(q *Request) string {
+	if strings.HasPrefix(q.Call.Body, streamBodyPrefix) {
+		return streamAnswer(q.Call.ID)
+	}
+	return plainAnswer(q.Call.ID, q.Call.Body)
+}
+
 // checkAbandoned checks that, from maxCancelDelay after the client disconnected, no worker receives the request or works
 // on it, unless the request or its cancellation was held back.
 func (j *judgement) checkAbandoned(q *Request, attempts []*Attempt) {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -28,6 +28,7 @@
 	KindWorkerCrash       Kind = "worker_crash"
 	KindWorkerFault       Kind = "worker_fault"
 	KindEndlessAnswers    Kind = "endless"
+	KindWorkerEnding      Kind = "worker_ending"
 	KindTerminate         Kind = "roll"
 	KindReplaceVersion    Kind = "replace"
 	KindHangupSignal      Kind = "hang_up"
@@ -59,7 +60,7 @@
 	Target string
 	// Targets are the entry VMs of KindServerCut.
 	Targets []string
-	// Variant selects the version of KindReplaceVersion (0 for Options.Binary, 1 for Options.Previous), the delay of KindDelay, the fault of KindWorkerFault, one of the cut* variants of KindServerCut, and
+	// Variant selects the version of KindReplaceVersion (0 for Options.Binary, 1 for Options.Previous), the delay of KindDelay, the fault of KindWorkerFault, the Ending of KindWorkerEnding, one of the cut* variants of KindServerCut, and
 	// whether a worker announces that it drains (even) or states it only in its answers.
 	Variant int
 }
@@ -79,6 +80,11 @@
 	cutVariants
 )
 
+// isPlanned reports whether the step is planned work, which callers must not notice.
+func (s Step) isPlanned() bool {
+	return plannedKinds[s.Kind] || s.Kind == KindWorkerEnding && plannedEndings[Ending(s.Variant)]
+}
+
 // String returns the step as a line of the report.
 func (s Step) String() string {
 	target := s.Target + strings.Join(s.Targets, " ")
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -38,6 +38,9 @@
 	// EndedAt is zero while the worker runs the request. Completed is set if the run was not cancelled.
 	EndedAt   time.Time
 	Completed bool
+	// Ending is how the worker ends complete answers, Cut how it cut off this one, EndComplete if its end did not look like a
+	// proper one.
+	Ending, Cut Ending
 	// SenderVM is the entry VM that sent the request.
 	SenderVM string
 }
@@ -133,9 +136,10 @@
 	r.locked(func(all *Records) { all.Attempts[attempt.RequestID] = append(all.Attempts[attempt.RequestID], attempt) })
 }
 
-// recordEnd records that a worker has stopped running a request. completed is false if the run was cancelled.
-func (r *recorder) recordEnd(attempt *Attempt, completed bool) {
-	r.locked(func(*Records) { attempt.EndedAt, attempt.Completed = time.Now(), completed })
+// recordEnd records that a worker has stopped running a request. completed is false if the run was cancelled, cut is how
+// the answer was cut off.
+func (r *recorder) recordEnd(attempt *Attempt, completed bool, cut Ending) {
+	r.locked(func(*Records) { attempt.EndedAt, attempt.Completed, attempt.Cut = time.Now(), completed, cut })
 }
 
 // recordDraining records that the announcement of a worker's draining was acknowledged.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -13,6 +13,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -61,6 +62,10 @@
 	Clients                          int
 	// ServerCuts adds cuts of entry VMs from all workers to the plan.
 	ServerCuts bool
+	// Series adds series of planned work in quick succession to the plan, and workers that end answers in other ways.
+	Series bool
+	// JudgeAtEnd leaves out the checks during the load, so that a run goes on after a violation.
+	JudgeAtEnd bool
 	// plan replaces the plan of the seed and load the time under load, if they are set.
 	plan []Step
 	load time.Duration
@@ -74,6 +79,8 @@
 	Served   int
 	// ServerCuts describes, for each cut of entry VMs from all workers, the first tries that were judged.
 	ServerCuts []string
+	// Endings describes, for each way in which answers were cut off or left out their length, what callers got.
+	Endings []string
 	// PeakMemoryBytes holds the peak resident memory of each VM's latest process.
 	PeakMemoryBytes map[string]int64
 	Steps           int
@@ -146,6 +153,7 @@
 			}
 		}
 		report.ServerCuts = describeServerCuts(r, time.Now())
+		report.Endings = describeEndings(r)
 	})
 	if ctx.Err() != nil {
 		return report, ctx.Err()
@@ -164,6 +172,9 @@
 	if s.options.ServerCuts {
 		steps = addServerCuts(steps, s.options.Seed, s.topology)
 	}
+	if s.options.Series {
+		steps = addSeries(steps, s.options.Seed, s.topology)
+	}
 	return steps
 }
 
@@ -311,6 +322,9 @@
 		if load.Err() != nil {
 			return nil
 		}
+		if s.options.JudgeAtEnd {
+			continue
+		}
 		var findings []Finding
 		s.records.locked(func(r *Records) { findings = judge(r, time.Now()) })
 		if len(findings) > 0 {
@@ -379,6 +393,9 @@
 	if s.options.ServerCuts {
 		flags = " --cut-servers"
 	}
+	if s.options.Series {
+		flags += " --series"
+	}
 	fmt.Fprintf(&text, "play again: godwityoke soak --seed %d --seeds 1 --entries %d --controls %d --models %d --desks %d --clients %d%s --keep\n\nfindings:\n",
 		s.options.Seed, s.options.Entries, s.options.Controls, s.options.Models, s.options.Desks, s.options.Clients, flags)
 	s.records.locked(func(r *Records) {
@@ -387,7 +404,7 @@
 			writeRequest(&text, r, finding.Request, s.started)
 		}
 	})
-	for _, line := range report.ServerCuts {
+	for _, line := range slices.Concat(report.ServerCuts, report.Endings) {
 		fmt.Fprintln(&text, line)
 	}
 	fmt.Fprintln(&text, "\nplan:")
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -54,6 +54,22 @@
 	}
 }
 
+// The plan of a seed with series is its plan without them and more.
+func TestSeriesAddToThePlanOfASeed(t *testing.T) {
+	for _, size := range []topology{{entries: 3, controls: 3, models: 4, desks: 2}, {entries: 24, controls: 7, models: 24, desks: 6}} {
+		for seed := range uint64(50) {
+			plan := makePlan(seed, size)
+			series := addSeries(plan, seed, size)
+			require.Equal(t, series, addSeries(plan, seed, size))
+			require.Subset(t, series, plan)
+			require.Greater(t, len(series), len(plan)+seriesCount+endingStepCount)
+			for _, step := range series {
+				require.Less(t, step.At+step.Duration, loadTime-finalWindow, "%v", step)
+			}
+		}
+	}
+}
+
 // Callers of entry VMs that are cut off from all workers must be served about as often as those of the others.
 func TestCutOffEntryVMsServeTheirCallers(t *testing.T) {
 	if testing.Short() {
--- a/internal/soak/steps.go
+++ b/internal/soak/steps.go
@@ -62,7 +62,7 @@
 		s.network.resetAll(step.Target)
 	case KindStallConnections:
 		s.network.stallAll(step.Target)
-	case KindWorkerCrash, KindWorkerFault, KindEndlessAnswers, KindWorkerDrain:
+	case KindWorkerCrash, KindWorkerFault, KindEndlessAnswers, KindWorkerDrain, KindWorkerEnding:
 		s.disturbWorker(ctx, step)
 	case KindConfigChange, KindConfigRace:
 		s.changeConfig(ctx, step.Kind == KindConfigRace)
@@ -74,7 +74,7 @@
 	if step.Kind == KindServerCut {
 		return s.records.beginServerCut(step.Targets, holdsBytes(step.Variant))
 	}
-	return s.records.beginDisturbance(step.Target, plannedKinds[step.Kind])
+	return s.records.beginDisturbance(step.Target, step.isPlanned())
 }
 
 // holdsBytes reports whether a variant of KindServerCut holds back the bytes of open connections.
@@ -146,6 +146,9 @@
 		server: roster.Server{Service: modelService, Zone: zones[i%len(zones)], Address: public, Slots: workerSlots},
 		listen: own, controlAddresses: s.controlAddresses, interval: baseSettings.AnnounceInterval, records: s.records,
 	}}
+	if s.options.Series {
+		supervisor.options.holds = s.holds
+	}
 	if i >= s.topology.models {
 		supervisor.options.server.Service = deskService
 	}
@@ -194,6 +197,10 @@
 		pause.For(ctx, step.Duration)
 		worker.setFault(FaultNone)
 		return
+	case KindWorkerEnding:
+		if !worker.applyEnding(ctx, step) {
+			return
+		}
 	case KindWorkerDrain:
 		worker.drain(ctx, step.Variant%2 == 1)
 	default:
--- a/internal/soak/worker.go
+++ b/internal/soak/worker.go
@@ -100,6 +100,8 @@
 	controlAddresses []string
 	interval         time.Duration
 	records          *recorder
+	// holds reports whether the worker at an address holds a reservation, nil for always.
+	holds func(address, ticket string) bool
 }
 
 // worker is one incarnation of a backend server.
@@ -112,8 +114,15 @@
 	stop      context.CancelFunc
 	running   sync.WaitGroup
 
+	// stopping ends when the handlers return because the worker stops, died when its connections are closed.
+	stopping    context.Context
+	stopStreams context.CancelFunc
+	died        chan struct{}
+	die         func()
+
 	mu       sync.Mutex
 	fault    Fault
+	ending   Ending
 	inFlight int
 	requests int
 	state    roster.State
@@ -140,6 +149,9 @@
 		options: options, id: id, startedAt: time.Now(), stop: stop, state: roster.StateReady, tickets: map[string]ticket{},
 		client: &http.Client{Timeout: controlTimeout, Transport: &http.Transport{DialContext: dialer.DialContext}},
 	}
+	w.stopping, w.stopStreams = context.WithCancel(context.Background())
+	w.died = make(chan struct{})
+	w.die = sync.OnceFunc(func() { close(w.died) })
 	w.server = &http.Server{Handler: standin.WorkerHandler(w), IdleTimeout: workerKeepAlive, ReadHeaderTimeout: workerKeepAlive}
 	w.running.Go(func() { _ = w.server.Serve(listener) }) // ends with the worker
 	w.running.Go(func() { w.runHeartbeats(ctx) })
@@ -152,6 +164,7 @@
 // crash ends the worker without announcing it to a control VM.
 func (w *worker) crash() {
 	w.stop()
+	w.die()
 	_ = w.server.Close() // closes the open connections
 	w.running.Wait()
 	w.client.CloseIdleConnections()
@@ -176,23 +189,28 @@
 	if silent {
 		pause.For(ctx, silentDrainTime)
 	} else {
-		w.announceDraining(ctx)
+		w.announceDraining(ctx, drainTime)
 	}
+	w.deregister(ctx)
+	w.crash()
+}
+
+// deregister tries the control VMs in turn until one acknowledges that the worker leaves.
+func (w *worker) deregister(ctx context.Context) {
 	for _, address := range w.options.controlAddresses {
 		if standin.Deregister(ctx, w.client, address, w.id) == nil {
-			break
+			return
 		}
 	}
-	w.crash()
 }
 
-// announceDraining sends heartbeats until one is acknowledged, and waits for drainTime.
-func (w *worker) announceDraining(ctx context.Context) {
+// announceDraining sends heartbeats until one is acknowledged, and serves on for a while.
+func (w *worker) announceDraining(ctx context.Context, serves time.Duration) {
 	for ctx.Err() == nil && !w.sendHeartbeat(ctx) {
 		pause.For(ctx, w.options.interval/heartbeatRetryDivisor)
 	}
 	w.options.records.recordDraining(w.id)
-	pause.For(ctx, drainTime)
+	pause.For(ctx, serves)
 }
 
 func (w *worker) setFault(fault Fault) {
@@ -279,6 +297,8 @@
 		return
 	}
 	fault, admitted := w.admit()
+	ending, isCut := w.nextEnding()
+	attempt.Ending = ending
 	if fault == FaultRejectAll {
 		attempt.Backoff = rejectBackoff
 	}
@@ -287,12 +307,15 @@
 		answer.RejectFull(attempt.Backoff)
 		return
 	}
-	completed := false
+	cut, completed := EndComplete, false
 	defer func() {
 		w.finish()
-		w.options.records.recordEnd(attempt, completed)
+		w.options.records.recordEnd(attempt, completed, cut)
 	}()
 	answer.SetSeal(sealOf(a.RequestID, w.id))
+	if ending.omitsLength() {
+		answer.OmitLength()
+	}
 	switch {
 	case fault == FaultServerError:
 		answer.Fail()
@@ -302,9 +325,11 @@
 	case fault == FaultMalformed:
 		_ = answer.WriteMalformed() // the sender may have disconnected
 	case strings.HasPrefix(a.Body, streamBodyPrefix):
-		completed = w.serveStream(ctx, a, answer, fault)
+		cut, completed = w.serveStream(ctx, a, answer, fault, ending, isCut)
 	default:
-		completed = w.servePlain(ctx, a, answer, fault)
+		if completed = w.servePlain(ctx, a, answer, fault, isCut); completed && isCut {
+			cut = ending
+		}
 	}
 }
 
@@ -332,12 +357,12 @@
 	w.inFlight--
 }
 
-func (w *worker) servePlain(ctx context.Context, a standin.ReceivedRequest, answer *standin.Answer, fault Fault) bool {
+func (w *worker) servePlain(ctx context.Context, a standin.ReceivedRequest, answer *standin.Answer, fault Fault, isCut bool) bool {
 	if pause.For(ctx, plainWorkTime); ctx.Err() != nil {
 		return false
 	}
 	text := plainAnswer(a.RequestID, a.Body)
-	if fault == FaultTruncate {
+	if fault == FaultTruncate || isCut {
 		_ = answer.WriteBody(text[:len(text)/2], len(text), workerKeepAlive) // the answer is truncated in any case
 		return true
 	}
@@ -348,26 +373,52 @@
 	return err == nil
 }
 
-func (w *worker) serveStream(ctx context.Context, a standin.ReceivedRequest, answer *standin.Answer, fault Fault) bool {
+// serveStream answers with a stream. cut is how the stream was cut off if its end looks like a proper one.
+func (w *worker) serveStream(
+	ctx context.Context, a standin.ReceivedRequest, answer *standin.Answer, fault Fault, ending Ending, isCut bool,
+) (cut Ending, completed bool) {
+	sender := ctx
+	ctx, cancel := context.WithCancel(sender)
+	defer cancel()
+	defer context.AfterFunc(w.stopping, cancel)()
+	stopAt := a.ReceivedAt.Add(a.Remaining)
 	if a.Remaining > 0 { // at the deadline it stops, and its response ends as a complete one does
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, a.ReceivedAt.Add(a.Remaining))
-		defer cancel()
+		var cancelAtDeadline context.CancelFunc
+		ctx, cancelAtDeadline = context.WithDeadline(ctx, stopAt)
+		defer cancelAtDeadline()
+	}
+	if ending == EndEmptyResume && a.ResumeAfter > 0 && a.ResumeAfter < eventsPerStream {
+		_ = answer.BeginStream() // the receiver may have disconnected
+		return EndEmptyResume, false
 	}
 	pause.For(ctx, prefillTimePerToken*time.Duration(a.PromptTokens/(1+a.HelperCount)))
+	if a.ResumeAfter >= eventsPerStream {
+		return EndComplete, answer.BeginStream() == nil
+	}
 	for id := a.ResumeAfter + 1; id <= eventsPerStream; id++ {
 		if ctx.Err() != nil {
-			return false
+			return w.cause(sender, ending), false
+		}
+		if w.lacksHelper(a) {
+			pause.For(ctx, helperStallTime)
+			return EndWithoutHelper, false
 		}
 		if fault == FaultTruncate && id > eventsPerStream/2 {
 			answer.Abort()
 		}
+		if isCut && id > eventsPerStream/2 {
+			return ending, false
+		}
 		if err := answer.WriteEvent(streamEvent(a.RequestID, id)); err != nil {
-			return false
+			return EndComplete, false
 		}
 		if id < eventsPerStream {
-			pause.For(ctx, eventGap)
+			gap := ending.gapAfter(id)
+			if ending == EndBeforeDeadline && a.Remaining > 0 && time.Until(stopAt) < gap {
+				return ending, false
+			}
+			pause.For(ctx, gap)
 		}
 	}
-	return true
+	return EndComplete, true
 }
--- a/internal/soak/worker_test.go
+++ b/internal/soak/worker_test.go
@@ -61,3 +61,77 @@
 	require.Equal(t, 10, free)
 	require.Zero(t, w.reservedTokens(), "the reservation has expired")
 }
+
+// Answers that a worker cuts off in the way of its ending look complete, and those that it doesn't cut off are.
+func TestWorkerEndsItsAnswersAsSet(t *testing.T) {
+	const listen = "127.9.3.1:7401"
+	records := newRecorder()
+	w, err := startWorker("w", workerOptions{listen: listen, server: roster.Server{Address: listen, Slots: 4}, interval: time.Hour, records: records})
+	require.NoError(t, err)
+	defer w.crash()
+	call := func(id, body string, timeout time.Duration) standin.Reply {
+		conn, err := standin.Connect(listen, time.Second)
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		return conn.Do(standin.Call{ID: id, Host: "h", Path: "/a", Body: body, PromptTokens: 100, Timeout: timeout})
+	}
+	w.setEnding(EndByClosing)
+	for id, body := range map[string]string{"p": "plain", "s": streamBodyPrefix} {
+		reply := call(id, body, 5*time.Second)
+		require.True(t, reply.Complete)
+		require.True(t, reply.ClosesConnection)
+		require.Equal(t, sealOf(id, "w"), reply.Seal)
+		require.Equal(t, wholeAnswer(&Request{Call: standin.Call{ID: id, Body: body}}), reply.Body)
+	}
+	w.setEnding(EndByClosingEarly)
+	for _, body := range []string{"plain", streamBodyPrefix} {
+		first, second := call("a", body, 5*time.Second), call("b", body, 5*time.Second)
+		require.True(t, first.Complete && second.Complete)
+		require.NotEqual(t, len(first.Body), len(second.Body), "every second answer is cut off")
+	}
+	w.setEnding(EndBeforeDeadline)
+	reply := call("late", streamBodyPrefix, time.Second)
+	require.True(t, reply.Complete)
+	require.Less(t, len(reply.Body), len(streamAnswer("late")))
+	w.setEnding(EndByDeath)
+	go func() {
+		time.Sleep(5 * eventGap)
+		w.crash()
+	}()
+	reply = call("dead", streamBodyPrefix, 5*time.Second)
+	require.True(t, reply.Complete)
+	require.Less(t, len(reply.Body), len(streamAnswer("dead")))
+	records.locked(func(r *Records) {
+		require.Equal(t, EndBeforeDeadline, r.Attempts["late"][0].Cut)
+		require.Equal(t, EndByDeath, r.Attempts["dead"][0].Cut)
+	})
+}
+
+// A worker that stops as planned ends its streams as complete ones, before its listener closes or after it.
+func TestWorkerEndsItsStreamsWhenItStops(t *testing.T) {
+	for _, ending := range []Ending{EndAtStop, EndAtStopListening} {
+		t.Run(ending.String(), func(t *testing.T) {
+			const listen = "127.9.3.1:7402"
+			w, err := startWorker("w", workerOptions{listen: listen, server: roster.Server{Address: listen, Slots: 4}, interval: time.Hour, records: newRecorder()})
+			require.NoError(t, err)
+			w.setEnding(ending)
+			conn, err := standin.Connect(listen, time.Second)
+			require.NoError(t, err)
+			defer func() { _ = conn.Close() }()
+			left := make(chan struct{})
+			go func() {
+				w.leave(t.Context(), true)
+				close(left)
+			}()
+			reply := conn.Do(standin.Call{ID: "q", Host: "h", Path: "/a", Body: streamBodyPrefix, Timeout: 5 * time.Second})
+			require.True(t, reply.Complete)
+			require.Less(t, len(reply.Body), len(streamAnswer("q")))
+			next, err := standin.Connect(listen, time.Second)
+			require.Equal(t, ending == EndAtStopListening, err == nil)
+			if err == nil {
+				_ = next.Close()
+			}
+			<-left
+		})
+	}
+}
