--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -173,8 +176,15 @@
 
 // probeEnded finds out whether the server's process is still there, where that matters for the end of the last response.
 func (x *exchange) probeEnded(ctx context.Context, server roster.Server) {
-	if !x.lastEnd.needsProbe() || x.gateway.options.Paths.IsBroken(server.Address) {
-		return
+	if x.lastEnd.needsProbe() {
+		x.lastEnd.probe = x.probe(ctx, server)
+	}
+}
+
+// probe finds out whether the process of a server is still there.
+func (x *exchange) probe(ctx context.Context, server roster.Server) probeResult {
+	if x.gateway.options.Paths.IsBroken(server.Address) {
+		return notProbed
 	}
 	checked := make(chan bool, 1)
 	go func() { checked <- x.gateway.options.Paths.Check(context.WithoutCancel(ctx), server.Address) }()
@@ -186,10 +196,42 @@
 	}
 	switch {
 	case answered:
-		x.lastEnd.probe = probeAnswered
-	case !x.gateway.options.Paths.IsBroken(server.Address):
-		x.lastEnd.probe = probeSilent
+		return probeAnswered
+	case x.gateway.options.Paths.IsBroken(server.Address):
+		return notProbed
+	}
+	return probeSilent
+}
+
+// isStalled tells whether the response ended later after its last event than the next one was due. A server that has lost
+// a prefill helper stalls before it cuts off the stream.
+func (e *responseEnd) isStalled() bool {
+	return e.events < 2 || e.sinceEvent > deadlineMarginGaps*e.pace.expectedGap()
+}
+
+// checkHolders finds out, after the end of a stream, whether prefill helpers have lost memory without this VM knowing it,
+// where the stream stalled or an order was not answered. A helper that neither renews a reservation nor answers a probe has.
+func (x *exchange) checkHolders(ctx context.Context, held *tickets) {
+	if x.lastEnd.lostHolders > 0 {
+		return
+	}
+	var lost atomic.Int64
+	var checks sync.WaitGroup
+	for _, item := range held.list {
+		if !x.lastEnd.isStalled() && !item.isUncertain.Load() {
+			continue
+		}
+		checks.Go(func() {
+			orderCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+			defer cancel()
+			err := held.reserveOne(orderCtx, item)
+			if errors.Is(err, ErrMemoryRefused) || err != nil && x.probe(ctx, item.server) == probeSilent {
+				lost.Add(1)
+			}
+		})
 	}
+	checks.Wait()
+	x.lastEnd.lostHolders = int(lost.Load())
 }
 
 // contradiction returns what speaks against the server having ended the stream because it was complete, empty for nothing.
--- a/internal/gateway/ending_test.go
+++ b/internal/gateway/ending_test.go
@@ -224,6 +224,49 @@
 	}
 }
 
+// A server that has lost a helper stalls before it cuts off the stream, and the helper's death may not be known by then.
+func TestStreamThatStallsAndEndsAfterTheDeathOfItsHelperIsNotComplete(t *testing.T) {
+	const gap = 50 * time.Millisecond
+	for name, c := range map[string]struct {
+		endsAfter time.Duration
+		renewErr  error
+		silent    bool
+		lost      bool
+	}{
+		"dead, stalled":                     {endsAfter: 12 * gap, renewErr: context.DeadlineExceeded, silent: true, lost: true},
+		"replaced, stalled":                 {endsAfter: 12 * gap, renewErr: ErrMemoryRefused, lost: true},
+		"dead, after an unanswered renewal": {renewErr: context.DeadlineExceeded, silent: true, lost: true},
+		"orders are lost, stalled":          {endsAfter: 12 * gap, renewErr: context.DeadlineExceeded},
+		"alive, stalled":                    {endsAfter: 12 * gap},
+		"alive":                             {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := &endings{
+					withHelper: true, renewErr: map[string]error{"h-s1": c.renewErr}, reserved: map[string]bool{}, states: map[string]roster.State{},
+					silent: map[string]bool{"h-s1": c.silent}, fakes: &fakes{retriesLeft: 9},
+				}
+				events := 10 // the end comes before the first renewal
+				if c.endsAfter == 0 {
+					events = 30
+				}
+				e.responses = []func(*Attempt) (*Response, error){
+					steady(FramedByChunks, steadyBody{from: 1, to: events, gap: gap, endsAfter: c.endsAfter}),
+					steady(FramedByChunks, steadyBody{from: events + 1, to: 45, gap: gap}),
+				}
+				caller := e.serve("stream", longTimeout)
+				require.False(t, caller.aborted)
+				want := events
+				if c.lost {
+					want = 45
+				}
+				require.Equal(t, eventsWithIDs(1, want), caller.body)
+				time.Sleep(time.Minute) // the reservations are released
+			})
+		})
+	}
+}
+
 func TestStreamOfALeavingServerThatHasEndedIsNotComplete(t *testing.T) {
 	for name, c := range map[string]struct {
 		state    roster.State
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -124,6 +124,7 @@
 		}}
 	}
 	x.probeEnded(ctx, open.Server)
+	x.checkHolders(ctx, open.tickets)
 	if doubt := x.doubt(); doubt != "" {
 		x.recordDoubt()
 		return attemptResult{events: pace.events, err: &AttemptError{
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -48,6 +48,8 @@
 	// isLost is set while the server's last answer to an order to reserve or renew was a refusal. One that is not answered may
 	// have been carried out.
 	isLost *atomic.Bool
+	// isUncertain is set while the server has not answered the last such order.
+	isUncertain *atomic.Bool
 }
 
 // tickets are the memory reservations of one attempt. They are renewed in the background until release.
@@ -74,7 +76,7 @@
 		entry := Helper{Address: server.Address}
 		if helper.ReserveTokens > 0 {
 			entry.Ticket = x.request.ID + "-" + strconv.FormatUint(placement.ID.Seq, 10) + "-" + strconv.Itoa(i)
-			t.list = append(t.list, ticket{server: server, name: entry.Ticket, tokens: helper.ReserveTokens, unanswered: &atomic.Int64{}, isLost: &atomic.Bool{}})
+			t.list = append(t.list, ticket{server: server, name: entry.Ticket, tokens: helper.ReserveTokens, unanswered: &atomic.Int64{}, isLost: &atomic.Bool{}, isUncertain: &atomic.Bool{}})
 		}
 		attempt.Helpers = append(attempt.Helpers, entry)
 	}
@@ -99,9 +101,11 @@
 
 func (t *tickets) reserveOne(ctx context.Context, item ticket) error {
 	err := t.memory.Reserve(ctx, item.server, item.name, item.tokens, ticketHoldTime)
-	if refused := errors.Is(err, ErrMemoryRefused); refused || err == nil {
+	refused := errors.Is(err, ErrMemoryRefused)
+	if refused || err == nil {
 		item.isLost.Store(refused)
 	}
+	item.isUncertain.Store(!refused && err != nil)
 	return err
 }
 
