--- a/internal/soak/endings.go
+++ b/internal/soak/endings.go
@@ -194,7 +194,10 @@
 
 // describeEndings returns, for each ending that cut off streams or left out lengths, a line on what callers got.
 func describeEndings(r *Records) []string {
-	type count struct{ cut, passed, whole, broken int }
+	type count struct {
+		cut, passed, whole int
+		broken             []string
+	}
 	counts := map[Ending]*count{}
 	of := func(e Ending) *count {
 		if counts[e] == nil {
@@ -217,7 +220,7 @@
 			case a.Completed && a.Ending.omitsLength():
 				of(a.Ending).whole++
 				if q.Reply.Status == servedStatus && !looksComplete && !q.Reply.Disconnected {
-					of(a.Ending).broken++
+					of(a.Ending).broken = append(of(a.Ending).broken, id)
 				}
 			}
 		}
@@ -228,8 +231,8 @@
 	var lines []string
 	for _, ending := range slices.Sorted(maps.Keys(counts)) {
 		c := counts[ending]
-		lines = append(lines, fmt.Sprintf("ended %v: %d answers cut off, %d of them passed on as complete; %d complete, %d of them broken off",
-			ending, c.cut, c.passed, c.whole, c.broken))
+		lines = append(lines, fmt.Sprintf("ended %v: %d answers cut off, %d of them passed on as complete; %d complete, %d of them broken off %v",
+			ending, c.cut, c.passed, c.whole, len(c.broken), slices.Sorted(slices.Values(c.broken))))
 	}
 	return lines
 }
