--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -196,30 +197,55 @@
 	x.lastEnd.closed = body.ClosedByServer(wait)
 }
 
-// probeEnded finds out whether the server's process is still there, where that matters for the end of the last response. An
-// answer of another process at its address shows that it is not.
+// probeEnded finds out whether the server's process is still there, where that matters for the end of the last response.
 func (x *exchange) probeEnded(ctx context.Context, server roster.Server) {
-	if !x.lastEnd.needsProbe() || x.gateway.options.Paths.IsBroken(server.Address) {
-		return
+	if x.lastEnd.needsProbe() {
+		x.lastEnd.probe = x.probe(ctx, server)
+		x.lastEnd.server = x.serverCondition(server, time.Now())
+	}
+}
+
+// probe finds out whether the process of a server is still there. An answer of another process at its address shows that it
+// is not.
+func (x *exchange) probe(ctx context.Context, server roster.Server) serverstate.ProbeResult {
+	if x.gateway.options.Paths.IsBroken(server.Address) {
+		return serverstate.ProbeUnclear
 	}
 	probed := make(chan serverstate.Presence, 1)
 	ctx, cancel := context.WithTimeout(ctx, endProbeTimeout)
-	go func() {
-		defer cancel()
-		probed <- x.gateway.options.Paths.Probe(ctx, server.Address)
-	}()
+	defer cancel()
+	go func() { probed <- x.gateway.options.Paths.Probe(ctx, server.Address) }()
 	var presence serverstate.Presence
 	select {
 	case presence = <-probed:
 	case <-ctx.Done():
 	}
-	x.lastEnd.server = x.serverCondition(server, time.Now())
-	isOther := x.lastEnd.server == serverReplaced ||
+	isOther := x.serverCondition(server, time.Now()) == serverReplaced ||
 		!presence.StartedAt.IsZero() && !server.StartedAt.IsZero() && !presence.StartedAt.Equal(server.StartedAt)
 	if presence.Result == serverstate.ProbeAnswered && isOther {
-		presence.Result = serverstate.ProbeRefused
+		return serverstate.ProbeRefused
+	}
+	return presence.Result
+}
+
+// checkHolders finds out, after the end of a stream, whether a prefill helper that did not answer the last order has lost the
+// memory: it has if it refuses to renew the reservation now, or if no process is there.
+func (x *exchange) checkHolders(ctx context.Context, held *tickets) {
+	var checks sync.WaitGroup
+	for _, item := range held.list {
+		if item.renewal() != renewalUnanswered {
+			continue
+		}
+		checks.Go(func() {
+			orderCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+			defer cancel()
+			if held.reserveOne(orderCtx, item) != nil && x.probe(ctx, item.server) == serverstate.ProbeRefused {
+				item.lastRenewal.Store(renewalRefused)
+			}
+		})
 	}
-	x.lastEnd.probe = presence.Result
+	checks.Wait()
+	x.lastEnd.lostHolders = x.lostHolders(held, time.Now())
 }
 
 // contradiction returns what speaks against the server having ended the stream because it was complete, empty for nothing.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -129,6 +129,7 @@
 	}
 	x.awaitClose(open.response.Body)
 	x.probeEnded(ctx, open.Server)
+	x.checkHolders(ctx, open.tickets)
 	if doubt := x.doubt(); doubt != "" {
 		x.recordDoubt()
 		return attemptResult{events: pace.events, end: x.lastEnd, err: &AttemptError{
