--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -16,6 +16,38 @@
 // maxBytesWithoutID limits consecutive events without an id, such as comments. The events of an answer have ids.
 const maxBytesWithoutID = 64 << 10
 
+// eventOrder checks the order of the events of one response.
+type eventOrder struct {
+	// maxID is the highest id so far, 0 for none.
+	maxID uint64
+	// bytesWithoutID is the size of the events since the last one with an id.
+	bytesWithoutID int
+}
+
+// record returns an error for an event that is out of order, or if events without an id become too long.
+func (o *eventOrder) record(event eventstream.Event) error {
+	if !event.HasID {
+		if o.bytesWithoutID += len(event.Raw); o.bytesWithoutID > maxBytesWithoutID {
+			return fmt.Errorf("events without an id: %w", eventstream.ErrTooLarge)
+		}
+		return nil
+	}
+	previous := o.maxID
+	o.bytesWithoutID, o.maxID = 0, event.ID
+	if event.ID < previous {
+		return fmt.Errorf("event %d follows event %d", event.ID, previous)
+	}
+	return nil
+}
+
+// isNew tells whether the caller does not have the event, which was just recorded.
+func (x *exchange) isNew(event eventstream.Event, order eventOrder) bool {
+	if !event.HasID {
+		return order.maxID >= x.lastEventID
+	}
+	return event.ID > x.lastEventID || event.ID == 0 && x.eventsSent == 0
+}
+
 // relayStream sends the events of a response to the caller as they arrive, whole events only. It skips events up to
 // lastEventID, which the caller has from an earlier attempt, and events without an id before the first new one.
 func (x *exchange) relayStream(ctx context.Context, id schedule.JobID, open *openAttempt, watch *stallWatch) attemptResult {
@@ -23,7 +55,7 @@
 	account := x.gateway.options.Buffers.Account(attempt.Server.Address)
 	defer account.Release()
 	reader := eventstream.NewReader(response.Body, account)
-	received, bytesWithoutID, maxID := 0, 0, uint64(0)
+	received, order := 0, eventOrder{}
 	if err := response.Body.SetReadDeadline(x.deadline); err != nil {
 		return attemptResult{err: &AttemptError{Delivery: DeliveryUnknown, Err: err}}
 	}
@@ -34,16 +66,11 @@
 		watch.begin(x.eventDeadline(received > 0), giveUp)
 		event, err := reader.Next()
 		givenUp := watch.end(err == nil || errors.Is(err, io.EOF)) // the time that the caller needs to read an event does not count
-		if event.HasID {
-			if event.ID < maxID {
-				err = fmt.Errorf("event %d follows event %d", event.ID, maxID)
-			}
-			bytesWithoutID, maxID = 0, event.ID
-		} else if bytesWithoutID += len(event.Raw); bytesWithoutID > maxBytesWithoutID {
-			err = fmt.Errorf("events without an id: %w", eventstream.ErrTooLarge)
-		}
 		if errors.Is(err, io.EOF) {
-			return x.finishStream(ctx, open, pace, maxID)
+			return x.finishStream(ctx, open, pace, order.maxID)
+		}
+		if err == nil {
+			err = order.record(event)
 		}
 		if err != nil {
 			if givenUp && errors.Is(err, os.ErrDeadlineExceeded) {
@@ -54,7 +81,7 @@
 			}}
 		}
 		received++
-		if event.HasID || maxID == 0 { // comments between events are no events
+		if event.HasID || order.maxID == 0 { // comments between events are no events
 			pace.record(time.Now())
 		}
 		switch received {
@@ -63,7 +90,7 @@
 		case minEventsOfSoundPrompt:
 			x.recordSound(true)
 		}
-		if event.HasID && (event.ID > x.lastEventID || event.ID == 0 && x.eventsSent == 0) || !event.HasID && maxID >= x.lastEventID {
+		if x.isNew(event, order) {
 			if err := x.forwardEvent(response, event); err != nil {
 				x.logAbandoned(attempt, err)
 				x.caller.Abort()
