--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -54,6 +54,32 @@
 	}
 }
 
+// Callers must not get a stream as complete before its last event, in whatever way its server has ended it.
+func TestCutOffStreamsAreNotPassedOnAsComplete(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes for half a minute a seed")
+	}
+	binary := filepath.Join(t.TempDir(), "godwityoke")
+	output, err := exec.Command("go", "build", "-o", binary, "../../cmd/godwityoke").CombinedOutput()
+	require.NoError(t, err, "%s", output)
+	for name, seed := range map[string]uint64{
+		"at the stop, empty resumes": 20101, "before the deadline, by death": 20103, "before the deadline, by closing": 20107,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			report, err := Run(t.Context(), Options{
+				Binary: binary, Block: takeBlock(t), Folder: t.TempDir(), Seed: seed, Series: true,
+				Entries: 3, Controls: 3, Models: 4, Desks: 2, Clients: 16,
+			})
+			require.NoError(t, err)
+			t.Log(report.Endings)
+			require.Empty(t, report.Findings)
+			require.NotEmpty(t, report.Endings)
+			require.Positive(t, report.Served)
+		})
+	}
+}
+
 // The plan of a seed with series is its plan without them and more.
 func TestSeriesAddToThePlanOfASeed(t *testing.T) {
 	for _, size := range []topology{{entries: 3, controls: 3, models: 4, desks: 2}, {entries: 24, controls: 7, models: 24, desks: 6}} {
--- a/internal/soak/worker_test.go
+++ b/internal/soak/worker_test.go
@@ -1,6 +1,10 @@
 package soak
 
 import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -101,10 +105,12 @@
 	reply = call("dead", streamBodyPrefix, 5*time.Second)
 	require.True(t, reply.Complete)
 	require.Less(t, len(reply.Body), len(streamAnswer("dead")))
-	records.locked(func(r *Records) {
-		require.Equal(t, EndBeforeDeadline, r.Attempts["late"][0].Cut)
-		require.Equal(t, EndByDeath, r.Attempts["dead"][0].Cut)
-	})
+	for id, want := range map[string]Ending{"late": EndBeforeDeadline, "dead": EndByDeath} {
+		require.Eventually(t, func() (recorded bool) { // after the end of the answer
+			records.locked(func(r *Records) { recorded = r.Attempts[id][0].Cut == want })
+			return recorded
+		}, time.Second, time.Millisecond, id)
+	}
 }
 
 // A worker that stops as planned ends its streams as complete ones, before its listener closes or after it.
@@ -135,3 +141,27 @@
 		})
 	}
 }
+
+// A worker that deregisters first announces itself no more while it serves on.
+func TestWorkerThatHasDeregisteredSendsNoHeartbeat(t *testing.T) {
+	var mu sync.Mutex
+	var calls []string
+	control := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		calls = append(calls, r.URL.Path[strings.LastIndex(r.URL.Path, "/")+1:])
+	}))
+	defer control.Close()
+	const listen = "127.9.3.1:7403"
+	w, err := startWorker("w", workerOptions{
+		listen: listen, server: roster.Server{Address: listen}, interval: 50 * time.Millisecond, records: newRecorder(),
+		controlAddresses: []string{strings.TrimPrefix(control.URL, "http://")},
+	})
+	require.NoError(t, err)
+	time.Sleep(4 * 50 * time.Millisecond)
+	w.leave(t.Context(), true)
+	mu.Lock()
+	defer mu.Unlock()
+	require.Equal(t, "heartbeat", calls[0])
+	require.Equal(t, "deregister", calls[len(calls)-1])
+}
