--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -110,7 +110,7 @@
 	server     serverCondition
 	// probe is what a probe of the server has shown after the end of the response.
 	probe probeResult
-	// lostHolders is the number of prefill helpers that have lost the memory which the request needs.
+	// lostHolders is the number of prefill helpers that have lost the memory which the request needs, as far as is known.
 	lostHolders int
 }
 
@@ -119,7 +119,7 @@
 	return &responseEnd{
 		framing: open.response.Framing, relayed: open.response.Relayed, events: pace.events, lastEventID: x.lastEventID,
 		left: x.deadline.Sub(now), pace: pace, sinceEvent: now.Sub(pace.lastAt), server: x.serverCondition(open.Server, now),
-		lostHolders: x.lostHolders(open.tickets, now),
+		lostHolders: open.tickets.lost(),
 	}
 }
 
@@ -135,11 +135,11 @@
 	return serverReady
 }
 
-// lostHolders counts the reservations whose server is gone or has refused to renew them.
-func (x *exchange) lostHolders(held *tickets, now time.Time) int {
+// lost counts the reservations that their servers have refused to renew.
+func (t *tickets) lost() int {
 	lost := 0
-	for _, item := range held.list {
-		if item.isLost.Load() || x.serverCondition(item.server, now) == serverGone {
+	for _, item := range t.list {
+		if item.isLost.Load() {
 			lost++
 		}
 	}
@@ -210,7 +210,8 @@
 }
 
 // checkHolders finds out, after the end of a stream, whether prefill helpers have lost memory without this VM knowing it,
-// where the stream stalled or an order was not answered. A helper that neither renews a reservation nor answers a probe has.
+// where the stream stalled, an order was not answered or a helper is gone: one that has deregistered serves on for a while. A
+// helper that neither renews a reservation nor answers a probe has lost it.
 func (x *exchange) checkHolders(ctx context.Context, held *tickets) {
 	if x.lastEnd.lostHolders > 0 {
 		return
@@ -218,7 +219,7 @@
 	var lost atomic.Int64
 	var checks sync.WaitGroup
 	for _, item := range held.list {
-		if !x.lastEnd.isStalled() && !item.isUncertain.Load() {
+		if !x.lastEnd.isStalled() && !item.isUncertain.Load() && x.serverCondition(item.server, time.Now()) != serverGone {
 			continue
 		}
 		checks.Go(func() {
