gateway: a probe that began before the end of a response shows nothing

The end was checked by a probe, but checks of one server share their result for 0.1 s, and the server had answered the one for another stream just before it died.

The check of an end now uses a probe that began after it.

Evidence: TestProbeBeforeTheEndOfAResponseShowsNothing failed and passes; TestCheckSinceUsesNoEarlierProbe.

--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -186,8 +186,10 @@
 	if x.gateway.options.Paths.IsBroken(server.Address) {
 		return notProbed
 	}
-	checked := make(chan bool, 1)
-	go func() { checked <- x.gateway.options.Paths.Check(context.WithoutCancel(ctx), server.Address) }()
+	checked, since := make(chan bool, 1), time.Now()
+	go func() {
+		checked <- x.gateway.options.Paths.CheckSince(context.WithoutCancel(ctx), server.Address, since)
+	}()
 	answered := false
 	select {
 	case answered = <-checked:
--- a/internal/gateway/ending_test.go
+++ b/internal/gateway/ending_test.go
@@ -25,6 +25,8 @@
 	states map[string]roster.State
 	// silent servers don't answer a probe.
 	silent map[string]bool
+	// answeredBefore is set if all servers have answered a probe a moment ago.
+	answeredBefore bool
 	// probes counts the probes.
 	probes int
 	// withHelper adds to each placement a prefill helper of its own, "h-" and the server.
@@ -40,7 +42,11 @@
 func (e *endings) IsBroken(string) bool { return false }
 func (e *endings) Check(_ context.Context, address string) bool {
 	e.probes++
-	return !e.silent[address]
+	return !e.silent[address] || e.answeredBefore
+}
+func (e *endings) CheckSince(_ context.Context, address string, since time.Time) bool {
+	e.probes++
+	return !e.silent[address] || e.answeredBefore && time.Since(since) > 0
 }
 func (e *endings) Place(ctx context.Context, request schedule.PlacementRequest) (schedule.Placement, error) {
 	placement, err := e.fakes.Place(ctx, request)
@@ -139,6 +145,19 @@
 	}
 }
 
+// A server that has answered the probe for another request dies; the result of that probe must not be used.
+func TestProbeBeforeTheEndOfAResponseShowsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &endings{silent: map[string]bool{"s1": true}, answeredBefore: true, fakes: &fakes{retriesLeft: 9}}
+		e.responses = []func(*Attempt) (*Response, error){func(a *Attempt) (*Response, error) {
+			response, err := respond(200, "the begi", nil)(a)
+			response.Framing = FramedByConnection
+			return response, err
+		}}
+		require.Equal(t, FailedServer, e.serve("unsafe", longTimeout).failure)
+	})
+}
+
 // A live server closes the connection within a stream; another one shows whether that was the end of the stream.
 func TestStreamThatEndsWithItsConnectionIsConfirmedByAnotherServer(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -193,6 +193,8 @@
 	// that are silent or have closed a connection without an answer. It tells whether the server has answered on a new
 	// connection, so that its process is there.
 	Check(ctx context.Context, address string) (answered bool)
+	// CheckSince is Check by a probe that began at since or later.
+	CheckSince(ctx context.Context, address string, since time.Time) (answered bool)
 }
 
 // Options configure a Gateway.
@@ -253,7 +255,8 @@
 func (soundPaths) IsBroken(string) bool { return false }
 
 // Check implements Paths.
-func (soundPaths) Check(context.Context, string) bool { return false }
+func (soundPaths) Check(context.Context, string) bool                 { return false }
+func (soundPaths) CheckSince(context.Context, string, time.Time) bool { return false }
 
 // New returns a Gateway with the given options.
 func New(options Options) *Gateway {
--- a/internal/relay/probe.go
+++ b/internal/relay/probe.go
@@ -22,23 +22,30 @@
 
 // check is a check of the direct path to one server.
 type check struct {
-	// done is closed at the end, after the other fields are set.
-	done     chan struct{}
-	answered bool
-	endedAt  time.Time
+	// done is closed at the end, after answered and endedAt are set.
+	done      chan struct{}
+	startedAt time.Time
+	answered  bool
+	endedAt   time.Time
 }
 
 // Check finds out whether the direct path to a server is broken, and tells whether the server has answered on a new direct
 // connection. It is for servers that have been silent on an open connection, or have closed one without an answer. Calls
 // for the same server share one probe.
 func (d *Dialer) Check(ctx context.Context, address string) (answered bool) {
+	return d.CheckSince(ctx, address, time.Time{})
+}
+
+// CheckSince is Check by a probe that began at since or later: an earlier one may have been answered by a server that has
+// ended since.
+func (d *Dialer) CheckSince(ctx context.Context, address string, since time.Time) (answered bool) {
 	if d.paths.IsBroken(time.Now(), address) {
 		return false
 	}
 	d.mu.Lock()
 	current := d.checks[address]
-	if current == nil || current.isOutdated(time.Now()) {
-		current = &check{done: make(chan struct{})}
+	if current == nil || current.startedAt.Before(since) || current.isOutdated(time.Now()) {
+		current = &check{done: make(chan struct{}), startedAt: time.Now()}
 		d.checks[address] = current
 		d.mu.Unlock()
 		d.run(context.WithoutCancel(ctx), current, address)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -429,6 +429,20 @@
 	require.Empty(t, d.checks)
 }
 
+// A server answers a probe and ends. A check of what has happened since must not get that answer.
+func TestCheckSinceUsesNoEarlierProbe(t *testing.T) {
+	backend := startBackend(t, echo)
+	d := cutDialer(nil, 0)
+	d.direct = func(ctx context.Context, _ string, unreachableAfter time.Duration) (*net.TCPConn, error) {
+		return connect(ctx, backend, unreachableAfter)
+	}
+	startedAt := time.Now()
+	require.True(t, d.CheckSince(context.Background(), backend, startedAt))
+	d.direct = func(context.Context, string, time.Duration) (*net.TCPConn, error) { return nil, syscall.ECONNREFUSED }
+	require.True(t, d.CheckSince(context.Background(), backend, startedAt), "the result of the first probe is used")
+	require.False(t, d.CheckSince(context.Background(), backend, time.Now()))
+}
+
 // A server resets its connection while the request is still written to it. The relay saw the reset in its write, took the
 // end of the answer for a proper one, and passed it on as such.
 func TestResetWhileTheRequestIsWrittenIsPassedOn(t *testing.T) {
