gateway: a stream that ends between two events of a stopping server does not count as complete

A complete stream ends right after its last event, one that is cut off by a stop ends at any time between two. The end of a stream that comes later than 1 ms after an event now leads to a probe, whatever the state of the server; if the server is known to leave, another server must confirm it.

Evidence: TestStreamThatEndsBetweenTwoEventsOfAStoppingServerIsNotComplete failed in 4 of 6 cases and passes.

TestStreamThatEndsAtItsDeadlineIsNotComplete had no Paths, so that its server, which is alive in the cases that must be complete, answered no probe. It answers now.

--- a/internal/gateway/deadline_test.go
+++ b/internal/gateway/deadline_test.go
@@ -42,7 +42,10 @@
 					body := &endingAt{Reader: strings.NewReader(events), end: time.Now().Add(a.Remaining - c.before)}
 					return &Response{Status: http.StatusOK, Header: http.Header{}, Body: fakeBody{body}, Verified: true, IsStream: true}, nil
 				}}}
-				caller := serveWith(f, f, testTable(), kind, "key", timeout)
+				caller := serveOptions(Options{
+					Table: tableOf(testTable()), Placer: f, Budget: f, Servers: f, Backend: f, Memory: f, Paths: answeringPaths{},
+					StopsIn: func() (time.Duration, bool) { return 0, false },
+				}, kind, "key", timeout)
 				require.Equal(t, events, caller.body)
 				require.Equal(t, c.complete, !caller.aborted)
 			})
--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -21,6 +21,8 @@
 	// deadlineMarginGaps is the same time as a multiple of the expected time between two events of a stream: a server that
 	// works in steps stops when its next step would end after the deadline, and steps vary.
 	deadlineMarginGaps = 2
+	// maxEndDelay is the time from the last event of a complete response to its end, apart from the delays of the network.
+	maxEndDelay = time.Millisecond
 	// endProbeTimeout limits the time for which the end of a response is held back until its server has answered a probe.
 	endProbeTimeout = 500 * time.Millisecond
 )
@@ -158,9 +160,13 @@
 
 // needsProbe tells whether it matters for the end of the response whether the server's process is still there.
 func (e *responseEnd) needsProbe() bool {
-	return !e.relayed && (e.framing == FramedByConnection || e.server != serverReady)
+	return !e.relayed && (e.framing == FramedByConnection || e.server != serverReady || e.isBetweenEvents())
 }
 
+// isBetweenEvents tells whether the response ended a while after its last event. A complete one ends right after it, while a
+// server that stops ends its responses at any time, and this VM may not know yet that it was to stop.
+func (e *responseEnd) isBetweenEvents() bool { return e.events > 0 && e.sinceEvent > maxEndDelay }
+
 // isCutWithoutTrace tells whether the response would have ended in the same way if its server, or the VM that relayed it,
 // had stopped within it: the kernel closes the connections of a process that ends.
 func (e *responseEnd) isCutWithoutTrace() bool {
@@ -242,7 +248,7 @@
 	switch {
 	case e.isCutWithoutTrace():
 		return "it ended with its connection; probe of the server: " + e.probe.String()
-	case e.server != serverReady && e.probe == probeSilent:
+	case e.probe == probeSilent:
 		return fmt.Sprintf("the server was %v and has ended", e.server)
 	case e.lostHolders > 0:
 		return fmt.Sprintf("%d prefill helpers had lost its memory", e.lostHolders)
@@ -262,6 +268,8 @@
 		return ""
 	case end.resumedNothing:
 		return "the server went on with no event"
+	case end.server != serverReady && end.isBetweenEvents() && x.mayBeConfirmed():
+		return fmt.Sprintf("the server was %v and ended it %v after the last event", end.server, end.sinceEvent)
 	case end.framing == FramedByConnection && !x.gateway.closings.isTrusted(x.service, x.mayBeConfirmed()):
 		return "it ended with its connection"
 	}
--- a/internal/gateway/ending_test.go
+++ b/internal/gateway/ending_test.go
@@ -326,6 +326,46 @@
 	}
 }
 
+// A server that stops ends its streams between two events; a complete stream ends right after its last one.
+func TestStreamThatEndsBetweenTwoEventsOfAStoppingServerIsNotComplete(t *testing.T) {
+	const gap = 100 * time.Millisecond
+	for name, c := range map[string]struct {
+		state    roster.State
+		silent   bool
+		second   steadyBody
+		sends    int
+		complete bool
+	}{
+		"not known to leave, dead":  {roster.StateReady, true, steadyBody{from: 4, to: 5}, 2, false},
+		"not known to leave, alive": {roster.StateReady, false, steadyBody{}, 1, true},
+		"draining, alive":           {roster.StateDraining, false, steadyBody{from: 4, to: 5}, 2, false},
+		"draining, alive, complete": {roster.StateDraining, false, steadyBody{from: 4, to: 3}, 2, true},
+		"deregistered, alive":       {roster.StateGone, false, steadyBody{from: 4, to: 5}, 2, false},
+		"deregistered, dead":        {roster.StateGone, true, steadyBody{from: 4, to: 5}, 2, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := &endings{states: map[string]roster.State{}, silent: map[string]bool{"s1": c.silent}, fakes: &fakes{retriesLeft: 9}}
+				e.responses = []func(*Attempt) (*Response, error){
+					func(a *Attempt) (*Response, error) {
+						e.states["s1"] = c.state
+						return steady(FramedByChunks, steadyBody{from: 1, to: 3, gap: gap, endsAfter: gap / 3})(a)
+					},
+					steady(FramedByChunks, c.second),
+				}
+				caller := e.serve("stream", longTimeout)
+				want := 5
+				if c.complete {
+					want = 3
+				}
+				require.False(t, caller.aborted)
+				require.Equal(t, eventsWithIDs(1, want), caller.body)
+				require.Len(t, e.attempts, c.sends)
+			})
+		})
+	}
+}
+
 func TestResponseWithoutALengthOfADeadServerIsNotComplete(t *testing.T) {
 	for name, c := range map[string]struct{ silent, relayed, complete bool }{
 		"the server answers":                        {complete: true},
--- a/internal/gateway/harmful_test.go
+++ b/internal/gateway/harmful_test.go
@@ -259,7 +259,8 @@
 // answeringPaths are the Paths of a VM to which all servers answer on a new connection.
 type answeringPaths struct{ soundPaths }
 
-func (answeringPaths) Check(context.Context, string) bool { return true }
+func (answeringPaths) Check(context.Context, string) bool                 { return true }
+func (answeringPaths) CheckSince(context.Context, string, time.Time) bool { return true }
 
 // Connections that were reset on the way counted as crashes of the servers, so that all VMs refused
 // the request for ten minutes.
