--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -23,10 +23,12 @@
 	gapMargin = 2
 	// minSilence is the least time of such a silence.
 	minSilence = 250 * time.Millisecond
+	// maxEndDelay is the time from the last event of a complete response to its end, apart from the delays of the network.
+	maxEndDelay = time.Millisecond
 	// closeWait is the time for which the end of a stream is held back to see whether the server closes its connection: a
 	// process that stops closes it right after its responses.
 	closeWait = 5 * time.Millisecond
-	// leavingCloseWait is the same time for a server that is leaving, which may end a while after its handlers.
+	// leavingCloseWait is the same time for a server that may have been stopped, which may end a while after its handlers.
 	leavingCloseWait = 100 * time.Millisecond
 	// endProbeTimeout limits the time for which the end of a response is held back until its server has answered a probe.
 	endProbeTimeout = 500 * time.Millisecond
@@ -172,9 +174,13 @@
 
 // needsProbe tells whether it matters for the end of the response whether the server's process is still there.
 func (e *responseEnd) needsProbe() bool {
-	return !e.relayed && (e.framing == FramedByConnection || e.closed)
+	return !e.relayed && (e.framing == FramedByConnection || e.closed || e.isBetweenEvents())
 }
 
+// isBetweenEvents tells whether the response ended a while after its last event. A complete one ends right after it, while a
+// server that stops ends its responses at any time, and this VM may not know yet that it was to stop.
+func (e *responseEnd) isBetweenEvents() bool { return e.events > 0 && e.sinceEvent > maxEndDelay }
+
 // isCutWithoutTrace tells whether the response would have ended in the same way if its server, or the VM that relayed it,
 // had stopped within it: the kernel closes the connections of a process that ends.
 func (e *responseEnd) isCutWithoutTrace() bool {
@@ -191,7 +197,7 @@
 // awaitClose finds out whether the server closes the connection of a complete response that it has not announced to close.
 func (x *exchange) awaitClose(body Body) {
 	wait := closeWait
-	if x.lastEnd.server != serverReady {
+	if x.lastEnd.server != serverReady || x.lastEnd.isBetweenEvents() {
 		wait = leavingCloseWait
 	}
 	x.lastEnd.closed = body.ClosedByServer(wait)
@@ -255,6 +261,8 @@
 		return "it ended with its connection; probe of the server: " + e.probe.String()
 	case e.closed && e.probe != serverstate.ProbeAnswered:
 		return "the connection was closed after it; probe of the server: " + e.probe.String()
+	case e.isBetweenEvents() && e.probe == serverstate.ProbeRefused:
+		return fmt.Sprintf("it ended %v after its last event, and the server has ended", e.sinceEvent)
 	case e.server == serverReplaced:
 		return "another process is known under the server's id"
 	case e.lostHolders > 0:
@@ -275,6 +283,8 @@
 		return ""
 	case end.resumedNothing:
 		return "the server went on with no event"
+	case end.server != serverReady && end.isBetweenEvents() && x.mayBeConfirmed():
+		return fmt.Sprintf("the server was %v and ended it %v after its last event", end.server, end.sinceEvent)
 	case end.isAfterSilence():
 		return fmt.Sprintf("the server had been silent for %v", end.sinceEvent.Round(time.Millisecond))
 	case end.framing == FramedByConnection && !x.gateway.closings.isTrusted(time.Now(), x.service, x.mayBeConfirmed()):
