--- a/internal/gateway/deadline_test.go
+++ b/internal/gateway/deadline_test.go
@@ -42,7 +42,10 @@
 					body := &endingAt{Reader: strings.NewReader(events), end: time.Now().Add(a.Remaining - c.before)}
 					return &Response{Status: http.StatusOK, Header: http.Header{}, Body: fakeBody{body}, Verified: true, IsStream: true}, nil
 				}}}
-				caller := serveWith(f, f, testTable(), kind, "key", timeout)
+				caller := serveOptions(Options{
+					Table: tableOf(testTable()), Placer: f, Budget: f, Servers: f, Backend: f, Memory: f, Paths: answeringPaths{},
+					StopsIn: func() (time.Duration, bool) { return 0, false },
+				}, kind, "key", timeout)
 				require.Equal(t, events, caller.body)
 				require.Equal(t, c.complete, !caller.aborted)
 			})
@@ -53,16 +56,16 @@
 // A response without a length that ends at the deadline may have been cut by it.
 func TestResponseWithoutALengthThatEndsAtItsDeadlineIsNotComplete(t *testing.T) {
 	const timeout = 200 * time.Millisecond
-	for name, endsWithConnection := range map[string]bool{"without a length": true, "with a length": false} {
+	for name, framing := range map[string]Framing{"without a length": FramedByConnection, "with a length": FramedByLength} {
 		t.Run(name, func(t *testing.T) {
 			f := &fakes{responses: []func(*Attempt) (*Response, error){func(a *Attempt) (*Response, error) {
 				body := &endingAt{Reader: strings.NewReader("the begi"), end: time.Now().Add(a.Remaining - time.Millisecond)}
 				return &Response{
-					Status: http.StatusOK, Header: http.Header{}, Body: fakeBody{body}, Verified: true, EndsWithConnection: endsWithConnection,
+					Status: http.StatusOK, Header: http.Header{}, Body: fakeBody{body}, Verified: true, Framing: framing,
 				}, nil
 			}}}
 			caller := serveWith(f, f, testTable(), "unsafe", "key", timeout)
-			require.Equal(t, endsWithConnection, caller.body == "", "body %q", caller.body)
+			require.Equal(t, framing == FramedByConnection, caller.body == "", "body %q", caller.body)
 		})
 	}
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -86,6 +86,13 @@
 	// it.
 	mayCrashServers bool
 	timing          timing
+	// lastEnd is what was known when the server of the last attempt ended its response, nil if it did not.
+	lastEnd *responseEnd
+	// inDoubt is set when the last response was ended by its server and may be complete.
+	inDoubt bool
+	// doubtful is the end of an earlier response that did not show that the stream is complete, nil if there is none after
+	// the last event that the caller has.
+	doubtful *responseEnd
 }
 
 // run sends the request until it is answered or must not be retried.
@@ -112,6 +119,7 @@
 		granted = result.moved
 		if result.err != nil {
 			x.countUnsent(result.err)
+			x.inDoubt = result.err.InDoubt
 		}
 		if result.err != nil && errors.Is(result.err, errPlacementTurnedDown) {
 			x.retryCharged = charged
@@ -156,8 +164,11 @@
 }
 
 // waitForBudget waits until the retry budget allows a retry of a stream that has begun. It returns false for another
-// request, and if too little time would be left for the attempt.
+// request, for a stream that has ended and is in doubt, and if too little time would be left for the attempt.
 func (x *exchange) waitForBudget(ctx context.Context) bool {
+	if x.inDoubt {
+		return false
+	}
 	for x.waitToAskAgain(ctx, minSearchInterval) {
 		if x.gateway.options.Budget.CanRetry(x.service) {
 			return true
@@ -248,7 +259,7 @@
 	if x.mayCrashServers || !x.isResumable() {
 		return false
 	}
-	if !x.hasAttemptsLeft() {
+	if !x.hasAttemptsLeft() || err.AtDeadline && time.Until(x.deadline) < minStallTimeout/2 {
 		return false
 	}
 	if err.Delivery != DeliveryUnknown {
@@ -303,8 +314,8 @@
 }
 
 // startDeadline returns the time after which the first event of a stream, or the whole answer otherwise, is of no use
-// to the caller. A stream that is to be resumed has half the usual time, counted from now, until its next event. The
-// deadline of the request is the upper bound.
+// to the caller: a stream must still end by the deadline of the request. A stream that is to be resumed has half the usual
+// time, counted from now, until its next event. The deadline of the request is the upper bound.
 func (x *exchange) startDeadline() time.Time {
 	if x.route.Kind != routes.KindStream {
 		return x.deadline
@@ -314,8 +325,12 @@
 	if x.headSent {
 		latestStart = time.Now().Add(timeout / 2)
 	}
-	if latestStart.After(x.deadline) {
-		return x.deadline
+	latestEnd := x.deadline
+	if !x.headSent {
+		latestEnd = latestEnd.Add(-x.gateway.streamTimes.least(x.route.Name))
+	}
+	if latestStart.After(latestEnd) {
+		return latestEnd
 	}
 	return latestStart
 }
@@ -347,6 +362,9 @@
 	}
 	switch {
 	case x.headSent:
+		if err.AtDeadline { // the response must not be broken off before
+			pause.For(ctx, time.Until(x.deadline))
+		}
 		x.logBroken(reason)
 		x.caller.Abort()
 	case x.possibleRuns > 0:
@@ -391,20 +409,23 @@
 }
 
 // relay sends a response to the caller, as a stream of events or as a whole.
-func (x *exchange) relay(id schedule.JobID, attempt *Attempt, response *Response, watch *stallWatch) attemptResult {
+func (x *exchange) relay(ctx context.Context, id schedule.JobID, open *openAttempt, watch *stallWatch) attemptResult {
+	response := open.response
+	x.lastEnd = nil
 	if err := x.responseError(response); err != nil {
 		return attemptResult{err: err}
 	}
 	success := isSuccess(response.Status)
 	if success && x.route.Kind == routes.KindStream {
-		return x.relayStream(id, attempt, response, watch)
+		return x.relayStream(ctx, id, open, watch)
 	}
-	return x.relayWhole(attempt, response, success)
+	return x.relayWhole(ctx, open, success)
 }
 
 // relayWhole reads the whole body of a response and sends the response to the caller. A 5xx response is not sent but
 // returned as an error while the request may be retried.
-func (x *exchange) relayWhole(attempt *Attempt, response *Response, success bool) attemptResult {
+func (x *exchange) relayWhole(ctx context.Context, open *openAttempt, success bool) attemptResult {
+	attempt, response := open.Attempt, open.response
 	if err := response.Body.SetReadDeadline(x.deadline); err != nil {
 		return attemptResult{err: &AttemptError{Delivery: DeliveryUnknown, Err: err}}
 	}
@@ -414,11 +435,17 @@
 	if err != nil {
 		return attemptResult{err: &AttemptError{Delivery: DeliveryUnknown, Err: fmt.Errorf("read the response: %w", err)}}
 	}
-	if response.EndsWithConnection && x.isAtDeadline(time.Now()) {
+	if response.Framing == FramedByConnection && time.Until(x.deadline) <= minDeadlineMargin {
 		return attemptResult{err: &AttemptError{
 			Delivery: DeliveryUnknown, Err: errors.New("the response ended with its connection at the deadline, so that it may be incomplete"),
 		}}
 	}
+	x.lastEnd = x.observeEnd(open, pace{lastAt: open.sentAt}, time.Now())
+	if x.probeEnded(ctx, open.Server); x.lastEnd.isCutWithoutTrace() { // one with a length or chunks is not probed
+		return attemptResult{end: x.lastEnd, err: &AttemptError{
+			Delivery: DeliveryUnknown, Err: fmt.Errorf("the response of %d bytes ended with its connection and may be incomplete: probe of the server: %v", len(body), x.lastEnd.probe),
+		}}
+	}
 	isServerError := response.Status >= http.StatusInternalServerError
 	mayRetry := x.route.IsRetryable() && x.possibleRuns+1 < x.route.MaxAttempts && x.hasAttemptsLeft()
 	if isServerError && mayRetry {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -124,6 +124,9 @@
 	Read(p []byte) (int, error)
 	// SetReadDeadline sets the deadline of all following reads.
 	SetReadDeadline(deadline time.Time) error
+	// ClosedByServer tells, once the response is complete, whether the server closes the connection within wait without
+	// having announced that.
+	ClosedByServer(wait time.Duration) bool
 	// Close ends the response. If it is not complete, the server cancels the request.
 	Close() error
 }
@@ -139,8 +142,8 @@
 	Relayed bool
 	// IsStream is set when the response states that its body is a stream of events.
 	IsStream bool
-	// EndsWithConnection is set when only the end of the connection shows where the body ends.
-	EndsWithConnection bool
+	// Framing is how the response shows where its body ends.
+	Framing Framing
 }
 
 // Backend sends requests to backend servers. Its errors are of type *AttemptError.
@@ -193,6 +196,8 @@
 	// that are silent or have closed a connection without an answer. It tells whether the server has answered on a new
 	// connection, so that its process is there.
 	Check(ctx context.Context, address string) (answered bool)
+	// Probe finds out by a new connection whether the process of a server that has ended a response is still there.
+	Probe(ctx context.Context, address string) serverstate.Presence
 }
 
 // Options configure a Gateway.
@@ -236,6 +241,9 @@
 	lastSeq   atomic.Uint64
 	inFlight  atomic.Int64
 	meanSizes meanSizes
+	closings  closings
+	// streamTimes is what complete streams have taken so far.
+	streamTimes streamTimes
 	// stopping is done once a planned stop has begun, exiting once this VM exits. stopBegan is when the stop began, nil
 	// before.
 	stopping  context.Context
@@ -254,6 +262,9 @@
 // Check implements Paths.
 func (soundPaths) Check(context.Context, string) bool { return false }
 
+// Probe implements Paths.
+func (soundPaths) Probe(context.Context, string) serverstate.Presence { return serverstate.Presence{} }
+
 // New returns a Gateway with the given options.
 func New(options Options) *Gateway {
 	if options.Evidence == nil {
@@ -265,7 +276,7 @@
 	if options.Paths == nil {
 		options.Paths = soundPaths{}
 	}
-	g := &Gateway{options: options, startedAt: time.Now(), meanSizes: meanSizes{byRoute: map[string]float64{}}}
+	g := &Gateway{options: options, startedAt: time.Now(), meanSizes: meanSizes{byRoute: map[string]float64{}}, closings: newClosings(), streamTimes: newStreamTimes()}
 	g.stopping, g.beginStop = context.WithCancel(context.Background())
 	g.exiting, g.beginExit = context.WithCancel(context.Background())
 	return g
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -132,8 +132,9 @@
 	io.Reader
 }
 
-func (fakeBody) SetReadDeadline(time.Time) error { return nil }
-func (fakeBody) Close() error                    { return nil }
+func (fakeBody) SetReadDeadline(time.Time) error   { return nil }
+func (fakeBody) ClosedByServer(time.Duration) bool { return false }
+func (fakeBody) Close() error                      { return nil }
 
 // respond returns a send function for fakes.responses. The response ends properly after body if readErr is nil;
 // otherwise reading it fails with readErr after body.
@@ -299,10 +300,11 @@
 		second, want string
 		complete     bool
 	}{
-		"no event":                    {"", "", true},
-		"note only":                   {": note\n\n", "", true},
+		"no event":                    {"", "", false},
+		"note only":                   {": note\n\n", "", false},
 		"earlier events":              {"id: 1\ndata: a\n\n", "", false},
-		"last event again":            {"id: 2\ndata: b\n\n", "", true},
+		"last event again":            {"id: 2\ndata: b\n\n", "", false},
+		"all events again":            {events, "", true},
 		"later event":                 {"id: 3\ndata: c\n\n", "id: 3\ndata: c\n\n", true},
 		"earlier event without an id": {"data: x\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n", "id: 3\ndata: c\n\n", true},
 		"repeated event":              {"id: 3\ndata: c\n\nid: 3\ndata: c\n\n", "id: 3\ndata: c\n\n", true},
@@ -476,6 +478,7 @@
 	deadline time.Time
 }
 
+func (s *slowBody) ClosedByServer(time.Duration) bool { return false }
 func (s *slowBody) SetReadDeadline(deadline time.Time) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"godwityoke.example/godwityoke/internal/observe"
 	"godwityoke.example/godwityoke/internal/schedule"
 )
@@ -72,9 +74,17 @@
 // logBroken logs and counts a request that failed after it may have run or after part of a stream was sent.
 func (x *exchange) logBroken(cause string) {
 	x.countOutcome(outcomeBroken)
-	observe.Log(x.gateway.options.Logger, observe.RequestBroken).Str("request", x.request.ID).Str("route", x.route.Name).
+	withEnd(observe.Log(x.gateway.options.Logger, observe.RequestBroken), x.lastEnd).Str("request", x.request.ID).Str("route", x.route.Name).
 		Int("sends", x.attempts).Int("runs", x.possibleRuns).Int("events", x.eventsSent).Str("cause", cause).
-		Dur("held", time.Since(x.request.ArrivedAt)).Send()
+		Dur("held", time.Since(x.request.ArrivedAt)).Dur("left", time.Until(x.deadline)).Send()
+}
+
+// withEnd adds to a log line what was known when a response ended, unless end is nil.
+func withEnd(line *zerolog.Event, end *responseEnd) *zerolog.Event {
+	if end == nil {
+		return line
+	}
+	return line.Object("end", end)
 }
 
 // logAbandoned logs and counts a request whose caller disconnected while the response was sent. err is the write error.
@@ -102,13 +112,16 @@
 	if x.eventsSent > 0 {
 		x.gateway.options.Metrics.Observe(observe.TimeToFirstToken, x.teamName(), x.class(), x.timing.timeToFirstEvent)
 	}
+	if x.eventsSent > 0 && x.attempts == 1 && x.request.ResumeAfter == 0 {
+		x.gateway.streamTimes.record(x.route.Name, x.timing.lastEventAt.Sub(x.request.ArrivedAt)-x.timing.timeToFirstEvent)
+	}
 	x.gateway.options.Metrics.Observe(observe.QueueTime, x.teamName(), x.class(), x.timing.placementWait)
 	x.gateway.options.Metrics.Observe(observe.RequestDuration, x.teamName(), x.class(), time.Since(x.request.ArrivedAt))
 	event := observe.RequestAnswered
 	if x.isLate(success) {
 		event = observe.RequestAnsweredLate
 	}
-	observe.Log(x.gateway.options.Logger, event).Str("request", x.request.ID).Str("route", x.route.Name).
+	withEnd(observe.Log(x.gateway.options.Logger, event), x.lastEnd).Str("request", x.request.ID).Str("route", x.route.Name).
 		Str("server", attempt.Server.ID).Int("status", status).Bool("success", success).Int("sends", x.attempts).
 		Int("helpers", len(attempt.Helpers)).Int("prompt", x.request.PromptTokens).Int("events", x.eventsSent).
 		Dur("aim", x.route.TargetLatency).Dur("pause_aim", x.route.TargetGap).Dur("waited", x.timing.placementWait).
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -9,23 +10,52 @@
 
 	"godwityoke.example/godwityoke/internal/eventstream"
 	"godwityoke.example/godwityoke/internal/schedule"
+	"godwityoke.example/godwityoke/internal/serverstate"
 )
 
-// deadlineMargin is the time before the deadline of a request from which the end of a response does not show that it is
-// complete: servers stop at the deadline that they were sent, which is rounded down to milliseconds. A timer may be as much
-// out.
-const deadlineMargin = 2 * time.Millisecond
-
 // maxBytesWithoutID limits consecutive events without an id, such as comments. The events of an answer have ids.
 const maxBytesWithoutID = 64 << 10
 
+// eventOrder checks the order of the events of one response.
+type eventOrder struct {
+	// maxID is the highest id so far, 0 for none.
+	maxID uint64
+	// bytesWithoutID is the size of the events since the last one with an id.
+	bytesWithoutID int
+}
+
+// record returns an error for an event that is out of order, or if events without an id become too long.
+func (o *eventOrder) record(event eventstream.Event) error {
+	if !event.HasID {
+		if o.bytesWithoutID += len(event.Raw); o.bytesWithoutID > maxBytesWithoutID {
+			return fmt.Errorf("events without an id: %w", eventstream.ErrTooLarge)
+		}
+		return nil
+	}
+	previous := o.maxID
+	o.bytesWithoutID, o.maxID = 0, event.ID
+	if event.ID < previous {
+		return fmt.Errorf("event %d follows event %d", event.ID, previous)
+	}
+	return nil
+}
+
+// isNew tells whether the caller does not have the event, which was just recorded.
+func (x *exchange) isNew(event eventstream.Event, order eventOrder) bool {
+	if !event.HasID {
+		return order.maxID >= x.lastEventID
+	}
+	return event.ID > x.lastEventID || event.ID == 0 && x.eventsSent == 0
+}
+
 // relayStream sends the events of a response to the caller as they arrive, whole events only. It skips events up to
 // lastEventID, which the caller has from an earlier attempt, and events without an id before the first new one.
-func (x *exchange) relayStream(id schedule.JobID, attempt *Attempt, response *Response, watch *stallWatch) attemptResult {
+func (x *exchange) relayStream(ctx context.Context, id schedule.JobID, open *openAttempt, watch *stallWatch) attemptResult {
+	attempt, response, pace := open.Attempt, open.response, pace{lastAt: open.sentAt}
 	account := x.gateway.options.Buffers.Account(attempt.Server.Address)
 	defer account.Release()
 	reader := eventstream.NewReader(response.Body, account)
-	received, bytesWithoutID, maxID := 0, 0, uint64(0)
+	received, order := 0, eventOrder{}
 	if err := response.Body.SetReadDeadline(x.deadline); err != nil {
 		return attemptResult{err: &AttemptError{Delivery: DeliveryUnknown, Err: err}}
 	}
@@ -36,16 +66,11 @@
 		watch.begin(x.eventDeadline(received > 0), giveUp)
 		event, err := reader.Next()
 		givenUp := watch.end(err == nil || errors.Is(err, io.EOF)) // the time that the caller needs to read an event does not count
-		if event.HasID {
-			if event.ID < maxID {
-				err = fmt.Errorf("event %d follows event %d", event.ID, maxID)
-			}
-			bytesWithoutID, maxID = 0, event.ID
-		} else if bytesWithoutID += len(event.Raw); bytesWithoutID > maxBytesWithoutID {
-			err = fmt.Errorf("events without an id: %w", eventstream.ErrTooLarge)
-		}
 		if errors.Is(err, io.EOF) {
-			return x.finishStream(attempt, response, maxID)
+			return x.finishStream(ctx, open, pace, order.maxID)
+		}
+		if err == nil {
+			err = order.record(event)
 		}
 		if err != nil {
 			if givenUp && errors.Is(err, os.ErrDeadlineExceeded) {
@@ -56,13 +81,16 @@
 			}}
 		}
 		received++
+		if event.HasID || order.maxID == 0 { // comments between events are no events
+			pace.record(time.Now())
+		}
 		switch received {
 		case 1:
 			x.gateway.options.Placer.Started(id)
 		case minEventsOfSoundPrompt:
 			x.recordSound(true)
 		}
-		if event.HasID && event.ID > x.lastEventID || !event.HasID && maxID >= x.lastEventID {
+		if x.isNew(event, order) {
 			if err := x.forwardEvent(response, event); err != nil {
 				x.logAbandoned(attempt, err)
 				x.caller.Abort()
@@ -75,14 +103,21 @@
 	}
 }
 
+// beginStream sends the head of the response to the caller if that was not done yet. An error means that the caller has
+// disconnected.
+func (x *exchange) beginStream(response *Response) error {
+	if x.headSent {
+		return nil
+	}
+	x.headSent = true
+	return x.caller.BeginStream(response.Status, response.Header)
+}
+
 // forwardEvent sends an event to the caller, preceded by the head of the response if that was not sent yet. An error
 // means that the caller has disconnected.
 func (x *exchange) forwardEvent(response *Response, event eventstream.Event) error {
-	if !x.headSent {
-		if err := x.caller.BeginStream(response.Status, response.Header); err != nil {
-			return err
-		}
-		x.headSent = true
+	if err := x.beginStream(response); err != nil {
+		return err
 	}
 	if err := x.caller.WriteEvent(event.Raw); err != nil {
 		return err
@@ -90,16 +125,20 @@
 	if event.HasID {
 		x.lastEventID = event.ID
 	}
+	x.recordContinued()
 	x.eventsSent++
 	x.timing.recordEvent(time.Now(), x.request.ArrivedAt)
 	return nil
 }
 
 // finishStream ends a request whose response ended properly; maxID is the highest event id in it, 0 for none. The attempt
-// counts as failed if the caller has not been sent any event, or has a later event than the response. A response without
-// events states that the caller has all of them, unless it is one that ended with its connection.
-func (x *exchange) finishStream(attempt *Attempt, response *Response, maxID uint64) attemptResult {
-	if !x.headSent {
+// counts as failed if the caller has no event, has a later one than the response, or if the end of the response does not
+// show that it is complete.
+func (x *exchange) finishStream(ctx context.Context, open *openAttempt, pace pace, maxID uint64) attemptResult {
+	resumedAfter := open.ResumeAfter
+	x.lastEnd = x.observeEnd(open, pace, time.Now())
+	x.lastEnd.resumedNothing = x.lastEventID > 0 && (maxID == 0 || maxID == x.lastEventID && pace.events == 1 && x.lastEventID == resumedAfter)
+	if !x.headSent && x.lastEventID == 0 {
 		return attemptResult{err: &AttemptError{
 			Delivery: DeliveryUnknown, Err: errors.New("the stream ended without an event"),
 		}}
@@ -109,28 +148,34 @@
 			Delivery: DeliveryUnknown, Err: fmt.Errorf("the stream ended at event %d, the caller has event %d", maxID, x.lastEventID),
 		}}
 	}
-	if x.isAtDeadline(time.Now()) {
-		time.Sleep(time.Until(x.deadline)) // a response must not be broken off before
-		x.logBroken(fmt.Sprintf("the stream of server %s ended after event %d at the deadline, so that it may be incomplete", attempt.Server.ID, x.lastEventID))
-		x.caller.Abort()
-		return attemptResult{done: true}
+	if end := x.lastEnd; end.isAtDeadline() {
+		return attemptResult{events: pace.events, end: x.lastEnd, err: &AttemptError{
+			Delivery: DeliveryUnknown, ServerSound: true, AtDeadline: true,
+			Err: fmt.Errorf("the stream ended after event %d, %v before the deadline, so that it may be incomplete", x.lastEventID, end.left.Round(time.Millisecond)),
+		}}
 	}
-	if maxID == 0 && x.lastEventID > 0 && response.EndsWithConnection {
-		return attemptResult{err: &AttemptError{
-			Delivery: DeliveryUnknown, Err: fmt.Errorf("the connection ended without an event, the caller has event %d", x.lastEventID),
+	x.awaitClose(open.response.Body)
+	x.probeEnded(ctx, open.Server)
+	x.checkHolders(ctx, open.tickets)
+	if doubt := x.doubt(); doubt != "" {
+		x.recordDoubt()
+		return attemptResult{events: pace.events, end: x.lastEnd, err: &AttemptError{
+			Delivery: DeliveryUnknown, ServerSound: x.lastEnd.probe != serverstate.ProbeRefused, InDoubt: true,
+			Err: fmt.Errorf("the stream ended after event %d and may be incomplete: %s", x.lastEventID, doubt),
 		}}
 	}
+	x.recordConfirmed()
 	x.recordSound(true)
 	x.possibleRuns++
-	x.recordAnswered(attempt, response.Status, true)
+	if err := x.beginStream(open.response); err != nil { // only a caller that has all events has no head yet
+		x.logAbandoned(open.Attempt, err)
+		x.caller.Abort()
+		return attemptResult{done: true}
+	}
+	x.recordAnswered(open.Attempt, open.response.Status, true)
 	return attemptResult{done: true}
 }
 
-// isAtDeadline tells whether a response that ends at now may have been ended by the deadline of the request.
-func (x *exchange) isAtDeadline(now time.Time) bool {
-	return !now.Before(x.deadline.Add(-deadlineMargin))
-}
-
 // eventDeadline returns the time by which the server must send its next event, or its first one if started is false.
 // The timeout of the first event counts from the arrival of the request, but leaves the server at least
 // minStallTimeout. The deadline of the request is the upper bound.
--- a/internal/gateway/tickets.go
+++ b/internal/gateway/tickets.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -45,8 +46,22 @@
 	tokens int
 	// unanswered counts the orders that the server did not answer in time.
 	unanswered *atomic.Int64
+	// lastRenewal is the result of the last order to reserve or renew.
+	lastRenewal *atomic.Uint32
 }
 
+// Results of an order to reserve or renew.
+const (
+	renewalAnswered = iota
+	// renewalUnanswered also stands for an order that is not known to have reached the server.
+	renewalUnanswered
+	// renewalRefused means that the server refused the order, or that no process listens at its address.
+	renewalRefused
+)
+
+// renewal returns the result of the last order to reserve or renew.
+func (t ticket) renewal() uint32 { return t.lastRenewal.Load() }
+
 // tickets are the memory reservations of one attempt. They are renewed in the background until release.
 type tickets struct {
 	memory       Memory
@@ -71,7 +86,7 @@
 		entry := Helper{Address: server.Address}
 		if helper.ReserveTokens > 0 {
 			entry.Ticket = x.request.ID + "-" + strconv.FormatUint(placement.ID.Seq, 10) + "-" + strconv.Itoa(i)
-			t.list = append(t.list, ticket{server: server, name: entry.Ticket, tokens: helper.ReserveTokens, unanswered: &atomic.Int64{}})
+			t.list = append(t.list, ticket{server: server, name: entry.Ticket, tokens: helper.ReserveTokens, unanswered: &atomic.Int64{}, lastRenewal: &atomic.Uint32{}})
 		}
 		attempt.Helpers = append(attempt.Helpers, entry)
 	}
@@ -95,7 +110,16 @@
 }
 
 func (t *tickets) reserveOne(ctx context.Context, item ticket) error {
-	return t.memory.Reserve(ctx, item.server, item.name, item.tokens, ticketHoldTime)
+	err := t.memory.Reserve(ctx, item.server, item.name, item.tokens, ticketHoldTime)
+	switch {
+	case err == nil:
+		item.lastRenewal.Store(renewalAnswered)
+	case errors.Is(err, ErrMemoryRefused), errors.Is(err, syscall.ECONNREFUSED):
+		item.lastRenewal.Store(renewalRefused)
+	default:
+		item.lastRenewal.Store(renewalUnanswered)
+	}
+	return err
 }
 
 func (t *tickets) releaseOne(ctx context.Context, item ticket) error {
--- a/internal/h1/client.go
+++ b/internal/h1/client.go
@@ -113,6 +113,8 @@
 	Body *Body
 	// RelayedBy is the address of the VM that relayed the connection, empty for a direct connection.
 	RelayedBy string
+	// HasLength is set when the server announced the length of the body.
+	HasLength bool
 	// EndsWithConnection is set when the server announced no length, so that the body ends where the server closes the
 	// connection. Whether it had sent everything is then not known.
 	EndsWithConnection bool
@@ -241,17 +243,19 @@
 	}
 	body.reader = response.Body
 	body.endsWithConnection = endsWithConnection(response)
+	body.announcedClose = response.Close || body.endsWithConnection
 	body.reusable = !response.Close && request.UnreachableAfter == 0 && connection.relayedBy == "" && !body.endsWithConnection
 	connection.idleTimeout = idleTimeout(response.Header, c.options.MaxIdleTime)
 	return &Response{
 		Status: response.StatusCode, Header: response.Header, Body: body, RelayedBy: connection.relayedBy,
-		EndsWithConnection: body.endsWithConnection,
+		HasLength: response.ContentLength >= 0, EndsWithConnection: body.endsWithConnection,
 	}, nil
 }
 
-// endsWithConnection tells whether only the end of the connection shows where the body ends.
+// endsWithConnection tells whether only the end of the connection shows where the body ends. A response to a HEAD request has
+// no body.
 func endsWithConnection(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
 }
 
 // readHead reads responses until one belongs to the request. On a reused connection it may be preceded by extra
