gateway, relay: a stream that nothing speaks against isn't broken off for want of a confirmation

- A stream that a live server ended with its connection right after an event counts as complete when no other server can confirm it, unless one of its service was cut in this way in the last 10 minutes.
- A probe whose connection is reset shows nothing, also the second time.

Evidence: TestStreamThatCannotBeConfirmedEndsAtOnce and the case "cut between two events" failed before; the cases "the retry budget is used up" and "the second server is dead" asked for a broken stream and now ask for its end, as the first rule says, and a reset probe is unclear.

--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -287,6 +287,8 @@
 		return fmt.Sprintf("the server was %v and ended it %v after its last event", end.server, end.sinceEvent)
 	case end.isAfterSilence():
 		return fmt.Sprintf("the server had been silent for %v", end.sinceEvent.Round(time.Millisecond))
+	case end.framing == FramedByConnection && end.isBetweenEvents():
+		return fmt.Sprintf("it ended with its connection, %v after its last event", end.sinceEvent)
 	case end.framing == FramedByConnection && !x.gateway.closings.isTrusted(time.Now(), x.service, x.mayBeConfirmed()):
 		return "it ended with its connection"
 	}
@@ -299,12 +301,25 @@
 }
 
 // recordDoubt remembers the end of the last response, which leaves the stream in doubt, unless something speaks against it.
-func (x *exchange) recordDoubt() {
+func (x *exchange) recordDoubt(open *openAttempt) {
 	if x.lastEnd.contradiction() == "" {
-		x.doubtful = x.lastEnd
+		x.doubtful, x.doubtfulAttempt, x.doubtfulStatus = x.lastEnd, open.Attempt, open.response.Status
 	}
 }
 
+// endUnconfirmed ends a stream that could not be confirmed although nothing speaks against its end: a live server closed the
+// connection right after an event, and no stream of the service was cut in this way lately. It tells whether it did.
+func (x *exchange) endUnconfirmed() bool {
+	end := x.doubtful
+	if end == nil || end.framing != FramedByConnection || end.resumedNothing || end.isBetweenEvents() ||
+		!x.headSent || !x.gateway.closings.isTrusted(time.Now(), x.service, false) {
+		return false
+	}
+	x.lastEnd = end
+	x.recordAnswered(x.doubtfulAttempt, x.doubtfulStatus, true)
+	return true
+}
+
 // recordContinued records that the caller was sent an event after a response that had ended.
 func (x *exchange) recordContinued() {
 	if x.doubtful != nil && x.doubtful.framing == FramedByConnection {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -91,8 +91,10 @@
 	// inDoubt is set when the last response was ended by its server and may be complete.
 	inDoubt bool
 	// doubtful is the end of an earlier response that did not show that the stream is complete, nil if there is none after
-	// the last event that the caller has.
-	doubtful *responseEnd
+	// the last event that the caller has. doubtfulAttempt and doubtfulStatus are those of the response.
+	doubtful        *responseEnd
+	doubtfulAttempt *Attempt
+	doubtfulStatus  int
 }
 
 // run sends the request until it is answered or must not be retried.
@@ -342,6 +344,7 @@
 		reason, retryAfter = errExiting.Error(), StoppingRetryAfter
 	}
 	switch {
+	case x.endUnconfirmed():
 	case x.headSent:
 		x.logBroken("no server to go on at: " + reason)
 		x.caller.Abort()
@@ -361,6 +364,7 @@
 		reason, retryAfter = fmt.Sprintf("%v: %v", cause, err), StoppingRetryAfter
 	}
 	switch {
+	case x.endUnconfirmed():
 	case x.headSent:
 		if err.AtDeadline { // the response must not be broken off before
 			pause.For(ctx, time.Until(x.deadline))
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -158,7 +158,7 @@
 	x.probeEnded(ctx, open.Server)
 	x.checkHolders(ctx, open.tickets)
 	if doubt := x.doubt(); doubt != "" {
-		x.recordDoubt()
+		x.recordDoubt(open)
 		return attemptResult{events: pace.events, end: x.lastEnd, err: &AttemptError{
 			Delivery: DeliveryUnknown, ServerSound: x.lastEnd.probe != serverstate.ProbeRefused, InDoubt: true,
 			Err: fmt.Errorf("the stream ended after event %d and may be incomplete: %s", x.lastEventID, doubt),
--- a/internal/relay/probe.go
+++ b/internal/relay/probe.go
@@ -155,11 +155,9 @@
 // and says nothing of the path to the server.
 func (d *Dialer) Probe(ctx context.Context, address string) serverstate.Presence {
 	presence, wasReset := d.probeOnce(ctx, address)
-	if wasReset { // by a server that has too many connections, or one that is ending
+	if wasReset { // by a server that has too many connections, by one that is ending, or by something on the way
 		pause.For(ctx, resetProbeDelay)
-		if presence, wasReset = d.probeOnce(ctx, address); wasReset {
-			presence.Result = serverstate.ProbeAnswered
-		}
+		presence, _ = d.probeOnce(ctx, address)
 	}
 	return presence
 }
