soak: a stand-in that stops closes its listener before its handlers return

Its handlers were told to return just before the listener closed, so that a probe could still be answered with the ending "at the stop", and TestWorkerEndsItsStreamsWhenItStops failed at times (at least 1 of 26 runs of it at a load of 18 on 8 cores; "address already in use" in later ones followed from it).

--- a/internal/soak/endings.go
+++ b/internal/soak/endings.go
@@ -164,11 +164,11 @@
 		w.deregister(ctx)
 	}
 	w.stop()
-	ending, _ := w.nextEnding()
-	w.stopStreams()
-	if ending == EndAtStopListening {
+	if ending, _ := w.nextEnding(); ending == EndAtStopListening {
+		w.stopStreams()
 		pause.For(ctx, listeningTime)
 	} else {
+		w.server.RegisterOnShutdown(w.stopStreams) // after the listener has closed
 		limit, cancel := context.WithTimeout(ctx, stopTime)
 		_ = w.server.Shutdown(limit) // what is still open is closed by crash
 		cancel()
