soak: a stand-in that starts again waits for its address

TestCutOffStreamsAreNotPassedOnAsComplete failed once of 3 runs, at a load of 29: "worker-4 ended by itself: listen tcp 127.153.3.4:7400: bind: address already in use", 0.3 s after its crash. What held the address was not traced. The stand-in now tries for 2 s, as a supervisor would; the judges are unchanged, and a stand-in that can't listen by then is still a finding.

Evidence: TestWorkerWaitsForItsAddress.

--- a/internal/soak/worker.go
+++ b/internal/soak/worker.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"godwityoke.example/godwityoke/internal/pause"
@@ -39,6 +41,10 @@
 	silentDrainTime = 6 * time.Second
 	// rejectBackoff is the time for which a worker with FaultRejectAll wants no requests from an entry VM.
 	rejectBackoff = 3 * time.Second
+	// listenTimeout bounds the time for which a worker that starts waits for its address, listenRetryInterval is the time
+	// between two attempts.
+	listenTimeout       = 2 * time.Second
+	listenRetryInterval = 50 * time.Millisecond
 	// controlTimeout bounds a call to a control VM.
 	controlTimeout = time.Second
 	// heartbeatRetryDivisor divides the heartbeat interval after a heartbeat that no control VM acknowledged.
@@ -104,6 +110,16 @@
 	holds func(address, ticket string) bool
 }
 
+// listenAgain listens on the address of a worker that has ended. The kernel may hold the address for a moment longer.
+func listenAgain(address string) (net.Listener, error) {
+	for deadline := time.Now().Add(listenTimeout); ; time.Sleep(listenRetryInterval) {
+		listener, err := net.Listen("tcp", address)
+		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(deadline) {
+			return listener, err
+		}
+	}
+}
+
 // worker is one incarnation of a backend server.
 type worker struct {
 	options   workerOptions
@@ -139,7 +155,7 @@
 }
 
 func startWorker(id string, options workerOptions) (*worker, error) {
-	listener, err := net.Listen("tcp", options.listen)
+	listener, err := listenAgain(options.listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen for worker %s: %w", id, err)
 	}
--- a/internal/soak/worker_test.go
+++ b/internal/soak/worker_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -165,3 +166,16 @@
 	require.Equal(t, "heartbeat", calls[0])
 	require.Equal(t, "deregister", calls[len(calls)-1])
 }
+
+// A stand-in that crashed could not be started again while its address was in use, which counted as an end of its own.
+func TestWorkerWaitsForItsAddress(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	time.AfterFunc(4*listenRetryInterval, func() { _ = listener.Close() })
+	again, err := listenAgain(address)
+	require.NoError(t, err)
+	require.NoError(t, again.Close())
+	_, err = listenAgain("127.0.0.1:99999")
+	require.Error(t, err, "another error")
+}
