gateway: a stream that its server has cut off waits for the retry budget

Its server had stopped in it, which the entry VM saw (closed, no answer to a probe), but the retry budget was used up, and a stream in doubt doesn't wait for it. That is meant for a stream that may be complete; one whose end something speaks against is a broken stream, and waits as such.

Evidence: TestCutOffStreamWaitsForTheRetryBudget failed before (aborted) and passes.

--- a/internal/gateway/doubt_test.go
+++ b/internal/gateway/doubt_test.go
@@ -435,3 +435,24 @@
 		require.True(t, caller.aborted, "a truncated stream must not look complete")
 	})
 }
+
+// A stream that its server has cut off is resumed as soon as the budget allows it, unlike one that may be complete.
+func TestCutOffStreamWaitsForTheRetryBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &endings{silent: map[string]bool{"s1": true}, fakes: &fakes{responses: []func(*Attempt) (*Response, error){
+			func(*Attempt) (*Response, error) {
+				body := closedBody{fakeBody{&steadyBody{from: 1, to: 3}}}
+				return &Response{Status: http.StatusOK, Header: http.Header{}, Body: body, Verified: true, IsStream: true}, nil
+			},
+			steady(FramedByChunks, steadyBody{from: 4, to: 5}),
+		}}}
+		time.AfterFunc(3*time.Second, func() {
+			e.fakes.mu.Lock()
+			defer e.fakes.mu.Unlock()
+			e.retriesLeft = 1
+		})
+		caller := e.serve("stream", longTimeout)
+		require.False(t, caller.aborted)
+		require.Equal(t, eventsWithIDs(1, 5), caller.body)
+	})
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -160,7 +160,7 @@
 	if doubt := x.doubt(); doubt != "" {
 		x.recordDoubt(open)
 		return attemptResult{events: pace.events, end: x.lastEnd, err: &AttemptError{
-			Delivery: DeliveryUnknown, ServerSound: x.lastEnd.probe != serverstate.ProbeRefused, InDoubt: true,
+			Delivery: DeliveryUnknown, ServerSound: x.lastEnd.probe != serverstate.ProbeRefused, InDoubt: x.lastEnd.contradiction() == "",
 			Err: fmt.Errorf("the stream ended after event %d and may be incomplete: %s", x.lastEventID, doubt),
 		}}
 	}
