--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -265,8 +265,8 @@
 		return fmt.Sprintf("it ended %v after its last event, and the server has ended", e.sinceEvent)
 	case e.server == serverReplaced:
 		return "another process is known under the server's id"
-	case e.lostHolders > 0:
-		return fmt.Sprintf("%d prefill helpers had lost its memory", e.lostHolders)
+	case e.lostHolders > 0 && e.isBetweenEvents():
+		return fmt.Sprintf("%d prefill helpers had lost its memory, and it ended %v after its last event", e.lostHolders, e.sinceEvent)
 	}
 	return ""
 }
@@ -281,6 +281,8 @@
 	switch {
 	case x.doubtful != nil:
 		return ""
+	case end.lostHolders > 0:
+		return fmt.Sprintf("%d prefill helpers had lost its memory", end.lostHolders)
 	case end.resumedNothing:
 		return "the server went on with no event"
 	case end.server != serverReady && end.isBetweenEvents() && x.mayBeConfirmed():
