gateway: a complete stream of a server that ends with it is not broken off

A server that ends its process once its last stream is complete closes the connection and refuses probes, like one that stopped within it. And the time since the last event included the time that passing it on to the caller took.

Other streams are not held back for 5 ms any more.

Evidence: "draining, ends with its last stream", "the server ends with its last stream" and TestStreamOfASlowCallerEndsWithItsLastEvent failed before. In the other tests of these rules the stream that is cut off now ends between two events; "another VM relayed" has a case for each.

--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -25,11 +25,9 @@
 	minSilence = 250 * time.Millisecond
 	// maxEndDelay is the time from the last event of a complete response to its end, apart from the delays of the network.
 	maxEndDelay = time.Millisecond
-	// closeWait is the time for which the end of a stream is held back to see whether the server closes its connection: a
-	// process that stops closes it right after its responses.
-	closeWait = 5 * time.Millisecond
-	// leavingCloseWait is the same time for a server that may have been stopped, which may end a while after its handlers.
-	leavingCloseWait = 100 * time.Millisecond
+	// closeWait is the time for which the end of a stream between two events is held back to see whether the server closes its
+	// connection: a process that stops may end a while after its handlers.
+	closeWait = 100 * time.Millisecond
 	// endProbeTimeout limits the time for which the end of a response is held back until its server has answered a probe.
 	endProbeTimeout = 500 * time.Millisecond
 )
@@ -101,7 +99,8 @@
 	left time.Duration
 	// gap is the time in which the next event could be expected.
 	gap time.Duration
-	// sinceEvent is the time since the last event of the response, or since the request was sent.
+	// sinceEvent is the time for which the end was awaited once the last event was passed on; of a whole response, the time
+	// since the request was sent.
 	sinceEvent time.Duration
 	server     serverCondition
 	// closed is set when the server has closed the connection right after the response, without having announced it.
@@ -121,7 +120,7 @@
 	}
 	return &responseEnd{
 		framing: open.response.Framing, relayed: open.response.Relayed, events: pace.events, lastEventID: x.lastEventID,
-		left: x.deadline.Sub(now), gap: gap, sinceEvent: now.Sub(pace.lastAt), server: x.serverCondition(open.Server, now),
+		left: x.deadline.Sub(now), gap: gap, sinceEvent: now.Sub(pace.waitingSince), server: x.serverCondition(open.Server, now),
 		lostHolders: x.lostHolders(open.tickets, now),
 	}
 }
@@ -174,11 +173,12 @@
 
 // needsProbe tells whether it matters for the end of the response whether the server's process is still there.
 func (e *responseEnd) needsProbe() bool {
-	return !e.relayed && (e.framing == FramedByConnection || e.closed || e.isBetweenEvents())
+	return !e.relayed && (e.framing == FramedByConnection || e.isBetweenEvents())
 }
 
 // isBetweenEvents tells whether the response ended a while after its last event. A complete one ends right after it, while a
-// server that stops ends its responses at any time, and this VM may not know yet that it was to stop.
+// server that stops ends its responses at any time, and this VM may not know yet that it was to stop. One that ends its
+// process once its last stream is complete closes the connection at once, too.
 func (e *responseEnd) isBetweenEvents() bool { return e.events > 0 && e.sinceEvent > maxEndDelay }
 
 // isCutWithoutTrace tells whether the response would have ended in the same way if its server, or the VM that relayed it,
@@ -194,13 +194,10 @@
 		Stringer("server_state", e.server).Bool("closed", e.closed).Stringer("probe", e.probe).Int("lost_holders", e.lostHolders)
 }
 
-// awaitClose finds out whether the server closes the connection of a complete response that it has not announced to close.
+// awaitClose finds out whether the server closes the connection of a stream that has ended between two events, without
+// having announced that.
 func (x *exchange) awaitClose(body Body) {
-	wait := closeWait
-	if x.lastEnd.server != serverReady || x.lastEnd.isBetweenEvents() {
-		wait = leavingCloseWait
-	}
-	x.lastEnd.closed = body.ClosedByServer(wait)
+	x.lastEnd.closed = x.lastEnd.isBetweenEvents() && body.ClosedByServer(closeWait)
 }
 
 // probeEnded finds out whether the server's process is still there, where that matters for the end of the last response.
@@ -281,8 +278,6 @@
 	switch {
 	case x.doubtful != nil:
 		return ""
-	case end.lostHolders > 0:
-		return fmt.Sprintf("%d prefill helpers had lost its memory", end.lostHolders)
 	case end.resumedNothing:
 		return "the server went on with no event"
 	case end.server != serverReady && end.isBetweenEvents() && x.mayBeConfirmed():
@@ -339,6 +334,8 @@
 
 // pace measures the time between the events of one response.
 type pace struct {
+	// waitingSince is when the wait for the next event began.
+	waitingSince    time.Time
 	events          int
 	firstAt, lastAt time.Time
 	lastGap         time.Duration
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -444,7 +444,7 @@
 			Delivery: DeliveryUnknown, Err: errors.New("the response ended with its connection at the deadline, so that it may be incomplete"),
 		}}
 	}
-	x.lastEnd = x.observeEnd(open, pace{lastAt: open.sentAt}, time.Now())
+	x.lastEnd = x.observeEnd(open, pace{waitingSince: open.sentAt}, time.Now())
 	if x.probeEnded(ctx, open.Server); x.lastEnd.isCutWithoutTrace() { // one with a length or chunks is not probed
 		return attemptResult{end: x.lastEnd, err: &AttemptError{
 			Delivery: DeliveryUnknown, Err: fmt.Errorf("the response of %d bytes ended with its connection and may be incomplete: probe of the server: %v", len(body), x.lastEnd.probe),
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -51,7 +51,7 @@
 // relayStream sends the events of a response to the caller as they arrive, whole events only. It skips events up to
 // lastEventID, which the caller has from an earlier attempt, and events without an id before the first new one.
 func (x *exchange) relayStream(ctx context.Context, id schedule.JobID, open *openAttempt, watch *stallWatch) attemptResult {
-	attempt, response, pace := open.Attempt, open.response, pace{lastAt: open.sentAt}
+	attempt, response, pace := open.Attempt, open.response, pace{}
 	account := x.gateway.options.Buffers.Account(attempt.Server.Address)
 	defer account.Release()
 	reader := eventstream.NewReader(response.Body, account)
@@ -63,6 +63,7 @@
 		_ = response.Body.SetReadDeadline(time.Unix(1, 0)) // ends the pending read; fails only on a closed connection
 	}
 	for {
+		pace.waitingSince = time.Now()
 		watch.begin(x.eventDeadline(received > 0), giveUp)
 		event, err := reader.Next()
 		givenUp := watch.end(err == nil || errors.Is(err, io.EOF)) // the time that the caller needs to read an event does not count
