--- a/internal/hub/forward.go
+++ b/internal/hub/forward.go
@@ -33,6 +33,7 @@
 	answered bool
 	// suspect is set while the leader is considered unresponsive, until its next reply.
 	suspect     bool
+	// lastReplyAt is when the leader last replied, or when this VM began to follow it.
 	lastReplyAt time.Time
 	sentAt      time.Time
 	// tableVersion is that of the route table that the leader has in force, as it last said.
@@ -89,7 +90,7 @@
 	}
 	c.closeUpstream()
 	ctx, stop := context.WithCancel(context.Background())
-	c.upstream = &upstream{address: c.leader, stop: stop}
+	c.upstream = &upstream{address: c.leader, stop: stop, lastReplyAt: now}
 	go keepUpstream(ctx, c.options, c.leader, c.upstream, c.post)
 }
 
--- a/internal/hub/link.go
+++ b/internal/hub/link.go
@@ -117,6 +117,8 @@
 	tableKnown chan struct{}
 	// cutOff is the last argument of SetCutOff.
 	cutOff atomic.Bool
+	// failedAttempts counts the attempts to attach that failed since the last successful one.
+	failedAttempts atomic.Int64
 
 	// mu guards the fields below it, except state.
 	mu       sync.RWMutex
@@ -314,6 +316,9 @@
 			observe.Log(l.options.Logger, observe.LinkLost).Str("control_vm", address).Err(err).Send()
 			backoffs.clear(address)
 			retryDelay = attachRetryDelay
+		} else {
+			l.failedAttempts.Add(1)
+			observe.Log(l.options.Logger, observe.AttachFailed).Str("control_vm", address).Dur("after", time.Since(startedAt)).Err(err).Send()
 		}
 		var toOther *redirectError
 		redirect = ""
--- a/internal/hub/linkstate.go
+++ b/internal/hub/linkstate.go
@@ -43,6 +43,8 @@
 	// address is the control VM of the current or the last stream.
 	address    string
 	attachedAt time.Time
+	// detachedAt is when the last stream ended, or the start of the link.
+	detachedAt time.Time
 	// search looks for another control VM while the attached one knows no leader.
 	search leaderSearch
 	// schedulerAttached is set while the attached control VM places requests.
@@ -106,7 +108,7 @@
 
 func newLinkState(link *Link) linkState {
 	return linkState{
-		link: link, local: schedule.New(),
+		link: link, local: schedule.New(), detachedAt: time.Now(),
 		queued: map[schedule.JobID]*queuedRequest{}, running: map[schedule.JobID]*runningRequest{},
 	}
 }
@@ -319,6 +321,9 @@
 	if s.outbox != m.outbox {
 		return
 	}
+	if s.link.isAttached() {
+		s.detachedAt = now
+	}
 	s.outbox, s.frame, s.schedulerAttached, s.schedulerSuspect = nil, nil, false, false
 	for _, q := range s.queued {
 		q.sent = false
@@ -408,7 +413,8 @@
 	if justAttached {
 		observe.Log(s.link.options.Logger, observe.LinkAttached).Str("control_vm", s.address).
 			Bool("schedules", view.GetSchedules()).Str("leader", view.GetLeader()).Uint32("entry_vms", view.GetEntryVms()).
-			Uint64("table_version", s.link.tableVersion()).Send()
+			Uint64("table_version", s.link.tableVersion()).Dur("detached", now.Sub(s.detachedAt)).
+			Int64("failed", s.link.failedAttempts.Swap(0)).Send()
 	}
 	places := view.GetSchedules() || view.GetForwards()
 	if s.schedulerAttached && !places {
--- a/internal/hub/session.go
+++ b/internal/hub/session.go
@@ -169,7 +169,12 @@
 		c.scheduler.FinishAll(now, m.session.id, nil)
 	}
 	c.forwardGone(m.session)
-	observe.Log(c.options.Logger, observe.EntryDetached).Str("entry_vm", m.session.vm).Err(m.cause).Send()
+	line := observe.Log(c.options.Logger, observe.EntryDetached).Str("entry_vm", m.session.vm).Err(m.cause).
+		Uint64("table_version", c.table.GetVersion()).Str("leader", c.leader).Uint64("term", c.term)
+	if c.upstream != nil {
+		line = line.Dur("leader_silent", now.Sub(c.upstream.lastReplyAt))
+	}
+	line.Send()
 }
 
 // entryFrameReceived is a further frame of an attached entry VM.
--- a/internal/observe/events_hub.go
+++ b/internal/observe/events_hub.go
@@ -14,13 +14,13 @@
 	EntryAttached = newEvent(2143, "entry_attached", zerolog.InfoLevel,
 		"An entry VM connected to this control VM. The line gives the version of the route table that it has now (table_version), whether this VM has confirmed its own to be the newest (table_confirmed), how long that has been in force here (table_age), and the term. No action.")
 	EntryDetached = newEvent(2144, "entry_detached", zerolog.InfoLevel,
-		"An entry VM disconnected from this control VM; the slots of its requests were released. The line gives the reason, and for a stream that a new one replaced the entry VM of that one (by). If no entry_attached line follows, check that VM.")
+		"An entry VM disconnected from this control VM; the slots of its requests were released. The line gives the reason, and for a stream that a new one replaced the entry VM of that one (by). The line also gives what this control VM had at that time: the version of the route table that it hands out (table_version), the leader and the term that it knows, and on a VM that does not lead the time since the leader last answered on the stream to it (leader_silent). If no entry_attached line follows, check that VM.")
 	SchedulerChanged = newEvent(2145, "scheduler_changed", zerolog.InfoLevel,
 		"The leader of the control group, which places requests, changed or began a new term. The line tells whether it is this VM (here). No action.")
 	SpreadPeerChanged = newEvent(2146, "spread_peer_changed", zerolog.WarnLevel,
 		"Another control VM became unreachable for server announcements, or reachable again (reachable). If it stays unreachable, check that VM and the network.")
 	LinkAttached = newEvent(2147, "link_attached", zerolog.InfoLevel,
-		"This entry VM connected to the named control VM. The line gives the version of its own route table. No action.")
+		"This entry VM connected to the named control VM. The line gives the version of its own route table, the time since it was last connected (detached) and the number of failed attempts since (failed). If the time is often over a second, see attach_failed.")
 	PartQuarantined = newEvent(2157, "part_quarantined", zerolog.WarnLevel,
 		"A part of prompts has crashed several backend servers. All entry VMs refuse requests with it. The line gives the part as in request_refused (subject), the number of crashes that are known, the number of parts and requests with evidence (suspects), and of those dropped for want of space (evicted). Find the prompts with the part and the defect of the server.")
 	RequestQuarantined = newEvent(2158, "request_quarantined", zerolog.WarnLevel,
@@ -57,4 +57,6 @@
 		"This control VM has read the newest route table through the leader for the first time since its start (after), and hands out route tables from now on. The line gives the version of that table, the one that this VM knew before from its disk (own_version), and the term. No action.")
 	TableFetched = newEvent(2165, "table_fetched", zerolog.WarnLevel,
 		"The replicated log did not bring a route table to this control VM that the leader has in force, so this VM read the newest one through the leader (leader), or failed to (error). The line gives the version read, the one that this VM had (own_version), since when it has been waiting (behind) and the term. If it repeats, check the disk of this VM and the network to the leader.")
+	AttachFailed = newEvent(2166, "attach_failed", zerolog.WarnLevel,
+		"This entry VM could not connect to a control VM and tries others. The line gives the control VM, the error and the time that the attempt took (after). Expected for control VMs that have been replaced. If no link_attached line follows, check the control VMs and the network.")
 )
