--- a/internal/hub/hub_test.go
+++ b/internal/hub/hub_test.go
@@ -49,7 +49,17 @@
 	return replica.Leadership{Term: 1 + g.term, LeaderName: g.leader, IsLeader: g.leader == g.self && g.self != ""}
 }
 
-func (g *fakeGroup) MemberAddresses() []string { return g.members }
+func (g *fakeGroup) MemberAddresses() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members
+}
+
+func (g *fakeGroup) setMembers(members ...string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.members = members
+}
 
 func (g *fakeGroup) setLeader(leader string) {
 	g.mu.Lock()
--- /dev/null
+++ b/internal/hub/silence_test.go
@@ -0,0 +1,174 @@
+package hub
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"godwityoke.example/godwityoke/internal/registry"
+)
+
+// contactLimit is the time after the last event at a control VM from which the others must work as if it did not exist
+// (contact_ms of the platform).
+const contactLimit = 3 * time.Second
+
+// silencer is a listener whose connections can be silenced for good: they stay open, and no byte passes any more.
+type silencer struct {
+	net.Listener
+	mu     sync.Mutex
+	silent bool
+	opened *sync.Cond
+	closed bool
+}
+
+func newSilencer(listener net.Listener) *silencer {
+	s := &silencer{Listener: listener}
+	s.opened = sync.NewCond(&s.mu)
+	return s
+}
+
+func (s *silencer) setSilent() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = true
+}
+
+func (s *silencer) Close() error {
+	s.mu.Lock()
+	s.closed = true
+	s.opened.Broadcast()
+	s.mu.Unlock()
+	return s.Listener.Close()
+}
+
+func (s *silencer) Accept() (net.Conn, error) {
+	conn, err := s.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &silencedConn{Conn: conn, by: s}, nil
+}
+
+// pass waits while the listener is silent, until it is closed.
+func (s *silencer) pass() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for s.silent && !s.closed {
+		s.opened.Wait()
+	}
+	if s.silent {
+		return net.ErrClosed
+	}
+	return nil
+}
+
+type silencedConn struct {
+	net.Conn
+	by *silencer
+}
+
+func (c *silencedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if passErr := c.by.pass(); passErr != nil {
+		return 0, passErr
+	}
+	return n, err
+}
+
+func (c *silencedConn) Write(b []byte) (int, error) {
+	if err := c.by.pass(); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(b)
+}
+
+// deadAddresses returns addresses that accept connections and never answer.
+func deadAddresses(t *testing.T, count int) []string {
+	t.Helper()
+	var addresses []string
+	for range count {
+		dead := listen(t)
+		t.Cleanup(func() { _ = dead.Close() })
+		addresses = append(addresses, dead.Addr().String())
+	}
+	return addresses
+}
+
+// An entry VM whose control VM fell silent tried one dead address after the other, and was without new route tables for
+// longer than contactLimit where all seeds were gone.
+func TestEntryVMsOfASilentControlVMSoonGetNewTablesWhateverSeedsAreGone(t *testing.T) {
+	for _, dead := range []int{3, 8} {
+		t.Run(fmt.Sprintf("%d dead addresses", dead), func(t *testing.T) {
+			t.Parallel()
+			seeds := deadAddresses(t, dead)
+			first, second := listen(t), listen(t)
+			members := []string{first.Addr().String(), second.Addr().String()}
+			silenced := newSilencer(first)
+			state := registry.New()
+			gone := startHubWith(t, silenced, "a", zerolog.Nop(), state, members[1], members...)
+			other := startHubWith(t, second, "b", zerolog.Nop(), state, members[1], members...)
+			var links []*Link
+			for i := range 8 {
+				link := startLinkIn(t, fmt.Sprintf("entry-%d", i), "a", uint64(i+1), append(seeds, members[0])...)
+				links = append(links, link)
+			}
+			for _, link := range links {
+				waitFor(t, 20*time.Second, "attached in its zone, all control VMs known", func() bool {
+					_, known := link.state.knownControlVMs()
+					return link.attachedTo() == members[0] && len(known) == len(members)
+				})
+				for _, address := range seeds {
+					link.backoffs.clear(address) // the failures are of long ago
+				}
+			}
+			gone.group.setMembers(gone.address) // it sends nothing to the other one, either
+			silenced.setSilent()
+			silentAt := time.Now()
+			require.NoError(t, other.PutTable(context.Background(), 5, []byte("12345")))
+			for _, link := range links {
+				waitFor(t, 20*time.Second, "version 5", func() bool { return version(link) == 5 })
+			}
+			require.Less(t, time.Since(silentAt), contactLimit)
+		})
+	}
+}
+
+// A control VM sent an entry VM back to the preferred one, which the entry VM can't reach but the control VM does, again and
+// again, so that the entry VM was without a control VM until the end of the fault.
+func TestEntryVMStaysAtAnotherControlVMWhileItCannotReachItsPreferredOne(t *testing.T) {
+	first, second := listen(t), listen(t)
+	members := []string{first.Addr().String(), second.Addr().String()}
+	silenced := newSilencer(first)
+	state := registry.New()
+	startHubWith(t, silenced, "a", zerolog.Nop(), state, members[1], members...)
+	other := startHubWith(t, second, "b", zerolog.Nop(), state, members[1], members...)
+	link := startLinkIn(t, "entry-1", "a", 1, members...)
+	waitFor(t, 5*time.Second, "attached in its zone", func() bool { return link.attachedTo() == members[0] })
+	waitFor(t, 5*time.Second, "the other control VM knows the preferred one", func() (known bool) {
+		other.inspect(t, func(c *core) { known = len(c.controls) == 1 })
+		return known
+	})
+	silenced.setSilent() // it still announces itself to the other one
+	require.NoError(t, other.PutTable(context.Background(), 5, []byte("12345")))
+	waitFor(t, contactLimit, "version 5", func() bool { return version(link) == 5 })
+	require.Equal(t, members[1], link.attachedTo())
+}
+
+// A control VM that knows the leader by its heartbeats, but gets no answer from it, kept its entry VMs on its own older table.
+func TestEntryVMsOfAControlVMThatTheLeaderDoesNotAnswerGetNewTables(t *testing.T) {
+	first, second := listen(t), listen(t)
+	unanswering := deadAddresses(t, 1)[0]
+	members := []string{first.Addr().String(), second.Addr().String(), unanswering}
+	startHub(t, first, unanswering, members...)
+	link := startLinkIn(t, "entry-1", "a", 1, members[0])
+	waitFor(t, 5*time.Second, "attached in its zone", func() bool { return link.attachedTo() == members[0] })
+	other := startHubIn(t, second, "b", zerolog.Nop(), members[1], members[1])
+	require.NoError(t, other.PutTable(context.Background(), 5, []byte("12345")))
+	waitFor(t, contactLimit, "version 5", func() bool { return version(link) == 5 })
+}
