hub: an entry VM is not sent back to a control VM that it can't reach

An entry VM that can't reach the control VM preferred for its zone, while the other control VMs do, was redirected there by each of them, failed, and came back: it got no route table and no placement for as long as that lasted. The same happened for about a second with any control VM that had fallen silent, until the others had noticed.

The entry VM still tries the preferred one again when its backoff ends (1 to 8 s) and is detached for about 0.6 s if that fails.

--- a/internal/hub/link.go
+++ b/internal/hub/link.go
@@ -329,8 +329,11 @@
 		switch {
 		case errors.As(err, &toOther):
 			redirect = toOther.address
-			if toOther.isolated {
+			switch {
+			case toOther.isolated:
 				backoffs.add(address, time.Now())
+			case backoffs.isActive(toOther.address, time.Now()):
+				redirect = address // the control VM reaches the preferred one, this VM doesn't
 			}
 		case errors.Is(err, errOtherLeader):
 		default:
