--- a/internal/hub/server.go
+++ b/internal/hub/server.go
@@ -61,8 +61,11 @@
 	return &hubpb.PutRoutesReply{Version: result.Version}, nil
 }
 
-// GetRoutes implements the gRPC service. It succeeds on the leader only.
-func (h *Hub) GetRoutes(ctx context.Context, _ *hubpb.GetRoutesRequest) (*hubpb.GetRoutesReply, error) {
+// GetRoutes implements the gRPC service. It succeeds on the leader only, unless the request asks for the table in force here.
+func (h *Hub) GetRoutes(ctx context.Context, request *hubpb.GetRoutesRequest) (*hubpb.GetRoutesReply, error) {
+	if request.GetInForce() {
+		return h.tableInForce(ctx)
+	}
 	group := h.options.Group()
 	if group == nil {
 		return nil, status.Error(codes.Unavailable, ErrNoLeader.Error())
