soak: control VMs that are replaced at other addresses

The soak had no step that replaces a control VM at another address, so its seeds never died, and the time for which an entry VM is behind was judged 4 s after any fault only. replace_control makes a control VM silent for good and starts its successor; the judge now also holds entry VMs to the newest version from 3 s after the last event on, while a minority of the control VMs is frozen or gone; a run reports the longest time for which an entry VM refused what the newest version allows.

--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -225,6 +225,10 @@
 	peaks := map[string]int64{}
 	for name, n := range f.nodes {
 		n.mu.Lock()
+		if n.command == nil {
+			n.mu.Unlock()
+			continue // a successor that was not needed
+		}
 		status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.command.Process.Pid))
 		n.mu.Unlock()
 		if err != nil {
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -106,6 +106,22 @@
 	return true
 }
 
+// followMajority reports whether the entry VMs have to follow a majority of the control VMs throughout a time span: any other
+// disturbance ended contactTime before it, and those that last concern a minority of the control VMs and are as old.
+func (j *judgement) followMajority(from, to time.Time) bool {
+	gone := map[string]bool{}
+	for _, d := range j.Disturbances {
+		if d.Planned || !d.From.Before(to) || !d.To.After(from.Add(-contactTime)) {
+			continue
+		}
+		if !strings.HasPrefix(d.Node, controlPrefix) || d.From.After(from.Add(-contactTime)) || d.To.Before(to) {
+			return false
+		}
+		gone[d.Node] = true
+	}
+	return 2*len(gone) < j.ControlVMs
+}
+
 // checkRequest checks one request: the attempts that workers received and, once it is done, its reply.
 func (j *judgement) checkRequest(q *Request, attempts []*Attempt) {
 	id, runs := q.Call.ID, 0
@@ -332,7 +348,7 @@
 				continue
 			}
 			if acked := j.newestAckedBefore(later.StartedAt.Add(-maxApplyTime)); later.ProbedVersion < acked &&
-				j.isCalm(later.StartedAt, later.Reply.EndedAt, true) {
+				(j.isCalm(later.StartedAt, later.Reply.EndedAt, true) || j.followMajority(later.StartedAt, later.Reply.EndedAt)) {
 				j.report("CONFIG", later.Call.ID, "%s served version %d, %d is in force", p.vm, later.ProbedVersion, acked)
 			}
 			for _, earlier := range all[:i] {
@@ -351,7 +367,8 @@
 func (j *judgement) checkMissingProbe(q *Request) {
 	unknown := slices.Contains([]int{401, 403, 404}, q.Reply.Status)
 	if unknown && q.ProbedVersion == j.newestAckedBefore(q.StartedAt.Add(-maxApplyTime)) &&
-		j.newestSentBefore(q.Reply.EndedAt) == q.ProbedVersion && j.isCalm(q.StartedAt, q.Reply.EndedAt, true) {
+		j.newestSentBefore(q.Reply.EndedAt) == q.ProbedVersion &&
+		(j.isCalm(q.StartedAt, q.Reply.EndedAt, true) || j.followMajority(q.StartedAt, q.Reply.EndedAt)) {
 		j.report("CONFIG", q.Call.ID, "%s answers %d to version %d, which is in force", q.VM, q.Reply.Status, q.ProbedVersion)
 	}
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -18,6 +18,7 @@
 	KindKillControlVMs    Kind = "kill_control"
 	KindFreeze            Kind = "freeze"
 	KindWipe              Kind = "wipe"
+	KindReplaceControl    Kind = "replace_control"
 	KindPartition         Kind = "cut"
 	KindPartitionOutbound Kind = "cut_from"
 	KindPartitionInbound  Kind = "cut_to"
@@ -96,8 +97,11 @@
 	entries, controls, models, desks int
 }
 
+// controlPrefix begins the names of control VMs.
+const controlPrefix = "control-"
+
 func (s topology) entry(i int) string   { return fmt.Sprintf("entry-%d", i+1) }
-func (s topology) control(i int) string { return fmt.Sprintf("control-%d", i+1) }
+func (s topology) control(i int) string { return fmt.Sprintf("%s%d", controlPrefix, i+1) }
 func (s topology) worker(i int) string  { return fmt.Sprintf("worker-%d", i+1) }
 func (s topology) workers() int         { return s.models + s.desks }
 
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -84,6 +84,8 @@
 
 // Records are the observations of a run from outside the processes.
 type Records struct {
+	// ControlVMs is the number of control VMs at a time.
+	ControlVMs     int
 	Requests       map[string]*Request
 	FailedConnects []FailedConnect
 	Attempts       map[string][]*Attempt
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -79,6 +79,8 @@
 	Served   int
 	// ServerCuts describes, for each cut of entry VMs from all workers, the first tries that were judged.
 	ServerCuts []string
+	// Outdated describes for how long entry VMs refused what the newest version allows.
+	Outdated string
 	// Endings describes, for each way in which answers were cut off or left out their length, what callers got.
 	Endings []string
 	// PeakMemoryBytes holds the peak resident memory of each VM's latest process.
@@ -95,7 +97,7 @@
 	network          *network
 	records          *recorder
 	workers          sync.Map // name to *workerSupervisor
-	controlAddresses []string
+	controlAddresses *addressList
 
 	mu sync.Mutex
 	// ready holds the results of the latest readiness checks by the names of entry VMs.
@@ -154,6 +156,7 @@
 		}
 		report.ServerCuts = describeServerCuts(r, time.Now())
 		report.Endings = describeEndings(r)
+		report.Outdated = describeOutdated(r)
 	})
 	if ctx.Err() != nil {
 		return report, ctx.Err()
@@ -183,6 +186,7 @@
 		options: options, network: newNetwork(), records: newRecorder(), ready: map[string]bool{},
 		topology: topology{entries: options.Entries, controls: options.Controls, models: options.Models, desks: options.Desks},
 	}
+	s.records.ControlVMs = options.Controls
 	s.fleet = &fleet{
 		binary: cmp.Or(options.Previous, options.Binary), octet: octet(options.Block), network: s.network,
 		nodes: map[string]*node{}, onExit: s.recordExit,
@@ -201,14 +205,12 @@
 // start starts all processes and workers, sends the first configuration and waits until requests are served. It
 // returns errNotServing if that takes longer than startTimeout.
 func (s *soak) start(ctx context.Context, folder string) error {
-	var seeds []string
+	var controls []string
 	for i := range s.topology.controls {
-		public := address(s.fleet.ip(subnetVMPublic, vmNumber(i)), controlPort)
-		s.controlAddresses = append(s.controlAddresses, public)
-		if i < 3 {
-			seeds = append(seeds, public)
-		}
+		controls = append(controls, s.controlAddress(vmNumber(i)))
 	}
+	s.controlAddresses = newAddressList(controls...)
+	seeds := controls[:min(3, len(controls))]
 	for i := range s.topology.controls + s.topology.entries {
 		name, control := s.topology.control(i), i < s.topology.controls
 		if !control {
@@ -224,6 +226,9 @@
 			return err
 		}
 	}
+	if err := s.addSuccessors(folder, seeds); err != nil {
+		return err
+	}
 	for i := range s.topology.workers() {
 		if err := s.addWorker(i); err != nil {
 			return err
@@ -404,7 +409,7 @@
 			writeRequest(&text, r, finding.Request, s.started)
 		}
 	})
-	for _, line := range slices.Concat(report.ServerCuts, report.Endings) {
+	for _, line := range slices.Concat(report.ServerCuts, report.Endings, []string{report.Outdated}) {
 		fmt.Fprintln(&text, line)
 	}
 	fmt.Fprintln(&text, "\nplan:")
--- a/internal/soak/steps.go
+++ b/internal/soak/steps.go
@@ -43,6 +43,10 @@
 		s.fleet.signal(step.Target, syscall.SIGSTOP)
 		wait()
 		s.fleet.signal(step.Target, syscall.SIGCONT)
+	case KindReplaceControl:
+		if err := s.replaceControl(step.Target); err != nil {
+			s.recordExit(step.Target, err.Error())
+		}
 	case KindWipe:
 		if err := s.fleet.wipe(step.Target); err != nil {
 			s.recordExit(step.Target, err.Error())
@@ -260,7 +264,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		to := s.controlAddresses[(first+attempt)%len(s.controlAddresses)]
+		to := s.controlAddresses.at(first + attempt)
 		err := operator.Put(to, table)
 		s.addToTimeline("version %d to %s: %v", version, to, err)
 		switch {
@@ -278,7 +282,7 @@
 // readConfigRepeatedly reads the configuration from one control VM after another until ctx ends.
 func (s *soak) readConfigRepeatedly(ctx context.Context) {
 	for attempt := 0; ctx.Err() == nil; attempt++ {
-		s.readConfig(s.controlAddresses[attempt%len(s.controlAddresses)])
+		s.readConfig(s.controlAddresses.at(attempt))
 		pause.For(ctx, readyInterval)
 	}
 }
@@ -297,7 +301,7 @@
 // readFinalConfig reads the configuration at the end of a run from the first control VM that answers.
 func (s *soak) readFinalConfig() {
 	for attempt := range maxOperatorAttempts {
-		if s.readConfig(s.controlAddresses[attempt%len(s.controlAddresses)]) {
+		if s.readConfig(s.controlAddresses.at(attempt)) {
 			return
 		}
 		time.Sleep(readyInterval)
--- /dev/null
+++ b/internal/soak/successors.go
@@ -0,0 +1,117 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// addressList is a list of addresses that may change during a run. It is safe for concurrent use.
+type addressList struct {
+	mu        sync.Mutex
+	addresses []string
+}
+
+func newAddressList(addresses ...string) *addressList { return &addressList{addresses: addresses} }
+
+// all returns a copy of the list.
+func (l *addressList) all() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.addresses)
+}
+
+// at returns the address with the given index, counted on from the beginning after the last one.
+func (l *addressList) at(index int) string {
+	addresses := l.all()
+	return addresses[index%len(addresses)]
+}
+
+func (l *addressList) replace(old, new string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if i := slices.Index(l.addresses, old); i >= 0 {
+		l.addresses[i] = new
+	}
+}
+
+// firstSuccessor is the number of the first VM that replaces a control VM.
+const firstSuccessor = 200
+
+func (s *soak) controlAddress(number int) string {
+	return address(s.fleet.ip(subnetVMPublic, number), controlPort)
+}
+
+// successor returns the name of the VM that replaces the control VM with index i.
+func (s topology) successor(i int) string { return s.control(s.controls + i) }
+
+// addSuccessors prepares the VMs that replace control VMs by the plan.
+func (s *soak) addSuccessors(folder string, seeds []string) error {
+	for _, step := range s.plan() {
+		if step.Kind != KindReplaceControl {
+			continue
+		}
+		i := s.controlIndex(step.Target)
+		name := s.topology.successor(i)
+		if err := s.fleet.addVM(name, firstSuccessor+i, true, folder, seeds); err != nil {
+			return err
+		}
+		settings := &s.fleet.nodes[name].boot.Settings
+		settings.Bootstrap, settings.Zone = false, s.fleet.nodes[step.Target].boot.Settings.Zone
+	}
+	return nil
+}
+
+// controlIndex returns the index of the control VM with the given name, -1 for any other name.
+func (s *soak) controlIndex(name string) int {
+	for i := range s.topology.controls {
+		if s.topology.control(i) == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// replaceControl makes a control VM fall silent for good and starts its successor, at another address and with an empty disk.
+func (s *soak) replaceControl(name string) error {
+	i := s.controlIndex(name)
+	s.fleet.signal(name, syscall.SIGSTOP)
+	time.Sleep(restartDelay)
+	s.controlAddresses.replace(s.controlAddress(vmNumber(i)), s.controlAddress(firstSuccessor+i))
+	return s.fleet.start(s.topology.successor(i))
+}
+
+// describeOutdated returns the longest time after the acknowledgement of a version at which an entry VM refused what only that
+// version allows, though no newer one had been sent.
+func describeOutdated(r *Records) string {
+	j := &judgement{Records: r}
+	var longest time.Duration
+	var worst *Request
+	count := 0
+	for _, q := range r.Requests {
+		newest := j.newestAckedBefore(q.StartedAt)
+		if !q.Done || q.Reply.Seal != "" || !slices.Contains(deniedStatuses, q.Reply.Status) || q.ProbedVersion == 0 ||
+			q.ProbedVersion != newest || j.newestSentBefore(q.Reply.EndedAt) != newest {
+			continue
+		}
+		for _, change := range r.Changes {
+			if change.Version != newest {
+				continue
+			}
+			behind := q.StartedAt.Sub(change.AckedAt)
+			if behind >= time.Second {
+				count++
+			}
+			if behind > longest {
+				longest, worst = behind, q
+			}
+		}
+	}
+	if worst == nil {
+		return "no request for the newest version was refused after its acknowledgement"
+	}
+	return fmt.Sprintf("refused for the newest version: %d requests a second or more after its acknowledgement, the longest time is %.2f s, at %s",
+		count, longest.Seconds(), worst.VM)
+}
--- /dev/null
+++ b/internal/soak/successors_test.go
@@ -0,0 +1,54 @@
+package soak
+
+import (
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// newcomersPlan replaces all control VMs in turn by others at other addresses, so that no seed is left, and then freezes the
+// newcomers in turn, beside changes of the configuration.
+func newcomersPlan(s topology) (plan []Step, load time.Duration) {
+	const (
+		replaceInterval = 7 * time.Second
+		freezeInterval  = 9 * time.Second
+		freezeTime      = 4500 * time.Millisecond
+		changeInterval  = 3700 * time.Millisecond
+	)
+	at := time.Second
+	for i := range s.controls {
+		plan = append(plan, Step{At: at, Kind: KindReplaceControl, Target: s.control(i)})
+		at += replaceInterval
+	}
+	for i := range s.controls {
+		plan = append(plan, Step{At: at, Duration: freezeTime, Kind: KindFreeze, Target: s.successor(i)})
+		at += freezeInterval
+	}
+	for change := time.Duration(0); change < at; change += changeInterval {
+		plan = append(plan, Step{At: change, Kind: KindConfigChange})
+	}
+	return plan, at + recoveryTime
+}
+
+// Entry VMs whose seeds are all gone refused routes that had been acknowledged, after their control VM had fallen silent.
+func TestEntryVMsFollowAfterAllControlVMsWereReplaced(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes for a minute")
+	}
+	t.Parallel()
+	binary := filepath.Join(t.TempDir(), "godwityoke")
+	output, err := exec.Command("go", "build", "-o", binary, "../../cmd/godwityoke").CombinedOutput()
+	require.NoError(t, err, "%s", output)
+	plan, load := newcomersPlan(topology{controls: 3})
+	report, err := Run(t.Context(), Options{
+		Binary: binary, Seed: 1, Block: takeBlock(t), Folder: t.TempDir(),
+		Entries: 6, Controls: 3, Models: 4, Desks: 2, Clients: 32, plan: plan, load: load,
+	})
+	require.NoError(t, err)
+	t.Log(report.Outdated)
+	require.Empty(t, report.Findings)
+	require.Positive(t, report.Served)
+}
--- a/internal/soak/worker.go
+++ b/internal/soak/worker.go
@@ -103,7 +103,7 @@
 	// listen is the "ip:port" address of the listener. The announced address forwards to it.
 	listen string
 	// controlAddresses are the addresses of the control VMs. Each interval, one of them receives a heartbeat.
-	controlAddresses []string
+	controlAddresses *addressList
 	interval         time.Duration
 	records          *recorder
 	// holds reports whether the worker at an address holds a reservation, nil for always.
@@ -213,7 +213,7 @@
 
 // deregister tries the control VMs in turn until one acknowledges that the worker leaves.
 func (w *worker) deregister(ctx context.Context) {
-	for _, address := range w.options.controlAddresses {
+	for _, address := range w.options.controlAddresses.all() {
 		if standin.Deregister(ctx, w.client, address, w.id) == nil {
 			return
 		}
@@ -253,8 +253,9 @@
 	w.sequence++
 	server.ID, server.StartedAt, server.Sequence, server.State = w.id, w.startedAt, w.sequence, w.state
 	w.mu.Unlock()
-	for i := range w.options.controlAddresses {
-		address := w.options.controlAddresses[(int(server.Sequence)+i)%len(w.options.controlAddresses)]
+	addresses := w.options.controlAddresses.all()
+	for i := range addresses {
+		address := addresses[(int(server.Sequence)+i)%len(addresses)]
 		if standin.Announce(ctx, w.client, address, server) == nil {
 			return true
 		}
--- a/internal/soak/worker_test.go
+++ b/internal/soak/worker_test.go
@@ -156,7 +156,7 @@
 	const listen = "127.9.3.1:7403"
 	w, err := startWorker("w", workerOptions{
 		listen: listen, server: roster.Server{Address: listen}, interval: 50 * time.Millisecond, records: newRecorder(),
-		controlAddresses: []string{strings.TrimPrefix(control.URL, "http://")},
+		controlAddresses: newAddressList(strings.TrimPrefix(control.URL, "http://")),
 	})
 	require.NoError(t, err)
 	time.Sleep(4 * 50 * time.Millisecond)
