--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -72,6 +72,7 @@
 	j.checkProbes()
 	j.checkDraining()
 	j.checkStatements()
+	j.checkLimits()
 	for _, cut := range r.ServerCuts {
 		j.checkServerCut(cut)
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -30,6 +30,7 @@
 	KindWorkerFault       Kind = "worker_fault"
 	KindEndlessAnswers    Kind = "endless"
 	KindWorkerEnding      Kind = "worker_ending"
+	KindWorkerLimit       Kind = "worker_limit"
 	KindTerminate         Kind = "roll"
 	KindReplaceVersion    Kind = "replace"
 	KindHangupSignal      Kind = "hang_up"
@@ -46,7 +47,7 @@
 )
 
 var plannedKinds = map[Kind]bool{
-	KindTerminate: true, KindReplaceVersion: true, KindHangupSignal: true, KindWorkerDrain: true, KindConfigChange: true, KindConfigRace: true,
+	KindTerminate: true, KindReplaceVersion: true, KindHangupSignal: true, KindWorkerLimit: true, KindWorkerDrain: true, KindConfigChange: true, KindConfigRace: true,
 }
 
 // Step is a fault or planned work.
@@ -61,7 +62,7 @@
 	Target string
 	// Targets are the entry VMs of KindServerCut.
 	Targets []string
-	// Variant selects the version of KindReplaceVersion (0 for Options.Binary, 1 for Options.Previous), the delay of KindDelay, the fault of KindWorkerFault, the Ending of KindWorkerEnding, one of the cut* variants of KindServerCut, and
+	// Variant selects the version of KindReplaceVersion (0 for Options.Binary, 1 for Options.Previous), the delay of KindDelay, the fault of KindWorkerFault, the Ending of KindWorkerEnding, the limit of KindWorkerLimit in tenths of a request a second, one of the cut* variants of KindServerCut, and
 	// whether a worker announces that it drains (even) or states it only in its answers.
 	Variant int
 }
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -35,6 +35,8 @@
 	// that the worker wants no requests from the entry VM, 0 for none.
 	Leaving bool
 	Backoff time.Duration
+	// Limit is the number of requests a second from all VMs that the answer named, 0 for none.
+	Limit float64
 	// EndedAt is zero while the worker runs the request. Completed is set if the run was not cancelled.
 	EndedAt   time.Time
 	Completed bool
--- a/internal/soak/steps.go
+++ b/internal/soak/steps.go
@@ -66,7 +66,7 @@
 		s.network.resetAll(step.Target)
 	case KindStallConnections:
 		s.network.stallAll(step.Target)
-	case KindWorkerCrash, KindWorkerFault, KindEndlessAnswers, KindWorkerDrain, KindWorkerEnding:
+	case KindWorkerCrash, KindWorkerFault, KindEndlessAnswers, KindWorkerDrain, KindWorkerEnding, KindWorkerLimit:
 		s.disturbWorker(ctx, step)
 	case KindConfigChange, KindConfigRace:
 		s.changeConfig(ctx, step.Kind == KindConfigRace)
@@ -201,6 +201,11 @@
 		pause.For(ctx, step.Duration)
 		worker.setFault(FaultNone)
 		return
+	case KindWorkerLimit:
+		worker.setLimit(float64(step.Variant) / 10)
+		pause.For(ctx, step.Duration)
+		worker.setLimit(0)
+		return
 	case KindWorkerEnding:
 		if !worker.applyEnding(ctx, step) {
 			return
--- a/internal/soak/worker.go
+++ b/internal/soak/worker.go
@@ -136,8 +136,10 @@
 	died        chan struct{}
 	die         func()
 
-	mu       sync.Mutex
-	fault    Fault
+	mu    sync.Mutex
+	fault Fault
+	// limit is the limit that answers name, 0 for none.
+	limit    float64
 	ending   Ending
 	inFlight int
 	requests int
@@ -186,6 +188,19 @@
 	w.client.CloseIdleConnections()
 }
 
+// setLimit makes the worker name the requests a second that it takes from all VMs together in its answers, 0 for no limit.
+func (w *worker) setLimit(perSecond float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.limit = perSecond
+}
+
+func (w *worker) namedLimit() float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.limit
+}
+
 // IsLeaving implements standin.Worker.
 func (w *worker) IsLeaving() bool {
 	w.mu.Lock()
@@ -307,7 +322,10 @@
 
 // Serve implements standin.Worker.
 func (w *worker) Serve(ctx context.Context, a standin.ReceivedRequest, answer *standin.Answer) {
-	attempt := &Attempt{ReceivedRequest: a, Server: w.id, Service: w.options.server.Service, Leaving: w.IsLeaving()}
+	attempt := &Attempt{ReceivedRequest: a, Server: w.id, Service: w.options.server.Service, Leaving: w.IsLeaving(), Limit: w.namedLimit()}
+	if attempt.Limit > 0 {
+		answer.SetLimit(attempt.Limit)
+	}
 	if a.ExpectedWorker != "" && a.ExpectedWorker != w.id {
 		w.options.records.recordAttempt(attempt, true)
 		answer.RejectMisdirected()
