schedule, hub: servers that name a limit get no more requests than that

Nothing read the header.

- An entry VM reports a limit, a change or the end of it to its control VM; it reaches all control VMs and entry VMs.
The latest answer counts, for the incarnation that gave it.
- The scheduler that places all requests has one token bucket a server, empty at first.
A scheduler with a share of the servers (a control VM without a leader, an entry VM by itself) has half of its part of the rate, and saves up nothing while others place.
- A limit of 0 counts as one request each 4 s, so that its end is noticed.
One above 1,000,000 counts as that; what is negative or no number is ignored.

--- a/internal/hub/broadcast.go
+++ b/internal/hub/broadcast.go
@@ -11,6 +11,7 @@
 	"godwityoke.example/godwityoke/internal/observe"
 	"godwityoke.example/godwityoke/internal/quarantine"
 	"godwityoke.example/godwityoke/internal/roster"
+	"godwityoke.example/godwityoke/internal/serverstate"
 )
 
 const (
@@ -63,6 +64,8 @@
 	relays map[string]Relay
 	// evidence holds the newest evidence on each part and request that is to be sent.
 	evidence map[quarantine.Subject]quarantine.Evidence
+	// limits holds the newest limit of each backend server that is to be sent.
+	limits map[string]serverstate.Limit
 }
 
 // setPeers starts and stops peers, so that they match the given addresses without
@@ -91,7 +94,7 @@
 
 func startBroadcastPeer(options *Options, address string) *broadcastPeer {
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &broadcastPeer{address: address, options: options, cancel: cancel, wake: make(chan struct{}, 1), servers: map[string]roster.Server{}, relays: map[string]Relay{}, evidence: map[quarantine.Subject]quarantine.Evidence{}}
+	p := &broadcastPeer{address: address, options: options, cancel: cancel, wake: make(chan struct{}, 1), servers: map[string]roster.Server{}, relays: map[string]Relay{}, evidence: map[quarantine.Subject]quarantine.Evidence{}, limits: map[string]serverstate.Limit{}}
 	go p.run(ctx)
 	return p
 }
@@ -119,6 +122,17 @@
 	}
 }
 
+// addLimits queues limits of backend servers for all peers; they are sent with the next tick that sends, or flush of a change.
+func (b *broadcaster) addLimits(limits ...serverstate.Limit) {
+	for _, peer := range b.peers {
+		peer.mu.Lock()
+		for _, limit := range limits {
+			peer.limits[limit.Server] = limit
+		}
+		peer.mu.Unlock()
+	}
+}
+
 // addRelay queues the relay of an entry VM for all peers; it is sent with the next flush.
 func (b *broadcaster) addRelay(relay Relay) {
 	b.urgent = true
@@ -209,12 +223,13 @@
 
 func (p *broadcastPeer) send(ctx context.Context) error {
 	p.mu.Lock()
-	servers, entries, relays, evidence := p.servers, p.entries, p.relays, p.evidence
+	servers, entries, relays, evidence, limits := p.servers, p.entries, p.relays, p.evidence, p.limits
 	due, knowsLeader := p.due, p.knowsLeader
 	p.due = false
 	p.servers, p.entries, p.relays, p.evidence = map[string]roster.Server{}, nil, map[string]Relay{}, map[quarantine.Subject]quarantine.Evidence{}
+	p.limits = map[string]serverstate.Limit{}
 	p.mu.Unlock()
-	if len(servers) == 0 && len(entries) == 0 && len(relays) == 0 && len(evidence) == 0 && !due {
+	if len(servers) == 0 && len(entries) == 0 && len(relays) == 0 && len(evidence) == 0 && len(limits) == 0 && !due {
 		return nil
 	}
 	now := time.Now()
@@ -222,6 +237,7 @@
 	for _, relay := range relays {
 		request.Relays = append(request.Relays, relayToProto(relay))
 	}
+	request.Limits = limitsToProto(slices.Collect(maps.Values(limits)), now)
 	request.Evidence = evidenceToProto(slices.Collect(maps.Values(evidence)), now)
 	for _, server := range servers {
 		request.Servers = append(request.Servers, serverToProto(server, now))
@@ -233,18 +249,23 @@
 		_, err = hubpb.NewHubClient(conn).Spread(ctx, request)
 	}
 	if err != nil {
-		p.requeue(servers, evidence)
+		p.requeue(servers, evidence, limits)
 	}
 	return err
 }
 
-// requeue queues announcements and evidence again after a failed call, except for
+// requeue queues announcements, limits and evidence again after a failed call, except for
 // servers and subjects with newer ones in the queue. All relays are queued every
 // refreshInterval anyway. Evidence beyond maxQueuedEvidence is
 // dropped: that on what is quarantined is sent again every refreshInterval.
-func (p *broadcastPeer) requeue(servers map[string]roster.Server, evidence map[quarantine.Subject]quarantine.Evidence) {
+func (p *broadcastPeer) requeue(servers map[string]roster.Server, evidence map[quarantine.Subject]quarantine.Evidence, limits map[string]serverstate.Limit) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	for id, limit := range limits {
+		if _, newer := p.limits[id]; !newer {
+			p.limits[id] = limit
+		}
+	}
 	for id, server := range servers {
 		if _, newer := p.servers[id]; !newer {
 			p.servers[id] = server
--- a/internal/hub/core.go
+++ b/internal/hub/core.go
@@ -15,6 +15,7 @@
 	"godwityoke.example/godwityoke/internal/roster"
 	"godwityoke.example/godwityoke/internal/routes"
 	"godwityoke.example/godwityoke/internal/schedule"
+	"godwityoke.example/godwityoke/internal/serverstate"
 )
 
 // core is the state of a hub. Only the goroutine in Run uses it.
@@ -71,6 +72,8 @@
 	leaderSeenAt time.Time
 	// evidence is passed on between VMs; this VM itself stops no request.
 	evidence *quarantine.Tracker
+	// limits holds the limits of backend servers.
+	limits *serverstate.Limits
 	// quarantined holds what was logged as quarantined.
 	quarantined map[quarantine.Subject]bool
 }
@@ -79,7 +82,7 @@
 	c := &core{
 		options: options, roster: roster.New(), sessions: map[*session]bool{}, entryLastSeen: map[string]time.Time{}, relays: newRelayList(),
 		scheduler: schedule.New(), peers: newBroadcaster(options), table: &hubpb.RouteTable{}, newest: &hubpb.RouteTable{}, startedAt: time.Now(),
-		evidence: quarantine.NewTracker(), waiting: map[schedule.JobID]*waitingRequest{}, forwarders: map[*forwarder]bool{},
+		evidence: quarantine.NewTracker(), limits: serverstate.NewLimits(), waiting: map[schedule.JobID]*waitingRequest{}, forwarders: map[*forwarder]bool{},
 		remotes: map[uint64]*remoteVM{}, controls: map[string]controlVM{},
 		refusalLines: rate.NewLimiter(refusalLinesPerSecond, refusalLinesBurst),
 	}
@@ -117,8 +120,9 @@
 	entries []string
 	// relays are those of entry VMs that are attached to the sending control VM.
 	relays []Relay
-	// evidence is that of the sending control VM on crashes.
+	// evidence is that of the sending control VM on crashes, limits what it knows of limits of backend servers.
 	evidence []quarantine.Evidence
+	limits   []serverstate.Limit
 	// sender is the internal address of the sending control VM, empty for a server.
 	sender  string
 	control controlVM
@@ -141,6 +145,7 @@
 	for _, server := range m.servers {
 		c.applyAnnouncement(server, now, m.local)
 	}
+	c.applyLimits(m.limits, "", now)
 	c.evidence.Merge(now, m.evidence)
 	recordAnnouncements(c.evidence, m.servers)
 	close(m.reply)
@@ -254,7 +259,9 @@
 		c.scheduler.RemoveServer(server.ID)
 		return
 	}
+	perSecond, limited := c.limits.Of(server)
 	c.scheduler.SetServer(now, schedule.Server{
+		Limited: limited, MaxPerSecond: perSecond,
 		ID: server.ID, Service: server.Service, Zone: server.Zone, Slots: server.Slots, ColdUntil: server.ColdUntil,
 		AcceptsNew: server.State == roster.StateReady && now.Sub(server.LastSeen) < c.options.UnresponsiveAfter,
 	})
@@ -341,6 +348,8 @@
 		quarantined := c.evidence.AllQuarantined(now)
 		c.logQuarantined(quarantined)
 		c.spreadEvidence(quarantined, now)
+		c.limits.Sweep(now, c.roster.Find)
+		c.peers.addLimits(c.limits.All()...)
 	}
 	for s := range c.sessions {
 		c.entryLastSeen[s.vm] = now
@@ -399,6 +408,7 @@
 		term = leadership.Term
 		if c.peers.setPeers(group.MemberAddresses()) {
 			c.peers.addEvidence(c.evidence.All())
+			c.peers.addLimits(c.limits.All()...)
 		}
 	}
 	if leading == c.isLeader && leader == c.leader && term == c.term {
--- a/internal/hub/link.go
+++ b/internal/hub/link.go
@@ -116,6 +116,8 @@
 	tableKnown chan struct{}
 	// cutOff is the last argument of SetCutOff.
 	cutOff atomic.Bool
+	// limitsKnown is the number of servers whose limit, or its end, is known.
+	limitsKnown atomic.Int64
 	// failedAttempts counts the attempts to attach that failed since the last successful one.
 	failedAttempts atomic.Int64
 
@@ -190,7 +192,9 @@
 // RecordStatement records what a backend server stated in an answer to this VM. The
 // other VMs are told when the server is draining.
 func (l *Link) RecordStatement(server roster.Server, statement serverstate.Statement) {
-	change := l.statements.Record(time.Now(), server, statement)
+	now := time.Now()
+	l.recordLimit(server, statement, now)
+	change := l.statements.Record(now, server, statement)
 	if change.Draining {
 		observe.Log(l.options.Logger, observe.ServerStatedDraining).Str("server", server.ID).Str("service", server.Service).
 			Str("address", server.Address).Send()
--- a/internal/hub/linkstate.go
+++ b/internal/hub/linkstate.go
@@ -15,6 +15,7 @@
 	"godwityoke.example/godwityoke/internal/quarantine"
 	"godwityoke.example/godwityoke/internal/roster"
 	"godwityoke.example/godwityoke/internal/schedule"
+	"godwityoke.example/godwityoke/internal/serverstate"
 )
 
 // linkMessage is an event that the goroutine in run applies to the link's state.
@@ -35,6 +36,9 @@
 	// running holds the placed requests that have not finished.
 	running map[schedule.JobID]*runningRequest
 
+	// limits holds the limits of backend servers.
+	limits *serverstate.Limits
+
 	// outbox takes the frames of the current stream, nil while the link is
 	// detached.
 	outbox chan *hubpb.EntryFrame
@@ -109,7 +113,7 @@
 func newLinkState(link *Link) linkState {
 	return linkState{
 		link: link, local: schedule.New(), detachedAt: time.Now(),
-		queued: map[schedule.JobID]*queuedRequest{}, running: map[schedule.JobID]*runningRequest{},
+		limits: serverstate.NewLimits(), queued: map[schedule.JobID]*queuedRequest{}, running: map[schedule.JobID]*runningRequest{},
 	}
 }
 
@@ -310,6 +314,7 @@
 			Ask: requestToProto(run.request, now), Placement: placementToProto(run.placement), Writing: run.decoding,
 		})
 	}
+	hello.Limits = limitsToProto(s.limits.All(), now)
 	s.link.evidence.Do(func(t *quarantine.Tracker) { hello.Evidence = evidenceToProto(t.All(), now) })
 	s.frame = &hubpb.EntryFrame{Hello: hello}
 }
@@ -375,6 +380,9 @@
 	s.lastFrameAt, s.schedulerSuspect = now, false
 	s.link.applyTable(m.frame.GetTable())
 	s.applyServers(serversFromProto(m.frame.GetServers(), now), now)
+	for _, limit := range limitsFromProto(m.frame.GetLimits(), now) {
+		s.applyLimit(limit, now)
+	}
 	if evidence := evidenceFromProto(m.frame.GetEvidence(), now); len(evidence) > 0 {
 		s.link.evidence.Do(func(t *quarantine.Tracker) { t.Merge(now, evidence) })
 	}
@@ -499,7 +507,9 @@
 }
 
 func (s *linkState) setServer(server roster.Server, now time.Time) {
+	perSecond, limited := s.limits.Of(server)
 	s.local.SetServer(now, schedule.Server{
+		Limited: limited, MaxPerSecond: perSecond,
 		ID: server.ID, Service: server.Service, Zone: server.Zone, Slots: server.Slots, ColdUntil: server.ColdUntil,
 		AcceptsNew: server.State == roster.StateReady,
 	})
@@ -556,6 +566,10 @@
 		s.local.RemoveServer(server.ID)
 	}
 	s.link.statements.Sweep(now, s.link.Find)
+	if s.limits.Len() > 0 {
+		s.limits.Sweep(now, s.link.Find)
+		s.link.limitsKnown.Store(int64(s.limits.Len()))
+	}
 	if s.outbox != nil && now.Sub(s.sentAt) >= linkHeartbeatInterval {
 		s.pending()
 	}
--- a/internal/hub/server.go
+++ b/internal/hub/server.go
@@ -114,7 +114,7 @@
 func (h *Hub) Spread(ctx context.Context, request *hubpb.SpreadRequest) (*hubpb.SpreadReply, error) {
 	now := time.Now()
 	reply := make(chan struct{})
-	m := serversAnnounced{servers: serversFromProto(request.GetServers(), now), reply: reply, entries: request.GetEntryVms(), relays: relaysFromProto(request.GetRelays()), evidence: evidenceFromProto(request.GetEvidence(), now),
+	m := serversAnnounced{servers: serversFromProto(request.GetServers(), now), reply: reply, entries: request.GetEntryVms(), relays: relaysFromProto(request.GetRelays()), evidence: evidenceFromProto(request.GetEvidence(), now), limits: limitsFromProto(request.GetLimits(), now),
 		sender: request.GetSender(), control: controlVM{zone: request.GetSenderZone(), forwards: request.GetForwards(), knowsLeader: request.GetKnowsLeader()}}
 	if err := h.send(ctx, m); err != nil {
 		return nil, err
--- a/internal/hub/session.go
+++ b/internal/hub/session.go
@@ -84,6 +84,8 @@
 	}
 	c.evidence.Merge(now, evidenceFromProto(m.frame.GetHello().GetEvidence(), now))
 	frame.Evidence = evidenceToProto(c.evidence.All(), now)
+	c.applyLimits(limitsFromProto(m.frame.GetHello().GetLimits(), now), s.vm, now)
+	frame.Limits = limitsToProto(c.limits.All(), now)
 	running := m.frame.GetHello().GetRunning()
 	c.forgetWaiting(s.id)
 	c.scheduler.FinishAll(now, s.id, runningIDs(s.id, running))
@@ -192,6 +194,7 @@
 	for _, server := range serversFromProto(m.frame.GetServers(), now) {
 		c.applyReport(server, now)
 	}
+	c.applyLimits(limitsFromProto(m.frame.GetLimits(), now), m.session.vm, now)
 	if m.frame.CutOff != nil {
 		relay := m.session.relay
 		relay.CutOff = m.frame.GetCutOff()
--- a/internal/observe/events_gateway.go
+++ b/internal/observe/events_gateway.go
@@ -44,6 +44,10 @@
 		"Memory for a part of a prompt could not be reserved, renewed or released on a prefill helper. The line names the server and the reservation (ticket). The server frees the memory when the reservation expires. If one server causes many of these lines, check that server.")
 	ServerStatedDraining = newEvent(3240, "server_stated_draining", zerolog.InfoLevel,
 		"A backend server stated in an answer to this VM that it is draining. This VM sends it no new requests and tells the other VMs. No action.")
+	ServerStatedLimit = newEvent(3245, "server_stated_limit", zerolog.InfoLevel,
+		"A backend server stated in an answer to this VM how many requests a second it takes from all VMs together (per_second), or no longer states a limit (limited false), and that is new to this VM, which tells the others. See server_limit_changed. Find out why the server is in need.")
+	LimitUnreadable = newEvent(3246, "limit_unreadable", zerolog.WarnLevel,
+		"A backend server stated a limit that is no number, negative, or above 1,000,000 requests a second. The line gives the value. One that is too large counts as 1,000,000; any other is ignored, so that an earlier limit stays as it is. Correct the server.")
 	ServerStatedBackoff = newEvent(3241, "server_stated_backoff", zerolog.InfoLevel,
 		"A backend server rejected a request and stated how long it wants no requests from this VM (backoff). This VM sends it none until then, and few at first after that. If there are many, the servers of the service are overloaded.")
 	ServersPassedOver = newEvent(3242, "servers_passed_over", zerolog.InfoLevel,
--- a/internal/schedule/decide.go
+++ b/internal/schedule/decide.go
@@ -76,6 +76,7 @@
 	s.invalidateRankings()
 	kept := s.queued[:0]
 	queues := map[queueKey]*queue{}
+	limitedAhead := map[string]int{} // requests that stay queued, by service
 	for _, j := range s.queued {
 		key := j.queueKey()
 		q := queues[key]
@@ -89,10 +90,13 @@
 			s.refuse(now, j, q, "waited too long")
 		case s.place(now, j):
 			q.addPlacement(now)
+		case s.limitWait(now, j, limitedAhead[j.request.Service]) > timeLeft:
+			s.refuseLimited(now, j, q, limitedAhead[j.request.Service])
 		case q.waitExceeds(now, timeLeft):
 			s.refuse(now, j, q, "the queue is too long")
 		default:
 			q.ahead++
+			limitedAhead[j.request.Service]++
 			kept = append(kept, j)
 		}
 	}
@@ -124,6 +128,15 @@
 	s.decided = append(s.decided, Placement{ID: j.request.ID, RetryAfter: q.retryAfter(now), Reason: s.describeRefusal(now, j, q, reason)})
 }
 
+// refuseLimited refuses a request that the limits of all servers of its service let through too late.
+func (s *Scheduler) refuseLimited(now time.Time, j *job, q *queue, ahead int) {
+	wait := s.limitWait(now, j, ahead)
+	reason := fmt.Sprintf("the limits that all servers have named leave no request for %d ms", wait.Milliseconds())
+	s.decided = append(s.decided, Placement{
+		ID: j.request.ID, RetryAfter: max(wait, minRetryAfter), Reason: s.describeRefusal(now, j, q, reason),
+	})
+}
+
 // describeRefusal returns the reason with what it was decided by, for the log.
 func (s *Scheduler) describeRefusal(now time.Time, j *job, q *queue, reason string) string {
 	servers, available, placed, slots := 0, 0, 0, 0
@@ -464,7 +477,7 @@
 		switch {
 		case result.first == nil && len(srv.jobs) < srv.slotShare && c.freeTokens >= plan.first:
 			result.first = srv
-		case len(result.helpers) == count-1 || len(srv.helping) >= srv.Slots/2:
+		case len(result.helpers) == count-1 || !srv.canHelp():
 			continue
 		case holders < plan.holders && c.freeTokens >= plan.perHolder:
 			holders++
@@ -512,6 +525,9 @@
 	byVM[j.request.ID] = j
 	j.first, j.sentAt, j.firstTokens = first, now, j.tokens
 	first.jobs[j.request.ID] = j
+	if first.limit != nil {
+		first.limit.take(now)
+	}
 	if first.engine == nil {
 		return
 	}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -37,6 +37,9 @@
 	Slots   int
 	// AcceptsNew is false for a server that must get no new requests.
 	AcceptsNew bool
+	// Limited is set if the server takes at most MaxPerSecond requests a second from all VMs together.
+	Limited      bool
+	MaxPerSecond float64
 	// ColdUntil is the end of the server's warm-up, during which it is slow. The
 	// scheduler does not use it.
 	ColdUntil time.Time
@@ -147,6 +150,8 @@
 	// the queue.
 	decidedAt  time.Time
 	leftQueued bool
+	// enqueuedAt is when the last request was queued.
+	enqueuedAt time.Time
 	// now is the time of the decision in progress.
 	now time.Time
 	// rankings holds the ranked servers of the decision in progress.
@@ -181,6 +186,7 @@
 	}
 	s.fraction, s.seed = fraction, seed
 	for _, srv := range s.sortedServers {
+		s.setLimit(srv)
 		srv.slotShare, srv.stale = s.slotShareOf(&srv.Server), true
 	}
 }
@@ -294,6 +300,7 @@
 	srv.Server = updated
 	srv.engine = s.engines[updated.Service]
 	srv.slotShare, srv.stale = s.slotShareOf(&updated), true
+	s.setLimit(srv)
 	srv.advanceTo(now)
 }
 
@@ -335,6 +342,10 @@
 	if s.placed[request.ID] != nil || s.isQueued(request.ID) {
 		return
 	}
+	if s.fraction < 1 && now.Sub(s.enqueuedAt) >= shareIdleTime {
+		s.emptyLimits(now)
+	}
+	s.enqueuedAt = now
 	s.queued = append(s.queued, s.newJob(now, request))
 }
 
--- a/internal/schedule/server.go
+++ b/internal/schedule/server.go
@@ -61,6 +61,8 @@
 	engine *routes.Engine
 	// slotShare is the number of slots that this scheduler may use.
 	slotShare int
+	// limit bounds the requests that this scheduler places on the server, nil for no limit.
+	limit *requestLimit
 	// jobs holds the requests for which this is the first server.
 	jobs map[JobID]*job
 	// helping holds the requests for which this server is a prefill helper.
@@ -454,12 +456,23 @@
 // isAvailable reports whether the server may get further requests. While the
 // unreachable flag is set, the server gets one request at a time.
 func (srv *server) isAvailable(now time.Time) bool {
+	return srv.isReachable(now) && srv.hasRequestsLeft(now)
+}
+
+// isReachable is isAvailable without regard to the limit of the server.
+func (srv *server) isReachable(now time.Time) bool {
 	if !srv.AcceptsNew || srv.isOut(now) {
 		return false
 	}
 	return !srv.unreachable || len(srv.jobs) == 0 && len(srv.helping) == 0
 }
 
+// canHelp reports whether the server may prefill a part of the prompt of a further request. A limited one may not: the orders and
+// the work of a helper are requests to it, too.
+func (srv *server) canHelp() bool {
+	return srv.limit == nil && len(srv.helping) < srv.Slots/2
+}
+
 // canRun reports whether the server may run the request of j, for which markExcluded and barServers were called.
 func (srv *server) canRun(now time.Time, j *job) bool {
 	return srv.isAvailable(now) && srv.Service == j.request.Service && srv.excludedBy != j
--- a/internal/serverstate/serverstate.go
+++ b/internal/serverstate/serverstate.go
@@ -57,8 +57,15 @@
 	Draining bool
 	// Backoff is how long the server wants no requests from this VM, 0 for no such statement.
 	Backoff time.Duration
+	// Limit is what the answer says about a limit. PerSecond is the limit in requests a second from all VMs together, if it
+	// states one.
+	Limit     LimitStatement
+	PerSecond float64
 }
 
+// ConcernsSender reports whether the server stated something about the VM that sent the request.
+func (s Statement) ConcernsSender() bool { return s.Draining || s.Backoff > 0 }
+
 // Block tells that a server must get no request for now.
 type Block struct {
 	Server string
--- a/internal/site/relay.go
+++ b/internal/site/relay.go
@@ -67,7 +67,7 @@
 // server saw a request of that VM.
 func (e *Entry) recordStatement(server roster.Server, statement serverstate.Statement, relayedBy string) {
 	e.link.RecordStatement(server, statement)
-	if relayedBy == "" || statement == (serverstate.Statement{}) {
+	if relayedBy == "" || !statement.ConcernsSender() {
 		return
 	}
 	go func() {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -79,6 +79,8 @@
 	Served   int
 	// ServerCuts describes, for each cut of entry VMs from all workers, the first tries that were judged.
 	ServerCuts []string
+	// Limits describes the use of workers that named a limit.
+	Limits []string
 	// Outdated describes for how long entry VMs refused what the newest version allows.
 	Outdated string
 	// Endings describes, for each way in which answers were cut off or left out their length, what callers got.
@@ -157,6 +159,9 @@
 		report.ServerCuts = describeServerCuts(r, time.Now())
 		report.Endings = describeEndings(r)
 		report.Outdated = describeOutdated(r)
+		for _, use := range (&judgement{Records: r}).limitUses() {
+			report.Limits = append(report.Limits, use.String())
+		}
 	})
 	if ctx.Err() != nil {
 		return report, ctx.Err()
@@ -409,7 +414,7 @@
 			writeRequest(&text, r, finding.Request, s.started)
 		}
 	})
-	for _, line := range slices.Concat(report.ServerCuts, report.Endings, []string{report.Outdated}) {
+	for _, line := range slices.Concat(report.ServerCuts, report.Endings, report.Limits, []string{report.Outdated}) {
 		fmt.Fprintln(&text, line)
 	}
 	fmt.Fprintln(&text, "\nplan:")
--- a/internal/soak/successors.go
+++ b/internal/soak/successors.go
@@ -29,11 +29,11 @@
 	return addresses[index%len(addresses)]
 }
 
-func (l *addressList) replace(old, new string) {
+func (l *addressList) replace(former, successor string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if i := slices.Index(l.addresses, old); i >= 0 {
-		l.addresses[i] = new
+	if i := slices.Index(l.addresses, former); i >= 0 {
+		l.addresses[i] = successor
 	}
 }
 
