--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -136,6 +136,9 @@
 	Services []Service
 	Limits   Limits
 	Teams    []Team
+	// HasTeams is set if requests must carry the key of a team, also if Teams is empty: then no key is valid. New sets it if
+	// Teams is not empty.
+	HasTeams bool
 	// Ignored names what was left out of the table because its values cannot be used, for the log.
 	Ignored []string
 
@@ -162,6 +165,7 @@
 			engine.StepsPerPass = max(1, engine.StepsPerPass)
 		}
 	}
+	t.HasTeams = t.HasTeams || len(t.Teams) > 0
 	t.keys = make(map[string]*Team)
 	for i := range t.Teams {
 		for _, key := range t.Teams[i].Keys {
@@ -196,7 +200,7 @@
 
 // NeedsKey tells whether requests of route must carry an API key: they must if the table has teams and the route is not
 // public.
-func (t *Table) NeedsKey(route *Route) bool { return len(t.Teams) > 0 && !route.Public }
+func (t *Table) NeedsKey(route *Route) bool { return t.HasTeams && !route.Public }
 
 // TeamOf returns the team with the given API key, or nil.
 func (t *Table) TeamOf(key string) *Team { return t.keys[key] }
