--- a/internal/hub/link.go
+++ b/internal/hub/link.go
@@ -36,10 +36,6 @@
 	// moveDelay is the mean delay before the link attaches to the control VM to which
 	// another one has sent it, or to the leader.
 	moveDelay = 10 * time.Millisecond
-	// minPreferredWait and maxPreferredWait bound the random time for which the attached
-	// control VM must prefer another one for this VM before the link moves.
-	minPreferredWait = time.Second
-	maxPreferredWait = 5 * time.Second
 	// firstFrameTimeout is the timeout of the first frame. It covers the connection
 	// setup, a round trip and the response time of a busy control VM.
 	firstFrameTimeout = 500 * time.Millisecond
--- a/internal/hub/linkstate.go
+++ b/internal/hub/linkstate.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -442,18 +441,6 @@
 	}
 }
 
-// followPreferred moves the link to the control VM that the attached one names, once it has
-// named the same one for a random time. That spreads the moves of many entry VMs.
-func (s *linkState) followPreferred(preferred string, now time.Time) {
-	if preferred != s.preferred {
-		s.preferred, s.preferredUntil = preferred, now.Add(minPreferredWait+rand.N(maxPreferredWait-minPreferredWait))
-	}
-	if preferred != "" && !s.link.backoffs.isActive(preferred, now) && !now.Before(s.preferredUntil) {
-		s.preferred = ""
-		s.cancel(&redirectError{address: preferred})
-	}
-}
-
 // updateEntryVMCount returns the largest number of entry VMs reported within
 // entryCountWindow, or the last result if there was none. A count of 0 means that
 // the control VM reported no number.
--- a/internal/hub/silence_test.go
+++ b/internal/hub/silence_test.go
@@ -160,6 +160,8 @@
 	require.NoError(t, other.PutTable(context.Background(), 5, []byte("12345")))
 	waitFor(t, contactLimit, "version 5", func() bool { return version(link) == 5 })
 	require.Equal(t, members[1], link.attachedTo())
+	// It must not leave the one that works to try the preferred one again.
+	require.Never(t, func() bool { return link.attachedTo() != members[1] }, 2*maxPreferredWait, 5*time.Millisecond)
 }
 
 // A control VM that knows the leader by its heartbeats, but gets no answer from it, kept its entry VMs on its own older table.
