hub: a control VM joins through the first one that knows the leader

A newcomer asked one address after the other to join the group, 0.8 s for each that does not answer; with seeds that are gone for good it takes part later, and until then one loss more stops all changes. The same cause as of entry VMs without a control VM.

A connection is discarded only after 0.4 s without an answer, not when another control VM has answered first: the control VMs' connections carry the replicated log, too.

--- a/internal/hub/hub.go
+++ b/internal/hub/hub.go
@@ -14,6 +14,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -344,15 +345,22 @@
 	return hubpb.NewHubClient(conn), nil
 }
 
-// RequestJoin asks the leader, through the control VM at the address via, to make
-// joiner a voter.
-func (h *Hub) RequestJoin(ctx context.Context, via string, joiner Joiner) error {
-	conn, err := h.options.Pool.Conn(via)
+// RequestJoin asks the leader, through the first control VM at addresses that knows it, to make joiner a voter.
+func (h *Hub) RequestJoin(ctx context.Context, addresses []string, joiner Joiner) error {
+	outcome := askInTurn(ctx, addresses, 0, func(ctx context.Context, address string) (string, error) {
+		return askForLeader(ctx, h.options.Pool, address)
+	})
+	if !outcome.leaderKnown {
+		return fmt.Errorf("%w: %d control VMs asked, %d of them did not answer", ErrNoLeader, len(addresses), len(outcome.failed))
+	}
+	conn, err := h.options.Pool.Conn(outcome.found)
+	if err == nil {
+		_, err = hubpb.NewHubClient(conn).Join(ctx, &hubpb.JoinRequest{Member: joiner.Member, Name: joiner.Name, Address: joiner.Address})
+	}
 	if err != nil {
-		return err
+		return fmt.Errorf("request to join the control group via %s: %w", outcome.found, err)
 	}
-	_, err = hubpb.NewHubClient(conn).Join(ctx, &hubpb.JoinRequest{Member: joiner.Member, Name: joiner.Name, Address: joiner.Address})
-	return err
+	return nil
 }
 
 // RequestLeave asks the leader to remove this VM's member, which stops, from the
--- a/internal/hub/search.go
+++ b/internal/hub/search.go
@@ -13,6 +13,7 @@
 
 	"godwityoke.example/godwityoke/internal/hub/hubpb"
 	"godwityoke.example/godwityoke/internal/observe"
+	"godwityoke.example/godwityoke/internal/transport"
 )
 
 const (
@@ -161,9 +162,14 @@
 	return all
 }
 
-// askForLeader implements askFunc. A control VM of an earlier version counts as knowing itself.
+// askForLeader implements askFunc.
 func (l *Link) askForLeader(ctx context.Context, address string) (leader string, err error) {
-	conn, err := l.options.Pool.Conn(address)
+	return askForLeader(ctx, l.options.Pool, address)
+}
+
+// askForLeader asks the control VM at address which one leads. One of an earlier version counts as knowing itself.
+func askForLeader(ctx context.Context, pool *transport.Pool, address string) (leader string, err error) {
+	conn, err := pool.Conn(address)
 	if err != nil {
 		return "", err
 	}
@@ -175,8 +181,8 @@
 	if status.Code(err) == codes.Unimplemented {
 		return address, nil
 	}
-	if ctx.Err() != nil && time.Since(startedAt) >= askInterval {
-		l.options.Pool.Discard(address, conn) // it may have become unresponsive while it was idle
+	if ctx.Err() != nil && time.Since(startedAt) >= askTimeout {
+		pool.Discard(address, conn) // the connection may be broken without an error from TCP
 	}
 	return "", err
 }
--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -278,30 +279,23 @@
 
 var errNoPeer = errors.New("no other control VM is known")
 
-// requestJoin sends a join request to another control VM, which forwards it to the
-// leader. Successive values of tick select the other control VMs in turn.
+// requestJoin sends a join request to another control VM that knows the leader, which forwards it. Successive values of tick
+// begin with the other control VMs in turn.
 func (c *Control) requestJoin(ctx context.Context, member *replica.Replica, tick int) error {
 	addresses, err := c.settings.SeedAddresses()
 	if err != nil {
 		return err
 	}
 	addresses = append(addresses, groupAdapter{member}.MemberAddresses()...)
-	var others []string
-	for _, address := range addresses {
-		if address != c.settings.InternalAddress() {
-			others = append(others, address)
-		}
-	}
+	slices.Sort(addresses)
+	others := slices.DeleteFunc(slices.Compact(addresses), func(address string) bool { return address == c.settings.InternalAddress() })
 	if len(others) == 0 {
 		return errNoPeer
 	}
+	first := tick % len(others)
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	via := others[tick%len(others)]
-	if err := c.hub.RequestJoin(ctx, via, c.joiner(member.Status().ID)); err != nil {
-		return fmt.Errorf("request to join the control group via %s: %w", via, err)
-	}
-	return nil
+	return c.hub.RequestJoin(ctx, slices.Concat(others[first:], others[:first]), c.joiner(member.Status().ID))
 }
 
 // joiner describes this VM for requests to join and to leave.
--- a/internal/site/control_test.go
+++ b/internal/site/control_test.go
@@ -51,6 +51,8 @@
 	return g
 }
 
+func (g *controlGroup) portText() string { return strconv.Itoa(g.port) }
+
 func (g *controlGroup) address(n int) string { return "127.0.3." + strconv.Itoa(n+1) }
 
 // start starts control VM n with the data in folder.
