serverstate: a limit that varies a little does not count as changed

A server that computes its limit anew for each answer would have made each answer a change that is passed on to all VMs. TestLimitThatVariesALittleIsNotPassedOn failed before.

--- a/internal/serverstate/limits.go
+++ b/internal/serverstate/limits.go
@@ -2,14 +2,19 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
 	"godwityoke.example/godwityoke/internal/roster"
 )
 
-// MaxLimit bounds the limit that a server may state, in requests a second.
-const MaxLimit = 1e6
+const (
+	// MaxLimit bounds the limit that a server may state, in requests a second.
+	MaxLimit = 1e6
+	// limitTolerance is the fraction by which a limit may vary without counting as changed.
+	limitTolerance = 0.1
+)
 
 // LimitStatement tells what an answer says about the limit of its server.
 type LimitStatement uint8
@@ -55,6 +60,9 @@
 	case sameIncarnation && !limit.StatedAt.After(known.StatedAt):
 		return false
 	}
+	if sameIncarnation && known.Stated && limit.Stated && math.Abs(limit.PerSecond-known.PerSecond) <= limitTolerance*known.PerSecond {
+		limit.PerSecond = known.PerSecond
+	}
 	l.entries[limit.Server] = limit
 	return !sameIncarnation || known.Stated != limit.Stated || known.PerSecond != limit.PerSecond
 }
--- a/internal/serverstate/limits_test.go
+++ b/internal/serverstate/limits_test.go
@@ -60,3 +60,24 @@
 	l.Sweep(start.Add(retention+2*time.Second), find)
 	require.Equal(t, []Limit{{Server: "stays", StartedAt: start, Stated: true, PerSecond: 1, StatedAt: start}}, l.All())
 }
+
+// A server that names a slightly different limit in each answer made all VMs pass on each of them.
+func TestLimitThatVariesALittleIsNotPassedOn(t *testing.T) {
+	start := time.Unix(1000, 0)
+	server := roster.Server{ID: "s", StartedAt: start}
+	l := NewLimits()
+	merge := func(ms int, perSecond float64) bool {
+		return l.Merge(Limit{Server: "s", StartedAt: start, Stated: true, PerSecond: perSecond, StatedAt: start.Add(time.Duration(ms) * time.Millisecond)})
+	}
+	require.True(t, merge(1, 10))
+	for i, perSecond := range []float64{10.5, 9.3, 10.9, 9.1} {
+		require.False(t, merge(2+i, perSecond), "%v", perSecond)
+	}
+	held, _ := l.Of(server)
+	require.InDelta(t, 10, held, 0)
+	require.True(t, merge(10, 11.5))
+	require.False(t, merge(11, 10.6), "compared with the limit that is held, not with the last one")
+	require.True(t, merge(12, 9.9))
+	require.True(t, merge(13, 0))
+	require.True(t, merge(14, 0.01))
+}
