schedule: requests are not compared with limits while no server has one

Each queued request looked for a server without a limit in each decision. The number of limited servers is kept, and checked in TestEndOfALimitAndANewStartFreeTheServer.

--- a/internal/schedule/limit.go
+++ b/internal/schedule/limit.go
@@ -60,11 +60,15 @@
 // setLimit updates the bucket of a server after a change of its limit or of the scheduler's share.
 func (s *Scheduler) setLimit(srv *server) {
 	if !srv.Limited {
-		srv.limit = nil
+		if srv.limit != nil {
+			srv.limit, s.limitedServers = nil, s.limitedServers-1
+		}
 		return
 	}
 	limit := newRequestLimit(srv.MaxPerSecond, s.fraction)
-	if srv.limit != nil {
+	if srv.limit == nil {
+		s.limitedServers++
+	} else {
 		limit.tokens = math.Min(srv.limit.tokens, 0) // what was taken stays taken
 		if srv.limit.perSecond == limit.perSecond {
 			return
@@ -91,6 +95,9 @@
 // limitWait returns how long a request of a service waits until the limits of its servers let it through, behind ahead others.
 // It returns 0 if any available server has no limit, or none is available.
 func (s *Scheduler) limitWait(now time.Time, j *job, ahead int) time.Duration {
+	if s.limitedServers == 0 {
+		return 0
+	}
 	tokens, perSecond := 0.0, 0.0
 	for _, srv := range s.sortedServers {
 		if srv.Service != j.request.Service || !srv.isReachable(now) || srv.excludedBy == j {
--- a/internal/schedule/limit_test.go
+++ b/internal/schedule/limit_test.go
@@ -153,6 +153,9 @@
 	placed, refused := len(f.placedAt["s0"]), len(f.refusals)
 	f.run(time.Second, 20, s)
 	require.GreaterOrEqual(t, len(f.placedAt["s0"])-placed, 19)
+	require.Equal(t, 1, s.limitedServers)
+	s.RemoveServer("s1")
+	require.Zero(t, s.limitedServers)
 	require.Equal(t, refused, len(f.refusals))
 }
 
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -124,6 +124,8 @@
 // Scheduler places the requests of all services. It is not safe for concurrent use.
 type Scheduler struct {
 	servers map[string]*server
+	// limitedServers is the number of servers with a limit.
+	limitedServers int
 	// sortedServers lists the servers by id, so that decisions are deterministic.
 	sortedServers []*server
 	engines       map[string]*routes.Engine
@@ -327,6 +329,9 @@
 		return
 	}
 	delete(s.servers, id)
+	if removed.limit != nil {
+		s.limitedServers--
+	}
 	s.forgetServer(removed)
 	for i, srv := range s.sortedServers {
 		if srv == removed {
