--- a/internal/hub/broadcast.go
+++ b/internal/hub/broadcast.go
@@ -122,8 +122,10 @@
 	}
 }
 
-// addLimits queues limits of backend servers for all peers; they are sent with the next tick that sends, or flush of a change.
-func (b *broadcaster) addLimits(limits ...serverstate.Limit) {
+// addLimits queues limits of backend servers for all peers. Urgent ones are sent with the next flush, others with the next tick
+// that sends.
+func (b *broadcaster) addLimits(urgent bool, limits ...serverstate.Limit) {
+	b.urgent = b.urgent || urgent
 	for _, peer := range b.peers {
 		peer.mu.Lock()
 		for _, limit := range limits {
--- a/internal/hub/core.go
+++ b/internal/hub/core.go
@@ -349,7 +349,7 @@
 		c.logQuarantined(quarantined)
 		c.spreadEvidence(quarantined, now)
 		c.limits.Sweep(now, c.roster.Find)
-		c.peers.addLimits(c.limits.All()...)
+		c.peers.addLimits(false, c.limits.All()...)
 	}
 	for s := range c.sessions {
 		c.entryLastSeen[s.vm] = now
@@ -408,7 +408,7 @@
 		term = leadership.Term
 		if c.peers.setPeers(group.MemberAddresses()) {
 			c.peers.addEvidence(c.evidence.All())
-			c.peers.addLimits(c.limits.All()...)
+			c.peers.addLimits(false, c.limits.All()...)
 		}
 	}
 	if leading == c.isLeader && leader == c.leader && term == c.term {
--- a/internal/hub/lag.go
+++ b/internal/hub/lag.go
@@ -52,7 +52,7 @@
 	case now.Sub(u.lastReplyAt) >= upstreamTimeout && now.Sub(c.tableLag.fetchedAt) >= tableLagLimit:
 		if other := c.otherControlVM(u.address); other != "" {
 			c.tableLag.awaitedSince = u.lastReplyAt
-			c.startTableFetch(other, &hubpb.GetRoutesRequest{InForce: true}, now)
+			c.startTableFetch(other, &hubpb.GetRoutesRequest{InForce: true, KnownVersion: c.newest.GetVersion()}, now)
 		}
 	}
 }
@@ -105,14 +105,18 @@
 
 func (m tableRequested) handle(c *core, _ time.Time) { m.reply <- c.table }
 
-// tableInForce returns the route table that this VM hands out to entry VMs, with version 0 if there is none.
-func (h *Hub) tableInForce(ctx context.Context) (*hubpb.GetRoutesReply, error) {
+// tableInForce returns the route table that this VM hands out to entry VMs, with version 0 if there is none, and without its
+// document if it is not newer than the known version.
+func (h *Hub) tableInForce(ctx context.Context, known uint64) (*hubpb.GetRoutesReply, error) {
 	m := tableRequested{reply: make(chan *hubpb.RouteTable, 1)}
 	if err := h.send(ctx, m); err != nil {
 		return nil, err
 	}
 	select {
 	case table := <-m.reply:
+		if table.GetVersion() <= known {
+			table = &hubpb.RouteTable{Version: table.GetVersion()}
+		}
 		return &hubpb.GetRoutesReply{Table: table}, nil
 	case <-ctx.Done():
 		return nil, ctx.Err()
--- a/internal/hub/limits.go
+++ b/internal/hub/limits.go
@@ -59,8 +59,7 @@
 			s.pending().Limits = append(s.pending().Limits, message...)
 		}
 		if reporter != "" {
-			c.peers.addLimits(limit)
-			c.peers.urgent = true
+			c.peers.addLimits(true, limit)
 		}
 	}
 }
--- a/internal/hub/link.go
+++ b/internal/hub/link.go
@@ -320,8 +320,6 @@
 			observe.Log(l.options.Logger, observe.LinkLost).Str("control_vm", address).Err(err).Send()
 			backoffs.clear(address)
 			retryDelay = attachRetryDelay
-		} else {
-			l.logFailedAttempt(address, startedAt, err)
 		}
 		var toOther *redirectError
 		redirect = ""
@@ -337,6 +335,9 @@
 			}
 		case errors.Is(err, errOtherLeader):
 		default:
+			if !up {
+				l.logFailedAttempt(address, startedAt, err)
+			}
 			backoffs.add(address, time.Now())
 			if time.Since(startedAt) >= firstFrameTimeout {
 				retryDelay = attachRetryDelay
--- a/internal/hub/server.go
+++ b/internal/hub/server.go
@@ -64,7 +64,7 @@
 // GetRoutes implements the gRPC service. It succeeds on the leader only, unless the request asks for the table in force here.
 func (h *Hub) GetRoutes(ctx context.Context, request *hubpb.GetRoutesRequest) (*hubpb.GetRoutesReply, error) {
 	if request.GetInForce() {
-		return h.tableInForce(ctx)
+		return h.tableInForce(ctx, request.GetKnownVersion())
 	}
 	group := h.options.Group()
 	if group == nil {
--- a/internal/hub/silence_test.go
+++ b/internal/hub/silence_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"godwityoke.example/godwityoke/internal/hub/hubpb"
 	"godwityoke.example/godwityoke/internal/registry"
 )
 
@@ -176,3 +177,19 @@
 	require.NoError(t, other.PutTable(context.Background(), 5, []byte("12345")))
 	waitFor(t, contactLimit, "version 5", func() bool { return version(link) == 5 })
 }
+
+// A control VM without an answer of the leader would have received the whole table several times a second.
+func TestTableInForceComesWithoutItsDocumentIfItIsNotNewer(t *testing.T) {
+	listener := listen(t)
+	h := startHub(t, listener, listener.Addr().String(), listener.Addr().String())
+	require.NoError(t, h.PutTable(t.Context(), 5, []byte("12345")))
+	for known, withDocument := range map[uint64]bool{0: true, 4: true, 5: false, 6: false} {
+		var reply *hubpb.GetRoutesReply
+		waitFor(t, 3*time.Second, "version 5 in force", func() bool {
+			var err error
+			reply, err = h.GetRoutes(t.Context(), &hubpb.GetRoutesRequest{InForce: true, KnownVersion: known})
+			return err == nil && reply.GetTable().GetVersion() == 5
+		})
+		require.Equal(t, withDocument, len(reply.GetTable().GetContent()) > 0, "known version %d", known)
+	}
+}
