--- a/internal/command/soak.go
+++ b/internal/command/soak.go
@@ -27,6 +27,7 @@
 	Clients  int    `arg:"--clients" default:"16" help:"number of callers, each with one connection"`
 	Cuts     bool   `arg:"--cut-servers" help:"also cut some entry VMs off from all backend servers, twice a run"`
 	Series   bool   `arg:"--series" help:"also signals, restarts and changes in quick succession, and backend servers that end their answers in other ways"`
+	Turnover bool   `arg:"--turnover" help:"also control VMs that are replaced one after the other, and backend servers that name limits"`
 	AtEnd    bool   `arg:"--judge-at-end" help:"go on after a violation and check at the end of each run"`
 	Program  string `arg:"--program" help:"the program to test, this one by default"`
 	Folder   string `arg:"--out" default:"out/soak" help:"folder for the logs and records of failed runs"`
@@ -64,7 +65,7 @@
 			report, err := soak.Run(ctx, soak.Options{
 				Binary: binary, Seed: a.Seed + uint64(i), Block: block, Folder: a.Folder, Keep: a.Keep,
 				Entries: a.Entries, Controls: a.Controls, Models: a.Models, Desks: a.Desks, Clients: a.Clients, ServerCuts: a.Cuts,
-				Series: a.Series, JudgeAtEnd: a.AtEnd,
+				Series: a.Series, Turnover: a.Turnover, JudgeAtEnd: a.AtEnd,
 			})
 			mu.Lock()
 			defer mu.Unlock()
@@ -92,9 +93,12 @@
 func printReport(output Output, report *soak.Report) {
 	fmt.Fprintf(output.Out, "seed %d: %d requests, %d served, %d steps, %.0f s: %d findings\n",
 		report.Seed, report.Requests, report.Served, report.Steps, report.Duration.Seconds(), len(report.Findings))
-	for _, line := range slices.Concat(report.ServerCuts, report.Endings) {
+	for _, line := range slices.Concat(report.ServerCuts, report.Endings, report.Limits) {
 		fmt.Fprintf(output.Out, "  %s\n", line)
 	}
+	if report.Outdated != "" {
+		fmt.Fprintf(output.Out, "  %s\n", report.Outdated)
+	}
 	for _, finding := range report.Findings {
 		fmt.Fprintf(output.Out, "  %s\n", finding)
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -64,6 +64,9 @@
 	ServerCuts bool
 	// Series adds series of planned work in quick succession to the plan, and workers that end answers in other ways.
 	Series bool
+	// Turnover adds the replacement of control VMs at other addresses and limits that workers name, in place of other steps of
+	// control VMs.
+	Turnover bool
 	// JudgeAtEnd leaves out the checks during the load, so that a run goes on after a violation.
 	JudgeAtEnd bool
 	// plan replaces the plan of the seed and load the time under load, if they are set.
@@ -183,6 +186,9 @@
 	if s.options.Series {
 		steps = addSeries(steps, s.options.Seed, s.topology)
 	}
+	if s.options.Turnover {
+		steps = addTurnover(steps, s.options.Seed, s.topology)
+	}
 	return steps
 }
 
@@ -406,6 +412,9 @@
 	if s.options.Series {
 		flags += " --series"
 	}
+	if s.options.Turnover {
+		flags += " --turnover"
+	}
 	fmt.Fprintf(&text, "play again: godwityoke soak --seed %d --seeds 1 --entries %d --controls %d --models %d --desks %d --clients %d%s --keep\n\nfindings:\n",
 		s.options.Seed, s.options.Entries, s.options.Controls, s.options.Models, s.options.Desks, s.options.Clients, flags)
 	s.records.locked(func(r *Records) {
--- a/internal/soak/successors.go
+++ b/internal/soak/successors.go
@@ -1,8 +1,11 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
+	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -84,7 +87,7 @@
 }
 
 // describeOutdated returns the longest time after the acknowledgement of a version at which an entry VM refused what only that
-// version allows, though no newer one had been sent.
+// version allows, though no newer one had been sent. It is empty if there was no such request.
 func describeOutdated(r *Records) string {
 	j := &judgement{Records: r}
 	var longest time.Duration
@@ -110,8 +113,42 @@
 		}
 	}
 	if worst == nil {
-		return "no request for the newest version was refused after its acknowledgement"
+		return ""
 	}
 	return fmt.Sprintf("refused for the newest version: %d requests a second or more after its acknowledgement, the longest time is %.2f s, at %s",
 		count, longest.Seconds(), worst.VM)
 }
+
+const (
+	// turnoverInterval is the time between the replacements of two control VMs. It covers the join of the successor.
+	turnoverInterval = 6500 * time.Millisecond
+	// minTurnoverFreeze and maxTurnoverFreeze bound the time for which a successor is frozen.
+	minTurnoverFreeze = 1500 * time.Millisecond
+	maxTurnoverFreeze = 4 * time.Second
+	// maxDrawnLimit is the largest limit that a worker names, in tenths of a request a second.
+	maxDrawnLimit = 100
+)
+
+// addTurnover replaces the steps of a plan that concern control VMs by the replacement of all control VMs in turn, each at
+// another address, and by freezes of the successors. Some workers name limits meanwhile.
+func addTurnover(steps []Step, seed uint64, s topology) []Step {
+	random := rand.New(rand.NewPCG(seed, 3))
+	within := func(limit time.Duration) time.Duration { return time.Duration(random.Int64N(int64(limit))) }
+	steps = slices.DeleteFunc(slices.Clone(steps), func(step Step) bool {
+		return step.Kind == KindKillControlVMs || strings.HasPrefix(step.Target, controlPrefix)
+	})
+	for turn, i := range random.Perm(s.controls)[:min(s.controls, 3)] {
+		at := time.Duration(turn)*turnoverInterval + within(time.Second)
+		steps = append(steps, Step{At: at, Kind: KindReplaceControl, Target: s.control(i)})
+		if at += turnoverInterval/2 + within(time.Second); at < lastStepAt-maxTurnoverFreeze && random.IntN(2) == 0 {
+			duration := minTurnoverFreeze + within(maxTurnoverFreeze-minTurnoverFreeze)
+			steps = append(steps, Step{At: at, Duration: duration, Kind: KindFreeze, Target: s.successor(i)})
+		}
+	}
+	for _, i := range random.Perm(s.workers())[:1+random.IntN(s.workers())] {
+		at := within(lastStepAt / 2)
+		steps = append(steps, Step{At: at, Duration: limitWindow + within(lastStepAt/3), Kind: KindWorkerLimit, Target: s.worker(i), Variant: 1 + random.IntN(maxDrawnLimit)})
+	}
+	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	return steps
+}
--- a/internal/soak/successors_test.go
+++ b/internal/soak/successors_test.go
@@ -52,3 +52,26 @@
 	require.Empty(t, report.Findings)
 	require.Positive(t, report.Served)
 }
+
+func TestTurnoverReplacesEachControlVMOnceAndSparesTheirPredecessors(t *testing.T) {
+	for _, size := range []topology{{entries: 3, controls: 3, models: 4, desks: 2}, {entries: 24, controls: 7, models: 24, desks: 6}} {
+		for seed := range uint64(50) {
+			plan := addTurnover(makePlan(seed, size), seed, size)
+			require.Equal(t, plan, addTurnover(makePlan(seed, size), seed, size))
+			replaced := map[string]bool{}
+			for _, step := range plan {
+				require.Less(t, step.At+step.Duration, loadTime-finalWindow, "%v", step)
+				switch step.Kind {
+				case KindReplaceControl:
+					require.False(t, replaced[step.Target])
+					replaced[step.Target] = true
+				case KindFreeze:
+					require.NotContains(t, replaced, step.Target)
+				case KindKillControlVMs:
+					require.Fail(t, "would start a replaced VM again")
+				}
+			}
+			require.Len(t, replaced, 3)
+		}
+	}
+}
