--- a/internal/soak/network.go
+++ b/internal/soak/network.go
@@ -76,7 +76,7 @@
 func (n *network) forward(public, own, node string) error {
 	var config net.ListenConfig
 	config.SetMultipathTCP(false) // Linux attaches no filter to a multipath listener
-	listener, err := config.Listen(context.Background(), "tcp", public)
+	listener, err := listenWhenFree(func() (net.Listener, error) { return config.Listen(context.Background(), "tcp", public) })
 	if err != nil {
 		return err
 	}
--- a/internal/soak/network_test.go
+++ b/internal/soak/network_test.go
@@ -131,3 +131,13 @@
 		require.ErrorIs(t, err, syscall.ECONNREFUSED)
 	}
 }
+
+// Runs were not played because a process that was being started still held the address of the run before.
+func TestNetworkWaitsForAnAddress(t *testing.T) {
+	held, err := net.Listen("tcp", "127.9.4.1:7404")
+	require.NoError(t, err)
+	time.AfterFunc(100*time.Millisecond, func() { _ = held.Close() })
+	n := newNetwork()
+	defer n.close()
+	require.NoError(t, n.forward("127.9.4.1:7404", "127.9.4.2:7404", "node"))
+}
--- a/internal/soak/worker.go
+++ b/internal/soak/worker.go
@@ -112,8 +112,14 @@
 
 // listenAgain listens on the address of a worker that has ended. The kernel may hold the address for a moment longer.
 func listenAgain(address string) (net.Listener, error) {
+	return listenWhenFree(func() (net.Listener, error) { return net.Listen("tcp", address) })
+}
+
+// listenWhenFree calls listen until its address is free, for at most listenTimeout. A process that is being started holds the
+// closed listeners of its parent until it executes its program.
+func listenWhenFree(listen func() (net.Listener, error)) (net.Listener, error) {
 	for deadline := time.Now().Add(listenTimeout); ; time.Sleep(listenRetryInterval) {
-		listener, err := net.Listen("tcp", address)
+		listener, err := listen()
 		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(deadline) {
 			return listener, err
 		}
