--- a/internal/soak/successors.go
+++ b/internal/soak/successors.go
@@ -120,7 +120,8 @@
 }
 
 const (
-	// turnoverInterval is the time between the replacements of two control VMs. It covers the join of the successor.
+	// turnoverInterval is the time between the replacements of two control VMs, and until a successor is frozen. It covers the
+	// join of the successor: the group is expected to bear the loss of one VM at a time.
 	turnoverInterval = 6500 * time.Millisecond
 	// minTurnoverFreeze and maxTurnoverFreeze bound the time for which a successor is frozen.
 	minTurnoverFreeze = 1500 * time.Millisecond
@@ -129,21 +130,24 @@
 	maxDrawnLimit = 100
 )
 
-// addTurnover replaces the steps of a plan that concern control VMs by the replacement of all control VMs in turn, each at
-// another address, and by freezes of the successors. Some workers name limits meanwhile.
+// addTurnover replaces the steps of a plan that concern control VMs by the replacement of three control VMs in turn, each at
+// another address, or of two and a freeze of one of their successors. Some workers name limits meanwhile.
 func addTurnover(steps []Step, seed uint64, s topology) []Step {
 	random := rand.New(rand.NewPCG(seed, 3))
 	within := func(limit time.Duration) time.Duration { return time.Duration(random.Int64N(int64(limit))) }
 	steps = slices.DeleteFunc(slices.Clone(steps), func(step Step) bool {
 		return step.Kind == KindKillControlVMs || strings.HasPrefix(step.Target, controlPrefix)
 	})
-	for turn, i := range random.Perm(s.controls)[:min(s.controls, 3)] {
-		at := time.Duration(turn)*turnoverInterval + within(time.Second)
-		steps = append(steps, Step{At: at, Kind: KindReplaceControl, Target: s.control(i)})
-		if at += turnoverInterval/2 + within(time.Second); at < lastStepAt-maxTurnoverFreeze && random.IntN(2) == 0 {
-			duration := minTurnoverFreeze + within(maxTurnoverFreeze-minTurnoverFreeze)
-			steps = append(steps, Step{At: at, Duration: duration, Kind: KindFreeze, Target: s.successor(i)})
+	turns := random.Perm(s.controls)[:min(s.controls, 3)]
+	freezes := random.IntN(2) == 0
+	for turn, i := range turns {
+		step := Step{At: time.Duration(turn)*turnoverInterval + within(time.Second), Kind: KindReplaceControl, Target: s.control(i)}
+		if freezes && turn == len(turns)-1 {
+			step.Kind, step.Target = KindFreeze, s.successor(turns[random.IntN(turn)])
+			step.At += time.Second // the jitter of the step before
+			step.Duration = minTurnoverFreeze + within(maxTurnoverFreeze-minTurnoverFreeze)
 		}
+		steps = append(steps, step)
 	}
 	for _, i := range random.Perm(s.workers())[:1+random.IntN(s.workers())] {
 		at := within(lastStepAt / 2)
