--- a/internal/soak/successors.go
+++ b/internal/soak/successors.go
@@ -11,7 +11,7 @@
 	"time"
 )
 
-// addressList is a list of addresses that may change during a run. It is safe for concurrent use.
+// addressList is a list of addresses that may change during a run. It is safe for concurrent use. A nil list is empty.
 type addressList struct {
 	mu        sync.Mutex
 	addresses []string
@@ -21,6 +21,9 @@
 
 // all returns a copy of the list.
 func (l *addressList) all() []string {
+	if l == nil {
+		return nil
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return slices.Clone(l.addresses)
--- a/internal/soak/successors_test.go
+++ b/internal/soak/successors_test.go
@@ -84,3 +84,14 @@
 		}
 	}
 }
+
+// Workers of tests without control VMs have no list.
+func TestNilAddressListIsEmpty(t *testing.T) {
+	var none *addressList
+	require.Empty(t, none.all())
+	list := newAddressList("a", "b")
+	list.replace("a", "c")
+	list.replace("x", "y")
+	require.Equal(t, []string{"c", "b"}, list.all())
+	require.Equal(t, "b", list.at(3))
+}
