hub: a test of redirects starts at the control VM that falls silent

It had both control VMs as seeds; where it attached to the other one first, it moved after a random time of up to 5 s (maxPreferredWait), which is the bound of the set-up. It now has the preferred one as its only seed and waits until it knows both. What is checked is unchanged.

--- a/internal/hub/silence_test.go
+++ b/internal/hub/silence_test.go
@@ -151,8 +151,11 @@
 	state := registry.New()
 	startHubWith(t, silenced, "a", zerolog.Nop(), state, members[1], members...)
 	other := startHubWith(t, second, "b", zerolog.Nop(), state, members[1], members...)
-	link := startLinkIn(t, "entry-1", "a", 1, members...)
-	waitFor(t, 5*time.Second, "attached in its zone", func() bool { return link.attachedTo() == members[0] })
+	link := startLinkIn(t, "entry-1", "a", 1, members[0])
+	waitFor(t, 5*time.Second, "attached in its zone, all control VMs known", func() bool {
+		_, known := link.state.knownControlVMs()
+		return link.attachedTo() == members[0] && len(known) == len(members)
+	})
 	waitFor(t, 5*time.Second, "the other control VM knows the preferred one", func() (known bool) {
 		other.inspect(t, func(c *core) { known = len(c.controls) == 1 })
 		return known
