gateway, hub: a refusal by the route table names its version and its source

The line of such a refusal held neither the version of the table that refused nor the control VM that it came from, so that an outdated control VM, a silent one, a link that is stuck and a mistake of the caller looked alike. request_refused now gives version and age of the table, the attached control VM and the time since its last frame.

gateway.TestRefusalByTheRouteTableNamesItsVersionAndSource fails without the change.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -206,9 +206,11 @@
 	Table func() *routes.Table
 	// TableKnown is closed when the first route table is received; nil if requests don't wait for it.
 	TableKnown <-chan struct{}
-	Placer     Placer
-	Budget     Budget
-	Servers    Servers
+	// TableSource returns where the route table in force comes from; nil if that is not known. Only logs use it.
+	TableSource func() TableSource
+	Placer      Placer
+	Budget      Budget
+	Servers     Servers
 	// ReadyServers returns the servers of a service that accept requests by their announcements.
 	ReadyServers func(service string) []roster.Server
 	Backend      Backend
@@ -234,6 +236,14 @@
 	Metrics    *observe.Metrics
 }
 
+// TableSource tells where the route table in force comes from.
+type TableSource struct {
+	// ControlVM is the internal address of the control VM to which this VM is attached, empty while it is detached.
+	ControlVM string
+	// Age is the time for which the table has been in force, Silent the time since the last frame of a control VM.
+	Age, Silent time.Duration
+}
+
 // Gateway serves requests. It is safe for concurrent use.
 type Gateway struct {
 	options   Options
@@ -302,7 +312,7 @@
 	}
 	route := table.Match(request.Host, request.Path)
 	if route == nil {
-		g.refuse(request, caller, RefusedNoRoute, 0, "no route matches the host and path")
+		g.refuseByTable(request, caller, RefusedNoRoute, table, "no route matches the host and path")
 		return
 	}
 	deadline := request.ArrivedAt.Add(route.Timeout)
@@ -318,7 +328,7 @@
 	}
 	if table.NeedsKey(route) {
 		if x.team = table.TeamOf(request.Key); x.team == nil {
-			g.refuse(request, caller, RefusedUnknownKey, 0, "unknown key")
+			g.refuseByTable(request, caller, RefusedUnknownKey, table, "unknown key")
 			return
 		}
 	}
@@ -374,6 +384,18 @@
 	caller.Refuse(code, retryAfter)
 }
 
+// refuseByTable refuses a request that the route table does not allow. Whether a newer one would is seen from the line.
+func (g *Gateway) refuseByTable(request *Request, caller Caller, code RefusalCode, table *routes.Table, reason string) {
+	source := TableSource{}
+	if g.options.TableSource != nil {
+		source = g.options.TableSource()
+	}
+	observe.Log(g.options.Logger, observe.RequestRefused).Str("request", request.ID).Str("reason", reason).
+		Uint64("table_version", table.Version).Dur("table_age", source.Age).
+		Str("control_vm", source.ControlVM).Dur("silent", source.Silent).Dur("held", time.Since(request.ArrivedAt)).Send()
+	caller.Refuse(code, 0)
+}
+
 // typicalTime returns the typical total time of a request on the given route. A stopping VM refuses requests whose
 // typical time is longer than the time until it exits.
 func typicalTime(route *routes.Route) time.Duration {
--- a/internal/gateway/log_test.go
+++ b/internal/gateway/log_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"sync"
 	"testing"
@@ -82,3 +84,35 @@
 		})
 	}
 }
+
+// The lines of a refusal did not tell an entry VM with an outdated route table from a caller's mistake.
+func TestRefusalByTheRouteTableNamesItsVersionAndSource(t *testing.T) {
+	for path, reason := range map[string]string{"/none/x": "no route matches the host and path", "/safe/x": "unknown key"} {
+		var lines bytes.Buffer
+		f := &fakes{}
+		table := testTable()
+		table.Version = 7
+		g := New(Options{
+			Table: func() *routes.Table { return table }, Placer: f, Budget: f, Servers: f, Backend: f, Memory: f,
+			TableSource: func() TableSource {
+				return TableSource{ControlVM: "10.0.0.1:1", Age: 3 * time.Second, Silent: time.Second}
+			},
+			StopsIn: func() (time.Duration, bool) { return 0, false },
+			Zone:    "a", Incarnation: 1, Logger: zerolog.New(&lines), Metrics: observe.NewMetrics(),
+		})
+		g.Serve(context.Background(), &Request{ID: "1", Host: "h", Path: path, Key: "other", ArrivedAt: time.Now(), Timeout: time.Second}, &fakeCaller{})
+		var line struct {
+			Reason       string
+			TableVersion uint64  `json:"table_version"`
+			TableAge     float64 `json:"table_age"`
+			ControlVM    string  `json:"control_vm"`
+			Silent       float64
+		}
+		require.NoError(t, json.Unmarshal(lines.Bytes(), &line), lines.String())
+		require.Equal(t, reason, line.Reason)
+		require.EqualValues(t, 7, line.TableVersion)
+		require.InDelta(t, 3000, line.TableAge, 1)
+		require.Equal(t, "10.0.0.1:1", line.ControlVM)
+		require.InDelta(t, 1000, line.Silent, 1)
+	}
+}
--- a/internal/hub/link.go
+++ b/internal/hub/link.go
@@ -116,13 +116,17 @@
 	limitsKnown atomic.Int64
 	// failedAttempts counts the attempts to attach that failed since the last successful one.
 	failedAttempts atomic.Int64
+	// lastFrameAt is when the last frame arrived, in Unix nanoseconds, or when the link was made.
+	lastFrameAt atomic.Int64
 
 	// mu guards the fields below it, except state.
-	mu       sync.RWMutex
-	table    *routes.Table
-	servers  *roster.Roster
-	entryVMs int
-	attached bool
+	mu    sync.RWMutex
+	table *routes.Table
+	// tableSince is when table was put in force.
+	tableSince time.Time
+	servers    *roster.Roster
+	entryVMs   int
+	attached   bool
 	// control is the internal address of the attached control VM.
 	control string
 	relays  []Relay
@@ -138,6 +142,7 @@
 		evidence: quarantine.NewGuard(), statements: serverstate.NewTable(),
 	}
 	l.state = newLinkState(l)
+	l.lastFrameAt.Store(time.Now().UnixNano())
 	return l
 }
 
@@ -151,6 +156,23 @@
 // TableKnown returns a channel that is closed when the first route table is in force.
 func (l *Link) TableKnown() <-chan struct{} { return l.tableKnown }
 
+// TableSource tells where the route table in force comes from.
+type TableSource struct {
+	// ControlVM is the internal address of the attached control VM, empty while the link is detached.
+	ControlVM string
+	// Age is the time for which the table has been in force, Silent the time since the last frame of a control VM.
+	Age, Silent time.Duration
+}
+
+// TableSource returns where the route table in force comes from.
+func (l *Link) TableSource() TableSource {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return TableSource{
+		ControlVM: l.control, Age: time.Since(l.tableSince), Silent: time.Since(time.Unix(0, l.lastFrameAt.Load())),
+	}
+}
+
 // tableVersion returns the version of the route table in force, 0 before the first
 // one.
 func (l *Link) tableVersion() uint64 {
@@ -445,7 +467,7 @@
 		return
 	}
 	l.mu.Lock()
-	l.table = table
+	l.table, l.tableSince = table, time.Now()
 	l.servers.SetServices(serviceNames(table))
 	l.mu.Unlock()
 	l.state.local.SetEngines(table)
--- a/internal/hub/linkstate.go
+++ b/internal/hub/linkstate.go
@@ -377,6 +377,7 @@
 	}
 	resumed := s.schedulerAttached && s.schedulerSuspect
 	s.lastFrameAt, s.schedulerSuspect = now, false
+	s.link.lastFrameAt.Store(now.UnixNano())
 	s.link.applyTable(m.frame.GetTable())
 	s.applyServers(serversFromProto(m.frame.GetServers(), now), now)
 	for _, limit := range limitsFromProto(m.frame.GetLimits(), now) {
--- a/internal/observe/events_gateway.go
+++ b/internal/observe/events_gateway.go
@@ -5,7 +5,7 @@
 // Events 3200 to 3299: requests that are matched by the route table.
 var (
 	RequestRefused = newEvent(3200, "request_refused", zerolog.WarnLevel,
-		"A request was refused and did not run. The line gives the reason and the time after which the caller may retry (retry_after). If there are many, read the scheduler_load lines for queued requests.")
+		"A request was refused and did not run. The line gives the reason and the time after which the caller may retry (retry_after). If there are many, read the scheduler_load lines for queued requests. A refusal by the route table gives its version, how long it has been in force (table_age), the attached control VM, empty for none, and the time since its last frame (silent): compare the version with routes_applied of the control VMs.")
 	RequestPlaced = newEvent(3205, "request_placed", zerolog.InfoLevel,
 		"A request was placed on a backend server by the scheduler, or by this VM itself (local). The line gives the time in the queue (waited) and the version of the route table. No action.")
 	RequestBroken = newEvent(3201, "request_broken", zerolog.WarnLevel,
