consensus: a member that may not start an election forgets a silent leader

One way to it, by reading: a control VM that is a learner, or was removed from the group, went on naming a leader that was gone. Its entry VMs did not look for another control VM, and the other control VMs sent the entry VMs of its zone to it.

Cause: only the start of an election cleared the leader, and a member that is no voter starts none. Evidence: TestMemberThatCannotCampaignForgetsASilentLeader fails without the change, for a learner and for a removed member. Whether the users' cases are this one is not shown.

Fix: at the election deadline such a member forgets the leader; the next message of a leader names it again. Votes are not affected: a voter that starts an election forgets the leader of its term, too, and a member votes once a term.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -209,15 +209,20 @@
 
 // Tick advances the time to now: it starts an election whose deadline has
 // passed, sends due heartbeats, and steps down when the lease has expired, the
-// clock went back, or a write takes longer than an election timeout.
+// clock went back, or a write takes longer than an election timeout. A member
+// that may not start an election forgets the leader instead.
 func (c *Core) Tick(now time.Time) {
 	c.advanceClock(now)
 	if c.role == RoleLeader {
 		c.tickLeader()
 		return
 	}
-	if c.clock.monotonic >= c.electionDeadline && c.canCampaign() {
+	switch {
+	case c.clock.monotonic < c.electionDeadline:
+	case c.canCampaign():
 		c.campaign(RolePreCandidate, false)
+	default:
+		c.setLeader(0)
 	}
 }
 
--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -392,3 +392,33 @@
 		require.Equal(t, uint64(6), m.Term)
 	}
 }
+
+// A learner and a removed member named a leader that was gone for as long as they lived, since only a member that may start an
+// election gave up a silent leader.
+func TestMemberThatCannotCampaignForgetsASilentLeader(t *testing.T) {
+	learner := simMember(1)
+	learner.Learner = true
+	for name, membership := range map[string]Membership{
+		"learner": NewMembership(learner, simMember(2), simMember(3)),
+		"removed": NewMembership(simMember(2), simMember(3)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			stored := storedLog(1)
+			stored.Entries[0].Membership = &membership
+			h := newHarness(t, stored)
+			heartbeat := Message{Kind: MessageHeartbeat, From: 2, Term: 1}
+			for range 20 {
+				h.advance(simHeartbeat)
+				h.step(heartbeat)
+				require.EqualValues(t, 2, h.core.Status().Leader)
+			}
+			h.advance(simElection)
+			require.EqualValues(t, 2, h.core.Status().Leader, "the leader may still be there")
+			h.advance(simElection)
+			require.Zero(t, h.core.Status().Leader)
+			require.Equal(t, RoleFollower, h.core.Status().Role)
+			h.step(heartbeat)
+			require.EqualValues(t, 2, h.core.Status().Leader)
+		})
+	}
+}
