hub: control VMs compare the versions of their route tables

A control VM handed out its older table while it took itself for the leader or knew no leader: it learned that it was behind from a leader's replies only. While its leader was silent it polled a random member, and members that are gone stay members for a while.

Cause: one source told a control VM whether its table is the newest.

One that is behind for 300 ms reads the table from the control VM that has it; the random polling is gone. What another control VM hands out has been confirmed, and versions never decrease.

--- a/internal/hub/broadcast.go
+++ b/internal/hub/broadcast.go
@@ -39,10 +39,13 @@
 	entries []string
 	// relaysSentAt is when the relays of all attached entry VMs were last queued.
 	relaysSentAt time.Time
+	// onTableVersion is called, from any goroutine, with the version of the route table that a peer hands out if it is newer
+	// than the one in force here.
+	onTableVersion func(address string, version uint64)
 }
 
-func newBroadcaster(options *Options) *broadcaster {
-	return &broadcaster{options: options, peers: map[string]*broadcastPeer{}}
+func newBroadcaster(options *Options, onTableVersion func(address string, version uint64)) *broadcaster {
+	return &broadcaster{options: options, peers: map[string]*broadcastPeer{}, onTableVersion: onTableVersion}
 }
 
 // broadcastPeer holds what is queued for one other control VM.
@@ -51,6 +54,8 @@
 	options *Options
 	cancel  context.CancelFunc
 	wake    chan struct{}
+	// onTableVersion is that of the broadcaster.
+	onTableVersion func(address string, version uint64)
 
 	// mu guards the fields below it.
 	mu sync.Mutex
@@ -60,6 +65,8 @@
 	// due is set when the peer must be told that this VM is there, even if there is
 	// nothing else to send, and knowsLeader whether it knows the leader.
 	due, knowsLeader bool
+	// tableVersion is that of the route table in force at this VM.
+	tableVersion uint64
 	// relays holds the newest relay of each entry VM that is to be sent.
 	relays map[string]Relay
 	// evidence holds the newest evidence on each part and request that is to be sent.
@@ -79,7 +86,7 @@
 		}
 		wanted[address] = true
 		if b.peers[address] == nil {
-			b.peers[address] = startBroadcastPeer(b.options, address)
+			b.peers[address] = startBroadcastPeer(b.options, address, b.onTableVersion)
 			started = true
 		}
 	}
@@ -92,9 +99,9 @@
 	return started
 }
 
-func startBroadcastPeer(options *Options, address string) *broadcastPeer {
+func startBroadcastPeer(options *Options, address string, onTableVersion func(string, uint64)) *broadcastPeer {
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &broadcastPeer{address: address, options: options, cancel: cancel, wake: make(chan struct{}, 1), servers: map[string]roster.Server{}, relays: map[string]Relay{}, evidence: map[quarantine.Subject]quarantine.Evidence{}, limits: map[string]serverstate.Limit{}}
+	p := &broadcastPeer{address: address, options: options, cancel: cancel, wake: make(chan struct{}, 1), onTableVersion: onTableVersion, servers: map[string]roster.Server{}, relays: map[string]Relay{}, evidence: map[quarantine.Subject]quarantine.Evidence{}, limits: map[string]serverstate.Limit{}}
 	go p.run(ctx)
 	return p
 }
@@ -149,9 +156,9 @@
 	}
 }
 
-// tick sends the queued announcements and the names of the attached entry VMs to
-// all peers every broadcastInterval, with their relays every refreshInterval.
-func (b *broadcaster) tick(now time.Time, sessions map[*session]bool, knowsLeader bool) {
+// tick sends the queued announcements, the names of the attached entry VMs and the version of the route table in force to
+// all peers every broadcastInterval, with the relays of the entry VMs every refreshInterval.
+func (b *broadcaster) tick(now time.Time, sessions map[*session]bool, knowsLeader bool, tableVersion uint64) {
 	if now.Sub(b.sentAt) < broadcastInterval {
 		return
 	}
@@ -171,7 +178,7 @@
 	for _, peer := range b.peers {
 		peer.mu.Lock()
 		peer.entries = append([]string(nil), b.entries...)
-		peer.due, peer.knowsLeader = true, knowsLeader
+		peer.due, peer.knowsLeader, peer.tableVersion = true, knowsLeader, tableVersion
 		peer.mu.Unlock()
 		peer.notify()
 	}
@@ -226,7 +233,7 @@
 func (p *broadcastPeer) send(ctx context.Context) error {
 	p.mu.Lock()
 	servers, entries, relays, evidence, limits := p.servers, p.entries, p.relays, p.evidence, p.limits
-	due, knowsLeader := p.due, p.knowsLeader
+	due, knowsLeader, tableVersion := p.due, p.knowsLeader, p.tableVersion
 	p.due = false
 	p.servers, p.entries, p.relays, p.evidence = map[string]roster.Server{}, nil, map[string]Relay{}, map[quarantine.Subject]quarantine.Evidence{}
 	p.limits = map[string]serverstate.Limit{}
@@ -235,7 +242,7 @@
 		return nil
 	}
 	now := time.Now()
-	request := &hubpb.SpreadRequest{EntryVms: entries, Sender: p.options.Address, SenderZone: p.options.Zone, Forwards: true, KnowsLeader: knowsLeader}
+	request := &hubpb.SpreadRequest{EntryVms: entries, Sender: p.options.Address, SenderZone: p.options.Zone, Forwards: true, KnowsLeader: knowsLeader, TableVersion: tableVersion}
 	for _, relay := range relays {
 		request.Relays = append(request.Relays, relayToProto(relay))
 	}
@@ -247,13 +254,18 @@
 	ctx, cancel := context.WithTimeout(ctx, broadcastTimeout)
 	defer cancel()
 	conn, err := p.options.Pool.Conn(p.address)
+	var reply *hubpb.SpreadReply
 	if err == nil {
-		_, err = hubpb.NewHubClient(conn).Spread(ctx, request)
+		reply, err = hubpb.NewHubClient(conn).Spread(ctx, request)
 	}
 	if err != nil {
 		p.requeue(servers, evidence, limits)
+		return err
 	}
-	return err
+	if reply.GetTableVersion() > tableVersion {
+		p.onTableVersion(p.address, reply.GetTableVersion())
+	}
+	return nil
 }
 
 // requeue queues announcements, limits and evidence again after a failed call, except for
--- a/internal/hub/core.go
+++ b/internal/hub/core.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -39,6 +40,8 @@
 	// before the first one.
 	table      *hubpb.RouteTable
 	tableSince time.Time
+	// tableVersion is the version of table. Other goroutines read it.
+	tableVersion atomic.Uint64
 	// newest is the newest route table that this VM knows. It may be outdated until
 	// tableConfirmed is set.
 	newest         *hubpb.RouteTable
@@ -81,11 +84,14 @@
 func newCore(options *Options) *core {
 	c := &core{
 		options: options, roster: roster.New(), sessions: map[*session]bool{}, entryLastSeen: map[string]time.Time{}, relays: newRelayList(),
-		scheduler: schedule.New(), peers: newBroadcaster(options), table: &hubpb.RouteTable{}, newest: &hubpb.RouteTable{}, startedAt: time.Now(),
+		scheduler: schedule.New(), table: &hubpb.RouteTable{}, newest: &hubpb.RouteTable{}, startedAt: time.Now(),
 		evidence: quarantine.NewTracker(), limits: serverstate.NewLimits(), waiting: map[schedule.JobID]*waitingRequest{}, forwarders: map[*forwarder]bool{},
 		remotes: map[uint64]*remoteVM{}, controls: map[string]controlVM{},
 		refusalLines: rate.NewLimiter(refusalLinesPerSecond, refusalLinesBurst),
 	}
+	c.peers = newBroadcaster(options, func(address string, version uint64) {
+		_ = c.post(context.Background(), tableVersionHeard{address: address, version: version})
+	})
 	c.roster.SetServices(map[string]bool{}) // until a table is known
 	return c
 }
@@ -126,6 +132,8 @@
 	// sender is the internal address of the sending control VM, empty for a server.
 	sender  string
 	control controlVM
+	// tableVersion is the version of the route table that the sending control VM hands out, 0 for none.
+	tableVersion uint64
 	// reply is closed when the announcements are applied.
 	reply chan struct{}
 }
@@ -134,6 +142,7 @@
 	if m.sender != "" {
 		m.control.seenAt = now
 		c.controls[m.sender] = m.control
+		c.tableLag.record(m.sender, m.tableVersion)
 	}
 	for _, entry := range m.entries {
 		c.entryLastSeen[entry] = now
@@ -302,6 +311,7 @@
 		return
 	}
 	c.table, c.tableSince = c.newest, now
+	c.tableVersion.Store(c.table.GetVersion())
 	for s := range c.sessions {
 		s.pending().Table = c.table
 		s.tableVersion = c.table.GetVersion()
@@ -361,7 +371,7 @@
 		}
 	}
 	c.sendRelays(now)
-	c.peers.tick(now, c.sessions, c.leader != "")
+	c.peers.tick(now, c.sessions, c.leader != "", c.table.GetVersion())
 	c.expireControls(now)
 	c.expireRemotes(now)
 	c.followLeader(now)
--- a/internal/hub/lag.go
+++ b/internal/hub/lag.go
@@ -2,23 +2,24 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"godwityoke.example/godwityoke/internal/hub/hubpb"
 	"godwityoke.example/godwityoke/internal/observe"
 )
 
-// tableLagLimit is how long the log may take to bring a route table that the leader has in
-// force: a few round trips and disk writes. It is also the least time between two reads
-// through the leader.
+// tableLagLimit is how long the log may take to bring a route table that another control VM has in force: a few round trips
+// and disk writes. It is also the least time between two reads from other control VMs.
 const tableLagLimit = 300 * time.Millisecond
 
-// tableLag tells whether the log of a control VM that follows the leader brings route tables in
-// time. It does not if the VM's disk takes no writes, for example.
+// tableLag tells whether the log of a control VM brings route tables in time. It does not if the VM's disk takes no writes, if
+// the VM is not in the group, or if it does not hear the leader, for example.
 type tableLag struct {
-	// awaited is a version that the leader had in force at awaitedSince and this VM had not. While the leader does not answer,
-	// awaitedSince is when it last did.
+	// heard is the newest version that another control VM than the leader was heard to hand out, and heardFrom its internal
+	// address.
+	heard     uint64
+	heardFrom string
+	// awaited is a version that another control VM had in force at awaitedSince and this VM had not.
 	awaited      uint64
 	awaitedSince time.Time
 	// fetching is set while the newest table is being read, which last began at fetchedAt.
@@ -26,53 +27,60 @@
 	fetchedAt time.Time
 }
 
-// update records the versions of the leader and of this VM, and reports whether the newest
-// table must be read through the leader now.
-func (l *tableLag) update(leader, own uint64, now time.Time) (fetch bool) {
-	if leader <= own {
+// record records the version of the route table that the control VM at address hands out.
+func (l *tableLag) record(address string, version uint64) {
+	if version > l.heard || version == l.heard && version > 0 {
+		l.heard, l.heardFrom = version, address
+	}
+}
+
+// update records the newest version in force elsewhere and that of this VM, and reports whether the newest
+// table must be read from another control VM now.
+func (l *tableLag) update(newest, own uint64, now time.Time) (fetch bool) {
+	if newest <= own {
 		l.awaited = 0
 		return false
 	}
 	if l.awaited <= own {
-		l.awaited, l.awaitedSince = leader, now
+		l.awaited, l.awaitedSince = newest, now
 	}
 	return !l.fetching && now.Sub(l.awaitedSince) >= tableLagLimit && now.Sub(l.fetchedAt) >= tableLagLimit
 }
 
-// checkTableLag has a newer route table read if the log doesn't bring it: the newest one through the leader, or while the leader
-// does not answer, the one that another control VM has in force.
+// tableVersionHeard is the version of the route table that the control VM at address hands out.
+type tableVersionHeard struct {
+	address string
+	version uint64
+}
+
+func (m tableVersionHeard) handle(c *core, _ time.Time) { c.tableLag.record(m.address, m.version) }
+
+// checkTableLag has a newer route table read if the log doesn't bring it: the newest one through the leader, or the one that
+// another control VM has in force if that is newer than the leader is known to have.
 func (c *core) checkTableLag(now time.Time) {
-	u := c.upstream
+	leaderVersion := uint64(0)
+	if c.upstream != nil && c.upstream.answered {
+		leaderVersion = c.upstream.tableVersion
+	}
+	own := c.newest.GetVersion()
+	if !c.tableConfirmed && c.isWithoutLeader(now) {
+		own = min(own, c.table.GetVersion()) // what another control VM hands out has been confirmed
+	}
 	switch {
-	case u == nil || c.tableLag.fetching:
-	case u.answered:
-		if c.tableLag.update(u.tableVersion, c.newest.GetVersion(), now) {
-			c.startTableFetch(u.address, &hubpb.GetRoutesRequest{}, now)
-		}
-	case now.Sub(u.lastReplyAt) >= upstreamTimeout && now.Sub(c.tableLag.fetchedAt) >= tableLagLimit:
-		if other := c.otherControlVM(u.address); other != "" {
-			c.tableLag.awaitedSince = u.lastReplyAt
-			c.startTableFetch(other, &hubpb.GetRoutesRequest{InForce: true, KnownVersion: c.newest.GetVersion()}, now)
-		}
+	case !c.tableLag.update(max(leaderVersion, c.tableLag.heard), own, now):
+	case leaderVersion >= c.tableLag.heard:
+		c.startTableFetch(c.upstream.address, &hubpb.GetRoutesRequest{}, now)
+	default:
+		c.startTableFetch(c.tableLag.heardFrom, &hubpb.GetRoutesRequest{InForce: true, KnownVersion: c.newest.GetVersion()}, now)
 	}
 }
 
-// otherControlVM returns a random member of the control group but this VM and the leader, empty if there is none.
-func (c *core) otherControlVM(leader string) string {
-	group := c.options.Group()
-	if group == nil {
-		return ""
-	}
-	var others []string
-	for _, address := range group.MemberAddresses() {
-		if address != c.options.Address && address != leader {
-			others = append(others, address)
-		}
-	}
-	if len(others) == 0 {
-		return ""
+// isWithoutLeader reports whether no leader has answered for upstreamTimeout.
+func (c *core) isWithoutLeader(now time.Time) bool {
+	if c.upstream != nil {
+		return now.Sub(c.upstream.lastReplyAt) >= upstreamTimeout
 	}
-	return others[rand.IntN(len(others))]
+	return now.Sub(c.startedAt) >= upstreamTimeout
 }
 
 func (c *core) startTableFetch(address string, request *hubpb.GetRoutesRequest, now time.Time) {
--- a/internal/hub/lag_test.go
+++ b/internal/hub/lag_test.go
@@ -35,4 +35,15 @@
 		require.False(t, lag.update(0, 7, at(1000)))
 		require.False(t, lag.update(6, 7, at(2000)))
 	})
+	t.Run("remembers the newest version heard and the last control VM that has it", func(t *testing.T) {
+		var lag tableLag
+		lag.record("a", 0)
+		require.Empty(t, lag.heardFrom)
+		lag.record("a", 3)
+		lag.record("b", 2)
+		require.Equal(t, "a", lag.heardFrom)
+		lag.record("c", 3)
+		require.Equal(t, "c", lag.heardFrom)
+		require.EqualValues(t, 3, lag.heard)
+	})
 }
--- a/internal/hub/server.go
+++ b/internal/hub/server.go
@@ -115,14 +115,15 @@
 	now := time.Now()
 	reply := make(chan struct{})
 	m := serversAnnounced{servers: serversFromProto(request.GetServers(), now), reply: reply, entries: request.GetEntryVms(), relays: relaysFromProto(request.GetRelays()), evidence: evidenceFromProto(request.GetEvidence(), now), limits: limitsFromProto(request.GetLimits(), now),
-		sender: request.GetSender(), control: controlVM{zone: request.GetSenderZone(), forwards: request.GetForwards(), knowsLeader: request.GetKnowsLeader()}}
+		sender: request.GetSender(), control: controlVM{zone: request.GetSenderZone(), forwards: request.GetForwards(), knowsLeader: request.GetKnowsLeader()},
+		tableVersion: request.GetTableVersion()}
 	if err := h.send(ctx, m); err != nil {
 		return nil, err
 	}
 	if err := await(ctx, reply); err != nil {
 		return nil, err
 	}
-	return &hubpb.SpreadReply{}, nil
+	return &hubpb.SpreadReply{TableVersion: h.core.tableVersion.Load()}, nil
 }
 
 // FindLeader implements the gRPC service. It answers also while the hub's goroutine is busy.
--- a/internal/observe/events_hub.go
+++ b/internal/observe/events_hub.go
@@ -56,7 +56,7 @@
 	TableConfirmed = newEvent(2164, "table_confirmed", zerolog.InfoLevel,
 		"This control VM has read the newest route table through the leader for the first time since its start (after), and hands out route tables from now on. The line gives the version of that table, the one that this VM knew before from its disk (own_version), and the term. No action.")
 	TableFetched = newEvent(2165, "table_fetched", zerolog.WarnLevel,
-		"The replicated log did not bring a route table to this control VM that the leader has in force, so this VM read the newest one through the leader (leader), or while that does not answer the one in force at another control VM (from), or failed to (error). The line gives the version read, the one that this VM had (own_version), since when it has been waiting (behind) and the term. If it repeats, check the disk of this VM and the network to the leader.")
+		"The replicated log did not bring a route table to this control VM that another one has in force, so this VM read the newest one through the leader (leader), or the one in force at the control VM that has it (from), or failed to (error). The line gives the version read, the one that this VM had (own_version), since when it has been waiting (behind) and the term. If it repeats, check the disk of this VM and the network to the leader.")
 	AttachFailed = newEvent(2166, "attach_failed", zerolog.WarnLevel,
 		"This entry VM could not connect to a control VM and tries others. The line gives the control VM, the error and the time that the attempt took (after). Expected for control VMs that have been replaced. If no link_attached line follows, check the control VMs and the network.")
 	ServerLimitChanged = newEvent(2167, "server_limit_changed", zerolog.InfoLevel,
