hub: a control VM that wakes withholds its route table until it has compared it

Cause: the confirmation of a table after the start of a control VM held for the life of the process, although a suspended VM misses tables as one that is down does. Evidence: TestControlVMThatWakesHandsOutNoOutdatedTable fails without the change: the entry VM that starts after the wake gets the table at once.

Fix: the time between two ticks, by the steady clock or the time of day, shows the suspension. Until another control VM has answered a question that was sent after the wake, for a second at most, entry VMs get no table and keep what they have; a newer version is read at once. A control VM that is cut off goes on after that second, so that the entry VMs of its zone are served. The lines table_doubted and table_trusted show it.

--- a/internal/hub/broadcast.go
+++ b/internal/hub/broadcast.go
@@ -40,11 +40,11 @@
 	// relaysSentAt is when the relays of all attached entry VMs were last queued.
 	relaysSentAt time.Time
 	// onTableVersion is called, from any goroutine, with the version of the route table that a peer hands out if it is newer
-	// than the one in force here.
-	onTableVersion func(address string, version uint64)
+	// than the one in force here, or while that is in doubt.
+	onTableVersion func(tableVersionHeard)
 }
 
-func newBroadcaster(options *Options, onTableVersion func(address string, version uint64)) *broadcaster {
+func newBroadcaster(options *Options, onTableVersion func(tableVersionHeard)) *broadcaster {
 	return &broadcaster{options: options, peers: map[string]*broadcastPeer{}, onTableVersion: onTableVersion}
 }
 
@@ -55,7 +55,7 @@
 	cancel  context.CancelFunc
 	wake    chan struct{}
 	// onTableVersion is that of the broadcaster.
-	onTableVersion func(address string, version uint64)
+	onTableVersion func(tableVersionHeard)
 
 	// mu guards the fields below it.
 	mu sync.Mutex
@@ -65,8 +65,9 @@
 	// due is set when the peer must be told that this VM is there, even if there is
 	// nothing else to send, and knowsLeader whether it knows the leader.
 	due, knowsLeader bool
-	// tableVersion is that of the route table in force at this VM.
+	// tableVersion is that of the route table in force at this VM, tableInDoubt whether it may be outdated.
 	tableVersion uint64
+	tableInDoubt bool
 	// relays holds the newest relay of each entry VM that is to be sent.
 	relays map[string]Relay
 	// evidence holds the newest evidence on each part and request that is to be sent.
@@ -99,7 +100,7 @@
 	return started
 }
 
-func startBroadcastPeer(options *Options, address string, onTableVersion func(string, uint64)) *broadcastPeer {
+func startBroadcastPeer(options *Options, address string, onTableVersion func(tableVersionHeard)) *broadcastPeer {
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &broadcastPeer{address: address, options: options, cancel: cancel, wake: make(chan struct{}, 1), onTableVersion: onTableVersion, servers: map[string]roster.Server{}, relays: map[string]Relay{}, evidence: map[quarantine.Subject]quarantine.Evidence{}, limits: map[string]serverstate.Limit{}}
 	go p.run(ctx)
@@ -158,7 +159,7 @@
 
 // tick sends the queued announcements, the names of the attached entry VMs and the version of the route table in force to
 // all peers every broadcastInterval, with the relays of the entry VMs every refreshInterval.
-func (b *broadcaster) tick(now time.Time, sessions map[*session]bool, knowsLeader bool, tableVersion uint64) {
+func (b *broadcaster) tick(now time.Time, sessions map[*session]bool, knowsLeader bool, tableVersion uint64, tableInDoubt bool) {
 	if now.Sub(b.sentAt) < broadcastInterval {
 		return
 	}
@@ -179,6 +180,7 @@
 		peer.mu.Lock()
 		peer.entries = append([]string(nil), b.entries...)
 		peer.due, peer.knowsLeader, peer.tableVersion = true, knowsLeader, tableVersion
+		peer.tableInDoubt = tableInDoubt
 		peer.mu.Unlock()
 		peer.notify()
 	}
@@ -233,7 +235,7 @@
 func (p *broadcastPeer) send(ctx context.Context) error {
 	p.mu.Lock()
 	servers, entries, relays, evidence, limits := p.servers, p.entries, p.relays, p.evidence, p.limits
-	due, knowsLeader, tableVersion := p.due, p.knowsLeader, p.tableVersion
+	due, knowsLeader, tableVersion, tableInDoubt := p.due, p.knowsLeader, p.tableVersion, p.tableInDoubt
 	p.due = false
 	p.servers, p.entries, p.relays, p.evidence = map[string]roster.Server{}, nil, map[string]Relay{}, map[quarantine.Subject]quarantine.Evidence{}
 	p.limits = map[string]serverstate.Limit{}
@@ -262,8 +264,8 @@
 		p.requeue(servers, evidence, limits)
 		return err
 	}
-	if reply.GetTableVersion() > tableVersion {
-		p.onTableVersion(p.address, reply.GetTableVersion())
+	if reply.GetTableVersion() > tableVersion || tableInDoubt {
+		p.onTableVersion(tableVersionHeard{address: p.address, version: reply.GetTableVersion(), askedAt: now})
 	}
 	return nil
 }
--- a/internal/hub/core.go
+++ b/internal/hub/core.go
@@ -47,6 +47,7 @@
 	newest         *hubpb.RouteTable
 	tableConfirmed bool
 	tableLag       tableLag
+	doubt          tableDoubt
 	peers          *broadcaster
 	refusalLines   *rate.Limiter
 	// departuresRevision is that of the departures of the registry that were last applied.
@@ -89,9 +90,7 @@
 		remotes: map[uint64]*remoteVM{}, controls: map[string]controlVM{},
 		refusalLines: rate.NewLimiter(refusalLinesPerSecond, refusalLinesBurst),
 	}
-	c.peers = newBroadcaster(options, func(address string, version uint64) {
-		_ = c.post(context.Background(), tableVersionHeard{address: address, version: version})
-	})
+	c.peers = newBroadcaster(options, func(m tableVersionHeard) { _ = c.post(context.Background(), m) })
 	c.roster.SetServices(map[string]bool{}) // until a table is known
 	return c
 }
@@ -313,14 +312,21 @@
 	c.table, c.tableSince = c.newest, now
 	c.tableVersion.Store(c.table.GetVersion())
 	for s := range c.sessions {
-		s.pending().Table = c.table
-		s.tableVersion = c.table.GetVersion()
+		c.sendTable(s)
 	}
 	for f := range c.forwarders {
 		f.pending() // names the version
 	}
 }
 
+// sendTable sends the route table in force to an entry VM, unless that has it or it may be outdated.
+func (c *core) sendTable(s *session) {
+	if c.table.GetVersion() > s.tableVersion && !c.doubt.isActive() {
+		s.pending().Table = c.table
+		s.tableVersion = c.table.GetVersion()
+	}
+}
+
 // tableConfirmed is the newest route table as the leader has read it since the start of this VM.
 // Before that, the registry may hold a snapshot from before other VMs accepted newer tables.
 type tableConfirmed struct{ table *hubpb.RouteTable }
@@ -337,6 +343,7 @@
 // out of scheduling, expires servers and entry VMs, and queues periodic frames.
 func (c *core) tick(now time.Time) {
 	c.updateLeadership(now)
+	c.checkSuspension(now)
 	if len(c.roster.Evict(now, c.options.ExpireAfter)) > 0 {
 		c.serverList = nil
 	}
@@ -371,7 +378,7 @@
 		}
 	}
 	c.sendRelays(now)
-	c.peers.tick(now, c.sessions, c.leader != "", c.table.GetVersion())
+	c.peers.tick(now, c.sessions, c.leader != "", c.table.GetVersion(), c.doubt.isActive())
 	c.expireControls(now)
 	c.expireRemotes(now)
 	c.followLeader(now)
--- a/internal/hub/lag.go
+++ b/internal/hub/lag.go
@@ -51,9 +51,22 @@
 type tableVersionHeard struct {
 	address string
 	version uint64
+	// askedAt is when that control VM was asked.
+	askedAt time.Time
 }
 
-func (m tableVersionHeard) handle(c *core, _ time.Time) { c.tableLag.record(m.address, m.version) }
+func (m tableVersionHeard) handle(c *core, now time.Time) {
+	c.tableLag.record(m.address, m.version)
+	if !c.doubt.isActive() || m.askedAt.Before(c.doubt.since) {
+		return
+	}
+	switch {
+	case m.version <= c.table.GetVersion():
+		c.trustTable(now)
+	case !c.tableLag.fetching:
+		c.startTableFetch(m.address, &hubpb.GetRoutesRequest{InForce: true, KnownVersion: c.newest.GetVersion()}, now)
+	}
+}
 
 // checkTableLag has a newer route table read if the log doesn't bring it: the newest one through the leader, or the one that
 // another control VM has in force if that is newer than the leader is known to have.
@@ -111,7 +124,13 @@
 // tableRequested asks for the route table in force at this VM. The reply has a capacity of one.
 type tableRequested struct{ reply chan *hubpb.RouteTable }
 
-func (m tableRequested) handle(c *core, _ time.Time) { m.reply <- c.table }
+func (m tableRequested) handle(c *core, _ time.Time) {
+	if c.doubt.isActive() {
+		m.reply <- &hubpb.RouteTable{}
+		return
+	}
+	m.reply <- c.table
+}
 
 // tableInForce returns the route table that this VM hands out to entry VMs, with version 0 if there is none, and without its
 // document if it is not newer than the known version.
@@ -153,4 +172,5 @@
 	c.tableConfirmed = true
 	c.useTable(m.table, now)
 	c.spreadTable(now)
+	c.trustTable(now)
 }
--- a/internal/hub/outdated_test.go
+++ b/internal/hub/outdated_test.go
@@ -2,11 +2,17 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+
+	"godwityoke.example/godwityoke/internal/bundle"
+	"godwityoke.example/godwityoke/internal/hub/hubpb"
+	"godwityoke.example/godwityoke/internal/registry"
+	"godwityoke.example/godwityoke/internal/transport"
 )
 
 // applyTarget is the time from the acknowledgement of a route table until it is in force (config_apply_ms of the platform).
@@ -33,3 +39,75 @@
 		})
 	}
 }
+
+// A control VM that was suspended handed the table of before to an entry VM that had just started (soak seed 49105).
+func TestControlVMThatWakesHandsOutNoOutdatedTable(t *testing.T) {
+	for name, end := range map[string]struct {
+		event   func(wokeAt time.Time) message
+		after   time.Duration
+		version uint64
+	}{
+		"another control VM has the same version": {version: 1, event: func(wokeAt time.Time) message {
+			return tableVersionHeard{address: "other", version: 1, askedAt: wokeAt}
+		}},
+		"an answer to a question of before tells nothing": {event: func(wokeAt time.Time) message {
+			return tableVersionHeard{address: "other", version: 1, askedAt: wokeAt.Add(-time.Millisecond)}
+		}},
+		"another control VM has a newer version": {event: func(wokeAt time.Time) message {
+			return tableVersionHeard{address: "other", version: 2, askedAt: wokeAt}
+		}},
+		"the newer version was read": {version: 2, event: func(time.Time) message {
+			return tableFetched{address: "other", inForce: true, table: testRouteTable(t, 2)}
+		}},
+		"no other control VM answers": {after: maxTableDoubt, version: 1, event: func(time.Time) message {
+			return tableVersionHeard{}
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newFleetCore(t, 0)
+			c.options.Registry = registry.New()
+			c.options.Pool = transport.NewPool(transport.PoolOptions{})
+			t.Cleanup(c.options.Pool.Close)
+			t.Cleanup(c.close)
+			c.post = func(context.Context, message) error { return nil }
+			group := &fakeGroup{self: "self", leader: "other", members: []string{"self", "other"}}
+			c.options.Group = func() Group { return group }
+			now := time.Now()
+			tableConfirmed{table: testRouteTable(t, 1)}.handle(c, now)
+			for range 20 {
+				now = now.Add(tickInterval)
+				c.tick(now)
+			}
+			attach := func(vm string) *session {
+				hello := &hubpb.Hello{Vm: vm, Zone: "a", Incarnation: 1, AcceptsForwarding: true, Redirected: true}
+				s := newSession(hello, func(error) {})
+				entryAttached{session: s, frame: &hubpb.EntryFrame{Hello: hello}}.handle(c, now)
+				return s
+			}
+			require.EqualValues(t, 1, attach("before").frame.GetTable().GetVersion())
+			now = now.Add(4 * time.Second)
+			c.tick(now)
+			started := attach("after")
+			require.Nil(t, started.frame.GetTable(), "the table may be outdated")
+			end.event(now).handle(c, now)
+			for passed := time.Duration(0); passed < end.after; passed += tickInterval {
+				now = now.Add(tickInterval)
+				c.tick(now)
+			}
+			require.Equal(t, end.version, started.frame.GetTable().GetVersion())
+		})
+	}
+}
+
+// testRouteTable returns a table that decodeTestTable decodes to the given version.
+func testRouteTable(t *testing.T, version int) *hubpb.RouteTable {
+	t.Helper()
+	return compressedTable(t, uint64(version), fmt.Sprintf("%0*d", version, 0))
+}
+
+func compressedTable(t *testing.T, version uint64, content string) *hubpb.RouteTable {
+	t.Helper()
+	compressed, err := bundle.Compress([]byte(content), nil)
+	require.NoError(t, err)
+	return &hubpb.RouteTable{Version: version, Content: compressed}
+}
--- a/internal/hub/session.go
+++ b/internal/hub/session.go
@@ -78,10 +78,7 @@
 	}
 	frame := s.pending()
 	frame.Servers = c.allServers(now)
-	if c.table.GetVersion() > s.tableVersion {
-		frame.Table = c.table
-		s.tableVersion = c.table.GetVersion()
-	}
+	c.sendTable(s)
 	c.evidence.Merge(now, evidenceFromProto(m.frame.GetHello().GetEvidence(), now))
 	frame.Evidence = evidenceToProto(c.evidence.All(), now)
 	c.applyLimits(limitsFromProto(m.frame.GetHello().GetLimits(), now), s.vm, now)
--- a/internal/observe/events_hub.go
+++ b/internal/observe/events_hub.go
@@ -59,6 +59,10 @@
 		"The replicated log did not bring a route table to this control VM that another one has in force, so this VM read the newest one through the leader (leader), or the one in force at the control VM that has it (from), or failed to (error). The line gives the version read, the one that this VM had (own_version), since when it has been waiting (behind) and the term. If it repeats, check the disk of this VM and the network to the leader.")
 	AttachFailed = newEvent(2166, "attach_failed", zerolog.WarnLevel,
 		"This entry VM could not connect to a control VM and tries others. The line gives the control VM, the error and the time that the attempt took (after). Expected for control VMs that have been replaced. If no link_attached line follows, check the control VMs and the network.")
+	TableDoubted = newEvent(2168, "table_doubted", zerolog.WarnLevel,
+		"This control VM did not run for a while (suspended), in which the others may have accepted a newer route table. It gives entry VMs no table until another control VM has told its version, or for a second if none does; entry VMs keep the one that they have. If it repeats, check the processor share of this VM.")
+	TableTrusted = newEvent(2169, "table_trusted", zerolog.InfoLevel,
+		"This control VM gives its route table to entry VMs again. The line gives the time since table_doubted (after). No action.")
 	ServerLimitChanged = newEvent(2167, "server_limit_changed", zerolog.InfoLevel,
 		"A backend server has stated in an answer how many requests a second it takes from all VMs together (per_second), or no longer states a limit (limited false), and this control VM has learned of it. The line gives the age of the answer and the entry VM that reported it (entry_vm), empty if another control VM did. No action; other servers get the rest.")
 )
