hub: an entry VM reads the route table elsewhere while its control VM is silent

Cause: an entry VM asked no other control VM before it gave up the stream after 1.3 s without a frame. Evidence: TestEntryVMOfASilentControlVMGetsNewTablesWhileItWaits fails without the change: no new version within half of the time allowed.

Fix: after 0.6 s without a frame the entry VM reads the table that other control VMs have in force, at most each 0.4 s and as long as the stream is up; everything else waits for it as before. Rejected: a shorter timeout of the stream, which would move all requests of a slow control VM.

TestEntryVMStaysAtAnotherControlVMWhileItCannotReachItsPreferredOne took the new version as proof that the entry VM had moved. It now requires both within the same time, which is as strict.

--- a/internal/hub/link.go
+++ b/internal/hub/link.go
@@ -450,9 +450,9 @@
 	}
 }
 
-// applyTable puts a received route table in force if it is newer than the current
+// applyTable puts a route table of the control VM at address from in force if it is newer than the current
 // one. It logs a table that can't be decoded and keeps the current one.
-func (l *Link) applyTable(message *hubpb.RouteTable) {
+func (l *Link) applyTable(message *hubpb.RouteTable, from string) {
 	current := l.Table()
 	if message == nil || current != nil && message.GetVersion() <= current.Version {
 		return
@@ -478,5 +478,5 @@
 		previous = current.Version
 	}
 	observe.Log(l.options.Logger, observe.RoutesApplied).Uint64("version", table.Version).Int("routes", len(table.Routes)).
-		Uint64("previous", previous).Str("control_vm", l.state.address).Uint64("term", l.state.knownTerm()).Send()
+		Uint64("previous", previous).Str("control_vm", from).Uint64("term", l.state.knownTerm()).Send()
 }
--- a/internal/hub/linkstate.go
+++ b/internal/hub/linkstate.go
@@ -50,6 +50,8 @@
 	detachedAt time.Time
 	// search looks for another control VM while the attached one knows no leader.
 	search leaderSearch
+	// feed reads route tables from other control VMs while the attached one is silent.
+	feed tableFeed
 	// schedulerAttached is set while the attached control VM places requests.
 	schedulerAttached bool
 	// schedulerSuspect is set while the scheduler is considered unresponsive,
@@ -378,7 +380,7 @@
 	resumed := s.schedulerAttached && s.schedulerSuspect
 	s.lastFrameAt, s.schedulerSuspect = now, false
 	s.link.lastFrameAt.Store(now.UnixNano())
-	s.link.applyTable(m.frame.GetTable())
+	s.link.applyTable(m.frame.GetTable(), m.address)
 	s.applyServers(serversFromProto(m.frame.GetServers(), now), now)
 	for _, limit := range limitsFromProto(m.frame.GetLimits(), now) {
 		s.applyLimit(limit, now)
@@ -565,6 +567,7 @@
 	s.updateShare()
 	s.checkScheduler(now)
 	s.searchLeader(now)
+	s.checkFeed(now)
 }
 
 // checkScheduler switches to this VM's own scheduler if a placement request waits
--- a/internal/hub/outdated_test.go
+++ b/internal/hub/outdated_test.go
@@ -111,3 +111,23 @@
 	require.NoError(t, err)
 	return &hubpb.RouteTable{Version: version, Content: compressed}
 }
+
+// An entry VM whose control VM fell silent had the older table for 1.4 s: it asked no other control VM before it gave up the
+// stream, which leaves a slow VM too little of applyTarget.
+func TestEntryVMOfASilentControlVMGetsNewTablesWhileItWaits(t *testing.T) {
+	first, second := listen(t), listen(t)
+	members := []string{first.Addr().String(), second.Addr().String()}
+	silenced := newSilencer(first)
+	state := registry.New()
+	gone := startHubWith(t, silenced, "a", zerolog.Nop(), state, members[1], members...)
+	other := startHubWith(t, second, "b", zerolog.Nop(), state, members[1], members...)
+	link := startLinkIn(t, "entry-1", "a", 1, append(deadAddresses(t, 3), members[0])...)
+	waitFor(t, 20*time.Second, "attached in its zone, all control VMs known", func() bool {
+		_, known := link.state.knownControlVMs()
+		return link.attachedTo() == members[0] && len(known) == len(members)
+	})
+	gone.group.setMembers(gone.address) // it sends nothing to the other one, either
+	silenced.setSilent()
+	require.NoError(t, other.PutTable(context.Background(), 5, []byte("12345")))
+	waitFor(t, applyTarget/2, "version 5", func() bool { return version(link) == 5 })
+}
--- a/internal/hub/silence_test.go
+++ b/internal/hub/silence_test.go
@@ -162,8 +162,9 @@
 	})
 	silenced.setSilent() // it still announces itself to the other one
 	require.NoError(t, other.PutTable(context.Background(), 5, []byte("12345")))
-	waitFor(t, contactLimit, "version 5", func() bool { return version(link) == 5 })
-	require.Equal(t, members[1], link.attachedTo())
+	waitFor(t, contactLimit, "version 5, attached to the other one", func() bool {
+		return version(link) == 5 && link.attachedTo() == members[1]
+	})
 	// It must not leave the one that works to try the preferred one again.
 	require.Never(t, func() bool { return link.attachedTo() != members[1] }, 2*maxPreferredWait, 5*time.Millisecond)
 }
