transport: the end of a blocked connection delays no other one

What callers see: an entry VM whose connection to a silent control VM takes no more bytes is without a control VM for 5 s more, and refuses what newer versions allow; a control VM in that state can reach no other control VM for as long, neither for announcements nor to read tables.

Cause: gRPC tries for 5 s to announce the end of a connection, and Pool.Discard waited for that while it held the lock of the pool that all connections share. Class: an unbounded wait for one peer under a lock that the calls to all peers need.

Whether the users' cases are this one is not shown: an entry VM sends few bytes.

Fix: Discard closes the network connection first, outside of the lock. Close ends all connections at the same time and closes the network connections after 200 ms.

--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
@@ -34,10 +35,56 @@
 type Pool struct {
 	options     PoolOptions
 	mu          sync.Mutex
-	connections map[string]*grpc.ClientConn
+	connections map[string]*connection
 	closed      bool
 }
 
+// connection is the gRPC connection to one address.
+type connection struct {
+	client *grpc.ClientConn
+
+	mu sync.Mutex
+	// network is the network connection that was opened last, nil before the first one. Earlier ones have ended.
+	network net.Conn
+	aborted bool
+}
+
+// dial returns a DialFunc that opens connections by open and lets abort close them.
+func (c *connection) dial(open DialFunc) DialFunc {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		opened, err := open(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.aborted {
+			_ = opened.Close()
+			return nil, net.ErrClosed
+		}
+		c.network = opened
+		return opened, nil
+	}
+}
+
+// close closes the connection. After limit it closes the network connection: gRPC goes on for seconds to announce the end to
+// a peer that receives nothing.
+func (c *connection) close(limit time.Duration) {
+	timer := time.AfterFunc(limit, c.abort)
+	defer timer.Stop()
+	_ = c.client.Close()
+}
+
+// abort closes the network connection.
+func (c *connection) abort() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.aborted = true
+	if c.network != nil {
+		_ = c.network.Close()
+	}
+}
+
 // ErrPoolClosed is returned by Conn after Close.
 var ErrPoolClosed = errors.New("the pool of connections is closed")
 
@@ -46,7 +93,7 @@
 	if options.Dial == nil {
 		options.Dial = dialTCP(options.SourceIP)
 	}
-	return &Pool{options: options, connections: map[string]*grpc.ClientConn{}}
+	return &Pool{options: options, connections: map[string]*connection{}}
 }
 
 // Conn returns the connection to address, "ip:port". It creates the connection on first use and doesn't wait until it
@@ -57,41 +104,49 @@
 	if p.closed {
 		return nil, ErrPoolClosed
 	}
-	if conn, found := p.connections[address]; found {
-		return conn, nil
+	if known, found := p.connections[address]; found {
+		return known.client, nil
 	}
-	conn, err := grpc.NewClient("passthrough:///"+address, p.dialOptions()...)
+	conn := &connection{}
+	client, err := grpc.NewClient("passthrough:///"+address, p.dialOptions(conn.dial(p.options.Dial))...)
 	if err != nil {
 		return nil, fmt.Errorf("connection to %s: %w", address, err)
 	}
+	conn.client = client
 	p.connections[address] = conn
-	return conn, nil
+	return client, nil
 }
 
 // Discard closes conn, whose peer is unresponsive, so that the next call of Conn creates a new connection. Calls in
 // progress on conn fail at once. Discard does nothing if conn is no longer the connection to address.
 func (p *Pool) Discard(address string, conn *grpc.ClientConn) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.connections[address] != conn {
+	known := p.connections[address]
+	if known == nil || known.client != conn {
+		p.mu.Unlock()
 		return
 	}
 	delete(p.connections, address)
-	_ = conn.Close()
+	p.mu.Unlock()
+	known.abort()
+	_ = known.client.Close()
 }
 
-// Close closes all connections. Later calls of Conn return ErrPoolClosed.
+// Close closes all connections, within closeTimeout. Later calls of Conn return ErrPoolClosed.
 func (p *Pool) Close() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.closed = true
-	for _, conn := range p.connections {
-		_ = conn.Close()
+	connections := p.connections
+	p.connections = nil
+	p.mu.Unlock()
+	var closing sync.WaitGroup
+	for _, conn := range connections {
+		closing.Go(func() { conn.close(closeTimeout) })
 	}
-	p.connections = map[string]*grpc.ClientConn{}
+	closing.Wait()
 }
 
-func (p *Pool) dialOptions() []grpc.DialOption {
+func (p *Pool) dialOptions(dial DialFunc) []grpc.DialOption {
 	var creds credentials.TransportCredentials = insecure.NewCredentials()
 	if p.options.Certificates != nil {
 		creds = p.options.Certificates.clientCredentials()
@@ -99,7 +154,7 @@
 	retry := backoff.Config{BaseDelay: minReconnectDelay, Multiplier: 1.6, Jitter: 0.2, MaxDelay: maxReconnectDelay}
 	return []grpc.DialOption{
 		grpc.WithTransportCredentials(creds),
-		grpc.WithContextDialer(p.options.Dial),
+		grpc.WithContextDialer(dial),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: retry, MinConnectTimeout: dialTimeout}),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingInterval, Timeout: pingTimeout, PermitWithoutStream: true}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -16,6 +16,8 @@
 	dialTimeout = 2 * time.Second
 	// handshakeTimeout bounds the TLS handshake at a server.
 	handshakeTimeout = 3 * time.Second
+	// closeTimeout bounds the time that a Pool takes to announce the end of its connections when it is closed.
+	closeTimeout = 200 * time.Millisecond
 	// minReconnectDelay and maxReconnectDelay are the first and the maximum wait between two attempts to connect to the
 	// same address, without jitter.
 	minReconnectDelay = 100 * time.Millisecond
