h1: a response with an invalid status is malformed at once

Cause: every status below 200 counted as informational, so that the client waited for a final response. Evidence: h1.TestResponseWithAnInvalidStatusIsMalformedAtOnce and platform.TestAnswerWithAnInvalidStatusFailsAtOnce fail without the change.

Fix: a status outside of 100 to 599, and 101, which no request asks for, is a malformed response: 502, or another server where the route allows it.

--- a/internal/h1/client.go
+++ b/internal/h1/client.go
@@ -37,6 +37,8 @@
 	// the server closes the connection.
 	keepAliveMargin = 700 * time.Millisecond
 	readBufferBytes = 4 << 10
+	// maxStatus is the largest valid status of a response.
+	maxStatus = 599
 	// maxHeadBytes limits the status line and the header of a response, including any read-ahead of its body.
 	maxHeadBytes = 64 << 10
 	// uncountedHeadBytes is the part of a head that does not count in Options.Buffers: it
@@ -277,6 +279,9 @@
 			}
 			return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 		}
+		if !isValidStatus(response.StatusCode) {
+			return nil, fmt.Errorf("%w: status %03d", ErrMalformed, response.StatusCode)
+		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
@@ -294,6 +299,11 @@
 	return nil, fmt.Errorf("%w: the response belongs to another request", ErrMalformed)
 }
 
+// isValidStatus reports whether a server may respond with a status: RFC 9110, section 15. No request asks to switch protocols.
+func isValidStatus(status int) bool {
+	return status >= http.StatusContinue && status <= maxStatus && status != http.StatusSwitchingProtocols
+}
+
 // encodeHead returns the encoded request line and header.
 func (c *Client) encodeHead(request *Request) []byte {
 	head := make([]byte, 0, 1024)
