hub: a search gives up the silent connections on which it asked last

What callers saw: an entry VM whose open connections have all gone silent, and whose control VM is gone, refused what a new version allows for 2.0 to 2.2 s, of 2 s allowed.

Cause: the time until the stream is given up, 1.3 s, was followed by a search on connections that were silent, too, 0.5 s, and those asked last were kept, since they had been asked for just less than the timeout.

Fix: connections without an answer for 0.3 s are given up at the end of a search.

--- a/internal/hub/feed.go
+++ b/internal/hub/feed.go
@@ -77,7 +77,7 @@
 	switch {
 	case err == nil && reply.GetTable().GetVersion() > known:
 		return address, l.send(ctx, tableRead{address: address, table: reply.GetTable()})
-	case err != nil && ctx.Err() != nil && time.Since(startedAt) >= askTimeout:
+	case err != nil && ctx.Err() != nil && time.Since(startedAt) >= unansweredAfter:
 		l.options.Pool.Discard(address, conn) // the connection may be broken without an error from TCP
 	}
 	return "", err
--- a/internal/hub/outdated_test.go
+++ b/internal/hub/outdated_test.go
@@ -131,3 +131,40 @@
 	require.NoError(t, other.PutTable(context.Background(), 5, []byte("12345")))
 	waitFor(t, applyTarget/2, "version 5", func() bool { return version(link) == 5 })
 }
+
+// An entry VM whose open connections had all gone silent got no newer table for 2.0 to 2.2 s: a search on them had to fail first,
+// and did not give up those on which it had asked last.
+func TestEntryVMGivesUpSilentConnectionsToOtherControlVMs(t *testing.T) {
+	for i := range 8 {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			t.Parallel()
+			var silencers []*silencer
+			var members []string
+			for range 3 {
+				silenced := newSilencer(listen(t))
+				silencers, members = append(silencers, silenced), append(members, silenced.Addr().String())
+			}
+			state := registry.New()
+			var hubs []*testHub
+			for i, zone := range []string{"a", "b", "c"} {
+				hubs = append(hubs, startHubWith(t, silencers[i], zone, zerolog.Nop(), state, members[1], members...))
+			}
+			link := startLinkIn(t, "entry-1", "a", 1, members...)
+			waitFor(t, 20*time.Second, "attached in its zone, all control VMs known", func() bool {
+				_, known := link.state.knownControlVMs()
+				return link.attachedTo() == members[0] && len(known) == len(members)
+			})
+			for _, address := range members[1:] {
+				_, err := link.askForLeader(t.Context(), address) // opens a connection
+				require.NoError(t, err)
+			}
+			silencers[0].setSilent()
+			silencers[1].silenceOpen()
+			silencers[2].silenceOpen()
+			require.NoError(t, hubs[1].PutTable(context.Background(), 5, []byte("12345")))
+			waitFor(t, applyTarget, "version 5, attached to another control VM", func() bool {
+				return version(link) == 5 && link.isAttached() && link.attachedTo() != members[0]
+			})
+		})
+	}
+}
--- a/internal/hub/search.go
+++ b/internal/hub/search.go
@@ -22,6 +22,9 @@
 	askInterval = 100 * time.Millisecond
 	// askTimeout is how long the control VMs asked last may take to answer.
 	askTimeout = 400 * time.Millisecond
+	// unansweredAfter is the time without an answer after which the connection to a control VM is given up at the end of a search:
+	// less than askTimeout, which ends the search for those asked last.
+	unansweredAfter = askTimeout - askInterval
 )
 
 var errNoAnswer = errors.New("no answer to the question which control VM leads")
@@ -181,7 +184,7 @@
 	if status.Code(err) == codes.Unimplemented {
 		return address, nil
 	}
-	if ctx.Err() != nil && time.Since(startedAt) >= askTimeout {
+	if ctx.Err() != nil && time.Since(startedAt) >= unansweredAfter {
 		pool.Discard(address, conn) // the connection may be broken without an error from TCP
 	}
 	return "", err
--- a/internal/hub/silence_test.go
+++ b/internal/hub/silence_test.go
@@ -26,6 +26,8 @@
 	silent bool
 	opened *sync.Cond
 	closed bool
+	// accepted is the number of connections so far. Of these, the first silentUntil are silent whatever silent is.
+	accepted, silentUntil int
 }
 
 func newSilencer(listener net.Listener) *silencer {
@@ -40,6 +42,13 @@
 	s.silent = true
 }
 
+// silenceOpen silences the connections that are open, and no later ones.
+func (s *silencer) silenceOpen() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silentUntil = s.accepted
+}
+
 func (s *silencer) Close() error {
 	s.mu.Lock()
 	s.closed = true
@@ -53,17 +62,21 @@
 	if err != nil {
 		return nil, err
 	}
-	return &silencedConn{Conn: conn, by: s}, nil
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.accepted++
+	return &silencedConn{Conn: conn, by: s, number: s.accepted}, nil
 }
 
-// pass waits while the listener is silent, until it is closed.
-func (s *silencer) pass() error {
+// pass waits while the connection with the given number is silent, until the listener is closed.
+func (s *silencer) pass(number int) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for s.silent && !s.closed {
+	isSilent := func() bool { return s.silent || number <= s.silentUntil }
+	for isSilent() && !s.closed {
 		s.opened.Wait()
 	}
-	if s.silent {
+	if isSilent() {
 		return net.ErrClosed
 	}
 	return nil
@@ -71,19 +84,20 @@
 
 type silencedConn struct {
 	net.Conn
-	by *silencer
+	by     *silencer
+	number int
 }
 
 func (c *silencedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if passErr := c.by.pass(); passErr != nil {
+	if passErr := c.by.pass(c.number); passErr != nil {
 		return 0, passErr
 	}
 	return n, err
 }
 
 func (c *silencedConn) Write(b []byte) (int, error) {
-	if err := c.by.pass(); err != nil {
+	if err := c.by.pass(c.number); err != nil {
 		return 0, err
 	}
 	return c.Conn.Write(b)
