soak: a control VM that falls silent for good acknowledges nothing

replace_control stopped the process. Its kernel went on to acknowledge bytes and to accept connections, so that no send buffer of its peers filled: one reason why no run of the soak showed the wait in transport.Pool.Discard. Its sockets now drop all packets, as after a loss of power.

TestNodeWithoutPowerAcknowledgesNothing checks it.

--- a/internal/soak/network.go
+++ b/internal/soak/network.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -244,6 +245,29 @@
 	return nil
 }
 
+// powerOff lets a node fall silent for good, as a VM without power: it acknowledges nothing, so that the send buffers of its
+// peers fill, and dials to it get no answer.
+func (n *network) powerOff(node string) error {
+	var sockets []syscall.Conn
+	for _, listener := range n.listenersByNode[node] {
+		sockets = append(sockets, listener)
+	}
+	n.forEachRelay(node, func(r *relay) {
+		r.stalled = true
+		if r.to == node {
+			sockets = append(sockets, r.client)
+		} else {
+			sockets = append(sockets, r.server)
+		}
+	})
+	for _, socket := range sockets {
+		if err := dropAllPackets(socket); err != nil && !errors.Is(err, net.ErrClosed) {
+			return fmt.Errorf("drop packets to %s: %w", node, err)
+		}
+	}
+	return nil
+}
+
 func (n *network) isRefused(l link) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/soak/network_test.go
+++ b/internal/soak/network_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"os"
 
 	"syscall"
 	"testing"
@@ -141,3 +142,36 @@
 	defer n.close()
 	require.NoError(t, n.forward("127.9.4.1:7404", "127.9.4.2:7404", "node"))
 }
+
+// Peers of a VM without power fill their send buffers; a stopped process goes on to acknowledge bytes through its kernel.
+func TestNodeWithoutPowerAcknowledgesNothing(t *testing.T) {
+	n := newNetwork()
+	t.Cleanup(n.close)
+	own, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = own.Close() }()
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	public := free.Addr().String()
+	require.NoError(t, free.Close())
+	require.NoError(t, n.forward(public, own.Addr().String(), "node"))
+	conn, err := net.Dial("tcp", public)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = conn.Write([]byte("x"))
+	require.NoError(t, err)
+	accepted, err := own.Accept()
+	require.NoError(t, err)
+	defer func() { _ = accepted.Close() }()
+	_, err = accepted.Read(make([]byte, 1))
+	require.NoError(t, err)
+	require.NoError(t, n.powerOff("node"))
+	_, err = net.DialTimeout("tcp", public, 300*time.Millisecond)
+	var failure net.Error
+	require.ErrorAs(t, err, &failure)
+	require.True(t, failure.Timeout())
+	require.NoError(t, conn.SetWriteDeadline(time.Now().Add(2*time.Second)))
+	written, err := conn.Write(make([]byte, 64<<20))
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	require.Less(t, written, 16<<20)
+}
--- a/internal/soak/successors.go
+++ b/internal/soak/successors.go
@@ -84,6 +84,9 @@
 func (s *soak) replaceControl(name string) error {
 	i := s.controlIndex(name)
 	s.fleet.signal(name, syscall.SIGSTOP)
+	if err := s.network.powerOff(name); err != nil {
+		return err
+	}
 	time.Sleep(restartDelay)
 	s.controlAddresses.replace(s.controlAddress(vmNumber(i)), s.controlAddress(firstSuccessor+i))
 	return s.fleet.start(s.topology.successor(i))
