--- a/internal/hub/collision_test.go
+++ b/internal/hub/collision_test.go
@@ -50,9 +50,8 @@
 func TestEntryVMsWithOneIncarnationKeepTheirStreams(t *testing.T) {
 	const vms = 40
 	listener := listen(t)
-	h := startHub(t, listener, listener.Addr().String(), listener.Addr().String())
 	counter := newEventCounter("entry_attached")
-	h.options.Logger = counter.logger()
+	h := startHubIn(t, listener, "a", counter.logger(), listener.Addr().String(), listener.Addr().String())
 	links := make([]*Link, vms)
 	for i := range links {
 		links[i] = startLinkOf(t, fmt.Sprintf("entry-%d", i), 7, h.address)
