gateway: a stream that ends after a suspension of this VM may have been cut off before

Cause: a stream that ends within a millisecond of its last event counts as complete. The entry VM had been suspended for 0.34 and 1.28 s, and read the last events and the end together: 0.5 to 1.5 us between them, pauses of 0.36 to 1.38 s before. Class: a duration measured on a process that may stand still.

Fix: the link of an entry VM notices by the time between two ticks, and before the next one by the time since the last, that the process did not run. A stream whose last events may have waited to be read then counts as ended between two events, so that its server is probed and the stream resumed, confirmed or broken off as any other.

--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -102,7 +102,9 @@
 	// sinceEvent is the time for which the end was awaited once the last event was passed on; of a whole response, the time
 	// since the request was sent.
 	sinceEvent time.Duration
-	server     serverCondition
+	// suspended is set if this VM did not run for a while before the end, so that sinceEvent may be too short.
+	suspended bool
+	server    serverCondition
 	// closed is set when the server has closed the connection right after the response, without having announced it.
 	closed bool
 	// probe is what a probe of the server has shown after the end of the response.
@@ -121,6 +123,7 @@
 	return &responseEnd{
 		framing: open.response.Framing, relayed: open.response.Relayed, events: pace.events, lastEventID: x.lastEventID,
 		left: x.deadline.Sub(now), gap: gap, sinceEvent: now.Sub(pace.waitingSince), server: x.serverCondition(open.Server, now),
+		suspended:   x.gateway.options.WasSuspended(pace.mayBeBufferedSince(now, gap)),
 		lostHolders: x.lostHolders(open.tickets, now),
 	}
 }
@@ -178,8 +181,11 @@
 
 // isBetweenEvents tells whether the response ended a while after its last event. A complete one ends right after it, while a
 // server that stops ends its responses at any time, and this VM may not know yet that it was to stop. One that ends its
-// process once its last stream is complete closes the connection at once, too.
-func (e *responseEnd) isBetweenEvents() bool { return e.events > 0 && e.sinceEvent > maxEndDelay }
+// process once its last stream is complete closes the connection at once, too. A VM that was suspended finds the last events
+// and the end together, whatever time was between them.
+func (e *responseEnd) isBetweenEvents() bool {
+	return e.events > 0 && (e.sinceEvent > maxEndDelay || e.suspended)
+}
 
 // isCutWithoutTrace tells whether the response would have ended in the same way if its server, or the VM that relayed it,
 // had stopped within it: the kernel closes the connections of a process that ends.
@@ -190,7 +196,7 @@
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
 func (e responseEnd) MarshalZerologObject(line *zerolog.Event) {
 	line.Stringer("framing", e.framing).Bool("relayed", e.relayed).Uint64("last_event", e.lastEventID).Int("events", e.events).
-		Dur("left", e.left).Dur("since_event", e.sinceEvent).Dur("event_gap", e.gap).
+		Dur("left", e.left).Dur("since_event", e.sinceEvent).Bool("suspended", e.suspended).Dur("event_gap", e.gap).
 		Stringer("server_state", e.server).Bool("closed", e.closed).Stringer("probe", e.probe).Int("lost_holders", e.lostHolders)
 }
 
@@ -334,8 +340,9 @@
 
 // pace measures the time between the events of one response.
 type pace struct {
-	// waitingSince is when the wait for the next event began.
+	// waitingSince is when the wait for the next event began, waitedSince when that for the last one did.
 	waitingSince    time.Time
+	waitedSince     time.Time
 	events          int
 	firstAt, lastAt time.Time
 	lastGap         time.Duration
@@ -349,7 +356,16 @@
 		p.lastGap = now.Sub(p.lastAt)
 	}
 	p.events++
-	p.lastAt = now
+	p.lastAt, p.waitedSince = now, p.waitingSince
+}
+
+// mayBeBufferedSince returns the time from which on the last event and what followed it may have waited to be read.
+func (p *pace) mayBeBufferedSince(now time.Time, gap time.Duration) time.Time {
+	since := now.Add(-gap)
+	if p.events > 0 && p.waitedSince.Before(since) {
+		return p.waitedSince
+	}
+	return since
 }
 
 // expectedGap returns the time in which the next event could be expected: the mean of the gaps or the last one, whichever is
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -208,9 +208,11 @@
 	TableKnown <-chan struct{}
 	// TableSource returns where the route table in force comes from; nil if that is not known. Only logs use it.
 	TableSource func() TableSource
-	Placer      Placer
-	Budget      Budget
-	Servers     Servers
+	// WasSuspended reports whether this process did not run for a while since the given time; nil if it always runs.
+	WasSuspended func(since time.Time) bool
+	Placer       Placer
+	Budget       Budget
+	Servers      Servers
 	// ReadyServers returns the servers of a service that accept requests by their announcements.
 	ReadyServers func(service string) []roster.Server
 	Backend      Backend
@@ -286,6 +288,9 @@
 	if options.Paths == nil {
 		options.Paths = soundPaths{}
 	}
+	if options.WasSuspended == nil {
+		options.WasSuspended = func(time.Time) bool { return false }
+	}
 	g := &Gateway{options: options, startedAt: time.Now(), meanSizes: meanSizes{byRoute: map[string]float64{}}, closings: newClosings(), streamTimes: newStreamTimes()}
 	g.stopping, g.beginStop = context.WithCancel(context.Background())
 	g.exiting, g.beginExit = context.WithCancel(context.Background())
--- a/internal/hub/link.go
+++ b/internal/hub/link.go
@@ -118,6 +118,7 @@
 	failedAttempts atomic.Int64
 	// lastFrameAt is when the last frame arrived, in Unix nanoseconds, or when the link was made.
 	lastFrameAt atomic.Int64
+	suspension  suspensionClock
 
 	// mu guards the fields below it, except state.
 	mu    sync.RWMutex
@@ -156,6 +157,11 @@
 // TableKnown returns a channel that is closed when the first route table is in force.
 func (l *Link) TableKnown() <-chan struct{} { return l.tableKnown }
 
+// WasSuspended reports whether this process did not run for a while since the given time, or only just runs again.
+func (l *Link) WasSuspended(since time.Time) bool {
+	return l.suspension.wasSuspended(since, time.Now())
+}
+
 // TableSource tells where the route table in force comes from.
 type TableSource struct {
 	// ControlVM is the internal address of the attached control VM, empty while the link is detached.
--- a/internal/hub/linkstate.go
+++ b/internal/hub/linkstate.go
@@ -549,6 +549,7 @@
 // tick does the periodic work: it expires servers, queues a heartbeat if due,
 // updates this VM's share and checks the scheduler.
 func (s *linkState) tick(now time.Time) {
+	s.link.suspension.tick(now)
 	s.link.mu.Lock()
 	expired := s.link.servers.Evict(now, s.link.options.ExpireAfter)
 	s.link.mu.Unlock()
