hub: a control VM whose own table is in doubt is no evidence for others

By reading: two control VMs that wake at the same time would have confirmed each other's older tables, and one without a table, or of a version that names none, any table. Version 0 now tells nothing, and a control VM whose table is in doubt names 0. New cases of TestControlVMThatWakesHandsOutNoOutdatedTable; both failed before. Fields renamed: the versions are those that the other control VMs name.

--- a/internal/h1/status_test.go
+++ b/internal/h1/status_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// A response with status 000 was taken for an informational one, and the request waited for a final response until its deadline.
+// A response with status 000 counted as an informational one, and the request waited for a final response until its deadline.
 func TestResponseWithAnInvalidStatusIsMalformedAtOnce(t *testing.T) {
 	for _, status := range []string{"000", "001", "099", "101", "600", "999", "1000", "-01", "abc"} {
 		t.Run(status, func(t *testing.T) {
--- a/internal/hub/broadcast.go
+++ b/internal/hub/broadcast.go
@@ -41,10 +41,10 @@
 	relaysSentAt time.Time
 	// onTableVersion is called, from any goroutine, with the version of the route table that a peer hands out if it is newer
 	// than the one in force here, or while that is in doubt.
-	onTableVersion func(tableVersionHeard)
+	onTableVersion func(peerTableVersion)
 }
 
-func newBroadcaster(options *Options, onTableVersion func(tableVersionHeard)) *broadcaster {
+func newBroadcaster(options *Options, onTableVersion func(peerTableVersion)) *broadcaster {
 	return &broadcaster{options: options, peers: map[string]*broadcastPeer{}, onTableVersion: onTableVersion}
 }
 
@@ -55,7 +55,7 @@
 	cancel  context.CancelFunc
 	wake    chan struct{}
 	// onTableVersion is that of the broadcaster.
-	onTableVersion func(tableVersionHeard)
+	onTableVersion func(peerTableVersion)
 
 	// mu guards the fields below it.
 	mu sync.Mutex
@@ -100,7 +100,7 @@
 	return started
 }
 
-func startBroadcastPeer(options *Options, address string, onTableVersion func(tableVersionHeard)) *broadcastPeer {
+func startBroadcastPeer(options *Options, address string, onTableVersion func(peerTableVersion)) *broadcastPeer {
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &broadcastPeer{address: address, options: options, cancel: cancel, wake: make(chan struct{}, 1), onTableVersion: onTableVersion, servers: map[string]roster.Server{}, relays: map[string]Relay{}, evidence: map[quarantine.Subject]quarantine.Evidence{}, limits: map[string]serverstate.Limit{}}
 	go p.run(ctx)
@@ -265,7 +265,7 @@
 		return err
 	}
 	if reply.GetTableVersion() > tableVersion || tableInDoubt {
-		p.onTableVersion(tableVersionHeard{address: p.address, version: reply.GetTableVersion(), askedAt: now})
+		p.onTableVersion(peerTableVersion{address: p.address, version: reply.GetTableVersion(), askedAt: now})
 	}
 	return nil
 }
--- a/internal/hub/core.go
+++ b/internal/hub/core.go
@@ -40,7 +40,7 @@
 	// before the first one.
 	table      *hubpb.RouteTable
 	tableSince time.Time
-	// tableVersion is the version of table. Other goroutines read it.
+	// tableVersion is the version of table, 0 while that is in doubt. Other goroutines read it.
 	tableVersion atomic.Uint64
 	// newest is the newest route table that this VM knows. It may be outdated until
 	// tableConfirmed is set.
@@ -90,7 +90,7 @@
 		remotes: map[uint64]*remoteVM{}, controls: map[string]controlVM{},
 		refusalLines: rate.NewLimiter(refusalLinesPerSecond, refusalLinesBurst),
 	}
-	c.peers = newBroadcaster(options, func(m tableVersionHeard) { _ = c.post(context.Background(), m) })
+	c.peers = newBroadcaster(options, func(m peerTableVersion) { _ = c.post(context.Background(), m) })
 	c.roster.SetServices(map[string]bool{}) // until a table is known
 	return c
 }
@@ -310,7 +310,9 @@
 		return
 	}
 	c.table, c.tableSince = c.newest, now
-	c.tableVersion.Store(c.table.GetVersion())
+	if !c.doubt.isActive() {
+		c.tableVersion.Store(c.table.GetVersion())
+	}
 	for s := range c.sessions {
 		c.sendTable(s)
 	}
--- a/internal/hub/lag.go
+++ b/internal/hub/lag.go
@@ -13,12 +13,12 @@
 const tableLagLimit = 300 * time.Millisecond
 
 // tableLag tells whether the log of a control VM brings route tables in time. It does not if the VM's disk takes no writes, if
-// the VM is not in the group, or if it does not hear the leader, for example.
+// the VM is not in the group, or if it gets no messages of the leader, for example.
 type tableLag struct {
-	// heard is the newest version that another control VM than the leader was heard to hand out, and heardFrom its internal
-	// address.
-	heard     uint64
-	heardFrom string
+	// peerVersion is the newest version that another control VM has named as the one it hands out, and peerAddress the internal
+	// address of the last one that named it.
+	peerVersion uint64
+	peerAddress string
 	// awaited is a version that another control VM had in force at awaitedSince and this VM had not.
 	awaited      uint64
 	awaitedSince time.Time
@@ -29,8 +29,8 @@
 
 // record records the version of the route table that the control VM at address hands out.
 func (l *tableLag) record(address string, version uint64) {
-	if version > l.heard || version == l.heard && version > 0 {
-		l.heard, l.heardFrom = version, address
+	if version > 0 && version >= l.peerVersion {
+		l.peerVersion, l.peerAddress = version, address
 	}
 }
 
@@ -47,17 +47,17 @@
 	return !l.fetching && now.Sub(l.awaitedSince) >= tableLagLimit && now.Sub(l.fetchedAt) >= tableLagLimit
 }
 
-// tableVersionHeard is the version of the route table that the control VM at address hands out.
-type tableVersionHeard struct {
+// peerTableVersion is the version of the route table that the control VM at address hands out, 0 for none.
+type peerTableVersion struct {
 	address string
 	version uint64
 	// askedAt is when that control VM was asked.
 	askedAt time.Time
 }
 
-func (m tableVersionHeard) handle(c *core, now time.Time) {
+func (m peerTableVersion) handle(c *core, now time.Time) {
 	c.tableLag.record(m.address, m.version)
-	if !c.doubt.isActive() || m.askedAt.Before(c.doubt.since) {
+	if !c.doubt.isActive() || m.version == 0 || m.askedAt.Before(c.doubt.since) {
 		return
 	}
 	switch {
@@ -80,11 +80,11 @@
 		own = min(own, c.table.GetVersion()) // what another control VM hands out has been confirmed
 	}
 	switch {
-	case !c.tableLag.update(max(leaderVersion, c.tableLag.heard), own, now):
-	case leaderVersion >= c.tableLag.heard:
+	case !c.tableLag.update(max(leaderVersion, c.tableLag.peerVersion), own, now):
+	case leaderVersion >= c.tableLag.peerVersion:
 		c.startTableFetch(c.upstream.address, &hubpb.GetRoutesRequest{}, now)
 	default:
-		c.startTableFetch(c.tableLag.heardFrom, &hubpb.GetRoutesRequest{InForce: true, KnownVersion: c.newest.GetVersion()}, now)
+		c.startTableFetch(c.tableLag.peerAddress, &hubpb.GetRoutesRequest{InForce: true, KnownVersion: c.newest.GetVersion()}, now)
 	}
 }
 
--- a/internal/hub/lag_test.go
+++ b/internal/hub/lag_test.go
@@ -35,15 +35,15 @@
 		require.False(t, lag.update(0, 7, at(1000)))
 		require.False(t, lag.update(6, 7, at(2000)))
 	})
-	t.Run("remembers the newest version heard and the last control VM that has it", func(t *testing.T) {
+	t.Run("remembers the newest version and the last control VM that has it", func(t *testing.T) {
 		var lag tableLag
 		lag.record("a", 0)
-		require.Empty(t, lag.heardFrom)
+		require.Empty(t, lag.peerAddress)
 		lag.record("a", 3)
 		lag.record("b", 2)
-		require.Equal(t, "a", lag.heardFrom)
+		require.Equal(t, "a", lag.peerAddress)
 		lag.record("c", 3)
-		require.Equal(t, "c", lag.heardFrom)
-		require.EqualValues(t, 3, lag.heard)
+		require.Equal(t, "c", lag.peerAddress)
+		require.EqualValues(t, 3, lag.peerVersion)
 	})
 }
--- a/internal/hub/outdated_test.go
+++ b/internal/hub/outdated_test.go
@@ -48,19 +48,22 @@
 		version uint64
 	}{
 		"another control VM has the same version": {version: 1, event: func(wokeAt time.Time) message {
-			return tableVersionHeard{address: "other", version: 1, askedAt: wokeAt}
+			return peerTableVersion{address: "other", version: 1, askedAt: wokeAt}
 		}},
 		"an answer to a question of before tells nothing": {event: func(wokeAt time.Time) message {
-			return tableVersionHeard{address: "other", version: 1, askedAt: wokeAt.Add(-time.Millisecond)}
+			return peerTableVersion{address: "other", version: 1, askedAt: wokeAt.Add(-time.Millisecond)}
+		}},
+		"another control VM has no table, or doubts its own": {event: func(wokeAt time.Time) message {
+			return peerTableVersion{address: "other", askedAt: wokeAt}
 		}},
 		"another control VM has a newer version": {event: func(wokeAt time.Time) message {
-			return tableVersionHeard{address: "other", version: 2, askedAt: wokeAt}
+			return peerTableVersion{address: "other", version: 2, askedAt: wokeAt}
 		}},
 		"the newer version was read": {version: 2, event: func(time.Time) message {
 			return tableFetched{address: "other", inForce: true, table: testRouteTable(t, 2)}
 		}},
 		"no other control VM answers": {after: maxTableDoubt, version: 1, event: func(time.Time) message {
-			return tableVersionHeard{}
+			return peerTableVersion{}
 		}},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -89,12 +92,14 @@
 			c.tick(now)
 			started := attach("after")
 			require.Nil(t, started.frame.GetTable(), "the table may be outdated")
+			require.Zero(t, c.tableVersion.Load(), "it is no evidence for others")
 			end.event(now).handle(c, now)
 			for passed := time.Duration(0); passed < end.after; passed += tickInterval {
 				now = now.Add(tickInterval)
 				c.tick(now)
 			}
 			require.Equal(t, end.version, started.frame.GetTable().GetVersion())
+			require.Equal(t, end.version, c.tableVersion.Load())
 		})
 	}
 }
--- a/internal/hub/suspension.go
+++ b/internal/hub/suspension.go
@@ -71,6 +71,7 @@
 	switch {
 	case suspended >= suspendedAfter && len(c.peers.peers) > 0 && c.tableConfirmed:
 		c.doubt.since = now
+		c.tableVersion.Store(0)
 		observe.Log(c.options.Logger, observe.TableDoubted).Dur("suspended", suspended).Uint64("version", c.table.GetVersion()).
 			Str("leader", c.leader).Uint64("term", c.term).Send()
 	case c.doubt.isActive() && now.Sub(c.doubt.since) >= maxTableDoubt:
@@ -85,6 +86,7 @@
 	}
 	observe.Log(c.options.Logger, observe.TableTrusted).Uint64("version", c.table.GetVersion()).Dur("after", now.Sub(c.doubt.since)).Send()
 	c.doubt.since = time.Time{}
+	c.tableVersion.Store(c.table.GetVersion())
 	for s := range c.sessions {
 		c.sendTable(s)
 	}
